Shape: folders, core types, interfaces, inner protocol, HTTP, checks

Sets down the shape that everything else stands in: a module a concern under src/, strong types for ids and units, interfaces with virtual functions, one libevent loop, the inner protocol in a module of its own. The interfaces of routing, admission, retry, claims, pipeline, platform and backends are here without implementations, so that work on them can go side by side.

HTTP client and server wrap evhttp. evhttp does not read while it serves a request, so a hang-up is seen through a separate EV_CLOSED event. Enabling reads on the connection instead was ruled out: evhttp ends the process when data arrives in that state.

Found while testing: writing to a connection that the peer closed ended the process by SIGPIPE (HttpTest.OversizedBodyIsRefusedAndServerGoesOn); the loop now ignores that signal.

--- /dev/null
+++ b/src/admission/types/workkey.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+namespace lavendertally::admission {
+
+/// Identifies one attempt among those of all entries.
+struct WorkKey
+{
+    framework::DaemonId sender;
+    framework::AttemptId attempt;
+
+    auto operator<=>(const WorkKey &) const = default;
+};
+
+} // namespace lavendertally::admission
--- /dev/null
+++ b/src/claims/types/claimkey.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+#include <compare>
+
+namespace lavendertally::claims {
+
+/// The stage of a request that runs at most once.
+struct ClaimKey
+{
+    framework::TeamId team;
+    framework::RequestId request;
+    framework::StageId stage;
+
+    auto operator<=>(const ClaimKey &) const = default;
+};
+
+} // namespace lavendertally::claims
--- /dev/null
+++ b/src/framework/types/ids.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "framework/types/ordinal.h"
+#include "framework/types/stringid.h"
+
+namespace lavendertally::framework {
+
+struct AvailabilityZoneTag;
+struct HostTag;
+struct BackendServerTag;
+struct DaemonTag;
+struct TeamTag;
+struct PipelineTag;
+struct StageTag;
+struct ServiceTag;
+struct ModelTag;
+struct RequestTag;
+struct OperationTag;
+struct AttemptTag;
+struct LogOffsetTag;
+struct FencingTag;
+struct IncarnationTag;
+
+using AvailabilityZoneId = StringId<AvailabilityZoneTag>;
+using HostId = StringId<HostTag>;
+using BackendServerId = StringId<BackendServerTag>;
+/// One running lavendertallyd, in either role.
+using DaemonId = StringId<DaemonTag>;
+using TeamId = StringId<TeamTag>;
+using PipelineId = StringId<PipelineTag>;
+/// Name of a stage within its pipeline.
+using StageId = StringId<StageTag>;
+/// Pool of backend servers that answer the same kind of call.
+using ServiceId = StringId<ServiceTag>;
+using ModelId = StringId<ModelTag>;
+/// Chosen by the caller; unique within its team.
+using RequestId = StringId<RequestTag>;
+/// One change made by an operator, chosen by the command-line tool.
+using OperationId = StringId<OperationTag>;
+/// One try to run one stage of one request; unique within the daemon that made it.
+using AttemptId = Ordinal<AttemptTag>;
+/// Position of a record in one stream of the log service.
+using LogOffset = Ordinal<LogOffsetTag>;
+using FencingNumber = Ordinal<FencingTag>;
+/// Counts the starts of a backend server; a greater one means that it lost its state.
+using Incarnation = Ordinal<IncarnationTag>;
+
+} // namespace lavendertally::framework
--- /dev/null
+++ b/src/framework/types/logformat.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lavendertally::framework {
+
+enum class LogFormat
+{
+    Text,
+    Json,
+};
+
+} // namespace lavendertally::framework
--- /dev/null
+++ b/src/framework/types/units.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "framework/types/quantity.h"
+
+namespace lavendertally::framework {
+
+struct BytesTag;
+struct TokenTag;
+struct CostTag;
+
+using Bytes = Quantity<BytesTag>;
+using TokenCount = Quantity<TokenTag>;
+/// Money in millionths of the unit in which the operator states cost per hour.
+using MicroCost = Quantity<CostTag>;
+
+} // namespace lavendertally::framework
--- /dev/null
+++ b/src/http/ihttpserver.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "framework/result.h"
+#include "framework/types/endpoint.h"
+
+#include <functional>
+#include <memory>
+
+namespace lavendertally::http {
+
+class IHttpExchange;
+
+/// HTTP server.
+class IHttpServer
+{
+public:
+    using Handler = std::function<void(std::shared_ptr<IHttpExchange>)>;
+
+    virtual ~IHttpServer() = default;
+
+    /// \param handler called for each request; it may keep the exchange and reply later
+    virtual void setHandler(Handler handler) = 0;
+
+    /// Starts listening.
+    /// \param endpoint port zero lets the kernel choose
+    /// \return the endpoint with its real port, or HttpError
+    virtual framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) = 0;
+
+    /// Accepts no further connections; exchanges under way go on.
+    virtual void stopListening() = 0;
+};
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/internal/wholeresponsecall.cpp
@@ -0,0 +1,26 @@
+#include "http/internal/wholeresponsecall.h"
+
+#include "http/ihttpclient.h"
+
+namespace lavendertally::http {
+
+WholeResponseCall::WholeResponseCall(IHttpClient &client, const HttpRequest &request,
+                                     std::function<void(HttpResponse)> callback)
+    : m_callback(std::move(callback)), m_call(client.send(request, *this))
+{ }
+
+void WholeResponseCall::onData(int /*status*/, std::string_view data)
+{
+    m_response.body.append(data);
+}
+
+void WholeResponseCall::onEnd(HttpEnd end, int status)
+{
+    m_response.end = end;
+    m_response.status = status;
+    // The callback may destroy this object.
+    const std::function<void(HttpResponse)> callback = std::move(m_callback);
+    callback(std::move(m_response));
+}
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/internal/wholeresponsecall.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "http/ihttpcall.h"
+#include "http/ihttpresponseobserver.h"
+#include "http/types/httpresponse.h"
+
+#include <functional>
+#include <memory>
+
+namespace lavendertally::http {
+
+class IHttpClient;
+struct HttpRequest;
+
+/// Collects a response and hands it on as a whole.
+class WholeResponseCall final : public IHttpCall, private IHttpResponseObserver
+{
+public:
+    WholeResponseCall(IHttpClient &client, const HttpRequest &request,
+                      std::function<void(HttpResponse)> callback);
+
+private:
+    void onData(int status, std::string_view data) override;
+    void onEnd(HttpEnd end, int status) override;
+
+    HttpResponse m_response;
+    std::function<void(HttpResponse)> m_callback;
+    std::unique_ptr<IHttpCall> m_call;
+};
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/types/httperror.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lavendertally::http {
+
+enum class HttpError
+{
+    /// The address cannot be bound.
+    ListenFailed,
+};
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/types/httpmethod.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lavendertally::http {
+
+enum class HttpMethod
+{
+    Get,
+    Post,
+};
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/types/httpresponse.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "http/types/httpend.h"
+
+#include <string>
+
+namespace lavendertally::http {
+
+/// Response that is read as a whole.
+struct HttpResponse
+{
+    HttpEnd end = HttpEnd::NotSent;
+    /// Status code; zero unless the response is complete.
+    int status = 0;
+    std::string body;
+};
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/membership/types/hostentry.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "framework/types/endpoint.h"
+#include "framework/types/ids.h"
+#include "membership/types/hostrole.h"
+#include "membership/types/hoststate.h"
+
+namespace lavendertally::membership {
+
+/// One row of the platform's host list.
+struct HostEntry
+{
+    framework::HostId id;
+    framework::AvailabilityZoneId zone;
+    HostRole role = HostRole::Backend;
+    HostState state = HostState::Live;
+    /// Service of its backend server; empty for entry hosts.
+    framework::ServiceId service;
+    /// Where its daemon answers HTTP: stage calls on a backend host, callers on an entry host.
+    framework::Endpoint http;
+    /// Where its daemon answers control messages.
+    framework::Endpoint control;
+
+    bool operator==(const HostEntry &) const = default;
+};
+
+} // namespace lavendertally::membership
--- /dev/null
+++ b/src/membership/types/hostrole.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lavendertally::membership {
+
+enum class HostRole
+{
+    Entry,
+    Backend,
+};
+
+} // namespace lavendertally::membership
--- /dev/null
+++ b/src/membership/types/hoststate.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lavendertally::membership {
+
+enum class HostState
+{
+    Live,
+    /// Finishes its work and takes none.
+    Leaving,
+};
+
+} // namespace lavendertally::membership
--- /dev/null
+++ b/src/protocol/internal/protobufcodec.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "protocol/imessagecodec.h"
+
+namespace lavendertally::protocol {
+
+/// Codec on Protocol Buffers; inner.proto is the schema.
+class ProtobufCodec final : public IMessageCodec
+{
+public:
+    std::string encode(const Message &message) const override;
+    framework::Result<Message> decode(std::string_view bytes) const override;
+};
+
+} // namespace lavendertally::protocol
--- /dev/null
+++ b/src/protocol/protocolmodule.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <memory>
+
+namespace lavendertally::protocol {
+
+class IFrameReader;
+class IMessageCodec;
+
+/// Makes the codec of the inner protocol.
+class ProtocolModule
+{
+public:
+    static std::unique_ptr<IMessageCodec> makeCodec();
+    static std::unique_ptr<IFrameReader> makeFrameReader();
+};
+
+} // namespace lavendertally::protocol
--- /dev/null
+++ b/src/protocol/tests/codectest.cpp
@@ -0,0 +1,136 @@
+#include "protocol/iframereader.h"
+#include "protocol/imessagecodec.h"
+#include "protocol/protocolmodule.h"
+#include "protocol/types/protocolerror.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+using namespace lavendertally;
+using namespace lavendertally::protocol;
+
+namespace {
+
+StageRequest sampleRequest()
+{
+    StageRequest request;
+    request.sender = framework::DaemonId("entry-1");
+    request.revision = framework::LogOffset(17);
+    request.request = framework::RequestId("r-1");
+    request.attempt = framework::AttemptId(3);
+    request.team = framework::TeamId("rota-office");
+    request.pipeline = framework::PipelineId("feed-plan");
+    request.stage = framework::StageId("generate");
+    request.service = framework::ServiceId("generator");
+    request.priority = configuration::PriorityClass::Background;
+    request.share = 4;
+    request.budget = framework::Milliseconds(1200);
+    request.maxTokens = framework::TokenCount(64);
+    request.idempotent = false;
+    request.stream = true;
+    request.payload = R"({"input":{"text":"x"}})";
+    return request;
+}
+
+StageResult sampleResult()
+{
+    StageResult result;
+    result.attempt = framework::AttemptId(3);
+    result.revision = framework::LogOffset(18);
+    result.status = StageStatus::NotRun;
+    result.reason = RefusalReason::Unreachable;
+    result.detail = "refused";
+    result.chunks = 5;
+    result.payload = "{}";
+    result.tokens = framework::TokenCount(9);
+    result.serviceTime = framework::Milliseconds(80);
+    result.cost = framework::MicroCost(1234);
+    result.load = {2, 3, 8, true, framework::Milliseconds(40), framework::Incarnation(6)};
+    return result;
+}
+
+std::vector<Message> sampleMessages()
+{
+    return {sampleRequest(),
+            StageChunk{framework::AttemptId(3), 7, framework::TokenCount(1), "word "},
+            sampleResult(),
+            RevisionQuery{framework::DaemonId("host-1"), framework::LogOffset(4)},
+            RevisionReply{framework::DaemonId("entry-1"),
+                          framework::LogOffset(9),
+                          "snapshot",
+                          {{framework::LogOffset(8), "record"}}},
+            LoadQuery{framework::DaemonId("entry-1"), framework::LogOffset(2)},
+            LoadReport{1, 2, 3, false, framework::Milliseconds(4), framework::Incarnation(5)}};
+}
+
+/// \return the error of decoding, or nothing when it succeeded
+std::optional<ProtocolError> decodeError(const std::string &bytes)
+{
+    return framework::leaf::try_handle_all(
+        [&]() -> framework::Result<std::optional<ProtocolError>> {
+            BOOST_LEAF_CHECK(ProtocolModule::makeCodec()->decode(bytes));
+            return std::optional<ProtocolError>();
+        },
+        [](ProtocolError error) { return std::optional<ProtocolError>(error); },
+        [] { return std::optional<ProtocolError>(ProtocolError::UnknownVersion); });
+}
+
+} // namespace
+
+TEST(Codec, EveryMessageSurvivesEncodingAndDecoding)
+{
+    const auto codec = ProtocolModule::makeCodec();
+    for (const Message &message : sampleMessages()) {
+        const auto decoded = codec->decode(codec->encode(message));
+        ASSERT_TRUE(decoded);
+        EXPECT_TRUE(*decoded == message) << "message type " << message.index();
+    }
+}
+
+TEST(Codec, NoiseIsRefusedAsMalformed)
+{
+    EXPECT_EQ(decodeError(""), ProtocolError::UnknownVersion);
+    EXPECT_EQ(decodeError("\xff\xff\xff\xff"), ProtocolError::Malformed);
+    EXPECT_EQ(decodeError(std::string("\x08\x01", 2)), ProtocolError::Malformed);
+    EXPECT_EQ(decodeError(std::string("\x08\x09", 2)), ProtocolError::UnknownVersion);
+}
+
+TEST(Codec, TruncatedAndCorruptMessagesNeverCrash)
+{
+    constexpr int Rounds = 2000;
+    const auto codec = ProtocolModule::makeCodec();
+    std::mt19937 random(20261204);
+    for (const Message &message : sampleMessages()) {
+        const std::string bytes = codec->encode(message);
+        for (int round = 0; round < Rounds; ++round) {
+            std::string corrupt = bytes.substr(0, random() % (bytes.size() + 1));
+            if (!corrupt.empty()) {
+                corrupt[random() % corrupt.size()] = static_cast<char>(random());
+            }
+            decodeError(corrupt);
+        }
+    }
+}
+
+TEST(FrameReader, FramesArriveWholeHoweverTheBytesAreSplit)
+{
+    const std::string stream = IFrameReader::frame("one") + IFrameReader::frame("")
+        + IFrameReader::frame(std::string(1000, 'x'));
+    const auto reader = ProtocolModule::makeFrameReader();
+    std::vector<std::string> frames;
+    for (const char byte : stream) {
+        reader->append(std::string_view(&byte, 1));
+        while (const auto frame = reader->next().value()) {
+            frames.push_back(*frame);
+        }
+    }
+    EXPECT_EQ(frames, (std::vector<std::string>{"one", "", std::string(1000, 'x')}));
+}
+
+TEST(FrameReader, OversizedLengthIsAnError)
+{
+    const auto reader = ProtocolModule::makeFrameReader();
+    reader->append("\xff\xff\xff\xff");
+    EXPECT_FALSE(reader->next());
+}
--- /dev/null
+++ b/src/protocol/types/controlrecord.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+#include <string>
+
+namespace lavendertally::protocol {
+
+/// Record of the control stream as the log service holds it.
+struct ControlRecord
+{
+    framework::LogOffset offset;
+    std::string data;
+
+    bool operator==(const ControlRecord &) const = default;
+};
+
+} // namespace lavendertally::protocol
--- /dev/null
+++ b/src/protocol/types/loadquery.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+namespace lavendertally::protocol {
+
+/// Small probe: asks a host process for its load. The answer is a LoadReport.
+struct LoadQuery
+{
+    framework::DaemonId sender;
+    framework::LogOffset revision;
+
+    bool operator==(const LoadQuery &) const = default;
+};
+
+} // namespace lavendertally::protocol
--- /dev/null
+++ b/src/protocol/types/revisionquery.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+namespace lavendertally::protocol {
+
+/// Asks a peer for configuration newer than the sender's.
+struct RevisionQuery
+{
+    framework::DaemonId sender;
+    framework::LogOffset revision;
+
+    bool operator==(const RevisionQuery &) const = default;
+};
+
+} // namespace lavendertally::protocol
--- /dev/null
+++ b/src/retry/types/retryquery.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "framework/types/milliseconds.h"
+#include "retry/types/failurekind.h"
+
+#include <cstdint>
+
+namespace lavendertally::retry {
+
+/// What the decision to try a stage again depends on.
+struct RetryQuery
+{
+    framework::ServiceId service;
+    FailureKind failure = FailureKind::Unknown;
+    bool idempotent = true;
+    /// Attempts of this stage so far, at least one.
+    std::uint32_t attempts = 1;
+    /// Time left for the request.
+    framework::Milliseconds budget;
+};
+
+} // namespace lavendertally::retry
