--- a/src/protocol/types/controlrecord.h
+++ b/src/configuration/types/controlrecord.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace lavendertally::protocol {
+namespace lavendertally::configuration {
 
 /// Record of the control stream as the log service holds it.
 struct ControlRecord
@@ -15,4 +15,4 @@
     bool operator==(const ControlRecord &) const = default;
 };
 
-} // namespace lavendertally::protocol
+} // namespace lavendertally::configuration
--- /dev/null
+++ b/src/configuration/types/daemonrole.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace lavendertally::configuration {
+
+enum class DaemonRole
+{
+    /// Takes callers' requests behind the platform's balancer.
+    Entry,
+    /// Runs beside one backend server.
+    Host,
+};
+
+} // namespace lavendertally::configuration
--- a/src/protocol/internal/protobufcodec.cpp
+++ b/src/protocol/internal/protobufcodec.cpp
@@ -74,7 +74,7 @@
     out.set_sender(reply.sender.value());
     out.set_revision(reply.revision.value());
     out.set_snapshot(reply.snapshot);
-    for (const ControlRecord &record : reply.records) {
+    for (const configuration::ControlRecord &record : reply.records) {
         wire::ControlRecord &target = *out.add_records();
         target.set_offset(record.offset.value());
         target.set_data(record.data);
--- a/src/protocol/types/revisionreply.h
+++ b/src/protocol/types/revisionreply.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "configuration/types/controlrecord.h"
 #include "framework/types/ids.h"
-#include "protocol/types/controlrecord.h"
 
 #include <string>
 #include <vector>
@@ -16,7 +16,7 @@
     /// Serialized state of the configuration store; sent instead of records when the peer no
     /// longer keeps all records since the revision that was asked about.
     std::string snapshot;
-    std::vector<ControlRecord> records;
+    std::vector<configuration::ControlRecord> records;
 
     bool operator==(const RevisionReply &) const = default;
 };
