Stage transport, backend servers, request runs and the callers' interface

The path of a request from the caller's JSON to a backend server's call: the callers' API over evhttp, RequestRun (one stage after the other under one deadline, attempts with ids, claims for what may not be repeated), the stage call as one HTTP request whose answer is a sequence of frames, and one client for all kinds of backend servers with a format and a reader for each.

A request of which some stage ran is answered unknown, never not run, so that not run stays literally true; safe_to_repeat says whether an effect can be doubled by asking anew.

--- a/src/backends/ibackendobserver.h
+++ b/src/backends/ibackendobserver.h
@@ -1,25 +1,27 @@
 #pragma once
 
+#include "backends/types/backenderror.h"
 #include "backends/types/backendresult.h"
-#include "framework/result.h"
 #include "framework/types/units.h"
 
 #include <string>
 
 namespace lavendertally::backends {
 
-/// Receives what a backend call brings.
+/// Receives what a backend call brings. Exactly one of onDone() and onFailed() is called, last.
 class IBackendObserver
 {
 public:
     virtual ~IBackendObserver() = default;
 
-    /// Part of a generated text, in order.
-    virtual void onChunk(std::string text, framework::TokenCount tokens) = 0;
+    /// Part of a generated text, in order. The call must not be destroyed from within it.
+    virtual void onChunk(const std::string &text, framework::TokenCount tokens) = 0;
 
-    /// The call ended; nothing follows.
-    /// \param result the whole result, or BackendError
-    virtual void onEnd(framework::Result<BackendResult> result) = 0;
+    /// The whole result is here.
+    virtual void onDone(const BackendResult &result) = 0;
+
+    /// \param detail what failed, for people
+    virtual void onFailed(BackendError error, const std::string &detail) = 0;
 };
 
 } // namespace lavendertally::backends
--- a/src/backends/ibackendserver.h
+++ b/src/backends/ibackendserver.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace lavendertally::backends {
 
@@ -20,15 +21,16 @@
     virtual ~IBackendServer() = default;
 
     /// Starts a call.
-    /// \param observer outlives the returned handle
-    virtual std::unique_ptr<IBackendCallHandle> call(const BackendCall &call,
-                                                     IBackendObserver &observer) = 0;
+    /// \param observer outlives the returned handle; never called from within this function
+    /// \return handle, or BackendError::NotRun when the payload lacks what the call needs
+    virtual framework::Result<std::unique_ptr<IBackendCallHandle>>
+    call(const BackendCall &call, IBackendObserver &observer) = 0;
 
-    /// Asks the backend server for its state.
-    /// \param callback gets the state, or BackendError
+    /// Asks the backend server for its state. A second question replaces one under way.
+    /// \param callback gets the state, or nothing when no readable answer came in time
     virtual void
     checkHealth(framework::Milliseconds timeout,
-                std::function<void(framework::Result<admission::BackendHealth>)> callback) = 0;
+                std::function<void(std::optional<admission::BackendHealth>)> callback) = 0;
 };
 
 } // namespace lavendertally::backends
--- /dev/null
+++ b/src/backends/internal/actionformat.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "backends/internal/jsonformat.h"
+
+namespace lavendertally::backends {
+
+/// Calls of action services.
+class ActionFormat final : public JsonFormat
+{
+public:
+    std::string target() const override { return "/v1/action"; }
+    framework::Result<std::string> requestBody(const BackendCall &call) const override;
+};
+
+} // namespace lavendertally::backends
--- /dev/null
+++ b/src/backends/internal/httpbackendcall.cpp
@@ -0,0 +1,75 @@
+#include "backends/internal/httpbackendcall.h"
+
+#include "backends/ibackendobserver.h"
+#include "backends/internal/ianswerreader.h"
+#include "framework/types/errorcontext.h"
+#include "http/ihttpcall.h"
+#include "http/ihttpclient.h"
+#include "http/types/httprequest.h"
+
+namespace lavendertally::backends {
+
+namespace {
+
+constexpr int HttpOk = 200;
+constexpr int HttpServiceUnavailable = 503;
+constexpr std::size_t MaxErrorDetail = 200;
+
+} // namespace
+
+HttpBackendCall::HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
+                                 std::unique_ptr<IAnswerReader> reader, IBackendObserver &observer)
+    : m_reader(std::move(reader)), m_observer(observer), m_call(client.send(request, *this))
+{ }
+
+HttpBackendCall::~HttpBackendCall() = default;
+
+void HttpBackendCall::onData(int status, std::string_view data)
+{
+    if (status != HttpOk) {
+        m_errorBody.append(data.substr(0, MaxErrorDetail));
+        return;
+    }
+    m_reader->append(data, m_observer);
+}
+
+void HttpBackendCall::onEnd(http::HttpEnd end, int status)
+{
+    switch (end) {
+    case http::HttpEnd::NotSent:
+        m_observer.onFailed(BackendError::NotRun, "no connection to the backend server");
+        return;
+    case http::HttpEnd::Broken:
+        m_observer.onFailed(BackendError::Unknown, "connection to the backend server broke");
+        return;
+    case http::HttpEnd::TimedOut:
+        m_observer.onFailed(BackendError::Unknown, "backend server did not answer in time");
+        return;
+    case http::HttpEnd::Complete:
+        break;
+    }
+    if (status == HttpOk) {
+        finishAnswer();
+        return;
+    }
+    const BackendError error =
+        status == HttpServiceUnavailable ? BackendError::NotRun : BackendError::Unknown;
+    m_observer.onFailed(error,
+                        "backend server answered " + std::to_string(status) + ": " + m_errorBody);
+}
+
+void HttpBackendCall::finishAnswer()
+{
+    framework::leaf::try_handle_all(
+        [this]() -> framework::Result<void> {
+            BOOST_LEAF_AUTO(result, m_reader->finish());
+            m_observer.onDone(result);
+            return {};
+        },
+        [this](BackendError error, const framework::ErrorContext &context) {
+            m_observer.onFailed(error, context.message);
+        },
+        [this] { m_observer.onFailed(BackendError::Unknown, "answer is malformed"); });
+}
+
+} // namespace lavendertally::backends
--- /dev/null
+++ b/src/backends/internal/httpbackendcall.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "backends/ibackendcallhandle.h"
+#include "http/ihttpresponseobserver.h"
+
+#include <memory>
+#include <string>
+
+namespace lavendertally::http {
+class IHttpCall;
+class IHttpClient;
+struct HttpRequest;
+} // namespace lavendertally::http
+
+namespace lavendertally::backends {
+
+class IAnswerReader;
+class IBackendObserver;
+
+/// One call to a backend server over HTTP.
+class HttpBackendCall final : public IBackendCallHandle, private http::IHttpResponseObserver
+{
+public:
+    HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
+                    std::unique_ptr<IAnswerReader> reader, IBackendObserver &observer);
+    ~HttpBackendCall() override;
+
+private:
+    void onData(int status, std::string_view data) override;
+    void onEnd(http::HttpEnd end, int status) override;
+    void finishAnswer();
+
+    std::unique_ptr<IAnswerReader> m_reader;
+    IBackendObserver &m_observer;
+    std::string m_errorBody;
+    std::unique_ptr<http::IHttpCall> m_call;
+};
+
+} // namespace lavendertally::backends
--- /dev/null
+++ b/src/backends/internal/httpbackendserver.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "backends/ibackendserver.h"
+#include "framework/types/endpoint.h"
+
+#include <memory>
+
+namespace lavendertally::http {
+class IHttpCall;
+class IHttpClient;
+} // namespace lavendertally::http
+
+namespace lavendertally::backends {
+
+class ICallFormat;
+
+/// Backend server that is asked over HTTP.
+class HttpBackendServer final : public IBackendServer
+{
+public:
+    HttpBackendServer(http::IHttpClient &client, framework::Endpoint endpoint,
+                      std::unique_ptr<ICallFormat> format);
+    ~HttpBackendServer() override;
+
+    framework::Result<std::unique_ptr<IBackendCallHandle>>
+    call(const BackendCall &call, IBackendObserver &observer) override;
+    void
+    checkHealth(framework::Milliseconds timeout,
+                std::function<void(std::optional<admission::BackendHealth>)> callback) override;
+
+private:
+    http::IHttpClient &m_client;
+    framework::Endpoint m_endpoint;
+    std::unique_ptr<ICallFormat> m_format;
+    std::unique_ptr<http::IHttpCall> m_healthCall;
+};
+
+} // namespace lavendertally::backends
--- /dev/null
+++ b/src/backends/internal/retrieveformat.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "backends/internal/jsonformat.h"
+
+namespace lavendertally::backends {
+
+/// Calls of retrieve services.
+class RetrieveFormat final : public JsonFormat
+{
+public:
+    std::string target() const override { return "/v1/retrieve"; }
+    framework::Result<std::string> requestBody(const BackendCall &call) const override;
+};
+
+} // namespace lavendertally::backends
--- a/src/backends/types/backendresult.h
+++ b/src/backends/types/backendresult.h
@@ -9,7 +9,8 @@
 /// Complete result of a backend call.
 struct BackendResult
 {
-    /// JSON result; empty when it was streamed.
+    /// JSON result; a generated text stands in it whole, whether or not it was handed on in
+    /// chunks before.
     std::string payload;
     framework::TokenCount tokens;
 };
--- /dev/null
+++ b/src/frontend/internal/callerexchange.cpp
@@ -0,0 +1,73 @@
+#include "frontend/internal/callerexchange.h"
+
+#include "frontend/internal/answerwriter.h"
+#include "http/ihttpexchange.h"
+#include "pipeline/types/calleranswer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lavendertally::frontend {
+
+namespace {
+
+constexpr int HttpOk = 200;
+constexpr int HttpUnavailable = 503;
+constexpr const char *OutcomeHeader = "Lavendertally-Outcome";
+constexpr const char *RetryAfterSeconds = "1";
+
+} // namespace
+
+CallerExchange::CallerExchange(std::shared_ptr<http::IHttpExchange> exchange, std::string requestId,
+                               bool stream, std::function<void()> finished)
+    : m_exchange(std::move(exchange)), m_requestId(std::move(requestId)), m_stream(stream),
+      m_finished(std::move(finished))
+{ }
+
+void CallerExchange::startStream()
+{
+    if (!m_started) {
+        m_started = true;
+        m_exchange->startStream(HttpOk, "text/event-stream", {{"Cache-Control", "no-cache"}});
+    }
+}
+
+void CallerExchange::sendEvent(const char *event, const std::string &data)
+{
+    startStream();
+    m_exchange->sendPart(std::string("event: ") + event + "\ndata: " + data + "\n\n");
+}
+
+void CallerExchange::onText(const std::string &text)
+{
+    sendEvent("text",
+              nlohmann::json{{"text", text}}.dump(-1, ' ', false,
+                                                  nlohmann::json::error_handler_t::replace));
+}
+
+void CallerExchange::onRestart()
+{
+    sendEvent("restart", "{}");
+}
+
+void CallerExchange::onAnswer(const pipeline::CallerAnswer &answer)
+{
+    const std::string body = AnswerWriter::json(m_requestId, answer);
+    // A streaming caller whose request ends before any text gets an ordinary status code.
+    const bool hasNoText = !m_started && answer.outcome != pipeline::RequestOutcome::Done;
+    if (m_stream && !hasNoText) {
+        sendEvent("answer", body);
+        m_exchange->endStream();
+    } else {
+        const int status = AnswerWriter::status(answer);
+        http::HttpHeaders headers = {{OutcomeHeader, AnswerWriter::outcomeName(answer)}};
+        if (status == HttpUnavailable) {
+            headers.emplace_back("Retry-After", RetryAfterSeconds);
+        }
+        m_exchange->reply(status, "application/json", body, headers);
+    }
+    // It destroys this object.
+    const std::function<void()> finished = std::move(m_finished);
+    finished();
+}
+
+} // namespace lavendertally::frontend
--- /dev/null
+++ b/src/frontend/internal/callerexchange.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "pipeline/irequestobserver.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lavendertally::http {
+class IHttpExchange;
+}
+
+namespace lavendertally::frontend {
+
+/// Writes the answer to one caller: as one JSON object, or as server-sent events.
+class CallerExchange final : public pipeline::IRequestObserver
+{
+public:
+    /// \param finished called once after the answer was written
+    CallerExchange(std::shared_ptr<http::IHttpExchange> exchange, std::string requestId,
+                   bool stream, std::function<void()> finished);
+
+    void onText(const std::string &text) override;
+    void onRestart() override;
+    void onAnswer(const pipeline::CallerAnswer &answer) override;
+
+private:
+    void sendEvent(const char *event, const std::string &data);
+    void startStream();
+
+    std::shared_ptr<http::IHttpExchange> m_exchange;
+    std::string m_requestId;
+    bool m_stream;
+    bool m_started = false;
+    std::function<void()> m_finished;
+};
+
+} // namespace lavendertally::frontend
--- /dev/null
+++ b/src/frontend/internal/callerrequestparser.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "framework/result.h"
+#include "pipeline/types/callerrequest.h"
+
+#include <string>
+
+namespace lavendertally::frontend {
+
+/// Reads a caller's request from JSON.
+class CallerRequestParser
+{
+public:
+    /// \return the request, or FrontendError::InvalidBody with an ErrorContext
+    static framework::Result<pipeline::CallerRequest> parse(const std::string &body);
+};
+
+} // namespace lavendertally::frontend
--- /dev/null
+++ b/src/pipeline/internal/payloadbuilder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+#include <string>
+#include <vector>
+
+namespace lavendertally::configuration {
+struct Stage;
+}
+
+namespace lavendertally::pipeline {
+
+/// Collects results and composes what a stage gets: the caller's input and the results of the
+/// stages that it needs.
+class PayloadBuilder
+{
+public:
+    /// \param input JSON value
+    explicit PayloadBuilder(std::string input);
+
+    /// \param result JSON value
+    void addResult(const framework::StageId &stage, std::string result);
+
+    /// \return payload for \p stage, as protocol::StageRequest::payload describes it
+    std::string build(const configuration::Stage &stage) const;
+
+    /// \return result that was added last; empty when there is none
+    const std::string &lastResult() const;
+
+    const std::string &input() const { return m_input; }
+
+private:
+    struct StageOutput
+    {
+        framework::StageId stage;
+        std::string result;
+    };
+
+    std::string m_input;
+    std::vector<StageOutput> m_outputs;
+};
+
+} // namespace lavendertally::pipeline
--- /dev/null
+++ b/src/pipeline/internal/requestrun.cpp
@@ -0,0 +1,438 @@
+#include "pipeline/internal/requestrun.h"
+
+#include "claims/iclaimservice.h"
+#include "configuration/iconfigurationstore.h"
+#include "configuration/types/configurationview.h"
+#include "framework/iclock.h"
+#include "framework/ilogger.h"
+#include "framework/imetrics.h"
+#include "framework/ischeduler.h"
+#include "framework/itimer.h"
+#include "pipeline/internal/requestservice.h"
+#include "pipeline/internal/stageattempt.h"
+#include "pipeline/irequestobserver.h"
+#include "protocol/refusalreasonname.h"
+#include "protocol/types/stagerequest.h"
+#include "retry/iretrypolicy.h"
+#include "retry/istagebudget.h"
+#include "routing/iworkerselector.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::pipeline {
+
+namespace {
+
+/// Requests that share this much of their input are likely to share an engine's cached prefix.
+constexpr std::size_t PrefixLength = 256;
+
+const char *outcomeName(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Done:
+        return "done";
+    case RequestOutcome::NotRun:
+        return "not_run";
+    case RequestOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+RequestRun::RequestRun(RequestService &service, IRequestService::Ticket ticket,
+                       CallerRequest request, IRequestObserver &observer)
+    : m_service(service), m_context(service.context()), m_ticket(ticket),
+      m_request(std::move(request)), m_observer(&observer), m_startedAt(m_context.clock.now()),
+      m_payload(m_request.input)
+{ }
+
+RequestRun::~RequestRun() = default;
+
+void RequestRun::schedule()
+{
+    m_timer = m_context.scheduler.callAfter(framework::Milliseconds(0), [this] {
+        const auto keepAlive = shared_from_this();
+        begin();
+    });
+}
+
+void RequestRun::begin()
+{
+    if (const auto reason = validate()) {
+        giveUp(*reason, {});
+        return;
+    }
+    m_deadlineTimer = m_context.scheduler.callAfter(remaining(), [this] {
+        const auto keepAlive = shared_from_this();
+        onDeadline();
+    });
+    runStage();
+}
+
+std::optional<protocol::RefusalReason> RequestRun::validate()
+{
+    if (m_service.isDraining()) {
+        return protocol::RefusalReason::Leaving;
+    }
+    m_view = m_context.configuration.current();
+    const configuration::Configuration &configuration = m_view->configuration;
+    if (configuration.pipelines.empty()) {
+        return protocol::RefusalReason::NotReady;
+    }
+    const auto pipeline = configuration.pipelines.find(m_request.pipeline);
+    if (pipeline == configuration.pipelines.end()) {
+        return protocol::RefusalReason::UnknownPipeline;
+    }
+    const auto team = configuration.teams.find(m_request.team);
+    if (team == configuration.teams.end()) {
+        return protocol::RefusalReason::UnknownTeam;
+    }
+    m_pipeline = pipeline->second;
+    m_share = team->second.share;
+    const bool namesDeadline = m_request.deadline > framework::Milliseconds(0);
+    m_deadline = m_startedAt
+        + (namesDeadline ? std::min(m_request.deadline, m_pipeline.deadline) : m_pipeline.deadline);
+    if (needsClaim() && m_request.issuedAt == framework::TimePoint()) {
+        return protocol::RefusalReason::InvalidRequest;
+    }
+    return std::nullopt;
+}
+
+bool RequestRun::needsClaim() const
+{
+    return std::any_of(m_pipeline.stages.begin(), m_pipeline.stages.end(),
+                       [](const configuration::Stage &stage) { return !stage.idempotent; });
+}
+
+framework::Milliseconds RequestRun::remaining() const
+{
+    return m_deadline - m_context.clock.now();
+}
+
+bool RequestRun::streamsStage() const
+{
+    return m_request.stream && isLastStage() && stage().maxTokens > framework::TokenCount(0);
+}
+
+claims::ClaimKey RequestRun::claimKey() const
+{
+    return {m_request.team, m_request.id, stage().id};
+}
+
+std::uint64_t RequestRun::prefixHash() const
+{
+    if (stage().maxTokens == framework::TokenCount(0)) {
+        return 0;
+    }
+    const std::string &input = m_payload.input();
+    return XXH3_64bits(input.data(), std::min(input.size(), PrefixLength));
+}
+
+void RequestRun::runStage()
+{
+    m_attempts = 0;
+    m_excluded.clear();
+    m_holdsClaim = false;
+    m_costs.push_back({stage().id, {}, {}, {}, 0});
+    if (!stage().idempotent) {
+        claimStage();
+        return;
+    }
+    startAttempt();
+}
+
+void RequestRun::claimStage()
+{
+    const claims::ClaimRequest request{claimKey(), m_request.issuedAt, m_deadline};
+    // A claim that is granted after the request has ended is given back, so that the caller's next
+    // try can run it.
+    m_context.claims.claim(request,
+                           [weak = weak_from_this(), &claims = m_context.claims,
+                            key = request.key](const claims::ClaimAnswer &answer) {
+                               const auto self = weak.lock();
+                               if (self && self->m_observer != nullptr) {
+                                   self->onClaim(answer);
+                               } else if (answer.outcome == claims::ClaimOutcome::Granted) {
+                                   claims.recordNotRun(key);
+                               }
+                           });
+}
+
+void RequestRun::onClaim(const claims::ClaimAnswer &answer)
+{
+    switch (answer.outcome) {
+    case claims::ClaimOutcome::Granted:
+        m_holdsClaim = true;
+        startAttempt();
+        return;
+    case claims::ClaimOutcome::AlreadyDone:
+        m_anyRan = true;
+        m_effectRan = true;
+        advance(answer.result);
+        return;
+    case claims::ClaimOutcome::HeldElsewhere:
+        m_anyRan = true;
+        m_effectRan = true;
+        giveUp(protocol::RefusalReason::ClaimedElsewhere,
+               "another attempt under the same request id may have run it");
+        return;
+    case claims::ClaimOutcome::Unavailable:
+        giveUp(protocol::RefusalReason::LogUnavailable, {});
+        return;
+    case claims::ClaimOutcome::TooOld:
+        giveUp(protocol::RefusalReason::InvalidRequest,
+               "issued_at lies outside the time for which claims are kept");
+        return;
+    }
+}
+
+void RequestRun::startAttempt()
+{
+    const framework::Milliseconds budget =
+        m_context.budgets.budgetFor(m_pipeline, m_stageIndex, remaining());
+    if (budget <= framework::Milliseconds(0)) {
+        giveUp(protocol::RefusalReason::DeadlineUnreachable, {});
+        return;
+    }
+    const framework::TimePoint now = m_context.clock.now();
+    const routing::RoutingQuery query{stage().service, m_context.zone, prefixHash(), m_excluded,
+                                      budget};
+    auto host = m_context.selector.selectWorker(query, now);
+    ++m_attempts;
+    if (!host) {
+        m_excluded.clear();
+        tryAgain(retry::FailureKind::NotRun, protocol::RefusalReason::NoCapacity, {});
+        return;
+    }
+    if (m_attempts == 1) {
+        m_context.retries.recordFreshCall(stage().service, now);
+    }
+    ++m_costs.back().attempts;
+    protocol::StageRequest request;
+    request.sender = m_context.self;
+    request.revision = m_context.configuration.current()->revision;
+    request.request = m_request.id;
+    request.attempt = m_service.nextAttempt();
+    request.team = m_request.team;
+    request.pipeline = m_pipeline.id;
+    request.stage = stage().id;
+    request.service = stage().service;
+    request.priority = m_pipeline.priority;
+    request.share = m_share;
+    request.budget = budget;
+    request.maxTokens = stage().maxTokens;
+    request.idempotent = stage().idempotent;
+    request.stream = streamsStage();
+    request.payload = m_payload.build(stage());
+    m_attempt = std::make_unique<StageAttempt>(m_context, *host, request, *this);
+}
+
+void RequestRun::onAttemptText(const std::string &text)
+{
+    if (m_observer != nullptr) {
+        m_observer->onText(text);
+    }
+}
+
+void RequestRun::onAttemptResult(const protocol::StageResult &result)
+{
+    const auto keepAlive = shared_from_this();
+    switch (result.status) {
+    case protocol::StageStatus::Done:
+        onStageDone(result);
+        return;
+    case protocol::StageStatus::NotRun:
+        onNotRun(result);
+        return;
+    case protocol::StageStatus::Unknown:
+        onUnknown(result);
+        return;
+    }
+}
+
+void RequestRun::onStageDone(const protocol::StageResult &result)
+{
+    const framework::Milliseconds duration = m_context.clock.now() - m_attempt->startedAt();
+    m_attempt.reset();
+    m_anyRan = true;
+    m_costs.back().cost += result.cost;
+    m_costs.back().duration += duration;
+    m_context.budgets.observe(m_pipeline.id, stage().id, duration);
+    m_context.metrics.observe("lavendertally_stage_ms",
+                              {{"pipeline", m_pipeline.id.value()}, {"stage", stage().id.value()}},
+                              duration);
+    if (!stage().idempotent) {
+        m_effectRan = true;
+        m_context.claims.recordDone(claimKey(), result.payload);
+    }
+    if (m_observer == nullptr) {
+        end();
+        return;
+    }
+    advance(result.payload);
+}
+
+void RequestRun::advance(const std::string &result)
+{
+    m_payload.addResult(stage().id, result);
+    if (!isLastStage()) {
+        ++m_stageIndex;
+        runStage();
+        return;
+    }
+    CallerAnswer answer;
+    answer.outcome = RequestOutcome::Done;
+    answer.safeToRepeat = !m_effectRan;
+    if (!streamsStage()) {
+        answer.result = result;
+    }
+    finish(std::move(answer));
+}
+
+void RequestRun::onNotRun(const protocol::StageResult &result)
+{
+    m_excluded.insert(m_attempt->host().id);
+    m_attempt.reset();
+    m_context.metrics.increment("lavendertally_refusals_total",
+                                {{"service", stage().service.value()},
+                                 {"reason", protocol::refusalReasonName(result.reason)}});
+    tryAgain(retry::FailureKind::NotRun, result.reason, result.detail);
+}
+
+void RequestRun::onUnknown(const protocol::StageResult &result)
+{
+    m_anyRan = true;
+    m_costs.back().wasted += result.cost;
+    m_excluded.insert(m_attempt->host().id);
+    restartText(*m_attempt);
+    m_attempt.reset();
+    if (!stage().idempotent) {
+        m_effectRan = true;
+        m_holdsClaim = false;
+        giveUp(protocol::RefusalReason::None, result.detail);
+        return;
+    }
+    tryAgain(retry::FailureKind::Unknown, result.reason, result.detail);
+}
+
+void RequestRun::restartText(const StageAttempt &attempt)
+{
+    if (attempt.hasText() && m_observer != nullptr) {
+        m_observer->onRestart();
+    }
+}
+
+void RequestRun::tryAgain(retry::FailureKind failure, protocol::RefusalReason reason,
+                          const std::string &detail)
+{
+    const retry::RetryQuery query{stage().service, failure, stage().idempotent, m_attempts,
+                                  remaining()};
+    const retry::RetryDecision decision = m_context.retries.decide(query, m_context.clock.now());
+    if (!decision.retry || m_observer == nullptr) {
+        giveUp(reason, detail);
+        return;
+    }
+    m_context.metrics.increment("lavendertally_retries_total",
+                                {{"service", stage().service.value()}});
+    m_timer = m_context.scheduler.callAfter(decision.backoff, [this] {
+        const auto keepAlive = shared_from_this();
+        startAttempt();
+    });
+}
+
+void RequestRun::onDeadline()
+{
+    if (m_attempt == nullptr) {
+        giveUp(protocol::RefusalReason::DeadlineUnreachable, "deadline passed");
+        return;
+    }
+    m_anyRan = true;
+    if (stage().idempotent) {
+        m_attempt.reset();
+        giveUp(protocol::RefusalReason::DeadlineUnreachable, "deadline passed");
+        return;
+    }
+    // The stage may still run; its claim stays held until its result is known.
+    m_effectRan = true;
+    CallerAnswer answer;
+    answer.outcome = RequestOutcome::Unknown;
+    answer.reason = protocol::RefusalReason::DeadlineUnreachable;
+    answer.detail = "deadline passed while a stage that may not be repeated was under way";
+    deliver(std::move(answer));
+}
+
+void RequestRun::abandon()
+{
+    m_observer = nullptr;
+    const bool mustFinish = m_attempt != nullptr && !stage().idempotent;
+    if (mustFinish) {
+        return;
+    }
+    m_context.metrics.increment("lavendertally_abandoned_requests_total", {});
+    m_attempt.reset();
+    if (m_holdsClaim) {
+        m_context.claims.recordNotRun(claimKey());
+    }
+    end();
+}
+
+void RequestRun::giveUp(protocol::RefusalReason reason, const std::string &detail)
+{
+    if (m_holdsClaim && m_attempt == nullptr) {
+        m_context.claims.recordNotRun(claimKey());
+        m_holdsClaim = false;
+    }
+    CallerAnswer answer;
+    answer.outcome = m_anyRan ? RequestOutcome::Unknown : RequestOutcome::NotRun;
+    answer.reason = reason;
+    answer.detail = detail;
+    answer.safeToRepeat = !m_effectRan;
+    finish(std::move(answer));
+}
+
+void RequestRun::finish(CallerAnswer answer)
+{
+    deliver(std::move(answer));
+    end();
+}
+
+void RequestRun::deliver(CallerAnswer answer)
+{
+    IRequestObserver *observer = std::exchange(m_observer, nullptr);
+    if (observer == nullptr) {
+        return;
+    }
+    m_deadlineTimer.reset();
+    answer.elapsed = m_context.clock.now() - m_startedAt;
+    answer.inTime = m_context.clock.now() <= m_deadline;
+    answer.stages = m_costs;
+    m_context.metrics.increment("lavendertally_requests_total",
+                                {{"pipeline", m_pipeline.id.value()},
+                                 {"outcome", outcomeName(answer.outcome)},
+                                 {"reason", protocol::refusalReasonName(answer.reason)},
+                                 {"in_time", answer.inTime ? "true" : "false"}});
+    m_context.metrics.observe("lavendertally_request_ms", {{"pipeline", m_pipeline.id.value()}},
+                              answer.elapsed);
+    m_context.logger.info("request answered",
+                          {{"request", m_request.id.value()},
+                           {"team", m_request.team.value()},
+                           {"pipeline", m_request.pipeline.value()},
+                           {"outcome", outcomeName(answer.outcome)},
+                           {"reason", protocol::refusalReasonName(answer.reason)},
+                           {"elapsed_ms", std::to_string(answer.elapsed.value())}});
+    observer->onAnswer(answer);
+}
+
+void RequestRun::end()
+{
+    m_timer.reset();
+    m_deadlineTimer.reset();
+    m_service.remove(m_ticket);
+}
+
+} // namespace lavendertally::pipeline
--- /dev/null
+++ b/src/pipeline/internal/requestrun.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "claims/types/claimanswer.h"
+#include "claims/types/claimkey.h"
+#include "configuration/types/pipeline.h"
+#include "framework/types/ids.h"
+#include "framework/types/timepoint.h"
+#include "pipeline/internal/istageattemptobserver.h"
+#include "pipeline/internal/payloadbuilder.h"
+#include "pipeline/irequestservice.h"
+#include "pipeline/types/calleranswer.h"
+#include "pipeline/types/callerrequest.h"
+#include "retry/types/failurekind.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace lavendertally::framework {
+class ITimer;
+}
+
+namespace lavendertally::configuration {
+struct ConfigurationView;
+}
+
+namespace lavendertally::pipeline {
+
+class IRequestObserver;
+class RequestService;
+class StageAttempt;
+struct PipelineContext;
+
+/// One request on its way through its pipeline: one stage after the other, each with as many
+/// attempts as the retry policy allows, all under one deadline.
+class RequestRun final : public std::enable_shared_from_this<RequestRun>,
+                         public IStageAttemptObserver
+{
+public:
+    RequestRun(RequestService &service, IRequestService::Ticket ticket, CallerRequest request,
+               IRequestObserver &observer);
+    ~RequestRun() override;
+    RequestRun(const RequestRun &) = delete;
+    RequestRun &operator=(const RequestRun &) = delete;
+
+    /// Starts from the event loop.
+    void schedule();
+
+    /// The caller hung up.
+    void abandon();
+
+private:
+    void begin();
+    std::optional<protocol::RefusalReason> validate();
+    bool needsClaim() const;
+
+    void runStage();
+    void claimStage();
+    void onClaim(const claims::ClaimAnswer &answer);
+    void startAttempt();
+    void tryAgain(retry::FailureKind failure, protocol::RefusalReason reason,
+                  const std::string &detail);
+
+    void onAttemptText(const std::string &text) override;
+    void onAttemptResult(const protocol::StageResult &result) override;
+    void onStageDone(const protocol::StageResult &result);
+    void onNotRun(const protocol::StageResult &result);
+    void onUnknown(const protocol::StageResult &result);
+    void advance(const std::string &result);
+    void restartText(const StageAttempt &attempt);
+
+    void onDeadline();
+    void giveUp(protocol::RefusalReason reason, const std::string &detail);
+    void finish(CallerAnswer answer);
+    void deliver(CallerAnswer answer);
+    void end();
+
+    const configuration::Stage &stage() const { return m_pipeline.stages[m_stageIndex]; }
+    bool isLastStage() const { return m_stageIndex + 1 == m_pipeline.stages.size(); }
+    bool streamsStage() const;
+    claims::ClaimKey claimKey() const;
+    framework::Milliseconds remaining() const;
+    std::uint64_t prefixHash() const;
+
+    RequestService &m_service;
+    const PipelineContext &m_context;
+    IRequestService::Ticket m_ticket;
+    CallerRequest m_request;
+    /// Null once the caller has its answer or hung up.
+    IRequestObserver *m_observer;
+    framework::TimePoint m_startedAt;
+    framework::TimePoint m_deadline;
+    std::shared_ptr<const configuration::ConfigurationView> m_view;
+    configuration::Pipeline m_pipeline;
+    std::uint32_t m_share = 1;
+    PayloadBuilder m_payload;
+
+    std::size_t m_stageIndex = 0;
+    std::uint32_t m_attempts = 0;
+    std::set<framework::HostId> m_excluded;
+    bool m_holdsClaim = false;
+    /// Whether any stage has run or may have run.
+    bool m_anyRan = false;
+    /// Whether a stage that is not idempotent has run or may have run.
+    bool m_effectRan = false;
+    std::vector<StageCost> m_costs;
+    std::unique_ptr<StageAttempt> m_attempt;
+    std::unique_ptr<framework::ITimer> m_deadlineTimer;
+    std::unique_ptr<framework::ITimer> m_timer;
+};
+
+} // namespace lavendertally::pipeline
--- a/src/pipeline/irequestobserver.h
+++ b/src/pipeline/irequestobserver.h
@@ -15,6 +15,9 @@
     /// Part of the last stage's text; only for streaming callers.
     virtual void onText(const std::string &text) = 0;
 
+    /// The text so far is void, since another attempt starts it anew.
+    virtual void onRestart() = 0;
+
     /// Called once, last.
     virtual void onAnswer(const CallerAnswer &answer) = 0;
 };
--- a/src/pipeline/types/calleranswer.h
+++ b/src/pipeline/types/calleranswer.h
@@ -14,9 +14,14 @@
 struct CallerAnswer
 {
     RequestOutcome outcome = RequestOutcome::Unknown;
+    /// Why there is no answer.
     protocol::RefusalReason reason = protocol::RefusalReason::None;
+    /// More about it, for people.
     std::string detail;
-    /// JSON result of the last stage.
+    /// Whether no stage that may not be repeated has run or may have run, so that a new request
+    /// cannot double an effect.
+    bool safeToRepeat = false;
+    /// JSON result of the last stage; empty when its text was streamed.
     std::string result;
     framework::Milliseconds elapsed;
     /// Whether it came within its deadline.
--- /dev/null
+++ b/src/pipeline/types/pipelinecontext.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+namespace lavendertally::framework {
+class IClock;
+class ILogger;
+class IMetrics;
+class IScheduler;
+} // namespace lavendertally::framework
+
+namespace lavendertally::configuration {
+class IConfigurationStore;
+}
+
+namespace lavendertally::routing {
+class IWorkerSelector;
+}
+
+namespace lavendertally::retry {
+class IRetryPolicy;
+class IStageBudget;
+} // namespace lavendertally::retry
+
+namespace lavendertally::claims {
+class IClaimService;
+}
+
+namespace lavendertally::transport {
+class IStageClient;
+}
+
+namespace lavendertally::pipeline {
+
+class IRevisionListener;
+
+/// What requests need from other modules. All outlive the request service.
+struct PipelineContext
+{
+    framework::DaemonId self;
+    framework::AvailabilityZoneId zone;
+    framework::IClock &clock;
+    framework::IScheduler &scheduler;
+    framework::ILogger &logger;
+    framework::IMetrics &metrics;
+    configuration::IConfigurationStore &configuration;
+    routing::IWorkerSelector &selector;
+    retry::IRetryPolicy &retries;
+    retry::IStageBudget &budgets;
+    claims::IClaimService &claims;
+    transport::IStageClient &stages;
+    IRevisionListener &revisions;
+};
+
+} // namespace lavendertally::pipeline
--- a/src/pipeline/types/requestoutcome.h
+++ b/src/pipeline/types/requestoutcome.h
@@ -6,9 +6,9 @@
 {
     /// The whole answer.
     Done,
-    /// Nothing of it ran that may not be repeated, and no answer will come.
+    /// Provably no stage of it started.
     NotRun,
-    /// A stage that may not be repeated may have run.
+    /// Some stage has run or may have run, and there is no answer.
     Unknown,
 };
 
