--- /dev/null
+++ b/src/standins/types/poolkind.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lavendertally::standins {
+
+enum class PoolKind
+{
+    Encode,
+    Retrieve,
+    Rerank,
+};
+
+} // namespace lavendertally::standins
