Naive admission controller and the module's factory

Cause: other modules need something to construct. Change: makeNaiveController() is first come, first served at a fixed concurrency; makeController() keeps to the cold limit the whole time until the real controller stands. No tests yet.

--- /dev/null
+++ b/src/admission/internal/admissionmodule.cpp
@@ -0,0 +1,22 @@
+#include "admission/admissionmodule.h"
+
+#include "admission/internal/naivecontroller.h"
+#include "admission/types/admissionpolicy.h"
+
+namespace lavendertally::admission {
+
+std::unique_ptr<IAdmissionController>
+AdmissionModule::makeController(const AdmissionLimits &limits, const AdmissionPolicy & /*policy*/)
+{
+    AdmissionLimits cold = limits;
+    cold.concurrency = limits.coldConcurrency;
+    return std::make_unique<NaiveController>(cold);
+}
+
+std::unique_ptr<IAdmissionController>
+AdmissionModule::makeNaiveController(const AdmissionLimits &limits)
+{
+    return std::make_unique<NaiveController>(limits);
+}
+
+} // namespace lavendertally::admission
