Random selector, retry policies and stage budgets behind their interfaces

Cause: the end-to-end path needs something to construct for routing, retry and stage budgets. Change: RoutingModule::makeRandomSelector; RetryModule with the unlimited and the budgeted policy, the whole and the measured stage budget. IStageBudget takes the time, so that estimates can go stale instead of refusing for ever; IMembership has a generation, so that a selector need not copy the host list for each choice.

--- a/src/membership/imembership.h
+++ b/src/membership/imembership.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/ids.h"
 #include "membership/types/hostentry.h"
+#include "membership/types/membershipgeneration.h"
 
 #include <vector>
 
@@ -14,6 +15,10 @@
 public:
     virtual ~IMembership() = default;
 
+    /// \return a number that grows with every change of what the other functions answer, so that
+    /// callers can keep what they derived from it
+    virtual MembershipGeneration generation() const = 0;
+
     /// \return backend hosts of \p service that may receive new work, in a stable order
     virtual std::vector<HostEntry> admittingHosts(const framework::ServiceId &service) const = 0;
 
--- /dev/null
+++ b/src/retry/internal/budgetedretrypolicy.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "retry/internal/retrybudget.h"
+#include "retry/iretrypolicy.h"
+#include "retry/types/retrylimits.h"
+
+#include <map>
+
+namespace lavendertally::framework {
+class IRandom;
+}
+
+namespace lavendertally::retry {
+
+/// Retries within a budget for each service, with decorrelated jitter between attempts.
+class BudgetedRetryPolicy final : public IRetryPolicy
+{
+public:
+    BudgetedRetryPolicy(framework::IRandom &random, const RetryLimits &limits);
+
+    void recordFreshCall(const framework::ServiceId &service, framework::TimePoint now) override;
+    RetryDecision decide(const RetryQuery &query, framework::TimePoint now) override;
+
+private:
+    RetryBudget &budgetOf(const framework::ServiceId &service);
+    framework::Milliseconds backoff(framework::Milliseconds previous);
+
+    framework::IRandom &m_random;
+    RetryLimits m_limits;
+    std::map<framework::ServiceId, RetryBudget> m_budgets;
+};
+
+} // namespace lavendertally::retry
--- /dev/null
+++ b/src/retry/internal/retrymodule.cpp
@@ -0,0 +1,31 @@
+#include "retry/retrymodule.h"
+
+#include "retry/internal/budgetedretrypolicy.h"
+#include "retry/internal/measuredstagebudget.h"
+#include "retry/internal/unlimitedretrypolicy.h"
+#include "retry/internal/wholestagebudget.h"
+
+namespace lavendertally::retry {
+
+std::unique_ptr<IRetryPolicy> RetryModule::makeUnlimitedRetryPolicy()
+{
+    return std::make_unique<UnlimitedRetryPolicy>();
+}
+
+std::unique_ptr<IRetryPolicy> RetryModule::makeBudgetedRetryPolicy(framework::IRandom &random,
+                                                                   const RetryLimits &limits)
+{
+    return std::make_unique<BudgetedRetryPolicy>(random, limits);
+}
+
+std::unique_ptr<IStageBudget> RetryModule::makeWholeStageBudget()
+{
+    return std::make_unique<WholeStageBudget>();
+}
+
+std::unique_ptr<IStageBudget> RetryModule::makeStageBudget()
+{
+    return std::make_unique<MeasuredStageBudget>();
+}
+
+} // namespace lavendertally::retry
--- /dev/null
+++ b/src/retry/internal/unlimitedretrypolicy.cpp
@@ -0,0 +1,17 @@
+#include "retry/internal/unlimitedretrypolicy.h"
+
+#include "retry/internal/retryrules.h"
+
+namespace lavendertally::retry {
+
+void UnlimitedRetryPolicy::recordFreshCall(const framework::ServiceId & /*service*/,
+                                           framework::TimePoint /*now*/)
+{ }
+
+RetryDecision UnlimitedRetryPolicy::decide(const RetryQuery &query, framework::TimePoint /*now*/)
+{
+    const bool timeLeft = query.budget > framework::Milliseconds(0);
+    return {.retry = timeLeft && isSafeToRepeat(query), .backoff = {}};
+}
+
+} // namespace lavendertally::retry
--- a/src/retry/istagebudget.h
+++ b/src/retry/istagebudget.h
@@ -3,6 +3,7 @@
 #include "configuration/types/pipeline.h"
 #include "framework/types/ids.h"
 #include "framework/types/milliseconds.h"
+#include "framework/types/timepoint.h"
 
 #include <cstddef>
 
@@ -19,11 +20,12 @@
     /// \return time that the stage may take; zero when the rest cannot be done in time
     virtual framework::Milliseconds budgetFor(const configuration::Pipeline &pipeline,
                                               std::size_t nextStage,
-                                              framework::Milliseconds remaining) const = 0;
+                                              framework::Milliseconds remaining,
+                                              framework::TimePoint now) const = 0;
 
     /// \param duration time that the stage took, as the entry saw it
     virtual void observe(const framework::PipelineId &pipeline, const framework::StageId &stage,
-                         framework::Milliseconds duration) = 0;
+                         framework::Milliseconds duration, framework::TimePoint now) = 0;
 };
 
 } // namespace lavendertally::retry
--- a/src/retry/types/retryquery.h
+++ b/src/retry/types/retryquery.h
@@ -16,6 +16,8 @@
     bool idempotent = true;
     /// Attempts of this stage so far, at least one.
     std::uint32_t attempts = 1;
+    /// Backoff of the retry before this one; zero when there was none.
+    framework::Milliseconds previousBackoff;
     /// Time left for the request.
     framework::Milliseconds budget;
 };
--- /dev/null
+++ b/src/routing/internal/randomselector.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "routing/iworkerselector.h"
+
+namespace lavendertally::framework {
+class IRandom;
+}
+
+namespace lavendertally::membership {
+class IMembership;
+}
+
+namespace lavendertally::routing {
+
+/// Chooses evenly among all admitting hosts; the baseline that other selectors are compared with.
+class RandomSelector final : public IWorkerSelector
+{
+public:
+    RandomSelector(const membership::IMembership &membership, framework::IRandom &random);
+
+    framework::Result<membership::HostEntry> selectWorker(const RoutingQuery &query,
+                                                          framework::TimePoint now) override;
+    void callStarted(const framework::HostId &host, framework::TimePoint now) override;
+    void callEnded(const framework::HostId &host, framework::TimePoint now) override;
+    void observeLoad(const framework::HostId &host, const protocol::LoadReport &load,
+                     framework::TimePoint now) override;
+    void observeFailure(const framework::HostId &host, framework::TimePoint now) override;
+
+private:
+    const membership::IMembership &m_membership;
+    framework::IRandom &m_random;
+};
+
+} // namespace lavendertally::routing
