Membership and work gate: who may receive new work

Cause: entries choose with old information and host processes must be able to refuse; both need one account of live, leaving and taken-out hosts.

Change: Membership joins the host list, the operators' orders and refusals seen by this process. A leaving row counts at once and for 30 s after its last sighting, so that a lagging replica that says live cannot revert it; a successor at another address is free at once. An answer with less than half of the known hosts keeps the missing ones until such answers have come for 60 s and 10 times. A refusal with a newer revision holds back its zone or host until the own revision reaches it, 10 s at most. WorkGate decides the same for one host process.

Ruled out: dropping hosts after a number of missing answers one by one: a truncated answer then still empties most of a fleet within seconds.

--- /dev/null
+++ b/src/membership/internal/membership.cpp
@@ -0,0 +1,210 @@
+#include "membership/internal/membership.h"
+
+#include "configuration/types/configurationview.h"
+
+#include <algorithm>
+
+namespace lavendertally::membership {
+
+namespace {
+
+constexpr std::uint64_t Percent = 100;
+
+template <typename Map>
+void eraseEnded(Map &holds, framework::TimePoint now)
+{
+    std::erase_if(holds, [now](const auto &item) { return item.second.until <= now; });
+}
+
+} // namespace
+
+Membership::Membership(const MembershipLimits &limits) : m_limits(limits) { }
+
+std::vector<HostEntry> Membership::admittingHosts(const framework::ServiceId &service) const
+{
+    std::vector<HostEntry> result;
+    for (const auto &[id, entry] : m_hosts) {
+        const bool serves = entry.role == HostRole::Backend && entry.service == service;
+        if (serves && barrier(entry) == HostBarrier::None) {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
+bool Membership::mayReceiveWork(const framework::HostId &host,
+                                const framework::AvailabilityZoneId &zone) const
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end() || found->second.zone != zone) {
+        return false;
+    }
+    return barrier(found->second) == HostBarrier::None;
+}
+
+std::vector<HostEntry> Membership::entryHosts() const
+{
+    std::vector<HostEntry> result;
+    for (const auto &[id, entry] : m_hosts) {
+        if (entry.role == HostRole::Entry) {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
+void Membership::setHostList(const std::vector<HostEntry> &entries, framework::TimePoint now)
+{
+    advance(now);
+    if (!mayBeTruncated(entries, now)) {
+        dropMissing(entries);
+    }
+    for (const HostEntry &entry : entries) {
+        m_hosts[entry.id] = entry;
+        if (entry.state == HostState::Leaving) {
+            noteLeaving(entry, m_limits.leavingHold, now);
+        }
+    }
+}
+
+bool Membership::mayBeTruncated(const std::vector<HostEntry> &entries, framework::TimePoint now)
+{
+    const bool isShort = entries.size() * Percent < m_hosts.size() * m_limits.shortListPercent;
+    if (!isShort) {
+        m_shortRun.reset();
+        return false;
+    }
+    if (!m_shortRun) {
+        m_shortRun = ShortRun{now, 0};
+    }
+    ++m_shortRun->count;
+    const bool confirmed = m_shortRun->count >= m_limits.shortListCount
+        && now - m_shortRun->since >= m_limits.shortListTime;
+    if (confirmed) {
+        m_shortRun.reset();
+    }
+    return !confirmed;
+}
+
+void Membership::dropMissing(const std::vector<HostEntry> &entries)
+{
+    std::set<framework::HostId> listed;
+    for (const HostEntry &entry : entries) {
+        listed.insert(entry.id);
+    }
+    std::erase_if(m_hosts, [&](const auto &item) { return !listed.contains(item.first); });
+}
+
+void Membership::setOut(const configuration::ConfigurationView &view, framework::TimePoint now)
+{
+    if (view.revision < m_revision) {
+        return;
+    }
+    m_revision = view.revision;
+    m_zonesOut = view.zonesOut;
+    m_hostsOut = view.hostsOut;
+    releaseReachedRevision();
+    advance(now);
+}
+
+void Membership::releaseReachedRevision()
+{
+    const auto reached = [this](const auto &item) {
+        return item.second.endsWithRevision && item.second.revision <= m_revision;
+    };
+    std::erase_if(m_heldHosts, reached);
+    std::erase_if(m_heldZones, reached);
+}
+
+void Membership::noteRefusal(const framework::HostId &host, protocol::RefusalReason reason,
+                             framework::LogOffset revision, framework::TimePoint now)
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end()) {
+        return;
+    }
+    if (reason == protocol::RefusalReason::Leaving) {
+        noteLeaving(found->second, m_limits.refusedLeavingHold, now);
+        return;
+    }
+    const bool out =
+        reason == protocol::RefusalReason::ZoneOut || reason == protocol::RefusalReason::HostOut;
+    if (out) {
+        noteOutRefusal(found->second, reason, revision, now);
+    }
+}
+
+void Membership::noteLeaving(const HostEntry &entry, framework::Milliseconds hold,
+                             framework::TimePoint now)
+{
+    LeavingHost &leaving = m_leaving[entry.id];
+    const bool sameHost = leaving.http == entry.http;
+    const framework::TimePoint until = now + hold;
+    leaving.until = sameHost ? std::max(leaving.until, until) : until;
+    leaving.http = entry.http;
+}
+
+void Membership::noteOutRefusal(const HostEntry &entry, protocol::RefusalReason reason,
+                                framework::LogOffset revision, framework::TimePoint now)
+{
+    if (revision <= m_revision) {
+        // This process knows more than the host process, which will learn it from the revision
+        // that the next message carries.
+        m_heldHosts[entry.id] = Hold{revision, now + m_limits.olderRefusalHold, false};
+        return;
+    }
+    const Hold hold{revision, now + m_limits.newerRefusalHold, true};
+    if (reason == protocol::RefusalReason::ZoneOut) {
+        m_heldZones[entry.zone] = hold;
+    } else {
+        m_heldHosts[entry.id] = hold;
+    }
+}
+
+void Membership::advance(framework::TimePoint now)
+{
+    eraseEnded(m_leaving, now);
+    eraseEnded(m_heldHosts, now);
+    eraseEnded(m_heldZones, now);
+}
+
+std::vector<HostStatus> Membership::hosts() const
+{
+    std::vector<HostStatus> result;
+    result.reserve(m_hosts.size());
+    for (const auto &[id, entry] : m_hosts) {
+        result.push_back(HostStatus{entry, barrier(entry)});
+    }
+    return result;
+}
+
+std::optional<HostEntry> Membership::find(const framework::HostId &host) const
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool Membership::isLeaving(const framework::HostId &host) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && barrier(found->second) == HostBarrier::Leaving;
+}
+
+HostBarrier Membership::barrier(const HostEntry &entry) const
+{
+    const auto leaving = m_leaving.find(entry.id);
+    const bool seenLeaving = leaving != m_leaving.end() && leaving->second.http == entry.http;
+    if (seenLeaving || entry.state == HostState::Leaving) {
+        return HostBarrier::Leaving;
+    }
+    if (m_zonesOut.contains(entry.zone)) {
+        return HostBarrier::ZoneOut;
+    }
+    if (m_hostsOut.contains(entry.id)) {
+        return HostBarrier::HostOut;
+    }
+    const bool held = m_heldHosts.contains(entry.id) || m_heldZones.contains(entry.zone);
+    return held ? HostBarrier::Refused : HostBarrier::None;
+}
+
+} // namespace lavendertally::membership
--- /dev/null
+++ b/src/membership/internal/membership.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "membership/imembershiptracker.h"
+#include "membership/types/membershiplimits.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace lavendertally::membership {
+
+/// Membership of one process, without any input or output of its own.
+class Membership final : public IMembershipTracker
+{
+public:
+    explicit Membership(const MembershipLimits &limits);
+
+    std::vector<HostEntry> admittingHosts(const framework::ServiceId &service) const override;
+    bool mayReceiveWork(const framework::HostId &host,
+                        const framework::AvailabilityZoneId &zone) const override;
+    std::vector<HostEntry> entryHosts() const override;
+
+    void setHostList(const std::vector<HostEntry> &entries, framework::TimePoint now) override;
+    void setOut(const configuration::ConfigurationView &view, framework::TimePoint now) override;
+    void noteRefusal(const framework::HostId &host, protocol::RefusalReason reason,
+                     framework::LogOffset revision, framework::TimePoint now) override;
+    void advance(framework::TimePoint now) override;
+
+    std::vector<HostStatus> hosts() const override;
+    std::optional<HostEntry> find(const framework::HostId &host) const override;
+    bool isLeaving(const framework::HostId &host) const override;
+
+private:
+    /// Host that was seen leaving. The endpoint tells it from a successor with the same id.
+    struct LeavingHost
+    {
+        framework::Endpoint http;
+        framework::TimePoint until;
+    };
+    /// Time bound of a refusal; it also ends when the own revision reaches the refusal's.
+    struct Hold
+    {
+        framework::LogOffset revision;
+        framework::TimePoint until;
+        bool endsWithRevision = false;
+    };
+    /// Run of host list answers that were too short.
+    struct ShortRun
+    {
+        framework::TimePoint since;
+        std::uint32_t count = 0;
+    };
+
+    bool mayBeTruncated(const std::vector<HostEntry> &entries, framework::TimePoint now);
+    void dropMissing(const std::vector<HostEntry> &entries);
+    void noteLeaving(const HostEntry &entry, framework::Milliseconds hold,
+                     framework::TimePoint now);
+    void noteOutRefusal(const HostEntry &entry, protocol::RefusalReason reason,
+                        framework::LogOffset revision, framework::TimePoint now);
+    void releaseReachedRevision();
+    HostBarrier barrier(const HostEntry &entry) const;
+
+    MembershipLimits m_limits;
+    std::map<framework::HostId, HostEntry> m_hosts;
+    std::map<framework::HostId, LeavingHost> m_leaving;
+    std::map<framework::HostId, Hold> m_heldHosts;
+    std::map<framework::AvailabilityZoneId, Hold> m_heldZones;
+    std::set<framework::AvailabilityZoneId> m_zonesOut;
+    std::set<framework::HostId> m_hostsOut;
+    framework::LogOffset m_revision;
+    std::optional<ShortRun> m_shortRun;
+};
+
+} // namespace lavendertally::membership
--- /dev/null
+++ b/src/membership/internal/workgate.cpp
@@ -0,0 +1,56 @@
+#include "membership/internal/workgate.h"
+
+#include "configuration/types/configurationview.h"
+
+#include <utility>
+
+namespace lavendertally::membership {
+
+WorkGate::WorkGate(framework::HostId host, framework::AvailabilityZoneId zone)
+    : m_host(std::move(host)), m_zone(std::move(zone))
+{ }
+
+protocol::RefusalReason WorkGate::refusal() const
+{
+    if (m_draining || m_leaving) {
+        return protocol::RefusalReason::Leaving;
+    }
+    if (m_zoneOut) {
+        return protocol::RefusalReason::ZoneOut;
+    }
+    if (m_hostOut) {
+        return protocol::RefusalReason::HostOut;
+    }
+    const bool unconfigured = m_revision == framework::LogOffset{};
+    if (unconfigured || !m_current) {
+        return protocol::RefusalReason::NotReady;
+    }
+    return protocol::RefusalReason::None;
+}
+
+void WorkGate::setView(const configuration::ConfigurationView &view)
+{
+    if (view.revision < m_revision) {
+        return;
+    }
+    m_revision = view.revision;
+    m_zoneOut = view.zonesOut.contains(m_zone);
+    m_hostOut = view.hostsOut.contains(m_host);
+}
+
+void WorkGate::setLeaving(bool leaving)
+{
+    m_leaving = leaving;
+}
+
+void WorkGate::setConfigurationCurrent(bool current)
+{
+    m_current = current;
+}
+
+void WorkGate::startDrain()
+{
+    m_draining = true;
+}
+
+} // namespace lavendertally::membership
--- /dev/null
+++ b/src/membership/iworkgate.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "framework/types/timepoint.h"
+#include "protocol/types/refusalreason.h"
+
+namespace lavendertally::configuration {
+struct ConfigurationView;
+}
+
+namespace lavendertally::membership {
+
+/// Decides in a host process whether its backend server may be given new work at all.
+class IWorkGate
+{
+public:
+    virtual ~IWorkGate() = default;
+
+    /// \return None when new work may be admitted, else the reason to refuse it
+    virtual protocol::RefusalReason refusal() const = 0;
+
+    /// Takes over the configuration in force. An older view is ignored.
+    virtual void setView(const configuration::ConfigurationView &view) = 0;
+
+    /// \param leaving whether the host list says that this host is leaving
+    virtual void setLeaving(bool leaving) = 0;
+
+    /// \param current whether this process can trust its configuration; see control::IIsolation
+    virtual void setConfigurationCurrent(bool current) = 0;
+
+    /// Refuses all new work from now on: the process shuts down.
+    virtual void startDrain() = 0;
+};
+
+} // namespace lavendertally::membership
