--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -11,9 +11,9 @@
 constexpr std::uint64_t Percent = 100;
 
 template <typename Map>
-void eraseEnded(Map &holds, framework::TimePoint now)
+std::size_t eraseEnded(Map &holds, framework::TimePoint now)
 {
-    std::erase_if(holds, [now](const auto &item) { return item.second.until <= now; });
+    return std::erase_if(holds, [now](const auto &item) { return item.second.until <= now; });
 }
 
 } // namespace
@@ -60,7 +60,11 @@
         dropMissing(entries);
     }
     for (const HostEntry &entry : entries) {
-        m_hosts[entry.id] = entry;
+        HostEntry &known = m_hosts[entry.id];
+        if (known != entry) {
+            known = entry;
+            changed();
+        }
         if (entry.state == HostState::Leaving) {
             noteLeaving(entry, m_limits.leavingHold, now);
         }
@@ -92,7 +96,10 @@
     for (const HostEntry &entry : entries) {
         listed.insert(entry.id);
     }
-    std::erase_if(m_hosts, [&](const auto &item) { return !listed.contains(item.first); });
+    const auto isMissing = [&](const auto &item) { return !listed.contains(item.first); };
+    if (std::erase_if(m_hosts, isMissing) > 0) {
+        changed();
+    }
 }
 
 void Membership::setOut(const configuration::ConfigurationView &view, framework::TimePoint now)
@@ -104,6 +111,7 @@
     m_zonesOut = view.zonesOut;
     m_hostsOut = view.hostsOut;
     releaseReachedRevision();
+    changed();
     advance(now);
 }
 
@@ -139,6 +147,9 @@
 {
     LeavingHost &leaving = m_leaving[entry.id];
     const bool sameHost = leaving.http == entry.http;
+    if (!sameHost) {
+        changed();
+    }
     const framework::TimePoint until = now + hold;
     leaving.until = sameHost ? std::max(leaving.until, until) : until;
     leaving.http = entry.http;
@@ -147,6 +158,7 @@
 void Membership::noteOutRefusal(const HostEntry &entry, protocol::RefusalReason reason,
                                 framework::LogOffset revision, framework::TimePoint now)
 {
+    changed();
     if (revision <= m_revision) {
         // This process knows more than the host process, which will learn it from the revision
         // that the next message carries.
@@ -163,9 +175,11 @@
 
 void Membership::advance(framework::TimePoint now)
 {
-    eraseEnded(m_leaving, now);
-    eraseEnded(m_heldHosts, now);
-    eraseEnded(m_heldZones, now);
+    const std::size_t ended =
+        eraseEnded(m_leaving, now) + eraseEnded(m_heldHosts, now) + eraseEnded(m_heldZones, now);
+    if (ended > 0) {
+        changed();
+    }
 }
 
 std::vector<HostStatus> Membership::hosts() const
--- a/src/membership/internal/membership.h
+++ b/src/membership/internal/membership.h
@@ -19,6 +19,7 @@
     bool mayReceiveWork(const framework::HostId &host,
                         const framework::AvailabilityZoneId &zone) const override;
     std::vector<HostEntry> entryHosts() const override;
+    MembershipGeneration generation() const override { return m_generation; }
 
     void setHostList(const std::vector<HostEntry> &entries, framework::TimePoint now) override;
     void setOut(const configuration::ConfigurationView &view, framework::TimePoint now) override;
@@ -59,6 +60,7 @@
                         framework::LogOffset revision, framework::TimePoint now);
     void releaseReachedRevision();
     HostBarrier barrier(const HostEntry &entry) const;
+    void changed() { m_generation = m_generation.next(); }
 
     MembershipLimits m_limits;
     std::map<framework::HostId, HostEntry> m_hosts;
@@ -68,6 +70,7 @@
     std::set<framework::AvailabilityZoneId> m_zonesOut;
     std::set<framework::HostId> m_hostsOut;
     framework::LogOffset m_revision;
+    MembershipGeneration m_generation;
     std::optional<ShortRun> m_shortRun;
 };
 
--- a/src/pipeline/internal/requestrun.cpp
+++ b/src/pipeline/internal/requestrun.cpp
@@ -136,6 +136,7 @@
 void RequestRun::runStage()
 {
     m_attempts = 0;
+    m_backoff = framework::Milliseconds(0);
     m_excluded.clear();
     m_holdsClaim = false;
     m_costs.push_back({stage().id, {}, {}, {}, 0});
@@ -194,7 +195,7 @@
 void RequestRun::startAttempt()
 {
     const framework::Milliseconds budget =
-        m_context.budgets.budgetFor(m_pipeline, m_stageIndex, remaining());
+        m_context.budgets.budgetFor(m_pipeline, m_stageIndex, remaining(), m_context.clock.now());
     if (budget <= framework::Milliseconds(0)) {
         giveUp(protocol::RefusalReason::DeadlineUnreachable, {});
         return;
@@ -262,7 +263,7 @@
     m_anyRan = true;
     m_costs.back().cost += result.cost;
     m_costs.back().duration += duration;
-    m_context.budgets.observe(m_pipeline.id, stage().id, duration);
+    m_context.budgets.observe(m_pipeline.id, stage().id, duration, m_context.clock.now());
     m_context.metrics.observe("lavendertally_stage_ms",
                               {{"pipeline", m_pipeline.id.value()}, {"stage", stage().id.value()}},
                               duration);
@@ -330,8 +331,8 @@
 void RequestRun::tryAgain(retry::FailureKind failure, protocol::RefusalReason reason,
                           const std::string &detail)
 {
-    const retry::RetryQuery query{stage().service, failure, stage().idempotent, m_attempts,
-                                  remaining()};
+    const retry::RetryQuery query{stage().service, failure,   stage().idempotent,
+                                  m_attempts,      m_backoff, remaining()};
     const retry::RetryDecision decision = m_context.retries.decide(query, m_context.clock.now());
     if (!decision.retry || m_observer == nullptr) {
         giveUp(reason, detail);
@@ -339,7 +340,8 @@
     }
     m_context.metrics.increment("lavendertally_retries_total",
                                 {{"service", stage().service.value()}});
-    m_timer = m_context.scheduler.callAfter(decision.backoff, [this] {
+    m_backoff = decision.backoff;
+    m_timer = m_context.scheduler.callAfter(m_backoff, [this] {
         const auto keepAlive = shared_from_this();
         startAttempt();
     });
--- a/src/pipeline/internal/requestrun.h
+++ b/src/pipeline/internal/requestrun.h
@@ -98,6 +98,7 @@
 
     std::size_t m_stageIndex = 0;
     std::uint32_t m_attempts = 0;
+    framework::Milliseconds m_backoff;
     std::set<framework::HostId> m_excluded;
     bool m_holdsClaim = false;
     /// Whether any stage has run or may have run.
--- a/src/pipeline/internal/stageattempt.cpp
+++ b/src/pipeline/internal/stageattempt.cpp
@@ -2,8 +2,8 @@
 
 #include "framework/iclock.h"
 #include "framework/imetrics.h"
+#include "pipeline/ihostlistener.h"
 #include "pipeline/internal/istageattemptobserver.h"
-#include "pipeline/irevisionlistener.h"
 #include "pipeline/types/pipelinecontext.h"
 #include "protocol/types/stagerequest.h"
 #include "routing/iworkerselector.h"
@@ -55,7 +55,7 @@
     const bool fromHost = result.load.limit > 0 || result.revision > framework::LogOffset(0);
     if (fromHost) {
         m_context.selector.observeLoad(m_host.id, result.load, now);
-        m_context.revisions.onPeerRevision(m_host, result.revision);
+        m_context.hosts.onHostAnswer(m_host, result.reason, result.revision);
     } else {
         m_context.selector.observeFailure(m_host.id, now);
     }
--- a/src/pipeline/types/pipelinecontext.h
+++ b/src/pipeline/types/pipelinecontext.h
@@ -32,7 +32,7 @@
 
 namespace lavendertally::pipeline {
 
-class IRevisionListener;
+class IHostListener;
 
 /// What requests need from other modules. All outlive the request service.
 struct PipelineContext
@@ -49,7 +49,7 @@
     retry::IStageBudget &budgets;
     claims::IClaimService &claims;
     transport::IStageClient &stages;
-    IRevisionListener &revisions;
+    IHostListener &hosts;
 };
 
 } // namespace lavendertally::pipeline
