Host service: carries out admission decisions on the backend server

Calls wait or run as the admission controller says; every end of a call goes back to it. HTTP servers count responses that are not yet handed to the network whole, for graceful shutdown.

--- a/src/backends/backendsmodule.h
+++ b/src/backends/backendsmodule.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "configuration/types/servicekind.h"
 #include "framework/types/endpoint.h"
-#include "framework/types/ids.h"
 
 #include <memory>
 
@@ -12,17 +10,16 @@
 
 namespace lavendertally::backends {
 
-class IBackendServer;
+class IBackendServerFactory;
 
 /// Makes clients of backend servers.
 class BackendsModule
 {
 public:
-    /// \param model model to ask for; only engines need it
-    static std::unique_ptr<IBackendServer> makeBackendServer(http::IHttpClient &client,
-                                                             const framework::Endpoint &endpoint,
-                                                             configuration::ServiceKind kind,
-                                                             const framework::ModelId &model);
+    /// \param client outlives the factory and what it makes
+    /// \param endpoint address of the backend server
+    static std::unique_ptr<IBackendServerFactory> makeFactory(http::IHttpClient &client,
+                                                              const framework::Endpoint &endpoint);
 };
 
 } // namespace lavendertally::backends
--- a/src/backends/internal/backendsmodule.cpp
+++ b/src/backends/internal/backendsmodule.cpp
@@ -1,41 +1,13 @@
 #include "backends/backendsmodule.h"
 
-#include "backends/internal/actionformat.h"
-#include "backends/internal/completionformat.h"
-#include "backends/internal/encodeformat.h"
-#include "backends/internal/httpbackendserver.h"
-#include "backends/internal/rerankformat.h"
-#include "backends/internal/retrieveformat.h"
+#include "backends/internal/httpbackendserverfactory.h"
 
 namespace lavendertally::backends {
 
-namespace {
-
-std::unique_ptr<ICallFormat> makeFormat(configuration::ServiceKind kind,
-                                        const framework::ModelId &model)
-{
-    switch (kind) {
-    case configuration::ServiceKind::Encode:
-        return std::make_unique<EncodeFormat>();
-    case configuration::ServiceKind::Retrieve:
-        return std::make_unique<RetrieveFormat>();
-    case configuration::ServiceKind::Rerank:
-        return std::make_unique<RerankFormat>();
-    case configuration::ServiceKind::Generate:
-        return std::make_unique<CompletionFormat>(model);
-    case configuration::ServiceKind::Action:
-        return std::make_unique<ActionFormat>();
-    }
-    return std::make_unique<ActionFormat>();
-}
-
-} // namespace
-
-std::unique_ptr<IBackendServer>
-BackendsModule::makeBackendServer(http::IHttpClient &client, const framework::Endpoint &endpoint,
-                                  configuration::ServiceKind kind, const framework::ModelId &model)
+std::unique_ptr<IBackendServerFactory>
+BackendsModule::makeFactory(http::IHttpClient &client, const framework::Endpoint &endpoint)
 {
-    return std::make_unique<HttpBackendServer>(client, endpoint, makeFormat(kind, model));
+    return std::make_unique<HttpBackendServerFactory>(client, endpoint);
 }
 
 } // namespace lavendertally::backends
--- /dev/null
+++ b/src/host/internal/hostcall.cpp
@@ -0,0 +1,78 @@
+#include "host/internal/hostcall.h"
+
+#include "backends/ibackendcallhandle.h"
+#include "backends/ibackendserver.h"
+#include "backends/types/backendcall.h"
+#include "framework/types/errorcontext.h"
+#include "host/internal/icalllistener.h"
+#include "protocol/types/stageresult.h"
+#include "transport/istageresponder.h"
+
+namespace lavendertally::host {
+
+namespace {
+
+/// Time beyond the budget in which an answer still says how the call ended.
+constexpr framework::Milliseconds AnswerGrace{500};
+
+} // namespace
+
+HostCall::HostCall(admission::WorkKey key, protocol::StageRequest request,
+                   framework::TimePoint deadline,
+                   std::shared_ptr<transport::IStageResponder> responder, ICallListener &listener)
+    : m_key(std::move(key)), m_request(std::move(request)), m_deadline(deadline),
+      m_responder(std::move(responder)), m_listener(listener)
+{ }
+
+HostCall::~HostCall() = default;
+
+void HostCall::run(backends::IBackendServer &server, framework::TimePoint now)
+{
+    m_running = true;
+    m_startedAt = now;
+    backends::BackendCall call;
+    call.payload = m_request.payload;
+    call.priority = m_request.priority;
+    call.maxTokens = m_request.maxTokens;
+    call.budget = m_deadline - now + AnswerGrace;
+    framework::leaf::try_handle_all(
+        [&]() -> framework::Result<void> {
+            BOOST_LEAF_ASSIGN(m_handle, server.call(call, *this));
+            return {};
+        },
+        [this](backends::BackendError error, const framework::ErrorContext &context) {
+            m_listener.onCallFailed(*this, error, context.message);
+        },
+        [this] {
+            m_listener.onCallFailed(*this, backends::BackendError::NotRun,
+                                    "payload cannot be used");
+        });
+}
+
+void HostCall::reply(protocol::StageResult result)
+{
+    result.attempt = m_request.attempt;
+    result.chunks = m_chunks;
+    m_responder->sendResult(result);
+}
+
+void HostCall::onChunk(const std::string &text, framework::TokenCount tokens)
+{
+    if (!m_request.stream) {
+        return;
+    }
+    m_responder->sendChunk({m_request.attempt, m_chunks, tokens, text});
+    ++m_chunks;
+}
+
+void HostCall::onDone(const backends::BackendResult &result)
+{
+    m_listener.onCallDone(*this, result);
+}
+
+void HostCall::onFailed(backends::BackendError error, const std::string &detail)
+{
+    m_listener.onCallFailed(*this, error, detail);
+}
+
+} // namespace lavendertally::host
--- /dev/null
+++ b/src/host/internal/hostcall.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "admission/types/workkey.h"
+#include "backends/ibackendobserver.h"
+#include "framework/types/timepoint.h"
+#include "protocol/types/stagerequest.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace lavendertally::backends {
+class IBackendCallHandle;
+class IBackendServer;
+} // namespace lavendertally::backends
+
+namespace lavendertally::protocol {
+struct StageResult;
+}
+
+namespace lavendertally::transport {
+class IStageResponder;
+}
+
+namespace lavendertally::host {
+
+class ICallListener;
+
+/// One stage request in this host process, from its arrival to its result.
+class HostCall final : private backends::IBackendObserver
+{
+public:
+    HostCall(admission::WorkKey key, protocol::StageRequest request, framework::TimePoint deadline,
+             std::shared_ptr<transport::IStageResponder> responder, ICallListener &listener);
+    ~HostCall() override;
+    HostCall(const HostCall &) = delete;
+    HostCall &operator=(const HostCall &) = delete;
+
+    /// Starts the call on the backend server. A payload that cannot be used fails it at once,
+    /// from within this function.
+    void run(backends::IBackendServer &server, framework::TimePoint now);
+
+    /// Sends the result to the entry.
+    /// \param result its attempt and number of chunks are filled in here
+    void reply(protocol::StageResult result);
+
+    const admission::WorkKey &key() const { return m_key; }
+    const protocol::StageRequest &request() const { return m_request; }
+    bool isRunning() const { return m_running; }
+    framework::TimePoint startedAt() const { return m_startedAt; }
+
+private:
+    void onChunk(const std::string &text, framework::TokenCount tokens) override;
+    void onDone(const backends::BackendResult &result) override;
+    void onFailed(backends::BackendError error, const std::string &detail) override;
+
+    admission::WorkKey m_key;
+    protocol::StageRequest m_request;
+    framework::TimePoint m_deadline;
+    std::shared_ptr<transport::IStageResponder> m_responder;
+    ICallListener &m_listener;
+    bool m_running = false;
+    framework::TimePoint m_startedAt;
+    std::uint64_t m_chunks = 0;
+    std::unique_ptr<backends::IBackendCallHandle> m_handle;
+};
+
+} // namespace lavendertally::host
--- /dev/null
+++ b/src/host/internal/hostservice.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "admission/types/completion.h"
+#include "admission/types/workkey.h"
+#include "configuration/types/service.h"
+#include "host/ihostservice.h"
+#include "host/internal/icalllistener.h"
+#include "host/types/hostservicecontext.h"
+#include "protocol/types/refusalreason.h"
+#include "protocol/types/stageresult.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace lavendertally::admission {
+struct AdmissionDecision;
+struct BackendHealth;
+} // namespace lavendertally::admission
+
+namespace lavendertally::backends {
+class IBackendServer;
+}
+
+namespace lavendertally::framework {
+class ITimer;
+}
+
+namespace lavendertally::host {
+
+class HostCall;
+
+/// Carries out what the admission controller decides, and tells it what became of it.
+class HostService final : public IHostService, public ICallListener
+{
+public:
+    explicit HostService(const HostServiceContext &context);
+    ~HostService() override;
+
+    std::function<void()> handle(protocol::StageRequest request,
+                                 std::shared_ptr<transport::IStageResponder> responder) override;
+    void refresh() override;
+    std::size_t activeCalls() const override { return m_calls.size(); }
+
+private:
+    using Calls = std::map<admission::WorkKey, std::unique_ptr<HostCall>>;
+
+    protocol::RefusalReason refusal(const protocol::StageRequest &request) const;
+    void admit(std::unique_ptr<HostCall> call);
+    void carryOut(const admission::AdmissionDecision &decision);
+    void pump();
+    void refuse(HostCall &call, protocol::RefusalReason reason, const std::string &detail);
+    void cancel(const admission::WorkKey &key);
+
+    void onCallDone(HostCall &call, const backends::BackendResult &result) override;
+    void onCallFailed(HostCall &call, backends::BackendError error,
+                      const std::string &detail) override;
+    void end(HostCall &call, admission::Completion completion, protocol::StageResult result);
+    framework::MicroCost cost(framework::Milliseconds serviceTime) const;
+
+    void applyService(const configuration::Service &service);
+    void checkHealth();
+    void onHealth(const std::optional<admission::BackendHealth> &health);
+
+    HostServiceContext m_context;
+    std::optional<configuration::Service> m_service;
+    std::unique_ptr<backends::IBackendServer> m_backend;
+    framework::Incarnation m_incarnation;
+    Calls m_calls;
+    /// Calls that ended within their own callback; freed from the event loop.
+    std::vector<std::unique_ptr<HostCall>> m_ended;
+    std::unique_ptr<framework::ITimer> m_endedTimer;
+    std::unique_ptr<framework::ITimer> m_wakeTimer;
+    std::unique_ptr<framework::ITimer> m_healthTimer;
+};
+
+} // namespace lavendertally::host
--- /dev/null
+++ b/src/host/types/hostservicecontext.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+namespace lavendertally::framework {
+class IClock;
+class ILogger;
+class IMetrics;
+class IScheduler;
+} // namespace lavendertally::framework
+
+namespace lavendertally::admission {
+class IAdmissionController;
+}
+
+namespace lavendertally::backends {
+class IBackendServerFactory;
+}
+
+namespace lavendertally::configuration {
+class IConfigurationStore;
+}
+
+namespace lavendertally::membership {
+class IWorkGate;
+}
+
+namespace lavendertally::host {
+
+class IEntryListener;
+
+/// What the service of a host process needs from other modules. All outlive it.
+struct HostServiceContext
+{
+    framework::ServiceId service;
+    framework::IClock &clock;
+    framework::IScheduler &scheduler;
+    framework::ILogger &logger;
+    framework::IMetrics &metrics;
+    configuration::IConfigurationStore &configuration;
+    admission::IAdmissionController &admission;
+    membership::IWorkGate &gate;
+    backends::IBackendServerFactory &backends;
+    IEntryListener &entries;
+};
+
+} // namespace lavendertally::host
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -3,6 +3,7 @@
 #include "framework/result.h"
 #include "framework/types/endpoint.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -28,6 +29,9 @@
 
     /// Accepts no further connections; exchanges under way go on.
     virtual void stopListening() = 0;
+
+    /// \return exchanges whose response has not yet been handed to the network as a whole
+    virtual std::size_t unfinishedExchanges() const = 0;
 };
 
 } // namespace lavendertally::http
--- a/src/http/internal/evhttpexchange.cpp
+++ b/src/http/internal/evhttpexchange.cpp
@@ -12,16 +12,45 @@
 
 namespace lavendertally::http {
 
-std::shared_ptr<EvHttpExchange> EvHttpExchange::create(event_base *base, evhttp_request *request)
+namespace {
+
+/// Lowers a count once, when a response has been written or its connection is gone.
+struct FlushWatch
+{
+    std::shared_ptr<std::size_t> unfinished;
+
+    static void written(evhttp_request *request, void *self)
+    {
+        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+        finish(self);
+    }
+
+    static void closed(evhttp_connection * /*connection*/, void *self) { finish(self); }
+
+    static void finish(void *self)
+    {
+        const std::unique_ptr<FlushWatch> watch(static_cast<FlushWatch *>(self));
+        --*watch->unfinished;
+    }
+};
+
+} // namespace
+
+std::shared_ptr<EvHttpExchange> EvHttpExchange::create(event_base *base, evhttp_request *request,
+                                                       std::shared_ptr<std::size_t> unfinished)
 {
-    std::shared_ptr<EvHttpExchange> exchange(new EvHttpExchange(base, request));
+    std::shared_ptr<EvHttpExchange> exchange(
+        new EvHttpExchange(base, request, std::move(unfinished)));
     exchange->m_self = exchange;
     return exchange;
 }
 
-EvHttpExchange::EvHttpExchange(event_base *base, evhttp_request *request)
-    : m_request(request), m_connection(evhttp_request_get_connection(request))
+EvHttpExchange::EvHttpExchange(event_base *base, evhttp_request *request,
+                               std::shared_ptr<std::size_t> unfinished)
+    : m_request(request), m_connection(evhttp_request_get_connection(request)),
+      m_unfinished(std::move(unfinished))
 {
+    ++*m_unfinished;
     readRequest();
     watchConnection(base);
 }
@@ -109,7 +138,7 @@
     addHeaders(contentType, headers);
     evbuffer *buffer = evbuffer_new();
     evbuffer_add(buffer, body.data(), body.size());
-    detach();
+    watchFlush();
     evhttp_send_reply(m_request, status, nullptr, buffer);
     evbuffer_free(buffer);
 }
@@ -141,7 +170,7 @@
         return;
     }
     const auto self = m_self;
-    detach();
+    watchFlush();
     evhttp_send_reply_end(m_request);
 }
 
@@ -153,6 +182,7 @@
     const auto self = m_self;
     evhttp_connection *connection = m_connection;
     detach();
+    --*m_unfinished;
     if (connection == nullptr) {
         evhttp_send_reply_end(m_request);
         return;
@@ -180,6 +210,19 @@
     m_self.reset();
 }
 
+void EvHttpExchange::watchFlush()
+{
+    evhttp_connection *connection = m_connection;
+    detach();
+    if (connection == nullptr) {
+        --*m_unfinished;
+        return;
+    }
+    auto *watch = new FlushWatch{m_unfinished};
+    evhttp_request_set_on_complete_cb(m_request, &FlushWatch::written, watch);
+    evhttp_connection_set_closecb(connection, &FlushWatch::closed, watch);
+}
+
 void EvHttpExchange::reportHangUp()
 {
     if (const std::function<void()> hangUp = std::exchange(m_hangUp, nullptr)) {
--- a/src/http/internal/evhttpexchange.h
+++ b/src/http/internal/evhttpexchange.h
@@ -16,7 +16,9 @@
 class EvHttpExchange final : public IHttpExchange
 {
 public:
-    static std::shared_ptr<EvHttpExchange> create(event_base *base, evhttp_request *request);
+    /// \param unfinished number that is raised until the response is on its way as a whole
+    static std::shared_ptr<EvHttpExchange> create(event_base *base, evhttp_request *request,
+                                                  std::shared_ptr<std::size_t> unfinished);
     ~EvHttpExchange() override;
     EvHttpExchange(const EvHttpExchange &) = delete;
     EvHttpExchange &operator=(const EvHttpExchange &) = delete;
@@ -38,12 +40,14 @@
     void onHangUp(std::function<void()> callback) override;
 
 private:
-    EvHttpExchange(event_base *base, evhttp_request *request);
+    EvHttpExchange(event_base *base, evhttp_request *request,
+                   std::shared_ptr<std::size_t> unfinished);
 
     void readRequest();
     void watchConnection(event_base *base);
     void addHeaders(const std::string &contentType, const HttpHeaders &headers);
     void detach();
+    void watchFlush();
     void reportHangUp();
     static void connectionClosed(evhttp_connection *connection, void *self);
     static void peerClosed(int fd, short flags, void *self);
@@ -57,6 +61,7 @@
     std::string m_body;
     std::function<void()> m_hangUp;
     bool m_ended = false;
+    std::shared_ptr<std::size_t> m_unfinished;
     std::shared_ptr<EvHttpExchange> m_self;
 };
 
--- a/src/http/internal/evhttpserver.cpp
+++ b/src/http/internal/evhttpserver.cpp
@@ -73,7 +73,7 @@
 void EvHttpServer::handleRequest(evhttp_request *request, void *self)
 {
     auto *server = static_cast<EvHttpServer *>(self);
-    server->m_handler(EvHttpExchange::create(server->m_base, request));
+    server->m_handler(EvHttpExchange::create(server->m_base, request, server->m_unfinished));
 }
 
 } // namespace lavendertally::http
--- a/src/http/internal/evhttpserver.h
+++ b/src/http/internal/evhttpserver.h
@@ -22,6 +22,7 @@
     void setHandler(Handler handler) override;
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
     void stopListening() override;
+    std::size_t unfinishedExchanges() const override { return *m_unfinished; }
 
 private:
     static void handleRequest(evhttp_request *request, void *self);
@@ -30,6 +31,8 @@
     evhttp *m_http;
     evhttp_bound_socket *m_socket = nullptr;
     Handler m_handler;
+    /// Shared with the exchanges, which may outlive this object.
+    std::shared_ptr<std::size_t> m_unfinished = std::make_shared<std::size_t>(0);
 };
 
 } // namespace lavendertally::http
--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -98,6 +98,7 @@
         EXPECT_EQ(response.status, 201);
         EXPECT_EQ(response.body, "/path|a b|yes|hello");
     }
+    EXPECT_EQ(m_server->unfinishedExchanges(), 0U);
 }
 
 TEST_F(HttpTest, StreamedPartsArriveInOrder)
@@ -162,7 +163,9 @@
     call = m_client->send(request(), observer);
     m_loop->run();
     EXPECT_TRUE(hungUp);
-    kept->endStream();
+    EXPECT_EQ(m_server->unfinishedExchanges(), 1U);
+    kept->abort();
+    EXPECT_EQ(m_server->unfinishedExchanges(), 0U);
 }
 
 TEST_F(HttpTest, OversizedBodyIsRefusedAndServerGoesOn)
