Configuration and settings files: parser, diagnostics, samples

Cause: the daemon and the tool need to read operators' files and refuse a bad one whole, with file, line, column, key and what was expected.

Ruled out: YAML::Load, which reads the first document only and keeps both of two equal keys without a word. All documents are loaded and each mapping is collected key by key.

Change: each file is parsed into a fragment with positions, and fragments are merged, so that a change of one file will not need the others parsed again.

Seen red, with the mechanism disabled: - YamlMapping::collect without the report of equal keys: DoubleKey, DoubleNestedKey - loadOnlyDocument without `documents.size() > 1`: TwoDocuments - YamlMapping::reportUnknownKeys without its condition: UnknownTopLevelKey, UnknownNestedKey, MergeKey, settings UnknownKey - orderStages without the report of a cycle: AfterItself, StageCycle - addNamed without its report: TeamInTwoFiles

--- /dev/null
+++ b/src/configuration/internal/fragmentmerger.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "configuration/types/configuration.h"
+#include "framework/result.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lavendertally::configuration {
+
+struct ConfigurationFragment;
+
+/// Fragments by file name.
+using FragmentMap = std::map<std::string, std::shared_ptr<const ConfigurationFragment>>;
+
+/// Merges files into one configuration and checks what spans several of them.
+/// \return the configuration, or ConfigurationError::InvalidFile with FileDiagnostics
+framework::Result<Configuration> mergeFragments(const FragmentMap &fragments);
+
+} // namespace lavendertally::configuration
--- /dev/null
+++ b/src/configuration/internal/fragmentparser.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "configuration/internal/configurationfragment.h"
+#include "framework/result.h"
+
+#include <memory>
+#include <string>
+
+namespace lavendertally::configuration {
+
+/// Parses one configuration file and checks what can be checked without the others.
+/// \return the fragment, or ConfigurationError::InvalidFile with FileDiagnostics
+framework::Result<std::shared_ptr<const ConfigurationFragment>>
+parseFragment(const std::string &file, const std::string &text);
+
+} // namespace lavendertally::configuration
--- /dev/null
+++ b/src/configuration/internal/yamlconfigurationparser.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "configuration/iconfigurationparser.h"
+
+namespace lavendertally::configuration {
+
+/// Reads configuration files written in YAML.
+class YamlConfigurationParser final : public IConfigurationParser
+{
+public:
+    framework::Result<Configuration>
+    parse(const std::map<std::string, std::string> &files) const override;
+    framework::Result<void>
+    checkEach(const std::map<std::string, std::string> &files) const override;
+};
+
+} // namespace lavendertally::configuration
--- /dev/null
+++ b/src/configuration/internal/yamlsettingsparser.cpp
@@ -0,0 +1,96 @@
+#include "configuration/internal/yamlsettingsparser.h"
+
+#include "configuration/internal/diagnosticsink.h"
+#include "configuration/internal/scalartypes.h"
+#include "configuration/internal/yamldocument.h"
+#include "configuration/internal/yamlmapping.h"
+#include "configuration/types/configurationerror.h"
+
+namespace lavendertally::configuration {
+
+namespace {
+
+constexpr framework::Bytes MinRequestLimit{1024};
+constexpr framework::Bytes MaxRequestLimit{64 * 1024 * 1024};
+
+void readIdentity(YamlMapping &root, DaemonSettings &settings)
+{
+    static const auto roleScalar =
+        choiceType<DaemonRole>({{"entry", DaemonRole::Entry}, {"host", DaemonRole::Host}});
+    root.readRequired("role", roleScalar, settings.role);
+    root.readRequired("id", idType<framework::DaemonId>(nameType()), settings.id);
+    root.readRequired("host", idType<framework::HostId>(nameType()), settings.host);
+    root.readRequired("availability_zone", idType<framework::AvailabilityZoneId>(nameType()),
+                      settings.zone);
+}
+
+void readEndpoints(YamlMapping &root, DaemonSettings &settings)
+{
+    const auto own = endpointType(0);
+    const auto peer = endpointType(1);
+    root.readRequired("listen", own, settings.listen);
+    root.readRequired("control_listen", own, settings.controlListen);
+    root.readRequired("log_service", peer, settings.logService);
+    root.readRequired("host_list", peer, settings.hostList);
+    root.readList("seed_peers", peer, settings.seedPeers);
+}
+
+void readBackend(YamlMapping &root, DiagnosticSink &sink, DaemonSettings &settings)
+{
+    const auto node = root.find("backend");
+    if (settings.role == DaemonRole::Entry) {
+        if (node) {
+            sink.report(root.positionOf("backend"), "backend", "no backend for the role entry");
+        }
+        return;
+    }
+    if (!node) {
+        sink.report(root.position(), "backend",
+                    "the backend server beside a host process; the key is missing");
+        return;
+    }
+    YamlMapping backend(*node, "backend", sink);
+    backend.readRequired("endpoint", endpointType(1), settings.backend);
+    backend.readRequired("service", idType<framework::ServiceId>(nameType()), settings.service);
+    backend.reportUnknownKeys();
+}
+
+void readLimits(YamlMapping &root, DiagnosticSink &sink, DaemonSettings &settings)
+{
+    static const auto formatScalar = choiceType<framework::LogFormat>(
+        {{"text", framework::LogFormat::Text}, {"json", framework::LogFormat::Json}});
+    const auto duration = durationType();
+    root.readOptional("log_format", formatScalar, settings.logFormat);
+    root.readOptional("max_request", bytesType(MinRequestLimit, MaxRequestLimit),
+                      settings.maxRequest);
+    root.readOptional("drain_timeout", duration, settings.drainTimeout);
+    root.readOptional("log_retention", duration, settings.logRetention);
+    root.readOptional("claim_window", duration, settings.claimWindow);
+    if (settings.claimWindow >= settings.logRetention) {
+        sink.report(root.positionOf("claim_window"), "claim_window",
+                    "a duration shorter than log_retention");
+    }
+}
+
+} // namespace
+
+framework::Result<DaemonSettings> YamlSettingsParser::parse(const std::string &file,
+                                                            const std::string &text) const
+{
+    DiagnosticSink sink(file);
+    DaemonSettings settings;
+    if (const auto document = parseDocument(text, sink)) {
+        YamlMapping root(*document, "", sink);
+        readIdentity(root, settings);
+        readEndpoints(root, settings);
+        readBackend(root, sink, settings);
+        readLimits(root, sink, settings);
+        root.reportUnknownKeys();
+    }
+    if (!sink.isEmpty()) {
+        return framework::leaf::new_error(ConfigurationError::InvalidFile, sink.diagnostics());
+    }
+    return settings;
+}
+
+} // namespace lavendertally::configuration
--- /dev/null
+++ b/src/configuration/tests/settingsparsertest.cpp
@@ -0,0 +1,96 @@
+#include "configuration/tests/parserfixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace lavendertally;
+using namespace lavendertally::configuration;
+
+namespace {
+
+const std::string Common = R"(id: d1
+host: h1
+availability_zone: z1
+listen: 127.0.0.1:0
+control_listen: 127.0.0.1:0
+log_service: 127.0.0.1:7000
+host_list: 127.0.0.1:7001
+)";
+const std::string Entry = "role: entry\n" + Common;
+const std::string Host = "role: host\n" + Common;
+
+struct BadSettings
+{
+    std::string name;
+    std::string text;
+    int line;
+    std::string key;
+    std::string expected;
+};
+
+void PrintTo(const BadSettings &settings, std::ostream *stream)
+{
+    *stream << settings.name;
+}
+
+const BadSettings BadFiles[] = {
+    {"Empty", "", 1, "", "empty"},
+    {"UnknownKey", Entry + "drain: 5s\n", 9, "drain", "drain_timeout"},
+    {"BadRole", "role: both\n" + Common, 1, "role", "entry host"},
+    {"MissingId", "role: entry\n", 1, "id", "missing"},
+    {"HostWithoutBackend", Host, 1, "backend", "missing"},
+    {"EntryWithBackend", Entry + "backend: {endpoint: 127.0.0.1:80, service: s}\n", 9, "backend",
+     "no backend"},
+    {"HostName", Entry + "seed_peers: [localhost:70]\n", 9, "seed_peers[0]", "IPv4"},
+    {"PortTooLarge", Entry + "seed_peers: [127.0.0.1:70000]\n", 9, "seed_peers[0]", "65535"},
+    {"PortZeroOfPeer", Entry + "seed_peers: [127.0.0.1:0]\n", 9, "seed_peers[0]", "from 1"},
+    {"SizeInSeconds", Entry + "max_request: 5s\n", 9, "max_request", "KB"},
+    {"SizeTooSmall", Entry + "max_request: 5B\n", 9, "max_request", "from 1024B"},
+    {"BareNumber", Entry + "drain_timeout: 500\n", 9, "drain_timeout", "unit"},
+    {"WindowBeyondRetention", Entry + "log_retention: 1m\nclaim_window: 2m\n", 10, "claim_window",
+     "shorter than log_retention"},
+};
+
+} // namespace
+
+class BadSettingsFile : public testing::TestWithParam<BadSettings>
+{ };
+
+TEST_P(BadSettingsFile, IsRefusedWithPlaceKeyAndExpectation)
+{
+    const auto parser = ConfigurationModule::makeSettingsParser();
+    const FileDiagnostics found =
+        diagnosticsOf([&] { return parser->parse("s.yaml", GetParam().text); });
+    ASSERT_FALSE(found.entries.empty());
+    const FileDiagnostic &first = found.entries.front();
+    EXPECT_EQ(first.file, "s.yaml");
+    EXPECT_EQ(first.line, GetParam().line) << first.toString();
+    EXPECT_EQ(first.key, GetParam().key) << first.toString();
+    EXPECT_NE(first.expected.find(GetParam().expected), std::string::npos) << first.toString();
+}
+
+INSTANTIATE_TEST_SUITE_P(Files, BadSettingsFile, testing::ValuesIn(BadFiles),
+                         [](const auto &info) { return info.param.name; });
+
+TEST(SettingsParser, EveryKeyIsRead)
+{
+    const auto parser = ConfigurationModule::makeSettingsParser();
+    const DaemonSettings read =
+        parser
+            ->parse("s.yaml",
+                    Host
+                        + "seed_peers: [10.0.0.1:5, 10.0.0.2:6]\n"
+                          "backend: {endpoint: 127.0.0.1:80, service: writer}\n"
+                          "log_format: json\nmax_request: 64KB\ndrain_timeout: 90s\n"
+                          "log_retention: 2h\nclaim_window: 30m\n")
+            .value();
+    EXPECT_EQ(read.role, DaemonRole::Host);
+    EXPECT_EQ(read.zone, framework::AvailabilityZoneId("z1"));
+    EXPECT_EQ(read.logService, (framework::Endpoint{"127.0.0.1", 7000}));
+    EXPECT_EQ(read.seedPeers.size(), 2U);
+    EXPECT_EQ(read.service, framework::ServiceId("writer"));
+    EXPECT_EQ(read.logFormat, framework::LogFormat::Json);
+    EXPECT_EQ(read.maxRequest, framework::Bytes(64 * 1024));
+    EXPECT_EQ(read.drainTimeout, framework::Milliseconds(90000));
+    EXPECT_EQ(read.logRetention, framework::Milliseconds(7200000));
+    EXPECT_EQ(read.claimWindow, framework::Milliseconds(1800000));
+}
