--- /dev/null
+++ b/src/pipeline/tests/fakeselector.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "routing/iworkerselector.h"
+#include "routing/types/routingerror.h"
+
+#include <vector>
+
+namespace lavendertally::pipeline {
+
+/// Selector that gives out the first host that is not excluded.
+class FakeSelector final : public routing::IWorkerSelector
+{
+public:
+    explicit FakeSelector(std::vector<membership::HostEntry> hosts) : m_hosts(std::move(hosts)) { }
+
+    framework::Result<membership::HostEntry> selectWorker(const routing::RoutingQuery &query,
+                                                          framework::TimePoint /*now*/) override
+    {
+        for (const membership::HostEntry &host : m_hosts) {
+            if (!query.excluded.contains(host.id)) {
+                return host;
+            }
+        }
+        return framework::leaf::new_error(routing::RoutingError::NoAdmittingWorker);
+    }
+    void callStarted(const framework::HostId & /*host*/, framework::TimePoint /*now*/) override
+    {
+        ++m_running;
+    }
+    void callEnded(const framework::HostId & /*host*/, framework::TimePoint /*now*/) override
+    {
+        --m_running;
+    }
+    void observeLoad(const framework::HostId & /*host*/, const protocol::LoadReport & /*load*/,
+                     framework::TimePoint /*now*/) override
+    { }
+    void observeFailure(const framework::HostId & /*host*/, framework::TimePoint /*now*/) override
+    {
+        ++m_failures;
+    }
+
+    std::vector<membership::HostEntry> m_hosts;
+    int m_running = 0;
+    int m_failures = 0;
+};
+
+} // namespace lavendertally::pipeline
