Configuration replica: one state for one prefix of the control stream

Refusing to take the last zone out was weighed: it would make the order of two operators' orders matter and could keep a failing zone in service, so it is accepted.

Changed files alone are parsed; validation is of the merged whole.

--- a/src/configuration/configurationmodule.h
+++ b/src/configuration/configurationmodule.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "framework/types/units.h"
+
 #include <memory>
 
 namespace lavendertally::configuration {
 
 class IConfigurationParser;
+class IConfigurationReplica;
+class IControlRecordCodec;
 class ISettingsParser;
 
 /// Makes the implementations of the configuration module.
@@ -13,6 +17,11 @@
 public:
     static std::unique_ptr<IConfigurationParser> makeParser();
     static std::unique_ptr<ISettingsParser> makeSettingsParser();
+    static std::unique_ptr<IControlRecordCodec> makeRecordCodec();
+
+    /// \param recordBuffer bound on the records kept for recordsSince()
+    static std::unique_ptr<IConfigurationReplica>
+    makeReplica(framework::Bytes recordBuffer = framework::Bytes(1024 * 1024));
 };
 
 } // namespace lavendertally::configuration
--- a/src/configuration/iconfigurationreplica.h
+++ b/src/configuration/iconfigurationreplica.h
@@ -18,9 +18,12 @@
 {
 public:
     /// Applies records in order. Records that are already part of the state are skipped; void
-    /// ones advance the revision and change nothing else.
-    /// \return nothing, or ConfigurationError::OffsetGap when the first new record does not
-    /// continue at the revision in force; the state is then unchanged
+    /// ones advance the revision and change nothing else. Records that start past the revision in
+    /// force are accepted when a snapshot record among them closes the gap. A reader of a log
+    /// whose older records have expired passes page after page until the revision moves, and reads
+    /// on from that revision.
+    /// \return nothing, or ConfigurationError::OffsetGap when a record does not continue at the
+    /// revision in force; the records before it stay applied
     virtual framework::Result<void> applyRecords(const std::vector<ControlRecord> &records) = 0;
 
     /// \return records from \p revision on, or nothing when not all of them are kept in memory
--- a/src/configuration/internal/configurationmodule.cpp
+++ b/src/configuration/internal/configurationmodule.cpp
@@ -1,5 +1,7 @@
 #include "configuration/configurationmodule.h"
 
+#include "configuration/internal/configurationreplica.h"
+#include "configuration/internal/jsonrecordcodec.h"
 #include "configuration/internal/yamlconfigurationparser.h"
 #include "configuration/internal/yamlsettingsparser.h"
 
@@ -15,4 +17,15 @@
     return std::make_unique<YamlSettingsParser>();
 }
 
+std::unique_ptr<IControlRecordCodec> ConfigurationModule::makeRecordCodec()
+{
+    return std::make_unique<JsonRecordCodec>();
+}
+
+std::unique_ptr<IConfigurationReplica>
+ConfigurationModule::makeReplica(framework::Bytes recordBuffer)
+{
+    return std::make_unique<ConfigurationReplica>(makeRecordCodec(), recordBuffer);
+}
+
 } // namespace lavendertally::configuration
--- /dev/null
+++ b/src/configuration/internal/replicastate.cpp
@@ -0,0 +1,258 @@
+#include "configuration/internal/replicastate.h"
+
+#include "configuration/internal/configurationfragment.h"
+#include "configuration/internal/fragmentparser.h"
+#include "configuration/internal/scalartypes.h"
+#include "configuration/types/configurationerror.h"
+#include "configuration/types/filediagnostics.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+#include <variant>
+
+namespace lavendertally::configuration {
+
+namespace {
+
+/// Verdicts kept; a tool asks again within seconds.
+constexpr std::size_t MaxVerdicts = 512;
+constexpr std::size_t MaxRemovedFiles = 256;
+constexpr std::size_t MaxHostsOut = 10000;
+constexpr std::size_t MaxExplanationBytes = 1000;
+constexpr std::size_t MaxExplainedDiagnostics = 3;
+/// All files together; a snapshot of them fits into one record.
+constexpr std::size_t MaxTotalBytes = 4 * 1024 * 1024;
+
+/// Bounds the text and keeps it printable, so that it is the same after any encoding.
+std::string toExplanation(std::string text)
+{
+    text.resize(std::min(text.size(), MaxExplanationBytes));
+    std::replace_if(
+        text.begin(), text.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
+    return text;
+}
+
+std::string explain(const FileDiagnostics &diagnostics)
+{
+    std::string text;
+    const std::size_t count = std::min(diagnostics.entries.size(), MaxExplainedDiagnostics);
+    for (std::size_t i = 0; i < count; ++i) {
+        text += (i == 0 ? "" : "; ") + diagnostics.entries[i].toString();
+    }
+    if (count < diagnostics.entries.size()) {
+        text += "; and " + std::to_string(diagnostics.entries.size() - count) + " more";
+    }
+    return text;
+}
+
+} // namespace
+
+void ReplicaState::applyChange(const OperatorChange &change)
+{
+    // The first record of an operation decides, also when its verdict was that it is void.
+    if (!verdict(change.operation)) {
+        const VoidReason reason =
+            std::visit([this](const auto &detail) { return apply(detail); }, change.change);
+        recordVerdict(change.operation, reason);
+    }
+    skipRecord();
+}
+
+void ReplicaState::skipRecord()
+{
+    m_data.revision = m_data.revision.next();
+}
+
+ReplicaState::VoidReason ReplicaState::apply(const ApplyFiles &change)
+{
+    for (const auto &check : {&ReplicaState::checkNames, &ReplicaState::checkSize}) {
+        if (VoidReason reason = (this->*check)(change)) {
+            return reason;
+        }
+    }
+    return framework::leaf::try_handle_all(
+        [&]() -> framework::Result<VoidReason> {
+            BOOST_LEAF_AUTO(fragments, fragmentsWith(change));
+            BOOST_LEAF_ASSIGN(m_configuration, mergeFragments(fragments));
+            m_fragments = std::move(fragments);
+            storeFiles(change);
+            return VoidReason();
+        },
+        [](const FileDiagnostics &diagnostics) { return VoidReason(explain(diagnostics)); },
+        [] { return VoidReason("the files do not validate"); });
+}
+
+ReplicaState::VoidReason ReplicaState::apply(const SetZoneOut &change)
+{
+    if (!change.out) {
+        const bool wasOut = m_data.zonesOut.erase(change.zone) > 0;
+        const bool isKnown = wasOut || m_configuration.zones.contains(change.zone);
+        return isKnown ? VoidReason()
+                       : VoidReason("unknown availability zone " + change.zone.value());
+    }
+    if (!m_configuration.zones.contains(change.zone)) {
+        return "unknown availability zone " + change.zone.value();
+    }
+    m_data.zonesOut.insert(change.zone);
+    return std::nullopt;
+}
+
+ReplicaState::VoidReason ReplicaState::apply(const SetHostOut &change)
+{
+    if (!change.out) {
+        m_data.hostsOut.erase(change.host);
+        return std::nullopt;
+    }
+    if (m_data.hostsOut.size() >= MaxHostsOut && !m_data.hostsOut.contains(change.host)) {
+        return "too many hosts are out; bring back those that are gone for good";
+    }
+    m_data.hostsOut.insert(change.host);
+    return std::nullopt;
+}
+
+ReplicaState::VoidReason ReplicaState::checkNames(const ApplyFiles &change) const
+{
+    if (change.files.empty()) {
+        return "no file is named";
+    }
+    if (change.base > m_data.revision) {
+        return "the base revision lies beyond this record";
+    }
+    for (const auto &[name, text] : change.files) {
+        if (!isName(name)) {
+            return "'" + name + "' is not a valid file name";
+        }
+        if (VoidReason reason = checkBase(change, name)) {
+            return reason;
+        }
+        if (!text && !m_data.files.contains(name)) {
+            return "file " + name + " is to be removed but does not exist";
+        }
+    }
+    return std::nullopt;
+}
+
+ReplicaState::VoidReason ReplicaState::checkBase(const ApplyFiles &change,
+                                                 const std::string &name) const
+{
+    const auto conflict = [&](framework::LogOffset offset) -> VoidReason {
+        if (offset < change.base) {
+            return std::nullopt;
+        }
+        return "conflict: file " + name + " was changed at offset " + std::to_string(offset.value())
+            + ", after revision " + std::to_string(change.base.value())
+            + " on which this change is based";
+    };
+    const auto file = m_data.files.find(name);
+    if (file != m_data.files.end()) {
+        return conflict(file->second.changedAt);
+    }
+    const auto removed = m_data.removedFiles.find(name);
+    if (removed != m_data.removedFiles.end()) {
+        return conflict(removed->second);
+    }
+    if (change.base < m_data.removalsKnownFrom) {
+        return "the base revision is too old to tell whether file " + name + " was removed since";
+    }
+    return std::nullopt;
+}
+
+ReplicaState::VoidReason ReplicaState::checkSize(const ApplyFiles &change) const
+{
+    std::size_t total = 0;
+    for (const auto &[name, file] : m_data.files) {
+        total += change.files.contains(name) ? 0 : name.size() + file.text.size();
+    }
+    for (const auto &[name, text] : change.files) {
+        total += text ? name.size() + text->size() : 0;
+    }
+    return total > MaxTotalBytes ? VoidReason("all files together are larger than 4MB")
+                                 : VoidReason();
+}
+
+framework::Result<FragmentMap> ReplicaState::fragmentsWith(const ApplyFiles &change) const
+{
+    FragmentMap fragments = m_fragments;
+    for (const auto &[name, text] : change.files) {
+        if (!text) {
+            fragments.erase(name);
+            continue;
+        }
+        BOOST_LEAF_ASSIGN(fragments[name], parseFragment(name, *text));
+    }
+    return fragments;
+}
+
+void ReplicaState::storeFiles(const ApplyFiles &change)
+{
+    for (const auto &[name, text] : change.files) {
+        if (text) {
+            m_data.files[name] = {*text, m_data.revision};
+            m_data.removedFiles.erase(name);
+        } else {
+            m_data.files.erase(name);
+            m_data.removedFiles[name] = m_data.revision;
+        }
+    }
+    forgetOldRemovals();
+}
+
+void ReplicaState::forgetOldRemovals()
+{
+    while (m_data.removedFiles.size() > MaxRemovedFiles) {
+        const auto oldest =
+            std::min_element(m_data.removedFiles.begin(), m_data.removedFiles.end(),
+                             [](const auto &a, const auto &b) { return a.second < b.second; });
+        m_data.removalsKnownFrom = std::max(m_data.removalsKnownFrom, oldest->second.next());
+        m_data.removedFiles.erase(oldest);
+    }
+}
+
+void ReplicaState::recordVerdict(const framework::OperationId &operation, const VoidReason &reason)
+{
+    OperationVerdict verdict;
+    verdict.operation = operation;
+    verdict.accepted = !reason;
+    verdict.offset = m_data.revision;
+    verdict.explanation = toExplanation(reason.value_or(""));
+    m_data.verdicts.push_back(std::move(verdict));
+    if (m_data.verdicts.size() > MaxVerdicts) {
+        m_data.verdicts.pop_front();
+    }
+}
+
+framework::Result<void> ReplicaState::replace(ReplicaData data)
+{
+    FragmentMap fragments;
+    for (const auto &[name, file] : data.files) {
+        const auto known = m_data.files.find(name);
+        if (known != m_data.files.end() && known->second.text == file.text) {
+            fragments[name] = m_fragments.at(name);
+            continue;
+        }
+        auto parsed = parseFragment(name, file.text);
+        if (!parsed) {
+            return framework::leaf::new_error(ConfigurationError::InvalidRecord);
+        }
+        fragments[name] = parsed.value();
+    }
+    auto merged = mergeFragments(fragments);
+    if (!merged) {
+        return framework::leaf::new_error(ConfigurationError::InvalidRecord);
+    }
+    m_configuration = std::move(merged.value());
+    m_fragments = std::move(fragments);
+    m_data = std::move(data);
+    return {};
+}
+
+std::optional<OperationVerdict> ReplicaState::verdict(const framework::OperationId &operation) const
+{
+    const auto found = std::find_if(
+        m_data.verdicts.begin(), m_data.verdicts.end(),
+        [&](const OperationVerdict &verdict) { return verdict.operation == operation; });
+    return found == m_data.verdicts.end() ? std::nullopt : std::optional(*found);
+}
+
+} // namespace lavendertally::configuration
