Clients of log service, host list and weight store, with contract tests

Cause: processes reach the platform only through these; whether a failed append may stand in the log decides what may be tried again.

Ruled out: repairing a page whose records are doubled or out of order, since the reader cannot tell which copy the service means; reading such a list of hosts in part.

Change: HTTP clients with exact errors; mayHaveTakenEffect() for appends; FirstKept beside Expired; response headers in HttpResponse, which Retry-After needs. One table of faults runs against the HTTP client with the stand-in and against the in-memory log.

Conclusion: an append is never reported as without effect when it may have one.

--- a/src/http/internal/evhttpcall.cpp
+++ b/src/http/internal/evhttpcall.cpp
@@ -8,6 +8,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -25,6 +26,17 @@
     return value == nullptr || std::string_view(value) != "close";
 }
 
+HttpHeaders readHeaders(evhttp_request *request)
+{
+    HttpHeaders headers;
+    const evkeyvalq *fields = evhttp_request_get_input_headers(request);
+    for (const evkeyval *field = fields->tqh_first; field != nullptr;
+         field = field->next.tqe_next) {
+        headers.emplace_back(field->key, field->value);
+    }
+    return headers;
+}
+
 } // namespace
 
 EvHttpCall::EvHttpCall(EvHttpClient &client, const HttpRequest &request,
@@ -135,6 +147,9 @@
         call->finish(HttpEnd::NotSent, 0);
         return;
     }
+    if (call->m_observer != nullptr) {
+        call->m_observer->onHeaders(readHeaders(request));
+    }
     if (!keepsAlive(request)) {
         call->m_client.discard(std::exchange(call->m_connection, nullptr));
     }
--- a/src/http/internal/wholeresponsecall.cpp
+++ b/src/http/internal/wholeresponsecall.cpp
@@ -14,6 +14,11 @@
     m_response.body.append(data);
 }
 
+void WholeResponseCall::onHeaders(const HttpHeaders &headers)
+{
+    m_response.headers = headers;
+}
+
 void WholeResponseCall::onEnd(HttpEnd end, int status)
 {
     m_response.end = end;
--- a/src/http/types/httpresponse.h
+++ b/src/http/types/httpresponse.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/types/httpend.h"
+#include "http/types/httpheaders.h"
 
 #include <string>
 
@@ -12,6 +13,8 @@
     HttpEnd end = HttpEnd::NotSent;
     /// Status code; zero unless the response is complete.
     int status = 0;
+    /// Header fields of a complete response.
+    HttpHeaders headers;
     std::string body;
 };
 
--- /dev/null
+++ b/src/platform/internal/httphostlist.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "platform/ihostlist.h"
+#include "platform/internal/serviceconnection.h"
+
+namespace lavendertally::platform {
+
+/// Client of the host list over HTTP.
+class HttpHostList final : public IHostList
+{
+public:
+    HttpHostList(http::IHttpClient &client, const framework::Endpoint &endpoint);
+
+    void fetch(framework::Milliseconds timeout,
+               std::function<void(framework::Result<std::vector<membership::HostEntry>>)> callback)
+        override;
+
+private:
+    ServiceConnection m_connection;
+};
+
+} // namespace lavendertally::platform
--- a/src/platform/testing/fakelogfault.h
+++ b/src/platform/testing/fakelogfault.h
@@ -14,6 +14,10 @@
     Doubled,
     /// Takes effect twice; the caller gets AnswerLost.
     DoubledAnswerLost,
+    /// Takes effect; the caller gets MalformedAnswer.
+    MalformedAnswer,
+    /// Takes effect once a later append has.
+    Reordered,
     /// Refused without effect, as by a 429.
     RateLimited,
 };
--- a/src/platform/testing/fakelogservice.h
+++ b/src/platform/testing/fakelogservice.h
@@ -6,6 +6,7 @@
 #include "platform/ilogservice.h"
 #include "platform/testing/fakelog.h"
 #include "platform/testing/fakelogfault.h"
+#include "platform/types/firstkept.h"
 #include "platform/types/platformerror.h"
 
 #include <cstdint>
@@ -30,7 +31,7 @@
 /// service.setDelays(a, b);                       // effect after a, answer after b more
 /// service.freeze(); service.thaw();              // calls wait; appends take effect on thaw()
 /// service.setLagging(true);                      // reads see the log as it is now
-/// service.truncateReads(1);                      // next read ends as MalformedAnswer
+/// service.failReads(PlatformError::MalformedAnswer); // next read, for instance cut or doubled
 /// service.shortenPages(3);                       // pages of three records at most
 /// log.expireUpTo(stream, offset);                // reads before it end as Expired
 /// \endcode
@@ -102,7 +103,12 @@
         m_laggingEnds = m_log.ends();
         wakeReaders();
     }
-    void truncateReads(std::uint32_t count) { m_truncatedReads = count; }
+    /// Makes the next \p count reads fail.
+    void failReads(PlatformError error, std::uint32_t count = 1)
+    {
+        m_readError = error;
+        m_readErrorCount = count;
+    }
     void shortenPages(std::uint32_t limit) { m_pageLimit = limit; }
 
     std::uint32_t appendCalls() const { return m_appends; }
@@ -191,7 +197,16 @@
             refuse(m_pendingAppends, id, PlatformError::RateLimited);
             return;
         }
+        if (fault == FakeLogFault::Reordered) {
+            m_overtaken = [this, id, stream, records] {
+                runAppend(id, FakeLogFault::None, stream, records);
+            };
+            return;
+        }
         framework::LogOffset first = m_log.append(stream, records);
+        if (const auto overtaken = std::exchange(m_overtaken, nullptr)) {
+            overtaken();
+        }
         if (fault == FakeLogFault::Doubled || fault == FakeLogFault::DoubledAnswerLost) {
             first = m_log.append(stream, records);
         }
@@ -199,6 +214,10 @@
             refuse(m_pendingAppends, id, PlatformError::AnswerLost);
             return;
         }
+        if (fault == FakeLogFault::MalformedAnswer) {
+            refuse(m_pendingAppends, id, PlatformError::MalformedAnswer);
+            return;
+        }
         answer(m_pendingAppends, id, first);
     }
 
@@ -208,13 +227,13 @@
             refuse(m_pendingReads, id, PlatformError::Unavailable);
             return;
         }
-        if (m_truncatedReads > 0) {
-            --m_truncatedReads;
-            refuse(m_pendingReads, id, PlatformError::MalformedAnswer);
+        if (m_readErrorCount > 0) {
+            --m_readErrorCount;
+            refuse(m_pendingReads, id, m_readError);
             return;
         }
         if (reader.from < m_log.first(reader.stream)) {
-            refuse(m_pendingReads, id, PlatformError::Expired);
+            expire(id, m_log.first(reader.stream));
             return;
         }
         const bool hasRecord = reader.from < visibleEnd(reader.stream);
@@ -230,6 +249,16 @@
         });
     }
 
+    void expire(std::uint64_t id, framework::LogOffset first)
+    {
+        later(m_answerDelay, [this, id, first] {
+            if (const auto node = m_pendingReads.extract(id)) {
+                node.mapped()(
+                    framework::asyncError<LogPage>(PlatformError::Expired, FirstKept{first}));
+            }
+        });
+    }
+
     void wakeReaders()
     {
         for (const auto &[id, reader] : std::map(m_readers)) {
@@ -270,12 +299,14 @@
     bool m_lagging = false;
     FakeLogFault m_fault = FakeLogFault::None;
     std::uint32_t m_faultCount = 0;
-    std::uint32_t m_truncatedReads = 0;
+    PlatformError m_readError = PlatformError::Unavailable;
+    std::uint32_t m_readErrorCount = 0;
     std::optional<std::uint32_t> m_pageLimit;
     framework::Milliseconds m_effectDelay;
     framework::Milliseconds m_answerDelay;
     std::map<StreamName, framework::LogOffset> m_laggingEnds;
     std::vector<std::function<void()>> m_held;
+    std::function<void()> m_overtaken;
     std::uint64_t m_lastId = 0;
     std::uint32_t m_appends = 0;
     std::uint32_t m_reads = 0;
--- a/src/platform/tests/fakelogtest.cpp
+++ b/src/platform/tests/fakelogtest.cpp
@@ -61,3 +61,12 @@
     m_scheduler.advance(Timeout * 2);
     EXPECT_FALSE(called);
 }
+
+TEST_F(FakeLogTest, ReorderedAppendIsOvertakenByTheNext)
+{
+    m_service.failAppends(FakeLogFault::Reordered);
+    m_service.append(Stream, {"a"}, Timeout, [](const auto & /*result*/) {});
+    m_service.append(Stream, {"b"}, Timeout, [](const auto & /*result*/) {});
+    m_scheduler.advance(framework::Milliseconds(1));
+    EXPECT_EQ(m_log.records(Stream), (std::vector<std::string>{"b", "a"}));
+}
--- /dev/null
+++ b/src/platform/tests/platformclienttest.cpp
@@ -0,0 +1,249 @@
+#include "framework/asyncerror.h"
+#include "platform/ihostlist.h"
+#include "platform/iweightstore.h"
+#include "platform/platformmodule.h"
+#include "platform/tests/standinfixture.h"
+#include "platform/types/platformerror.h"
+#include "standins/hostliststandin.h"
+#include "standins/weightstandin.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+using namespace lavendertally;
+using namespace lavendertally::platform;
+using standins::FaultMode;
+
+namespace {
+
+constexpr framework::Milliseconds Timeout{150};
+
+using Hosts = std::vector<membership::HostEntry>;
+
+nlohmann::json row(const std::string &host, const std::string &state)
+{
+    return {{"host", host},
+            {"availability_zone", "z1"},
+            {"role", "backend"},
+            {"state", state},
+            {"service", "encoder"},
+            {"http", "127.0.0.1:80"},
+            {"control", "127.0.0.1:81"}};
+}
+
+nlohmann::json list(const std::vector<nlohmann::json> &rows)
+{
+    return {{"hosts", rows}};
+}
+
+struct FaultCase
+{
+    const char *name;
+    FaultMode mode;
+    std::optional<PlatformError> error;
+};
+
+void PrintTo(const FaultCase &fault, std::ostream *stream)
+{
+    *stream << fault.name;
+}
+
+const FaultCase HostListCases[] = {
+    {"None", FaultMode::None, std::nullopt},
+    {"Down", FaultMode::Down, PlatformError::Unavailable},
+    {"Refuse", FaultMode::Refuse, PlatformError::Unavailable},
+    {"Slow", FaultMode::Slow, std::nullopt},
+    {"Frozen", FaultMode::Frozen, PlatformError::TimedOut},
+    {"LostAnswer", FaultMode::LostAnswer, PlatformError::Unavailable},
+    {"Doubled", FaultMode::Doubled, std::nullopt},
+    {"Reordered", FaultMode::Reordered, std::nullopt},
+    {"Lagging", FaultMode::Lagging, std::nullopt},
+    {"Truncated", FaultMode::Truncated, PlatformError::MalformedAnswer},
+};
+
+const FaultCase WeightCases[] = {
+    {"None", FaultMode::None, std::nullopt},
+    {"Down", FaultMode::Down, PlatformError::Unavailable},
+    {"Refuse", FaultMode::Refuse, PlatformError::Unavailable},
+    {"Slow", FaultMode::Slow, std::nullopt},
+    {"Frozen", FaultMode::Frozen, PlatformError::TimedOut},
+    {"LostAnswer", FaultMode::LostAnswer, PlatformError::Unavailable},
+    {"Doubled", FaultMode::Doubled, std::nullopt},
+    {"Reordered", FaultMode::Reordered, std::nullopt},
+    {"Lagging", FaultMode::Lagging, std::nullopt},
+    {"Truncated", FaultMode::Truncated, PlatformError::Unavailable},
+};
+
+std::string nameOf(const testing::TestParamInfo<FaultCase> &info)
+{
+    return info.param.name;
+}
+
+standins::Fault faultOf(FaultMode mode)
+{
+    return {mode, framework::Milliseconds(20), std::nullopt, ""};
+}
+
+} // namespace
+
+class HostListTest : public testing::Test
+{
+protected:
+    HostListTest()
+        : m_standIn(*m_fixture.m_loop, standins::HostListOptions{}),
+          m_hostList(PlatformModule::makeHostList(*m_fixture.m_client,
+                                                  m_standIn.listen({"127.0.0.1", 0}).value()))
+    { }
+
+    Hosts fetch()
+    {
+        Hosts hosts;
+        m_error.reset();
+        m_hostList->fetch(Timeout, [&](framework::Result<Hosts> result) {
+            if (result) {
+                hosts = std::move(*result);
+            } else {
+                m_error = framework::errorOf(std::move(result), PlatformError::Expired);
+            }
+            m_fixture.m_loop->stop();
+        });
+        m_fixture.run();
+        return hosts;
+    }
+
+    StandInFixture m_fixture;
+    standins::HostListStandIn m_standIn;
+    std::unique_ptr<IHostList> m_hostList;
+    std::optional<PlatformError> m_error;
+};
+
+class HostListContract : public HostListTest, public testing::WithParamInterface<FaultCase>
+{ };
+
+TEST_P(HostListContract, ListIsWholeOrThereIsAnError)
+{
+    const FaultCase &fault = GetParam();
+    m_standIn.setHosts(list({row("h1", "live"), row("h2", "leaving")}));
+    m_standIn.setFault(faultOf(fault.mode));
+    if (fault.mode == FaultMode::Lagging) {
+        m_standIn.setHosts(list({}));
+    }
+    const Hosts hosts = fetch();
+    EXPECT_EQ(m_error, fault.error);
+    EXPECT_EQ(hosts.size(), fault.error ? 0U : 2U);
+    m_standIn.setFault({});
+    m_standIn.setHosts(list({row("h3", "live")}));
+    EXPECT_EQ(fetch().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(StandIn, HostListContract, testing::ValuesIn(HostListCases), nameOf);
+
+TEST_F(HostListTest, RowsAreReadWithAllTheirMembers)
+{
+    m_standIn.setHosts(list({row("h2", "leaving")}));
+    const Hosts hosts = fetch();
+    ASSERT_EQ(hosts.size(), 1U);
+    const membership::HostEntry expected{framework::HostId("h2"),
+                                         framework::AvailabilityZoneId("z1"),
+                                         membership::HostRole::Backend,
+                                         membership::HostState::Leaving,
+                                         framework::ServiceId("encoder"),
+                                         {"127.0.0.1", 80},
+                                         {"127.0.0.1", 81}};
+    EXPECT_EQ(hosts.front(), expected);
+}
+
+TEST_F(HostListTest, RowOfAnotherFormFailsTheWholeList)
+{
+    const std::pair<const char *, nlohmann::json> changes[] = {
+        {"host", 1},
+        {"host", ""},
+        {"availability_zone", nullptr},
+        {"role", "backed"},
+        {"state", "gone"},
+        {"http", "127.0.0.1"},
+        {"http", "127.0.0.1:99999"},
+        {"control", ":81"},
+        {"service", nlohmann::json::array()},
+    };
+    for (const auto &[key, value] : changes) {
+        SCOPED_TRACE(key);
+        nlohmann::json bad = row("h1", "live");
+        bad[key] = value;
+        m_standIn.setHosts(list({row("h0", "live"), bad}));
+        EXPECT_TRUE(fetch().empty());
+        EXPECT_EQ(m_error, PlatformError::MalformedAnswer);
+    }
+}
+
+TEST_F(HostListTest, TwoStatesOfOneHostFailTheWholeList)
+{
+    m_standIn.setHosts(list({row("h1", "live"), row("h1", "leaving")}));
+    fetch();
+    EXPECT_EQ(m_error, PlatformError::MalformedAnswer);
+}
+
+class WeightStoreTest : public testing::Test
+{
+protected:
+    WeightStoreTest()
+        : m_standIn(*m_fixture.m_loop, standins::WeightOptions{framework::Bytes(1000), 2}),
+          m_store(PlatformModule::makeWeightStore(*m_fixture.m_client, *m_fixture.m_loop,
+                                                  *m_fixture.m_clock,
+                                                  m_standIn.listen({"127.0.0.1", 0}).value()))
+    { }
+
+    std::string fetch(framework::Milliseconds timeout = Timeout)
+    {
+        std::string weights;
+        m_error.reset();
+        m_store->fetch(
+            framework::ModelId("m 1"), timeout, [&](framework::Result<std::string> result) {
+                if (result) {
+                    weights = std::move(*result);
+                } else {
+                    m_error = framework::errorOf(std::move(result), PlatformError::Expired);
+                }
+                m_fixture.m_loop->stop();
+            });
+        m_fixture.run();
+        return weights;
+    }
+
+    StandInFixture m_fixture;
+    standins::WeightStandIn m_standIn;
+    std::unique_ptr<IWeightStore> m_store;
+    std::optional<PlatformError> m_error;
+};
+
+class WeightStoreContract : public WeightStoreTest, public testing::WithParamInterface<FaultCase>
+{ };
+
+TEST_P(WeightStoreContract, WeightsAreWholeOrThereIsAnError)
+{
+    m_standIn.setFault(faultOf(GetParam().mode));
+    const std::string weights = fetch();
+    EXPECT_EQ(m_error, GetParam().error);
+    EXPECT_EQ(weights.size(), m_error ? 0U : 1000U);
+    EXPECT_EQ(weights.substr(0, 3), m_error ? "" : "m 1");
+}
+
+INSTANTIATE_TEST_SUITE_P(StandIn, WeightStoreContract, testing::ValuesIn(WeightCases), nameOf);
+
+TEST_F(WeightStoreTest, RateLimitedDownloadIsTriedAgainWhenTheStoreSays)
+{
+    fetch();
+    fetch();
+    const framework::TimePoint start = m_fixture.m_clock->now();
+    EXPECT_EQ(fetch(framework::Milliseconds(5000)).size(), 1000U);
+    EXPECT_GE(m_fixture.m_clock->now() - start, framework::Milliseconds(900));
+}
+
+TEST_F(WeightStoreTest, RateLimitedDownloadFailsWhenTheRetryWouldBeTooLate)
+{
+    fetch();
+    fetch();
+    fetch();
+    EXPECT_EQ(m_error, PlatformError::RateLimited);
+}
--- a/src/standins/internal/faultyexchange.cpp
+++ b/src/standins/internal/faultyexchange.cpp
@@ -24,12 +24,24 @@
         abort();
         return;
     }
+    if (m_mode == FaultMode::Truncated && contentType != "application/json") {
+        cutConnection(status, contentType, body);
+        return;
+    }
     if (m_mode == FaultMode::Truncated) {
         body = body.substr(0, body.size() / 2);
     }
     m_exchange->reply(status, contentType, body, headers);
 }
 
+void FaultyExchange::cutConnection(int status, const std::string &contentType,
+                                   std::string_view body)
+{
+    m_exchange->startStream(status, contentType, {{"Content-Length", std::to_string(body.size())}});
+    m_exchange->sendPart(body.substr(0, body.size() / 2));
+    abort();
+}
+
 void FaultyExchange::startStream(int status, const std::string &contentType,
                                  const http::HttpHeaders &headers)
 {
--- a/src/standins/internal/faultyexchange.h
+++ b/src/standins/internal/faultyexchange.h
@@ -38,6 +38,8 @@
     void onHangUp(std::function<void()> callback) override;
 
 private:
+    /// Sends half of the announced body and closes the connection.
+    void cutConnection(int status, const std::string &contentType, std::string_view body);
     void sendReordered(std::string_view data);
 
     std::shared_ptr<http::IHttpExchange> m_exchange;
--- a/src/standins/logstandin.h
+++ b/src/standins/logstandin.h
@@ -22,6 +22,9 @@
     LogStandIn(framework::IEventLoop &loop, const LogOptions &options);
     ~LogStandIn() override;
 
+    /// Sets the number of appends accepted within any second.
+    void setAppendsPerSecond(std::uint32_t limit) { m_options.appendsPerSecond = limit; }
+
     /// Drops the oldest records of a stream.
     void expireUpTo(const std::string &stream, framework::LogOffset first);
 
