Admission controller: cold-start limit, fair queue, early refusal

Cause: the host process is the only authority over what its backend server runs, and needs to hold the cold limit, refuse honestly and early, and share places between classes, teams and pipelines.

Ruled out: raising the limit on completed work alone after a turn to cold. The limit now waits for a report that says warm, if there ever was one, and each relapse doubles the completions before the next step. Unclipped smoothing of service times hid the second of two samples ten times too long; errors are clipped to the mean.

Change: ColdStartLimit (slow start as in RFC 5681), ServiceTimes (RFC 6298), FairQueue and ClassQueue (start-time fair queueing between teams and a team's pipelines, earliest deadline within them, Background at least one of 8 starts and a quarter of the places), AdmissionController.

Seen red, each with its line disabled: cold limit at start, each of the five signs of coldness, old work as evidence, halving once a batch, the confirming report, the backoff after a relapse, clipped errors, age of estimates, limit check, deadline order, early refusal, team and pipeline charges, weights, reserve, class order, displacement and its refusal, Background's turn and places, refusal on close, both queue bounds, scaled places, doubled offers, the longest team as victim, the upper bound. With the expiry of waiting items disabled the test program did not end within 60 s.

Conclusion: 35 tests pass. A backend server that hides its coldness still falls over a few times.

--- a/src/admission/internal/admissionmodule.cpp
+++ b/src/admission/internal/admissionmodule.cpp
@@ -1,16 +1,15 @@
 #include "admission/admissionmodule.h"
 
+#include "admission/internal/admissioncontroller.h"
 #include "admission/internal/naivecontroller.h"
 #include "admission/types/admissionpolicy.h"
 
 namespace lavendertally::admission {
 
-std::unique_ptr<IAdmissionController>
-AdmissionModule::makeController(const AdmissionLimits &limits, const AdmissionPolicy & /*policy*/)
+std::unique_ptr<IAdmissionController> AdmissionModule::makeController(const AdmissionLimits &limits,
+                                                                      const AdmissionPolicy &policy)
 {
-    AdmissionLimits cold = limits;
-    cold.concurrency = limits.coldConcurrency;
-    return std::make_unique<NaiveController>(cold);
+    return std::make_unique<AdmissionController>(limits, policy);
 }
 
 std::unique_ptr<IAdmissionController>
--- a/src/admission/types/admissionpolicy.h
+++ b/src/admission/types/admissionpolicy.h
@@ -18,6 +18,9 @@
     std::uint32_t slowRatio = 4;
     /// Completions that take less are never far above.
     framework::Milliseconds slowFloor{50};
+    /// Each relapse into cold start before the full limit was reached doubles the batches that the
+    /// next step takes, up to this many.
+    std::uint32_t maxBatchesPerStep = 32;
 
     /// Places kept free for PriorityClass::Interactive once the limit is interactiveReserveFrom.
     /// Under a smaller limit, Interactive gets the next free place instead.
@@ -26,6 +29,10 @@
     /// The reserve is given up when no Interactive item came for so long.
     framework::Milliseconds interactiveMemory{30000};
 
+    /// An estimate of service time counts as unknown when no completion has confirmed it for the
+    /// estimated time and this long.
+    framework::Milliseconds estimateLifetime{2000};
+
     /// While Background waits, at least one of so many starts is its.
     std::uint32_t backgroundEvery = 8;
     /// Background holds at least one of so many waiting places against more urgent arrivals.
