--- /dev/null
+++ b/src/routing/internal/rendezvous.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace lavendertally::routing {
+
+/// \return hash of a name, the same in every process
+std::uint64_t hashName(const std::string &name);
+
+/// Score of one pair in rendezvous hashing: the pairs with the highest scores are taken (Thaler and
+/// Ravishankar, "Using name-based mappings to increase hit rates", 1998).
+std::uint64_t rendezvousScore(std::uint64_t first, std::uint64_t second);
+
+} // namespace lavendertally::routing
--- a/src/routing/internal/routingmodule.cpp
+++ b/src/routing/internal/routingmodule.cpp
@@ -1,6 +1,12 @@
 #include "routing/routingmodule.h"
 
+#include "routing/internal/loadawareselector.h"
 #include "routing/internal/randomselector.h"
+#include "routing/internal/stalereportprobes.h"
+#include "routing/internal/workertable.h"
+#include "routing/types/routing.h"
+
+#include <utility>
 
 namespace lavendertally::routing {
 
@@ -11,4 +17,14 @@
     return std::make_unique<RandomSelector>(membership, random);
 }
 
+Routing RoutingModule::makeRouting(const membership::IMembership &membership,
+                                   framework::IRandom &random, const framework::HostId &self,
+                                   const SelectorLimits &limits)
+{
+    auto table = std::make_shared<WorkerTable>(membership, self, limits);
+    auto selector = std::make_unique<LoadAwareSelector>(table, random);
+    auto probes = std::make_unique<StaleReportProbes>(std::move(table));
+    return {.selector = std::move(selector), .probes = std::move(probes)};
+}
+
 } // namespace lavendertally::routing
--- /dev/null
+++ b/src/routing/internal/workertable.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "membership/types/hostentry.h"
+#include "membership/types/membershipgeneration.h"
+#include "routing/internal/workerstate.h"
+#include "routing/types/selectorlimits.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace lavendertally::membership {
+class IMembership;
+}
+
+namespace lavendertally::routing {
+
+class WorkerSubset;
+
+/// The subset of backend servers of each service that this entry calls, and what it knows of them.
+class WorkerTable
+{
+public:
+    struct Worker
+    {
+        membership::HostEntry host;
+        std::uint64_t hash = 0;
+        WorkerState *state = nullptr;
+    };
+
+    WorkerTable(const membership::IMembership &membership, framework::HostId self,
+                const SelectorLimits &limits);
+    ~WorkerTable();
+
+    /// \return the subset, derived anew when membership has changed; valid until the next call
+    const std::vector<Worker> &workers(const framework::ServiceId &service,
+                                       const framework::AvailabilityZoneId &localZone);
+
+    /// \return all subsets as they were last derived
+    const std::map<framework::ServiceId, std::vector<Worker>> &services() const
+    {
+        return m_services;
+    }
+
+    WorkerState &state(const framework::HostId &host) { return m_states[host]; }
+    const SelectorLimits &limits() const { return m_limits; }
+    const membership::IMembership &membership() const { return m_membership; }
+
+private:
+    void forgetAll();
+    void dropUnusedStates();
+
+    const membership::IMembership &m_membership;
+    framework::HostId m_self;
+    SelectorLimits m_limits;
+    std::optional<membership::MembershipGeneration> m_generation;
+    framework::AvailabilityZoneId m_localZone;
+    std::unique_ptr<WorkerSubset> m_subset;
+    std::map<framework::ServiceId, std::vector<Worker>> m_services;
+    std::unordered_map<framework::HostId, WorkerState> m_states;
+};
+
+} // namespace lavendertally::routing
