Benchmark of policy and subsets

Cause: the policy's targets need measuring against the naive version on the same recorded arrivals. Change: policybench drives the real selector, admission controller, retry policy and stage budget over fake backend servers in simulated time; subsetbench measures connections, coverage and time of the subsets; scripts/bench runs both.

--- /dev/null
+++ b/src/bench/internal/site.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "configuration/types/configuration.h"
+#include "framework/types/ids.h"
+#include "framework/types/milliseconds.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lavendertally::bench {
+
+/// One kind of request of a site.
+struct Workload
+{
+    framework::PipelineId pipeline;
+    /// Part of the requests, relative to the other workloads.
+    std::uint32_t weight = 1;
+    /// Mean service time of each stage.
+    std::vector<framework::Milliseconds> stageTimes;
+    /// Whether its last stage generates from a prompt prefix that requests share.
+    bool sharesPrefixes = false;
+};
+
+/// Size and traffic of one user.
+struct Site
+{
+    std::string name;
+    configuration::Configuration configuration;
+    std::vector<Workload> workloads;
+    std::map<framework::ServiceId, std::uint32_t> workers;
+    /// Part of the requests of each team, relative to the others.
+    std::map<framework::TeamId, std::uint32_t> teamWeights;
+    std::uint32_t entries = 3;
+    /// One way between a caller and an entry.
+    framework::Milliseconds callerDelay;
+
+    /// \return requests a second, in this mix, that keep the busiest service fully occupied
+    double capacity() const;
+    const configuration::Pipeline &pipeline(const Workload &workload) const
+    {
+        return configuration.pipelines.at(workload.pipeline);
+    }
+};
+
+/// \return today's size of Alföldi Biogáz Szövetkezet
+Site makeCooperative();
+
+/// \return today's size of Caddo Plains Molded Fiber Returns
+Site makeCaddo();
+
+} // namespace lavendertally::bench
