Policy benchmark: measured after warm-up, useful work against capacity

Cause: the first windows measured the cold start of the whole site, and answers counted alike let cheap requests exceed 100% of capacity. Change: measurement starts after 120 s; goodput is the busiest service's work for answers in time.

--- a/src/bench/internal/scenario.cpp
+++ b/src/bench/internal/scenario.cpp
@@ -7,8 +7,8 @@
 using framework::Milliseconds;
 using framework::TimePoint;
 
-constexpr TimePoint MeasuredStart{30000};
-constexpr TimePoint DisturbanceStart{50000};
+constexpr TimePoint MeasuredStart{120000};
+constexpr TimePoint DisturbanceStart{140000};
 
 Scenario makeScenario(const char *name, double load, Milliseconds disturbance,
                       Milliseconds afterwards)
--- a/src/bench/internal/site.cpp
+++ b/src/bench/internal/site.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <initializer_list>
-#include <limits>
 #include <utility>
 
 namespace lavendertally::bench {
@@ -75,6 +74,19 @@
 } // namespace
 
 double Site::capacity() const
+{
+    return capacities().at(busiestService());
+}
+
+framework::ServiceId Site::busiestService() const
+{
+    const auto all = capacities();
+    return std::min_element(all.begin(), all.end(),
+                            [](const auto &a, const auto &b) { return a.second < b.second; })
+        ->first;
+}
+
+std::map<framework::ServiceId, double> Site::capacities() const
 {
     constexpr double SecondMs = 1000.0;
     std::map<framework::ServiceId, double> demand;
@@ -87,12 +99,11 @@
             demand[plan.stages[stage].service] += workload.weight * time;
         }
     }
-    double lowest = std::numeric_limits<double>::infinity();
-    for (const auto &[service, time] : demand) {
+    for (auto &[service, time] : demand) {
         const double places = workers.at(service) * configuration.services.at(service).concurrency;
-        lowest = std::min(lowest, places * SecondMs * weights / time);
+        time = places * SecondMs * weights / time;
     }
-    return lowest;
+    return demand;
 }
 
 Site makeCooperative()
--- a/src/bench/internal/site.h
+++ b/src/bench/internal/site.h
@@ -38,10 +38,16 @@
 
     /// \return requests a second, in this mix, that keep the busiest service fully occupied
     double capacity() const;
+    /// \return the service that limits capacity()
+    framework::ServiceId busiestService() const;
     const configuration::Pipeline &pipeline(const Workload &workload) const
     {
         return configuration.pipelines.at(workload.pipeline);
     }
+
+private:
+    /// \return requests a second, in this mix, that keep each service fully occupied
+    std::map<framework::ServiceId, double> capacities() const;
 };
 
 /// \return today's size of Alföldi Biogáz Szövetkezet
--- a/src/bench/internal/summary.cpp
+++ b/src/bench/internal/summary.cpp
@@ -15,7 +15,6 @@
 
 constexpr Milliseconds WindowLength{10000};
 constexpr Milliseconds RecoveryTime{5000};
-constexpr double SecondMs = 1000.0;
 
 using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
 using Latencies = boost::histogram::histogram<std::tuple<Axis>>;
@@ -45,7 +44,8 @@
 class Summariser
 {
 public:
-    Summariser(const Site &site, const Scenario &scenario) : m_site(site), m_scenario(scenario)
+    Summariser(const Site &site, const Scenario &scenario)
+        : m_site(site), m_scenario(scenario), m_busiest(site.busiestService())
     {
         for (auto start = scenario.measured.start; start < scenario.measured.end;
              start = start + WindowLength) {
@@ -61,7 +61,8 @@
         }
         const bool inTime = outcome.ending == Ending::InTime;
         if (inTime && m_scenario.disturbance.contains(arrival.time + outcome.latency)) {
-            ++m_answers;
+            const auto spent = outcome.spent.find(m_busiest);
+            m_usefulWork += spent == outcome.spent.end() ? 0.0 : spent->second.value();
         }
     }
 
@@ -74,8 +75,9 @@
             m_summary.highLatency[priority] = quantile(latencies, High);
         }
         const Milliseconds length = m_scenario.disturbance.end - m_scenario.disturbance.start;
-        m_summary.goodput =
-            m_answers * SecondMs / (static_cast<double>(length.value()) * m_site.capacity());
+        const double places =
+            m_site.workers.at(m_busiest) * m_site.configuration.services.at(m_busiest).concurrency;
+        m_summary.goodput = m_usefulWork / (static_cast<double>(length.value()) * places);
         m_summary.retryRatio =
             static_cast<double>(run.retries) / std::max<double>(1.0, run.freshCalls);
         const double answers = std::max<double>(1.0, m_summary.all.inTime);
@@ -129,7 +131,8 @@
     const Scenario &m_scenario;
     Summary m_summary;
     std::map<configuration::PriorityClass, Latencies> m_latencies;
-    double m_answers = 0.0;
+    framework::ServiceId m_busiest;
+    double m_usefulWork = 0.0;
     double m_spent = 0.0;
     double m_wasted = 0.0;
 };
--- a/src/bench/internal/summary.h
+++ b/src/bench/internal/summary.h
@@ -47,7 +47,8 @@
     /// Median and 99th percentile of the latency of answers, by class.
     std::map<configuration::PriorityClass, framework::Milliseconds> medianLatency;
     std::map<configuration::PriorityClass, framework::Milliseconds> highLatency;
-    /// Answers in time during the disturbance as a part of capacity.
+    /// Work of the busiest service for answers in time during the disturbance, as a part of what
+    /// it can do.
     double goodput = 0.0;
     double retryRatio = 0.0;
     /// Backend server time for each answer in time, by service.
--- a/src/bench/internal/targets.cpp
+++ b/src/bench/internal/targets.cpp
@@ -45,7 +45,7 @@
     if (scenario.name == "overload") {
         const auto &classes = policy.disturbedByClass;
         return {
-            {"answers in time of capacity", policy.goodput, 0.9, true},
+            {"work for answers in time of capacity", policy.goodput, 0.9, true},
             {"highest class", tallyOf(classes, PriorityClass::Interactive).attainment(), 0.99,
              true},
             {"background", tallyOf(classes, PriorityClass::Background).attainment(), 0.1, true},
