Policy benchmark: the interactive class meets the overloaded service

Cause: interactive requests did not call the busiest service, so their target said little. Change: tank readings are interactive; a balance ends with a short generation.

--- a/src/bench/internal/site.cpp
+++ b/src/bench/internal/site.cpp
@@ -117,7 +117,7 @@
                  {"retrieve", Milliseconds(50)},
                  {"rerank", Milliseconds(100)},
                  {"generate", Milliseconds(1200)}});
-    addWorkload(site, "tank-reading", PriorityClass::Standard, Milliseconds(5000), 25,
+    addWorkload(site, "tank-reading", PriorityClass::Interactive, Milliseconds(5000), 25,
                 {{"encode", Milliseconds(40)},
                  {"retrieve", Milliseconds(50)},
                  {"generate", Milliseconds(800)}});
@@ -146,8 +146,8 @@
                 {{"encode", Milliseconds(40)}, {"rerank", Milliseconds(100)}});
     addWorkload(site, "credit", PriorityClass::Standard, Milliseconds(2000), 20,
                 {{"action", Milliseconds(60)}});
-    addWorkload(site, "balance", PriorityClass::Interactive, Milliseconds(1000), 20,
-                {{"retrieve", Milliseconds(50)}});
+    addWorkload(site, "balance", PriorityClass::Interactive, Milliseconds(2000), 20,
+                {{"retrieve", Milliseconds(50)}, {"generate", Milliseconds(300)}});
     return site;
 }
 
