Tests of request runs: a retry policy that waits

The test used the policy without backoff against an empty fleet; under a fake clock that retries at one instant for ever. Found by a stack trace of the hanging test. The budgeted policy, which daemons use, is what it means to test.

--- a/src/pipeline/tests/requestruntest.cpp
+++ b/src/pipeline/tests/requestruntest.cpp
@@ -136,7 +136,9 @@
     std::unique_ptr<framework::IMetrics> m_metrics = framework::FrameworkModule::makeMetrics();
     FixedStore m_store;
     FakeSelector m_selector{{makeHost("h1"), makeHost("h2")}};
-    std::unique_ptr<retry::IRetryPolicy> m_retries = retry::RetryModule::makeUnlimitedRetryPolicy();
+    std::unique_ptr<framework::IRandom> m_random = framework::FrameworkModule::makeRandom(1);
+    std::unique_ptr<retry::IRetryPolicy> m_retries =
+        retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     std::unique_ptr<retry::IStageBudget> m_budgets = retry::RetryModule::makeWholeStageBudget();
     FakeClaimService m_claims;
     FakeStageClient m_stages;
