--- a/src/control/internal/revisionsyncpolicy.cpp
+++ b/src/control/internal/revisionsyncpolicy.cpp
@@ -17,7 +17,7 @@
 
 /// Queries to certain peers that wait; more would only repeat each other.
 constexpr std::size_t MaxUrgent = 8;
-const std::string LogReaderKey = "log reader";
+constexpr const char *LogReaderKey = "log reader";
 
 } // namespace
 
--- a/src/control/internal/snapshotwriter.cpp
+++ b/src/control/internal/snapshotwriter.cpp
@@ -21,7 +21,7 @@
 
 constexpr framework::Milliseconds CheckInterval{1000};
 constexpr framework::Milliseconds AppendTimeout{5000};
-const std::string SnapshotKey = "snapshot writer";
+constexpr const char *SnapshotKey = "snapshot writer";
 
 } // namespace
 
