--- a/src/configuration/internal/jsonrecordcodec.cpp
+++ b/src/configuration/internal/jsonrecordcodec.cpp
@@ -1,7 +1,7 @@
 #include "configuration/internal/jsonrecordcodec.h"
 
-#include "configuration/internal/scalartypes.h"
 #include "configuration/types/configurationerror.h"
+#include "configuration/valueparsing.h"
 #include "framework/types/errorcontext.h"
 
 #include <nlohmann/json.hpp>
--- a/src/configuration/internal/replicastate.cpp
+++ b/src/configuration/internal/replicastate.cpp
@@ -2,9 +2,9 @@
 
 #include "configuration/internal/configurationfragment.h"
 #include "configuration/internal/fragmentparser.h"
-#include "configuration/internal/scalartypes.h"
 #include "configuration/types/configurationerror.h"
 #include "configuration/types/filediagnostics.h"
+#include "configuration/valueparsing.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/configuration/internal/scalartypes.cpp
+++ b/src/configuration/internal/scalartypes.cpp
@@ -1,5 +1,7 @@
 #include "configuration/internal/scalartypes.h"
 
+#include "configuration/valueparsing.h"
+
 #include <arpa/inet.h>
 
 #include <algorithm>
@@ -96,6 +98,22 @@
     return framework::MicroCost(*whole * MicrosPerUnit + *micros);
 }
 
+} // namespace
+
+bool isName(const std::string &text)
+{
+    return isWord(text, "._-");
+}
+
+std::optional<framework::Milliseconds> parseDuration(const std::string &text)
+{
+    const auto value = parseQuantity(text, DurationUnits, MaxDuration);
+    if (!value || *value == 0) {
+        return std::nullopt;
+    }
+    return framework::Milliseconds(*value);
+}
+
 std::optional<framework::Endpoint> parseEndpoint(const std::string &text, std::uint16_t minimumPort)
 {
     const std::size_t colon = text.rfind(':');
@@ -112,13 +130,6 @@
     return framework::Endpoint{address, static_cast<std::uint16_t>(*port)};
 }
 
-} // namespace
-
-bool isName(const std::string &text)
-{
-    return isWord(text, "._-");
-}
-
 ScalarType<std::string> nameType()
 {
     return wordType("a name of at most 64 letters, digits, '.', '-' and '_'", "._-");
@@ -132,13 +143,7 @@
 ScalarType<framework::Milliseconds> durationType()
 {
     return {"a duration above zero with unit ms, s, m or h, such as 500ms, at most 720h",
-            [](const std::string &text) -> std::optional<framework::Milliseconds> {
-                const auto value = parseQuantity(text, DurationUnits, MaxDuration);
-                if (!value || *value == 0) {
-                    return std::nullopt;
-                }
-                return framework::Milliseconds(*value);
-            }};
+            parseDuration};
 }
 
 ScalarType<framework::Bytes> bytesType(framework::Bytes minimum, framework::Bytes maximum)
--- a/src/configuration/internal/scalartypes.h
+++ b/src/configuration/internal/scalartypes.h
@@ -15,9 +15,6 @@
 
 namespace lavendertally::configuration {
 
-/// \return whether \p text can name a zone, a service, a file and the like
-bool isName(const std::string &text);
-
 /// Name of letters, digits, dots, hyphens and underscores.
 ScalarType<std::string> nameType();
 
--- /dev/null
+++ b/src/control/testing/fakeoperatorservice.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "configuration/configurationmodule.h"
+#include "configuration/iconfigurationreplica.h"
+#include "configuration/icontrolrecordcodec.h"
+#include "configuration/types/configurationview.h"
+#include "control/ioperatorservice.h"
+#include "control/types/operatorerror.h"
+#include "framework/asyncerror.h"
+
+#include <functional>
+#include <optional>
+
+namespace lavendertally::control {
+
+/// Appends each change to a log of its own, or fails in a set way.
+class FakeOperatorService final : public IOperatorService
+{
+public:
+    explicit FakeOperatorService(configuration::IConfigurationReplica &replica) : m_replica(replica)
+    { }
+
+    void submit(
+        const configuration::OperatorChange &change, framework::Milliseconds timeout,
+        std::function<void(framework::Result<configuration::OperationVerdict>)> callback) override
+    {
+        ++m_submitted;
+        m_timeout = timeout;
+        if (m_error) {
+            callback(framework::asyncError<configuration::OperationVerdict>(*m_error));
+            return;
+        }
+        const auto codec = configuration::ConfigurationModule::makeRecordCodec();
+        (void)m_replica.applyRecords(
+            {{m_replica.current()->revision, codec->encode(change).value()}});
+        callback(m_replica.verdict(change.operation).value());
+    }
+
+    int m_submitted = 0;
+    framework::Milliseconds m_timeout;
+    std::optional<OperatorError> m_error;
+
+private:
+    configuration::IConfigurationReplica &m_replica;
+};
+
+} // namespace lavendertally::control
--- a/src/frontend/tests/operatorapitest.cpp
+++ b/src/frontend/tests/operatorapitest.cpp
@@ -2,12 +2,9 @@
 
 #include "configuration/configurationmodule.h"
 #include "configuration/iconfigurationreplica.h"
-#include "configuration/icontrolrecordcodec.h"
-#include "configuration/types/configurationview.h"
-#include "control/ioperatorservice.h"
-#include "control/irevisionreports.h"
+#include "control/testing/fakeoperatorservice.h"
+#include "control/testing/fakerevisionreports.h"
 #include "control/types/operatorerror.h"
-#include "framework/asyncerror.h"
 #include "framework/frameworkmodule.h"
 #include "framework/ieventloop.h"
 #include "framework/itimer.h"
@@ -30,48 +27,6 @@
 
 constexpr framework::Milliseconds GenerousTimeout{10000};
 
-/// Appends each change to a log of its own, or fails in a set way.
-class FakeOperatorService final : public control::IOperatorService
-{
-public:
-    explicit FakeOperatorService(configuration::IConfigurationReplica &replica) : m_replica(replica)
-    { }
-
-    void submit(
-        const configuration::OperatorChange &change, framework::Milliseconds timeout,
-        std::function<void(framework::Result<configuration::OperationVerdict>)> callback) override
-    {
-        ++m_submitted;
-        m_timeout = timeout;
-        if (m_error) {
-            callback(framework::asyncError<configuration::OperationVerdict>(*m_error));
-            return;
-        }
-        const auto codec = configuration::ConfigurationModule::makeRecordCodec();
-        (void)m_replica.applyRecords(
-            {{m_replica.current()->revision, codec->encode(change).value()}});
-        callback(m_replica.verdict(change.operation).value());
-    }
-
-    int m_submitted = 0;
-    framework::Milliseconds m_timeout;
-    std::optional<control::OperatorError> m_error;
-
-private:
-    configuration::IConfigurationReplica &m_replica;
-};
-
-class FakeRevisionReports final : public control::IRevisionReports
-{
-public:
-    std::vector<control::RevisionReport> reports() const override
-    {
-        return {{framework::DaemonId("d1"), configuration::DaemonRole::Host,
-                 framework::AvailabilityZoneId("z1"), framework::LogOffset(5),
-                 framework::Milliseconds(40)}};
-    }
-};
-
 const std::string ZoneFile = "availability_zones: [z1]\n";
 
 std::string applyBody(const std::string &operation, const std::string &text, int base = 0)
@@ -128,8 +83,8 @@
     std::unique_ptr<http::IHttpClient> m_client = http::HttpModule::makeClient(*m_loop);
     std::unique_ptr<configuration::IConfigurationReplica> m_replica =
         configuration::ConfigurationModule::makeReplica();
-    FakeOperatorService m_operators{*m_replica};
-    FakeRevisionReports m_reports;
+    control::FakeOperatorService m_operators{*m_replica};
+    control::FakeRevisionReports m_reports;
     OperatorApi m_api{*m_replica, m_operators, m_reports};
     framework::Endpoint m_endpoint;
     int m_status = 0;
