--- a/src/control/irevisionreports.h
+++ b/src/control/irevisionreports.h
@@ -6,13 +6,13 @@
 
 namespace lavendertally::control {
 
-/// Revisions in force in the daemons that this process hears.
+/// Revisions in force in the daemons that this process knows.
 class IRevisionReports
 {
 public:
     virtual ~IRevisionReports() = default;
 
-    /// \return one report for each daemon heard lately, this one included, in order of its id
+    /// \return one report for each known daemon, this one included, in order of id
     virtual std::vector<RevisionReport> reports() const = 0;
 };
 
--- a/src/control/types/revisionreport.h
+++ b/src/control/types/revisionreport.h
@@ -6,15 +6,14 @@
 
 namespace lavendertally::control {
 
-/// Which revision one daemon had in force when it was last heard.
+/// Which revision a daemon had in force when this process last heard of it.
 struct RevisionReport
 {
     framework::DaemonId daemon;
-    configuration::DaemonRole role = configuration::DaemonRole::Host;
-    /// Empty while the host list does not name the daemon.
+    configuration::DaemonRole role = configuration::DaemonRole::Entry;
     framework::AvailabilityZoneId zone;
     framework::LogOffset revision;
-    /// Time since it was heard.
+    /// Time since the daemon was heard.
     framework::Milliseconds age;
 
     bool operator==(const RevisionReport &) const = default;
