Daemons: entry and host process wired from their modules

lavendertallyd reads its settings, makes the role's daemon and drains on SIGTERM. Claims are not wired yet: a stage that may not be repeated is honestly refused as not run.

--- /dev/null
+++ b/src/app/lavendertallyd.cpp
@@ -0,0 +1,176 @@
+#include "configuration/configurationmodule.h"
+#include "configuration/isettingsparser.h"
+#include "configuration/types/configurationerror.h"
+#include "configuration/types/daemonsettings.h"
+#include "configuration/types/filediagnostics.h"
+#include "entry/entrymodule.h"
+#include "framework/frameworkmodule.h"
+#include "framework/idaemon.h"
+#include "framework/ieventloop.h"
+#include "framework/itimer.h"
+#include "framework/types/errorcontext.h"
+#include "host/hostmodule.h"
+
+#include <getopt.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sysexits.h>
+
+using namespace lavendertally;
+
+namespace {
+
+constexpr const char *HelpText =
+    "Usage: lavendertallyd --settings FILE\n"
+    "Runs one lavendertally daemon, as an entry or beside a backend server.\n"
+    "\n"
+    "  --settings FILE   settings file (YAML)\n"
+    "  --help            show this text\n"
+    "  --version         show the version\n"
+    "\n"
+    "SIGTERM and SIGINT finish what is under way and exit with 0; a second one exits at once.\n"
+    "Exit codes: 0 success, 64 usage, 69 unavailable, 78 bad settings.\n";
+
+struct Options
+{
+    std::string settingsFile;
+    bool help = false;
+    bool version = false;
+    bool invalid = false;
+};
+
+Options parseArguments(int argc, char **argv)
+{
+    static const option known[] = {{"settings", required_argument, nullptr, 's'},
+                                   {"help", no_argument, nullptr, 'h'},
+                                   {"version", no_argument, nullptr, 'v'},
+                                   {nullptr, 0, nullptr, 0}};
+    Options options;
+    for (int code = 0; (code = getopt_long(argc, argv, "", known, nullptr)) != -1;) {
+        switch (code) {
+        case 's':
+            options.settingsFile = optarg;
+            break;
+        case 'h':
+            options.help = true;
+            break;
+        case 'v':
+            options.version = true;
+            break;
+        default:
+            options.invalid = true;
+        }
+    }
+    const bool hasWork = !options.settingsFile.empty() || options.help || options.version;
+    options.invalid = options.invalid || optind < argc || !hasWork;
+    return options;
+}
+
+std::unique_ptr<framework::IDaemon> makeDaemon(const configuration::DaemonSettings &settings,
+                                               framework::IEventLoop &loop)
+{
+    if (settings.role == configuration::DaemonRole::Entry) {
+        return entry::EntryModule::makeDaemon(settings, loop);
+    }
+    return host::HostModule::makeDaemon(settings, loop);
+}
+
+/// Drains on the first signal and exits on the second.
+class ShutdownHandler
+{
+public:
+    ShutdownHandler(framework::IDaemon &daemon, framework::IEventLoop &loop)
+        : m_daemon(daemon), m_loop(loop)
+    {
+        for (const int signal : {SIGTERM, SIGINT}) {
+            m_handlers.push_back(loop.onSignal(signal, [this] { shutDown(); }));
+        }
+    }
+
+private:
+    void shutDown()
+    {
+        if (m_draining) {
+            std::_Exit(EXIT_FAILURE);
+        }
+        m_draining = true;
+        m_daemon.drain([this] { m_loop.stop(); });
+    }
+
+    framework::IDaemon &m_daemon;
+    framework::IEventLoop &m_loop;
+    std::vector<std::unique_ptr<framework::ITimer>> m_handlers;
+    bool m_draining = false;
+};
+
+framework::Result<int> runDaemon(const std::string &file)
+{
+    std::ifstream stream(file, std::ios::binary);
+    if (!stream) {
+        return framework::leaf::new_error(configuration::ConfigurationError::InvalidFile,
+                                          framework::ErrorContext{file + ": cannot be read"});
+    }
+    const std::string text((std::istreambuf_iterator<char>(stream)), {});
+    BOOST_LEAF_AUTO(settings,
+                    configuration::ConfigurationModule::makeSettingsParser()->parse(file, text));
+    const auto loop = framework::FrameworkModule::makeEventLoop();
+    const auto daemon = makeDaemon(settings, *loop);
+    const ShutdownHandler shutdown(*daemon, *loop);
+    BOOST_LEAF_CHECK(daemon->start());
+    loop->run();
+    return EXIT_SUCCESS;
+}
+
+int reportSettings(const configuration::FileDiagnostics &diagnostics)
+{
+    for (const configuration::FileDiagnostic &diagnostic : diagnostics.entries) {
+        std::cerr << "lavendertallyd: " << diagnostic.toString() << '\n';
+    }
+    return EX_CONFIG;
+}
+
+int run(const std::string &file)
+{
+    return framework::leaf::try_handle_all(
+        [&] { return runDaemon(file); },
+        [](configuration::ConfigurationError /*error*/,
+           const configuration::FileDiagnostics &diagnostics) {
+            return reportSettings(diagnostics);
+        },
+        [](configuration::ConfigurationError /*error*/, const framework::ErrorContext &context) {
+            std::cerr << "lavendertallyd: " << context.message << '\n';
+            return EX_CONFIG;
+        },
+        [](const framework::ErrorContext &context) {
+            std::cerr << "lavendertallyd: " << context.message << '\n';
+            return EX_UNAVAILABLE;
+        },
+        [] {
+            std::cerr << "lavendertallyd: cannot start\n";
+            return EX_UNAVAILABLE;
+        });
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Options options = parseArguments(argc, argv);
+    if (options.invalid) {
+        std::cerr << HelpText;
+        return EX_USAGE;
+    }
+    if (options.help) {
+        std::cout << HelpText;
+        return EXIT_SUCCESS;
+    }
+    if (options.version) {
+        std::cout << "lavendertallyd " << LAVENDERTALLY_VERSION << '\n';
+        return EXIT_SUCCESS;
+    }
+    return run(options.settingsFile);
+}
--- /dev/null
+++ b/src/entry/internal/entrydaemon.cpp
@@ -0,0 +1,198 @@
+#include "entry/internal/entrydaemon.h"
+
+#include "claims/iclaimservice.h"
+#include "configuration/configurationmodule.h"
+#include "configuration/iconfigurationreplica.h"
+#include "configuration/icontrolrecordcodec.h"
+#include "configuration/types/configurationview.h"
+#include "control/controlmodule.h"
+#include "control/idaemoncontrol.h"
+#include "control/ioperatorservice.h"
+#include "control/irevisionreports.h"
+#include "control/types/controlparts.h"
+#include "entry/internal/unavailableclaims.h"
+#include "framework/frameworkmodule.h"
+#include "framework/iclock.h"
+#include "framework/ieventloop.h"
+#include "framework/ilogger.h"
+#include "framework/imetrics.h"
+#include "framework/irandom.h"
+#include "framework/itimer.h"
+#include "frontend/frontendmodule.h"
+#include "frontend/ihttpapi.h"
+#include "frontend/operatorapi.h"
+#include "http/httpmodule.h"
+#include "http/ihttpclient.h"
+#include "http/ihttpexchange.h"
+#include "http/ihttpserver.h"
+#include "membership/imembershiptracker.h"
+#include "membership/membershipmodule.h"
+#include "membership/types/hoststatus.h"
+#include "pipeline/irequestservice.h"
+#include "pipeline/pipelinemodule.h"
+#include "pipeline/types/pipelinecontext.h"
+#include "platform/ihostlist.h"
+#include "platform/ilogservice.h"
+#include "platform/platformmodule.h"
+#include "protocol/imessagecodec.h"
+#include "protocol/protocolmodule.h"
+#include "retry/iretrypolicy.h"
+#include "retry/istagebudget.h"
+#include "retry/retrymodule.h"
+#include "routing/routingmodule.h"
+#include "transport/istageclient.h"
+#include "transport/transportmodule.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace lavendertally::entry {
+
+namespace {
+
+constexpr framework::Milliseconds ProbeInterval{200};
+constexpr framework::Milliseconds ProbeTimeout{500};
+constexpr framework::Milliseconds DrainCheckInterval{20};
+
+} // namespace
+
+EntryDaemon::EntryDaemon(const configuration::DaemonSettings &settings, framework::IEventLoop &loop)
+    : m_settings(settings), m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()),
+      m_logger(framework::FrameworkModule::makeLogger(settings.id.value(), settings.logFormat)),
+      m_metrics(framework::FrameworkModule::makeMetrics()),
+      m_random(framework::FrameworkModule::makeRandom(framework::FrameworkModule::entropySeed())),
+      m_codec(protocol::ProtocolModule::makeCodec()), m_client(http::HttpModule::makeClient(loop)),
+      m_log(platform::PlatformModule::makeLogService(*m_client, settings.logService)),
+      m_hostList(platform::PlatformModule::makeHostList(*m_client, settings.hostList)),
+      m_recordCodec(configuration::ConfigurationModule::makeRecordCodec()),
+      m_replica(configuration::ConfigurationModule::makeReplica()),
+      m_membership(membership::MembershipModule::makeMembership())
+{
+    makeControl();
+    makeRequests();
+    makeHttp();
+}
+
+EntryDaemon::~EntryDaemon() = default;
+
+void EntryDaemon::makeControl()
+{
+    const control::ControlParts parts{
+        .identity = {m_settings.id, m_settings.host, m_settings.zone, m_settings.role},
+        .seedPeers = m_settings.seedPeers,
+        .replica = *m_replica,
+        .recordCodec = *m_recordCodec,
+        .membership = *m_membership,
+        .hostList = *m_hostList,
+        .log = m_log.get(),
+        .clock = *m_clock,
+        .random = *m_random,
+        .logger = *m_logger,
+        .metrics = *m_metrics};
+    m_control = control::ControlModule::makeDaemonControl(parts, m_loop, *m_codec);
+    m_operators =
+        control::ControlModule::makeOperatorService(*m_log, *m_replica, *m_recordCodec, m_loop);
+}
+
+void EntryDaemon::makeRequests()
+{
+    m_routing = routing::RoutingModule::makeRouting(*m_membership, *m_random, m_settings.host);
+    m_retries = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
+    m_budgets = retry::RetryModule::makeStageBudget();
+    m_claims = std::make_unique<UnavailableClaims>();
+    m_stages = transport::TransportModule::makeStageClient(*m_client, *m_codec, *m_metrics);
+    m_requests = pipeline::PipelineModule::makeRequestService(
+        {m_settings.id, m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_replica,
+         *m_routing.selector, *m_retries, *m_budgets, *m_claims, *m_stages, *this});
+}
+
+void EntryDaemon::makeHttp()
+{
+    m_apis.push_back(frontend::FrontendModule::makeCallerApi(*m_requests, *m_metrics));
+    m_apis.push_back(std::make_unique<frontend::OperatorApi>(*m_replica, *m_operators,
+                                                             m_control->revisionReports()));
+    m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_metrics, *this));
+    http::HttpLimits limits;
+    limits.maxBody = m_settings.maxRequest;
+    m_server = http::HttpModule::makeServer(m_loop, limits);
+    m_server->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
+        frontend::FrontendModule::dispatch(m_apis, exchange);
+    });
+}
+
+framework::Result<void> EntryDaemon::start()
+{
+    BOOST_LEAF_AUTO(control, m_control->start(m_settings.controlListen));
+    BOOST_LEAF_AUTO(endpoint, m_server->listen(m_settings.listen));
+    m_logger->info("entry started; takes requests",
+                   {{"http", endpoint.toString()}, {"control", control.toString()}});
+    std::cout << "listening http=" << endpoint.toString() << " control=" << control.toString()
+              << std::endl;
+    probe();
+    return {};
+}
+
+void EntryDaemon::onHostAnswer(const membership::HostEntry &host, protocol::RefusalReason reason,
+                               framework::LogOffset revision)
+{
+    m_membership->noteRefusal(host.id, reason, revision, m_clock->now());
+    m_control->noteRevision(host.control, revision);
+}
+
+void EntryDaemon::probe()
+{
+    for (const membership::HostEntry &host : m_routing.probes->hostsToProbe(m_clock->now())) {
+        m_control->probeLoad(host.control, ProbeTimeout,
+                             [this, id = host.id](framework::Result<protocol::LoadReport> report) {
+                                 if (report) {
+                                     m_routing.selector->observeLoad(id, *report, m_clock->now());
+                                 }
+                             });
+    }
+    m_probeTimer = m_loop.callAfter(ProbeInterval, [this] { probe(); });
+}
+
+void EntryDaemon::drain(std::function<void()> finished)
+{
+    m_drained = std::move(finished);
+    m_drainEnd = m_clock->now() + m_settings.drainTimeout;
+    m_requests->beginDrain();
+    m_logger->info("shutting down; requests under way are finished, new ones refused",
+                   {{"requests", std::to_string(m_requests->activeRequests())}});
+    checkDrained();
+}
+
+void EntryDaemon::checkDrained()
+{
+    const bool idle = m_requests->activeRequests() == 0 && m_server->unfinishedExchanges() == 0;
+    if (idle || m_clock->now() >= m_drainEnd) {
+        m_drained();
+        return;
+    }
+    m_drainTimer = m_loop.callAfter(DrainCheckInterval, [this] { checkDrained(); });
+}
+
+nlohmann::json EntryDaemon::dumpState() const
+{
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const membership::HostStatus &status : m_membership->hosts()) {
+        hosts.push_back({{"host", status.entry.id.value()},
+                         {"availability_zone", status.entry.zone.value()},
+                         {"service", status.entry.service.value()},
+                         {"admitting", status.barrier == membership::HostBarrier::None}});
+    }
+    const auto view = m_replica->current();
+    return {{"daemon", m_settings.id.value()},
+            {"role", "entry"},
+            {"availability_zone", m_settings.zone.value()},
+            {"version", LAVENDERTALLY_VERSION},
+            {"revision", view->revision.value()},
+            {"pipelines", view->configuration.pipelines.size()},
+            {"teams", view->configuration.teams.size()},
+            {"active_requests", m_requests->activeRequests()},
+            {"hosts", hosts},
+            {"control", m_control->dumpState()}};
+}
+
+} // namespace lavendertally::entry
--- /dev/null
+++ b/src/entry/internal/entrydaemon.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "configuration/types/daemonsettings.h"
+#include "framework/idaemon.h"
+#include "framework/istatedumper.h"
+#include "framework/types/timepoint.h"
+#include "pipeline/ihostlistener.h"
+#include "routing/types/routing.h"
+
+#include <memory>
+#include <vector>
+
+namespace lavendertally::claims {
+class IClaimService;
+}
+
+namespace lavendertally::configuration {
+class IConfigurationReplica;
+class IControlRecordCodec;
+} // namespace lavendertally::configuration
+
+namespace lavendertally::control {
+class IDaemonControl;
+class IOperatorService;
+} // namespace lavendertally::control
+
+namespace lavendertally::framework {
+class IClock;
+class IEventLoop;
+class ILogger;
+class IMetrics;
+class IRandom;
+class ITimer;
+} // namespace lavendertally::framework
+
+namespace lavendertally::frontend {
+class IHttpApi;
+}
+
+namespace lavendertally::http {
+class IHttpClient;
+class IHttpServer;
+} // namespace lavendertally::http
+
+namespace lavendertally::membership {
+class IMembershipTracker;
+}
+
+namespace lavendertally::pipeline {
+class IRequestService;
+}
+
+namespace lavendertally::platform {
+class IHostList;
+class ILogService;
+} // namespace lavendertally::platform
+
+namespace lavendertally::protocol {
+class IMessageCodec;
+}
+
+namespace lavendertally::retry {
+class IRetryPolicy;
+class IStageBudget;
+} // namespace lavendertally::retry
+
+namespace lavendertally::transport {
+class IStageClient;
+}
+
+namespace lavendertally::entry {
+
+/// Entry: takes callers' and operators' requests and runs pipelines. Wires the modules together.
+class EntryDaemon final : public framework::IDaemon,
+                          public framework::IStateDumper,
+                          public pipeline::IHostListener
+{
+public:
+    EntryDaemon(const configuration::DaemonSettings &settings, framework::IEventLoop &loop);
+    ~EntryDaemon() override;
+    EntryDaemon(const EntryDaemon &) = delete;
+    EntryDaemon &operator=(const EntryDaemon &) = delete;
+
+    framework::Result<void> start() override;
+    void drain(std::function<void()> finished) override;
+    nlohmann::json dumpState() const override;
+    void onHostAnswer(const membership::HostEntry &host, protocol::RefusalReason reason,
+                      framework::LogOffset revision) override;
+
+private:
+    void makeControl();
+    void makeRequests();
+    void makeHttp();
+    void probe();
+    void checkDrained();
+
+    // Declared so that what is used outlives what uses it.
+    configuration::DaemonSettings m_settings;
+    framework::IEventLoop &m_loop;
+    std::unique_ptr<framework::IClock> m_clock;
+    std::unique_ptr<framework::ILogger> m_logger;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<framework::IRandom> m_random;
+    std::unique_ptr<protocol::IMessageCodec> m_codec;
+    std::unique_ptr<http::IHttpClient> m_client;
+    std::unique_ptr<platform::ILogService> m_log;
+    std::unique_ptr<platform::IHostList> m_hostList;
+    std::unique_ptr<configuration::IControlRecordCodec> m_recordCodec;
+    std::unique_ptr<configuration::IConfigurationReplica> m_replica;
+    std::unique_ptr<membership::IMembershipTracker> m_membership;
+    std::unique_ptr<control::IDaemonControl> m_control;
+    std::unique_ptr<control::IOperatorService> m_operators;
+    routing::Routing m_routing;
+    std::unique_ptr<retry::IRetryPolicy> m_retries;
+    std::unique_ptr<retry::IStageBudget> m_budgets;
+    std::unique_ptr<claims::IClaimService> m_claims;
+    std::unique_ptr<transport::IStageClient> m_stages;
+    std::unique_ptr<pipeline::IRequestService> m_requests;
+    std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
+    std::unique_ptr<http::IHttpServer> m_server;
+    std::unique_ptr<framework::ITimer> m_probeTimer;
+    std::unique_ptr<framework::ITimer> m_drainTimer;
+    framework::TimePoint m_drainEnd;
+    std::function<void()> m_drained;
+};
+
+} // namespace lavendertally::entry
--- a/src/frontend/frontendmodule.h
+++ b/src/frontend/frontendmodule.h
@@ -33,7 +33,7 @@
                                                           framework::IStateDumper &dumper);
 
     /// Hands an exchange to the first of \p apis that takes it, or answers 404.
-    static void dispatch(const std::vector<IHttpApi *> &apis,
+    static void dispatch(const std::vector<std::unique_ptr<IHttpApi>> &apis,
                          const std::shared_ptr<http::IHttpExchange> &exchange);
 };
 
--- a/src/frontend/internal/frontendmodule.cpp
+++ b/src/frontend/internal/frontendmodule.cpp
@@ -24,10 +24,10 @@
     return std::make_unique<ObservabilityApi>(metrics, dumper);
 }
 
-void FrontendModule::dispatch(const std::vector<IHttpApi *> &apis,
+void FrontendModule::dispatch(const std::vector<std::unique_ptr<IHttpApi>> &apis,
                               const std::shared_ptr<http::IHttpExchange> &exchange)
 {
-    for (IHttpApi *api : apis) {
+    for (const std::unique_ptr<IHttpApi> &api : apis) {
         if (api->handle(exchange)) {
             return;
         }
--- /dev/null
+++ b/src/host/internal/hostdaemon.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "configuration/types/daemonsettings.h"
+#include "framework/idaemon.h"
+#include "framework/istatedumper.h"
+#include "framework/types/timepoint.h"
+#include "host/ientrylistener.h"
+
+#include <memory>
+#include <vector>
+
+namespace lavendertally::admission {
+class IAdmissionController;
+}
+
+namespace lavendertally::backends {
+class IBackendServerFactory;
+}
+
+namespace lavendertally::configuration {
+class IConfigurationReplica;
+class IControlRecordCodec;
+} // namespace lavendertally::configuration
+
+namespace lavendertally::control {
+class IDaemonControl;
+}
+
+namespace lavendertally::framework {
+class IClock;
+class IEventLoop;
+class ILogger;
+class IMetrics;
+class IRandom;
+class ITimer;
+} // namespace lavendertally::framework
+
+namespace lavendertally::frontend {
+class IHttpApi;
+}
+
+namespace lavendertally::http {
+class IHttpClient;
+class IHttpExchange;
+class IHttpServer;
+} // namespace lavendertally::http
+
+namespace lavendertally::membership {
+class IMembershipTracker;
+class IWorkGate;
+} // namespace lavendertally::membership
+
+namespace lavendertally::platform {
+class IHostList;
+}
+
+namespace lavendertally::protocol {
+class IMessageCodec;
+}
+
+namespace lavendertally::transport {
+class IStageServer;
+}
+
+namespace lavendertally::host {
+
+class IHostService;
+
+/// Host process: admits work to the backend server beside it. Wires the modules together.
+class HostDaemon final : public framework::IDaemon,
+                         public framework::IStateDumper,
+                         public IEntryListener
+{
+public:
+    HostDaemon(const configuration::DaemonSettings &settings, framework::IEventLoop &loop);
+    ~HostDaemon() override;
+    HostDaemon(const HostDaemon &) = delete;
+    HostDaemon &operator=(const HostDaemon &) = delete;
+
+    framework::Result<void> start() override;
+    void drain(std::function<void()> finished) override;
+    nlohmann::json dumpState() const override;
+    void onEntryRevision(const framework::DaemonId &sender, framework::LogOffset revision) override;
+
+private:
+    void makeControl();
+    void makeService();
+    void makeHttp();
+    void handle(const std::shared_ptr<http::IHttpExchange> &exchange);
+    void refreshGate();
+    void watchIsolation();
+    void checkDrained();
+
+    // Declared so that what is used outlives what uses it.
+    configuration::DaemonSettings m_settings;
+    framework::IEventLoop &m_loop;
+    std::unique_ptr<framework::IClock> m_clock;
+    std::unique_ptr<framework::ILogger> m_logger;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<framework::IRandom> m_random;
+    std::unique_ptr<protocol::IMessageCodec> m_codec;
+    std::unique_ptr<http::IHttpClient> m_client;
+    std::unique_ptr<platform::IHostList> m_hostList;
+    std::unique_ptr<configuration::IControlRecordCodec> m_recordCodec;
+    std::unique_ptr<configuration::IConfigurationReplica> m_replica;
+    std::unique_ptr<membership::IMembershipTracker> m_membership;
+    std::unique_ptr<membership::IWorkGate> m_gate;
+    std::unique_ptr<admission::IAdmissionController> m_admission;
+    std::unique_ptr<backends::IBackendServerFactory> m_backends;
+    std::unique_ptr<control::IDaemonControl> m_control;
+    std::unique_ptr<IHostService> m_service;
+    std::unique_ptr<transport::IStageServer> m_stages;
+    std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
+    std::unique_ptr<http::IHttpServer> m_server;
+    std::unique_ptr<framework::ITimer> m_isolationTimer;
+    std::unique_ptr<framework::ITimer> m_drainTimer;
+    framework::TimePoint m_drainEnd;
+    std::function<void()> m_drained;
+};
+
+} // namespace lavendertally::host
