Retry budget: less urgent classes leave saved retries to more urgent ones

Change: RetryQuery carries the class; standard leaves 25% and background 50% of what can be saved. The reserve for low rates stays open to all. Seen red: LessUrgentClassesLeaveRetriesToMoreUrgentOnes with 'leave' ignored.

--- a/src/bench/internal/benchentry.cpp
+++ b/src/bench/internal/benchentry.cpp
@@ -170,6 +170,7 @@
     query.service = stage(*request).service;
     query.failure = failure;
     query.idempotent = stage(*request).idempotent;
+    query.priority = request->pipeline->priority;
     query.attempts = request->attempts;
     query.previousBackoff = request->backoff;
     query.budget = remaining(*request);
--- a/src/retry/internal/budgetedretrypolicy.cpp
+++ b/src/retry/internal/budgetedretrypolicy.cpp
@@ -26,7 +26,7 @@
     if (wait >= query.budget) {
         return {};
     }
-    if (!budgetOf(query.service).spend(now)) {
+    if (!budgetOf(query.service).spend(leftToOthers(query.priority), now)) {
         return {};
     }
     return {.retry = true, .backoff = wait};
@@ -37,6 +37,20 @@
     return m_budgets.try_emplace(service, m_limits).first->second;
 }
 
+std::uint32_t BudgetedRetryPolicy::leftToOthers(configuration::PriorityClass priority) const
+{
+    constexpr std::uint32_t Percent = 100;
+    switch (priority) {
+    case configuration::PriorityClass::Interactive:
+        return 0;
+    case configuration::PriorityClass::Standard:
+        return m_limits.maxSaved * m_limits.standardLeavesPercent / Percent;
+    case configuration::PriorityClass::Background:
+        return m_limits.maxSaved * m_limits.backgroundLeavesPercent / Percent;
+    }
+    return 0;
+}
+
 /// Decorrelated jitter: Brooker, "Exponential Backoff And Jitter", AWS Architecture Blog, 2015.
 framework::Milliseconds BudgetedRetryPolicy::backoff(framework::Milliseconds previous)
 {
--- a/src/retry/internal/budgetedretrypolicy.h
+++ b/src/retry/internal/budgetedretrypolicy.h
@@ -4,6 +4,7 @@
 #include "retry/iretrypolicy.h"
 #include "retry/types/retrylimits.h"
 
+#include <cstdint>
 #include <map>
 
 namespace lavendertally::framework {
@@ -23,6 +24,7 @@
 
 private:
     RetryBudget &budgetOf(const framework::ServiceId &service);
+    std::uint32_t leftToOthers(configuration::PriorityClass priority) const;
     framework::Milliseconds backoff(framework::Milliseconds previous);
 
     framework::IRandom &m_random;
--- a/src/retry/internal/retrybudget.cpp
+++ b/src/retry/internal/retrybudget.cpp
@@ -19,10 +19,10 @@
     m_saved = std::min(most, m_saved + m_limits.maxRatio.value());
 }
 
-bool RetryBudget::spend(framework::TimePoint now)
+bool RetryBudget::spend(std::uint32_t leave, framework::TimePoint now)
 {
     refillReserve(now);
-    if (m_saved >= OneRetry) {
+    if (m_saved >= (leave + 1) * OneRetry) {
         m_saved -= OneRetry;
         return true;
     }
--- a/src/retry/internal/retrybudget.h
+++ b/src/retry/internal/retrybudget.h
@@ -18,8 +18,9 @@
 
     void recordFreshCall();
 
+    /// \param leave saved retries that must remain for others; the reserve is for all
     /// \return whether one retry was paid for
-    bool spend(framework::TimePoint now);
+    bool spend(std::uint32_t leave, framework::TimePoint now);
 
 private:
     void refillReserve(framework::TimePoint now);
--- a/src/retry/tests/retrytest.cpp
+++ b/src/retry/tests/retrytest.cpp
@@ -26,6 +26,7 @@
     result.service = Service;
     result.failure = failure;
     result.idempotent = idempotent;
+    result.priority = configuration::PriorityClass::Interactive;
     result.budget = budget;
     return result;
 }
@@ -121,6 +122,29 @@
     EXPECT_EQ(retries, limits.maxSaved + limits.minRetries);
 }
 
+TEST(RetryPolicy, LessUrgentClassesLeaveRetriesToMoreUrgentOnes)
+{
+    using configuration::PriorityClass;
+    const auto random = framework::FrameworkModule::makeRandom(1);
+    const RetryLimits limits;
+    const auto policy = RetryModule::makeBudgetedRetryPolicy(*random, limits);
+    for (int call = 0; call < 1000; ++call) {
+        policy->recordFreshCall(Service, Start);
+    }
+    const auto spendAll = [&policy](PriorityClass priority) {
+        RetryQuery failed = query(FailureKind::NotRun, true, Milliseconds(1000));
+        failed.priority = priority;
+        std::uint32_t retries = 0;
+        while (policy->decide(failed, Start).retry) {
+            ++retries;
+        }
+        return retries;
+    };
+    EXPECT_EQ(spendAll(PriorityClass::Background), limits.maxSaved / 2 + limits.minRetries);
+    EXPECT_EQ(spendAll(PriorityClass::Standard), limits.maxSaved / 4);
+    EXPECT_EQ(spendAll(PriorityClass::Interactive), limits.maxSaved / 4);
+}
+
 TEST(RetryPolicy, AttemptsOfOneStageAreBounded)
 {
     const auto random = framework::FrameworkModule::makeRandom(1);
--- a/src/retry/types/retrylimits.h
+++ b/src/retry/types/retrylimits.h
@@ -18,6 +18,9 @@
     framework::Milliseconds minRetriesInterval{5000};
     /// Retries that may be saved up in quiet times.
     std::uint32_t maxSaved = 20;
+    /// Part of maxSaved, in percent, that less urgent classes leave to more urgent ones.
+    std::uint32_t standardLeavesPercent = 25;
+    std::uint32_t backgroundLeavesPercent = 50;
     /// Attempts of one stage, the first one included.
     std::uint32_t maxAttempts = 4;
     framework::Milliseconds minBackoff{2};
--- a/src/retry/types/retryquery.h
+++ b/src/retry/types/retryquery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration/types/priorityclass.h"
 #include "framework/types/ids.h"
 #include "framework/types/milliseconds.h"
 #include "retry/types/failurekind.h"
@@ -14,6 +15,7 @@
     framework::ServiceId service;
     FailureKind failure = FailureKind::Unknown;
     bool idempotent = true;
+    configuration::PriorityClass priority = configuration::PriorityClass::Standard;
     /// Attempts of this stage so far, at least one.
     std::uint32_t attempts = 1;
     /// Backoff of the retry before this one; zero when there was none.
