--- /dev/null
+++ b/src/retry/internal/percentilehedgepolicy.cpp
@@ -0,0 +1,55 @@
+#include "retry/internal/percentilehedgepolicy.h"
+
+#include <algorithm>
+
+namespace lavendertally::retry {
+
+PercentileHedgePolicy::PercentileHedgePolicy(const HedgeLimits &limits) : m_limits(limits) { }
+
+void PercentileHedgePolicy::recordFreshCall(const framework::ServiceId &service,
+                                            framework::TimePoint /*now*/)
+{
+    budgetOf(service).recordFreshCall();
+}
+
+void PercentileHedgePolicy::observe(const framework::PipelineId &pipeline,
+                                    const framework::StageId &stage,
+                                    framework::Milliseconds latency, framework::TimePoint now)
+{
+    m_latencies[pipeline][stage].add(latency, now);
+}
+
+std::optional<framework::Milliseconds>
+PercentileHedgePolicy::hedgeDelay(const HedgeQuery &query, framework::TimePoint now) const
+{
+    const auto stages = m_latencies.find(query.pipeline);
+    if (!query.idempotent || stages == m_latencies.end()) {
+        return std::nullopt;
+    }
+    const auto latencies = stages->second.find(query.stage);
+    if (latencies == stages->second.end()) {
+        return std::nullopt;
+    }
+    const auto usual = latencies->second.quantile(m_limits.percentile, now);
+    if (!usual) {
+        return std::nullopt;
+    }
+    const framework::Milliseconds delay = std::max(*usual, m_limits.minDelay);
+    return delay < query.budget ? std::optional(delay) : std::nullopt;
+}
+
+bool PercentileHedgePolicy::spendHedge(const HedgeQuery &query, framework::TimePoint now)
+{
+    return query.idempotent && budgetOf(query.service).spend(0, now);
+}
+
+RetryBudget &PercentileHedgePolicy::budgetOf(const framework::ServiceId &service)
+{
+    RetryLimits limits;
+    limits.maxRatio = m_limits.maxRatio;
+    limits.minRetries = 0;
+    limits.maxSaved = m_limits.maxSaved;
+    return m_budgets.try_emplace(service, limits).first->second;
+}
+
+} // namespace lavendertally::retry
--- a/src/retry/internal/retrymodule.cpp
+++ b/src/retry/internal/retrymodule.cpp
@@ -2,6 +2,7 @@
 
 #include "retry/internal/budgetedretrypolicy.h"
 #include "retry/internal/measuredstagebudget.h"
+#include "retry/internal/percentilehedgepolicy.h"
 #include "retry/internal/unlimitedretrypolicy.h"
 #include "retry/internal/wholestagebudget.h"
 
@@ -18,6 +19,11 @@
     return std::make_unique<BudgetedRetryPolicy>(random, limits);
 }
 
+std::unique_ptr<IHedgePolicy> RetryModule::makeHedgePolicy(const HedgeLimits &limits)
+{
+    return std::make_unique<PercentileHedgePolicy>(limits);
+}
+
 std::unique_ptr<IStageBudget> RetryModule::makeWholeStageBudget()
 {
     return std::make_unique<WholeStageBudget>();
--- a/src/retry/retrymodule.h
+++ b/src/retry/retrymodule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "retry/types/hedgelimits.h"
 #include "retry/types/retrylimits.h"
 
 #include <memory>
@@ -10,6 +11,7 @@
 
 namespace lavendertally::retry {
 
+class IHedgePolicy;
 class IRetryPolicy;
 class IStageBudget;
 
@@ -24,6 +26,9 @@
     static std::unique_ptr<IRetryPolicy> makeBudgetedRetryPolicy(framework::IRandom &random,
                                                                  const RetryLimits &limits = {});
 
+    /// \return a policy that sends second attempts after a high percentile of the usual latency
+    static std::unique_ptr<IHedgePolicy> makeHedgePolicy(const HedgeLimits &limits = {});
+
     /// \return a split that gives all remaining time to each stage
     static std::unique_ptr<IStageBudget> makeWholeStageBudget();
 
