Cost ledger: cost by stage, team and service, waste apart

Ruled out: rounding each attempt's cost, because attempts of a few milliseconds on a shared server cost less than half a MicroCost and would add up to nothing. The rest is carried to the next one.

An attempt pays the price of its backend server for its service time, divided by the places of that server. Cancelled, late and failed work is kept apart.

--- /dev/null
+++ b/src/accounting/internal/costledger.cpp
@@ -0,0 +1,108 @@
+#include "accounting/internal/costledger.h"
+
+#include "framework/imetrics.h"
+
+#include <algorithm>
+#include <string>
+
+namespace lavendertally::accounting {
+
+using framework::MicroCost;
+using framework::PipelineId;
+using framework::ServiceId;
+using framework::StageId;
+using framework::TeamId;
+
+namespace {
+
+constexpr std::int64_t MillisecondsPerHour = 3'600'000;
+constexpr std::int64_t Precision = 1000;
+constexpr const char *Other = "other";
+
+/// \return the attempt's part of the price of its backend server, in thousandths of a MicroCost
+std::int64_t preciseCostOf(const StageAttempt &attempt)
+{
+    const std::int64_t places = std::max<std::uint32_t>(1, attempt.concurrency);
+    const std::int64_t time = std::max<std::int64_t>(0, attempt.serviceTime.value());
+    const std::int64_t divisor = MillisecondsPerHour * places;
+    const std::int64_t price = attempt.costPerHour.value() * Precision;
+    // Quotient and remainder apart, so that the product of price and time stays within range.
+    return price / divisor * time + price % divisor * time / divisor;
+}
+
+const char *nameOf(Usage usage)
+{
+    switch (usage) {
+    case Usage::Used:
+        return "used";
+    case Usage::Cancelled:
+        return "cancelled";
+    case Usage::Late:
+        return "late";
+    case Usage::Failed:
+        break;
+    }
+    return "failed";
+}
+
+void addTo(CostAccount &account, const StageAttempt &attempt, MicroCost cost)
+{
+    account.cost += cost;
+    account.serviceTime += attempt.serviceTime;
+    ++account.attempts;
+    switch (attempt.usage) {
+    case Usage::Used:
+        break;
+    case Usage::Cancelled:
+        account.cancelled += cost;
+        break;
+    case Usage::Late:
+        account.late += cost;
+        break;
+    case Usage::Failed:
+        account.failed += cost;
+        break;
+    }
+}
+
+} // namespace
+
+CostLedger::CostLedger(framework::IMetrics &metrics, std::size_t maxAccounts)
+    : m_metrics(metrics), m_stages(maxAccounts, {PipelineId(Other), StageId(Other)}),
+      m_teams(maxAccounts, TeamId(Other)), m_services(maxAccounts, ServiceId(Other))
+{ }
+
+MicroCost CostLedger::record(const StageAttempt &attempt)
+{
+    // Many cheap attempts would each round to nothing; the rest goes to the next attempt.
+    m_carried += preciseCostOf(attempt);
+    const MicroCost cost(m_carried / Precision);
+    m_carried %= Precision;
+    const StageAccountId stage = m_stages.admit({attempt.pipeline, attempt.stage});
+    const TeamId team = m_teams.admit(attempt.team);
+    addTo(m_stages.at(stage), attempt, cost);
+    addTo(m_teams.at(team), attempt, cost);
+    addTo(m_services.at(m_services.admit(attempt.service)), attempt, cost);
+    addTo(m_total, attempt, cost);
+    count(stage, team, attempt, cost);
+    return cost;
+}
+
+CostSnapshot CostLedger::snapshot() const
+{
+    return {m_stages.all(), m_teams.all(), m_services.all(), m_total};
+}
+
+void CostLedger::count(const StageAccountId &stage, const TeamId &team, const StageAttempt &attempt,
+                       MicroCost cost)
+{
+    const std::string usage = nameOf(attempt.usage);
+    m_metrics.increment(
+        "stage_cost_micros_total",
+        {{"pipeline", stage.pipeline.value()}, {"stage", stage.stage.value()}, {"usage", usage}},
+        cost.value());
+    m_metrics.increment("team_cost_micros_total", {{"team", team.value()}, {"usage", usage}},
+                        cost.value());
+}
+
+} // namespace lavendertally::accounting
--- /dev/null
+++ b/src/accounting/types/stageaccountid.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+#include <compare>
+
+namespace lavendertally::accounting {
+
+/// Stage of one pipeline.
+struct StageAccountId
+{
+    framework::PipelineId pipeline;
+    framework::StageId stage;
+
+    auto operator<=>(const StageAccountId &) const = default;
+};
+
+} // namespace lavendertally::accounting
--- /dev/null
+++ b/src/accounting/types/stageattempt.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "accounting/types/usage.h"
+#include "framework/types/ids.h"
+#include "framework/types/milliseconds.h"
+#include "framework/types/units.h"
+
+#include <cstdint>
+
+namespace lavendertally::accounting {
+
+/// One attempt at one stage that a backend server worked on.
+struct StageAttempt
+{
+    framework::PipelineId pipeline;
+    framework::StageId stage;
+    framework::TeamId team;
+    framework::ServiceId service;
+    /// Time that the backend server worked on it.
+    framework::Milliseconds serviceTime;
+    /// Price of one backend server of the service for an hour.
+    framework::MicroCost costPerHour;
+    /// Calls that one warm backend server runs at once; the attempt pays for one of them.
+    std::uint32_t concurrency = 1;
+    Usage usage = Usage::Used;
+};
+
+} // namespace lavendertally::accounting
