--- a/src/pipeline/internal/requestrun.cpp
+++ b/src/pipeline/internal/requestrun.cpp
@@ -331,8 +331,14 @@
 void RequestRun::tryAgain(retry::FailureKind failure, protocol::RefusalReason reason,
                           const std::string &detail)
 {
-    const retry::RetryQuery query{stage().service, failure,   stage().idempotent,
-                                  m_attempts,      m_backoff, remaining()};
+    retry::RetryQuery query;
+    query.service = stage().service;
+    query.failure = failure;
+    query.idempotent = stage().idempotent;
+    query.priority = m_pipeline.priority;
+    query.attempts = m_attempts;
+    query.previousBackoff = m_backoff;
+    query.budget = remaining();
     const retry::RetryDecision decision = m_context.retries.decide(query, m_context.clock.now());
     if (!decision.retry || m_observer == nullptr) {
         giveUp(reason, detail);
