--- a/src/platform/testing/fakelogservice.h
+++ b/src/platform/testing/fakelogservice.h
@@ -232,12 +232,9 @@
             refuse(m_pendingReads, id, m_readError);
             return;
         }
-        if (reader.from < m_log.first(reader.stream)) {
-            expire(id, m_log.first(reader.stream));
-            return;
-        }
+        const bool expired = reader.from < m_log.first(reader.stream);
         const bool hasRecord = reader.from < visibleEnd(reader.stream);
-        if (hasRecord || wait <= framework::Milliseconds(0)) {
+        if (expired || hasRecord || wait <= framework::Milliseconds(0)) {
             answerRead(id, reader);
             return;
         }
@@ -275,6 +272,10 @@
             refuse(m_pendingReads, id, PlatformError::Unavailable);
             return;
         }
+        if (reader.from < m_log.first(reader.stream)) {
+            expire(id, m_log.first(reader.stream));
+            return;
+        }
         const std::uint32_t limit = std::min(reader.limit, m_pageLimit.value_or(reader.limit));
         answer(m_pendingReads, id,
                m_log.page(reader.stream, reader.from, limit, visibleEnd(reader.stream)));
--- a/src/platform/tests/logcontracttest.cpp
+++ b/src/platform/tests/logcontracttest.cpp
@@ -247,6 +247,21 @@
     EXPECT_EQ(outcome.value->next, framework::LogOffset(0));
 }
 
+TEST_P(LogServiceContract, WaitingReadWhoseRecordsExpireEndsAsExpired)
+{
+    Outcome<LogPage> outcome;
+    m_harness->setTrouble(LogTrouble::Lagging);
+    m_harness->service().read(Stream, framework::LogOffset(0), 10, framework::Milliseconds(50),
+                              Timeout, [&](framework::Result<LogPage> result) {
+                                  outcome = outcomeOf(std::move(result));
+                                  m_harness->stop();
+                              });
+    append({"a", "b"});
+    m_harness->expireUpTo(Stream, framework::LogOffset(1));
+    m_harness->run();
+    EXPECT_EQ(outcome.error, PlatformError::Expired);
+}
+
 TEST_P(LogServiceContract, PageKeepsToItsLimit)
 {
     append({"a", "b", "c"});
--- a/src/standins/internal/logstandin.cpp
+++ b/src/standins/internal/logstandin.cpp
@@ -157,14 +157,11 @@
                   std::min(numberQuery(*exchange, "limit", DefaultLimit), MaxLimit), mode};
     Stream &stream = m_streams[name];
     expire(stream);
-    if (reader.from < stream.first) {
-        replyJson(*exchange, HttpStatus::Gone, {{"first", stream.first}});
-        return;
-    }
     const framework::Milliseconds longest(
         std::min(numberQuery(*exchange, "wait_ms", 0), MaxWaitMs));
+    const bool expired = reader.from < stream.first;
     const bool hasRecord = reader.from < visibleEnd(name, mode);
-    if (hasRecord || longest == framework::Milliseconds(0)) {
+    if (expired || hasRecord || longest == framework::Milliseconds(0)) {
         replyPage(reader);
         return;
     }
@@ -201,8 +198,12 @@
 void LogStandIn::replyPage(const Reader &reader)
 {
     const Stream &stream = m_streams[reader.stream];
+    const std::uint64_t from = reader.from;
+    if (from < stream.first) {
+        replyJson(*reader.exchange, HttpStatus::Gone, {{"first", stream.first}});
+        return;
+    }
     const std::uint64_t end = visibleEnd(reader.stream, reader.mode);
-    const std::uint64_t from = std::max(reader.from, stream.first);
     const std::uint64_t next = std::max(from, std::min(end, from + reader.limit));
     auto rows = nlohmann::json::array();
     for (std::uint64_t offset = from; offset < next; ++offset) {
