HTTP client: a call that broke may be destroyed by its callback

Cause: evhttp calls the error callback and then the completion callback with the same argument. The call ended in the first, its owner destroyed it there, and the second read freed memory.

Ruled out: freeing calls later, as every owner would have to know.

Change: the error callback only keeps how the call ends; the completion callback ends it.

Figures: BrokenCallMayBeDestroyedByItsCallback fails before the change under AddressSanitizer (heap-use-after-free in EvHttpCall::onDone).

Conclusion: owners may drop a call from its own end, whatever the end.

--- a/src/http/internal/evhttpcall.cpp
+++ b/src/http/internal/evhttpcall.cpp
@@ -136,10 +136,7 @@
 {
     auto *call = static_cast<EvHttpCall *>(self);
     if (request == nullptr) {
-        // After an error; onError has ended the call already unless nothing was sent.
-        if (call->m_request != nullptr) {
-            call->finish(HttpEnd::Broken, 0);
-        }
+        call->finish(call->m_failure, 0);
         return;
     }
     const int status = evhttp_request_get_response_code(request);
@@ -159,10 +156,8 @@
 void EvHttpCall::onError(evhttp_request_error error, void *self)
 {
     auto *call = static_cast<EvHttpCall *>(self);
-    if (call->m_request == nullptr) {
-        return;
-    }
-    call->finish(error == EVREQ_HTTP_TIMEOUT ? HttpEnd::TimedOut : HttpEnd::Broken, 0);
+    // evhttp calls onDone next, so the call must not end before.
+    call->m_failure = error == EVREQ_HTTP_TIMEOUT ? HttpEnd::TimedOut : HttpEnd::Broken;
 }
 
 } // namespace lavendertally::http
--- a/src/http/internal/evhttpcall.h
+++ b/src/http/internal/evhttpcall.h
@@ -42,6 +42,8 @@
     framework::Endpoint m_endpoint;
     evhttp_connection *m_connection = nullptr;
     evhttp_request *m_request = nullptr;
+    /// How the call ends if evhttp gives no response.
+    HttpEnd m_failure = HttpEnd::Broken;
     std::unique_ptr<framework::ITimer> m_timeout;
 };
 
--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -130,6 +130,23 @@
     m_later.reset();
 }
 
+TEST_F(HttpTest, BrokenCallMayBeDestroyedByItsCallback)
+{
+    m_server->setHandler([this](const std::shared_ptr<IHttpExchange> &exchange) {
+        m_later = m_loop->callAfter(framework::Milliseconds(0), [exchange] { exchange->abort(); });
+    });
+    HttpEnd end = HttpEnd::Complete;
+    std::unique_ptr<IHttpCall> call;
+    call = m_client->fetch(request(), [&](const HttpResponse &response) {
+        end = response.end;
+        call.reset();
+        m_loop->stop();
+    });
+    m_loop->run();
+    EXPECT_EQ(end, HttpEnd::Broken);
+    m_later.reset();
+}
+
 TEST_F(HttpTest, RefusedConnectionEndsAsNotSent)
 {
     m_server->stopListening();
