--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -1,6 +1,8 @@
 #include "entry/internal/entrydaemon.h"
 
+#include "claims/claimsmodule.h"
 #include "claims/iclaimservice.h"
+#include "claims/types/claimsettings.h"
 #include "configuration/configurationmodule.h"
 #include "configuration/iconfigurationreplica.h"
 #include "configuration/icontrolrecordcodec.h"
@@ -10,7 +12,6 @@
 #include "control/ioperatorservice.h"
 #include "control/irevisionreports.h"
 #include "control/types/controlparts.h"
-#include "entry/internal/unavailableclaims.h"
 #include "framework/frameworkmodule.h"
 #include "framework/iclock.h"
 #include "framework/ieventloop.h"
@@ -100,7 +101,10 @@
     m_routing = routing::RoutingModule::makeRouting(*m_membership, *m_random, m_settings.host);
     m_retries = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_budgets = retry::RetryModule::makeStageBudget();
-    m_claims = std::make_unique<UnavailableClaims>();
+    claims::ClaimSettings claimSettings;
+    claimSettings.claimWindow = m_settings.claimWindow;
+    m_claims = claims::ClaimsModule::makeService(*m_log, m_loop, *m_clock, *m_random, *m_metrics,
+                                                 m_settings.id, claimSettings);
     m_stages = transport::TransportModule::makeStageClient(*m_client, *m_codec, *m_metrics);
     m_requests = pipeline::PipelineModule::makeRequestService(
         {m_settings.id, m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_replica,
