At-most-once claims over the log service

Cause: a stage that is not idempotent must run at most once, under retries through other entries, deaths, freezes, lost answers and outages, without a coordination service.

Ruled out: giving up at once when an append's answer is lost, as the claim may stand and block its key. Asking the log for the outcome alone, as an append that had no effect would never be seen. Both are met by appending the same claim again (a doubled claim is one claim) while reading on, and by a release record that counts even if the claim's own record comes later. Dropping keys by local time, as readers would then disagree.

Change: ClaimTable, a pure function of a stream's records (first claim of a key wins; release by its holder frees it for a later claim; done keeps the result). ClaimOutbox appends at least once and many records together. ClaimReader reads without gaps. ClaimPartition joins them, ClaimService spreads keys over `claims.NN`. JSON codec behind IClaimRecordCodec.

What it relies on: retention longer than claimWindow + 2 clockSkew + the longest append; wall clocks within clockSkew; the same issuedAt on each retry of a request; contiguous offsets. A claimant that dies leaves its key HeldElsewhere until the window ends.

--- a/src/claims/iclaimservice.h
+++ b/src/claims/iclaimservice.h
@@ -4,6 +4,7 @@
 #include "claims/types/claimkey.h"
 #include "claims/types/claimrequest.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -23,6 +24,10 @@
 
     /// Gives a claim back because the stage provably did not run.
     virtual void recordNotRun(const ClaimKey &key) = 0;
+
+    /// \return results and releases that are not on the log yet; a process that ends before they
+    /// are leaves their keys held until the claim window ends
+    virtual std::size_t unrecorded() const { return 0; }
 };
 
 } // namespace lavendertally::claims
--- /dev/null
+++ b/src/claims/internal/claimcontext.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "claims/types/claimsettings.h"
+#include "framework/types/ids.h"
+
+namespace lavendertally::framework {
+class IClock;
+class IMetrics;
+class IRandom;
+class IScheduler;
+} // namespace lavendertally::framework
+
+namespace lavendertally::platform {
+class ILogService;
+}
+
+namespace lavendertally::claims {
+
+class IClaimRecordCodec;
+
+/// What the parts of the claims service share; the referenced objects outlive them.
+struct ClaimContext
+{
+    platform::ILogService &log;
+    framework::IScheduler &scheduler;
+    const framework::IClock &clock;
+    framework::IRandom &random;
+    framework::IMetrics &metrics;
+    const IClaimRecordCodec &codec;
+    framework::DaemonId claimant;
+    ClaimSettings settings;
+};
+
+} // namespace lavendertally::claims
--- /dev/null
+++ b/src/claims/tests/claimsentry.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "claims/claimsmodule.h"
+#include "claims/iclaimservice.h"
+#include "claims/types/claimsettings.h"
+#include "framework/frameworkmodule.h"
+#include "framework/imetrics.h"
+#include "framework/irandom.h"
+#include "framework/testing/fakeclock.h"
+#include "framework/testing/fakescheduler.h"
+#include "platform/testing/fakelogservice.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace lavendertally::claims {
+
+/// One process with a claim service, on a clock of its own. It can be killed and frozen.
+class ClaimsEntry
+{
+public:
+    ClaimsEntry(std::string name, platform::FakeLog &log, const ClaimSettings &settings,
+                std::uint64_t seed)
+        : m_name(std::move(name)), m_log(log), m_settings(settings),
+          m_random(framework::FrameworkModule::makeRandom(seed)),
+          m_metrics(framework::FrameworkModule::makeMetrics())
+    {
+        start();
+    }
+
+    void start()
+    {
+        m_scheduler = std::make_unique<framework::FakeScheduler>(m_clock);
+        m_connection = std::make_unique<platform::FakeLogService>(*m_scheduler, m_log);
+        m_service = ClaimsModule::makeService(*m_connection, *m_scheduler, m_clock, *m_random,
+                                              *m_metrics, framework::DaemonId(m_name), m_settings);
+    }
+    void kill()
+    {
+        m_service.reset();
+        m_connection.reset();
+        m_scheduler.reset();
+    }
+    bool isAlive() const { return m_service != nullptr; }
+
+    void freeze() { m_frozen = true; }
+    /// The clock has moved on; what was due meanwhile runs late.
+    void wake()
+    {
+        m_frozen = false;
+        m_clock.advance(std::exchange(m_missed, framework::Milliseconds(0)));
+        advance(framework::Milliseconds(0));
+    }
+    bool isFrozen() const { return m_frozen; }
+
+    void advance(framework::Milliseconds step)
+    {
+        if (m_frozen) {
+            m_missed += step;
+        } else if (isAlive()) {
+            m_scheduler->advance(step);
+        } else {
+            m_clock.advance(step);
+        }
+    }
+
+    /// Makes the wall clock run ahead of those of other entries.
+    void skew(framework::Milliseconds ahead) { m_clock.advance(ahead); }
+
+    IClaimService &service() { return *m_service; }
+    platform::FakeLogService &connection() { return *m_connection; }
+    const framework::FakeClock &clock() const { return m_clock; }
+
+private:
+    std::string m_name;
+    platform::FakeLog &m_log;
+    ClaimSettings m_settings;
+    framework::FakeClock m_clock;
+    std::unique_ptr<framework::IRandom> m_random;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<framework::FakeScheduler> m_scheduler;
+    std::unique_ptr<platform::FakeLogService> m_connection;
+    std::unique_ptr<IClaimService> m_service;
+    bool m_frozen = false;
+    framework::Milliseconds m_missed;
+};
+
+} // namespace lavendertally::claims
--- /dev/null
+++ b/src/claims/types/claimrecord.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "claims/types/claimmade.h"
+#include "claims/types/claimreleased.h"
+#include "claims/types/stagedone.h"
+
+#include <variant>
+
+namespace lavendertally::claims {
+
+/// One record of a claims stream.
+using ClaimRecord = std::variant<ClaimMade, StageDone, ClaimReleased>;
+
+} // namespace lavendertally::claims
