Claims: a repeat that comes before the first result waits for it

Cause: the demo's repeat through another entry came 3 ms after the first answer, whose result was not on the log yet, and was answered unknown (claimed_elsewhere). Ruled out: a lost result; it was there moments later. Change: a claim that comes second is kept up to 2 s, or until shortly before its deadline, and is answered with the first one's result, or granted when the first one is released. An earlier run whose result was not kept is no longer answered as done.

--- a/src/claims/internal/claimpartition.cpp
+++ b/src/claims/internal/claimpartition.cpp
@@ -138,11 +138,28 @@
         claim(request, std::move(m_pending.extract(pending).mapped().callback));
         return;
     case ClaimVerdict::HeldByOther:
+        waitForHolder(pending->second, id);
+        return;
     case ClaimVerdict::Unseen:
         answer(id, {ClaimOutcome::HeldElsewhere, {}});
     }
 }
 
+void ClaimPartition::waitForHolder(PendingClaim &pending, const ClaimId &id)
+{
+    if (pending.waitsForHolder) {
+        return;
+    }
+    pending.waitsForHolder = true;
+    // The answer has to reach the caller before its deadline does.
+    const Milliseconds untilDeadline =
+        pending.request.deadline - m_context.clock.now() - m_context.settings.answerMargin;
+    const Milliseconds delay = std::min(m_context.settings.maxHolderWait, untilDeadline);
+    pending.timer = m_context.scheduler.callAfter(std::max(delay, Milliseconds(0)), [this, id] {
+        answer(id, {ClaimOutcome::HeldElsewhere, {}});
+    });
+}
+
 void ClaimPartition::grant(const ClaimId &id)
 {
     const ClaimRequest request = m_pending.at(id).request;
--- a/src/claims/internal/claimpartition.h
+++ b/src/claims/internal/claimpartition.h
@@ -44,6 +44,8 @@
     void settleSeen();
     /// Answers a claim by what the table says of it.
     void settle(const ClaimId &id, ClaimVerdict verdict);
+    /// Waits a while for the holder of the claim to say how it ended.
+    void waitForHolder(PendingClaim &pending, const ClaimId &id);
     void grant(const ClaimId &id);
     void timeOut(const ClaimId &id);
     /// Makes sure that a claim of this process never holds its key.
--- a/src/claims/internal/pendingclaim.h
+++ b/src/claims/internal/pendingclaim.h
@@ -17,6 +17,8 @@
     std::function<void(ClaimAnswer)> callback;
     /// Ends the claim at its deadline.
     std::unique_ptr<framework::ITimer> timer;
+    /// Whether another claim came first and its end is waited for.
+    bool waitsForHolder = false;
 };
 
 } // namespace lavendertally::claims
--- a/src/claims/tests/claimservicetest.cpp
+++ b/src/claims/tests/claimservicetest.cpp
@@ -86,6 +86,19 @@
     EXPECT_EQ(m_second.connection().appendCalls(), appends) << "what is known needs no append";
 }
 
+TEST_F(Claims, RepeatBeforeTheResultIsOnTheLog_WaitsForItInsteadOfAnsweringUnknown)
+{
+    EXPECT_EQ(claim(m_first), ClaimOutcome::Granted);
+    ask(m_second);
+    advance(Milliseconds(200));
+    EXPECT_FALSE(m_answer);
+    m_first.service().recordDone(m_key, "receipt r17");
+    advance(Milliseconds(200));
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->outcome, ClaimOutcome::AlreadyDone);
+    EXPECT_EQ(m_answer->result, "receipt r17");
+}
+
 TEST_F(Claims, TwoEntriesAtOnce_ExactlyOneIsGranted)
 {
     std::vector<ClaimOutcome> outcomes;
--- a/src/claims/types/claimsettings.h
+++ b/src/claims/types/claimsettings.h
@@ -30,6 +30,10 @@
     framework::Milliseconds readWait{100};
     framework::Milliseconds minBackoff{20};
     framework::Milliseconds maxBackoff{2'000};
+    /// How long a claim that came second waits for the first one's result.
+    framework::Milliseconds maxHolderWait{2'000};
+    /// Time before the deadline at which such a claim is answered at the latest.
+    framework::Milliseconds answerMargin{50};
     /// Larger results are not kept.
     framework::Bytes maxResult{64 * 1024};
 };
--- a/src/demo/internal/demousers.cpp
+++ b/src/demo/internal/demousers.cpp
@@ -23,7 +23,9 @@
     return {{ServiceId("encoder"), "standinpool", {"--kind", "encode", "--service-ms", "2"}},
             {ServiceId("retriever"), "standinpool", {"--kind", "retrieve", "--service-ms", "2"}},
             {ServiceId("reranker"), "standinpool", {"--kind", "rerank", "--service-ms", "3"}},
-            {ServiceId("writer"), "standinengine", {"--model", model, "--token-interval-ms", "1"}},
+            {ServiceId("writer"),
+             "standinengine",
+             {"--model", model, "--token-interval-ms", "1", "--answer-tokens", "192"}},
             {ServiceId(action), "standinaction", {}}};
 }
 
--- a/src/pipeline/internal/requestrun.cpp
+++ b/src/pipeline/internal/requestrun.cpp
@@ -174,6 +174,11 @@
     case claims::ClaimOutcome::AlreadyDone:
         m_anyRan = true;
         m_effectRan = true;
+        if (!answer.resultKept) {
+            giveUp(protocol::RefusalReason::ClaimedElsewhere,
+                   "it ran before, but its result is not kept");
+            return;
+        }
         advance(answer.result);
         return;
     case claims::ClaimOutcome::HeldElsewhere:
--- a/src/standins/internal/modelenginestandin.cpp
+++ b/src/standins/internal/modelenginestandin.cpp
@@ -135,6 +135,9 @@
     sequence.prefix = prompt.substr(0, m_options.prefixBytes);
     sequence.maxTokens =
         std::max<std::uint64_t>(numberMember(call, "max_tokens", DefaultMaxTokens), 1);
+    if (m_options.answerTokens > 0) {
+        sequence.maxTokens = std::min<std::uint64_t>(sequence.maxTokens, m_options.answerTokens);
+    }
     return sequence;
 }
 
--- a/src/standins/standinengine.cpp
+++ b/src/standins/standinengine.cpp
@@ -17,6 +17,8 @@
     program.addDuration("prefill-ms", "time of a prefill", options.prefillTime);
     program.addNumber("cached-prefill-percent", "percent of it that remains on a cache hit",
                       options.cachedPrefillPercent);
+    program.addNumber("answer-tokens", "tokens after which an answer ends by itself; 0: none",
+                      options.answerTokens);
     program.addNumber("max-batch", "sequences that run at once", options.maxBatch);
     program.addNumber("queue-limit", "sequences that wait; more are refused", options.queueLimit);
     program.addNumber("prefix-bytes", "bytes of the prompt that make up its prefix",
--- a/src/standins/types/engineoptions.h
+++ b/src/standins/types/engineoptions.h
@@ -21,6 +21,8 @@
     /// Percent of the prefill time that remains when the prefix is cached.
     std::uint32_t cachedPrefillPercent = 25;
     std::uint32_t maxBatch = 64;
+    /// Tokens after which an answer ends by itself; zero means at the caller's limit.
+    std::uint32_t answerTokens = 0;
     /// Sequences that wait; more are refused.
     std::uint32_t queueLimit = 256;
     /// Bytes of the prompt that make up its prefix.
