--- a/src/platform/testing/fakelog.h
+++ b/src/platform/testing/fakelog.h
@@ -81,9 +81,10 @@
         page.first = first(name);
         page.next = from;
         page.end = std::max(end, from);
-        const std::vector<std::string> kept = records(name);
-        while (page.next < end && page.records.size() < limit) {
-            page.records.push_back({page.next, kept[page.next.value() - page.first.value()]});
+        const auto stream = m_streams.find(name);
+        while (stream != m_streams.end() && page.next < end && page.records.size() < limit) {
+            const std::uint64_t index = page.next.value() - page.first.value();
+            page.records.push_back({page.next, stream->second.records[index]});
             page.next = page.next.next();
         }
         return page;
--- a/src/standins/coldstartmodel.h
+++ b/src/standins/coldstartmodel.h
@@ -21,7 +21,8 @@
     /// Starts anew: next incarnation, cold.
     void restart();
 
-    /// Turns cold without a new incarnation.
+    /// Turns cold without a new incarnation. Calls under way go on and do not count against the
+    /// limit.
     void turnCold();
 
     /// Counts a call that has begun.
@@ -55,6 +56,8 @@
     framework::TimePoint m_readyAt;
     std::uint32_t m_completedWhileCold = 0;
     std::uint32_t m_calls = 0;
+    /// Calls under way that began before it turned cold; they are taken to end first.
+    std::uint32_t m_callsBeforeCold = 0;
     std::uint32_t m_maxCallsWhileCold = 0;
     std::uint32_t m_overloads = 0;
 };
--- a/src/standins/internal/logstandin.cpp
+++ b/src/standins/internal/logstandin.cpp
@@ -246,10 +246,11 @@
     if (m_options.lag == framework::Milliseconds(0)) {
         return stream.end();
     }
-    const auto visible =
-        std::count_if(stream.records.begin(), stream.records.end(), [&](const Record &record) {
-            return now() - record.appendedAt >= m_options.lag;
-        });
+    const auto isVisible = [&](const Record &record) {
+        return now() - record.appendedAt >= m_options.lag;
+    };
+    const auto begin = stream.records.begin();
+    const auto visible = std::partition_point(begin, stream.records.end(), isVisible) - begin;
     return stream.first + visible;
 }
 
--- a/src/standins/tests/standinmodelstest.cpp
+++ b/src/standins/tests/standinmodelstest.cpp
@@ -2,6 +2,7 @@
 #include "standins/coldstartmodel.h"
 #include "standins/faultswitch.h"
 #include "standins/hostliststandin.h"
+#include "standins/logstandin.h"
 #include "standins/poolstandin.h"
 #include "standins/prefixcache.h"
 #include "standins/tests/standinfixture.h"
@@ -65,6 +66,28 @@
     EXPECT_FALSE(model.isCold());
 }
 
+TEST(ColdStartModelTest, CallsUnderWayWhenItTurnsColdDoNotCountAgainstTheLimit)
+{
+    framework::FakeClock clock;
+    ColdStartOptions options;
+    options.limit = 2;
+    options.warmAfterCalls = 1;
+    ColdStartModel model(clock, options);
+    for (int i = 0; i < 5; ++i) {
+        model.beginCall();
+    }
+    model.turnCold();
+    EXPECT_TRUE(model.beginCall());
+    EXPECT_TRUE(model.beginCall());
+    for (int i = 0; i < 5; ++i) {
+        model.endCall(true);
+    }
+    EXPECT_TRUE(model.isCold());
+    EXPECT_EQ(model.maxCallsWhileCold(), 2U);
+    EXPECT_FALSE(model.beginCall());
+    EXPECT_EQ(model.overloads(), 1U);
+}
+
 TEST(PrefixCacheTest, ForgetsTheLeastRecentlyUsed)
 {
     const framework::TimePoint now;
@@ -139,3 +162,47 @@
     EXPECT_EQ(call(endpoint, "/v1/hosts").body, R"({"hosts":[]})");
     EXPECT_EQ(call(endpoint, "/admin/hosts", nlohmann::json::array()).status, 400);
 }
+
+class LogStandInTest : public StandInFixture
+{
+protected:
+    static constexpr const char *Records = "/v1/streams/s/records";
+
+    http::HttpResponse append(const framework::Endpoint &endpoint, const char *record)
+    {
+        return call(endpoint, Records, {{"records", {record}}});
+    }
+};
+
+TEST_F(LogStandInTest, ReadersLagBehindAppends)
+{
+    LogOptions options;
+    options.lag = framework::Milliseconds(60000);
+    LogStandIn log(*m_loop, options);
+    const auto endpoint = log.listen({"127.0.0.1", 0}).value();
+    append(endpoint, "a");
+    EXPECT_EQ(call(endpoint, Records).body, R"({"end":0,"first":0,"next":0,"records":[]})");
+}
+
+TEST_F(LogStandInTest, OnlyTheNewestRecordsAreKept)
+{
+    LogOptions options;
+    options.retentionRecords = 2;
+    LogStandIn log(*m_loop, options);
+    const auto endpoint = log.listen({"127.0.0.1", 0}).value();
+    for (const char *record : {"a", "b", "c"}) {
+        append(endpoint, record);
+    }
+    EXPECT_EQ(log.records("s"), (std::vector<std::string>{"b", "c"}));
+    EXPECT_EQ(call(endpoint, Records).status, 410);
+}
+
+TEST_F(LogStandInTest, MalformedCallsAreRefusedWithoutEffect)
+{
+    LogStandIn log(*m_loop, LogOptions{});
+    const auto endpoint = log.listen({"127.0.0.1", 0}).value();
+    EXPECT_EQ(call(endpoint, Records, {{"records", {1}}}).status, 400);
+    EXPECT_EQ(call(endpoint, Records, nlohmann::json::array()).status, 400);
+    EXPECT_EQ(call(endpoint, "/v1/streams/UPPER/records").status, 404);
+    EXPECT_TRUE(log.records("s").empty());
+}
