--- a/src/bench/internal/speedfleet.cpp
+++ b/src/bench/internal/speedfleet.cpp
@@ -18,6 +18,7 @@
 constexpr framework::Milliseconds PollInterval{50};
 constexpr int MaxPolls = 200;
 constexpr int MaxWarmUpRounds = 60;
+constexpr int WarmUpTexts = 97;
 
 } // namespace
 
@@ -55,11 +56,16 @@
 
 bool SpeedFleet::warmUp(const std::string &pipeline, std::uint32_t limit)
 {
+    // Different texts, since requests with the same prefix go to the same backend server.
+    std::vector<localfleet::Workload> workloads;
+    for (int text = 0; text < WarmUpTexts; ++text) {
+        workloads.push_back({framework::PipelineId(pipeline), framework::TeamId("bench"),
+                             '"' + std::to_string(text) + " warm\""});
+    }
     const std::size_t requests = m_fleet.hosts().size() * limit;
     for (int round = 0; round < MaxWarmUpRounds; ++round) {
-        localfleet::LoadRunner load(
-            m_loop, m_fleet.client(), m_clock, "warm-up-" + std::to_string(round), {entry()},
-            {{framework::PipelineId(pipeline), framework::TeamId("bench"), R"({"text":"warm"})"}});
+        localfleet::LoadRunner load(m_loop, m_fleet.client(), m_clock,
+                                    "warm-up-" + std::to_string(round), {entry()}, workloads);
         load.start(requests, framework::Milliseconds(1), [this] { m_loop.stop(); });
         m_loop.run();
         if (allHosts("limit", limit)) {
