--- a/src/demo/internal/demorun.cpp
+++ b/src/demo/internal/demorun.cpp
@@ -28,9 +28,9 @@
 constexpr Milliseconds WaitLimit{10000};
 constexpr Milliseconds ExitLimit{10000};
 constexpr Milliseconds ZoneOutBound{3000};
-constexpr Milliseconds RequestInterval{30};
+constexpr Milliseconds RequestInterval{25};
 constexpr std::size_t RequestsPerWorkload = 10;
-constexpr std::size_t RequestsWhileZoneMoves = 100;
+constexpr std::size_t RequestsWhileZoneMoves = 80;
 constexpr double MicrosPerUnit = 1e6;
 
 localfleet::FleetOptions fleetOptions(const DemoUser &user, const std::string &binaries,
