--- a/src/control/testing/fakecontrolnetwork.h
+++ b/src/control/testing/fakecontrolnetwork.h
@@ -22,8 +22,9 @@
 {
 public:
     using CanReach = std::function<bool(const framework::Endpoint &, const framework::Endpoint &)>;
-    /// Called with each message that is sent.
-    using Tap = std::function<void(const framework::Endpoint &from, const protocol::Message &)>;
+    /// Called with each query that is sent and each answer that arrives.
+    using Tap = std::function<void(const framework::Endpoint &from, const framework::Endpoint &to,
+                                   const protocol::Message &)>;
 
     /// Latency of one message; messages overtake each other when it varies.
     using Latency = std::function<framework::Milliseconds()>;
@@ -73,7 +74,6 @@
             m_timers[id] = m_scheduler.callAfter(m_network.m_latency(), [this, id, query, reply] {
                 const auto timer = m_timers.extract(id);
                 if (const auto answer = m_handler(query)) {
-                    m_network.tap(m_endpoint, *answer);
                     reply(*answer);
                 }
             });
@@ -104,7 +104,7 @@
             m_timers[id] = m_scheduler.callAfter(timeout, [this, id] {
                 finish(id, framework::asyncError<protocol::Message>(ControlError::TimedOut));
             });
-            m_network.tap(m_endpoint, query);
+            m_network.tap(m_endpoint, peer, query);
             const auto server = m_network.m_servers.find(peer);
             if (server == m_network.m_servers.end() || !m_network.reaches(m_endpoint, peer)) {
                 return;
@@ -112,6 +112,7 @@
             const std::weak_ptr<Pending> alive = m_pending;
             server->second->receive(query, [this, alive, id, peer](const auto &answer) {
                 if (!alive.expired() && m_network.reaches(peer, m_endpoint)) {
+                    m_network.tap(peer, m_endpoint, answer);
                     arrive(id, answer);
                 }
             });
@@ -147,10 +148,11 @@
     {
         return !m_canReach || m_canReach(from, to);
     }
-    void tap(const framework::Endpoint &from, const protocol::Message &message) const
+    void tap(const framework::Endpoint &from, const framework::Endpoint &to,
+             const protocol::Message &message) const
     {
         if (m_tap) {
-            m_tap(from, message);
+            m_tap(from, to, message);
         }
     }
 
--- a/src/control/tests/daemoncontroltest.cpp
+++ b/src/control/tests/daemoncontroltest.cpp
@@ -1,5 +1,5 @@
 #include "control/irevisionreports.h"
-#include "control/tests/controlfleet.h"
+#include "control/testing/controlfleet.h"
 
 #include <gtest/gtest.h>
 
--- a/src/control/tests/operatortest.cpp
+++ b/src/control/tests/operatortest.cpp
@@ -1,5 +1,5 @@
 #include "control/ioperatorservice.h"
-#include "control/tests/controlfleet.h"
+#include "control/testing/controlfleet.h"
 #include "control/types/operatorerror.h"
 
 #include <gtest/gtest.h>
--- a/src/control/tests/scheduletest.cpp
+++ b/src/control/tests/scheduletest.cpp
@@ -1,4 +1,4 @@
-#include "control/tests/controlfleet.h"
+#include "control/testing/controlfleet.h"
 
 #include <gtest/gtest.h>
 
