Bound the rate of queries when every peer fails at once

Cause: after a failure the next peer was due at once; failures without a timeout (no place for a peer, message not taken) led to about 200 queries a second. Change: 50 ms between a failure and the next query. AllFailAtOnce_* was red with `m_nextRegular = now`.

--- a/src/control/internal/revisionsyncpolicy.cpp
+++ b/src/control/internal/revisionsyncpolicy.cpp
@@ -170,7 +170,7 @@
     const bool othersLeft = std::ranges::any_of(
         m_entries, [&](const Endpoint &entry) { return !m_health.isAvoided(entry, now); });
     if (othersLeft) {
-        m_nextRegular = now;
+        m_nextRegular = now + m_limits.retryDelay;
     }
 }
 
--- a/src/control/tests/policytest.cpp
+++ b/src/control/tests/policytest.cpp
@@ -174,6 +174,22 @@
     }
 }
 
+TEST_F(SyncPolicyTest, AllFailAtOnce_AskingStaysBounded)
+{
+    m_limits.askTimeout = Milliseconds(0);
+    const auto policy = make(entryIdentity(0, 4));
+    policy->setEntries(entries(320, 4));
+    int asked = 0;
+    for (const TimePoint end = m_now + Milliseconds(10000); m_now < end;
+         m_now = std::max(policy->nextDue(), m_now + Milliseconds(5))) {
+        while (const auto peer = policy->nextPeer(m_now)) {
+            ++asked;
+            policy->noteFailure(*peer, m_now);
+        }
+    }
+    EXPECT_LE(asked, 10000 / m_limits.retryDelay.value());
+}
+
 TEST_F(SyncPolicyTest, PeerHasNewerRevision_ItIsAskedAtOnceAndOnce)
 {
     const auto policy = make(entryIdentity(0, 1));
--- a/src/control/types/synclimits.h
+++ b/src/control/types/synclimits.h
@@ -15,6 +15,8 @@
     /// A peer that did not answer is avoided for this long while others are known. Short, so that
     /// the end of a partition is noticed in time.
     framework::Milliseconds avoidTime{1500};
+    /// After a failure the next peer is asked this soon, while any is left that has not failed.
+    framework::Milliseconds retryDelay{50};
     /// Entries of one availability zone that follow the log.
     std::size_t logReadersPerZone = 2;
     /// An entry that no peer has answered for this long follows the log itself.
