--- /dev/null
+++ b/src/bench/tests/policytest.cpp
@@ -0,0 +1,64 @@
+#include "bench/internal/arrivals.h"
+#include "bench/internal/scenario.h"
+#include "bench/internal/simulation.h"
+#include "bench/internal/site.h"
+#include "bench/internal/summary.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace lavendertally;
+using namespace lavendertally::bench;
+using configuration::PriorityClass;
+
+namespace {
+
+constexpr std::uint64_t Seed = 3;
+
+/// Figures of the policy and the naive version on the same recorded arrivals.
+struct Comparison
+{
+    Summary policy;
+    Summary naive;
+};
+
+Comparison compare(const std::string &scenarioName)
+{
+    const Site site = makeCooperative();
+    const auto scenarios = makeScenarios();
+    const auto scenario =
+        std::find_if(scenarios.begin(), scenarios.end(),
+                     [&](const Scenario &candidate) { return candidate.name == scenarioName; });
+    const auto arrivals =
+        recordArrivals(site, Seed, scenario->measured.end - framework::TimePoint(), scenario->load);
+    const auto run = [&](Variant variant) {
+        Simulation simulation(site, *scenario, variant, Seed);
+        return summarise(site, *scenario, arrivals, simulation.run(arrivals));
+    };
+    return {.policy = run(Variant::Policy), .naive = run(Variant::Naive)};
+}
+
+} // namespace
+
+TEST(PolicyAgainstNaive, OverloadKeepsUsefulWorkAndTheHighestClass)
+{
+    SCOPED_TRACE("seed " + std::to_string(Seed));
+    Comparison figures = compare("overload");
+    EXPECT_GT(figures.policy.goodput, 0.9);
+    EXPECT_GT(figures.policy.goodput, figures.naive.goodput);
+    EXPECT_GT(figures.policy.disturbedByClass[PriorityClass::Interactive].attainment(), 0.99);
+    EXPECT_LE(figures.policy.retryRatio, 0.1);
+}
+
+TEST(PolicyAgainstNaive, ZoneOutageOverloadsNoColdBackendServer)
+{
+    SCOPED_TRACE("seed " + std::to_string(Seed));
+    const Comparison figures = compare("zone-outage");
+    EXPECT_EQ(figures.policy.coldOverloads, 0U);
+    EXPECT_GT(figures.naive.coldOverloads, 0U);
+    EXPECT_GT(figures.policy.worstWindow(), 0.99);
+    ASSERT_TRUE(figures.policy.zoneOutTime);
+    EXPECT_LE(*figures.policy.zoneOutTime, framework::Milliseconds(3000));
+}
