Worker selector: forget hosts that left once their calls have ended

Cause: state of a host that left with a call in flight was kept for ever, and calls or reports for unknown hosts made new state. Change: the table keeps the zone beside the state, drops it when the host may receive no work and nothing is in flight, and ignores hosts outside of the subsets. Seen red: HostThatLeftAndReturnsIsUnknownEvenIfACallWasRunning without dropStatesOfLeftHosts(), CallInFlightStillCountsWhenItsHostReturns without the check of calls in flight. The tests' reportAll() makes a choice first, since reports count only for hosts in a subset.

--- a/src/routing/internal/loadawareselector.cpp
+++ b/src/routing/internal/loadawareselector.cpp
@@ -150,25 +150,33 @@
 
 void LoadAwareSelector::callStarted(const framework::HostId &host, framework::TimePoint /*now*/)
 {
-    m_table->state(host).callStarted();
+    if (WorkerState *const state = m_table->find(host)) {
+        state->callStarted();
+    }
 }
 
 void LoadAwareSelector::callEnded(const framework::HostId &host, framework::TimePoint /*now*/)
 {
-    m_table->state(host).callEnded();
+    if (WorkerState *const state = m_table->find(host)) {
+        state->callEnded();
+    }
 }
 
 void LoadAwareSelector::observeLoad(const framework::HostId &host, const protocol::LoadReport &load,
                                     framework::TimePoint now)
 {
-    m_table->state(host).observeLoad(load, now);
+    if (WorkerState *const state = m_table->find(host)) {
+        state->observeLoad(load, now);
+    }
 }
 
 void LoadAwareSelector::observeFailure(const framework::HostId &host, framework::TimePoint now)
 {
     constexpr std::uint64_t JitterSteps = 1024;
     const double jitter = static_cast<double>(m_random.below(JitterSteps)) / JitterSteps;
-    m_table->state(host).observeFailure(m_table->limits(), jitter, now);
+    if (WorkerState *const state = m_table->find(host)) {
+        state->observeFailure(m_table->limits(), jitter, now);
+    }
 }
 
 } // namespace lavendertally::routing
--- a/src/routing/internal/workertable.cpp
+++ b/src/routing/internal/workertable.cpp
@@ -23,7 +23,7 @@
     if (m_generation != generation || m_localZone != localZone) {
         m_generation = generation;
         m_localZone = localZone;
-        forgetAll();
+        forgetSubsets();
     }
     const auto [position, isNew] = m_services.try_emplace(service);
     if (!isNew) {
@@ -31,30 +31,33 @@
     }
     for (membership::HostEntry &host : m_subset->choose(m_membership.admittingHosts(service))) {
         const std::uint64_t hash = hashName(host.id.value());
-        WorkerState *hostState = &state(host.id);
-        position->second.push_back({.host = std::move(host), .hash = hash, .state = hostState});
+        Known &known = m_known[host.id];
+        known.zone = host.zone;
+        position->second.push_back({.host = std::move(host), .hash = hash, .state = &known.state});
     }
     return position->second;
 }
 
-void WorkerTable::forgetAll()
+WorkerState *WorkerTable::find(const framework::HostId &host)
 {
-    dropUnusedStates();
+    const auto found = m_known.find(host);
+    return found == m_known.end() ? nullptr : &found->second.state;
+}
+
+void WorkerTable::forgetSubsets()
+{
+    dropStatesOfLeftHosts();
     m_services.clear();
     m_subset =
         std::make_unique<WorkerSubset>(m_membership.entryHosts(), m_self, m_localZone, m_limits);
 }
 
-void WorkerTable::dropUnusedStates()
+void WorkerTable::dropStatesOfLeftHosts()
 {
-    for (const auto &[service, workers] : m_services) {
-        for (const Worker &worker : workers) {
-            const bool stays = m_membership.mayReceiveWork(worker.host.id, worker.host.zone);
-            if (!stays && worker.state->inFlight() == 0) {
-                m_states.erase(worker.host.id);
-            }
-        }
-    }
+    std::erase_if(m_known, [this](const auto &entry) {
+        const auto &[host, known] = entry;
+        return known.state.inFlight() == 0 && !m_membership.mayReceiveWork(host, known.zone);
+    });
 }
 
 } // namespace lavendertally::routing
--- a/src/routing/internal/workertable.h
+++ b/src/routing/internal/workertable.h
@@ -46,13 +46,20 @@
         return m_services;
     }
 
-    WorkerState &state(const framework::HostId &host) { return m_states[host]; }
+    /// \return what is known of \p host; null when it is not in any subset
+    WorkerState *find(const framework::HostId &host);
     const SelectorLimits &limits() const { return m_limits; }
     const membership::IMembership &membership() const { return m_membership; }
 
 private:
-    void forgetAll();
-    void dropUnusedStates();
+    struct Known
+    {
+        WorkerState state;
+        framework::AvailabilityZoneId zone;
+    };
+
+    void forgetSubsets();
+    void dropStatesOfLeftHosts();
 
     const membership::IMembership &m_membership;
     framework::HostId m_self;
@@ -61,7 +68,7 @@
     framework::AvailabilityZoneId m_localZone;
     std::unique_ptr<WorkerSubset> m_subset;
     std::map<framework::ServiceId, std::vector<Worker>> m_services;
-    std::unordered_map<framework::HostId, WorkerState> m_states;
+    std::unordered_map<framework::HostId, Known> m_known;
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/tests/selectortest.cpp
+++ b/src/routing/tests/selectortest.cpp
@@ -48,8 +48,10 @@
                                    "z" + std::to_string(index % zones));
         }
     }
+    /// Reports count for hosts in the subset, which the first choice derives.
     void reportAll(int count, const protocol::LoadReport &load)
     {
+        select(query());
         for (int index = 0; index < count; ++index) {
             m_routing.selector->observeLoad(HostId("w" + std::to_string(index)), load, m_now);
         }
@@ -143,6 +145,43 @@
     EXPECT_EQ(select(query()), failing);
 }
 
+TEST_F(SelectorTest, HostThatLeftAndReturnsIsUnknownEvenIfACallWasRunning)
+{
+    addWorkers(2);
+    reportAll(2, warm(0, 100));
+    RoutingQuery onlyFirst = query();
+    onlyFirst.excluded.insert(HostId("w1"));
+    const HostId left = start(onlyFirst);
+    m_routing.selector->observeLoad(left, warm(1, 100), m_now);
+    m_membership.setAdmitting(left, false);
+    select(query());
+    m_routing.selector->callEnded(left, m_now);
+    m_membership.setAdmitting(left, false);
+    select(query());
+
+    m_membership.setAdmitting(left, true);
+    int calls = 0;
+    for (int call = 0; call < 50; ++call) {
+        calls += start(query()) == left ? 1 : 0;
+    }
+    EXPECT_EQ(calls, 1);
+}
+
+TEST_F(SelectorTest, CallInFlightStillCountsWhenItsHostReturns)
+{
+    addWorkers(2);
+    RoutingQuery onlyFirst = query();
+    onlyFirst.excluded.insert(HostId("w1"));
+    const HostId unheard = start(onlyFirst);
+    m_routing.selector->observeLoad(HostId("w1"), warm(0, 100), m_now);
+    m_membership.setAdmitting(unheard, false);
+    select(query());
+    m_membership.setAdmitting(unheard, true);
+    for (int call = 0; call < 50; ++call) {
+        EXPECT_NE(start(query()), unheard);
+    }
+}
+
 TEST_F(SelectorTest, PrefixStaysWithItsWorkerUntilThatIsLoadedAboveAverage)
 {
     addWorkers(5);
