Cost ledger in the host process; drain waits for results on the log

An entry's shutdown waits up to 5 s after its last request for results of what may not be repeated to reach the log.

--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -55,6 +55,8 @@
 constexpr framework::Milliseconds ProbeInterval{200};
 constexpr framework::Milliseconds ProbeTimeout{500};
 constexpr framework::Milliseconds DrainCheckInterval{20};
+/// How long a shutdown waits for the log service after the last request.
+constexpr framework::Milliseconds MaxRecordWait{5000};
 
 } // namespace
 
@@ -79,7 +81,7 @@
 
 void EntryDaemon::makeControl()
 {
-    const control::ControlParts parts{
+    control::ControlParts parts{
         .identity = {m_settings.id, m_settings.host, m_settings.zone, m_settings.role},
         .seedPeers = m_settings.seedPeers,
         .replica = *m_replica,
@@ -91,6 +93,7 @@
         .random = *m_random,
         .logger = *m_logger,
         .metrics = *m_metrics};
+    parts.snapshotLimits.retention = m_settings.logRetention;
     m_control = control::ControlModule::makeDaemonControl(parts, m_loop, *m_codec);
     m_operators =
         control::ControlModule::makeOperatorService(*m_log, *m_replica, *m_recordCodec, m_loop);
@@ -160,7 +163,8 @@
 void EntryDaemon::drain(std::function<void()> finished)
 {
     m_drained = std::move(finished);
-    m_drainEnd = m_clock->now() + m_settings.drainTimeout;
+    m_idleSince = m_clock->now();
+    m_drainEnd = m_idleSince + m_settings.drainTimeout;
     m_requests->beginDrain();
     m_logger->info("shutting down; requests under way are finished, new ones refused",
                    {{"requests", std::to_string(m_requests->activeRequests())}});
@@ -169,8 +173,14 @@
 
 void EntryDaemon::checkDrained()
 {
+    const framework::TimePoint now = m_clock->now();
     const bool idle = m_requests->activeRequests() == 0 && m_server->unfinishedExchanges() == 0;
-    if (idle || m_clock->now() >= m_drainEnd) {
+    if (!idle) {
+        m_idleSince = now;
+    }
+    // Results of stages that may not be repeated should reach the log, but it may be down.
+    const bool recorded = m_claims->unrecorded() == 0 || now - m_idleSince >= MaxRecordWait;
+    if ((idle && recorded) || now >= m_drainEnd) {
         m_drained();
         return;
     }
--- a/src/entry/internal/entrydaemon.h
+++ b/src/entry/internal/entrydaemon.h
@@ -121,6 +121,7 @@
     std::unique_ptr<framework::ITimer> m_probeTimer;
     std::unique_ptr<framework::ITimer> m_drainTimer;
     framework::TimePoint m_drainEnd;
+    framework::TimePoint m_idleSince;
     std::function<void()> m_drained;
 };
 
--- a/src/host/internal/hostcall.h
+++ b/src/host/internal/hostcall.h
@@ -45,6 +45,7 @@
 
     const admission::WorkKey &key() const { return m_key; }
     const protocol::StageRequest &request() const { return m_request; }
+    framework::TimePoint deadline() const { return m_deadline; }
     bool isRunning() const { return m_running; }
     framework::TimePoint startedAt() const { return m_startedAt; }
 
--- a/src/host/internal/hostdaemon.cpp
+++ b/src/host/internal/hostdaemon.cpp
@@ -1,5 +1,7 @@
 #include "host/internal/hostdaemon.h"
 
+#include "accounting/accountingmodule.h"
+#include "accounting/icostledger.h"
 #include "admission/admissionmodule.h"
 #include "admission/iadmissioncontroller.h"
 #include "admission/types/admissionpolicy.h"
@@ -62,6 +64,7 @@
       m_replica(configuration::ConfigurationModule::makeReplica()),
       m_membership(membership::MembershipModule::makeMembership()),
       m_gate(membership::MembershipModule::makeWorkGate(settings.host, settings.zone)),
+      m_costs(accounting::AccountingModule::makeLedger(*m_metrics)),
       m_admission(admission::AdmissionModule::makeController({}, {})),
       m_backends(backends::BackendsModule::makeFactory(*m_client, settings.backend))
 {
@@ -96,7 +99,7 @@
 {
     m_service = std::make_unique<HostService>(
         HostServiceContext{m_settings.service, *m_clock, m_loop, *m_logger, *m_metrics, *m_replica,
-                           *m_admission, *m_gate, *m_backends, *this});
+                           *m_costs, *m_admission, *m_gate, *m_backends, *this});
     m_stages =
         transport::TransportModule::makeStageServer(*m_service, *m_codec, *m_metrics, *m_logger);
 }
@@ -186,6 +189,8 @@
             {"limit", load.limit},
             {"cold", load.cold},
             {"incarnation", load.incarnation.value()},
+            {"cost", m_costs->snapshot().total.cost.value()},
+            {"wasted_cost", m_costs->snapshot().total.wasted().value()},
             {"control", m_control->dumpState()}};
 }
 
--- a/src/host/internal/hostdaemon.h
+++ b/src/host/internal/hostdaemon.h
@@ -9,6 +9,10 @@
 #include <memory>
 #include <vector>
 
+namespace lavendertally::accounting {
+class ICostLedger;
+}
+
 namespace lavendertally::admission {
 class IAdmissionController;
 }
@@ -105,6 +109,7 @@
     std::unique_ptr<configuration::IConfigurationReplica> m_replica;
     std::unique_ptr<membership::IMembershipTracker> m_membership;
     std::unique_ptr<membership::IWorkGate> m_gate;
+    std::unique_ptr<accounting::ICostLedger> m_costs;
     std::unique_ptr<admission::IAdmissionController> m_admission;
     std::unique_ptr<backends::IBackendServerFactory> m_backends;
     std::unique_ptr<control::IDaemonControl> m_control;
--- a/src/host/internal/hostservice.cpp
+++ b/src/host/internal/hostservice.cpp
@@ -1,5 +1,7 @@
 #include "host/internal/hostservice.h"
 
+#include "accounting/icostledger.h"
+#include "accounting/types/stageattempt.h"
 #include "admission/iadmissioncontroller.h"
 #include "backends/ibackendserver.h"
 #include "backends/ibackendserverfactory.h"
@@ -23,7 +25,19 @@
 
 constexpr framework::Milliseconds HealthInterval{500};
 constexpr framework::Milliseconds HealthTimeout{400};
-constexpr std::int64_t MillisecondsPerHour = 3600000;
+
+accounting::Usage usage(admission::Completion completion, bool late)
+{
+    switch (completion) {
+    case admission::Completion::Succeeded:
+        return late ? accounting::Usage::Late : accounting::Usage::Used;
+    case admission::Completion::Failed:
+        return accounting::Usage::Failed;
+    case admission::Completion::Cancelled:
+        return accounting::Usage::Cancelled;
+    }
+    return accounting::Usage::Failed;
+}
 
 } // namespace
 
@@ -196,7 +210,7 @@
 {
     const framework::TimePoint now = m_context.clock.now();
     result.serviceTime = now - call.startedAt();
-    result.cost = cost(result.serviceTime);
+    result.cost = recordCost(call, completion, result.serviceTime);
     result.revision = m_context.configuration.current()->revision;
     m_context.admission.complete(call.key(), completion, result.serviceTime, now);
     result.load = m_context.admission.load(now);
@@ -211,12 +225,20 @@
     pump();
 }
 
-framework::MicroCost HostService::cost(framework::Milliseconds serviceTime) const
+framework::MicroCost HostService::recordCost(const HostCall &call, admission::Completion completion,
+                                             framework::Milliseconds serviceTime)
 {
-    // A backend server's price is shared by the calls that it can run at once.
-    const std::int64_t perMillisecond = MillisecondsPerHour * m_service->concurrency;
-    return framework::MicroCost(m_service->costPerHour.value() * serviceTime.value()
-                                / perMillisecond);
+    const protocol::StageRequest &request = call.request();
+    accounting::StageAttempt attempt;
+    attempt.pipeline = request.pipeline;
+    attempt.stage = request.stage;
+    attempt.team = request.team;
+    attempt.service = m_context.service;
+    attempt.serviceTime = serviceTime;
+    attempt.costPerHour = m_service->costPerHour;
+    attempt.concurrency = m_service->concurrency;
+    attempt.usage = usage(completion, m_context.clock.now() > call.deadline());
+    return m_context.costs.record(attempt);
 }
 
 void HostService::refresh()
--- a/src/host/internal/hostservice.h
+++ b/src/host/internal/hostservice.h
@@ -56,7 +56,8 @@
     void onCallFailed(HostCall &call, backends::BackendError error,
                       const std::string &detail) override;
     void end(HostCall &call, admission::Completion completion, protocol::StageResult result);
-    framework::MicroCost cost(framework::Milliseconds serviceTime) const;
+    framework::MicroCost recordCost(const HostCall &call, admission::Completion completion,
+                                    framework::Milliseconds serviceTime);
 
     void applyService(const configuration::Service &service);
     void checkHealth();
--- a/src/host/types/hostservicecontext.h
+++ b/src/host/types/hostservicecontext.h
@@ -9,6 +9,10 @@
 class IScheduler;
 } // namespace lavendertally::framework
 
+namespace lavendertally::accounting {
+class ICostLedger;
+}
+
 namespace lavendertally::admission {
 class IAdmissionController;
 }
@@ -38,6 +42,7 @@
     framework::ILogger &logger;
     framework::IMetrics &metrics;
     configuration::IConfigurationStore &configuration;
+    accounting::ICostLedger &costs;
     admission::IAdmissionController &admission;
     membership::IWorkGate &gate;
     backends::IBackendServerFactory &backends;
