--- a/src/bench/internal/speedfleet.cpp
+++ b/src/bench/internal/speedfleet.cpp
@@ -58,6 +58,7 @@
 {
     // Different texts, since requests with the same prefix go to the same backend server.
     std::vector<localfleet::Workload> workloads;
+    workloads.reserve(WarmUpTexts);
     for (int text = 0; text < WarmUpTexts; ++text) {
         workloads.push_back({framework::PipelineId(pipeline), framework::TeamId("bench"),
                              '"' + std::to_string(text) + " warm\""});
--- a/src/bench/latencybench.cpp
+++ b/src/bench/latencybench.cpp
@@ -28,7 +28,7 @@
 constexpr double MicrosPerMilli = 1000.0;
 constexpr double Percent = 100.0;
 
-const char *const ConfigurationText = R"(availability_zones: [z]
+constexpr const char *ConfigurationText = R"(availability_zones: [z]
 services:
   - {name: encoder, kind: encode, model: e, concurrency: 16, cold_concurrency: 4, queue: 64, cost_per_hour: 1.00}
   - {name: retriever, kind: retrieve, concurrency: 16, cold_concurrency: 4, queue: 64, cost_per_hour: 1.00}
--- a/src/bench/relaybench.cpp
+++ b/src/bench/relaybench.cpp
@@ -28,7 +28,7 @@
 constexpr double MicrosPerMilli = 1000.0;
 constexpr double Percent = 100.0;
 
-const char *const ConfigurationText = R"(availability_zones: [z]
+constexpr const char *ConfigurationText = R"(availability_zones: [z]
 services:
   - {name: writer, kind: generate, model: m, concurrency: 64, cold_concurrency: 8, queue: 64, cost_per_hour: 1.00}
 pipelines:
--- a/src/demo/internal/demorun.cpp
+++ b/src/demo/internal/demorun.cpp
@@ -60,7 +60,7 @@
 } // namespace
 
 DemoRun::DemoRun(framework::IEventLoop &loop, const framework::IClock &clock, DemoUser user,
-                 std::string binaries, std::string repository, const std::string &workFolder)
+                 const std::string &binaries, std::string repository, const std::string &workFolder)
     : m_loop(loop), m_clock(clock), m_user(std::move(user)), m_repository(std::move(repository)),
       m_fleet(loop, fleetOptions(m_user, binaries, workFolder))
 { }
--- a/src/demo/internal/demorun.h
+++ b/src/demo/internal/demorun.h
@@ -26,7 +26,7 @@
     /// \param binaries folder of the built programs
     /// \param repository folder that holds samples/
     DemoRun(framework::IEventLoop &loop, const framework::IClock &clock, DemoUser user,
-            std::string binaries, std::string repository, const std::string &workFolder);
+            const std::string &binaries, std::string repository, const std::string &workFolder);
 
     /// \return what was not as it should be; empty when all was
     std::vector<std::string> run();
--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -12,6 +12,7 @@
 #include "control/ioperatorservice.h"
 #include "control/irevisionreports.h"
 #include "control/types/controlparts.h"
+#include "entry/internal/livenessprobe.h"
 #include "framework/frameworkmodule.h"
 #include "framework/iclock.h"
 #include "framework/ieventloop.h"
@@ -112,6 +113,8 @@
     m_requests = pipeline::PipelineModule::makeRequestService(
         {m_settings.id, m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_replica,
          *m_routing.selector, *m_retries, *m_budgets, *m_claims, *m_stages, *this});
+    m_liveness = std::make_unique<LivenessProbe>(*m_requests, *m_control, *m_membership,
+                                                 *m_routing.selector, m_loop, *m_clock);
 }
 
 void EntryDaemon::makeHttp()
--- a/src/entry/internal/entrydaemon.h
+++ b/src/entry/internal/entrydaemon.h
@@ -70,6 +70,8 @@
 
 namespace lavendertally::entry {
 
+class LivenessProbe;
+
 /// Entry: takes callers' and operators' requests and runs pipelines. Wires the modules together.
 class EntryDaemon final : public framework::IDaemon,
                           public framework::IStateDumper,
@@ -118,6 +120,7 @@
     std::unique_ptr<pipeline::IRequestService> m_requests;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
     std::unique_ptr<http::IHttpServer> m_server;
+    std::unique_ptr<LivenessProbe> m_liveness;
     std::unique_ptr<framework::ITimer> m_probeTimer;
     std::unique_ptr<framework::ITimer> m_drainTimer;
     framework::TimePoint m_drainEnd;
--- a/src/localfleet/internal/localfleet.cpp
+++ b/src/localfleet/internal/localfleet.cpp
@@ -95,7 +95,7 @@
 }
 
 framework::Result<framework::Endpoint>
-LocalFleet::startStandIn(const std::string &program, std::vector<std::string> arguments,
+LocalFleet::startStandIn(const std::string &program, const std::vector<std::string> &arguments,
                          std::shared_ptr<ChildProcess> &process)
 {
     process = std::make_shared<ChildProcess>(m_options.binaries + "/" + program, arguments,
--- a/src/localfleet/localfleet.h
+++ b/src/localfleet/localfleet.h
@@ -60,7 +60,7 @@
 
 private:
     framework::Result<framework::Endpoint> startStandIn(const std::string &program,
-                                                        std::vector<std::string> arguments,
+                                                        const std::vector<std::string> &arguments,
                                                         std::shared_ptr<ChildProcess> &process);
     framework::Result<void> startBackend(const FleetService &service,
                                          const framework::AvailabilityZoneId &zone,
--- a/src/pipeline/internal/requestrun.cpp
+++ b/src/pipeline/internal/requestrun.cpp
@@ -394,6 +394,19 @@
     end();
 }
 
+const StageAttempt *RequestRun::repeatableAttempt() const
+{
+    return m_attempt != nullptr && stage().idempotent ? m_attempt.get() : nullptr;
+}
+
+void RequestRun::endAttempt(const std::string &detail)
+{
+    protocol::StageResult result;
+    result.status = protocol::StageStatus::Unknown;
+    result.detail = detail;
+    onAttemptResult(result);
+}
+
 void RequestRun::giveUp(protocol::RefusalReason reason, const std::string &detail)
 {
     if (m_holdsClaim && m_attempt == nullptr) {
--- a/src/pipeline/internal/requestrun.h
+++ b/src/pipeline/internal/requestrun.h
@@ -50,6 +50,13 @@
     /// The caller hung up.
     void abandon();
 
+    /// \return the attempt under way if its stage may be repeated, else null
+    const StageAttempt *repeatableAttempt() const;
+
+    /// Gives up on the attempt under way, as if its connection had broken.
+    /// \param detail why, for people
+    void endAttempt(const std::string &detail);
+
 private:
     void begin();
     std::optional<protocol::RefusalReason> validate();
--- a/src/pipeline/internal/requestservice.cpp
+++ b/src/pipeline/internal/requestservice.cpp
@@ -1,6 +1,9 @@
 #include "pipeline/internal/requestservice.h"
 
 #include "pipeline/internal/requestrun.h"
+#include "pipeline/internal/stageattempt.h"
+
+#include <vector>
 
 namespace lavendertally::pipeline {
 
@@ -26,6 +29,32 @@
     }
 }
 
+std::set<framework::HostId> RequestService::awaitedHosts(framework::TimePoint since) const
+{
+    std::set<framework::HostId> hosts;
+    for (const auto &[ticket, run] : m_runs) {
+        const StageAttempt *attempt = run->repeatableAttempt();
+        if (attempt != nullptr && attempt->startedAt() < since) {
+            hosts.insert(attempt->host().id);
+        }
+    }
+    return hosts;
+}
+
+void RequestService::endCallsTo(const framework::HostId &host)
+{
+    std::vector<std::shared_ptr<RequestRun>> affected;
+    for (const auto &[ticket, run] : m_runs) {
+        const StageAttempt *attempt = run->repeatableAttempt();
+        if (attempt != nullptr && attempt->host().id == host) {
+            affected.push_back(run);
+        }
+    }
+    for (const std::shared_ptr<RequestRun> &run : affected) {
+        run->endAttempt("host process does not answer");
+    }
+}
+
 framework::AttemptId RequestService::nextAttempt()
 {
     m_lastAttempt = m_lastAttempt.next();
--- a/src/pipeline/internal/requestservice.h
+++ b/src/pipeline/internal/requestservice.h
@@ -21,6 +21,8 @@
     Ticket start(CallerRequest request, IRequestObserver &observer) override;
     void abandon(Ticket ticket) override;
     void beginDrain() override { m_draining = true; }
+    std::set<framework::HostId> awaitedHosts(framework::TimePoint since) const override;
+    void endCallsTo(const framework::HostId &host) override;
     std::size_t activeRequests() const override { return m_runs.size(); }
 
     const PipelineContext &context() const { return m_context; }
--- a/src/pipeline/irequestservice.h
+++ b/src/pipeline/irequestservice.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 
 namespace lavendertally::pipeline {
 
@@ -29,6 +30,12 @@
     /// Refuses new requests from now on.
     virtual void beginDrain() = 0;
 
+    /// \return hosts whose answer to a call that may be repeated is awaited since before \p since
+    virtual std::set<framework::HostId> awaitedHosts(framework::TimePoint since) const = 0;
+
+    /// Ends the calls that awaitedHosts() means, so that they can be tried elsewhere.
+    virtual void endCallsTo(const framework::HostId &host) = 0;
+
     /// \return requests under way
     virtual std::size_t activeRequests() const = 0;
 };
