--- a/src/pipeline/tests/requestruntest.cpp
+++ b/src/pipeline/tests/requestruntest.cpp
@@ -210,6 +210,8 @@
     result.chunks = 3;
     m_stages.answer(1, result);
     EXPECT_EQ(m_caller.m_text, "abc");
+    EXPECT_NE(m_metrics->prometheusText().find("lavendertally_dropped_chunks_total 2"),
+              std::string::npos);
     ASSERT_TRUE(m_caller.m_answer);
     EXPECT_EQ(m_caller.m_answer->outcome, RequestOutcome::Done);
 }
