Read-through: parts shared by both daemons, request plan, answer report

EntryDaemon and HostDaemon built the same dozen objects in the same order; they now share DaemonParts. RequestRun was 464 lines; what the configuration makes of a request and how an answer is reported are files of their own. No behaviour changes otherwise; tests and demo pass as before.

--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -62,16 +62,8 @@
 } // namespace
 
 EntryDaemon::EntryDaemon(const configuration::DaemonSettings &settings, framework::IEventLoop &loop)
-    : m_settings(settings), m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()),
-      m_logger(framework::FrameworkModule::makeLogger(settings.id.value(), settings.logFormat)),
-      m_metrics(framework::FrameworkModule::makeMetrics()),
-      m_random(framework::FrameworkModule::makeRandom(framework::FrameworkModule::entropySeed())),
-      m_codec(protocol::ProtocolModule::makeCodec()), m_client(http::HttpModule::makeClient(loop)),
-      m_log(platform::PlatformModule::makeLogService(*m_client, settings.logService)),
-      m_hostList(platform::PlatformModule::makeHostList(*m_client, settings.hostList)),
-      m_recordCodec(configuration::ConfigurationModule::makeRecordCodec()),
-      m_replica(configuration::ConfigurationModule::makeReplica()),
-      m_membership(membership::MembershipModule::makeMembership())
+    : m_parts(settings, loop),
+      m_log(platform::PlatformModule::makeLogService(*m_parts.client, settings.logService))
 {
     makeControl();
     makeRequests();
@@ -82,50 +74,42 @@
 
 void EntryDaemon::makeControl()
 {
-    control::ControlParts parts{
-        .identity = {m_settings.id, m_settings.host, m_settings.zone, m_settings.role},
-        .seedPeers = m_settings.seedPeers,
-        .replica = *m_replica,
-        .recordCodec = *m_recordCodec,
-        .membership = *m_membership,
-        .hostList = *m_hostList,
-        .log = m_log.get(),
-        .clock = *m_clock,
-        .random = *m_random,
-        .logger = *m_logger,
-        .metrics = *m_metrics};
-    parts.snapshotLimits.retention = m_settings.logRetention;
-    m_control = control::ControlModule::makeDaemonControl(parts, m_loop, *m_codec);
-    m_operators =
-        control::ControlModule::makeOperatorService(*m_log, *m_replica, *m_recordCodec, m_loop);
+    m_control = control::ControlModule::makeDaemonControl(m_parts.controlParts(m_log.get()),
+                                                          m_parts.loop, *m_parts.codec);
+    m_operators = control::ControlModule::makeOperatorService(*m_log, *m_parts.replica,
+                                                              *m_parts.recordCodec, m_parts.loop);
 }
 
 void EntryDaemon::makeRequests()
 {
-    m_routing = routing::RoutingModule::makeRouting(*m_membership, *m_random, m_settings.host);
-    m_retries = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
+    m_routing = routing::RoutingModule::makeRouting(*m_parts.membership, *m_parts.random,
+                                                    m_parts.settings.host);
+    m_retries = retry::RetryModule::makeBudgetedRetryPolicy(*m_parts.random);
     m_budgets = retry::RetryModule::makeStageBudget();
     claims::ClaimSettings claimSettings;
-    claimSettings.claimWindow = m_settings.claimWindow;
-    m_claims = claims::ClaimsModule::makeService(*m_log, m_loop, *m_clock, *m_random, *m_metrics,
-                                                 m_settings.id, claimSettings);
-    m_stages = transport::TransportModule::makeStageClient(*m_client, *m_codec, *m_metrics);
+    claimSettings.claimWindow = m_parts.settings.claimWindow;
+    m_claims =
+        claims::ClaimsModule::makeService(*m_log, m_parts.loop, *m_parts.clock, *m_parts.random,
+                                          *m_parts.metrics, m_parts.settings.id, claimSettings);
+    m_stages = transport::TransportModule::makeStageClient(*m_parts.client, *m_parts.codec,
+                                                           *m_parts.metrics);
     m_requests = pipeline::PipelineModule::makeRequestService(
-        {m_settings.id, m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_replica,
-         *m_routing.selector, *m_retries, *m_budgets, *m_claims, *m_stages, *this});
-    m_liveness = std::make_unique<LivenessProbe>(*m_requests, *m_control, *m_membership,
-                                                 *m_routing.selector, m_loop, *m_clock);
+        {m_parts.settings.id, m_parts.settings.zone, *m_parts.clock, m_parts.loop, *m_parts.logger,
+         *m_parts.metrics, *m_parts.replica, *m_routing.selector, *m_retries, *m_budgets, *m_claims,
+         *m_stages, *this});
+    m_liveness = std::make_unique<LivenessProbe>(*m_requests, *m_control, *m_parts.membership,
+                                                 *m_routing.selector, m_parts.loop, *m_parts.clock);
 }
 
 void EntryDaemon::makeHttp()
 {
-    m_apis.push_back(frontend::FrontendModule::makeCallerApi(*m_requests, *m_metrics));
-    m_apis.push_back(std::make_unique<frontend::OperatorApi>(*m_replica, *m_operators,
+    m_apis.push_back(frontend::FrontendModule::makeCallerApi(*m_requests, *m_parts.metrics));
+    m_apis.push_back(std::make_unique<frontend::OperatorApi>(*m_parts.replica, *m_operators,
                                                              m_control->revisionReports()));
-    m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_metrics, *this));
+    m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_parts.metrics, *this));
     http::HttpLimits limits;
-    limits.maxBody = m_settings.maxRequest;
-    m_server = http::HttpModule::makeServer(m_loop, limits);
+    limits.maxBody = m_parts.settings.maxRequest;
+    m_server = http::HttpModule::makeServer(m_parts.loop, limits);
     m_server->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         frontend::FrontendModule::dispatch(m_apis, exchange);
     });
@@ -133,10 +117,10 @@
 
 framework::Result<void> EntryDaemon::start()
 {
-    BOOST_LEAF_AUTO(control, m_control->start(m_settings.controlListen));
-    BOOST_LEAF_AUTO(endpoint, m_server->listen(m_settings.listen));
-    m_logger->info("entry started; takes requests",
-                   {{"http", endpoint.toString()}, {"control", control.toString()}});
+    BOOST_LEAF_AUTO(control, m_control->start(m_parts.settings.controlListen));
+    BOOST_LEAF_AUTO(endpoint, m_server->listen(m_parts.settings.listen));
+    m_parts.logger->info("entry started; takes requests",
+                         {{"http", endpoint.toString()}, {"control", control.toString()}});
     std::cout << "listening http=" << endpoint.toString() << " control=" << control.toString()
               << std::endl;
     probe();
@@ -146,37 +130,38 @@
 void EntryDaemon::onHostAnswer(const membership::HostEntry &host, protocol::RefusalReason reason,
                                framework::LogOffset revision)
 {
-    m_membership->noteRefusal(host.id, reason, revision, m_clock->now());
+    m_parts.membership->noteRefusal(host.id, reason, revision, m_parts.clock->now());
     m_control->noteRevision(host.control, revision);
 }
 
 void EntryDaemon::probe()
 {
-    for (const membership::HostEntry &host : m_routing.probes->hostsToProbe(m_clock->now())) {
+    for (const membership::HostEntry &host : m_routing.probes->hostsToProbe(m_parts.clock->now())) {
         m_control->probeLoad(host.control, ProbeTimeout,
                              [this, id = host.id](framework::Result<protocol::LoadReport> report) {
                                  if (report) {
-                                     m_routing.selector->observeLoad(id, *report, m_clock->now());
+                                     m_routing.selector->observeLoad(id, *report,
+                                                                     m_parts.clock->now());
                                  }
                              });
     }
-    m_probeTimer = m_loop.callAfter(ProbeInterval, [this] { probe(); });
+    m_probeTimer = m_parts.loop.callAfter(ProbeInterval, [this] { probe(); });
 }
 
 void EntryDaemon::drain(std::function<void()> finished)
 {
     m_drained = std::move(finished);
-    m_idleSince = m_clock->now();
-    m_drainEnd = m_idleSince + m_settings.drainTimeout;
+    m_idleSince = m_parts.clock->now();
+    m_drainEnd = m_idleSince + m_parts.settings.drainTimeout;
     m_requests->beginDrain();
-    m_logger->info("shutting down; requests under way are finished, new ones refused",
-                   {{"requests", std::to_string(m_requests->activeRequests())}});
+    m_parts.logger->info("shutting down; requests under way are finished, new ones refused",
+                         {{"requests", std::to_string(m_requests->activeRequests())}});
     checkDrained();
 }
 
 void EntryDaemon::checkDrained()
 {
-    const framework::TimePoint now = m_clock->now();
+    const framework::TimePoint now = m_parts.clock->now();
     const bool idle = m_requests->activeRequests() == 0 && m_server->unfinishedExchanges() == 0;
     if (!idle) {
         m_idleSince = now;
@@ -187,22 +172,22 @@
         m_drained();
         return;
     }
-    m_drainTimer = m_loop.callAfter(DrainCheckInterval, [this] { checkDrained(); });
+    m_drainTimer = m_parts.loop.callAfter(DrainCheckInterval, [this] { checkDrained(); });
 }
 
 nlohmann::json EntryDaemon::dumpState() const
 {
     nlohmann::json hosts = nlohmann::json::array();
-    for (const membership::HostStatus &status : m_membership->hosts()) {
+    for (const membership::HostStatus &status : m_parts.membership->hosts()) {
         hosts.push_back({{"host", status.entry.id.value()},
                          {"availability_zone", status.entry.zone.value()},
                          {"service", status.entry.service.value()},
                          {"admitting", status.barrier == membership::HostBarrier::None}});
     }
-    const auto view = m_replica->current();
-    return {{"daemon", m_settings.id.value()},
+    const auto view = m_parts.replica->current();
+    return {{"daemon", m_parts.settings.id.value()},
             {"role", "entry"},
-            {"availability_zone", m_settings.zone.value()},
+            {"availability_zone", m_parts.settings.zone.value()},
             {"version", LAVENDERTALLY_VERSION},
             {"revision", view->revision.value()},
             {"pipelines", view->configuration.pipelines.size()},
--- a/src/entry/internal/entrydaemon.h
+++ b/src/entry/internal/entrydaemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/types/daemonsettings.h"
+#include "daemon/daemonparts.h"
 #include "framework/idaemon.h"
 #include "framework/istatedumper.h"
 #include "framework/types/timepoint.h"
@@ -14,22 +14,13 @@
 class IClaimService;
 }
 
-namespace lavendertally::configuration {
-class IConfigurationReplica;
-class IControlRecordCodec;
-} // namespace lavendertally::configuration
-
 namespace lavendertally::control {
 class IDaemonControl;
 class IOperatorService;
 } // namespace lavendertally::control
 
 namespace lavendertally::framework {
-class IClock;
 class IEventLoop;
-class ILogger;
-class IMetrics;
-class IRandom;
 class ITimer;
 } // namespace lavendertally::framework
 
@@ -38,12 +29,7 @@
 }
 
 namespace lavendertally::http {
-class IHttpClient;
 class IHttpServer;
-} // namespace lavendertally::http
-
-namespace lavendertally::membership {
-class IMembershipTracker;
 }
 
 namespace lavendertally::pipeline {
@@ -51,12 +37,7 @@
 }
 
 namespace lavendertally::platform {
-class IHostList;
 class ILogService;
-} // namespace lavendertally::platform
-
-namespace lavendertally::protocol {
-class IMessageCodec;
 }
 
 namespace lavendertally::retry {
@@ -97,19 +78,8 @@
     void checkDrained();
 
     // Declared so that what is used outlives what uses it.
-    configuration::DaemonSettings m_settings;
-    framework::IEventLoop &m_loop;
-    std::unique_ptr<framework::IClock> m_clock;
-    std::unique_ptr<framework::ILogger> m_logger;
-    std::unique_ptr<framework::IMetrics> m_metrics;
-    std::unique_ptr<framework::IRandom> m_random;
-    std::unique_ptr<protocol::IMessageCodec> m_codec;
-    std::unique_ptr<http::IHttpClient> m_client;
+    daemon::DaemonParts m_parts;
     std::unique_ptr<platform::ILogService> m_log;
-    std::unique_ptr<platform::IHostList> m_hostList;
-    std::unique_ptr<configuration::IControlRecordCodec> m_recordCodec;
-    std::unique_ptr<configuration::IConfigurationReplica> m_replica;
-    std::unique_ptr<membership::IMembershipTracker> m_membership;
     std::unique_ptr<control::IDaemonControl> m_control;
     std::unique_ptr<control::IOperatorService> m_operators;
     routing::Routing m_routing;
--- a/src/frontend/internal/answerwriter.cpp
+++ b/src/frontend/internal/answerwriter.cpp
@@ -1,5 +1,6 @@
 #include "frontend/internal/answerwriter.h"
 
+#include "pipeline/requestoutcomename.h"
 #include "pipeline/types/calleranswer.h"
 #include "protocol/refusalreasonname.h"
 
@@ -66,15 +67,7 @@
 
 const char *AnswerWriter::outcomeName(const pipeline::CallerAnswer &answer)
 {
-    switch (answer.outcome) {
-    case pipeline::RequestOutcome::Done:
-        return "done";
-    case pipeline::RequestOutcome::NotRun:
-        return "not_run";
-    case pipeline::RequestOutcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
+    return pipeline::requestOutcomeName(answer.outcome);
 }
 
 std::string AnswerWriter::json(const std::string &requestId, const pipeline::CallerAnswer &answer)
--- a/src/host/internal/hostdaemon.cpp
+++ b/src/host/internal/hostdaemon.cpp
@@ -54,19 +54,11 @@
 } // namespace
 
 HostDaemon::HostDaemon(const configuration::DaemonSettings &settings, framework::IEventLoop &loop)
-    : m_settings(settings), m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()),
-      m_logger(framework::FrameworkModule::makeLogger(settings.id.value(), settings.logFormat)),
-      m_metrics(framework::FrameworkModule::makeMetrics()),
-      m_random(framework::FrameworkModule::makeRandom(framework::FrameworkModule::entropySeed())),
-      m_codec(protocol::ProtocolModule::makeCodec()), m_client(http::HttpModule::makeClient(loop)),
-      m_hostList(platform::PlatformModule::makeHostList(*m_client, settings.hostList)),
-      m_recordCodec(configuration::ConfigurationModule::makeRecordCodec()),
-      m_replica(configuration::ConfigurationModule::makeReplica()),
-      m_membership(membership::MembershipModule::makeMembership()),
+    : m_parts(settings, loop),
       m_gate(membership::MembershipModule::makeWorkGate(settings.host, settings.zone)),
-      m_costs(accounting::AccountingModule::makeLedger(*m_metrics)),
+      m_costs(accounting::AccountingModule::makeLedger(*m_parts.metrics)),
       m_admission(admission::AdmissionModule::makeController({}, {})),
-      m_backends(backends::BackendsModule::makeFactory(*m_client, settings.backend))
+      m_backends(backends::BackendsModule::makeFactory(*m_parts.client, settings.backend))
 {
     makeControl();
     makeService();
@@ -77,39 +69,28 @@
 
 void HostDaemon::makeControl()
 {
-    const control::ControlParts parts{
-        .identity = {m_settings.id, m_settings.host, m_settings.zone, m_settings.role},
-        .seedPeers = m_settings.seedPeers,
-        .replica = *m_replica,
-        .recordCodec = *m_recordCodec,
-        .membership = *m_membership,
-        .hostList = *m_hostList,
-        .log = nullptr,
-        .clock = *m_clock,
-        .random = *m_random,
-        .logger = *m_logger,
-        .metrics = *m_metrics};
-    m_control = control::ControlModule::makeDaemonControl(parts, m_loop, *m_codec);
-    m_control->setLoadSource([this] { return m_admission->load(m_clock->now()); });
+    m_control = control::ControlModule::makeDaemonControl(m_parts.controlParts(nullptr),
+                                                          m_parts.loop, *m_parts.codec);
+    m_control->setLoadSource([this] { return m_admission->load(m_parts.clock->now()); });
     m_control->onMembershipUpdate([this] { refreshGate(); });
-    m_replica->onChange([this] { m_service->refresh(); });
+    m_parts.replica->onChange([this] { m_service->refresh(); });
 }
 
 void HostDaemon::makeService()
 {
-    m_service = std::make_unique<HostService>(
-        HostServiceContext{m_settings.service, *m_clock, m_loop, *m_logger, *m_metrics, *m_replica,
-                           *m_costs, *m_admission, *m_gate, *m_backends, *this});
-    m_stages =
-        transport::TransportModule::makeStageServer(*m_service, *m_codec, *m_metrics, *m_logger);
+    m_service = std::make_unique<HostService>(HostServiceContext{
+        m_parts.settings.service, *m_parts.clock, m_parts.loop, *m_parts.logger, *m_parts.metrics,
+        *m_parts.replica, *m_costs, *m_admission, *m_gate, *m_backends, *this});
+    m_stages = transport::TransportModule::makeStageServer(*m_service, *m_parts.codec,
+                                                           *m_parts.metrics, *m_parts.logger);
 }
 
 void HostDaemon::makeHttp()
 {
-    m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_metrics, *this));
+    m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_parts.metrics, *this));
     http::HttpLimits limits;
-    limits.maxBody = m_settings.maxRequest;
-    m_server = http::HttpModule::makeServer(m_loop, limits);
+    limits.maxBody = m_parts.settings.maxRequest;
+    m_server = http::HttpModule::makeServer(m_parts.loop, limits);
     m_server->setHandler(
         [this](const std::shared_ptr<http::IHttpExchange> &exchange) { handle(exchange); });
 }
@@ -123,12 +104,12 @@
 
 framework::Result<void> HostDaemon::start()
 {
-    BOOST_LEAF_AUTO(control, m_control->start(m_settings.controlListen));
-    BOOST_LEAF_AUTO(endpoint, m_server->listen(m_settings.listen));
-    m_logger->info("host process started; assumes a cold backend server",
-                   {{"http", endpoint.toString()},
-                    {"control", control.toString()},
-                    {"service", m_settings.service.value()}});
+    BOOST_LEAF_AUTO(control, m_control->start(m_parts.settings.controlListen));
+    BOOST_LEAF_AUTO(endpoint, m_server->listen(m_parts.settings.listen));
+    m_parts.logger->info("host process started; assumes a cold backend server",
+                         {{"http", endpoint.toString()},
+                          {"control", control.toString()},
+                          {"service", m_parts.settings.service.value()}});
     std::cout << "listening http=" << endpoint.toString() << " control=" << control.toString()
               << std::endl;
     watchIsolation();
@@ -142,7 +123,7 @@
 
 void HostDaemon::refreshGate()
 {
-    m_gate->setLeaving(m_membership->isLeaving(m_settings.host));
+    m_gate->setLeaving(m_parts.membership->isLeaving(m_parts.settings.host));
     m_service->refresh();
 }
 
@@ -150,39 +131,39 @@
 {
     m_gate->setConfigurationCurrent(!m_control->isIsolated());
     m_service->refresh();
-    m_isolationTimer = m_loop.callAfter(IsolationCheckInterval, [this] { watchIsolation(); });
+    m_isolationTimer = m_parts.loop.callAfter(IsolationCheckInterval, [this] { watchIsolation(); });
 }
 
 void HostDaemon::drain(std::function<void()> finished)
 {
     m_drained = std::move(finished);
-    m_drainEnd = m_clock->now() + m_settings.drainTimeout;
+    m_drainEnd = m_parts.clock->now() + m_parts.settings.drainTimeout;
     m_gate->startDrain();
     m_service->refresh();
-    m_logger->info("shutting down; calls under way are finished, new ones refused",
-                   {{"calls", std::to_string(m_service->activeCalls())}});
+    m_parts.logger->info("shutting down; calls under way are finished, new ones refused",
+                         {{"calls", std::to_string(m_service->activeCalls())}});
     checkDrained();
 }
 
 void HostDaemon::checkDrained()
 {
     const bool idle = m_service->activeCalls() == 0 && m_server->unfinishedExchanges() == 0;
-    if (idle || m_clock->now() >= m_drainEnd) {
+    if (idle || m_parts.clock->now() >= m_drainEnd) {
         m_drained();
         return;
     }
-    m_drainTimer = m_loop.callAfter(DrainCheckInterval, [this] { checkDrained(); });
+    m_drainTimer = m_parts.loop.callAfter(DrainCheckInterval, [this] { checkDrained(); });
 }
 
 nlohmann::json HostDaemon::dumpState() const
 {
-    const protocol::LoadReport load = m_admission->load(m_clock->now());
-    return {{"daemon", m_settings.id.value()},
+    const protocol::LoadReport load = m_admission->load(m_parts.clock->now());
+    return {{"daemon", m_parts.settings.id.value()},
             {"role", "host"},
-            {"availability_zone", m_settings.zone.value()},
+            {"availability_zone", m_parts.settings.zone.value()},
             {"version", LAVENDERTALLY_VERSION},
-            {"service", m_settings.service.value()},
-            {"revision", m_replica->current()->revision.value()},
+            {"service", m_parts.settings.service.value()},
+            {"revision", m_parts.replica->current()->revision.value()},
             {"gate", protocol::refusalReasonName(m_gate->refusal())},
             {"running", load.running},
             {"queued", load.queued},
--- a/src/host/internal/hostdaemon.h
+++ b/src/host/internal/hostdaemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/types/daemonsettings.h"
+#include "daemon/daemonparts.h"
 #include "framework/idaemon.h"
 #include "framework/istatedumper.h"
 #include "framework/types/timepoint.h"
@@ -21,21 +21,12 @@
 class IBackendServerFactory;
 }
 
-namespace lavendertally::configuration {
-class IConfigurationReplica;
-class IControlRecordCodec;
-} // namespace lavendertally::configuration
-
 namespace lavendertally::control {
 class IDaemonControl;
 }
 
 namespace lavendertally::framework {
-class IClock;
 class IEventLoop;
-class ILogger;
-class IMetrics;
-class IRandom;
 class ITimer;
 } // namespace lavendertally::framework
 
@@ -44,22 +35,12 @@
 }
 
 namespace lavendertally::http {
-class IHttpClient;
 class IHttpExchange;
 class IHttpServer;
 } // namespace lavendertally::http
 
 namespace lavendertally::membership {
-class IMembershipTracker;
 class IWorkGate;
-} // namespace lavendertally::membership
-
-namespace lavendertally::platform {
-class IHostList;
-}
-
-namespace lavendertally::protocol {
-class IMessageCodec;
 }
 
 namespace lavendertally::transport {
@@ -96,18 +77,7 @@
     void checkDrained();
 
     // Declared so that what is used outlives what uses it.
-    configuration::DaemonSettings m_settings;
-    framework::IEventLoop &m_loop;
-    std::unique_ptr<framework::IClock> m_clock;
-    std::unique_ptr<framework::ILogger> m_logger;
-    std::unique_ptr<framework::IMetrics> m_metrics;
-    std::unique_ptr<framework::IRandom> m_random;
-    std::unique_ptr<protocol::IMessageCodec> m_codec;
-    std::unique_ptr<http::IHttpClient> m_client;
-    std::unique_ptr<platform::IHostList> m_hostList;
-    std::unique_ptr<configuration::IControlRecordCodec> m_recordCodec;
-    std::unique_ptr<configuration::IConfigurationReplica> m_replica;
-    std::unique_ptr<membership::IMembershipTracker> m_membership;
+    daemon::DaemonParts m_parts;
     std::unique_ptr<membership::IWorkGate> m_gate;
     std::unique_ptr<accounting::ICostLedger> m_costs;
     std::unique_ptr<admission::IAdmissionController> m_admission;
--- a/src/pipeline/internal/payloadbuilder.cpp
+++ b/src/pipeline/internal/payloadbuilder.cpp
@@ -1,6 +1,7 @@
 #include "pipeline/internal/payloadbuilder.h"
 
 #include "configuration/types/stage.h"
+#include "framework/hash.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,10 +33,10 @@
     return payload + "]}";
 }
 
-const std::string &PayloadBuilder::lastResult() const
+std::uint64_t PayloadBuilder::prefixHash() const
 {
-    static const std::string none;
-    return m_outputs.empty() ? none : m_outputs.back().result;
+    constexpr std::size_t PrefixLength = 256;
+    return framework::stableHash(std::string_view(m_input).substr(0, PrefixLength));
 }
 
 } // namespace lavendertally::pipeline
--- a/src/pipeline/internal/payloadbuilder.h
+++ b/src/pipeline/internal/payloadbuilder.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/ids.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -25,10 +26,9 @@
     /// \return payload for \p stage, as protocol::StageRequest::payload describes it
     std::string build(const configuration::Stage &stage) const;
 
-    /// \return result that was added last; empty when there is none
-    const std::string &lastResult() const;
-
-    const std::string &input() const { return m_input; }
+    /// \return hash of the input's beginning; requests that share it are likely to share an
+    /// engine's cached prefix
+    std::uint64_t prefixHash() const;
 
 private:
     struct StageOutput
--- a/src/pipeline/internal/requestrun.cpp
+++ b/src/pipeline/internal/requestrun.cpp
@@ -4,10 +4,10 @@
 #include "configuration/iconfigurationstore.h"
 #include "configuration/types/configurationview.h"
 #include "framework/iclock.h"
-#include "framework/ilogger.h"
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
+#include "pipeline/internal/answerreport.h"
 #include "pipeline/internal/requestservice.h"
 #include "pipeline/internal/stageattempt.h"
 #include "pipeline/irequestobserver.h"
@@ -17,33 +17,11 @@
 #include "retry/istagebudget.h"
 #include "routing/iworkerselector.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
 namespace lavendertally::pipeline {
 
-namespace {
-
-/// Requests that share this much of their input are likely to share an engine's cached prefix.
-constexpr std::size_t PrefixLength = 256;
-
-const char *outcomeName(RequestOutcome outcome)
-{
-    switch (outcome) {
-    case RequestOutcome::Done:
-        return "done";
-    case RequestOutcome::NotRun:
-        return "not_run";
-    case RequestOutcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
-} // namespace
-
 RequestRun::RequestRun(RequestService &service, IRequestService::Ticket ticket,
                        CallerRequest request, IRequestObserver &observer)
     : m_service(service), m_context(service.context()), m_ticket(ticket),
@@ -63,8 +41,14 @@
 
 void RequestRun::begin()
 {
-    if (const auto reason = validate()) {
-        giveUp(*reason, {});
+    if (m_service.isDraining()) {
+        giveUp(protocol::RefusalReason::Leaving, {});
+        return;
+    }
+    m_plan =
+        RequestPlan::make(m_request, m_context.configuration.current()->configuration, m_startedAt);
+    if (m_plan.refusal != protocol::RefusalReason::None) {
+        giveUp(m_plan.refusal, {});
         return;
     }
     m_deadlineTimer = m_context.scheduler.callAfter(remaining(), [this] {
@@ -74,44 +58,9 @@
     runStage();
 }
 
-std::optional<protocol::RefusalReason> RequestRun::validate()
-{
-    if (m_service.isDraining()) {
-        return protocol::RefusalReason::Leaving;
-    }
-    m_view = m_context.configuration.current();
-    const configuration::Configuration &configuration = m_view->configuration;
-    if (configuration.pipelines.empty()) {
-        return protocol::RefusalReason::NotReady;
-    }
-    const auto pipeline = configuration.pipelines.find(m_request.pipeline);
-    if (pipeline == configuration.pipelines.end()) {
-        return protocol::RefusalReason::UnknownPipeline;
-    }
-    const auto team = configuration.teams.find(m_request.team);
-    if (team == configuration.teams.end()) {
-        return protocol::RefusalReason::UnknownTeam;
-    }
-    m_pipeline = pipeline->second;
-    m_share = team->second.share;
-    const bool namesDeadline = m_request.deadline > framework::Milliseconds(0);
-    m_deadline = m_startedAt
-        + (namesDeadline ? std::min(m_request.deadline, m_pipeline.deadline) : m_pipeline.deadline);
-    if (needsClaim() && m_request.issuedAt == framework::TimePoint()) {
-        return protocol::RefusalReason::InvalidRequest;
-    }
-    return std::nullopt;
-}
-
-bool RequestRun::needsClaim() const
-{
-    return std::any_of(m_pipeline.stages.begin(), m_pipeline.stages.end(),
-                       [](const configuration::Stage &stage) { return !stage.idempotent; });
-}
-
 framework::Milliseconds RequestRun::remaining() const
 {
-    return m_deadline - m_context.clock.now();
+    return m_plan.deadline - m_context.clock.now();
 }
 
 bool RequestRun::streamsStage() const
@@ -126,11 +75,7 @@
 
 std::uint64_t RequestRun::prefixHash() const
 {
-    if (stage().maxTokens == framework::TokenCount(0)) {
-        return 0;
-    }
-    const std::string &input = m_payload.input();
-    return XXH3_64bits(input.data(), std::min(input.size(), PrefixLength));
+    return stage().maxTokens > framework::TokenCount(0) ? m_payload.prefixHash() : 0;
 }
 
 void RequestRun::runStage()
@@ -149,7 +94,7 @@
 
 void RequestRun::claimStage()
 {
-    const claims::ClaimRequest request{claimKey(), m_request.issuedAt, m_deadline};
+    const claims::ClaimRequest request{claimKey(), m_request.issuedAt, m_plan.deadline};
     // A claim that is granted after the request has ended is given back, so that the caller's next
     // try can run it.
     m_context.claims.claim(request,
@@ -199,8 +144,8 @@
 
 void RequestRun::startAttempt()
 {
-    const framework::Milliseconds budget =
-        m_context.budgets.budgetFor(m_pipeline, m_stageIndex, remaining(), m_context.clock.now());
+    const framework::Milliseconds budget = m_context.budgets.budgetFor(
+        m_plan.pipeline, m_stageIndex, remaining(), m_context.clock.now());
     if (budget <= framework::Milliseconds(0)) {
         giveUp(protocol::RefusalReason::DeadlineUnreachable, {});
         return;
@@ -225,11 +170,11 @@
     request.request = m_request.id;
     request.attempt = m_service.nextAttempt();
     request.team = m_request.team;
-    request.pipeline = m_pipeline.id;
+    request.pipeline = m_plan.pipeline.id;
     request.stage = stage().id;
     request.service = stage().service;
-    request.priority = m_pipeline.priority;
-    request.share = m_share;
+    request.priority = m_plan.pipeline.priority;
+    request.share = m_plan.share;
     request.budget = budget;
     request.maxTokens = stage().maxTokens;
     request.idempotent = stage().idempotent;
@@ -268,10 +213,10 @@
     m_anyRan = true;
     m_costs.back().cost += result.cost;
     m_costs.back().duration += duration;
-    m_context.budgets.observe(m_pipeline.id, stage().id, duration, m_context.clock.now());
-    m_context.metrics.observe("lavendertally_stage_ms",
-                              {{"pipeline", m_pipeline.id.value()}, {"stage", stage().id.value()}},
-                              duration);
+    m_context.budgets.observe(m_plan.pipeline.id, stage().id, duration, m_context.clock.now());
+    m_context.metrics.observe(
+        "lavendertally_stage_ms",
+        {{"pipeline", m_plan.pipeline.id.value()}, {"stage", stage().id.value()}}, duration);
     if (!stage().idempotent) {
         m_effectRan = true;
         m_context.claims.recordDone(claimKey(), result.payload);
@@ -340,7 +285,7 @@
     query.service = stage().service;
     query.failure = failure;
     query.idempotent = stage().idempotent;
-    query.priority = m_pipeline.priority;
+    query.priority = m_plan.pipeline.priority;
     query.attempts = m_attempts;
     query.previousBackoff = m_backoff;
     query.budget = remaining();
@@ -435,22 +380,9 @@
     }
     m_deadlineTimer.reset();
     answer.elapsed = m_context.clock.now() - m_startedAt;
-    answer.inTime = m_context.clock.now() <= m_deadline;
+    answer.inTime = m_context.clock.now() <= m_plan.deadline;
     answer.stages = m_costs;
-    m_context.metrics.increment("lavendertally_requests_total",
-                                {{"pipeline", m_pipeline.id.value()},
-                                 {"outcome", outcomeName(answer.outcome)},
-                                 {"reason", protocol::refusalReasonName(answer.reason)},
-                                 {"in_time", answer.inTime ? "true" : "false"}});
-    m_context.metrics.observe("lavendertally_request_ms", {{"pipeline", m_pipeline.id.value()}},
-                              answer.elapsed);
-    m_context.logger.info("request answered",
-                          {{"request", m_request.id.value()},
-                           {"team", m_request.team.value()},
-                           {"pipeline", m_request.pipeline.value()},
-                           {"outcome", outcomeName(answer.outcome)},
-                           {"reason", protocol::refusalReasonName(answer.reason)},
-                           {"elapsed_ms", std::to_string(answer.elapsed.value())}});
+    reportAnswer(m_context, m_request, answer);
     observer->onAnswer(answer);
 }
 
--- a/src/pipeline/internal/requestrun.h
+++ b/src/pipeline/internal/requestrun.h
@@ -7,6 +7,7 @@
 #include "framework/types/timepoint.h"
 #include "pipeline/internal/istageattemptobserver.h"
 #include "pipeline/internal/payloadbuilder.h"
+#include "pipeline/internal/requestplan.h"
 #include "pipeline/irequestservice.h"
 #include "pipeline/types/calleranswer.h"
 #include "pipeline/types/callerrequest.h"
@@ -14,17 +15,12 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <set>
 
 namespace lavendertally::framework {
 class ITimer;
 }
 
-namespace lavendertally::configuration {
-struct ConfigurationView;
-}
-
 namespace lavendertally::pipeline {
 
 class IRequestObserver;
@@ -59,8 +55,6 @@
 
 private:
     void begin();
-    std::optional<protocol::RefusalReason> validate();
-    bool needsClaim() const;
 
     void runStage();
     void claimStage();
@@ -83,8 +77,8 @@
     void deliver(CallerAnswer answer);
     void end();
 
-    const configuration::Stage &stage() const { return m_pipeline.stages[m_stageIndex]; }
-    bool isLastStage() const { return m_stageIndex + 1 == m_pipeline.stages.size(); }
+    const configuration::Stage &stage() const { return m_plan.pipeline.stages[m_stageIndex]; }
+    bool isLastStage() const { return m_stageIndex + 1 == m_plan.pipeline.stages.size(); }
     bool streamsStage() const;
     claims::ClaimKey claimKey() const;
     framework::Milliseconds remaining() const;
@@ -97,10 +91,7 @@
     /// Null once the caller has its answer or hung up.
     IRequestObserver *m_observer;
     framework::TimePoint m_startedAt;
-    framework::TimePoint m_deadline;
-    std::shared_ptr<const configuration::ConfigurationView> m_view;
-    configuration::Pipeline m_pipeline;
-    std::uint32_t m_share = 1;
+    RequestPlan m_plan;
     PayloadBuilder m_payload;
 
     std::size_t m_stageIndex = 0;
