--- a/src/bench/internal/fakebackend.h
+++ b/src/bench/internal/fakebackend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/iadmissioncontroller.h"
+#include "bench/internal/backendreply.h"
 #include "bench/internal/timeline.h"
 #include "configuration/types/service.h"
 #include "membership/types/hostentry.h"
@@ -14,15 +15,6 @@
 
 namespace lavendertally::bench {
 
-/// How a call to a backend server ended.
-struct BackendReply
-{
-    /// Nothing when it succeeded.
-    std::optional<retry::FailureKind> failure;
-    framework::Milliseconds serviceTime;
-    protocol::LoadReport load;
-};
-
 /// Backend server with its host process: the real admission controller before a server that falls
 /// over when it gets more in cold start than it can bear.
 class FakeBackend
--- a/src/bench/internal/scenario.h
+++ b/src/bench/internal/scenario.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bench/internal/span.h"
 #include "framework/types/ids.h"
 #include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
@@ -12,15 +13,6 @@
 
 namespace lavendertally::bench {
 
-/// Span of simulated time.
-struct Span
-{
-    framework::TimePoint start;
-    framework::TimePoint end;
-
-    bool contains(framework::TimePoint time) const { return time >= start && time < end; }
-};
-
 /// Load and faults of one run. Everything starts cold at zero; what arrives before measured.start
 /// is not judged.
 struct Scenario
--- a/src/bench/internal/simulation.h
+++ b/src/bench/internal/simulation.h
@@ -4,6 +4,7 @@
 #include "bench/internal/benchentry.h"
 #include "bench/internal/decisions.h"
 #include "bench/internal/outcome.h"
+#include "bench/internal/runresult.h"
 #include "bench/internal/scenario.h"
 #include "bench/internal/site.h"
 #include "bench/internal/timeline.h"
@@ -17,20 +18,6 @@
 
 namespace lavendertally::bench {
 
-/// What a run of one scenario under one variant showed.
-struct RunResult
-{
-    std::vector<Outcome> outcomes;
-    std::uint64_t freshCalls = 0;
-    std::uint64_t retries = 0;
-    /// Times that a backend server in cold start got more than it can bear.
-    std::uint32_t coldOverloads = 0;
-    /// From the zone's leaving to the last start of work in it.
-    std::optional<framework::Milliseconds> zoneOutTime;
-    /// From the zone's return until it carries its part of the running work.
-    std::optional<framework::Milliseconds> zoneInTime;
-};
-
 /// Runs one scenario with recorded arrivals.
 class Simulation
 {
--- a/src/bench/internal/site.h
+++ b/src/bench/internal/site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bench/internal/workload.h"
 #include "configuration/types/configuration.h"
 #include "framework/types/ids.h"
 #include "framework/types/milliseconds.h"
@@ -11,18 +12,6 @@
 
 namespace lavendertally::bench {
 
-/// One kind of request of a site.
-struct Workload
-{
-    framework::PipelineId pipeline;
-    /// Part of the requests, relative to the other workloads.
-    std::uint32_t weight = 1;
-    /// Mean service time of each stage.
-    std::vector<framework::Milliseconds> stageTimes;
-    /// Whether its last stage generates from a prompt prefix that requests share.
-    bool sharesPrefixes = false;
-};
-
 /// Size and traffic of one user.
 struct Site
 {
--- a/src/bench/internal/summary.h
+++ b/src/bench/internal/summary.h
@@ -4,6 +4,8 @@
 #include "bench/internal/scenario.h"
 #include "bench/internal/simulation.h"
 #include "bench/internal/site.h"
+#include "bench/internal/tally.h"
+#include "bench/internal/window.h"
 #include "configuration/types/priorityclass.h"
 
 #include <cstddef>
@@ -12,26 +14,6 @@
 
 namespace lavendertally::bench {
 
-/// Counts of requests by their ending.
-struct Tally
-{
-    std::size_t requests = 0;
-    std::size_t inTime = 0;
-    std::size_t late = 0;
-    std::size_t refused = 0;
-    std::size_t unknown = 0;
-
-    void add(Ending ending);
-    double attainment() const;
-};
-
-/// Share of requests in time among those that arrived in one window.
-struct Window
-{
-    framework::TimePoint start;
-    Tally tally;
-};
-
 /// Figures of one run.
 struct Summary
 {
