--- a/src/control/tests/scheduletest.cpp
+++ b/src/control/tests/scheduletest.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr std::uint64_t SchedulesPerPart = 2500;
-constexpr std::uint64_t Parts = 4;
+constexpr std::uint64_t SchedulesPerPart = 400;
+constexpr std::uint64_t Parts = 25;
 constexpr int StepsPerSchedule = 12;
 constexpr Milliseconds LearnBound{3000};
 
