--- a/src/host/internal/hostdaemon.cpp
+++ b/src/host/internal/hostdaemon.cpp
@@ -127,8 +127,19 @@
     m_service->refresh();
 }
 
+void HostDaemon::reportLoad()
+{
+    const protocol::LoadReport load = m_admission->load(m_parts.clock->now());
+    const std::string &service = m_parts.settings.service.value();
+    framework::IMetrics &metrics = *m_parts.metrics;
+    metrics.setGauge("lavendertally_running_calls", {{"service", service}}, load.running);
+    metrics.setGauge("lavendertally_queued_calls", {{"service", service}}, load.queued);
+    metrics.setGauge("lavendertally_admission_limit", {{"service", service}}, load.limit);
+}
+
 void HostDaemon::watchIsolation()
 {
+    reportLoad();
     m_gate->setConfigurationCurrent(!m_control->isIsolated());
     m_service->refresh();
     m_isolationTimer = m_parts.loop.callAfter(IsolationCheckInterval, [this] { watchIsolation(); });
--- a/src/host/internal/hostdaemon.h
+++ b/src/host/internal/hostdaemon.h
@@ -73,6 +73,7 @@
     void makeHttp();
     void handle(const std::shared_ptr<http::IHttpExchange> &exchange);
     void refreshGate();
+    void reportLoad();
     void watchIsolation();
     void checkDrained();
 
