Process test of a lost append answer waits for the repeat to be done

The test was wrong: it asked once more right after the outage and expected done. In the sanitizer run the first claim's release was still in its backoff, so the repeat was truthfully told unknown after 1,449 ms, with no effect yet. Ruled out: a double or a lost run; there was none.

--- a/src/app/tests/processtest.cpp
+++ b/src/app/tests/processtest.cpp
@@ -67,9 +67,11 @@
 {
     fault(m_fleet.logService(), "lost_answer", "/v1/streams/claims");
     const auto answer = ask(0, "b1", "book");
+    EXPECT_EQ(effects("b1"), answer["outcome"] == "done" ? 1U : 0U) << answer;
     fault(m_fleet.logService(), "none");
-    const auto repeated = ask(1, "b1", "book");
-    EXPECT_EQ(repeated["outcome"], "done") << answer << repeated;
+    // The first claim's release reaches the log after a backoff; until then it is held.
+    waitUntil("a repeat to be done", [this] { return ask(1, "b1", "book")["outcome"] == "done"; });
+    EXPECT_EQ(ask(0, "b1", "book")["outcome"], "done");
     EXPECT_EQ(effects("b1"), 1U);
 }
 
