Read-through: request ids of callers stay strong types up to the JSON

CallerExchange and AnswerWriter took the request id as plain text, so it could be mixed up with other text. Behaviour is unchanged: 8 frontend tests and ProcessFixture.BadRequests pass.

--- a/src/frontend/internal/answerwriter.cpp
+++ b/src/frontend/internal/answerwriter.cpp
@@ -70,9 +70,10 @@
     return pipeline::requestOutcomeName(answer.outcome);
 }
 
-std::string AnswerWriter::json(const std::string &requestId, const pipeline::CallerAnswer &answer)
+std::string AnswerWriter::json(const framework::RequestId &requestId,
+                               const pipeline::CallerAnswer &answer)
 {
-    nlohmann::json document = {{"request_id", requestId},
+    nlohmann::json document = {{"request_id", requestId.value()},
                                {"outcome", outcomeName(answer)},
                                {"elapsed_ms", answer.elapsed.value()},
                                {"in_time", answer.inTime},
--- a/src/frontend/internal/answerwriter.h
+++ b/src/frontend/internal/answerwriter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "framework/types/ids.h"
+
 #include <string>
 
 namespace lavendertally::pipeline {
@@ -16,7 +18,8 @@
     static int status(const pipeline::CallerAnswer &answer);
 
     /// \return JSON object; its result is spliced in as it is
-    static std::string json(const std::string &requestId, const pipeline::CallerAnswer &answer);
+    static std::string json(const framework::RequestId &requestId,
+                            const pipeline::CallerAnswer &answer);
 
     /// \return `done`, `not_run` or `unknown`
     static const char *outcomeName(const pipeline::CallerAnswer &answer);
--- a/src/frontend/internal/callerapi.cpp
+++ b/src/frontend/internal/callerapi.cpp
@@ -56,9 +56,8 @@
     // The set owns the caller's side until the answer is written or the caller hangs up; both
     // callbacks hold it weakly, since they are owned by it or by the exchange.
     auto slot = std::make_shared<std::weak_ptr<CallerExchange>>();
-    auto caller =
-        std::make_shared<CallerExchange>(exchange, request.id.value(), request.stream,
-                                         [this, slot] { m_exchanges.erase(slot->lock()); });
+    auto caller = std::make_shared<CallerExchange>(
+        exchange, request.id, request.stream, [this, slot] { m_exchanges.erase(slot->lock()); });
     *slot = caller;
     m_exchanges.insert(caller);
     const pipeline::IRequestService::Ticket ticket = m_requests.start(request, *caller);
@@ -81,7 +80,7 @@
     answer.detail = message;
     answer.safeToRepeat = true;
     exchange->reply(AnswerWriter::status(answer), "application/json",
-                    AnswerWriter::json({}, answer),
+                    AnswerWriter::json(framework::RequestId(), answer),
                     {{"Lavendertally-Outcome", AnswerWriter::outcomeName(answer)}});
 }
 
--- a/src/frontend/internal/callerexchange.cpp
+++ b/src/frontend/internal/callerexchange.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-CallerExchange::CallerExchange(std::shared_ptr<http::IHttpExchange> exchange, std::string requestId,
-                               bool stream, std::function<void()> finished)
+CallerExchange::CallerExchange(std::shared_ptr<http::IHttpExchange> exchange,
+                               framework::RequestId requestId, bool stream,
+                               std::function<void()> finished)
     : m_exchange(std::move(exchange)), m_requestId(std::move(requestId)), m_stream(stream),
       m_finished(std::move(finished))
 { }
--- a/src/frontend/internal/callerexchange.h
+++ b/src/frontend/internal/callerexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/ids.h"
 #include "pipeline/irequestobserver.h"
 
 #include <functional>
@@ -17,7 +18,7 @@
 {
 public:
     /// \param finished called once after the answer was written
-    CallerExchange(std::shared_ptr<http::IHttpExchange> exchange, std::string requestId,
+    CallerExchange(std::shared_ptr<http::IHttpExchange> exchange, framework::RequestId requestId,
                    bool stream, std::function<void()> finished);
 
     void onText(const std::string &text) override;
@@ -29,7 +30,7 @@
     void startStream();
 
     std::shared_ptr<http::IHttpExchange> m_exchange;
-    std::string m_requestId;
+    framework::RequestId m_requestId;
     bool m_stream;
     bool m_started = false;
     std::function<void()> m_finished;
