--- a/src/app/lavendertallyd.cpp
+++ b/src/app/lavendertallyd.cpp
@@ -9,6 +9,7 @@
 #include "framework/ieventloop.h"
 #include "framework/itimer.h"
 #include "framework/types/errorcontext.h"
+#include "gateway/gatewaymodule.h"
 #include "host/hostmodule.h"
 
 #include <getopt.h>
@@ -25,19 +26,23 @@
 namespace {
 
 constexpr const char *HelpText =
-    "Usage: lavendertallyd --settings FILE\n"
-    "Runs one lavendertally daemon, as an entry or beside a backend server.\n"
+    "Usage: lavendertallyd [--settings FILE] [--check]\n"
+    "Runs one lavendertally daemon: a gateway, an entry, or one beside a backend server.\n"
     "\n"
-    "  --settings FILE   settings file (YAML)\n"
+    "  --settings FILE   settings file (YAML); default: the file named by LAVENDERTALLY_CONFIG\n"
+    "  --check           check the settings file and exit\n"
     "  --help            show this text\n"
     "  --version         show the version\n"
     "\n"
-    "SIGTERM and SIGINT finish what is under way and exit with 0; a second one exits at once.\n"
+    "SIGHUP reads the settings file again. SIGTERM and SIGINT finish what is under way and exit with 0; a second one exits at once.\n"
     "Exit codes: 0 success, 64 usage, 69 unavailable, 78 bad settings.\n";
 
+constexpr const char *SettingsVariable = "LAVENDERTALLY_CONFIG";
+
 struct Options
 {
     std::string settingsFile;
+    bool check = false;
     bool help = false;
     bool version = false;
     bool invalid = false;
@@ -46,15 +51,22 @@
 Options parseArguments(int argc, char **argv)
 {
     static const option known[] = {{"settings", required_argument, nullptr, 's'},
+                                   {"check", no_argument, nullptr, 'c'},
                                    {"help", no_argument, nullptr, 'h'},
                                    {"version", no_argument, nullptr, 'v'},
                                    {nullptr, 0, nullptr, 0}};
     Options options;
+    if (const char *file = std::getenv(SettingsVariable)) {
+        options.settingsFile = file;
+    }
     for (int code = 0; (code = getopt_long(argc, argv, "", known, nullptr)) != -1;) {
         switch (code) {
         case 's':
             options.settingsFile = optarg;
             break;
+        case 'c':
+            options.check = true;
+            break;
         case 'h':
             options.help = true;
             break;
@@ -76,16 +88,20 @@
     if (settings.role == configuration::DaemonRole::Entry) {
         return entry::EntryModule::makeDaemon(settings, loop);
     }
+    if (settings.role == configuration::DaemonRole::Gateway) {
+        return gateway::GatewayModule::makeDaemon(settings, loop);
+    }
     return host::HostModule::makeDaemon(settings, loop);
 }
 
-/// Drains on the first signal and exits on the second.
-class ShutdownHandler
+/// Drains on the first signal to stop and exits on the second; reloads on SIGHUP.
+class SignalHandler
 {
 public:
-    ShutdownHandler(framework::IDaemon &daemon, framework::IEventLoop &loop)
+    SignalHandler(framework::IDaemon &daemon, framework::IEventLoop &loop)
         : m_daemon(daemon), m_loop(loop)
     {
+        m_handlers.push_back(loop.onSignal(SIGHUP, [this] { m_daemon.reload(); }));
         for (const int signal : {SIGTERM, SIGINT}) {
             m_handlers.push_back(loop.onSignal(signal, [this] { shutDown(); }));
         }
@@ -107,7 +123,7 @@
     bool m_draining = false;
 };
 
-framework::Result<int> runDaemon(const std::string &file)
+framework::Result<configuration::DaemonSettings> readSettings(const std::string &file)
 {
     std::ifstream stream(file, std::ios::binary);
     if (!stream) {
@@ -115,11 +131,18 @@
                                           framework::ErrorContext{file + ": cannot be read"});
     }
     const std::string text((std::istreambuf_iterator<char>(stream)), {});
-    BOOST_LEAF_AUTO(settings,
-                    configuration::ConfigurationModule::makeSettingsParser()->parse(file, text));
+    return configuration::ConfigurationModule::makeSettingsParser()->parse(file, text);
+}
+
+framework::Result<int> runDaemon(const Options &options)
+{
+    BOOST_LEAF_AUTO(settings, readSettings(options.settingsFile));
+    if (options.check) {
+        return EXIT_SUCCESS;
+    }
     const auto loop = framework::FrameworkModule::makeEventLoop();
     const auto daemon = makeDaemon(settings, *loop);
-    const ShutdownHandler shutdown(*daemon, *loop);
+    const SignalHandler signals(*daemon, *loop);
     BOOST_LEAF_CHECK(daemon->start());
     loop->run();
     return EXIT_SUCCESS;
@@ -133,10 +156,10 @@
     return EX_CONFIG;
 }
 
-int run(const std::string &file)
+int run(const Options &options)
 {
     return framework::leaf::try_handle_all(
-        [&] { return runDaemon(file); },
+        [&] { return runDaemon(options); },
         [](configuration::ConfigurationError /*error*/,
            const configuration::FileDiagnostics &diagnostics) {
             return reportSettings(diagnostics);
@@ -172,5 +195,5 @@
         std::cout << "lavendertallyd " << LAVENDERTALLY_VERSION << '\n';
         return EXIT_SUCCESS;
     }
-    return run(options.settingsFile);
+    return run(options);
 }
--- a/src/claims/claimsmodule.h
+++ b/src/claims/claimsmodule.h
@@ -11,7 +11,7 @@
 class IScheduler;
 } // namespace lavendertally::framework
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
 }
 
@@ -28,7 +28,7 @@
     /// The arguments outlive the service.
     /// \param claimant this process
     static std::unique_ptr<IClaimService>
-    makeService(platform::ILogService &log, framework::IScheduler &scheduler,
+    makeService(infrastructure::ILogService &log, framework::IScheduler &scheduler,
                 const framework::IClock &clock, framework::IRandom &random,
                 framework::IMetrics &metrics, const framework::DaemonId &claimant,
                 const ClaimSettings &settings);
--- a/src/claims/internal/claimcontext.h
+++ b/src/claims/internal/claimcontext.h
@@ -10,7 +10,7 @@
 class IScheduler;
 } // namespace lavendertally::framework
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
 }
 
@@ -21,7 +21,7 @@
 /// What the parts of the claims service share; the referenced objects outlive them.
 struct ClaimContext
 {
-    platform::ILogService &log;
+    infrastructure::ILogService &log;
     framework::IScheduler &scheduler;
     const framework::IClock &clock;
     framework::IRandom &random;
--- a/src/claims/internal/claimoutbox.cpp
+++ b/src/claims/internal/claimoutbox.cpp
@@ -7,8 +7,8 @@
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "platform/ilogservice.h"
-#include "platform/types/platformerror.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/types/infrastructureerror.h"
 
 #include <algorithm>
 #include <iterator>
@@ -18,9 +18,9 @@
 namespace lavendertally::claims {
 
 using framework::Milliseconds;
-using platform::PlatformError;
+using infrastructure::InfrastructureError;
 
-ClaimOutbox::ClaimOutbox(platform::StreamName stream, const ClaimContext &context,
+ClaimOutbox::ClaimOutbox(infrastructure::StreamName stream, const ClaimContext &context,
                          IOutboxObserver &observer)
     : m_stream(std::move(stream)), m_context(context), m_observer(observer),
       m_backoff(context.settings.minBackoff, context.settings.maxBackoff),
@@ -113,12 +113,12 @@
         }
         return;
     }
-    const PlatformError error =
-        framework::errorOf<PlatformError>(std::move(result), PlatformError::AnswerLost);
-    if (error == PlatformError::Unavailable) {
+    const InfrastructureError error =
+        framework::errorOf<InfrastructureError>(std::move(result), InfrastructureError::AnswerLost);
+    if (error == InfrastructureError::Unavailable) {
         refuseClaims();
     }
-    retry(platform::mayHaveTakenEffect(error));
+    retry(infrastructure::mayHaveTakenEffect(error));
 }
 
 void ClaimOutbox::retry(bool maybeSent)
--- a/src/claims/internal/claimoutbox.h
+++ b/src/claims/internal/claimoutbox.h
@@ -4,7 +4,7 @@
 #include "claims/internal/outboxrecord.h"
 #include "framework/result.h"
 #include "framework/types/ids.h"
-#include "platform/types/streamname.h"
+#include "infrastructure/types/streamname.h"
 
 #include <cstddef>
 #include <memory>
@@ -25,7 +25,7 @@
 class ClaimOutbox
 {
 public:
-    ClaimOutbox(platform::StreamName stream, const ClaimContext &context,
+    ClaimOutbox(infrastructure::StreamName stream, const ClaimContext &context,
                 IOutboxObserver &observer);
     ~ClaimOutbox();
 
@@ -48,7 +48,7 @@
     void retry(bool maybeSent);
     void refuseClaims();
 
-    platform::StreamName m_stream;
+    infrastructure::StreamName m_stream;
     const ClaimContext &m_context;
     IOutboxObserver &m_observer;
     Backoff m_backoff;
--- a/src/claims/internal/claimpartition.h
+++ b/src/claims/internal/claimpartition.h
@@ -19,7 +19,7 @@
 class ClaimPartition final : private IOutboxObserver, private IRecordSink
 {
 public:
-    ClaimPartition(const platform::StreamName &stream, const ClaimContext &context);
+    ClaimPartition(const infrastructure::StreamName &stream, const ClaimContext &context);
 
     void claim(const ClaimRequest &request, std::function<void(ClaimAnswer)> callback);
     void recordDone(const ClaimKey &key, const std::string &result);
--- a/src/claims/internal/claimreader.cpp
+++ b/src/claims/internal/claimreader.cpp
@@ -7,19 +7,19 @@
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "platform/ilogservice.h"
-#include "platform/types/firstkept.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/types/firstkept.h"
 
 #include <utility>
 
 namespace lavendertally::claims {
 
 using framework::Milliseconds;
-using platform::FirstKept;
-using platform::LogPage;
-using platform::LogRecord;
+using infrastructure::FirstKept;
+using infrastructure::LogPage;
+using infrastructure::LogRecord;
 
-ClaimReader::ClaimReader(platform::StreamName stream, const ClaimContext &context,
+ClaimReader::ClaimReader(infrastructure::StreamName stream, const ClaimContext &context,
                          IRecordSink &sink)
     : m_stream(std::move(stream)), m_context(context), m_sink(sink),
       m_backoff(context.settings.minBackoff, context.settings.maxBackoff),
--- a/src/claims/internal/claimreader.h
+++ b/src/claims/internal/claimreader.h
@@ -3,7 +3,7 @@
 #include "claims/internal/backoff.h"
 #include "framework/result.h"
 #include "framework/types/ids.h"
-#include "platform/types/streamname.h"
+#include "infrastructure/types/streamname.h"
 
 #include <memory>
 
@@ -11,7 +11,7 @@
 class ITimer;
 }
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 struct LogPage;
 }
 
@@ -24,23 +24,23 @@
 class ClaimReader
 {
 public:
-    ClaimReader(platform::StreamName stream, const ClaimContext &context, IRecordSink &sink);
+    ClaimReader(infrastructure::StreamName stream, const ClaimContext &context, IRecordSink &sink);
     ~ClaimReader();
 
     /// Reads on if nothing is being read.
     void start();
 
 private:
-    using ReadResult = framework::Result<platform::LogPage>;
+    using ReadResult = framework::Result<infrastructure::LogPage>;
 
     void read();
     void finish(ReadResult result);
-    void handlePage(const platform::LogPage &page);
+    void handlePage(const infrastructure::LogPage &page);
     void handleError(ReadResult result);
     void takeRecord(const std::string &text);
     void readAgainAfter(framework::Milliseconds delay);
 
-    platform::StreamName m_stream;
+    infrastructure::StreamName m_stream;
     const ClaimContext &m_context;
     IRecordSink &m_sink;
     Backoff m_backoff;
--- a/src/claims/internal/claimservice.cpp
+++ b/src/claims/internal/claimservice.cpp
@@ -22,12 +22,12 @@
     return key.team.value() + Separator + key.request.value() + Separator + key.stage.value();
 }
 
-platform::StreamName streamOf(std::uint64_t partition)
+infrastructure::StreamName streamOf(std::uint64_t partition)
 {
     constexpr std::size_t MinDigits = 2;
     std::string number = std::to_string(partition);
     number.insert(0, number.size() < MinDigits ? MinDigits - number.size() : 0, '0');
-    return platform::StreamName("claims." + number);
+    return infrastructure::StreamName("claims." + number);
 }
 
 } // namespace
--- a/src/claims/internal/claimsmodule.cpp
+++ b/src/claims/internal/claimsmodule.cpp
@@ -8,7 +8,7 @@
 namespace lavendertally::claims {
 
 std::unique_ptr<IClaimService>
-ClaimsModule::makeService(platform::ILogService &log, framework::IScheduler &scheduler,
+ClaimsModule::makeService(infrastructure::ILogService &log, framework::IScheduler &scheduler,
                           const framework::IClock &clock, framework::IRandom &random,
                           framework::IMetrics &metrics, const framework::DaemonId &claimant,
                           const ClaimSettings &settings)
--- a/src/claims/tests/claimscheduletest.cpp
+++ b/src/claims/tests/claimscheduletest.cpp
@@ -1,5 +1,5 @@
 #include "claims/tests/claimsentry.h"
-#include "platform/testing/fakelogfault.h"
+#include "infrastructure/testing/fakelogfault.h"
 
 #include <gtest/gtest.h>
 
@@ -15,7 +15,7 @@
 
 using namespace lavendertally::claims;
 using namespace lavendertally::framework;
-using namespace lavendertally::platform;
+using namespace lavendertally::infrastructure;
 
 namespace {
 
--- a/src/claims/tests/claimsentry.h
+++ b/src/claims/tests/claimsentry.h
@@ -8,7 +8,7 @@
 #include "framework/irandom.h"
 #include "framework/testing/fakeclock.h"
 #include "framework/testing/fakescheduler.h"
-#include "platform/testing/fakelogservice.h"
+#include "infrastructure/testing/fakelogservice.h"
 
 #include <memory>
 #include <string>
@@ -20,7 +20,7 @@
 class ClaimsEntry
 {
 public:
-    ClaimsEntry(std::string name, platform::FakeLog &log, const ClaimSettings &settings,
+    ClaimsEntry(std::string name, infrastructure::FakeLog &log, const ClaimSettings &settings,
                 std::uint64_t seed)
         : m_name(std::move(name)), m_log(log), m_settings(settings),
           m_random(framework::FrameworkModule::makeRandom(seed)),
@@ -32,7 +32,7 @@
     void start()
     {
         m_scheduler = std::make_unique<framework::FakeScheduler>(m_clock);
-        m_connection = std::make_unique<platform::FakeLogService>(*m_scheduler, m_log);
+        m_connection = std::make_unique<infrastructure::FakeLogService>(*m_scheduler, m_log);
         m_service = ClaimsModule::makeService(*m_connection, *m_scheduler, m_clock, *m_random,
                                               *m_metrics, framework::DaemonId(m_name), m_settings);
     }
@@ -69,18 +69,18 @@
     void skew(framework::Milliseconds ahead) { m_clock.advance(ahead); }
 
     IClaimService &service() { return *m_service; }
-    platform::FakeLogService &connection() { return *m_connection; }
+    infrastructure::FakeLogService &connection() { return *m_connection; }
     const framework::FakeClock &clock() const { return m_clock; }
 
 private:
     std::string m_name;
-    platform::FakeLog &m_log;
+    infrastructure::FakeLog &m_log;
     ClaimSettings m_settings;
     framework::FakeClock m_clock;
     std::unique_ptr<framework::IRandom> m_random;
     std::unique_ptr<framework::IMetrics> m_metrics;
     std::unique_ptr<framework::FakeScheduler> m_scheduler;
-    std::unique_ptr<platform::FakeLogService> m_connection;
+    std::unique_ptr<infrastructure::FakeLogService> m_connection;
     std::unique_ptr<IClaimService> m_service;
     bool m_frozen = false;
     framework::Milliseconds m_missed;
--- a/src/claims/tests/claimservicetest.cpp
+++ b/src/claims/tests/claimservicetest.cpp
@@ -1,5 +1,5 @@
 #include "claims/tests/claimsentry.h"
-#include "platform/testing/fakelogfault.h"
+#include "infrastructure/testing/fakelogfault.h"
 
 #include <gtest/gtest.h>
 
@@ -13,10 +13,10 @@
 
 using namespace lavendertally::claims;
 using namespace lavendertally::framework;
-using lavendertally::platform::FakeLog;
-using lavendertally::platform::FakeLogFault;
-using lavendertally::platform::PlatformError;
-using lavendertally::platform::StreamName;
+using lavendertally::infrastructure::FakeLog;
+using lavendertally::infrastructure::FakeLogFault;
+using lavendertally::infrastructure::InfrastructureError;
+using lavendertally::infrastructure::StreamName;
 
 namespace {
 
@@ -279,7 +279,7 @@
 TEST_F(Claims, FailedAndShortReads_AreReadAgain)
 {
     EXPECT_EQ(claim(m_first), ClaimOutcome::Granted);
-    m_second.connection().failReads(PlatformError::MalformedAnswer, 3);
+    m_second.connection().failReads(InfrastructureError::MalformedAnswer, 3);
     m_second.connection().shortenPages(1);
     EXPECT_EQ(claim(m_second), ClaimOutcome::HeldElsewhere);
 }
--- a/src/claims/tests/claimtabletest.cpp
+++ b/src/claims/tests/claimtabletest.cpp
@@ -11,7 +11,7 @@
 #include "framework/irandom.h"
 #include "framework/testing/fakeclock.h"
 #include "framework/testing/fakescheduler.h"
-#include "platform/ilogservice.h"
+#include "infrastructure/ilogservice.h"
 
 #include <gtest/gtest.h>
 
@@ -20,7 +20,7 @@
 
 using namespace lavendertally::claims;
 using namespace lavendertally::framework;
-using namespace lavendertally::platform;
+using namespace lavendertally::infrastructure;
 
 namespace {
 
--- a/src/configuration/internal/yamlsettingsparser.cpp
+++ b/src/configuration/internal/yamlsettingsparser.cpp
@@ -16,7 +16,8 @@
 void readIdentity(YamlMapping &root, DaemonSettings &settings)
 {
     static const auto roleScalar =
-        choiceType<DaemonRole>({{"entry", DaemonRole::Entry}, {"host", DaemonRole::Host}});
+        choiceType<DaemonRole>({{"entry", DaemonRole::Entry}, {"host", DaemonRole::Host},
+                                 {"gateway", DaemonRole::Gateway}});
     root.readRequired("role", roleScalar, settings.role);
     root.readRequired("id", idType<framework::DaemonId>(nameType()), settings.id);
     root.readRequired("host", idType<framework::HostId>(nameType()), settings.host);
@@ -30,17 +31,32 @@
     const auto peer = endpointType(1);
     root.readRequired("listen", own, settings.listen);
     root.readRequired("control_listen", own, settings.controlListen);
-    root.readRequired("log_service", peer, settings.logService);
-    root.readRequired("host_list", peer, settings.hostList);
     root.readList("seed_peers", peer, settings.seedPeers);
+    if (settings.role != DaemonRole::Gateway) {
+        root.readRequired("log_service", peer, settings.logService);
+        root.readRequired("host_list", peer, settings.hostList);
+    }
+}
+
+void readGateway(YamlMapping &root, DaemonSettings &settings)
+{
+    if (settings.role != DaemonRole::Gateway) {
+        return;
+    }
+    GatewaySettings &gateway = settings.gateway;
+    root.readRequired("ready_listen", endpointType(0), gateway.readyListen);
+    root.readRequired("metrics_listen", endpointType(0), gateway.metricsListen);
+    root.readRequired("store", endpointType(1), gateway.store);
+    root.readOptional("revocation_limit", durationType(), gateway.revocationLimit);
+    root.readOptional("shutdown_grace", durationType(), gateway.shutdownGrace);
 }
 
 void readBackend(YamlMapping &root, DiagnosticSink &sink, DaemonSettings &settings)
 {
     const auto node = root.find("backend");
-    if (settings.role == DaemonRole::Entry) {
+    if (settings.role != DaemonRole::Host) {
         if (node) {
-            sink.report(root.positionOf("backend"), "backend", "no backend for the role entry");
+            sink.report(root.positionOf("backend"), "backend", "no backend but for the role host");
         }
         return;
     }
@@ -83,6 +99,7 @@
         YamlMapping root(*document, "", sink);
         readIdentity(root, settings);
         readEndpoints(root, settings);
+        readGateway(root, settings);
         readBackend(root, sink, settings);
         readLimits(root, sink, settings);
         root.reportUnknownKeys();
--- a/src/configuration/types/daemonrole.h
+++ b/src/configuration/types/daemonrole.h
@@ -8,6 +8,8 @@
     Entry,
     /// Runs beside one backend server.
     Host,
+    /// Forwards the requests of the users' platform.
+    Gateway,
 };
 
 } // namespace lavendertally::configuration
--- a/src/configuration/types/daemonsettings.h
+++ b/src/configuration/types/daemonsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configuration/types/daemonrole.h"
+#include "configuration/types/gatewaysettings.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "framework/types/logformat.h"
@@ -39,6 +40,7 @@
     /// How long after its issue a request that may not be repeated is still accepted; less than
     /// the retention.
     framework::Milliseconds claimWindow{1800000};
+    GatewaySettings gateway;
 };
 
 } // namespace lavendertally::configuration
--- a/src/control/controlmodule.h
+++ b/src/control/controlmodule.h
@@ -16,7 +16,7 @@
 class IScheduler;
 } // namespace lavendertally::framework
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
 }
 
@@ -61,7 +61,7 @@
 
     /// \param replica fed by the IDaemonControl of the same process
     static std::unique_ptr<IOperatorService>
-    makeOperatorService(platform::ILogService &log, configuration::IConfigurationReplica &replica,
+    makeOperatorService(infrastructure::ILogService &log, configuration::IConfigurationReplica &replica,
                         const configuration::IControlRecordCodec &codec,
                         framework::IScheduler &scheduler);
 };
--- a/src/control/controlstream.h
+++ b/src/control/controlstream.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/types/streamname.h"
+#include "infrastructure/types/streamname.h"
 
 namespace lavendertally::control {
 
 /// \return stream of the log service that holds operators' changes and snapshots of the state
-inline platform::StreamName controlStream()
+inline infrastructure::StreamName controlStream()
 {
-    return platform::StreamName("control");
+    return infrastructure::StreamName("control");
 }
 
 } // namespace lavendertally::control
--- a/src/control/internal/controlmodule.cpp
+++ b/src/control/internal/controlmodule.cpp
@@ -44,7 +44,7 @@
 }
 
 std::unique_ptr<IOperatorService> ControlModule::makeOperatorService(
-    platform::ILogService &log, configuration::IConfigurationReplica &replica,
+    infrastructure::ILogService &log, configuration::IConfigurationReplica &replica,
     const configuration::IControlRecordCodec &codec, framework::IScheduler &scheduler)
 {
     return std::make_unique<OperatorService>(log, replica, codec, scheduler);
--- a/src/control/internal/hostlistpoller.cpp
+++ b/src/control/internal/hostlistpoller.cpp
@@ -5,7 +5,7 @@
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "membership/imembershipupdates.h"
-#include "platform/ihostlist.h"
+#include "infrastructure/ihostlist.h"
 
 namespace lavendertally::control {
 
@@ -16,7 +16,7 @@
 
 } // namespace
 
-HostListPoller::HostListPoller(platform::IHostList &hostList,
+HostListPoller::HostListPoller(infrastructure::IHostList &hostList,
                                membership::IMembershipUpdates &updates,
                                framework::IScheduler &scheduler, const framework::IClock &clock,
                                framework::IMetrics &metrics)
--- a/src/control/internal/hostlistpoller.h
+++ b/src/control/internal/hostlistpoller.h
@@ -19,7 +19,7 @@
 class IMembershipUpdates;
 }
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class IHostList;
 }
 
@@ -29,7 +29,7 @@
 class HostListPoller
 {
 public:
-    HostListPoller(platform::IHostList &hostList, membership::IMembershipUpdates &updates,
+    HostListPoller(infrastructure::IHostList &hostList, membership::IMembershipUpdates &updates,
                    framework::IScheduler &scheduler, const framework::IClock &clock,
                    framework::IMetrics &metrics);
     ~HostListPoller();
@@ -44,7 +44,7 @@
     void fetch();
     void handle(const framework::Result<std::vector<membership::HostEntry>> &result);
 
-    platform::IHostList &m_hostList;
+    infrastructure::IHostList &m_hostList;
     membership::IMembershipUpdates &m_updates;
     framework::IScheduler &m_scheduler;
     const framework::IClock &m_clock;
--- a/src/control/internal/logfollower.cpp
+++ b/src/control/internal/logfollower.cpp
@@ -9,8 +9,8 @@
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "platform/ilogservice.h"
-#include "platform/types/platformerror.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/types/infrastructureerror.h"
 
 #include <algorithm>
 #include <limits>
@@ -33,11 +33,11 @@
 constexpr Milliseconds MinBackoff{250};
 constexpr Milliseconds MaxBackoff{1000};
 
-std::vector<configuration::ControlRecord> recordsOf(const platform::LogPage &page)
+std::vector<configuration::ControlRecord> recordsOf(const infrastructure::LogPage &page)
 {
     std::vector<configuration::ControlRecord> records;
     records.reserve(page.records.size());
-    for (const platform::LogRecord &record : page.records) {
+    for (const infrastructure::LogRecord &record : page.records) {
         records.push_back({record.offset, record.data});
     }
     return records;
@@ -45,7 +45,7 @@
 
 } // namespace
 
-LogFollower::LogFollower(platform::ILogService &log, const IRevisionSyncPolicy &policy,
+LogFollower::LogFollower(infrastructure::ILogService &log, const IRevisionSyncPolicy &policy,
                          IIsolationPolicy &isolation, ConfigurationFeed &feed,
                          framework::IScheduler &scheduler, const framework::IClock &clock,
                          framework::IMetrics &metrics, Milliseconds checkInterval)
@@ -85,24 +85,24 @@
     const std::weak_ptr<const bool> alive = m_alive;
     m_metrics.increment("lavendertally_control_log_reads_total", {});
     m_log.read(controlStream(), from, PageLimit, wait, timeout,
-               [this, alive](framework::Result<platform::LogPage> result) {
+               [this, alive](framework::Result<infrastructure::LogPage> result) {
                    if (!alive.expired()) {
                        handle(std::move(result));
                    }
                });
 }
 
-void LogFollower::handle(framework::Result<platform::LogPage> result)
+void LogFollower::handle(framework::Result<infrastructure::LogPage> result)
 {
     if (result) {
         handlePage(result.value());
         return;
     }
-    const auto error = framework::errorOf(std::move(result), platform::PlatformError::Unavailable);
-    handleError(error == platform::PlatformError::Expired);
+    const auto error = framework::errorOf(std::move(result), infrastructure::InfrastructureError::Unavailable);
+    handleError(error == infrastructure::InfrastructureError::Expired);
 }
 
-void LogFollower::handlePage(const platform::LogPage &page)
+void LogFollower::handlePage(const infrastructure::LogPage &page)
 {
     m_lastAnswer = m_clock.now();
     m_backoff = MinBackoff;
@@ -136,7 +136,7 @@
     const framework::LogOffset beyond(std::numeric_limits<std::int64_t>::max());
     const std::weak_ptr<const bool> alive = m_alive;
     m_log.read(controlStream(), beyond, 1, Milliseconds(0), CheckTimeout,
-               [this, alive](const framework::Result<platform::LogPage> &result) {
+               [this, alive](const framework::Result<infrastructure::LogPage> &result) {
                    if (alive.expired()) {
                        return;
                    }
--- a/src/control/internal/logfollower.h
+++ b/src/control/internal/logfollower.h
@@ -4,7 +4,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
-#include "platform/types/logpage.h"
+#include "infrastructure/types/logpage.h"
 
 #include <memory>
 #include <optional>
@@ -16,7 +16,7 @@
 class ITimer;
 } // namespace lavendertally::framework
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
 }
 
@@ -31,7 +31,7 @@
 class LogFollower
 {
 public:
-    LogFollower(platform::ILogService &log, const IRevisionSyncPolicy &policy,
+    LogFollower(infrastructure::ILogService &log, const IRevisionSyncPolicy &policy,
                 IIsolationPolicy &isolation, ConfigurationFeed &feed,
                 framework::IScheduler &scheduler, const framework::IClock &clock,
                 framework::IMetrics &metrics, framework::Milliseconds checkInterval);
@@ -48,12 +48,12 @@
     void schedule(framework::Milliseconds delay);
     void look();
     void read();
-    void handle(framework::Result<platform::LogPage> result);
-    void handlePage(const platform::LogPage &page);
+    void handle(framework::Result<infrastructure::LogPage> result);
+    void handlePage(const infrastructure::LogPage &page);
     void handleError(bool expired);
     void findFirst();
 
-    platform::ILogService &m_log;
+    infrastructure::ILogService &m_log;
     const IRevisionSyncPolicy &m_policy;
     IIsolationPolicy &m_isolation;
     ConfigurationFeed &m_feed;
--- a/src/control/internal/operatorservice.cpp
+++ b/src/control/internal/operatorservice.cpp
@@ -7,8 +7,8 @@
 #include "framework/asyncerror.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "platform/ilogservice.h"
-#include "platform/types/platformerror.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/types/infrastructureerror.h"
 
 #include <utility>
 #include <vector>
@@ -22,15 +22,15 @@
 constexpr framework::Milliseconds AfterThisCallback{0};
 
 /// \return whether an append that failed with \p error provably had no effect
-bool hadNoEffect(platform::PlatformError error)
+bool hadNoEffect(infrastructure::InfrastructureError error)
 {
-    return error == platform::PlatformError::Unavailable
-        || error == platform::PlatformError::RateLimited;
+    return error == infrastructure::InfrastructureError::Unavailable
+        || error == infrastructure::InfrastructureError::RateLimited;
 }
 
 } // namespace
 
-OperatorService::OperatorService(platform::ILogService &log,
+OperatorService::OperatorService(infrastructure::ILogService &log,
                                  configuration::IConfigurationReplica &replica,
                                  const configuration::IControlRecordCodec &codec,
                                  framework::IScheduler &scheduler)
@@ -82,7 +82,7 @@
     if (result) {
         return;
     }
-    const auto error = framework::errorOf(std::move(result), platform::PlatformError::AnswerLost);
+    const auto error = framework::errorOf(std::move(result), infrastructure::InfrastructureError::AnswerLost);
     if (hadNoEffect(error)) {
         fail(key, OperatorError::Unavailable);
     }
--- a/src/control/internal/operatorservice.h
+++ b/src/control/internal/operatorservice.h
@@ -16,7 +16,7 @@
 class ITimer;
 } // namespace lavendertally::framework
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
 }
 
@@ -28,7 +28,7 @@
 class OperatorService final : public IOperatorService
 {
 public:
-    OperatorService(platform::ILogService &log, configuration::IConfigurationReplica &replica,
+    OperatorService(infrastructure::ILogService &log, configuration::IConfigurationReplica &replica,
                     const configuration::IControlRecordCodec &codec,
                     framework::IScheduler &scheduler);
     ~OperatorService() override;
@@ -55,7 +55,7 @@
     void fail(std::uint64_t key, OperatorError error);
     void scheduleFailure(std::uint64_t key, framework::Milliseconds delay, OperatorError error);
 
-    platform::ILogService &m_log;
+    infrastructure::ILogService &m_log;
     configuration::IConfigurationReplica &m_replica;
     const configuration::IControlRecordCodec &m_codec;
     framework::IScheduler &m_scheduler;
--- a/src/control/internal/snapshotwriter.cpp
+++ b/src/control/internal/snapshotwriter.cpp
@@ -11,7 +11,7 @@
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "membership/imembership.h"
-#include "platform/ilogservice.h"
+#include "infrastructure/ilogservice.h"
 
 #include <utility>
 
@@ -25,7 +25,7 @@
 
 } // namespace
 
-SnapshotWriter::SnapshotWriter(ControlIdentity identity, platform::ILogService &log,
+SnapshotWriter::SnapshotWriter(ControlIdentity identity, infrastructure::ILogService &log,
                                ISnapshotPolicy &policy,
                                const configuration::IConfigurationReplica &replica,
                                const configuration::IControlRecordCodec &codec,
--- a/src/control/internal/snapshotwriter.h
+++ b/src/control/internal/snapshotwriter.h
@@ -22,7 +22,7 @@
 class IMembership;
 }
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
 }
 
@@ -34,7 +34,7 @@
 class SnapshotWriter
 {
 public:
-    SnapshotWriter(ControlIdentity identity, platform::ILogService &log, ISnapshotPolicy &policy,
+    SnapshotWriter(ControlIdentity identity, infrastructure::ILogService &log, ISnapshotPolicy &policy,
                    const configuration::IConfigurationReplica &replica,
                    const configuration::IControlRecordCodec &codec,
                    const membership::IMembership &membership, framework::IScheduler &scheduler,
@@ -52,7 +52,7 @@
     std::size_t rank() const;
 
     ControlIdentity m_identity;
-    platform::ILogService &m_log;
+    infrastructure::ILogService &m_log;
     ISnapshotPolicy &m_policy;
     const configuration::IConfigurationReplica &m_replica;
     const configuration::IControlRecordCodec &m_codec;
--- a/src/control/testing/controlfleet.h
+++ b/src/control/testing/controlfleet.h
@@ -16,8 +16,8 @@
 #include "framework/testing/nulllogger.h"
 #include "membership/imembershiptracker.h"
 #include "membership/membershipmodule.h"
-#include "platform/ihostlist.h"
-#include "platform/testing/fakelogservice.h"
+#include "infrastructure/ihostlist.h"
+#include "infrastructure/testing/fakelogservice.h"
 
 #include <memory>
 #include <optional>
@@ -27,7 +27,7 @@
 namespace lavendertally::control {
 
 /// Host list that answers with the fleet of a test.
-class FleetHostList final : public platform::IHostList
+class FleetHostList final : public infrastructure::IHostList
 {
 public:
     FleetHostList(framework::IScheduler &scheduler, const std::vector<membership::HostEntry> &hosts)
@@ -54,7 +54,7 @@
 /// One life of one process: its memory ends with it.
 struct FleetProcess
 {
-    FleetProcess(framework::IScheduler &fleet, platform::FakeLog &log,
+    FleetProcess(framework::IScheduler &fleet, infrastructure::FakeLog &log,
                  const std::vector<membership::HostEntry> &hosts, framework::Bytes recordBuffer)
         : scheduler(fleet), logService(scheduler, log), hostList(scheduler, hosts),
           replica(configuration::ConfigurationModule::makeReplica(recordBuffer))
@@ -68,7 +68,7 @@
     std::uint64_t revision() const { return replica->current()->revision.value(); }
 
     PausableScheduler scheduler;
-    platform::FakeLogService logService;
+    infrastructure::FakeLogService logService;
     FleetHostList hostList;
     std::unique_ptr<framework::IMetrics> metrics = framework::FrameworkModule::makeMetrics();
     std::unique_ptr<configuration::IConfigurationReplica> replica;
@@ -117,7 +117,7 @@
     framework::IRandom &random() { return *m_random; }
     framework::FakeScheduler &scheduler() { return m_scheduler; }
     FakeControlNetwork &network() { return m_network; }
-    platform::FakeLog &log() { return m_log; }
+    infrastructure::FakeLog &log() { return m_log; }
     framework::Endpoint endpoint(std::size_t index) const { return m_hosts[index].control; }
     int group(std::size_t index) const { return m_groups[index]; }
     void setGroup(std::size_t index, int group) { m_groups[index] = group; }
@@ -164,7 +164,7 @@
     /// Drops records from the log, as the end of their retention does.
     void expireLog(std::uint64_t first)
     {
-        m_log.expireUpTo(platform::StreamName("control"), framework::LogOffset(first));
+        m_log.expireUpTo(infrastructure::StreamName("control"), framework::LogOffset(first));
     }
 
     /// Appends a change to the log as some operator's tool would.
@@ -173,7 +173,7 @@
         configuration::OperatorChange change;
         change.operation = framework::OperationId("op" + std::to_string(++m_lastOperation));
         change.change = configuration::SetZoneOut{framework::AvailabilityZoneId(zone), out};
-        m_log.append(platform::StreamName("control"), {m_codec->encode(change).value()});
+        m_log.append(infrastructure::StreamName("control"), {m_codec->encode(change).value()});
     }
 
     /// Appends the configuration that names the zones; the record at offset zero.
@@ -188,10 +188,10 @@
         configuration::OperatorChange change;
         change.operation = framework::OperationId("zones");
         change.change = files;
-        m_log.append(platform::StreamName("control"), {m_codec->encode(change).value()});
+        m_log.append(infrastructure::StreamName("control"), {m_codec->encode(change).value()});
     }
 
-    std::uint64_t logEnd() const { return m_log.end(platform::StreamName("control")).value(); }
+    std::uint64_t logEnd() const { return m_log.end(infrastructure::StreamName("control")).value(); }
 
     void advance(framework::Milliseconds step) { m_scheduler.advance(step); }
 
@@ -222,7 +222,7 @@
     std::unique_ptr<framework::IRandom> m_random;
     std::unique_ptr<configuration::IControlRecordCodec> m_codec =
         configuration::ConfigurationModule::makeRecordCodec();
-    platform::FakeLog m_log;
+    infrastructure::FakeLog m_log;
     FakeControlNetwork m_network{[this] { return latency(); }};
     std::vector<membership::HostEntry> m_hosts;
     std::vector<int> m_groups;
--- a/src/control/tests/nngdaemontest.cpp
+++ b/src/control/tests/nngdaemontest.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr Milliseconds Generous{20000};
-const platform::StreamName Control{"control"};
+const infrastructure::StreamName Control{"control"};
 
 } // namespace
 
@@ -51,7 +51,7 @@
     std::unique_ptr<configuration::IControlRecordCodec> m_recordCodec =
         configuration::ConfigurationModule::makeRecordCodec();
     framework::NullLogger m_logger;
-    platform::FakeLog m_log;
+    infrastructure::FakeLog m_log;
     std::vector<membership::HostEntry> m_hosts;
     FleetProcess m_entry{*m_loop, m_log, m_hosts, framework::Bytes(1024 * 1024)};
     FleetProcess m_host{*m_loop, m_log, m_hosts, framework::Bytes(1024 * 1024)};
--- a/src/control/tests/operatortest.cpp
+++ b/src/control/tests/operatortest.cpp
@@ -9,7 +9,7 @@
 using namespace lavendertally;
 using namespace lavendertally::control;
 using framework::Milliseconds;
-using platform::FakeLogFault;
+using infrastructure::FakeLogFault;
 
 namespace {
 
@@ -42,7 +42,7 @@
                                                        m_fleet.process(0).scheduler))
     { }
 
-    platform::FakeLogService &log() { return m_fleet.process(0).logService; }
+    infrastructure::FakeLogService &log() { return m_fleet.process(0).logService; }
 
     SubmitOutcome submit(const configuration::OperatorChange &change)
     {
--- a/src/control/tests/scheduletest.cpp
+++ b/src/control/tests/scheduletest.cpp
@@ -23,10 +23,10 @@
 class ReferenceStates
 {
 public:
-    const std::map<std::uint64_t, ZonesOut> &update(const platform::FakeLog &log)
+    const std::map<std::uint64_t, ZonesOut> &update(const infrastructure::FakeLog &log)
     {
-        const auto records = log.records(platform::StreamName("control"));
-        const std::uint64_t first = log.first(platform::StreamName("control")).value();
+        const auto records = log.records(infrastructure::StreamName("control"));
+        const std::uint64_t first = log.first(infrastructure::StreamName("control")).value();
         while (m_next < first + records.size()) {
             m_replica->applyRecords({{framework::LogOffset(m_next), records[m_next - first]}})
                 .value();
--- a/src/control/types/controlparts.h
+++ b/src/control/types/controlparts.h
@@ -24,10 +24,10 @@
 class IMembershipTracker;
 }
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class IHostList;
 class ILogService;
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
 
 namespace lavendertally::control {
 
@@ -40,9 +40,9 @@
     configuration::IConfigurationReplica &replica;
     const configuration::IControlRecordCodec &recordCodec;
     membership::IMembershipTracker &membership;
-    platform::IHostList &hostList;
+    infrastructure::IHostList &hostList;
     /// Null in a host process, which reads from entries only.
-    platform::ILogService *log;
+    infrastructure::ILogService *log;
     const framework::IClock &clock;
     framework::IRandom &random;
     framework::ILogger &logger;
--- a/src/daemon/daemonparts.h
+++ b/src/daemon/daemonparts.h
@@ -29,10 +29,10 @@
 class IMembershipTracker;
 }
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class IHostList;
 class ILogService;
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
 
 namespace lavendertally::protocol {
 class IMessageCodec;
@@ -52,7 +52,7 @@
 
     /// \param log null in a host process, which reads from entries only
     /// \return what the daemon's control side needs
-    control::ControlParts controlParts(platform::ILogService *log) const;
+    control::ControlParts controlParts(infrastructure::ILogService *log) const;
 
     configuration::DaemonSettings settings;
     framework::IEventLoop &loop;
@@ -62,7 +62,7 @@
     std::unique_ptr<framework::IRandom> random;
     std::unique_ptr<protocol::IMessageCodec> codec;
     std::unique_ptr<http::IHttpClient> client;
-    std::unique_ptr<platform::IHostList> hostList;
+    std::unique_ptr<infrastructure::IHostList> hostList;
     std::unique_ptr<configuration::IControlRecordCodec> recordCodec;
     std::unique_ptr<configuration::IConfigurationReplica> replica;
     std::unique_ptr<membership::IMembershipTracker> membership;
--- a/src/daemon/internal/daemonparts.cpp
+++ b/src/daemon/internal/daemonparts.cpp
@@ -14,8 +14,8 @@
 #include "http/ihttpclient.h"
 #include "membership/imembershiptracker.h"
 #include "membership/membershipmodule.h"
-#include "platform/ihostlist.h"
-#include "platform/platformmodule.h"
+#include "infrastructure/ihostlist.h"
+#include "infrastructure/infrastructuremodule.h"
 #include "protocol/imessagecodec.h"
 #include "protocol/protocolmodule.h"
 
@@ -27,7 +27,7 @@
       metrics(framework::FrameworkModule::makeMetrics()),
       random(framework::FrameworkModule::makeRandom(framework::FrameworkModule::entropySeed())),
       codec(protocol::ProtocolModule::makeCodec()), client(http::HttpModule::makeClient(loop)),
-      hostList(platform::PlatformModule::makeHostList(*client, settings.hostList)),
+      hostList(infrastructure::InfrastructureModule::makeHostList(*client, settings.hostList)),
       recordCodec(configuration::ConfigurationModule::makeRecordCodec()),
       replica(configuration::ConfigurationModule::makeReplica()),
       membership(membership::MembershipModule::makeMembership())
@@ -35,7 +35,7 @@
 
 DaemonParts::~DaemonParts() = default;
 
-control::ControlParts DaemonParts::controlParts(platform::ILogService *log) const
+control::ControlParts DaemonParts::controlParts(infrastructure::ILogService *log) const
 {
     control::ControlParts parts{
         .identity = {settings.id, settings.host, settings.zone, settings.role},
--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -33,9 +33,9 @@
 #include "pipeline/irequestservice.h"
 #include "pipeline/pipelinemodule.h"
 #include "pipeline/types/pipelinecontext.h"
-#include "platform/ihostlist.h"
-#include "platform/ilogservice.h"
-#include "platform/platformmodule.h"
+#include "infrastructure/ihostlist.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/infrastructuremodule.h"
 #include "protocol/imessagecodec.h"
 #include "protocol/protocolmodule.h"
 #include "retry/iretrypolicy.h"
@@ -63,7 +63,7 @@
 
 EntryDaemon::EntryDaemon(const configuration::DaemonSettings &settings, framework::IEventLoop &loop)
     : m_parts(settings, loop),
-      m_log(platform::PlatformModule::makeLogService(*m_parts.client, settings.logService))
+      m_log(infrastructure::InfrastructureModule::makeLogService(*m_parts.client, settings.logService))
 {
     makeControl();
     makeRequests();
--- a/src/entry/internal/entrydaemon.h
+++ b/src/entry/internal/entrydaemon.h
@@ -36,7 +36,7 @@
 class IRequestService;
 }
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
 }
 
@@ -79,7 +79,7 @@
 
     // Declared so that what is used outlives what uses it.
     daemon::DaemonParts m_parts;
-    std::unique_ptr<platform::ILogService> m_log;
+    std::unique_ptr<infrastructure::ILogService> m_log;
     std::unique_ptr<control::IDaemonControl> m_control;
     std::unique_ptr<control::IOperatorService> m_operators;
     routing::Routing m_routing;
--- a/src/framework/idaemon.h
+++ b/src/framework/idaemon.h
@@ -18,6 +18,9 @@
 
     /// Takes no new work, finishes what is under way and then calls \p finished once.
     virtual void drain(std::function<void()> finished) = 0;
+
+    /// The settings file may have changed.
+    virtual void reload() { }
 };
 
 } // namespace lavendertally::framework
--- a/src/framework/types/ids.h
+++ b/src/framework/types/ids.h
@@ -20,6 +20,14 @@
 struct LogOffsetTag;
 struct FencingTag;
 struct IncarnationTag;
+struct RouteTag;
+struct ApiKeyTag;
+struct PromptPartTag;
+struct StageResultTag;
+struct StageInputTag;
+struct ConfigurationVersionTag;
+struct StreamEventTag;
+struct PriorityRankTag;
 
 using AvailabilityZoneId = StringId<AvailabilityZoneTag>;
 using HostId = StringId<HostTag>;
@@ -45,4 +53,21 @@
 /// Counts the starts of a backend server; a greater one means that it lost its state.
 using Incarnation = Ordinal<IncarnationTag>;
 
+/// Where requests of one kind enter, and what becomes of them.
+using RouteId = StringId<RouteTag>;
+/// Secret with which a team's clients identify themselves; never logged.
+using ApiKey = StringId<ApiKeyTag>;
+/// Part of a prompt that several requests may share.
+using PromptPartId = StringId<PromptPartTag>;
+/// Result of one piece of a stage, where it lies at the backend server that made it.
+using StageResultId = StringId<StageResultTag>;
+/// What the first stages of a request work on.
+using StageInputId = StringId<StageInputTag>;
+using ConfigurationVersion = Ordinal<ConfigurationVersionTag>;
+/// Position of an event in its stream.
+using StreamEventId = Ordinal<StreamEventTag>;
+
+/// Rank of a request; zero goes first.
+using PriorityRank = Ordinal<PriorityRankTag>;
+
 } // namespace lavendertally::framework
--- a/src/framework/types/units.h
+++ b/src/framework/types/units.h
@@ -7,10 +7,14 @@
 struct BytesTag;
 struct TokenTag;
 struct CostTag;
+struct MicrosecondsTag;
 
 using Bytes = Quantity<BytesTag>;
 using TokenCount = Quantity<TokenTag>;
 /// Money in millionths of the unit in which the operator states cost per hour.
 using MicroCost = Quantity<CostTag>;
 
+/// Service time too short for milliseconds; see Milliseconds for all other times.
+using Microseconds = Quantity<MicrosecondsTag>;
+
 } // namespace lavendertally::framework
--- /dev/null
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -0,0 +1,239 @@
+#include "gateway/internal/gatewaydaemon.h"
+
+#include "framework/frameworkmodule.h"
+#include "framework/iclock.h"
+#include "framework/ieventloop.h"
+#include "framework/ilogger.h"
+#include "framework/imetrics.h"
+#include "framework/irandom.h"
+#include "framework/itimer.h"
+#include "frontend/frontendmodule.h"
+#include "frontend/ihttpapi.h"
+#include "http/httpmodule.h"
+#include "http/ihttpexchange.h"
+#include "http/ihttpserver.h"
+#include "membership/ibackendservertracker.h"
+#include "membership/membershipmodule.h"
+#include "peers/idaemondirectory.h"
+#include "peers/ipeernetwork.h"
+#include "peers/peersmodule.h"
+#include "platform/clientgateway.h"
+#include "platform/iplatform.h"
+#include "platform/platformmodule.h"
+#include "platform/types/platformparts.h"
+#include "proxy/iproxyservice.h"
+#include "proxy/proxymodule.h"
+#include "proxy/types/proxycontext.h"
+#include "retry/iretrypolicy.h"
+#include "retry/retrymodule.h"
+#include "routing/ibackendserverselector.h"
+#include "routing/routingmodule.h"
+#include "serving/iservingtracker.h"
+#include "serving/servingmodule.h"
+#include "serving/types/servingconfiguration.h"
+#include "stages/istagecoordinator.h"
+#include "stages/istageservice.h"
+#include "stages/stagesmodule.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lavendertally::gateway {
+
+namespace {
+
+constexpr int HttpOk = 200;
+constexpr int HttpUnavailable = 503;
+
+/// How often the state that depends on time is looked at.
+constexpr framework::Milliseconds TickInterval{250};
+constexpr framework::Milliseconds DrainCheckInterval{20};
+/// The balancer asks each second and stops after two refusals; until then it sends requests.
+constexpr framework::Milliseconds BalancerNotice{3000};
+/// Kept back from the time that a shutdown may take.
+constexpr framework::Milliseconds ShutdownMargin{500};
+/// Kept back from the time after which a revoked key must not work, for clocks that drift and
+/// timers that fire late.
+constexpr framework::Milliseconds RevocationMargin{500};
+
+http::HttpLimits httpLimits(const serving::RequestLimits &limits, framework::Milliseconds idle)
+{
+    http::HttpLimits result;
+    result.maxBody = limits.maxBody;
+    result.maxHeaders = limits.maxHeaders;
+    result.requestTimeout = limits.headerTimeout;
+    result.idleTimeout = idle;
+    return result;
+}
+
+} // namespace
+
+GatewayDaemon::GatewayDaemon(const configuration::DaemonSettings &settings,
+                             framework::IEventLoop &loop)
+    : m_settings(settings), m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()),
+      m_logger(framework::FrameworkModule::makeLogger(settings.id.value(), settings.logFormat)),
+      m_metrics(framework::FrameworkModule::makeMetrics()),
+      m_random(framework::FrameworkModule::makeRandom(framework::FrameworkModule::entropySeed()))
+{
+    makeDecisions();
+    makeRequests();
+    makeServers();
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+void GatewayDaemon::makeDecisions()
+{
+    m_serving = serving::ServingModule::makeTracker(*m_logger);
+    m_servers = membership::MembershipModule::makeBackendServerTracker(*m_logger);
+    m_platform = platform::PlatformModule::makePlatform({m_settings.id, m_settings.gateway.store,
+                                                         m_loop, *m_clock, *m_logger, *m_metrics,
+                                                         *m_serving, *m_servers});
+    m_peers = peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id);
+    m_peers->setAcceptsJobs([this] { return isInformed() && !m_draining; });
+    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers);
+    m_stages = stages::StagesModule::makeService(
+        m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
+        m_loop, *m_clock, *m_logger, *m_metrics);
+    m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_random);
+    m_retries = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
+    m_serving->onChange([this] { applyLimits(); });
+}
+
+void GatewayDaemon::makeRequests()
+{
+    proxy::ProxyLimits limits;
+    limits.maxKeyAge = m_settings.gateway.revocationLimit - RevocationMargin;
+    m_requests = proxy::ProxyModule::makeService(
+        {m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_random, *m_serving,
+         m_platform->daemons(), *m_selector, *m_retries, *m_stages, m_platform->backends(),
+         limits});
+    m_clients = std::make_unique<platform::ClientGateway>(*m_requests, *m_logger, *m_metrics);
+}
+
+void GatewayDaemon::makeServers()
+{
+    m_clientServer = http::HttpModule::makeServer(m_loop, {});
+    m_clientServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
+        m_clients->handle(exchange);
+    });
+    m_readyServer = http::HttpModule::makeServer(m_loop, {});
+    m_readyServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
+        answerReadiness(exchange);
+    });
+    m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_metrics, *this));
+    m_metricsServer = http::HttpModule::makeServer(m_loop, {});
+    m_metricsServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
+        frontend::FrontendModule::dispatch(m_apis, exchange);
+    });
+}
+
+framework::Result<void> GatewayDaemon::start()
+{
+    BOOST_LEAF_AUTO(control, m_peers->listen(m_settings.controlListen));
+    BOOST_LEAF_AUTO(clients, m_clientServer->listen(m_settings.listen));
+    BOOST_LEAF_AUTO(ready, m_readyServer->listen(m_settings.gateway.readyListen));
+    BOOST_LEAF_AUTO(metrics, m_metricsServer->listen(m_settings.gateway.metricsListen));
+    m_logger->info("gateway started; not ready until the store has been read",
+                   {{"version", LAVENDERTALLY_VERSION},
+                    {"clients", clients.toString()},
+                    {"ready", ready.toString()},
+                    {"control", control.toString()},
+                    {"metrics", metrics.toString()},
+                    {"store", m_settings.gateway.store.toString()},
+                    {"zone", m_settings.zone.value()}});
+    m_platform->start(control);
+    tick();
+    return {};
+}
+
+/// Requests that use the limits of the version before may still be on their way, so connections
+/// stay open as long as either version says.
+void GatewayDaemon::applyLimits()
+{
+    const serving::RequestLimits limits = m_serving->configuration()->limits();
+    const framework::Milliseconds idle = std::max(m_previousIdleTimeout, limits.idleTimeout);
+    m_previousIdleTimeout = limits.idleTimeout;
+    m_clientServer->setLimits(httpLimits(limits, idle));
+}
+
+bool GatewayDaemon::isInformed() const
+{
+    return m_serving->configuration() != nullptr && m_servers->isKnown();
+}
+
+bool GatewayDaemon::isReady() const
+{
+    const framework::Milliseconds age = m_clock->now() - m_serving->confirmedAt();
+    return isInformed() && !m_draining
+        && age <= m_settings.gateway.revocationLimit - RevocationMargin;
+}
+
+void GatewayDaemon::answerReadiness(const std::shared_ptr<http::IHttpExchange> &exchange)
+{
+    exchange->reply(isReady() ? HttpOk : HttpUnavailable, {}, {});
+}
+
+void GatewayDaemon::tick()
+{
+    m_servers->expire(m_clock->now());
+    if (isReady() != m_wasReady) {
+        m_wasReady = !m_wasReady;
+        const framework::Milliseconds age = m_clock->now() - m_serving->confirmedAt();
+        m_logger->info(m_wasReady ? "ready for requests" : "not ready for requests",
+                       {{"informed", isInformed() ? "yes" : "no"},
+                        {"draining", m_draining ? "yes" : "no"},
+                        {"configuration_age_ms", std::to_string(age.value())}});
+    }
+    m_tickTimer = m_loop.callAfter(TickInterval, [this] { tick(); });
+}
+
+void GatewayDaemon::reload()
+{
+    m_logger->info("settings unchanged; all that can change comes from the store", {});
+}
+
+void GatewayDaemon::drain(std::function<void()> finished)
+{
+    m_drained = std::move(finished);
+    m_draining = true;
+    m_drainBegun = m_clock->now();
+    m_clientServer->closeAfterResponses();
+    m_platform->leave();
+    m_logger->info("shutting down; not ready any more, requests are still served",
+                   {{"requests", std::to_string(m_requests->activeRequests())}});
+    checkDrained();
+}
+
+void GatewayDaemon::checkDrained()
+{
+    const framework::Milliseconds elapsed = m_clock->now() - m_drainBegun;
+    const bool idle =
+        m_requests->activeRequests() == 0 && m_clientServer->unfinishedExchanges() == 0;
+    const bool noticed = elapsed >= BalancerNotice;
+    if ((idle && noticed) || elapsed >= m_settings.gateway.shutdownGrace - ShutdownMargin) {
+        m_logger->info("gateway stopped",
+                       {{"requests", std::to_string(m_requests->activeRequests())}});
+        m_drained();
+        return;
+    }
+    m_drainTimer = m_loop.callAfter(DrainCheckInterval, [this] { checkDrained(); });
+}
+
+nlohmann::json GatewayDaemon::dumpState() const
+{
+    const auto configuration = m_serving->configuration();
+    const framework::Milliseconds age = m_clock->now() - m_serving->confirmedAt();
+    return {{"daemon", m_settings.id.value()},
+            {"role", "gateway"},
+            {"availability_zone", m_settings.zone.value()},
+            {"version", LAVENDERTALLY_VERSION},
+            {"configuration", configuration ? configuration->version().value() : 0},
+            {"configuration_age_ms", age.value()},
+            {"ready", isReady()},
+            {"active_requests", m_requests->activeRequests()},
+            {"daemons", m_platform->daemons().daemons().size()}};
+}
+
+} // namespace lavendertally::gateway
--- /dev/null
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "configuration/types/daemonsettings.h"
+#include "framework/idaemon.h"
+#include "framework/istatedumper.h"
+#include "framework/types/timepoint.h"
+
+#include <memory>
+#include <vector>
+
+namespace lavendertally::framework {
+class IClock;
+class IEventLoop;
+class ILogger;
+class IMetrics;
+class IRandom;
+class ITimer;
+} // namespace lavendertally::framework
+
+namespace lavendertally::frontend {
+class IHttpApi;
+}
+
+namespace lavendertally::http {
+class IHttpExchange;
+class IHttpServer;
+} // namespace lavendertally::http
+
+namespace lavendertally::membership {
+class IBackendServerTracker;
+}
+
+namespace lavendertally::peers {
+class IPeerNetwork;
+}
+
+namespace lavendertally::platform {
+class ClientGateway;
+class IPlatform;
+} // namespace lavendertally::platform
+
+namespace lavendertally::proxy {
+class IProxyService;
+}
+
+namespace lavendertally::retry {
+class IRetryPolicy;
+}
+
+namespace lavendertally::routing {
+class IBackendServerSelector;
+}
+
+namespace lavendertally::serving {
+class IServingTracker;
+}
+
+namespace lavendertally::stages {
+class IStageCoordinator;
+class IStageService;
+} // namespace lavendertally::stages
+
+namespace lavendertally::gateway {
+
+/// Gateway: forwards clients' requests to backend servers, and coordinates stages with the other
+/// gateways. Wires the modules together.
+class GatewayDaemon final : public framework::IDaemon, public framework::IStateDumper
+{
+public:
+    GatewayDaemon(const configuration::DaemonSettings &settings, framework::IEventLoop &loop);
+    ~GatewayDaemon() override;
+    GatewayDaemon(const GatewayDaemon &) = delete;
+    GatewayDaemon &operator=(const GatewayDaemon &) = delete;
+
+    framework::Result<void> start() override;
+    void drain(std::function<void()> finished) override;
+    void reload() override;
+    nlohmann::json dumpState() const override;
+
+private:
+    void makeDecisions();
+    void makeRequests();
+    void makeServers();
+    void applyLimits();
+    bool isInformed() const;
+    bool isReady() const;
+    void answerReadiness(const std::shared_ptr<http::IHttpExchange> &exchange);
+    void tick();
+    void checkDrained();
+
+    configuration::DaemonSettings m_settings;
+    framework::IEventLoop &m_loop;
+    // Declared so that what is used outlives what uses it.
+    std::unique_ptr<framework::IClock> m_clock;
+    std::unique_ptr<framework::ILogger> m_logger;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<framework::IRandom> m_random;
+    std::unique_ptr<serving::IServingTracker> m_serving;
+    std::unique_ptr<membership::IBackendServerTracker> m_servers;
+    std::unique_ptr<platform::IPlatform> m_platform;
+    std::unique_ptr<peers::IPeerNetwork> m_peers;
+    std::unique_ptr<stages::IStageCoordinator> m_coordinator;
+    std::unique_ptr<stages::IStageService> m_stages;
+    std::unique_ptr<routing::IBackendServerSelector> m_selector;
+    std::unique_ptr<retry::IRetryPolicy> m_retries;
+    std::unique_ptr<proxy::IProxyService> m_requests;
+    std::unique_ptr<platform::ClientGateway> m_clients;
+    std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
+    std::unique_ptr<http::IHttpServer> m_clientServer;
+    std::unique_ptr<http::IHttpServer> m_readyServer;
+    std::unique_ptr<http::IHttpServer> m_metricsServer;
+    std::unique_ptr<framework::ITimer> m_tickTimer;
+    std::unique_ptr<framework::ITimer> m_drainTimer;
+    framework::Milliseconds m_previousIdleTimeout;
+    framework::TimePoint m_drainBegun;
+    bool m_draining = false;
+    bool m_wasReady = false;
+    std::function<void()> m_drained;
+};
+
+} // namespace lavendertally::gateway
--- /dev/null
+++ b/src/http/headerlookup.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "http/types/httpheaders.h"
+
+#include <optional>
+#include <string_view>
+
+namespace lavendertally::http {
+
+/// \return whether two names of header fields are the same; case does not count
+bool sameHeaderName(std::string_view left, std::string_view right);
+
+/// \return value of the first field named \p name, valid as long as \p headers
+std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name);
+
+} // namespace lavendertally::http
--- a/src/http/httpmodule.h
+++ b/src/http/httpmodule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/types/httpclientoptions.h"
 #include "http/types/httplimits.h"
 
 #include <memory>
@@ -13,11 +14,12 @@
 class IHttpClient;
 class IHttpServer;
 
-/// Makes HTTP clients and servers on evhttp.
+/// Makes HTTP/1.1 clients and servers on libevent's buffered sockets.
 class HttpModule
 {
 public:
-    static std::unique_ptr<IHttpClient> makeClient(framework::IEventLoop &loop);
+    static std::unique_ptr<IHttpClient> makeClient(framework::IEventLoop &loop,
+                                                   const HttpClientOptions &options = {});
     static std::unique_ptr<IHttpServer> makeServer(framework::IEventLoop &loop,
                                                    const HttpLimits &limits);
 };
--- a/src/http/ihttpexchange.h
+++ b/src/http/ihttpexchange.h
@@ -10,6 +10,8 @@
 
 namespace lavendertally::http {
 
+struct HttpRequestHead;
+
 /// Server side of one request. Exactly one of reply() or startStream() ... endStream() is called.
 class IHttpExchange
 {
@@ -17,6 +19,8 @@
     virtual ~IHttpExchange() = default;
 
     virtual HttpMethod method() const = 0;
+    /// \return request line and header fields as they came
+    virtual const HttpRequestHead &head() const = 0;
     /// \return decoded path without the query
     virtual const std::string &path() const = 0;
     /// \return value of a query parameter
@@ -26,6 +30,7 @@
     virtual const std::string &body() const = 0;
 
     /// Sends the whole response.
+    /// \param contentType empty if \p headers have it or there is none
     virtual void reply(int status, const std::string &contentType, std::string_view body,
                        const HttpHeaders &headers) = 0;
 
@@ -35,6 +40,8 @@
     }
 
     /// Starts a response that is sent in parts.
+    /// \param contentType empty if \p headers have it or there is none
+    /// \param headers with a Content-Length the parts are sent as they are, otherwise as chunks
     virtual void startStream(int status, const std::string &contentType,
                              const HttpHeaders &headers) = 0;
     virtual void sendPart(std::string_view data) = 0;
--- a/src/http/ihttpresponseobserver.h
+++ b/src/http/ihttpresponseobserver.h
@@ -1,25 +1,27 @@
 #pragma once
 
 #include "http/types/httpend.h"
-#include "http/types/httpheaders.h"
+#include "http/types/httpresponsehead.h"
 
 #include <string_view>
 
 namespace lavendertally::http {
 
-/// Receives a response as it arrives.
+/// Receives a response as it arrives. Each function may destroy the call.
 class IHttpResponseObserver
 {
 public:
     virtual ~IHttpResponseObserver() = default;
 
+    /// Status and header fields.
+    /// \return false if this response belongs to another request; it is dropped and the next one on
+    /// the connection is read instead
+    virtual bool onHead(const HttpResponseHead & /*head*/) { return true; }
+
     /// Part of the body, in order.
     /// \param status status code of the response
     virtual void onData(int status, std::string_view data) = 0;
 
-    /// Header fields of a complete response, before onEnd(). Must not destroy the call.
-    virtual void onHeaders(const HttpHeaders & /*headers*/) { }
-
     /// The call ended; nothing follows.
     /// \param status status code, zero unless \p end is Complete
     virtual void onEnd(HttpEnd end, int status) = 0;
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -2,6 +2,7 @@
 
 #include "framework/result.h"
 #include "framework/types/endpoint.h"
+#include "http/types/httplimits.h"
 
 #include <cstddef>
 #include <functional>
@@ -22,6 +23,9 @@
     /// \param handler called for each request; it may keep the exchange and reply later
     virtual void setHandler(Handler handler) = 0;
 
+    /// Applies to requests that begin from now on.
+    virtual void setLimits(const HttpLimits &limits) = 0;
+
     /// Starts listening.
     /// \param endpoint port zero lets the kernel choose
     /// \return the endpoint with its real port, or HttpError
@@ -30,6 +34,10 @@
     /// Accepts no further connections; exchanges under way go on.
     virtual void stopListening() = 0;
 
+    /// Ends each connection after the next response on it. Idle connections stay open, so that a
+    /// request on its way is still answered.
+    virtual void closeAfterResponses() = 0;
+
     /// \return exchanges whose response has not yet been handed to the network as a whole
     virtual std::size_t unfinishedExchanges() const = 0;
 };
--- /dev/null
+++ b/src/http/internal/bufferedhttpserver.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "http/ihttpserver.h"
+
+#include <unordered_map>
+#include <vector>
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace lavendertally::framework {
+class IEventLoop;
+class ITimer;
+} // namespace lavendertally::framework
+
+namespace lavendertally::http {
+
+class ServerConnection;
+
+/// HTTP server on libevent's listener and buffered sockets.
+class BufferedHttpServer final : public IHttpServer
+{
+public:
+    BufferedHttpServer(framework::IEventLoop &loop, const HttpLimits &limits);
+    ~BufferedHttpServer() override;
+    BufferedHttpServer(const BufferedHttpServer &) = delete;
+    BufferedHttpServer &operator=(const BufferedHttpServer &) = delete;
+
+    void setHandler(Handler handler) override;
+    void setLimits(const HttpLimits &limits) override { m_limits = limits; }
+    framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
+    void stopListening() override;
+    void closeAfterResponses() override { m_closing = true; }
+    std::size_t unfinishedExchanges() const override { return *m_unfinished; }
+
+    framework::IEventLoop &loop() { return m_loop; }
+    const HttpLimits &limits() const { return m_limits; }
+    bool isClosing() const { return m_closing; }
+    std::shared_ptr<std::size_t> unfinished() const { return m_unfinished; }
+    void handle(const std::shared_ptr<IHttpExchange> &exchange);
+    /// Destroys \p connection once the callbacks under way have returned.
+    void discard(ServerConnection &connection);
+
+private:
+    static void accepted(evconnlistener *listener, int fd, sockaddr *address, int length,
+                         void *self);
+
+    framework::IEventLoop &m_loop;
+    HttpLimits m_limits;
+    Handler m_handler;
+    evconnlistener *m_listener = nullptr;
+    bool m_closing = false;
+    std::shared_ptr<std::size_t> m_unfinished = std::make_shared<std::size_t>(0);
+    std::unordered_map<ServerConnection *, std::unique_ptr<ServerConnection>> m_connections;
+    std::vector<std::unique_ptr<ServerConnection>> m_discarded;
+    std::unique_ptr<framework::ITimer> m_discardTimer;
+};
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/internal/clientconnection.cpp
@@ -0,0 +1,186 @@
+#include "http/internal/clientconnection.h"
+
+#include "framework/ieventloop.h"
+#include "framework/itimer.h"
+#include "http/headerlookup.h"
+#include "network/bufferedsocket.h"
+#include "http/internal/clientcall.h"
+#include "http/internal/pooledhttpclient.h"
+#include "http/internal/responseparser.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace lavendertally::http {
+
+namespace {
+
+constexpr std::int64_t MillisecondsPerSecond = 1000;
+
+/// \return the time that the server states in `Keep-Alive: timeout=SECONDS`
+std::optional<framework::Milliseconds> statedKeepAlive(const HttpHeaders &headers)
+{
+    const auto value = findHeader(headers, "Keep-Alive");
+    constexpr std::string_view Name = "timeout=";
+    const std::size_t position = value ? value->find(Name) : std::string_view::npos;
+    if (position == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = value->substr(position + Name.size());
+    std::int64_t seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc()) {
+        return std::nullopt;
+    }
+    return framework::Milliseconds(seconds * MillisecondsPerSecond);
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(PooledHttpClient &client, framework::Endpoint endpoint)
+    : m_client(client), m_endpoint(std::move(endpoint))
+{ }
+
+ClientConnection::~ClientConnection() = default;
+
+void ClientConnection::begin(ClientCall &call, std::string request, bool bodiless)
+{
+    m_call = &call;
+    m_bodiless = bodiless;
+    m_request = std::move(request);
+    m_requestSize = m_request.size();
+    m_parser = std::make_unique<ResponseParser>(bodiless);
+    m_headDelivered = false;
+    m_timer.reset();
+    if (m_connected) {
+        sendRequest();
+        return;
+    }
+    connect();
+}
+
+void ClientConnection::connect()
+{
+    const HttpClientOptions &options = m_client.options();
+    m_socket = std::make_unique<network::BufferedSocket>(m_client.loop().base(), *this);
+    const bool begun =
+        m_socket->connect(m_endpoint.address.c_str(), m_endpoint.port, options.acknowledgeTimeout);
+    const framework::Milliseconds limit = begun ? options.connectTimeout : framework::Milliseconds(0);
+    m_timer = m_client.loop().callAfter(limit, [this] { finish(false); });
+}
+
+void ClientConnection::onConnected()
+{
+    m_connected = true;
+    m_timer.reset();
+    sendRequest();
+}
+
+void ClientConnection::sendRequest()
+{
+    m_socket->write(std::exchange(m_request, {}));
+}
+
+bool ClientConnection::hasSent() const
+{
+    return m_connected && m_socket->unsent() < m_requestSize;
+}
+
+void ClientConnection::onReadable()
+{
+    if (m_call == nullptr) {
+        // Bytes that no request asked for make whatever follows on this connection doubtful.
+        finish(false);
+        return;
+    }
+    while (!m_closed && m_call != nullptr) {
+        const std::string_view input = m_socket->input();
+        if (input.empty()) {
+            return;
+        }
+        std::size_t taken = 0;
+        const ResponseParser::State state = m_parser->feed(input, taken);
+        m_socket->consume(taken);
+        if (!deliver()) {
+            return;
+        }
+        if (state == ResponseParser::State::NeedMore) {
+            return;
+        }
+        finish(state == ResponseParser::State::Complete);
+        return;
+    }
+}
+
+/// \return whether the call is still there
+bool ClientConnection::deliver()
+{
+    if (!m_parser->hasHead()) {
+        return true;
+    }
+    if (!m_headDelivered) {
+        m_headDelivered = true;
+        m_call->head(m_parser->head());
+    }
+    const std::string body = m_parser->takeBody();
+    if (m_call != nullptr && !body.empty()) {
+        m_call->data(body);
+    }
+    return m_call != nullptr;
+}
+
+void ClientConnection::onClosed(bool inOrder)
+{
+    if (m_call != nullptr && m_connected && inOrder && m_parser->hasHead()) {
+        const bool complete = m_parser->feedEnd() == ResponseParser::State::Complete;
+        if (deliver()) {
+            finish(complete);
+        }
+        return;
+    }
+    finish(false);
+}
+
+void ClientConnection::finish(bool complete)
+{
+    ClientCall *call = std::exchange(m_call, nullptr);
+    const bool skipped = complete && call != nullptr && call->skipsResponse();
+    if (skipped && m_parser->keepAlive() && m_parser->head().framed) {
+        m_call = call;
+        m_parser = std::make_unique<ResponseParser>(m_bodiless);
+        m_headDelivered = false;
+        call->awaitNextResponse();
+        onReadable();
+        return;
+    }
+    const bool sent = hasSent();
+    const bool reusable = complete && !skipped && m_parser->keepAlive() && m_parser->head().framed
+        && m_socket->unsent() == 0 && m_socket->input().empty();
+    if (reusable) {
+        const auto stated = statedKeepAlive(m_parser->head().headers);
+        m_client.release(*this, stated);
+    } else {
+        m_closed = true;
+        m_client.discard(*this);
+    }
+    if (call != nullptr) {
+        call->end(complete && !skipped, sent);
+    }
+}
+
+void ClientConnection::becomeIdle(framework::TimePoint now, framework::Milliseconds keepFor)
+{
+    m_idleSince = now;
+    m_timer = m_client.loop().callAfter(keepFor, [this] { finish(false); });
+}
+
+void ClientConnection::cancel()
+{
+    m_call = nullptr;
+    m_timer.reset();
+    m_closed = true;
+    m_client.discard(*this);
+}
+
+} // namespace lavendertally::http
--- a/src/http/internal/httpmodule.cpp
+++ b/src/http/internal/httpmodule.cpp
@@ -1,20 +1,20 @@
 #include "http/httpmodule.h"
 
-#include "framework/ieventloop.h"
-#include "http/internal/evhttpclient.h"
-#include "http/internal/evhttpserver.h"
+#include "http/internal/bufferedhttpserver.h"
+#include "http/internal/pooledhttpclient.h"
 
 namespace lavendertally::http {
 
-std::unique_ptr<IHttpClient> HttpModule::makeClient(framework::IEventLoop &loop)
+std::unique_ptr<IHttpClient> HttpModule::makeClient(framework::IEventLoop &loop,
+                                                    const HttpClientOptions &options)
 {
-    return std::make_unique<EvHttpClient>(loop);
+    return std::make_unique<PooledHttpClient>(loop, options);
 }
 
 std::unique_ptr<IHttpServer> HttpModule::makeServer(framework::IEventLoop &loop,
                                                     const HttpLimits &limits)
 {
-    return std::make_unique<EvHttpServer>(loop.base(), limits);
+    return std::make_unique<BufferedHttpServer>(loop, limits);
 }
 
 } // namespace lavendertally::http
--- /dev/null
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -0,0 +1,98 @@
+#include "http/internal/pooledhttpclient.h"
+
+#include "framework/frameworkmodule.h"
+#include "framework/iclock.h"
+#include "framework/ieventloop.h"
+#include "framework/itimer.h"
+#include "http/internal/clientcall.h"
+#include "http/internal/clientconnection.h"
+#include "http/internal/wholeresponsecall.h"
+#include "http/types/httprequest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::http {
+
+namespace {
+
+/// Kept back from the idle time that a server states, for what is on its way in the network.
+constexpr framework::Milliseconds KeepAliveMargin{500};
+
+} // namespace
+
+PooledHttpClient::PooledHttpClient(framework::IEventLoop &loop, const HttpClientOptions &options)
+    : m_loop(loop), m_options(options), m_clock(framework::FrameworkModule::makeSystemClock())
+{ }
+
+PooledHttpClient::~PooledHttpClient() = default;
+
+std::unique_ptr<IHttpCall> PooledHttpClient::send(const HttpRequest &request,
+                                                  IHttpResponseObserver &observer)
+{
+    return std::make_unique<ClientCall>(*this, request, observer);
+}
+
+std::unique_ptr<IHttpCall> PooledHttpClient::fetch(const HttpRequest &request,
+                                                   std::function<void(HttpResponse)> callback)
+{
+    return std::make_unique<WholeResponseCall>(*this, request, std::move(callback));
+}
+
+ClientConnection &PooledHttpClient::acquire(const framework::Endpoint &endpoint,
+                                            framework::Milliseconds maxIdle)
+{
+    const auto idle = m_idle.find(endpoint);
+    if (idle != m_idle.end() && !idle->second.empty()) {
+        ClientConnection *connection = idle->second.back();
+        if (m_clock->now() - connection->idleSince() <= maxIdle) {
+            idle->second.pop_back();
+            return *connection;
+        }
+    }
+    auto connection = std::make_unique<ClientConnection>(*this, endpoint);
+    ClientConnection *address = connection.get();
+    m_connections.emplace(address, std::move(connection));
+    return *address;
+}
+
+void PooledHttpClient::release(ClientConnection &connection,
+                               std::optional<framework::Milliseconds> stated)
+{
+    auto &idle = m_idle[connection.endpoint()];
+    framework::Milliseconds keepFor = m_options.maxIdle;
+    if (stated) {
+        keepFor = std::min(keepFor, *stated - KeepAliveMargin);
+    }
+    if (idle.size() >= m_options.maxIdlePerEndpoint || keepFor <= framework::Milliseconds(0)) {
+        discard(connection);
+        return;
+    }
+    idle.push_back(&connection);
+    connection.becomeIdle(m_clock->now(), keepFor);
+}
+
+void PooledHttpClient::removeIdle(ClientConnection &connection)
+{
+    const auto idle = m_idle.find(connection.endpoint());
+    if (idle == m_idle.end()) {
+        return;
+    }
+    std::erase(idle->second, &connection);
+    if (idle->second.empty()) {
+        m_idle.erase(idle);
+    }
+}
+
+void PooledHttpClient::discard(ClientConnection &connection)
+{
+    auto node = m_connections.extract(&connection);
+    if (node.empty()) {
+        return;
+    }
+    removeIdle(connection);
+    m_discarded.push_back(std::move(node.mapped()));
+    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0), [this] { m_discarded.clear(); });
+}
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/internal/responseparser.cpp
@@ -0,0 +1,144 @@
+#include "http/internal/responseparser.h"
+
+#include "http/internal/httpstatus.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <utility>
+
+namespace lavendertally::http {
+
+namespace beast = boost::beast;
+
+namespace {
+
+/// Bound on the header fields of a response, in bytes; twice the usual limit of web servers.
+constexpr std::uint32_t MaxResponseHeaders = 64 * 1024;
+
+bool isInterim(int status)
+{
+    return status >= HttpStatus::Continue && status < HttpStatus::Ok;
+}
+
+} // namespace
+
+class ResponseParser::Message final : public beast::http::basic_parser<false>
+{
+public:
+    HttpResponseHead m_head;
+    std::string m_body;
+
+private:
+    void on_request_impl(beast::http::verb /*method*/, beast::string_view /*name*/,
+                         beast::string_view /*target*/, int /*version*/,
+                         beast::error_code & /*error*/) override
+    { }
+    void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/,
+                          beast::error_code & /*error*/) override
+    {
+        m_head.status = code;
+    }
+    void on_field_impl(beast::http::field /*field*/, beast::string_view name,
+                       beast::string_view value, beast::error_code & /*error*/) override
+    {
+        m_head.headers.emplace_back(std::string(name.data(), name.size()),
+                                    std::string(value.data(), value.size()));
+    }
+    void on_header_impl(beast::error_code & /*error*/) override { }
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+                           beast::error_code & /*error*/) override
+    { }
+    std::size_t on_body_impl(beast::string_view body, beast::error_code & /*error*/) override
+    {
+        m_body.append(body.data(), body.size());
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
+                              beast::error_code & /*error*/) override
+    { }
+    std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/, beast::string_view body,
+                                   beast::error_code & /*error*/) override
+    {
+        m_body.append(body.data(), body.size());
+        return body.size();
+    }
+    void on_finish_impl(beast::error_code & /*error*/) override { }
+};
+
+ResponseParser::ResponseParser(bool bodiless) : m_bodiless(bodiless)
+{
+    start();
+}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::start()
+{
+    m_message = std::make_unique<Message>();
+    m_message->eager(true);
+    m_message->skip(m_bodiless);
+    m_message->body_limit(boost::none);
+    m_message->header_limit(MaxResponseHeaders);
+}
+
+ResponseParser::State ResponseParser::feed(std::string_view input, std::size_t &taken)
+{
+    taken = 0;
+    while (taken < input.size()) {
+        beast::error_code error;
+        const std::string_view rest = input.substr(taken);
+        const std::size_t used =
+            m_message->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+        taken += used;
+        if (m_message->is_header_done()) {
+            m_message->m_head.framed = !m_message->need_eof();
+        }
+        if (m_message->is_done()) {
+            if (!isInterim(m_message->m_head.status)) {
+                return State::Complete;
+            }
+            start();
+            continue;
+        }
+        if (error == beast::http::error::need_more || (!error && used == 0)) {
+            return State::NeedMore;
+        }
+        if (error) {
+            return State::Malformed;
+        }
+    }
+    return State::NeedMore;
+}
+
+ResponseParser::State ResponseParser::feedEnd()
+{
+    if (!m_message->is_header_done()) {
+        return State::Malformed;
+    }
+    beast::error_code error;
+    m_message->put_eof(error);
+    return error ? State::Malformed : State::Complete;
+}
+
+bool ResponseParser::hasHead() const
+{
+    return m_message->is_header_done() && !isInterim(m_message->m_head.status);
+}
+
+const HttpResponseHead &ResponseParser::head() const
+{
+    return m_message->m_head;
+}
+
+std::string ResponseParser::takeBody()
+{
+    return std::exchange(m_message->m_body, {});
+}
+
+bool ResponseParser::keepAlive() const
+{
+    return m_message->keep_alive();
+}
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/internal/responseparser.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "http/types/httpresponsehead.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lavendertally::http {
+
+/// Reads one HTTP/1.1 response with Boost.Beast's parser. Interim (1xx) responses are passed over.
+class ResponseParser
+{
+public:
+    enum class State
+    {
+        NeedMore,
+        Complete,
+        Malformed,
+    };
+
+    /// \param bodiless whether a response to this request never has a body, as for HEAD
+    explicit ResponseParser(bool bodiless);
+    ~ResponseParser();
+
+    /// \param input everything received and not yet taken
+    /// \param taken set to the number of bytes that were used
+    State feed(std::string_view input, std::size_t &taken);
+
+    /// Tells that the server has closed the connection in order.
+    State feedEnd();
+
+    bool hasHead() const;
+    const HttpResponseHead &head() const;
+    /// \return the body received since the last call
+    std::string takeBody();
+    /// \return whether the connection may serve another request
+    bool keepAlive() const;
+
+private:
+    class Message;
+
+    void start();
+
+    bool m_bodiless;
+    std::unique_ptr<Message> m_message;
+};
+
+} // namespace lavendertally::http
--- /dev/null
+++ b/src/http/internal/serverconnection.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "framework/types/milliseconds.h"
+#include "network/ibufferedsocketobserver.h"
+
+#include <memory>
+#include <string_view>
+
+namespace lavendertally::framework {
+class ITimer;
+}
+
+namespace lavendertally::network {
+class BufferedSocket;
+}
+
+namespace lavendertally::http {
+
+class BufferedHttpServer;
+class RequestParser;
+class ServerExchange;
+
+/// One client's connection: requests one after the other.
+class ServerConnection final : public network::IBufferedSocketObserver
+{
+public:
+    ServerConnection(BufferedHttpServer &server, int fd);
+    ~ServerConnection() override;
+    ServerConnection(const ServerConnection &) = delete;
+    ServerConnection &operator=(const ServerConnection &) = delete;
+
+    void write(std::string_view data);
+    /// Whether the response under way is the last one on this connection.
+    bool closesAfterResponse() const;
+    void closeAfterResponse() { m_lastResponse = true; }
+    /// The response has been written as a whole.
+    void responseEnded();
+    /// Ends the connection; the object is destroyed later.
+    void close();
+
+private:
+    void onReadable() override;
+    void onFlushed() override;
+    void onClosed(bool inOrder) override;
+
+    void readRequests();
+    void handleRequest();
+    void refuse(int status);
+    void nextRequest();
+    void linger();
+    void startTimer(framework::Milliseconds delay);
+    void timeOut();
+
+    BufferedHttpServer &m_server;
+    std::unique_ptr<network::BufferedSocket> m_socket;
+    std::unique_ptr<RequestParser> m_parser;
+    std::shared_ptr<ServerExchange> m_exchange;
+    std::unique_ptr<framework::ITimer> m_timer;
+    bool m_handling = false;
+    bool m_lastResponse = false;
+    bool m_lingering = false;
+    bool m_closed = false;
+};
+
+} // namespace lavendertally::http
--- a/src/http/internal/wholeresponsecall.cpp
+++ b/src/http/internal/wholeresponsecall.cpp
@@ -14,9 +14,10 @@
     m_response.body.append(data);
 }
 
-void WholeResponseCall::onHeaders(const HttpHeaders &headers)
+bool WholeResponseCall::onHead(const HttpResponseHead &head)
 {
-    m_response.headers = headers;
+    m_response.headers = head.headers;
+    return true;
 }
 
 void WholeResponseCall::onEnd(HttpEnd end, int status)
--- a/src/http/internal/wholeresponsecall.h
+++ b/src/http/internal/wholeresponsecall.h
@@ -21,7 +21,7 @@
 
 private:
     void onData(int status, std::string_view data) override;
-    void onHeaders(const HttpHeaders &headers) override;
+    bool onHead(const HttpResponseHead &head) override;
     void onEnd(HttpEnd end, int status) override;
 
     HttpResponse m_response;
--- /dev/null
+++ b/src/http/types/httpclientoptions.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "framework/types/milliseconds.h"
+
+#include <cstddef>
+
+namespace lavendertally::http {
+
+/// How a client treats its connections.
+struct HttpClientOptions
+{
+    /// Longest time for a connection to be established.
+    framework::Milliseconds connectTimeout{10000};
+    /// Unacknowledged bytes end a connection after this time (TCP_USER_TIMEOUT); zero leaves it to
+    /// the kernel.
+    framework::Milliseconds acknowledgeTimeout{0};
+    /// How long a connection without a stated keep-alive time is kept for reuse.
+    framework::Milliseconds maxIdle{60000};
+    std::size_t maxIdlePerEndpoint = 64;
+};
+
+} // namespace lavendertally::http
--- a/src/http/types/httpmethod.h
+++ b/src/http/types/httpmethod.h
@@ -6,6 +6,9 @@
 {
     Get,
     Post,
+    Delete,
+    /// Known by its name only; see HttpRequestHead.
+    Other,
 };
 
 } // namespace lavendertally::http
--- a/src/http/types/httprequest.h
+++ b/src/http/types/httprequest.h
@@ -5,6 +5,7 @@
 #include "http/types/httpheaders.h"
 #include "http/types/httpmethod.h"
 
+#include <limits>
 #include <string>
 
 namespace lavendertally::http {
@@ -14,12 +15,18 @@
 {
     framework::Endpoint endpoint;
     HttpMethod method = HttpMethod::Get;
+    /// Name of a method that is HttpMethod::Other.
+    std::string methodName;
     /// Path and query.
     std::string target;
+    /// A Host field is added unless one is here.
     HttpHeaders headers;
     std::string body;
     /// Longest time for the whole call.
     framework::Milliseconds timeout;
+    /// Connections that were idle for longer are not reused for this call. A server may have closed
+    /// them already, and then nobody knows whether it acted.
+    framework::Milliseconds maxIdleBefore{std::numeric_limits<std::int64_t>::max()};
 };
 
 } // namespace lavendertally::http
--- a/src/platform/ihostlist.h
+++ b/src/infrastructure/ihostlist.h
@@ -7,7 +7,7 @@
 #include <functional>
 #include <vector>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// The platform's list of live and leaving hosts; it lags.
 class IHostList
@@ -15,10 +15,10 @@
 public:
     virtual ~IHostList() = default;
 
-    /// \param callback gets the whole list, or PlatformError
+    /// \param callback gets the whole list, or InfrastructureError
     virtual void
     fetch(framework::Milliseconds timeout,
           std::function<void(framework::Result<std::vector<membership::HostEntry>>)> callback) = 0;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/hostlistjson.cpp
+++ b/src/infrastructure/internal/hostlistjson.cpp
@@ -1,11 +1,11 @@
-#include "platform/internal/hostlistjson.h"
+#include "infrastructure/internal/hostlistjson.h"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <map>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 namespace {
 
@@ -115,4 +115,4 @@
     return hosts;
 }
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/hostlistjson.h
+++ b/src/infrastructure/internal/hostlistjson.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Reads the answer of the host list. A host that stands twice alike counts once.
 /// \return nothing if the text has no such form or tells two things of one host
 std::optional<std::vector<membership::HostEntry>> decodeHosts(const std::string &text);
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/httphostlist.cpp
+++ b/src/infrastructure/internal/httphostlist.cpp
@@ -1,12 +1,12 @@
-#include "platform/internal/httphostlist.h"
+#include "infrastructure/internal/httphostlist.h"
 
 #include "framework/asyncerror.h"
-#include "platform/internal/hostlistjson.h"
-#include "platform/internal/responseerrors.h"
+#include "infrastructure/internal/hostlistjson.h"
+#include "infrastructure/internal/responseerrors.h"
 
 #include <utility>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 namespace {
 
@@ -19,7 +19,7 @@
     }
     auto hosts = decodeHosts(response.body);
     if (!hosts) {
-        return framework::asyncError<Hosts>(PlatformError::MalformedAnswer);
+        return framework::asyncError<Hosts>(InfrastructureError::MalformedAnswer);
     }
     return std::move(*hosts);
 }
@@ -39,4 +39,4 @@
                      });
 }
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/httphostlist.h
+++ b/src/infrastructure/internal/httphostlist.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "platform/ihostlist.h"
-#include "platform/internal/serviceconnection.h"
+#include "infrastructure/ihostlist.h"
+#include "infrastructure/internal/serviceconnection.h"
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Client of the host list over HTTP.
 class HttpHostList final : public IHostList
@@ -19,4 +19,4 @@
     ServiceConnection m_connection;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/httplogservice.cpp
+++ b/src/infrastructure/internal/httplogservice.cpp
@@ -1,13 +1,13 @@
-#include "platform/internal/httplogservice.h"
+#include "infrastructure/internal/httplogservice.h"
 
 #include "framework/asyncerror.h"
-#include "platform/internal/logjson.h"
-#include "platform/internal/responseerrors.h"
-#include "platform/types/firstkept.h"
+#include "infrastructure/internal/logjson.h"
+#include "infrastructure/internal/responseerrors.h"
+#include "infrastructure/types/firstkept.h"
 
 #include <utility>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 namespace {
 
@@ -23,7 +23,7 @@
     }
     const auto first = decodeFirst(response.body);
     if (!first) {
-        return framework::asyncError<framework::LogOffset>(PlatformError::MalformedAnswer);
+        return framework::asyncError<framework::LogOffset>(InfrastructureError::MalformedAnswer);
     }
     return *first;
 }
@@ -32,16 +32,16 @@
 {
     const auto first = decodeFirst(response.body);
     if (!first) {
-        return framework::asyncError<LogPage>(PlatformError::MalformedAnswer);
+        return framework::asyncError<LogPage>(InfrastructureError::MalformedAnswer);
     }
-    return framework::asyncError<LogPage>(PlatformError::Expired, FirstKept{*first});
+    return framework::asyncError<LogPage>(InfrastructureError::Expired, FirstKept{*first});
 }
 
 framework::Result<LogPage> readResult(const http::HttpResponse &response, framework::LogOffset from,
                                       std::uint32_t limit)
 {
     const auto error = readError(response);
-    if (error == PlatformError::Expired) {
+    if (error == InfrastructureError::Expired) {
         return expiredResult(response);
     }
     if (error) {
@@ -49,7 +49,7 @@
     }
     auto page = decodePage(response.body, from, limit);
     if (!page) {
-        return framework::asyncError<LogPage>(PlatformError::MalformedAnswer);
+        return framework::asyncError<LogPage>(InfrastructureError::MalformedAnswer);
     }
     return std::move(*page);
 }
@@ -83,4 +83,4 @@
         });
 }
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/httplogservice.h
+++ b/src/infrastructure/internal/httplogservice.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "platform/ilogservice.h"
-#include "platform/internal/serviceconnection.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/internal/serviceconnection.h"
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Client of the log service over HTTP.
 class HttpLogService final : public ILogService
@@ -22,4 +22,4 @@
     ServiceConnection m_connection;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/httpweightstore.cpp
+++ b/src/infrastructure/internal/httpweightstore.cpp
@@ -1,10 +1,10 @@
-#include "platform/internal/httpweightstore.h"
+#include "infrastructure/internal/httpweightstore.h"
 
 #include "framework/asyncerror.h"
 #include "framework/iclock.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "platform/internal/responseerrors.h"
+#include "infrastructure/internal/responseerrors.h"
 
 #include <strings.h>
 
@@ -13,7 +13,7 @@
 #include <cstdio>
 #include <utility>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 namespace {
 
@@ -86,7 +86,7 @@
 void HttpWeightStore::finishAttempt(std::uint64_t id, http::HttpResponse response)
 {
     const auto error = readError(response);
-    if (error == PlatformError::RateLimited && retryLater(id, response)) {
+    if (error == InfrastructureError::RateLimited && retryLater(id, response)) {
         return;
     }
     // Nothing of this object is used after the callback, which may destroy it.
@@ -109,4 +109,4 @@
     return true;
 }
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/httpweightstore.h
+++ b/src/infrastructure/internal/httpweightstore.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "framework/types/timepoint.h"
-#include "platform/internal/serviceconnection.h"
-#include "platform/iweightstore.h"
+#include "infrastructure/internal/serviceconnection.h"
+#include "infrastructure/iweightstore.h"
 
 #include <cstdint>
 #include <map>
@@ -14,7 +14,7 @@
 class ITimer;
 } // namespace lavendertally::framework
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Client of the weight store over HTTP.
 class HttpWeightStore final : public IWeightStore
@@ -47,4 +47,4 @@
     ServiceConnection m_connection;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/logjson.cpp
+++ b/src/infrastructure/internal/logjson.cpp
@@ -1,8 +1,8 @@
-#include "platform/internal/logjson.h"
+#include "infrastructure/internal/logjson.h"
 
 #include <nlohmann/json.hpp>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 namespace {
 
@@ -85,4 +85,4 @@
     return LogPage{*first, *next, *end, std::move(*records)};
 }
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/logjson.h
+++ b/src/infrastructure/internal/logjson.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "framework/types/ids.h"
-#include "platform/types/logpage.h"
+#include "infrastructure/types/logpage.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// \return body of an append
 std::string encodeRecords(const std::vector<std::string> &records);
@@ -21,4 +21,4 @@
 std::optional<LogPage> decodePage(const std::string &text, framework::LogOffset from,
                                   std::uint32_t limit);
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/responseerrors.cpp
+++ b/src/infrastructure/internal/responseerrors.cpp
@@ -1,8 +1,8 @@
-#include "platform/internal/responseerrors.h"
+#include "infrastructure/internal/responseerrors.h"
 
 #include "http/types/httpresponse.h"
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 namespace {
 
@@ -14,43 +14,43 @@
 
 } // namespace
 
-std::optional<PlatformError> readError(const http::HttpResponse &response)
+std::optional<InfrastructureError> readError(const http::HttpResponse &response)
 {
     if (response.end == http::HttpEnd::TimedOut) {
-        return PlatformError::TimedOut;
+        return InfrastructureError::TimedOut;
     }
     if (response.end != http::HttpEnd::Complete) {
-        return PlatformError::Unavailable;
+        return InfrastructureError::Unavailable;
     }
     switch (response.status) {
     case Ok:
         return std::nullopt;
     case Gone:
-        return PlatformError::Expired;
+        return InfrastructureError::Expired;
     case TooManyRequests:
-        return PlatformError::RateLimited;
+        return InfrastructureError::RateLimited;
     default:
-        return PlatformError::Unavailable;
+        return InfrastructureError::Unavailable;
     }
 }
 
-std::optional<PlatformError> effectError(const http::HttpResponse &response)
+std::optional<InfrastructureError> effectError(const http::HttpResponse &response)
 {
     if (response.end == http::HttpEnd::NotSent) {
-        return PlatformError::Unavailable;
+        return InfrastructureError::Unavailable;
     }
     if (response.end != http::HttpEnd::Complete) {
-        return PlatformError::AnswerLost;
+        return InfrastructureError::AnswerLost;
     }
     if (response.status == Ok) {
         return std::nullopt;
     }
     if (response.status == TooManyRequests) {
-        return PlatformError::RateLimited;
+        return InfrastructureError::RateLimited;
     }
     // Other failures of the server do not tell whether it had acted.
     const bool open = response.status >= FirstServerError && response.status != ServiceUnavailable;
-    return open ? PlatformError::AnswerLost : PlatformError::Unavailable;
+    return open ? InfrastructureError::AnswerLost : InfrastructureError::Unavailable;
 }
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/serviceconnection.cpp
+++ b/src/infrastructure/internal/serviceconnection.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/serviceconnection.h"
+#include "infrastructure/internal/serviceconnection.h"
 
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
@@ -6,7 +6,7 @@
 
 #include <utility>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 ServiceConnection::ServiceConnection(http::IHttpClient &client, framework::Endpoint endpoint)
     : m_client(client), m_endpoint(std::move(endpoint))
@@ -49,4 +49,4 @@
         });
 }
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/internal/serviceconnection.h
+++ b/src/infrastructure/internal/serviceconnection.h
@@ -16,7 +16,7 @@
 struct HttpRequest;
 } // namespace lavendertally::http
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Calls to one service of the platform; those under way end silently with this object.
 class ServiceConnection
@@ -43,4 +43,4 @@
     std::map<std::uint64_t, std::unique_ptr<http::IHttpCall>> m_calls;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/testing/fakelog.h
+++ b/src/infrastructure/testing/fakelog.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "framework/types/ids.h"
-#include "platform/types/logpage.h"
-#include "platform/types/streamname.h"
+#include "infrastructure/types/logpage.h"
+#include "infrastructure/types/streamname.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Streams of a log service in memory, which several FakeLogService share as several processes
 /// share the platform's log.
@@ -112,4 +112,4 @@
     std::map<std::uint64_t, std::function<void()>> m_listeners;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/testing/fakelogfault.h
+++ b/src/infrastructure/testing/fakelogfault.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// What goes wrong with the next appends of a FakeLogService.
 enum class FakeLogFault
@@ -22,4 +22,4 @@
     RateLimited,
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/testing/fakelogservice.h
+++ b/src/infrastructure/testing/fakelogservice.h
@@ -3,11 +3,11 @@
 #include "framework/asyncerror.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "platform/ilogservice.h"
-#include "platform/testing/fakelog.h"
-#include "platform/testing/fakelogfault.h"
-#include "platform/types/firstkept.h"
-#include "platform/types/platformerror.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/testing/fakelog.h"
+#include "infrastructure/testing/fakelogfault.h"
+#include "infrastructure/types/firstkept.h"
+#include "infrastructure/types/infrastructureerror.h"
 
 #include <cstdint>
 #include <functional>
@@ -18,7 +18,7 @@
 #include <utility>
 #include <vector>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// One process's connection to a log service in memory. Callbacks run from the scheduler, never
 /// from within append() or read(); none runs after this object is gone.
@@ -31,7 +31,7 @@
 /// service.setDelays(a, b);                       // effect after a, answer after b more
 /// service.freeze(); service.thaw();              // calls wait; appends take effect on thaw()
 /// service.setLagging(true);                      // reads see the log as it is now
-/// service.failReads(PlatformError::MalformedAnswer); // next read, for instance cut or doubled
+/// service.failReads(InfrastructureError::MalformedAnswer); // next read, for instance cut or doubled
 /// service.shortenPages(3);                       // pages of three records at most
 /// log.expireUpTo(stream, offset);                // reads before it end as Expired
 /// \endcode
@@ -55,7 +55,7 @@
         ++m_appends;
         const std::uint64_t id = begin(m_pendingAppends, std::move(callback));
         const FakeLogFault fault = takeFault();
-        later(timeout, [this, id] { finish(m_pendingAppends, id, PlatformError::AnswerLost); });
+        later(timeout, [this, id] { finish(m_pendingAppends, id, InfrastructureError::AnswerLost); });
         arrive([this, id, fault, stream, records = std::move(records)] {
             runAppend(id, fault, stream, records);
         });
@@ -67,7 +67,7 @@
     {
         ++m_reads;
         const std::uint64_t id = begin(m_pendingReads, std::move(callback));
-        later(timeout, [this, id] { finish(m_pendingReads, id, PlatformError::TimedOut); });
+        later(timeout, [this, id] { finish(m_pendingReads, id, InfrastructureError::TimedOut); });
         arrive(
             [this, id, wait, reader = Reader{stream, from, limit}] { runRead(id, reader, wait); });
     }
@@ -104,7 +104,7 @@
         wakeReaders();
     }
     /// Makes the next \p count reads fail.
-    void failReads(PlatformError error, std::uint32_t count = 1)
+    void failReads(InfrastructureError error, std::uint32_t count = 1)
     {
         m_readError = error;
         m_readErrorCount = count;
@@ -133,7 +133,7 @@
     }
 
     template <typename T>
-    void finish(Pending<T> &pending, std::uint64_t id, PlatformError error)
+    void finish(Pending<T> &pending, std::uint64_t id, InfrastructureError error)
     {
         if (const auto node = pending.extract(id)) {
             node.mapped()(framework::asyncError<T>(error));
@@ -151,7 +151,7 @@
     }
 
     template <typename T>
-    void refuse(Pending<T> &pending, std::uint64_t id, PlatformError error)
+    void refuse(Pending<T> &pending, std::uint64_t id, InfrastructureError error)
     {
         later(m_answerDelay, [this, &pending, id, error] { finish(pending, id, error); });
     }
@@ -190,11 +190,11 @@
                    const std::vector<std::string> &records)
     {
         if (m_down || fault == FakeLogFault::Unavailable) {
-            refuse(m_pendingAppends, id, PlatformError::Unavailable);
+            refuse(m_pendingAppends, id, InfrastructureError::Unavailable);
             return;
         }
         if (fault == FakeLogFault::RateLimited) {
-            refuse(m_pendingAppends, id, PlatformError::RateLimited);
+            refuse(m_pendingAppends, id, InfrastructureError::RateLimited);
             return;
         }
         if (fault == FakeLogFault::Reordered) {
@@ -211,11 +211,11 @@
             first = m_log.append(stream, records);
         }
         if (fault == FakeLogFault::AnswerLost || fault == FakeLogFault::DoubledAnswerLost) {
-            refuse(m_pendingAppends, id, PlatformError::AnswerLost);
+            refuse(m_pendingAppends, id, InfrastructureError::AnswerLost);
             return;
         }
         if (fault == FakeLogFault::MalformedAnswer) {
-            refuse(m_pendingAppends, id, PlatformError::MalformedAnswer);
+            refuse(m_pendingAppends, id, InfrastructureError::MalformedAnswer);
             return;
         }
         answer(m_pendingAppends, id, first);
@@ -224,7 +224,7 @@
     void runRead(std::uint64_t id, const Reader &reader, framework::Milliseconds wait)
     {
         if (m_down) {
-            refuse(m_pendingReads, id, PlatformError::Unavailable);
+            refuse(m_pendingReads, id, InfrastructureError::Unavailable);
             return;
         }
         if (m_readErrorCount > 0) {
@@ -251,7 +251,7 @@
         later(m_answerDelay, [this, id, first] {
             if (const auto node = m_pendingReads.extract(id)) {
                 node.mapped()(
-                    framework::asyncError<LogPage>(PlatformError::Expired, FirstKept{first}));
+                    framework::asyncError<LogPage>(InfrastructureError::Expired, FirstKept{first}));
             }
         });
     }
@@ -269,7 +269,7 @@
     void answerRead(std::uint64_t id, const Reader &reader)
     {
         if (m_down) {
-            refuse(m_pendingReads, id, PlatformError::Unavailable);
+            refuse(m_pendingReads, id, InfrastructureError::Unavailable);
             return;
         }
         if (reader.from < m_log.first(reader.stream)) {
@@ -300,7 +300,7 @@
     bool m_lagging = false;
     FakeLogFault m_fault = FakeLogFault::None;
     std::uint32_t m_faultCount = 0;
-    PlatformError m_readError = PlatformError::Unavailable;
+    InfrastructureError m_readError = InfrastructureError::Unavailable;
     std::uint32_t m_readErrorCount = 0;
     std::optional<std::uint32_t> m_pageLimit;
     framework::Milliseconds m_effectDelay;
@@ -317,4 +317,4 @@
     std::map<std::uint64_t, std::unique_ptr<framework::ITimer>> m_timers;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/tests/fakelogharness.h
+++ b/src/infrastructure/tests/fakelogharness.h
@@ -2,10 +2,10 @@
 
 #include "framework/testing/fakeclock.h"
 #include "framework/testing/fakescheduler.h"
-#include "platform/testing/fakelogservice.h"
-#include "platform/tests/logharness.h"
+#include "infrastructure/testing/fakelogservice.h"
+#include "infrastructure/tests/logharness.h"
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 class FakeLogHarness final : public LogHarness
 {
@@ -33,10 +33,10 @@
         }
         m_service->failAppends(appendFault(trouble), 1);
         if (trouble == LogTrouble::LostAnswer) {
-            m_service->failReads(PlatformError::Unavailable);
+            m_service->failReads(InfrastructureError::Unavailable);
         } else if (trouble == LogTrouble::Doubled || trouble == LogTrouble::Reordered
                    || trouble == LogTrouble::Truncated) {
-            m_service->failReads(PlatformError::MalformedAnswer);
+            m_service->failReads(InfrastructureError::MalformedAnswer);
         }
     }
 
@@ -78,4 +78,4 @@
     bool m_stopped = false;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/tests/fakelogtest.cpp
+++ b/src/infrastructure/tests/fakelogtest.cpp
@@ -1,11 +1,11 @@
 #include "framework/testing/fakeclock.h"
 #include "framework/testing/fakescheduler.h"
-#include "platform/testing/fakelogservice.h"
+#include "infrastructure/testing/fakelogservice.h"
 
 #include <gtest/gtest.h>
 
 using namespace lavendertally;
-using namespace lavendertally::platform;
+using namespace lavendertally::infrastructure;
 
 namespace {
 
@@ -26,13 +26,13 @@
 
 TEST_F(FakeLogTest, FrozenAppendTakesEffectAfterItsCallerGaveUp)
 {
-    std::optional<PlatformError> error;
+    std::optional<InfrastructureError> error;
     m_service.freeze();
     m_service.append(Stream, {"a"}, Timeout, [&](framework::Result<framework::LogOffset> result) {
-        error = framework::errorOf(std::move(result), PlatformError::Unavailable);
+        error = framework::errorOf(std::move(result), InfrastructureError::Unavailable);
     });
     m_scheduler.advance(Timeout);
-    EXPECT_EQ(error, PlatformError::AnswerLost);
+    EXPECT_EQ(error, InfrastructureError::AnswerLost);
     EXPECT_TRUE(m_log.records(Stream).empty());
     m_service.thaw();
     EXPECT_EQ(m_log.records(Stream), std::vector<std::string>{"a"});
--- a/src/platform/tests/httplogharness.h
+++ b/src/infrastructure/tests/httplogharness.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/platformmodule.h"
-#include "platform/tests/logharness.h"
-#include "platform/tests/standinfixture.h"
+#include "infrastructure/infrastructuremodule.h"
+#include "infrastructure/tests/logharness.h"
+#include "infrastructure/tests/standinfixture.h"
 #include "standins/logstandin.h"
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// The HTTP client and, behind it, the stand-in.
 class HttpLogHarness final : public LogHarness
@@ -14,7 +14,7 @@
     HttpLogHarness() : m_standIn(*m_fixture.m_loop, standins::LogOptions{})
     {
         const auto endpoint = m_standIn.listen({"127.0.0.1", 0});
-        m_service = PlatformModule::makeLogService(*m_fixture.m_client, endpoint.value());
+        m_service = InfrastructureModule::makeLogService(*m_fixture.m_client, endpoint.value());
     }
 
     ILogService &service() override { return *m_service; }
@@ -72,4 +72,4 @@
     std::unique_ptr<ILogService> m_service;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/tests/platformclienttest.cpp
+++ b/src/infrastructure/tests/infrastructureclienttest.cpp
@@ -1,9 +1,9 @@
 #include "framework/asyncerror.h"
-#include "platform/ihostlist.h"
-#include "platform/iweightstore.h"
-#include "platform/platformmodule.h"
-#include "platform/tests/standinfixture.h"
-#include "platform/types/platformerror.h"
+#include "infrastructure/ihostlist.h"
+#include "infrastructure/iweightstore.h"
+#include "infrastructure/infrastructuremodule.h"
+#include "infrastructure/tests/standinfixture.h"
+#include "infrastructure/types/infrastructureerror.h"
 #include "standins/hostliststandin.h"
 #include "standins/weightstandin.h"
 
@@ -12,7 +12,7 @@
 #include <optional>
 
 using namespace lavendertally;
-using namespace lavendertally::platform;
+using namespace lavendertally::infrastructure;
 using standins::FaultMode;
 
 namespace {
@@ -41,7 +41,7 @@
 {
     const char *name;
     FaultMode mode;
-    std::optional<PlatformError> error;
+    std::optional<InfrastructureError> error;
 };
 
 void PrintTo(const FaultCase &fault, std::ostream *stream)
@@ -51,28 +51,28 @@
 
 const FaultCase HostListCases[] = {
     {"None", FaultMode::None, std::nullopt},
-    {"Down", FaultMode::Down, PlatformError::Unavailable},
-    {"Refuse", FaultMode::Refuse, PlatformError::Unavailable},
+    {"Down", FaultMode::Down, InfrastructureError::Unavailable},
+    {"Refuse", FaultMode::Refuse, InfrastructureError::Unavailable},
     {"Slow", FaultMode::Slow, std::nullopt},
-    {"Frozen", FaultMode::Frozen, PlatformError::TimedOut},
-    {"LostAnswer", FaultMode::LostAnswer, PlatformError::Unavailable},
+    {"Frozen", FaultMode::Frozen, InfrastructureError::TimedOut},
+    {"LostAnswer", FaultMode::LostAnswer, InfrastructureError::Unavailable},
     {"Doubled", FaultMode::Doubled, std::nullopt},
     {"Reordered", FaultMode::Reordered, std::nullopt},
     {"Lagging", FaultMode::Lagging, std::nullopt},
-    {"Truncated", FaultMode::Truncated, PlatformError::MalformedAnswer},
+    {"Truncated", FaultMode::Truncated, InfrastructureError::MalformedAnswer},
 };
 
 const FaultCase WeightCases[] = {
     {"None", FaultMode::None, std::nullopt},
-    {"Down", FaultMode::Down, PlatformError::Unavailable},
-    {"Refuse", FaultMode::Refuse, PlatformError::Unavailable},
+    {"Down", FaultMode::Down, InfrastructureError::Unavailable},
+    {"Refuse", FaultMode::Refuse, InfrastructureError::Unavailable},
     {"Slow", FaultMode::Slow, std::nullopt},
-    {"Frozen", FaultMode::Frozen, PlatformError::TimedOut},
-    {"LostAnswer", FaultMode::LostAnswer, PlatformError::Unavailable},
+    {"Frozen", FaultMode::Frozen, InfrastructureError::TimedOut},
+    {"LostAnswer", FaultMode::LostAnswer, InfrastructureError::Unavailable},
     {"Doubled", FaultMode::Doubled, std::nullopt},
     {"Reordered", FaultMode::Reordered, std::nullopt},
     {"Lagging", FaultMode::Lagging, std::nullopt},
-    {"Truncated", FaultMode::Truncated, PlatformError::Unavailable},
+    {"Truncated", FaultMode::Truncated, InfrastructureError::Unavailable},
 };
 
 std::string nameOf(const testing::TestParamInfo<FaultCase> &info)
@@ -92,7 +92,7 @@
 protected:
     HostListTest()
         : m_standIn(*m_fixture.m_loop, standins::HostListOptions{}),
-          m_hostList(PlatformModule::makeHostList(*m_fixture.m_client,
+          m_hostList(InfrastructureModule::makeHostList(*m_fixture.m_client,
                                                   m_standIn.listen({"127.0.0.1", 0}).value()))
     { }
 
@@ -104,7 +104,7 @@
             if (result) {
                 hosts = std::move(*result);
             } else {
-                m_error = framework::errorOf(std::move(result), PlatformError::Expired);
+                m_error = framework::errorOf(std::move(result), InfrastructureError::Expired);
             }
             m_fixture.m_loop->stop();
         });
@@ -115,7 +115,7 @@
     StandInFixture m_fixture;
     standins::HostListStandIn m_standIn;
     std::unique_ptr<IHostList> m_hostList;
-    std::optional<PlatformError> m_error;
+    std::optional<InfrastructureError> m_error;
 };
 
 class HostListContract : public HostListTest, public testing::WithParamInterface<FaultCase>
@@ -173,7 +173,7 @@
         bad[key] = value;
         m_standIn.setHosts(list({row("h0", "live"), bad}));
         EXPECT_TRUE(fetch().empty());
-        EXPECT_EQ(m_error, PlatformError::MalformedAnswer);
+        EXPECT_EQ(m_error, InfrastructureError::MalformedAnswer);
     }
 }
 
@@ -181,7 +181,7 @@
 {
     m_standIn.setHosts(list({row("h1", "live"), row("h1", "leaving")}));
     fetch();
-    EXPECT_EQ(m_error, PlatformError::MalformedAnswer);
+    EXPECT_EQ(m_error, InfrastructureError::MalformedAnswer);
 }
 
 class WeightStoreTest : public testing::Test
@@ -189,7 +189,7 @@
 protected:
     WeightStoreTest()
         : m_standIn(*m_fixture.m_loop, standins::WeightOptions{framework::Bytes(1000), 2}),
-          m_store(PlatformModule::makeWeightStore(*m_fixture.m_client, *m_fixture.m_loop,
+          m_store(InfrastructureModule::makeWeightStore(*m_fixture.m_client, *m_fixture.m_loop,
                                                   *m_fixture.m_clock,
                                                   m_standIn.listen({"127.0.0.1", 0}).value()))
     { }
@@ -203,7 +203,7 @@
                 if (result) {
                     weights = std::move(*result);
                 } else {
-                    m_error = framework::errorOf(std::move(result), PlatformError::Expired);
+                    m_error = framework::errorOf(std::move(result), InfrastructureError::Expired);
                 }
                 m_fixture.m_loop->stop();
             });
@@ -214,7 +214,7 @@
     StandInFixture m_fixture;
     standins::WeightStandIn m_standIn;
     std::unique_ptr<IWeightStore> m_store;
-    std::optional<PlatformError> m_error;
+    std::optional<InfrastructureError> m_error;
 };
 
 class WeightStoreContract : public WeightStoreTest, public testing::WithParamInterface<FaultCase>
@@ -245,5 +245,5 @@
     fetch();
     fetch();
     fetch();
-    EXPECT_EQ(m_error, PlatformError::RateLimited);
+    EXPECT_EQ(m_error, InfrastructureError::RateLimited);
 }
--- a/src/platform/tests/logcontracttest.cpp
+++ b/src/infrastructure/tests/logcontracttest.cpp
@@ -1,8 +1,8 @@
 #include "framework/asyncerror.h"
-#include "platform/tests/fakelogharness.h"
-#include "platform/tests/httplogharness.h"
-#include "platform/types/firstkept.h"
-#include "platform/types/platformerror.h"
+#include "infrastructure/tests/fakelogharness.h"
+#include "infrastructure/tests/httplogharness.h"
+#include "infrastructure/types/firstkept.h"
+#include "infrastructure/types/infrastructureerror.h"
 
 #include <gtest/gtest.h>
 
@@ -11,7 +11,7 @@
 #include <tuple>
 
 using namespace lavendertally;
-using namespace lavendertally::platform;
+using namespace lavendertally::infrastructure;
 
 namespace {
 
@@ -36,7 +36,7 @@
 struct Outcome
 {
     std::optional<T> value;
-    std::optional<PlatformError> error;
+    std::optional<InfrastructureError> error;
 };
 
 template <typename T>
@@ -45,48 +45,48 @@
     if (result) {
         return {std::move(*result), std::nullopt};
     }
-    return {std::nullopt, framework::errorOf(std::move(result), PlatformError::Unavailable)};
+    return {std::nullopt, framework::errorOf(std::move(result), InfrastructureError::Unavailable)};
 }
 
 struct AppendCase
 {
     const char *name;
     LogTrouble trouble;
-    std::optional<PlatformError> error;
+    std::optional<InfrastructureError> error;
     std::size_t recordsAtEnd;
     std::size_t recordsAfterRecovery;
 };
 
 const AppendCase AppendCases[] = {
     {"None", LogTrouble::None, std::nullopt, 1, 1},
-    {"Down", LogTrouble::Down, PlatformError::Unavailable, 0, 0},
+    {"Down", LogTrouble::Down, InfrastructureError::Unavailable, 0, 0},
     {"Slow", LogTrouble::Slow, std::nullopt, 1, 1},
-    {"Frozen", LogTrouble::Frozen, PlatformError::AnswerLost, 0, 1},
-    {"LostAnswer", LogTrouble::LostAnswer, PlatformError::AnswerLost, 1, 1},
+    {"Frozen", LogTrouble::Frozen, InfrastructureError::AnswerLost, 0, 1},
+    {"LostAnswer", LogTrouble::LostAnswer, InfrastructureError::AnswerLost, 1, 1},
     {"Doubled", LogTrouble::Doubled, std::nullopt, 2, 2},
     {"Lagging", LogTrouble::Lagging, std::nullopt, 1, 1},
-    {"Truncated", LogTrouble::Truncated, PlatformError::MalformedAnswer, 1, 1},
-    {"RateLimited", LogTrouble::RateLimited, PlatformError::RateLimited, 0, 0},
+    {"Truncated", LogTrouble::Truncated, InfrastructureError::MalformedAnswer, 1, 1},
+    {"RateLimited", LogTrouble::RateLimited, InfrastructureError::RateLimited, 0, 0},
 };
 
 struct ReadCase
 {
     const char *name;
     LogTrouble trouble;
-    std::optional<PlatformError> error;
+    std::optional<InfrastructureError> error;
     std::size_t recordsRead;
 };
 
 const ReadCase ReadCases[] = {
     {"None", LogTrouble::None, std::nullopt, 3},
-    {"Down", LogTrouble::Down, PlatformError::Unavailable, 0},
+    {"Down", LogTrouble::Down, InfrastructureError::Unavailable, 0},
     {"Slow", LogTrouble::Slow, std::nullopt, 3},
-    {"Frozen", LogTrouble::Frozen, PlatformError::TimedOut, 0},
-    {"LostAnswer", LogTrouble::LostAnswer, PlatformError::Unavailable, 0},
-    {"Doubled", LogTrouble::Doubled, PlatformError::MalformedAnswer, 0},
-    {"Reordered", LogTrouble::Reordered, PlatformError::MalformedAnswer, 0},
+    {"Frozen", LogTrouble::Frozen, InfrastructureError::TimedOut, 0},
+    {"LostAnswer", LogTrouble::LostAnswer, InfrastructureError::Unavailable, 0},
+    {"Doubled", LogTrouble::Doubled, InfrastructureError::MalformedAnswer, 0},
+    {"Reordered", LogTrouble::Reordered, InfrastructureError::MalformedAnswer, 0},
     {"Lagging", LogTrouble::Lagging, std::nullopt, 2},
-    {"Truncated", LogTrouble::Truncated, PlatformError::MalformedAnswer, 0},
+    {"Truncated", LogTrouble::Truncated, InfrastructureError::MalformedAnswer, 0},
 };
 
 } // namespace
@@ -196,7 +196,7 @@
                     BOOST_LEAF_CHECK(std::move(result));
                     return {};
                 },
-                [&](PlatformError /*error*/, FirstKept kept) { first = kept.offset; }, [] {});
+                [&](InfrastructureError /*error*/, FirstKept kept) { first = kept.offset; }, [] {});
             m_harness->stop();
         });
     m_harness->run();
@@ -259,7 +259,7 @@
     append({"a", "b"});
     m_harness->expireUpTo(Stream, framework::LogOffset(1));
     m_harness->run();
-    EXPECT_EQ(outcome.error, PlatformError::Expired);
+    EXPECT_EQ(outcome.error, InfrastructureError::Expired);
 }
 
 TEST_P(LogServiceContract, PageKeepsToItsLimit)
--- a/src/platform/tests/logharness.h
+++ b/src/infrastructure/tests/logharness.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/ilogservice.h"
+#include "infrastructure/ilogservice.h"
 
 #include <string>
 #include <vector>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Fault that every implementation of the log service can be put under.
 enum class LogTrouble
@@ -42,4 +42,4 @@
     virtual void settle() = 0;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/tests/standinfixture.h
+++ b/src/infrastructure/tests/standinfixture.h
@@ -10,7 +10,7 @@
 
 #include <memory>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Event loop and HTTP client for tests against stand-ins in the same process.
 struct StandInFixture
@@ -28,4 +28,4 @@
     std::unique_ptr<http::IHttpClient> m_client = http::HttpModule::makeClient(*m_loop);
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/types/platformerror.h
+++ b/src/infrastructure/types/infrastructureerror.h
@@ -1,8 +1,8 @@
 #pragma once
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
-enum class PlatformError
+enum class InfrastructureError
 {
     /// The service refused or never got the call; it has had no effect.
     Unavailable,
@@ -19,10 +19,10 @@
 };
 
 /// \return whether an append that ended with \p error may have taken effect
-constexpr bool mayHaveTakenEffect(PlatformError error)
+constexpr bool mayHaveTakenEffect(InfrastructureError error)
 {
-    return error == PlatformError::AnswerLost || error == PlatformError::MalformedAnswer
-        || error == PlatformError::TimedOut;
+    return error == InfrastructureError::AnswerLost || error == InfrastructureError::MalformedAnswer
+        || error == InfrastructureError::TimedOut;
 }
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/types/logpage.h
+++ b/src/infrastructure/types/logpage.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "framework/types/ids.h"
-#include "platform/types/logrecord.h"
+#include "infrastructure/types/logrecord.h"
 
 #include <vector>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 /// Consecutive records of one stream.
 struct LogPage
@@ -19,4 +19,4 @@
     std::vector<LogRecord> records;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/types/logrecord.h
+++ b/src/infrastructure/types/logrecord.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 struct LogRecord
 {
@@ -14,4 +14,4 @@
     bool operator==(const LogRecord &) const = default;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- a/src/platform/types/streamname.h
+++ b/src/infrastructure/types/streamname.h
@@ -2,11 +2,11 @@
 
 #include "framework/types/stringid.h"
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 
 struct StreamTag;
 
 /// Name of one stream of the log service.
 using StreamName = framework::StringId<StreamTag>;
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
--- /dev/null
+++ b/src/membership/internal/backendservertracker.cpp
@@ -0,0 +1,152 @@
+#include "membership/internal/backendservertracker.h"
+
+#include "framework/ilogger.h"
+
+#include <utility>
+
+namespace lavendertally::membership {
+
+namespace {
+
+/// Live backend servers register again within about this time after the registrations returned
+/// (platform's promise).
+constexpr framework::Milliseconds ReturnGrace{2000};
+
+const char *stateName(BackendServerState state)
+{
+    return state == BackendServerState::Ready ? "ready" : "draining";
+}
+
+} // namespace
+
+BackendServerTracker::BackendServerTracker(framework::ILogger &logger) : m_logger(logger) { }
+
+bool BackendServerTracker::admits(const BackendServerEntry &entry) const
+{
+    return entry.state == BackendServerState::Ready && !m_zonesOut.contains(entry.zone);
+}
+
+const std::vector<const BackendServerEntry *> &
+BackendServerTracker::admitting(const framework::ServiceId &service) const
+{
+    const auto [position, isNew] = m_admitting.try_emplace(service);
+    if (isNew) {
+        for (const auto &[id, entry] : m_entries) {
+            if (entry.service == service && admits(entry)) {
+                position->second.push_back(&entry);
+            }
+        }
+    }
+    return position->second;
+}
+
+const BackendServerEntry *
+BackendServerTracker::findAdmitting(const framework::BackendServerId &server) const
+{
+    const auto found = m_entries.find(server);
+    return found != m_entries.end() && admits(found->second) ? &found->second : nullptr;
+}
+
+bool BackendServerTracker::isZoneOut(const framework::AvailabilityZoneId &zone) const
+{
+    return m_zonesOut.contains(zone);
+}
+
+void BackendServerTracker::changed()
+{
+    m_generation = m_generation.next();
+    m_admitting.clear();
+}
+
+void BackendServerTracker::put(const BackendServerEntry &entry)
+{
+    m_known = true;
+    m_missing.erase(entry.id);
+    const auto found = m_entries.find(entry.id);
+    const bool isNew = found == m_entries.end();
+    const bool differs = isNew || found->second.state != entry.state
+        || found->second.endpoint != entry.endpoint || found->second.service != entry.service
+        || found->second.zone != entry.zone || found->second.incarnation != entry.incarnation;
+    if (!differs) {
+        found->second = entry;
+        return;
+    }
+    m_entries[entry.id] = entry;
+    changed();
+    m_logger.info("backend server registered",
+                  {{"backend_server", entry.id.value()},
+                   {"service", entry.service.value()},
+                   {"zone", entry.zone.value()},
+                   {"endpoint", entry.endpoint.toString()},
+                   {"state", stateName(entry.state)}});
+}
+
+void BackendServerTracker::remove(const framework::BackendServerId &server,
+                                  framework::TimePoint now)
+{
+    m_known = true;
+    if (!m_entries.contains(server)) {
+        return;
+    }
+    if (now < m_graceEnd) {
+        m_missing.insert(server);
+        return;
+    }
+    drop(server, "entry removed");
+}
+
+void BackendServerTracker::registrationsReturned(framework::TimePoint now)
+{
+    m_graceEnd = now + ReturnGrace;
+}
+
+void BackendServerTracker::retainOnly(const std::set<framework::BackendServerId> &servers,
+                                      framework::TimePoint now)
+{
+    m_known = true;
+    std::vector<framework::BackendServerId> absent;
+    for (const auto &[id, entry] : m_entries) {
+        if (!servers.contains(id)) {
+            absent.push_back(id);
+        }
+    }
+    for (const framework::BackendServerId &id : absent) {
+        remove(id, now);
+    }
+}
+
+void BackendServerTracker::setZonesOut(std::set<framework::AvailabilityZoneId> zones)
+{
+    if (zones == m_zonesOut) {
+        return;
+    }
+    m_zonesOut = std::move(zones);
+    changed();
+    std::string names;
+    for (const framework::AvailabilityZoneId &zone : m_zonesOut) {
+        names += (names.empty() ? "" : ",") + zone.value();
+    }
+    m_logger.info("availability zones taken out", {{"zones", names}});
+}
+
+void BackendServerTracker::expire(framework::TimePoint now)
+{
+    if (now < m_graceEnd) {
+        return;
+    }
+    for (const framework::BackendServerId &server : std::exchange(m_missing, {})) {
+        drop(server, "entry lapsed and did not come back");
+    }
+}
+
+void BackendServerTracker::drop(const framework::BackendServerId &server, const char *reason)
+{
+    if (m_entries.erase(server) == 0) {
+        return;
+    }
+    changed();
+    m_logger.info("backend server gone; gets no more work",
+                  {{"backend_server", server.value()}, {"reason", reason}});
+}
+
+} // namespace lavendertally::membership
--- /dev/null
+++ b/src/membership/internal/backendservertracker.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "membership/ibackendservertracker.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace lavendertally::framework {
+class ILogger;
+}
+
+namespace lavendertally::membership {
+
+class BackendServerTracker final : public IBackendServerTracker
+{
+public:
+    explicit BackendServerTracker(framework::ILogger &logger);
+
+    MembershipGeneration generation() const override { return m_generation; }
+    const std::vector<const BackendServerEntry *> &
+    admitting(const framework::ServiceId &service) const override;
+    const BackendServerEntry *
+    findAdmitting(const framework::BackendServerId &server) const override;
+    bool isZoneOut(const framework::AvailabilityZoneId &zone) const override;
+
+    void put(const BackendServerEntry &entry) override;
+    void remove(const framework::BackendServerId &server, framework::TimePoint now) override;
+    void registrationsReturned(framework::TimePoint now) override;
+    void retainOnly(const std::set<framework::BackendServerId> &servers,
+                    framework::TimePoint now) override;
+    void setZonesOut(std::set<framework::AvailabilityZoneId> zones) override;
+    void expire(framework::TimePoint now) override;
+    bool isKnown() const override { return m_known; }
+
+private:
+    void changed();
+    void drop(const framework::BackendServerId &server, const char *reason);
+    bool admits(const BackendServerEntry &entry) const;
+
+    framework::ILogger &m_logger;
+    bool m_known = false;
+    MembershipGeneration m_generation;
+    std::map<framework::BackendServerId, BackendServerEntry> m_entries;
+    std::set<framework::AvailabilityZoneId> m_zonesOut;
+    /// Missing entries that may come back until this instant.
+    framework::TimePoint m_graceEnd;
+    std::set<framework::BackendServerId> m_missing;
+    mutable std::unordered_map<framework::ServiceId, std::vector<const BackendServerEntry *>>
+        m_admitting;
+};
+
+} // namespace lavendertally::membership
--- a/src/membership/internal/membershipmodule.cpp
+++ b/src/membership/internal/membershipmodule.cpp
@@ -1,5 +1,6 @@
 #include "membership/membershipmodule.h"
 
+#include "membership/internal/backendservertracker.h"
 #include "membership/internal/membership.h"
 #include "membership/internal/workgate.h"
 
@@ -10,6 +11,12 @@
     return std::make_unique<Membership>(limits);
 }
 
+std::unique_ptr<IBackendServerTracker>
+MembershipModule::makeBackendServerTracker(framework::ILogger &logger)
+{
+    return std::make_unique<BackendServerTracker>(logger);
+}
+
 std::unique_ptr<IWorkGate> MembershipModule::makeWorkGate(const framework::HostId &host,
                                                           const framework::AvailabilityZoneId &zone)
 {
--- a/src/membership/membershipmodule.h
+++ b/src/membership/membershipmodule.h
@@ -5,8 +5,13 @@
 
 #include <memory>
 
+namespace lavendertally::framework {
+class ILogger;
+}
+
 namespace lavendertally::membership {
 
+class IBackendServerTracker;
 class IMembershipTracker;
 class IWorkGate;
 
@@ -16,6 +21,10 @@
 public:
     static std::unique_ptr<IMembershipTracker> makeMembership(const MembershipLimits &limits = {});
 
+    /// \param logger hears of each backend server that comes or goes
+    static std::unique_ptr<IBackendServerTracker>
+    makeBackendServerTracker(framework::ILogger &logger);
+
     /// \param host host on which this process runs
     static std::unique_ptr<IWorkGate> makeWorkGate(const framework::HostId &host,
                                                    const framework::AvailabilityZoneId &zone);
--- /dev/null
+++ b/src/membership/types/backendserverstate.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lavendertally::membership {
+
+enum class BackendServerState
+{
+    Ready,
+    /// Finishes its work and takes none.
+    Draining,
+};
+
+} // namespace lavendertally::membership
--- /dev/null
+++ b/src/network/internal/bufferedsocket.cpp
@@ -0,0 +1,146 @@
+#include "network/bufferedsocket.h"
+
+#include "network/ibufferedsocketobserver.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace lavendertally::network {
+
+namespace {
+
+/// Input held for a reader that does not take it; a few times a usual request.
+constexpr std::size_t MaxUnreadInput = 256 * 1024;
+
+void setOption(int fd, int option, int value)
+{
+    setsockopt(fd, IPPROTO_TCP, option, &value, sizeof value);
+}
+
+} // namespace
+
+BufferedSocket::BufferedSocket(event_base *base, int fd, IBufferedSocketObserver &observer)
+    : m_observer(observer), m_event(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)),
+      m_connected(true)
+{
+    // Streamed parts are small and must not wait for the acknowledgement of earlier ones.
+    setOption(fd, TCP_NODELAY, 1);
+    bufferevent_setcb(m_event, &BufferedSocket::readable, &BufferedSocket::writable,
+                      &BufferedSocket::happened, this);
+    bufferevent_setwatermark(m_event, EV_READ, 0, MaxUnreadInput);
+    bufferevent_enable(m_event, EV_READ | EV_WRITE);
+}
+
+BufferedSocket::BufferedSocket(event_base *base, IBufferedSocketObserver &observer)
+    : m_observer(observer), m_event(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE))
+{
+    bufferevent_setcb(m_event, &BufferedSocket::readable, &BufferedSocket::writable,
+                      &BufferedSocket::happened, this);
+    bufferevent_setwatermark(m_event, EV_READ, 0, MaxUnreadInput);
+    bufferevent_enable(m_event, EV_READ | EV_WRITE);
+}
+
+BufferedSocket::~BufferedSocket()
+{
+    bufferevent_free(m_event);
+}
+
+bool BufferedSocket::connect(const char *address, unsigned short port,
+                             framework::Milliseconds acknowledgeTimeout)
+{
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(port);
+    if (inet_pton(AF_INET, address, &target.sin_addr) != 1) {
+        return false;
+    }
+    if (bufferevent_socket_connect(m_event, reinterpret_cast<sockaddr *>(&target), sizeof target)
+        != 0) {
+        return false;
+    }
+    const int fd = bufferevent_getfd(m_event);
+    setOption(fd, TCP_NODELAY, 1);
+    if (acknowledgeTimeout.value() > 0) {
+        setOption(fd, TCP_USER_TIMEOUT, static_cast<int>(acknowledgeTimeout.value()));
+    }
+    return true;
+}
+
+std::string_view BufferedSocket::input()
+{
+    evbuffer *buffer = bufferevent_get_input(m_event);
+    const std::size_t length = evbuffer_get_length(buffer);
+    if (length == 0) {
+        return {};
+    }
+    const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(buffer, -1));
+    return {bytes, length};
+}
+
+void BufferedSocket::consume(std::size_t count)
+{
+    evbuffer_drain(bufferevent_get_input(m_event), count);
+}
+
+void BufferedSocket::write(std::string_view data)
+{
+    if (m_connected && unsent() == 0) {
+        const int fd = bufferevent_getfd(m_event);
+        const ssize_t sent = send(fd, data.data(), data.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (sent > 0) {
+            data.remove_prefix(static_cast<std::size_t>(sent));
+        }
+    }
+    if (!data.empty()) {
+        bufferevent_write(m_event, data.data(), data.size());
+    }
+}
+
+std::size_t BufferedSocket::unsent() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_event));
+}
+
+void BufferedSocket::shutDownSending()
+{
+    m_shutDown = true;
+    if (unsent() == 0) {
+        ::shutdown(bufferevent_getfd(m_event), SHUT_WR);
+    }
+}
+
+void BufferedSocket::readable(bufferevent * /*event*/, void *self)
+{
+    static_cast<BufferedSocket *>(self)->m_observer.onReadable();
+}
+
+void BufferedSocket::writable(bufferevent *event, void *self)
+{
+    auto *socket = static_cast<BufferedSocket *>(self);
+    if (socket->m_shutDown) {
+        ::shutdown(bufferevent_getfd(event), SHUT_WR);
+    }
+    socket->m_observer.onFlushed();
+}
+
+void BufferedSocket::happened(bufferevent * /*event*/, short what, void *self)
+{
+    auto *socket = static_cast<BufferedSocket *>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        socket->m_connected = true;
+        socket->m_observer.onConnected();
+        return;
+    }
+    constexpr short Ended = BEV_EVENT_EOF | BEV_EVENT_ERROR;
+    if ((what & Ended) != 0) {
+        socket->m_observer.onClosed((what & BEV_EVENT_ERROR) == 0);
+    }
+}
+
+} // namespace lavendertally::network
--- a/src/orders/internal/leasekeeper.cpp
+++ b/src/orders/internal/leasekeeper.cpp
@@ -5,9 +5,9 @@
 #include "framework/ilogger.h"
 #include "orders/internal/leasejson.h"
 #include "orders/types/leaserecord.h"
-#include "platform/ilogservice.h"
-#include "platform/types/firstkept.h"
-#include "platform/types/platformerror.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/types/firstkept.h"
+#include "infrastructure/types/infrastructureerror.h"
 
 #include <utility>
 
@@ -22,8 +22,8 @@
 
 } // namespace
 
-LeaseKeeper::LeaseKeeper(platform::StreamName stream, HolderId holder, const OrderPolicy &policy,
-                         platform::ILogService &log, const framework::IClock &clock,
+LeaseKeeper::LeaseKeeper(infrastructure::StreamName stream, HolderId holder, const OrderPolicy &policy,
+                         infrastructure::ILogService &log, const framework::IClock &clock,
                          framework::ILogger &logger)
     : m_stream(std::move(stream)), m_holder(std::move(holder)), m_policy(policy), m_logService(log),
       m_clock(clock), m_logger(logger), m_others(policy.clockDriftPercent)
@@ -67,7 +67,7 @@
 
 void LeaseKeeper::catchUp()
 {
-    read(NoWait, [this](const platform::LogPage &page) {
+    read(NoWait, [this](const infrastructure::LogPage &page) {
         if (m_next < page.end) {
             catchUp();
             return;
@@ -99,8 +99,8 @@
             [this, attempt, deadline](framework::Result<framework::LogOffset> result) {
                 if (!result) {
                     const auto error =
-                        framework::errorOf(std::move(result), platform::PlatformError::AnswerLost);
-                    if (!platform::mayHaveTakenEffect(error)) {
+                        framework::errorOf(std::move(result), infrastructure::InfrastructureError::AnswerLost);
+                    if (!infrastructure::mayHaveTakenEffect(error)) {
                         fail(OrderError::LogUnavailable);
                         return;
                     }
@@ -118,7 +118,7 @@
         fail(OrderError::LogUnavailable);
         return;
     }
-    read(left, [this, attempt, deadline](const platform::LogPage & /*page*/) {
+    read(left, [this, attempt, deadline](const infrastructure::LogPage & /*page*/) {
         if (m_superseded) {
             fail(OrderError::LeaseLost);
         } else if (m_seenAttempt >= attempt) {
@@ -140,21 +140,21 @@
 }
 
 void LeaseKeeper::read(framework::Milliseconds wait,
-                       std::function<void(const platform::LogPage &)> then)
+                       std::function<void(const infrastructure::LogPage &)> then)
 {
     const auto onPage = [this, wait,
-                         then = std::move(then)](framework::Result<platform::LogPage> result) {
+                         then = std::move(then)](framework::Result<infrastructure::LogPage> result) {
         std::optional<framework::LogOffset> firstKept;
         const auto page = framework::leaf::try_handle_all(
-            [&]() -> framework::Result<std::optional<platform::LogPage>> {
+            [&]() -> framework::Result<std::optional<infrastructure::LogPage>> {
                 BOOST_LEAF_AUTO(received, std::move(result));
                 return std::optional(std::move(received));
             },
-            [&](platform::PlatformError /*error*/, const platform::FirstKept &kept) {
+            [&](infrastructure::InfrastructureError /*error*/, const infrastructure::FirstKept &kept) {
                 firstKept = kept.offset;
-                return std::optional<platform::LogPage>();
+                return std::optional<infrastructure::LogPage>();
             },
-            [] { return std::optional<platform::LogPage>(); });
+            [] { return std::optional<infrastructure::LogPage>(); });
         if (page) {
             apply(*page);
             then(*page);
@@ -166,7 +166,7 @@
         }
     };
     m_logService.read(m_stream, m_next, PageLimit, wait, wait + m_policy.logTimeout,
-                      guarded<platform::LogPage>(onPage));
+                      guarded<infrastructure::LogPage>(onPage));
 }
 
 void LeaseKeeper::restartAtFirstKept(framework::LogOffset first)
@@ -180,9 +180,9 @@
     }
 }
 
-void LeaseKeeper::apply(const platform::LogPage &page)
+void LeaseKeeper::apply(const infrastructure::LogPage &page)
 {
-    for (const platform::LogRecord &record : page.records) {
+    for (const infrastructure::LogRecord &record : page.records) {
         if (const auto decoded = decodeLeaseRecord(record.data)) {
             applyRecord(record.offset, *decoded);
         }
--- a/src/orders/internal/leasekeeper.h
+++ b/src/orders/internal/leasekeeper.h
@@ -9,7 +9,7 @@
 #include "orders/types/holderid.h"
 #include "orders/types/ordererror.h"
 #include "orders/types/orderpolicy.h"
-#include "platform/types/streamname.h"
+#include "infrastructure/types/streamname.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,11 +22,11 @@
 class ILogger;
 } // namespace lavendertally::framework
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
-enum class PlatformError;
+enum class InfrastructureError;
 struct LogPage;
-} // namespace lavendertally::platform
+} // namespace lavendertally::infrastructure
 
 namespace lavendertally::orders {
 
@@ -38,8 +38,8 @@
 public:
     using Callback = std::function<void(framework::Result<HeldLease>)>;
 
-    LeaseKeeper(platform::StreamName stream, HolderId holder, const OrderPolicy &policy,
-                platform::ILogService &log, const framework::IClock &clock,
+    LeaseKeeper(infrastructure::StreamName stream, HolderId holder, const OrderPolicy &policy,
+                infrastructure::ILogService &log, const framework::IClock &clock,
                 framework::ILogger &logger);
 
     /// Makes sure that this process holds the lease for some time from now on. One call at a time.
@@ -61,9 +61,9 @@
     void readUntilSeen(std::uint64_t attempt, framework::TimePoint deadline);
     void judge();
 
-    void read(framework::Milliseconds wait, std::function<void(const platform::LogPage &)> then);
+    void read(framework::Milliseconds wait, std::function<void(const infrastructure::LogPage &)> then);
     void restartAtFirstKept(framework::LogOffset first);
-    void apply(const platform::LogPage &page);
+    void apply(const infrastructure::LogPage &page);
     void applyRecord(framework::LogOffset offset, const LeaseRecord &record);
     void takeOverLease(const LeaseRecord &record, framework::LogOffset offset);
 
@@ -86,10 +86,10 @@
         };
     }
 
-    platform::StreamName m_stream;
+    infrastructure::StreamName m_stream;
     HolderId m_holder;
     OrderPolicy m_policy;
-    platform::ILogService &m_logService;
+    infrastructure::ILogService &m_logService;
     const framework::IClock &m_clock;
     framework::ILogger &m_logger;
     LeaseLog m_leaseLog;
--- a/src/orders/internal/orderservice.cpp
+++ b/src/orders/internal/orderservice.cpp
@@ -17,15 +17,15 @@
 /// Times that one order asks for the lease before it gives up.
 constexpr int MaxRounds = 8;
 
-platform::StreamName streamOf(const framework::HostId &host)
+infrastructure::StreamName streamOf(const framework::HostId &host)
 {
-    return platform::StreamName("orders." + host.value());
+    return infrastructure::StreamName("orders." + host.value());
 }
 
 } // namespace
 
 OrderService::OrderService(const framework::HostId &host, HolderId holder,
-                           const OrderPolicy &policy, platform::ILogService &log,
+                           const OrderPolicy &policy, infrastructure::ILogService &log,
                            IEnginePort &engine, framework::IScheduler &scheduler,
                            const framework::IClock &clock, framework::ILogger &logger)
     : m_policy(policy), m_engine(engine), m_scheduler(scheduler), m_clock(clock), m_logger(logger),
--- a/src/orders/internal/orderservice.h
+++ b/src/orders/internal/orderservice.h
@@ -23,7 +23,7 @@
 {
 public:
     OrderService(const framework::HostId &host, HolderId holder, const OrderPolicy &policy,
-                 platform::ILogService &log, IEnginePort &engine, framework::IScheduler &scheduler,
+                 infrastructure::ILogService &log, IEnginePort &engine, framework::IScheduler &scheduler,
                  const framework::IClock &clock, framework::ILogger &logger);
     ~OrderService() override;
 
--- a/src/orders/internal/ordersmodule.cpp
+++ b/src/orders/internal/ordersmodule.cpp
@@ -20,7 +20,7 @@
 
 std::unique_ptr<IOrderService> OrdersModule::makeOrderService(
     const framework::HostId &host, const framework::DaemonId &daemon, const OrderPolicy &policy,
-    platform::ILogService &log, IEnginePort &engine, framework::IScheduler &scheduler,
+    infrastructure::ILogService &log, IEnginePort &engine, framework::IScheduler &scheduler,
     const framework::IClock &clock, framework::IRandom &random, framework::ILogger &logger)
 {
     return std::make_unique<OrderService>(host, makeHolder(daemon, random), policy, log, engine,
--- a/src/orders/ordersmodule.h
+++ b/src/orders/ordersmodule.h
@@ -16,7 +16,7 @@
 class IHttpClient;
 }
 
-namespace lavendertally::platform {
+namespace lavendertally::infrastructure {
 class ILogService;
 }
 
@@ -35,7 +35,7 @@
     /// \param random makes the holder differ from earlier starts of the daemon
     static std::unique_ptr<IOrderService>
     makeOrderService(const framework::HostId &host, const framework::DaemonId &daemon,
-                     const OrderPolicy &policy, platform::ILogService &log, IEnginePort &engine,
+                     const OrderPolicy &policy, infrastructure::ILogService &log, IEnginePort &engine,
                      framework::IScheduler &scheduler, const framework::IClock &clock,
                      framework::IRandom &random, framework::ILogger &logger);
 
--- a/src/orders/tests/orderservicetest.cpp
+++ b/src/orders/tests/orderservicetest.cpp
@@ -16,7 +16,7 @@
 using framework::Milliseconds;
 using Outcome = std::optional<OrderError>;
 
-const platform::StreamName Stream{"orders.h1"};
+const infrastructure::StreamName Stream{"orders.h1"};
 
 OrderPolicy makePolicy(bool checksFencing)
 {
@@ -80,7 +80,7 @@
 
     framework::FakeClock m_clock;
     framework::FakeScheduler m_scheduler{m_clock};
-    platform::FakeLog m_log;
+    infrastructure::FakeLog m_log;
     FakeEngine m_engine;
     std::deque<Outcome> m_outcomes;
     std::size_t m_ended = 0;
@@ -215,7 +215,7 @@
 
 TEST_P(OrderServiceTest, LeaseIsTakenThoughItsAppendWasLostOrDoubled)
 {
-    using platform::FakeLogFault;
+    using infrastructure::FakeLogFault;
     for (const FakeLogFault fault :
          {FakeLogFault::AnswerLost, FakeLogFault::Doubled, FakeLogFault::DoubledAnswerLost,
           FakeLogFault::MalformedAnswer}) {
@@ -277,7 +277,7 @@
             process.thaw();
             break;
         case 5:
-            process.log().failAppends(static_cast<platform::FakeLogFault>(below(8)));
+            process.log().failAppends(static_cast<infrastructure::FakeLogFault>(below(8)));
             break;
         case 6:
             process.log().setDelays(Milliseconds(below(1500)), Milliseconds(below(1500)));
--- a/src/orders/tests/orderspathtest.cpp
+++ b/src/orders/tests/orderspathtest.cpp
@@ -12,8 +12,8 @@
 #include "orders/ordersmodule.h"
 #include "orders/types/ordererror.h"
 #include "orders/types/orderpolicy.h"
-#include "platform/ilogservice.h"
-#include "platform/platformmodule.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/infrastructuremodule.h"
 #include "standins/logstandin.h"
 #include "standins/modelenginestandin.h"
 
@@ -59,7 +59,7 @@
     std::unique_ptr<http::IHttpClient> m_client = http::HttpModule::makeClient(*m_loop);
     standins::LogStandIn m_logStandIn{*m_loop, standins::LogOptions{}};
     standins::ModelEngineStandIn m_engine{*m_loop, standins::EngineOptions{}};
-    std::unique_ptr<platform::ILogService> m_log = platform::PlatformModule::makeLogService(
+    std::unique_ptr<infrastructure::ILogService> m_log = infrastructure::InfrastructureModule::makeLogService(
         *m_client, m_logStandIn.listen({"127.0.0.1", 0}).value());
     std::unique_ptr<IEnginePort> m_port =
         OrdersModule::makeEnginePort(*m_client, m_engine.listen({"127.0.0.1", 0}).value());
--- a/src/orders/tests/process.h
+++ b/src/orders/tests/process.h
@@ -9,7 +9,7 @@
 #include "orders/iengineport.h"
 #include "orders/internal/orderservice.h"
 #include "orders/tests/fakeengine.h"
-#include "platform/testing/fakelogservice.h"
+#include "infrastructure/testing/fakelogservice.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,12 +24,12 @@
 /// sent goes on. Its clock may run slower than that of the test.
 class Process final : public framework::IScheduler,
                       public framework::IClock,
-                      public platform::ILogService,
+                      public infrastructure::ILogService,
                       public IEnginePort
 {
 public:
     Process(const std::string &name, const OrderPolicy &policy, framework::FakeClock &clock,
-            framework::FakeScheduler &scheduler, platform::FakeLog &log, FakeEngine &engine)
+            framework::FakeScheduler &scheduler, infrastructure::FakeLog &log, FakeEngine &engine)
         : m_name(name), m_clock(clock), m_scheduler(scheduler), m_engine(engine),
           m_log(scheduler, log),
           m_service(std::make_unique<OrderService>(framework::HostId("h1"), HolderId(name), policy,
@@ -37,7 +37,7 @@
     { }
 
     OrderService &service() { return *m_service; }
-    platform::FakeLogService &log() { return m_log; }
+    infrastructure::FakeLogService &log() { return m_log; }
     const std::string &name() const { return m_name; }
 
     /// Rate of its clock in parts of a thousand.
@@ -65,15 +65,15 @@
     }
     framework::TimePoint wallNow() const override { return m_clock.wallNow(); }
 
-    void append(const platform::StreamName &stream, std::vector<std::string> records,
+    void append(const infrastructure::StreamName &stream, std::vector<std::string> records,
                 framework::Milliseconds timeout,
                 std::function<void(framework::Result<framework::LogOffset>)> callback) override
     {
         m_log.append(stream, std::move(records), timeout, heldResult(std::move(callback)));
     }
-    void read(const platform::StreamName &stream, framework::LogOffset from, std::uint32_t limit,
+    void read(const infrastructure::StreamName &stream, framework::LogOffset from, std::uint32_t limit,
               framework::Milliseconds wait, framework::Milliseconds timeout,
-              std::function<void(framework::Result<platform::LogPage>)> callback) override
+              std::function<void(framework::Result<infrastructure::LogPage>)> callback) override
     {
         m_log.read(stream, from, limit, wait, timeout, heldResult(std::move(callback)));
     }
@@ -127,7 +127,7 @@
     bool m_frozen = false;
     bool m_freezeBeforeSending = false;
     std::vector<std::function<void()>> m_held;
-    platform::FakeLogService m_log;
+    infrastructure::FakeLogService m_log;
     std::unique_ptr<OrderService> m_service;
 };
 
--- /dev/null
+++ b/src/peers/idaemondirectory.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "peers/types/daemonaddress.h"
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+namespace lavendertally::peers {
+
+/// The daemons that are up, as far as the platform knows.
+class IDaemonDirectory
+{
+public:
+    virtual ~IDaemonDirectory() = default;
+
+    /// \return the other daemons
+    virtual const std::vector<DaemonAddress> &daemons() const = 0;
+
+    /// \return how many daemons share limits that hold for all of them together, at least one
+    virtual std::size_t sharers() const = 0;
+
+    /// \param callback called after each change
+    virtual void onChange(std::function<void()> callback) = 0;
+};
+
+} // namespace lavendertally::peers
--- /dev/null
+++ b/src/peers/internal/peerlink.cpp
@@ -0,0 +1,89 @@
+#include "peers/internal/peerlink.h"
+
+#include "network/bufferedsocket.h"
+#include "peers/internal/ipeerlinkowner.h"
+#include "protocol/iframereader.h"
+#include "protocol/ipeermessagecodec.h"
+#include "protocol/protocolmodule.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace lavendertally::peers {
+
+namespace {
+
+/// Unacknowledged bytes end a link after this time; pings find a silent link sooner.
+constexpr framework::Milliseconds AcknowledgeTimeout{2000};
+
+} // namespace
+
+PeerLink::PeerLink(event_base *base, int fd, const protocol::IPeerMessageCodec &codec,
+                   IPeerLinkOwner &owner)
+    : m_codec(codec), m_owner(owner), m_frames(protocol::ProtocolModule::makeFrameReader()),
+      m_socket(std::make_unique<network::BufferedSocket>(base, fd, *this)), m_connected(true)
+{ }
+
+PeerLink::PeerLink(event_base *base, framework::DaemonId peer,
+                   const protocol::IPeerMessageCodec &codec, IPeerLinkOwner &owner)
+    : m_codec(codec), m_owner(owner), m_peer(std::move(peer)),
+      m_frames(protocol::ProtocolModule::makeFrameReader()),
+      m_socket(std::make_unique<network::BufferedSocket>(base, *this))
+{ }
+
+PeerLink::~PeerLink() = default;
+
+bool PeerLink::connect(const char *address, unsigned short port)
+{
+    return m_socket->connect(address, port, AcknowledgeTimeout);
+}
+
+void PeerLink::send(const protocol::PeerMessage &message)
+{
+    m_socket->write(protocol::IFrameReader::frame(m_codec.encode(message)));
+}
+
+void PeerLink::setPeer(framework::DaemonId peer)
+{
+    m_peer = std::move(peer);
+}
+
+void PeerLink::onConnected()
+{
+    m_connected = true;
+    m_owner.onLinkConnected(*this);
+}
+
+void PeerLink::onReadable()
+{
+    const std::string_view input = m_socket->input();
+    m_frames->append(input);
+    m_socket->consume(input.size());
+    while (m_connected) {
+        auto frame = m_frames->next();
+        if (!frame) {
+            m_connected = false;
+            m_owner.onLinkClosed(*this, "frame exceeds the size limit");
+            return;
+        }
+        if (!frame->has_value()) {
+            return;
+        }
+        const auto message = m_codec.decode(**frame);
+        if (!message) {
+            m_connected = false;
+            m_owner.onLinkClosed(*this, "message cannot be read");
+            return;
+        }
+        m_owner.onLinkMessage(*this, *message);
+    }
+}
+
+void PeerLink::onClosed(bool inOrder)
+{
+    m_connected = false;
+    m_owner.onLinkClosed(*this, inOrder ? "closed by the peer" : "connection broke");
+}
+
+} // namespace lavendertally::peers
--- /dev/null
+++ b/src/peers/internal/peernetwork.cpp
@@ -0,0 +1,302 @@
+#include "peers/internal/peernetwork.h"
+
+#include "framework/iclock.h"
+#include "framework/ieventloop.h"
+#include "framework/ilogger.h"
+#include "framework/itimer.h"
+#include "framework/types/errorcontext.h"
+#include "peers/internal/peerlink.h"
+#include "peers/ipeerobserver.h"
+#include "peers/types/peererror.h"
+#include "protocol/ipeermessagecodec.h"
+#include "protocol/protocolmodule.h"
+
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::peers {
+
+namespace {
+
+constexpr int Backlog = 128;
+
+} // namespace
+
+PeerNetwork::PeerNetwork(framework::IEventLoop &loop, const framework::IClock &clock,
+                         framework::ILogger &logger, framework::DaemonId self,
+                         const PeerLimits &limits)
+    : m_loop(loop), m_clock(clock), m_logger(logger), m_self(std::move(self)), m_limits(limits),
+      m_codec(protocol::ProtocolModule::makePeerCodec()), m_acceptsJobs([] { return false; })
+{ }
+
+PeerNetwork::~PeerNetwork()
+{
+    if (m_listener != nullptr) {
+        evconnlistener_free(m_listener);
+    }
+}
+
+void PeerNetwork::setAcceptsJobs(std::function<bool()> accepts)
+{
+    m_acceptsJobs = std::move(accepts);
+}
+
+framework::Result<framework::Endpoint> PeerNetwork::listen(const framework::Endpoint &endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) == 1) {
+        m_listener = evconnlistener_new_bind(m_loop.base(), &PeerNetwork::accepted, this,
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, Backlog,
+                                             reinterpret_cast<sockaddr *>(&address),
+                                             sizeof address);
+    }
+    if (m_listener == nullptr) {
+        return framework::leaf::new_error(
+            PeerError::ListenFailed,
+            framework::ErrorContext{"cannot listen on " + endpoint.toString()});
+    }
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&bound), &length);
+    tick();
+    return framework::Endpoint{endpoint.address, ntohs(bound.sin_port)};
+}
+
+void PeerNetwork::accepted(evconnlistener * /*listener*/, int fd, sockaddr * /*address*/,
+                           int /*length*/, void *self)
+{
+    auto *network = static_cast<PeerNetwork *>(self);
+    auto link =
+        std::make_unique<PeerLink>(network->m_loop.base(), fd, *network->m_codec, *network);
+    link->setLastHeard(network->m_clock.now());
+    network->m_inbound.push_back(std::move(link));
+}
+
+void PeerNetwork::connectTo(const std::vector<DaemonAddress> &daemons)
+{
+    std::map<framework::DaemonId, Outbound> kept;
+    for (const DaemonAddress &daemon : daemons) {
+        if (daemon.daemon == m_self) {
+            continue;
+        }
+        auto node = m_outbound.extract(daemon.daemon);
+        if (!node.empty() && node.mapped().endpoint == daemon.endpoint) {
+            kept.insert(std::move(node));
+            continue;
+        }
+        if (!node.empty()) {
+            discard(std::move(node.mapped().link));
+        }
+        kept[daemon.daemon].endpoint = daemon.endpoint;
+    }
+    std::map<framework::DaemonId, Outbound> dropped = std::exchange(m_outbound, std::move(kept));
+    for (auto &[peer, outbound] : dropped) {
+        discard(std::move(outbound.link));
+        if (m_observer != nullptr) {
+            m_observer->onLinkLost(peer);
+        }
+    }
+}
+
+bool PeerNetwork::isAccepting(const framework::DaemonId &peer) const
+{
+    const auto found = m_outbound.find(peer);
+    if (found == m_outbound.end()) {
+        return false;
+    }
+    const Outbound &outbound = found->second;
+    const bool proved =
+        !outbound.wasLost || m_clock.now() - outbound.goodSince >= m_limits.probation;
+    return outbound.answered && outbound.acceptsJobs && proved;
+}
+
+bool PeerNetwork::send(const framework::DaemonId &peer, const protocol::PeerMessage &message)
+{
+    const auto outbound = m_outbound.find(peer);
+    if (outbound != m_outbound.end() && outbound->second.answered) {
+        outbound->second.link->send(message);
+        return true;
+    }
+    for (const auto &link : m_inbound) {
+        if (link->peer() == peer) {
+            link->send(message);
+            return true;
+        }
+    }
+    return false;
+}
+
+void PeerNetwork::tick()
+{
+    const framework::TimePoint now = m_clock.now();
+    for (auto &[peer, outbound] : m_outbound) {
+        tend(peer, outbound, now);
+    }
+    closeSilentInbound(now);
+    m_tickTimer = m_loop.callAfter(m_limits.pingInterval, [this] { tick(); });
+}
+
+void PeerNetwork::tend(const framework::DaemonId &peer, Outbound &outbound,
+                       framework::TimePoint now)
+{
+    if (!outbound.link) {
+        if (now < outbound.nextAttempt) {
+            return;
+        }
+        outbound.begun = now;
+        outbound.link = std::make_unique<PeerLink>(m_loop.base(), peer, *m_codec, *this);
+        outbound.link->setLastHeard(now);
+        const bool begun =
+            outbound.link->connect(outbound.endpoint.address.c_str(), outbound.endpoint.port);
+        if (!begun) {
+            lose(peer, outbound, "connection cannot be begun");
+        }
+        return;
+    }
+    if (!outbound.link->isConnected()) {
+        if (now - outbound.begun > m_limits.connectTimeout) {
+            lose(peer, outbound, "no connection in time");
+        }
+        return;
+    }
+    if (now - outbound.link->lastHeard() > m_limits.silenceLimit) {
+        lose(peer, outbound, "no answer to pings");
+        return;
+    }
+    outbound.link->send(protocol::PeerPing{++m_pingSequence});
+}
+
+void PeerNetwork::lose(const framework::DaemonId &peer, Outbound &outbound, const char *reason)
+{
+    discard(std::move(outbound.link));
+    outbound.nextAttempt = m_clock.now() + m_limits.reconnectDelay;
+    if (!std::exchange(outbound.answered, false)) {
+        return;
+    }
+    outbound.wasLost = true;
+    m_logger.warning("link to a daemon lost; reconnects",
+                     {{"peer", peer.value()}, {"reason", reason}});
+    if (m_observer != nullptr) {
+        m_observer->onLinkLost(peer);
+    }
+}
+
+void PeerNetwork::closeSilentInbound(framework::TimePoint now)
+{
+    std::vector<PeerLink *> silent;
+    for (const auto &link : m_inbound) {
+        if (now - link->lastHeard() > m_limits.inboundSilenceLimit) {
+            silent.push_back(link.get());
+        }
+    }
+    for (PeerLink *link : silent) {
+        dropInbound(*link);
+    }
+}
+
+void PeerNetwork::onLinkConnected(PeerLink &link)
+{
+    link.setLastHeard(m_clock.now());
+    link.send(protocol::PeerHello{m_self});
+    link.send(protocol::PeerPing{++m_pingSequence});
+}
+
+void PeerNetwork::onLinkMessage(PeerLink &link, const protocol::PeerMessage &message)
+{
+    link.setLastHeard(m_clock.now());
+    if (const auto *hello = std::get_if<protocol::PeerHello>(&message)) {
+        onHello(link, *hello);
+        return;
+    }
+    if (const auto *ping = std::get_if<protocol::PeerPing>(&message)) {
+        link.send(protocol::PeerPong{ping->sequence, m_acceptsJobs()});
+        return;
+    }
+    if (const auto *pong = std::get_if<protocol::PeerPong>(&message)) {
+        onPong(link, *pong);
+        return;
+    }
+    if (m_observer != nullptr && !link.peer().isEmpty()) {
+        m_observer->onMessage(link.peer(), message);
+    }
+}
+
+void PeerNetwork::onHello(PeerLink &link, const protocol::PeerHello &hello)
+{
+    std::vector<PeerLink *> older;
+    for (const auto &other : m_inbound) {
+        if (other.get() != &link && other->peer() == hello.daemon) {
+            older.push_back(other.get());
+        }
+    }
+    for (PeerLink *other : older) {
+        dropInbound(*other);
+    }
+    link.setPeer(hello.daemon);
+}
+
+void PeerNetwork::onPong(const PeerLink &link, const protocol::PeerPong &pong)
+{
+    const auto found = m_outbound.find(link.peer());
+    if (found == m_outbound.end() || found->second.link.get() != &link) {
+        return;
+    }
+    Outbound &outbound = found->second;
+    if (!outbound.answered) {
+        outbound.answered = true;
+        outbound.goodSince = m_clock.now();
+        m_logger.info("link to a daemon is good", {{"peer", link.peer().value()}});
+    }
+    outbound.acceptsJobs = pong.acceptsJobs;
+}
+
+bool PeerNetwork::isOutbound(const PeerLink &link) const
+{
+    const auto found = m_outbound.find(link.peer());
+    return found != m_outbound.end() && found->second.link.get() == &link;
+}
+
+void PeerNetwork::onLinkClosed(PeerLink &link, const char *reason)
+{
+    if (isOutbound(link)) {
+        const framework::DaemonId peer = link.peer();
+        lose(peer, m_outbound.at(peer), reason);
+        return;
+    }
+    dropInbound(link);
+}
+
+void PeerNetwork::dropInbound(PeerLink &link)
+{
+    const auto found = std::find_if(m_inbound.begin(), m_inbound.end(),
+                                    [&link](const auto &each) { return each.get() == &link; });
+    if (found == m_inbound.end()) {
+        return;
+    }
+    const framework::DaemonId peer = link.peer();
+    discard(std::move(*found));
+    m_inbound.erase(found);
+    if (m_observer != nullptr && !peer.isEmpty()) {
+        m_observer->onPeerLeft(peer);
+    }
+}
+
+void PeerNetwork::discard(std::unique_ptr<PeerLink> link)
+{
+    if (!link) {
+        return;
+    }
+    m_discarded.push_back(std::move(link));
+    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0), [this] { m_discarded.clear(); });
+}
+
+} // namespace lavendertally::peers
--- /dev/null
+++ b/src/peers/internal/peernetwork.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "framework/types/timepoint.h"
+#include "peers/internal/ipeerlinkowner.h"
+#include "peers/ipeernetwork.h"
+#include "peers/types/peerlimits.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace lavendertally::framework {
+class IClock;
+class IEventLoop;
+class ILogger;
+class ITimer;
+} // namespace lavendertally::framework
+
+namespace lavendertally::protocol {
+class IPeerMessageCodec;
+}
+
+namespace lavendertally::peers {
+
+class PeerLink;
+
+/// Links on TCP. Each daemon keeps links to the peers that it needs and pings them; a peer that
+/// does not answer in time is lost, whatever the state of the connection.
+class PeerNetwork final : public IPeerNetwork, public IPeerLinkOwner
+{
+public:
+    PeerNetwork(framework::IEventLoop &loop, const framework::IClock &clock,
+                framework::ILogger &logger, framework::DaemonId self, const PeerLimits &limits);
+    ~PeerNetwork() override;
+    PeerNetwork(const PeerNetwork &) = delete;
+    PeerNetwork &operator=(const PeerNetwork &) = delete;
+
+    void setObserver(IPeerObserver &observer) override { m_observer = &observer; }
+    void setAcceptsJobs(std::function<bool()> accepts) override;
+    framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
+    void connectTo(const std::vector<DaemonAddress> &daemons) override;
+    bool isAccepting(const framework::DaemonId &peer) const override;
+    bool send(const framework::DaemonId &peer, const protocol::PeerMessage &message) override;
+
+    void onLinkConnected(PeerLink &link) override;
+    void onLinkMessage(PeerLink &link, const protocol::PeerMessage &message) override;
+    void onLinkClosed(PeerLink &link, const char *reason) override;
+
+private:
+    /// A peer to which this daemon keeps a link.
+    struct Outbound
+    {
+        framework::Endpoint endpoint;
+        std::unique_ptr<PeerLink> link;
+        framework::TimePoint nextAttempt;
+        framework::TimePoint begun;
+        framework::TimePoint goodSince;
+        bool wasLost = false;
+        bool answered = false;
+        bool acceptsJobs = false;
+    };
+
+    static void accepted(evconnlistener *listener, int fd, sockaddr *address, int length,
+                         void *self);
+
+    void tick();
+    void tend(const framework::DaemonId &peer, Outbound &outbound, framework::TimePoint now);
+    void lose(const framework::DaemonId &peer, Outbound &outbound, const char *reason);
+    void closeSilentInbound(framework::TimePoint now);
+    void onHello(PeerLink &link, const protocol::PeerHello &hello);
+    void onPong(const PeerLink &link, const protocol::PeerPong &pong);
+    bool isOutbound(const PeerLink &link) const;
+    void dropInbound(PeerLink &link);
+    void discard(std::unique_ptr<PeerLink> link);
+
+    framework::IEventLoop &m_loop;
+    const framework::IClock &m_clock;
+    framework::ILogger &m_logger;
+    framework::DaemonId m_self;
+    PeerLimits m_limits;
+    std::unique_ptr<protocol::IPeerMessageCodec> m_codec;
+    IPeerObserver *m_observer = nullptr;
+    std::function<bool()> m_acceptsJobs;
+    evconnlistener *m_listener = nullptr;
+    std::map<framework::DaemonId, Outbound> m_outbound;
+    std::vector<std::unique_ptr<PeerLink>> m_inbound;
+    std::vector<std::unique_ptr<PeerLink>> m_discarded;
+    std::unique_ptr<framework::ITimer> m_tickTimer;
+    std::unique_ptr<framework::ITimer> m_discardTimer;
+    std::uint64_t m_pingSequence = 0;
+};
+
+} // namespace lavendertally::peers
--- /dev/null
+++ b/src/peers/ipeernetwork.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "framework/result.h"
+#include "framework/types/endpoint.h"
+#include "framework/types/ids.h"
+#include "peers/types/daemonaddress.h"
+#include "protocol/types/peermessage.h"
+
+#include <functional>
+#include <vector>
+
+namespace lavendertally::peers {
+
+class IPeerObserver;
+
+/// Links between daemons.
+class IPeerNetwork
+{
+public:
+    virtual ~IPeerNetwork() = default;
+
+    /// \param observer outlives the network
+    virtual void setObserver(IPeerObserver &observer) = 0;
+
+    /// \param accepts tells other daemons whether this one takes stage jobs
+    virtual void setAcceptsJobs(std::function<bool()> accepts) = 0;
+
+    /// \return the endpoint with its real port, or PeerError
+    virtual framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) = 0;
+
+    /// Keeps links to exactly these daemons.
+    virtual void connectTo(const std::vector<DaemonAddress> &daemons) = 0;
+
+    /// \return whether the link to \p peer is good and the peer takes stage jobs
+    virtual bool isAccepting(const framework::DaemonId &peer) const = 0;
+
+    /// Sends on the link to \p peer, or else on its link to this daemon.
+    /// \return false if there is none
+    virtual bool send(const framework::DaemonId &peer, const protocol::PeerMessage &message) = 0;
+};
+
+} // namespace lavendertally::peers
--- /dev/null
+++ b/src/peers/ipeerobserver.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "protocol/types/peermessage.h"
+
+namespace lavendertally::peers {
+
+/// Hears what happens on the links between daemons.
+class IPeerObserver
+{
+public:
+    virtual ~IPeerObserver() = default;
+
+    virtual void onMessage(const framework::DaemonId &peer, const protocol::PeerMessage &message)
+        = 0;
+
+    /// A link that this daemon keeps to \p peer is lost; what was sent on it may be lost too.
+    virtual void onLinkLost(const framework::DaemonId &peer) = 0;
+
+    /// \p peer has closed its link to this daemon, or fell silent.
+    virtual void onPeerLeft(const framework::DaemonId &peer) = 0;
+};
+
+} // namespace lavendertally::peers
--- /dev/null
+++ b/src/peers/types/daemonaddress.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "framework/types/endpoint.h"
+#include "framework/types/ids.h"
+
+namespace lavendertally::peers {
+
+/// Where a daemon answers other daemons.
+struct DaemonAddress
+{
+    framework::DaemonId daemon;
+    framework::Endpoint endpoint;
+
+    bool operator==(const DaemonAddress &) const = default;
+};
+
+} // namespace lavendertally::peers
--- /dev/null
+++ b/src/platform/internal/answercodec.cpp
@@ -0,0 +1,53 @@
+#include "platform/internal/answercodec.h"
+
+#include "http/headerlookup.h"
+#include "http/types/httpresponsehead.h"
+#include "platform/internal/headerrules.h"
+#include "platform/internal/wirenames.h"
+
+#include <array>
+#include <charconv>
+
+namespace lavendertally::platform {
+
+namespace {
+
+constexpr int MisdirectedRequest = 421;
+
+} // namespace
+
+std::optional<routing::ServerLoad> decodeServerLoad(std::string_view text)
+{
+    std::array<std::uint32_t, 3> numbers{};
+    const char *position = text.data();
+    const char *end = text.data() + text.size();
+    for (std::size_t index = 0; index < numbers.size(); ++index) {
+        const auto parsed = std::from_chars(position, end, numbers[index]);
+        if (parsed.ec != std::errc()) {
+            return std::nullopt;
+        }
+        position = parsed.ptr;
+        if (index + 1 < numbers.size() && (position == end || *position++ != ',')) {
+            return std::nullopt;
+        }
+    }
+    return routing::ServerLoad{numbers[0], numbers[1], numbers[2]};
+}
+
+proxy::AnswerHead decodeAnswerHead(const http::HttpResponseHead &head)
+{
+    proxy::AnswerHead answer;
+    answer.status = head.status;
+    answer.headers = passedOnHeaders(head.headers, {});
+    answer.notExecuted = http::findHeader(head.headers, wire::NotExecuted).has_value()
+        || head.status == MisdirectedRequest;
+    answer.isSigned = http::findHeader(head.headers, wire::Signature).has_value();
+    const auto type = http::findHeader(head.headers, "Content-Type");
+    answer.isEventStream = type && type->starts_with(wire::EventStreamType);
+    if (const auto load = http::findHeader(head.headers, wire::ServerLoad)) {
+        answer.load = decodeServerLoad(*load);
+    }
+    return answer;
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/backendserverfeed.cpp
@@ -0,0 +1,76 @@
+#include "platform/internal/backendserverfeed.h"
+
+#include "framework/iclock.h"
+#include "framework/ilogger.h"
+#include "framework/types/errorcontext.h"
+#include "membership/ibackendserverupdates.h"
+#include "membership/types/backendserverentry.h"
+#include "platform/internal/backendservercodec.h"
+#include "platform/internal/wirenames.h"
+#include "platform/types/decodeerror.h"
+
+#include <set>
+
+namespace lavendertally::platform {
+
+namespace {
+
+/// Every heartbeat of every backend server is a change, so the topic is read at intervals: half of
+/// the time within which a backend server that leaves must get no more work.
+constexpr TopicPace Pace{framework::Milliseconds(0), framework::Milliseconds(1000)};
+
+} // namespace
+
+BackendServerFeed::BackendServerFeed(StoreClient &store, framework::IScheduler &scheduler,
+                                     const framework::IClock &clock, framework::ILogger &logger,
+                                     membership::IBackendServerUpdates &servers)
+    : m_clock(clock), m_logger(logger), m_servers(servers),
+      m_reader(store, scheduler, clock, logger, std::string(wire::ServersTopic), Pace, *this)
+{ }
+
+void BackendServerFeed::onSnapshot(const std::vector<StoreRecord> &records,
+                                   framework::TimePoint asked)
+{
+    std::set<framework::BackendServerId> present;
+    for (const StoreRecord &record : records) {
+        present.emplace(record.key);
+    }
+    m_servers.retainOnly(present, m_clock.now());
+    onChanges(records, asked);
+}
+
+void BackendServerFeed::onChanges(const std::vector<StoreRecord> &records,
+                                  framework::TimePoint /*asked*/)
+{
+    for (const StoreRecord &record : records) {
+        apply(record);
+    }
+}
+
+void BackendServerFeed::onReturned()
+{
+    m_servers.registrationsReturned(m_clock.now());
+}
+
+void BackendServerFeed::apply(const StoreRecord &record)
+{
+    const framework::BackendServerId id(record.key);
+    if (!record.value) {
+        m_servers.remove(id, m_clock.now());
+        return;
+    }
+    framework::leaf::try_handle_all(
+        [&]() -> framework::Result<void> {
+            BOOST_LEAF_AUTO(entry, decodeBackendServer(record.key, *record.value, m_clock.now()));
+            m_servers.put(entry);
+            return {};
+        },
+        [&](DecodeError /*error*/, const framework::ErrorContext &context) {
+            m_logger.warning("entry of a backend server cannot be read; it is not used",
+                             {{"backend_server", record.key}, {"problem", context.message}});
+            m_servers.remove(id, m_clock.now());
+        },
+        [&] { m_servers.remove(id, m_clock.now()); });
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/clientrequestcodec.cpp
@@ -0,0 +1,149 @@
+#include "platform/internal/clientrequestcodec.h"
+
+#include "framework/hash.h"
+#include "framework/types/errorcontext.h"
+#include "http/headerlookup.h"
+#include "http/types/httprequesthead.h"
+#include "platform/internal/headerrules.h"
+#include "platform/internal/wirenames.h"
+#include "platform/types/decodeerror.h"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace lavendertally::platform {
+
+namespace {
+
+/// Fields that this system sets for backend servers; whatever a client sends under these names must
+/// not reach them.
+constexpr std::array OwnFields = {wire::DeadlineMs, wire::ExpectInstance, wire::ExpectVersion,
+                                  wire::Tenant,     wire::ApiKey,         wire::Inputs,
+                                  wire::Urgency,    wire::PinMs,          wire::KvHold,
+                                  wire::KvBackup,   wire::KvFrom,         wire::KvFetch,
+                                  wire::LastEventId};
+
+std::optional<std::int64_t> parseNumber(std::string_view text)
+{
+    std::int64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end || number < 0) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::vector<std::string_view> splitAtCommas(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    while (!text.empty()) {
+        const std::size_t comma = std::min(text.find(','), text.size());
+        std::string_view part = text.substr(0, comma);
+        part.remove_prefix(std::min(part.find_first_not_of(' '), part.size()));
+        parts.push_back(part);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return parts;
+}
+
+framework::leaf::error_id malformed(std::string_view name)
+{
+    return framework::leaf::new_error(
+        DecodeError::Malformed, framework::ErrorContext{std::string(name) + " cannot be read"});
+}
+
+/// The last part of a prompt is the request's or its session's own; the parts before are shared.
+std::uint64_t sharedPromptHash(std::string_view prefix)
+{
+    const std::vector<std::string_view> parts = splitAtCommas(prefix);
+    if (parts.empty()) {
+        return 0;
+    }
+    const std::string_view shared = parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
+    return framework::stableHash(shared.substr(0, shared.find(':')));
+}
+
+framework::Result<void> readNumbers(const http::HttpHeaders &headers,
+                                    proxy::ClientRequest &request)
+{
+    if (const auto text = http::findHeader(headers, wire::DeadlineMs)) {
+        const auto number = parseNumber(*text);
+        if (!number) {
+            return malformed(wire::DeadlineMs);
+        }
+        request.timeLeft = framework::Milliseconds(*number);
+    }
+    if (const auto text = http::findHeader(headers, wire::LastEventId)) {
+        const auto number = parseNumber(*text);
+        if (!number) {
+            return malformed(wire::LastEventId);
+        }
+        request.lastEvent = framework::StreamEventId(static_cast<std::uint64_t>(*number));
+    }
+    if (const auto text = http::findHeader(headers, wire::TokenCount)) {
+        const auto parts = splitAtCommas(*text);
+        const auto prompt = parts.size() == 2 ? parseNumber(parts[0]) : std::nullopt;
+        const auto output = parts.size() == 2 ? parseNumber(parts[1]) : std::nullopt;
+        if (!prompt || !output) {
+            return malformed(wire::TokenCount);
+        }
+        request.promptTokens = framework::TokenCount(*prompt);
+        request.maxOutputTokens = framework::TokenCount(*output);
+    }
+    return {};
+}
+
+framework::Result<void> readPieces(const http::HttpHeaders &headers, proxy::ClientRequest &request)
+{
+    constexpr std::int64_t MaxPieces = 100000;
+    const auto text = http::findHeader(headers, wire::Pieces);
+    if (!text) {
+        return {};
+    }
+    for (const std::string_view part : splitAtCommas(*text)) {
+        const auto number = parseNumber(part);
+        if (!number || *number > MaxPieces) {
+            return malformed(wire::Pieces);
+        }
+        request.pieces.push_back(static_cast<std::uint32_t>(*number));
+    }
+    return {};
+}
+
+} // namespace
+
+framework::Result<proxy::ClientRequest> decodeClientRequest(const http::HttpRequestHead &head,
+                                                            std::string body)
+{
+    proxy::ClientRequest request;
+    const auto id = http::findHeader(head.headers, wire::RequestId);
+    if (!id || id->empty()) {
+        return malformed(wire::RequestId);
+    }
+    request.id = framework::RequestId(std::string(*id));
+    request.method = head.method;
+    request.target = head.target;
+    request.path = head.target.substr(0, head.target.find('?'));
+    const std::string_view host = http::findHeader(head.headers, "Host").value_or("");
+    request.hostName = std::string(host.substr(0, host.find(':')));
+    request.headers = passedOnHeaders(head.headers, OwnFields);
+    request.body = std::move(body);
+    if (const auto key = http::findHeader(head.headers, wire::ApiKey)) {
+        request.key = framework::ApiKey(std::string(*key));
+    }
+    if (const auto key = http::findHeader(head.headers, wire::PieceKey)) {
+        request.stageInput = framework::StageInputId(std::string(*key));
+    }
+    if (const auto prefix = http::findHeader(head.headers, wire::PromptPrefix)) {
+        request.sharedPrompt = sharedPromptHash(*prefix);
+    }
+    BOOST_LEAF_CHECK(readNumbers(head.headers, request));
+    BOOST_LEAF_CHECK(readPieces(head.headers, request));
+    return request;
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/daemonfeed.cpp
@@ -0,0 +1,161 @@
+#include "platform/internal/daemonfeed.h"
+
+#include "framework/iclock.h"
+#include "framework/ilogger.h"
+#include "framework/ischeduler.h"
+#include "framework/itimer.h"
+#include "http/ihttpcall.h"
+#include "platform/internal/backendservercodec.h"
+#include "platform/internal/wirenames.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::platform {
+
+namespace {
+
+/// Registrations of all daemons come in here, so the topic is read at intervals.
+constexpr TopicPace Pace{framework::Milliseconds(0), framework::Milliseconds(2000)};
+
+/// Time between two registrations of a daemon.
+constexpr framework::Milliseconds RegisterInterval{8000};
+/// After a registration failed it is repeated sooner.
+constexpr framework::Milliseconds RegisterRetry{1000};
+/// A daemon that did not register for so long is gone: three registrations missed.
+constexpr framework::Milliseconds DaemonLifetime{25000};
+
+/// Daemons that are assumed to share limits while the others are not known; more than a small
+/// site has.
+constexpr std::size_t AssumedSharers = 8;
+
+std::string encodeEndpoint(const framework::Endpoint &endpoint)
+{
+    return nlohmann::json({{"endpoint", endpoint.toString()}}).dump();
+}
+
+std::optional<framework::Endpoint> decodeEndpoint(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto member = json.is_object() ? json.find("endpoint") : json.end();
+    if (member == json.end() || !member->is_string()) {
+        return std::nullopt;
+    }
+    return parseEndpoint(member->get<std::string>());
+}
+
+} // namespace
+
+DaemonFeed::DaemonFeed(StoreClient &store, framework::IScheduler &scheduler,
+                       const framework::IClock &clock, framework::ILogger &logger,
+                       framework::DaemonId self)
+    : m_store(store), m_scheduler(scheduler), m_clock(clock), m_logger(logger),
+      m_self(std::move(self)),
+      m_reader(store, scheduler, clock, logger, std::string(wire::DaemonsTopic), Pace, *this)
+{ }
+
+DaemonFeed::~DaemonFeed() = default;
+
+void DaemonFeed::start(const framework::Endpoint &endpoint)
+{
+    m_endpoint = endpoint;
+    registerSelf();
+    m_reader.start();
+}
+
+void DaemonFeed::registerSelf()
+{
+    if (m_leaving) {
+        return;
+    }
+    m_append = m_store.append(
+        wire::DaemonsTopic, {m_self.value(), encodeEndpoint(m_endpoint)},
+        [this](const framework::Result<void> &result) {
+            const framework::Milliseconds delay = result ? RegisterInterval : RegisterRetry;
+            m_registerTimer = m_scheduler.callAfter(delay, [this] { registerSelf(); });
+        });
+}
+
+void DaemonFeed::leave()
+{
+    m_leaving = true;
+    m_registerTimer.reset();
+    m_append = m_store.append(wire::DaemonsTopic, {m_self.value(), std::nullopt},
+                              [](const framework::Result<void> & /*result*/) {
+                                  // The entry expires by itself if this was lost.
+                              });
+}
+
+std::size_t DaemonFeed::sharers() const
+{
+    return m_isKnown ? m_daemons.size() + 1 : AssumedSharers;
+}
+
+void DaemonFeed::onChange(std::function<void()> callback)
+{
+    m_listeners.push_back(std::move(callback));
+}
+
+void DaemonFeed::onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked)
+{
+    m_isKnown = true;
+    onChanges(records, asked);
+}
+
+void DaemonFeed::onChanges(const std::vector<StoreRecord> &records, framework::TimePoint /*asked*/)
+{
+    for (const StoreRecord &record : records) {
+        const framework::DaemonId daemon(record.key);
+        if (daemon == m_self) {
+            continue;
+        }
+        if (!record.value) {
+            m_known.erase(daemon);
+            continue;
+        }
+        if (const auto endpoint = decodeEndpoint(*record.value)) {
+            m_known[daemon] = {*endpoint, m_clock.now()};
+            continue;
+        }
+        m_logger.warning("entry of a daemon cannot be read; it is passed over",
+                         {{"peer", record.key}});
+    }
+    expireSilent();
+    update();
+}
+
+void DaemonFeed::onReturned()
+{
+    // Nobody could register while the store was away.
+    for (auto &[daemon, known] : m_known) {
+        known.heard = m_clock.now();
+    }
+}
+
+void DaemonFeed::expireSilent()
+{
+    const framework::TimePoint now = m_clock.now();
+    std::erase_if(m_known, [now](const auto &entry) {
+        return now - entry.second.heard > DaemonLifetime;
+    });
+}
+
+void DaemonFeed::update()
+{
+    std::vector<peers::DaemonAddress> daemons;
+    for (const auto &[daemon, known] : m_known) {
+        daemons.push_back({daemon, known.endpoint});
+    }
+    if (daemons == m_daemons) {
+        return;
+    }
+    m_daemons = std::move(daemons);
+    m_logger.info("other daemons known", {{"daemons", std::to_string(m_daemons.size())}});
+    for (const std::function<void()> &listener : m_listeners) {
+        listener();
+    }
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/daemonfeed.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "framework/types/timepoint.h"
+#include "peers/idaemondirectory.h"
+#include "platform/internal/itopicobserver.h"
+#include "platform/internal/topicreader.h"
+
+#include <map>
+
+namespace lavendertally::platform {
+
+/// Registers this daemon in a topic of its own and reads which others are up. Each registers again
+/// at intervals; one that stops doing so is forgotten.
+class DaemonFeed final : public ITopicObserver, public peers::IDaemonDirectory
+{
+public:
+    DaemonFeed(StoreClient &store, framework::IScheduler &scheduler, const framework::IClock &clock,
+               framework::ILogger &logger, framework::DaemonId self);
+    ~DaemonFeed() override;
+
+    /// \param endpoint where this daemon answers others
+    void start(const framework::Endpoint &endpoint);
+    /// Removes this daemon's entry; it is about to stop.
+    void leave();
+
+    const std::vector<peers::DaemonAddress> &daemons() const override { return m_daemons; }
+    std::size_t sharers() const override;
+    void onChange(std::function<void()> callback) override;
+
+    void onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
+    void onChanges(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
+    void onReturned() override;
+
+private:
+    struct Known
+    {
+        framework::Endpoint endpoint;
+        framework::TimePoint heard;
+    };
+
+    void registerSelf();
+    void expireSilent();
+    void update();
+
+    StoreClient &m_store;
+    framework::IScheduler &m_scheduler;
+    const framework::IClock &m_clock;
+    framework::ILogger &m_logger;
+    framework::DaemonId m_self;
+    framework::Endpoint m_endpoint;
+    bool m_isKnown = false;
+    bool m_leaving = false;
+    std::map<framework::DaemonId, Known> m_known;
+    std::vector<peers::DaemonAddress> m_daemons;
+    std::vector<std::function<void()>> m_listeners;
+    StoreClient::Call m_append;
+    std::unique_ptr<framework::ITimer> m_registerTimer;
+    TopicReader m_reader;
+};
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -0,0 +1,72 @@
+#include "platform/internal/httpbackendcall.h"
+
+#include "http/headerlookup.h"
+#include "http/ihttpcall.h"
+#include "http/ihttpclient.h"
+#include "http/types/httprequest.h"
+#include "platform/internal/answercodec.h"
+#include "platform/internal/wirenames.h"
+#include "proxy/ibackendanswerobserver.h"
+
+#include <utility>
+
+namespace lavendertally::platform {
+
+HttpBackendCall::HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
+                                 framework::RequestId id, proxy::IBackendAnswerObserver &observer)
+    : m_id(std::move(id)), m_observer(observer), m_call(client.send(request, *this))
+{ }
+
+HttpBackendCall::~HttpBackendCall()
+{
+    if (m_destroyed != nullptr) {
+        *m_destroyed = true;
+    }
+}
+
+bool HttpBackendCall::onHead(const http::HttpResponseHead &head)
+{
+    // A backend server may send a second answer to an earlier request where this one's is due.
+    const auto echoed = http::findHeader(head.headers, wire::RequestId);
+    if (echoed && *echoed != m_id.value()) {
+        return false;
+    }
+    proxy::AnswerHead answer = decodeAnswerHead(head);
+    if (!echoed) {
+        // Without the id nothing shows whose answer this is.
+        answer.isSigned = false;
+    }
+    m_isStream = answer.isEventStream;
+    m_observer.onHead(answer);
+    return true;
+}
+
+void HttpBackendCall::onData(int /*status*/, std::string_view data)
+{
+    if (!m_isStream) {
+        m_observer.onBody(data);
+        return;
+    }
+    bool destroyed = false;
+    m_destroyed = &destroyed;
+    m_events.append(data);
+    while (const auto event = m_events.next()) {
+        m_observer.onEvent(*event);
+        if (destroyed) {
+            return;
+        }
+    }
+    m_destroyed = nullptr;
+}
+
+void HttpBackendCall::onEnd(http::HttpEnd end, int /*status*/)
+{
+    if (end == http::HttpEnd::NotSent) {
+        m_observer.onEnd(proxy::BackendCallEnd::NotSent);
+        return;
+    }
+    const bool whole = end == http::HttpEnd::Complete && !m_events.hasPartialEvent();
+    m_observer.onEnd(whole ? proxy::BackendCallEnd::Complete : proxy::BackendCallEnd::Broken);
+}
+
+} // namespace lavendertally::platform
