--- /dev/null
+++ b/src/platform/internal/httpbackendport.cpp
@@ -0,0 +1,79 @@
+#include "platform/internal/httpbackendport.h"
+
+#include "http/ihttpclient.h"
+#include "http/types/httprequest.h"
+#include "platform/internal/httpbackendcall.h"
+#include "platform/internal/wirenames.h"
+#include "proxy/types/backendrequest.h"
+#include "proxy/types/clientrequest.h"
+
+#include <string>
+#include <utility>
+
+namespace lavendertally::platform {
+
+namespace {
+
+/// Some backend servers close idle connections without stating when; for a request that may run
+/// once, a connection must have been used within this time.
+constexpr framework::Milliseconds MaxIdleBeforeOnce{500};
+
+std::string joinIds(const std::vector<framework::StageResultId> &ids)
+{
+    std::string text;
+    for (const framework::StageResultId &id : ids) {
+        text += (text.empty() ? "" : ",") + id.value();
+    }
+    return text;
+}
+
+http::HttpMethod methodOf(const std::string &name)
+{
+    if (name == "GET") {
+        return http::HttpMethod::Get;
+    }
+    return name == "POST" ? http::HttpMethod::Post : http::HttpMethod::Other;
+}
+
+void addOwnHeaders(const proxy::BackendRequest &request, http::HttpHeaders &headers)
+{
+    const auto add = [&headers](std::string_view name, std::string value) {
+        headers.emplace_back(std::string(name), std::move(value));
+    };
+    add(wire::DeadlineMs, std::to_string(request.timeLeft.value()));
+    add(wire::ExpectInstance, request.server.id.value());
+    if (!request.team.isEmpty()) {
+        add(wire::Tenant, request.team.value());
+    }
+    if (request.inputs) {
+        add(wire::Inputs, joinIds(*request.inputs));
+    }
+    if (request.resumeAfter) {
+        add(wire::LastEventId, std::to_string(request.resumeAfter->value()));
+    }
+}
+
+} // namespace
+
+HttpBackendPort::HttpBackendPort(http::IHttpClient &client) : m_client(client) { }
+
+std::unique_ptr<proxy::IBackendCall> HttpBackendPort::send(const proxy::BackendRequest &request,
+                                                           proxy::IBackendAnswerObserver &observer)
+{
+    const proxy::ClientRequest &client = *request.request;
+    http::HttpRequest sent;
+    sent.endpoint = request.server.endpoint;
+    sent.method = methodOf(client.method);
+    sent.methodName = client.method;
+    sent.target = client.target;
+    sent.headers = client.headers;
+    addOwnHeaders(request, sent.headers);
+    sent.body = client.body;
+    sent.timeout = request.timeLeft;
+    if (request.runsOnce) {
+        sent.maxIdleBefore = MaxIdleBeforeOnce;
+    }
+    return std::make_unique<HttpBackendCall>(m_client, sent, client.id, observer);
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/httpbackendport.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "proxy/ibackendport.h"
+
+namespace lavendertally::http {
+class IHttpClient;
+}
+
+namespace lavendertally::platform {
+
+/// Sends requests to the platform's backend servers.
+class HttpBackendPort final : public proxy::IBackendPort
+{
+public:
+    explicit HttpBackendPort(http::IHttpClient &client);
+
+    std::unique_ptr<proxy::IBackendCall> send(const proxy::BackendRequest &request,
+                                              proxy::IBackendAnswerObserver &observer) override;
+
+private:
+    http::IHttpClient &m_client;
+};
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -0,0 +1,86 @@
+#include "platform/internal/httpstagecallport.h"
+
+#include "framework/ilogger.h"
+#include "http/ihttpcall.h"
+#include "http/ihttpclient.h"
+#include "http/types/httprequest.h"
+#include "http/types/httpresponse.h"
+#include "platform/internal/backendservercodec.h"
+#include "platform/internal/stagecodec.h"
+#include "platform/internal/wirenames.h"
+
+#include <string>
+#include <utility>
+
+namespace lavendertally::platform {
+
+namespace {
+
+/// Freeing results is best effort; the results expire by themselves.
+constexpr framework::Milliseconds FreeTimeout{1000};
+
+http::HttpRequest jsonRequest(const framework::Endpoint &endpoint, std::string_view target,
+                              std::string body)
+{
+    http::HttpRequest request;
+    request.endpoint = endpoint;
+    request.method = http::HttpMethod::Post;
+    request.target = std::string(target);
+    request.headers = {{"Content-Type", std::string(wire::JsonType)}};
+    request.body = std::move(body);
+    return request;
+}
+
+} // namespace
+
+HttpStageCallPort::HttpStageCallPort(http::IHttpClient &client, framework::ILogger &logger)
+    : m_client(client), m_logger(logger)
+{ }
+
+HttpStageCallPort::~HttpStageCallPort() = default;
+
+void HttpStageCallPort::startCall(const stages::StartStageCall &call,
+                                  std::function<void(stages::StageCallOutcome)> done)
+{
+    http::HttpRequest request =
+        jsonRequest(call.server.endpoint, wire::StageRun, encodePieceOrders(call.pieces));
+    request.headers.emplace_back(std::string(wire::ExpectInstance), call.server.id.value());
+    request.timeout = call.timeout;
+    const std::uint64_t number = m_next++;
+    m_calls[number] = m_client.fetch(
+        request, [this, number, done = std::move(done)](const http::HttpResponse &response) {
+            // Keeps the call until its callback has returned.
+            const auto node = m_calls.extract(number);
+            done(decodeStageAnswer(response));
+        });
+}
+
+void HttpStageCallPort::freeResults(const std::vector<framework::StageResultId> &results)
+{
+    std::map<framework::Endpoint, std::vector<framework::StageResultId>> byServer;
+    for (const framework::StageResultId &result : results) {
+        // A result's name begins with the address of the backend server that keeps it.
+        const std::string &name = result.value();
+        if (const auto endpoint = parseEndpoint(name.substr(0, name.find('/')))) {
+            byServer[*endpoint].push_back(result);
+        }
+    }
+    for (const auto &[endpoint, own] : byServer) {
+        http::HttpRequest request =
+            jsonRequest(endpoint, wire::StageFree, encodeResultIds(own));
+        request.timeout = FreeTimeout;
+        const std::uint64_t number = m_next++;
+        m_calls[number] = m_client.fetch(
+            request, [this, number, server = endpoint](const http::HttpResponse &response) {
+                const auto node = m_calls.extract(number);
+                constexpr int Ok = 200;
+                if (response.end != http::HttpEnd::Complete || response.status != Ok) {
+                    m_logger.info("results not freed; they expire",
+                                  {{"endpoint", server.toString()},
+                                   {"status", std::to_string(response.status)}});
+                }
+            });
+    }
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/httpstagecallport.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "stages/istagecallport.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace lavendertally::framework {
+class ILogger;
+}
+
+namespace lavendertally::http {
+class IHttpCall;
+class IHttpClient;
+} // namespace lavendertally::http
+
+namespace lavendertally::platform {
+
+/// Calls the platform's backend servers that work on stages.
+class HttpStageCallPort final : public stages::IStageCallPort
+{
+public:
+    HttpStageCallPort(http::IHttpClient &client, framework::ILogger &logger);
+    ~HttpStageCallPort() override;
+
+    void startCall(const stages::StartStageCall &call,
+                   std::function<void(stages::StageCallOutcome)> done) override;
+    void freeResults(const std::vector<framework::StageResultId> &results) override;
+
+private:
+    http::IHttpClient &m_client;
+    framework::ILogger &m_logger;
+    std::uint64_t m_next = 0;
+    std::map<std::uint64_t, std::unique_ptr<http::IHttpCall>> m_calls;
+};
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/operatorfeed.cpp
@@ -0,0 +1,77 @@
+#include "platform/internal/operatorfeed.h"
+
+#include "framework/ilogger.h"
+#include "framework/types/errorcontext.h"
+#include "membership/ibackendserverupdates.h"
+#include "platform/internal/configurationcodec.h"
+#include "platform/internal/wirenames.h"
+#include "platform/types/decodeerror.h"
+#include "serving/iservingupdates.h"
+#include "serving/types/servingconfiguration.h"
+
+namespace lavendertally::platform {
+
+namespace {
+
+/// The store answers at once when there is a change; the wait bounds the age of the confirmation
+/// that there is none, which must stay well under the time in which a revoked key may still work.
+constexpr TopicPace Pace{framework::Milliseconds(1500), framework::Milliseconds(0)};
+
+} // namespace
+
+OperatorFeed::OperatorFeed(StoreClient &store, framework::IScheduler &scheduler,
+                           const framework::IClock &clock, framework::ILogger &logger,
+                           serving::IServingUpdates &serving,
+                           membership::IBackendServerUpdates &servers)
+    : m_logger(logger), m_serving(serving), m_servers(servers),
+      m_reader(store, scheduler, clock, logger, std::string(wire::OperatorTopic), Pace, *this)
+{ }
+
+void OperatorFeed::onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked)
+{
+    m_zonesOut.clear();
+    onChanges(records, asked);
+}
+
+void OperatorFeed::onChanges(const std::vector<StoreRecord> &records, framework::TimePoint asked)
+{
+    for (const StoreRecord &record : records) {
+        apply(record);
+    }
+    m_servers.setZonesOut(m_zonesOut);
+    m_serving.confirm(asked);
+}
+
+void OperatorFeed::apply(const StoreRecord &record)
+{
+    if (record.key == wire::ConfigurationKey && record.value) {
+        applyConfiguration(*record.value);
+        return;
+    }
+    if (!record.key.starts_with(wire::EvacuateKeyPrefix)) {
+        return;
+    }
+    const framework::AvailabilityZoneId zone(record.key.substr(wire::EvacuateKeyPrefix.size()));
+    if (record.value) {
+        m_zonesOut.insert(zone);
+    } else {
+        m_zonesOut.erase(zone);
+    }
+}
+
+void OperatorFeed::applyConfiguration(const std::string &text)
+{
+    framework::leaf::try_handle_all(
+        [&]() -> framework::Result<void> {
+            BOOST_LEAF_AUTO(configuration, decodeConfiguration(text));
+            m_serving.applyConfiguration(std::move(configuration));
+            return {};
+        },
+        [&](DecodeError /*error*/, const framework::ErrorContext &context) {
+            m_logger.error("configuration cannot be read; the one in force stays",
+                           {{"problem", context.message}});
+        },
+        [&] { m_logger.error("configuration cannot be read; the one in force stays"); });
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/operatorfeed.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "platform/internal/itopicobserver.h"
+#include "platform/internal/topicreader.h"
+
+#include <set>
+
+namespace lavendertally::membership {
+class IBackendServerUpdates;
+}
+
+namespace lavendertally::serving {
+class IServingUpdates;
+}
+
+namespace lavendertally::platform {
+
+/// Hands on what operators write to the store: configurations, and availability zones taken out.
+class OperatorFeed final : public ITopicObserver
+{
+public:
+    OperatorFeed(StoreClient &store, framework::IScheduler &scheduler,
+                 const framework::IClock &clock, framework::ILogger &logger,
+                 serving::IServingUpdates &serving, membership::IBackendServerUpdates &servers);
+
+    void start() { m_reader.start(); }
+
+    void onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
+    void onChanges(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
+    void onReturned() override { }
+
+private:
+    void apply(const StoreRecord &record);
+    void applyConfiguration(const std::string &text);
+
+    framework::ILogger &m_logger;
+    serving::IServingUpdates &m_serving;
+    membership::IBackendServerUpdates &m_servers;
+    std::set<framework::AvailabilityZoneId> m_zonesOut;
+    TopicReader m_reader;
+};
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/stagecodec.cpp
@@ -0,0 +1,100 @@
+#include "platform/internal/stagecodec.h"
+
+#include "http/headerlookup.h"
+#include "http/types/httpresponse.h"
+#include "platform/internal/wirenames.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::platform {
+
+namespace {
+
+constexpr int HttpOk = 200;
+constexpr int MisdirectedRequest = 421;
+
+stages::PieceOutcome decodePiece(const nlohmann::json &json)
+{
+    stages::PieceOutcome outcome;
+    const auto handle = json.is_object() ? json.find("handleId") : json.end();
+    if (handle != json.end() && handle->is_string()) {
+        outcome.status = stages::PieceStatus::Done;
+        outcome.result = framework::StageResultId(handle->get<std::string>());
+        return outcome;
+    }
+    const auto reason = json.is_object() ? json.find("reason") : json.end();
+    const std::string text =
+        reason != json.end() && reason->is_string() ? reason->get<std::string>() : std::string();
+    if (text == "late") {
+        outcome.status = stages::PieceStatus::Late;
+    } else if (text == "gone") {
+        outcome.status = stages::PieceStatus::InputGone;
+    } else if (text == "room") {
+        outcome.status = stages::PieceStatus::NoRoom;
+    }
+    return outcome;
+}
+
+} // namespace
+
+std::string encodePieceOrders(const std::vector<stages::PieceOrder> &pieces)
+{
+    nlohmann::json items = nlohmann::json::array();
+    for (const stages::PieceOrder &piece : pieces) {
+        nlohmann::json item = {{"id", piece.request.value()},
+                               {"stage", piece.stage},
+                               {"piece", piece.piece},
+                               {"remainingMs", std::max<std::int64_t>(piece.timeLeft.value(), 0)}};
+        if (piece.inputs.empty()) {
+            item["key"] = piece.input.value();
+        } else {
+            nlohmann::json inputs = nlohmann::json::array();
+            for (const framework::StageResultId &input : piece.inputs) {
+                inputs.push_back(input.value());
+            }
+            item["inputs"] = std::move(inputs);
+        }
+        items.push_back(std::move(item));
+    }
+    return nlohmann::json({{"items", std::move(items)}}).dump();
+}
+
+std::string encodeResultIds(const std::vector<framework::StageResultId> &results)
+{
+    nlohmann::json ids = nlohmann::json::array();
+    for (const framework::StageResultId &result : results) {
+        ids.push_back(result.value());
+    }
+    return nlohmann::json({{"handleIds", std::move(ids)}}).dump();
+}
+
+stages::StageCallOutcome decodeStageAnswer(const http::HttpResponse &response)
+{
+    stages::StageCallOutcome outcome;
+    if (response.end == http::HttpEnd::NotSent) {
+        outcome.status = stages::StageCallStatus::Unknown;
+        return outcome;
+    }
+    const bool complete = response.end == http::HttpEnd::Complete;
+    const bool notExecuted = http::findHeader(response.headers, wire::NotExecuted).has_value()
+        || response.status == MisdirectedRequest;
+    if (complete && notExecuted) {
+        outcome.status = stages::StageCallStatus::NotRun;
+        return outcome;
+    }
+    const auto json = nlohmann::json::parse(response.body, nullptr, false);
+    const auto items = json.is_object() ? json.find("items") : json.end();
+    if (!complete || response.status != HttpOk || items == json.end() || !items->is_array()) {
+        return outcome;
+    }
+    outcome.status = stages::StageCallStatus::Answered;
+    for (const auto &item : *items) {
+        outcome.pieces.push_back(decodePiece(item));
+    }
+    return outcome;
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/storeclient.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "framework/result.h"
+#include "framework/types/endpoint.h"
+#include "framework/types/ids.h"
+#include "framework/types/milliseconds.h"
+#include "platform/internal/storechanges.h"
+#include "platform/internal/storepage.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lavendertally::framework {
+class IMetrics;
+}
+
+namespace lavendertally::http {
+class IHttpCall;
+class IHttpClient;
+struct HttpResponse;
+} // namespace lavendertally::http
+
+namespace lavendertally::platform {
+
+/// Calls to the platform's store. Destroying a returned handle cancels the call silently.
+class StoreClient
+{
+public:
+    using Call = std::unique_ptr<http::IHttpCall>;
+
+    StoreClient(http::IHttpClient &client, framework::Endpoint store, framework::IMetrics &metrics);
+
+    /// Reads the newest record of each key of a topic.
+    /// \param after key after which to go on; empty for the first page
+    /// \param callback gets the page, or StoreError
+    Call readNewest(std::string_view topic, const std::string &after,
+                    std::function<void(framework::Result<StorePage>)> callback);
+
+    /// Reads the records of a topic from an offset on.
+    /// \param wait how long the store may hold the call back while there are none
+    /// \param callback gets the records, or StoreError
+    Call readChanges(std::string_view topic, framework::LogOffset from,
+                     framework::Milliseconds wait,
+                     std::function<void(framework::Result<StoreChanges>)> callback);
+
+    /// Writes one record of a keyed topic.
+    /// \param callback gets nothing, or StoreError
+    Call append(std::string_view topic, const StoreRecord &record,
+                std::function<void(framework::Result<void>)> callback);
+
+private:
+    void count(const char *call, const http::HttpResponse &response);
+
+    http::IHttpClient &m_client;
+    framework::Endpoint m_store;
+    framework::IMetrics &m_metrics;
+};
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/storepage.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "platform/internal/storerecord.h"
+
+#include <vector>
+
+namespace lavendertally::platform {
+
+/// Newest records of a keyed topic, as far as one call returns them.
+struct StorePage
+{
+    std::vector<StoreRecord> records;
+    /// End of the topic when the page was made.
+    framework::LogOffset end;
+    bool hasMore = false;
+};
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/topicreader.cpp
@@ -0,0 +1,146 @@
+#include "platform/internal/topicreader.h"
+
+#include "framework/asyncerror.h"
+#include "framework/iclock.h"
+#include "framework/ilogger.h"
+#include "framework/ischeduler.h"
+#include "framework/itimer.h"
+#include "http/ihttpcall.h"
+#include "platform/internal/itopicobserver.h"
+#include "platform/types/storeerror.h"
+
+#include <utility>
+
+namespace lavendertally::platform {
+
+namespace {
+
+/// Time until a failed call is repeated; a few calls a second from each daemon while the store is
+/// away.
+constexpr framework::Milliseconds RetryDelay{250};
+
+const char *errorName(StoreError error)
+{
+    switch (error) {
+    case StoreError::NotDone:
+        return "refused or unreachable";
+    case StoreError::Unknown:
+        return "no answer";
+    case StoreError::HistoryDropped:
+        return "history dropped";
+    case StoreError::Malformed:
+        return "malformed answer";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+TopicReader::TopicReader(StoreClient &store, framework::IScheduler &scheduler,
+                         const framework::IClock &clock, framework::ILogger &logger,
+                         std::string topic, TopicPace pace, ITopicObserver &observer)
+    : m_store(store), m_scheduler(scheduler), m_clock(clock), m_logger(logger),
+      m_topic(std::move(topic)), m_pace(pace), m_observer(observer)
+{ }
+
+TopicReader::~TopicReader() = default;
+
+void TopicReader::start()
+{
+    m_lastSuccess = m_clock.now();
+    readNewest({});
+}
+
+void TopicReader::readNewest(const std::string &after)
+{
+    m_asked = m_clock.now();
+    if (after.empty()) {
+        m_snapshot.clear();
+        m_snapshotAsked = m_asked;
+    }
+    m_call = m_store.readNewest(m_topic, after, [this](framework::Result<StorePage> page) {
+        onPage(std::move(page));
+    });
+}
+
+void TopicReader::onPage(framework::Result<StorePage> page)
+{
+    if (!page) {
+        const StoreError error = framework::errorOf(std::move(page), StoreError::Malformed);
+        failed(error, [this] { readNewest({}); });
+        return;
+    }
+    if (m_snapshot.empty()) {
+        // Later pages may be newer; reading on from the first page's end repeats those changes.
+        m_next = page->end;
+    }
+    m_snapshot.insert(m_snapshot.end(), page->records.begin(), page->records.end());
+    if (page->hasMore && !page->records.empty()) {
+        readNewest(m_snapshot.back().key);
+        return;
+    }
+    succeeded();
+    m_observer.onSnapshot(std::exchange(m_snapshot, {}), m_snapshotAsked);
+    later(m_pace.pause, [this] { readChanges(); });
+}
+
+void TopicReader::readChanges()
+{
+    m_asked = m_clock.now();
+    m_call = m_store.readChanges(m_topic, m_next, m_pace.wait,
+                                 [this](framework::Result<StoreChanges> changes) {
+                                     onChanges(std::move(changes));
+                                 });
+}
+
+void TopicReader::onChanges(framework::Result<StoreChanges> changes)
+{
+    if (!changes) {
+        const StoreError error = framework::errorOf(std::move(changes), StoreError::Malformed);
+        if (error == StoreError::HistoryDropped) {
+            m_logger.info("history of a topic dropped; reads its newest records",
+                          {{"topic", m_topic}, {"offset", std::to_string(m_next.value())}});
+            later(framework::Milliseconds(0), [this] { readNewest({}); });
+            return;
+        }
+        failed(error, [this] { readChanges(); });
+        return;
+    }
+    succeeded();
+    m_next = changes->next;
+    m_observer.onChanges(changes->records, m_asked);
+    later(m_pace.pause, [this] { readChanges(); });
+}
+
+void TopicReader::succeeded()
+{
+    if (m_lost) {
+        m_logger.info("store reachable again",
+                      {{"topic", m_topic},
+                       {"away_ms", std::to_string((m_clock.now() - m_lastSuccess).value())}});
+        m_lost = false;
+        m_observer.onReturned();
+    }
+    m_lastSuccess = m_clock.now();
+}
+
+void TopicReader::failed(StoreError error, std::function<void()> retry)
+{
+    if (!m_lost) {
+        m_lost = true;
+        m_logger.warning("store lost; goes on with what is known",
+                         {{"topic", m_topic}, {"error", errorName(error)}});
+    }
+    later(RetryDelay, std::move(retry));
+}
+
+void TopicReader::later(framework::Milliseconds delay, std::function<void()> step)
+{
+    // The call whose answer is being handled must outlive this function.
+    m_timer = m_scheduler.callAfter(delay, [this, step = std::move(step)] {
+        m_call.reset();
+        step();
+    });
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/topicreader.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "framework/types/milliseconds.h"
+#include "framework/types/timepoint.h"
+#include "platform/internal/storeclient.h"
+#include "platform/internal/topicpace.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lavendertally::framework {
+class IClock;
+class ILogger;
+class IScheduler;
+class ITimer;
+} // namespace lavendertally::framework
+
+namespace lavendertally::platform {
+
+class ITopicObserver;
+enum class StoreError;
+
+/// Follows one keyed topic: its newest records first, then every change. Starts over with the
+/// newest records when the history it needs has been dropped.
+class TopicReader
+{
+public:
+    TopicReader(StoreClient &store, framework::IScheduler &scheduler,
+                const framework::IClock &clock, framework::ILogger &logger, std::string topic,
+                TopicPace pace, ITopicObserver &observer);
+    ~TopicReader();
+    TopicReader(const TopicReader &) = delete;
+    TopicReader &operator=(const TopicReader &) = delete;
+
+    void start();
+
+private:
+    void readNewest(const std::string &after);
+    void readChanges();
+    void onPage(framework::Result<StorePage> page);
+    void onChanges(framework::Result<StoreChanges> changes);
+    void succeeded();
+    void failed(StoreError error, std::function<void()> retry);
+    void later(framework::Milliseconds delay, std::function<void()> step);
+
+    StoreClient &m_store;
+    framework::IScheduler &m_scheduler;
+    const framework::IClock &m_clock;
+    framework::ILogger &m_logger;
+    std::string m_topic;
+    TopicPace m_pace;
+    ITopicObserver &m_observer;
+    StoreClient::Call m_call;
+    std::unique_ptr<framework::ITimer> m_timer;
+    std::vector<StoreRecord> m_snapshot;
+    framework::LogOffset m_next;
+    framework::TimePoint m_asked;
+    framework::TimePoint m_snapshotAsked;
+    framework::TimePoint m_lastSuccess;
+    bool m_lost = false;
+};
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/internal/usersplatform.cpp
@@ -0,0 +1,55 @@
+#include "platform/internal/usersplatform.h"
+
+#include "framework/ieventloop.h"
+#include "http/httpmodule.h"
+#include "http/ihttpclient.h"
+#include "platform/types/platformparts.h"
+
+namespace lavendertally::platform {
+
+namespace {
+
+/// Connections to the store and to backend servers are within one region; what takes longer than a
+/// few round trips is down or cut off.
+constexpr framework::Milliseconds ConnectTimeout{400};
+constexpr framework::Milliseconds AcknowledgeTimeout{1500};
+
+/// Idle connections of backend servers that state no time.
+constexpr framework::Milliseconds MaxIdle{4000};
+
+http::HttpClientOptions clientOptions()
+{
+    http::HttpClientOptions options;
+    options.connectTimeout = ConnectTimeout;
+    options.acknowledgeTimeout = AcknowledgeTimeout;
+    options.maxIdle = MaxIdle;
+    return options;
+}
+
+} // namespace
+
+UsersPlatform::UsersPlatform(const PlatformParts &parts)
+    : m_storeClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
+      m_backendClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
+      m_store(*m_storeClient, parts.store, parts.metrics),
+      m_operators(m_store, parts.loop, parts.clock, parts.logger, parts.serving, parts.servers),
+      m_servers(m_store, parts.loop, parts.clock, parts.logger, parts.servers),
+      m_daemons(m_store, parts.loop, parts.clock, parts.logger, parts.self),
+      m_backends(*m_backendClient), m_stageCalls(*m_backendClient, parts.logger)
+{ }
+
+UsersPlatform::~UsersPlatform() = default;
+
+void UsersPlatform::start(const framework::Endpoint &endpoint)
+{
+    m_operators.start();
+    m_servers.start();
+    m_daemons.start(endpoint);
+}
+
+void UsersPlatform::leave()
+{
+    m_daemons.leave();
+}
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/iplatform.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "framework/types/endpoint.h"
+
+namespace lavendertally::peers {
+class IDaemonDirectory;
+}
+
+namespace lavendertally::proxy {
+class IBackendPort;
+}
+
+namespace lavendertally::stages {
+class IStageCallPort;
+}
+
+namespace lavendertally::platform {
+
+/// The users' platform: its store, and the backend servers on it.
+class IPlatform
+{
+public:
+    virtual ~IPlatform() = default;
+
+    /// Begins to follow the store, and registers this daemon there.
+    /// \param endpoint where this daemon answers others
+    virtual void start(const framework::Endpoint &endpoint) = 0;
+
+    /// Takes this daemon's registration back.
+    virtual void leave() = 0;
+
+    virtual proxy::IBackendPort &backends() = 0;
+    virtual stages::IStageCallPort &stageCalls() = 0;
+    virtual peers::IDaemonDirectory &daemons() = 0;
+};
+
+} // namespace lavendertally::platform
--- a/src/platform/platformmodule.h
+++ b/src/platform/platformmodule.h
@@ -2,37 +2,16 @@
 
 #include <memory>
 
-namespace lavendertally::framework {
-class IClock;
-class IScheduler;
-struct Endpoint;
-} // namespace lavendertally::framework
-
-namespace lavendertally::http {
-class IHttpClient;
-}
-
 namespace lavendertally::platform {
 
-class IHostList;
-class ILogService;
-class IWeightStore;
+class IPlatform;
+struct PlatformParts;
 
-/// Makes clients of the platform's services. Destroying a client silences its callbacks.
+/// Makes the adapter to the users' platform.
 class PlatformModule
 {
 public:
-    /// \param client outlives the returned object
-    static std::unique_ptr<ILogService> makeLogService(http::IHttpClient &client,
-                                                       const framework::Endpoint &endpoint);
-    /// \param client outlives the returned object
-    static std::unique_ptr<IHostList> makeHostList(http::IHttpClient &client,
-                                                   const framework::Endpoint &endpoint);
-    /// \param client, scheduler, clock outlive the returned object
-    static std::unique_ptr<IWeightStore> makeWeightStore(http::IHttpClient &client,
-                                                         framework::IScheduler &scheduler,
-                                                         const framework::IClock &clock,
-                                                         const framework::Endpoint &endpoint);
+    static std::unique_ptr<IPlatform> makePlatform(const PlatformParts &parts);
 };
 
 } // namespace lavendertally::platform
--- /dev/null
+++ b/src/platform/types/platformparts.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "framework/types/endpoint.h"
+#include "framework/types/ids.h"
+
+namespace lavendertally::framework {
+class IClock;
+class IEventLoop;
+class ILogger;
+class IMetrics;
+} // namespace lavendertally::framework
+
+namespace lavendertally::membership {
+class IBackendServerUpdates;
+}
+
+namespace lavendertally::serving {
+class IServingUpdates;
+}
+
+namespace lavendertally::platform {
+
+/// What the adapter to the platform works with; everything outlives it.
+struct PlatformParts
+{
+    framework::DaemonId self;
+    framework::Endpoint store;
+    framework::IEventLoop &loop;
+    const framework::IClock &clock;
+    framework::ILogger &logger;
+    framework::IMetrics &metrics;
+    serving::IServingUpdates &serving;
+    membership::IBackendServerUpdates &servers;
+};
+
+} // namespace lavendertally::platform
--- /dev/null
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -0,0 +1,168 @@
+#include "protocol/internal/protobufpeercodec.h"
+
+#include "protocol/internal/peer.pb.h"
+#include "protocol/types/protocolerror.h"
+
+#include <cstdint>
+#include <utility>
+
+namespace lavendertally::protocol {
+
+namespace {
+
+constexpr std::uint32_t PeerProtocolVersion = 1;
+
+/// Writes each type of message into the envelope's field for it.
+struct EnvelopeWriter
+{
+    peerwire::Envelope &envelope;
+
+    void operator()(const PeerHello &message) const
+    {
+        envelope.mutable_hello()->set_daemon(message.daemon.value());
+    }
+    void operator()(const PeerPing &message) const
+    {
+        envelope.mutable_ping()->set_sequence(message.sequence);
+    }
+    void operator()(const PeerPong &message) const
+    {
+        envelope.mutable_pong()->set_sequence(message.sequence);
+        envelope.mutable_pong()->set_accepts_jobs(message.acceptsJobs);
+    }
+    void operator()(const StageJob &message) const
+    {
+        peerwire::StageJob &out = *envelope.mutable_stage_job();
+        out.set_request(message.request.value());
+        for (const JobStage &stage : message.stages) {
+            peerwire::JobStage &target = *out.add_stages();
+            target.set_index(stage.index);
+            target.set_service(stage.service.value());
+            target.mutable_after()->Add(stage.after.begin(), stage.after.end());
+            target.set_pieces(stage.pieces);
+            target.set_result_bytes(stage.resultSize.value());
+        }
+        out.set_input(message.input.value());
+        out.set_objective_left_ms(message.objectiveLeft.value());
+        out.set_time_left_ms(message.timeLeft.value());
+        out.set_priority(message.priority.value());
+        out.set_worth(message.worth);
+        out.set_zone(message.zone.value());
+    }
+    void operator()(const StageJobCancel &message) const
+    {
+        envelope.mutable_stage_job_cancel()->set_request(message.request.value());
+    }
+    void operator()(const StageJobOutcome &message) const
+    {
+        peerwire::StageJobOutcome &out = *envelope.mutable_stage_job_outcome();
+        out.set_request(message.request.value());
+        out.set_status(static_cast<std::uint32_t>(message.status));
+        for (const StageResultPlace &place : message.results) {
+            peerwire::StageResultPlace &target = *out.add_results();
+            target.set_id(place.id.value());
+            target.set_zone(place.zone.value());
+        }
+        out.set_retry_after_ms(message.retryAfter.value());
+    }
+    void operator()(const StageResultRelease &message) const
+    {
+        peerwire::StageResultRelease &out = *envelope.mutable_stage_result_release();
+        for (const framework::StageResultId &result : message.results) {
+            out.add_results(result.value());
+        }
+    }
+};
+
+framework::Result<PeerMessage> read(const peerwire::StageJob &in)
+{
+    StageJob job;
+    job.request = framework::RequestId(in.request());
+    for (const peerwire::JobStage &stage : in.stages()) {
+        JobStage target;
+        target.index = stage.index();
+        target.service = framework::ServiceId(stage.service());
+        target.after.assign(stage.after().begin(), stage.after().end());
+        target.pieces = stage.pieces();
+        target.resultSize = framework::Bytes(stage.result_bytes());
+        job.stages.push_back(std::move(target));
+    }
+    job.input = framework::StageInputId(in.input());
+    job.objectiveLeft = framework::Milliseconds(in.objective_left_ms());
+    job.timeLeft = framework::Milliseconds(in.time_left_ms());
+    job.priority = framework::PriorityRank(in.priority());
+    job.worth = in.worth();
+    job.zone = framework::AvailabilityZoneId(in.zone());
+    if (job.request.isEmpty() || job.stages.empty()) {
+        return framework::leaf::new_error(ProtocolError::Malformed);
+    }
+    return PeerMessage(std::move(job));
+}
+
+framework::Result<PeerMessage> read(const peerwire::StageJobOutcome &in)
+{
+    StageJobOutcome outcome;
+    outcome.request = framework::RequestId(in.request());
+    if (in.status() > static_cast<std::uint32_t>(StageJobStatus::NotCoordinator)) {
+        return framework::leaf::new_error(ProtocolError::Malformed);
+    }
+    outcome.status = static_cast<StageJobStatus>(in.status());
+    for (const peerwire::StageResultPlace &place : in.results()) {
+        outcome.results.push_back({framework::StageResultId(place.id()),
+                                   framework::AvailabilityZoneId(place.zone())});
+    }
+    outcome.retryAfter = framework::Milliseconds(in.retry_after_ms());
+    return PeerMessage(std::move(outcome));
+}
+
+PeerMessage read(const peerwire::StageResultRelease &in)
+{
+    StageResultRelease release;
+    for (const std::string &result : in.results()) {
+        release.results.emplace_back(result);
+    }
+    return PeerMessage(std::move(release));
+}
+
+} // namespace
+
+std::string ProtobufPeerCodec::encode(const PeerMessage &message) const
+{
+    peerwire::Envelope envelope;
+    envelope.set_version(PeerProtocolVersion);
+    std::visit(EnvelopeWriter{envelope}, message);
+    return envelope.SerializeAsString();
+}
+
+framework::Result<PeerMessage> ProtobufPeerCodec::decode(std::string_view bytes) const
+{
+    peerwire::Envelope envelope;
+    if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return framework::leaf::new_error(ProtocolError::Malformed);
+    }
+    if (envelope.version() != PeerProtocolVersion) {
+        return framework::leaf::new_error(ProtocolError::UnknownVersion);
+    }
+    switch (envelope.body_case()) {
+    case peerwire::Envelope::kHello:
+        return PeerMessage(PeerHello{framework::DaemonId(envelope.hello().daemon())});
+    case peerwire::Envelope::kPing:
+        return PeerMessage(PeerPing{envelope.ping().sequence()});
+    case peerwire::Envelope::kPong:
+        return PeerMessage(PeerPong{envelope.pong().sequence(), envelope.pong().accepts_jobs()});
+    case peerwire::Envelope::kStageJob:
+        return read(envelope.stage_job());
+    case peerwire::Envelope::kStageJobCancel:
+        return PeerMessage(
+            StageJobCancel{framework::RequestId(envelope.stage_job_cancel().request())});
+    case peerwire::Envelope::kStageJobOutcome:
+        return read(envelope.stage_job_outcome());
+    case peerwire::Envelope::kStageResultRelease:
+        return read(envelope.stage_result_release());
+    case peerwire::Envelope::BODY_NOT_SET:
+        break;
+    }
+    return framework::leaf::new_error(ProtocolError::Malformed);
+}
+
+} // namespace lavendertally::protocol
--- /dev/null
+++ b/src/protocol/types/peermessage.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "protocol/types/peerhello.h"
+#include "protocol/types/peerping.h"
+#include "protocol/types/peerpong.h"
+#include "protocol/types/stagejob.h"
+#include "protocol/types/stagejobcancel.h"
+#include "protocol/types/stagejoboutcome.h"
+#include "protocol/types/stageresultrelease.h"
+
+#include <variant>
+
+namespace lavendertally::protocol {
+
+/// Any message on a link between two daemons.
+using PeerMessage = std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel,
+                                 StageJobOutcome, StageResultRelease>;
+
+} // namespace lavendertally::protocol
--- /dev/null
+++ b/src/proxy/internal/proxyservice.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "proxy/internal/irequestrunowner.h"
+#include "proxy/iproxyservice.h"
+#include "proxy/types/proxycontext.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace lavendertally::framework {
+class ITimer;
+}
+
+namespace lavendertally::proxy {
+
+/// Keeps the runs of all requests under way.
+class ProxyService final : public IProxyService, public IRequestRunOwner
+{
+public:
+    explicit ProxyService(const ProxyContext &context);
+    ~ProxyService() override;
+
+    Ticket start(ClientRequest request, std::unique_ptr<IClientReply> reply) override;
+    void abandon(Ticket ticket) override;
+    std::size_t activeRequests() const override { return m_runs.size(); }
+
+    void onRunEnded(RequestRun &run) override;
+    std::uint32_t worthOf(const framework::RouteId &route, framework::TokenCount size) override;
+
+private:
+    ProxyContext m_context;
+    Ticket m_nextTicket = 1;
+    std::unordered_map<Ticket, std::unique_ptr<RequestRun>> m_runs;
+    std::vector<std::unique_ptr<RequestRun>> m_ended;
+    std::unique_ptr<framework::ITimer> m_endedTimer;
+    /// Smoothed size of the requests of each route.
+    std::unordered_map<framework::RouteId, double> m_usualSizes;
+};
+
+} // namespace lavendertally::proxy
--- /dev/null
+++ b/src/proxy/internal/requestrun.cpp
@@ -0,0 +1,517 @@
+#include "proxy/internal/requestrun.h"
+
+#include "framework/iclock.h"
+#include "framework/ilogger.h"
+#include "framework/imetrics.h"
+#include "framework/irandom.h"
+#include "framework/ischeduler.h"
+#include "framework/itimer.h"
+#include "peers/idaemondirectory.h"
+#include "protocol/types/stagejob.h"
+#include "proxy/ibackendcall.h"
+#include "proxy/ibackendport.h"
+#include "proxy/iclientreply.h"
+#include "proxy/internal/irequestrunowner.h"
+#include "proxy/types/backendrequest.h"
+#include "proxy/types/streamevent.h"
+#include "retry/iretrypolicy.h"
+#include "routing/ibackendserverselector.h"
+#include "serving/iservingstate.h"
+#include "serving/types/servingconfiguration.h"
+#include "stages/istageservice.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace lavendertally::proxy {
+
+namespace {
+
+constexpr int FirstServerError = 500;
+
+/// Output tokens take about ten times as long as prompt tokens.
+constexpr std::int64_t OutputTokenWeight = 10;
+
+configuration::PriorityClass priorityClass(framework::PriorityRank rank)
+{
+    switch (rank.value()) {
+    case 0:
+        return configuration::PriorityClass::Interactive;
+    case 1:
+        return configuration::PriorityClass::Standard;
+    default:
+        return configuration::PriorityClass::Background;
+    }
+}
+
+} // namespace
+
+RequestRun::RequestRun(const ProxyContext &context, IRequestRunOwner &owner,
+                       IProxyService::Ticket ticket, ClientRequest request,
+                       std::unique_ptr<IClientReply> reply)
+    : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
+      m_reply(std::move(reply)), m_started(context.clock.now()), m_lastEvent(m_request.lastEvent)
+{ }
+
+RequestRun::~RequestRun() = default;
+
+void RequestRun::start()
+{
+    if (const std::optional<Refusal> refusal = admit()) {
+        refuse(*refusal);
+        return;
+    }
+    m_expires = m_started + std::min(m_request.timeLeft.value_or(m_route->timeout),
+                                     m_route->timeout);
+    m_expiry = m_context.scheduler.callAfter(timeLeft(), [this] { expire(); });
+    chooseService();
+    m_context.retries.recordFreshCall(m_service, m_started);
+    if (hasPieces()) {
+        startStages();
+        return;
+    }
+    sendAttempt();
+}
+
+std::optional<Refusal> RequestRun::admit()
+{
+    m_configuration = m_context.serving.configuration();
+    if (!m_configuration) {
+        return Refusal{RefusalKind::NotRun, m_context.limits.retryAfter, "no configuration yet"};
+    }
+    m_route = m_configuration->findRoute(m_request.hostName, m_request.path);
+    if (m_route == nullptr) {
+        return Refusal{RefusalKind::NoRoute, {}, "no route"};
+    }
+    return identify();
+}
+
+std::optional<Refusal> RequestRun::identify()
+{
+    if (!m_configuration->hasTeams() || m_route->isPublic) {
+        return std::nullopt;
+    }
+    m_team = m_configuration->findTeam(m_request.key);
+    if (m_team == nullptr) {
+        return Refusal{RefusalKind::UnknownKey, {}, "unknown key"};
+    }
+    // The request was sent before now, so a revocation that was acknowledged long before is in this
+    // configuration as long as its confirmation is not older than that.
+    const framework::Milliseconds age = m_started - m_context.serving.confirmedAt();
+    if (age > m_context.limits.maxKeyAge) {
+        return Refusal{RefusalKind::NotRun, m_context.limits.retryAfter,
+                       "configuration not confirmed"};
+    }
+    return std::nullopt;
+}
+
+void RequestRun::chooseService()
+{
+    std::uint64_t sum = 0;
+    for (const serving::TrafficShare &share : m_route->split) {
+        sum += share.weight;
+    }
+    std::uint64_t drawn = m_route->split.size() > 1 ? m_context.random.below(sum) : 0;
+    for (const serving::TrafficShare &share : m_route->split) {
+        m_service = share.service;
+        if (drawn < share.weight) {
+            return;
+        }
+        drawn -= share.weight;
+    }
+}
+
+bool RequestRun::isStream() const
+{
+    return m_route->kind == serving::RouteKind::Streaming;
+}
+
+bool RequestRun::hasPieces() const
+{
+    const std::size_t count = std::min(m_route->stages.size(), m_request.pieces.size());
+    const auto end = m_request.pieces.begin() + static_cast<std::ptrdiff_t>(count);
+    return std::any_of(m_request.pieces.begin(), end,
+                       [](std::uint32_t pieces) { return pieces > 0; });
+}
+
+void RequestRun::startStages()
+{
+    protocol::StageJob job;
+    job.request = m_request.id;
+    for (std::size_t index = 0; index < m_route->stages.size(); ++index) {
+        const serving::StagePlan &plan = m_route->stages[index];
+        const std::uint32_t pieces =
+            index < m_request.pieces.size() ? m_request.pieces[index] : 0;
+        if (pieces == 0) {
+            continue;
+        }
+        job.stages.push_back({static_cast<std::uint32_t>(index), plan.service,
+                              {plan.after.begin(), plan.after.end()}, pieces, plan.resultSize});
+    }
+    job.input = m_request.stageInput;
+    job.objectiveLeft = m_route->latencyObjective - elapsed();
+    job.timeLeft = timeLeft();
+    job.priority = m_team != nullptr ? m_team->priority.value_or(m_route->priority)
+                                     : m_route->priority;
+    const framework::TokenCount size =
+        m_request.promptTokens + m_request.maxOutputTokens * OutputTokenWeight;
+    job.worth = m_owner.worthOf(m_route->id, size);
+    job.zone = wantedZone();
+    m_stagesRunning = true;
+    m_context.stages.start(job, [this](const protocol::StageJobOutcome &outcome) {
+        stagesEnded(outcome);
+    });
+}
+
+/// Zone of the backend server that would run the request now.
+framework::AvailabilityZoneId RequestRun::wantedZone()
+{
+    const auto server = m_context.selector.select(serverQuery(), m_context.clock.now());
+    return server ? server->zone : m_context.zone;
+}
+
+void RequestRun::stagesEnded(const protocol::StageJobOutcome &outcome)
+{
+    m_stagesRunning = false;
+    if (outcome.status == protocol::StageJobStatus::Done) {
+        m_inputs = outcome.results;
+        sendAttempt();
+        return;
+    }
+    const bool overloaded = outcome.status == protocol::StageJobStatus::Overloaded;
+    if (m_streaming) {
+        m_reply->breakOff();
+        finish("stream broke; stages could not be repeated");
+        return;
+    }
+    refuse({RefusalKind::NotRun, outcome.retryAfter,
+            overloaded ? "stages overloaded" : "stages failed"});
+}
+
+routing::ServerQuery RequestRun::serverQuery() const
+{
+    routing::ServerQuery query;
+    query.service = m_service;
+    query.excluded = m_excluded;
+    query.zone = m_context.zone;
+    std::map<framework::AvailabilityZoneId, std::size_t> zones;
+    for (const protocol::StageResultPlace &place : m_inputs) {
+        ++zones[place.zone];
+    }
+    std::size_t most = 0;
+    for (const auto &[zone, count] : zones) {
+        if (count > most) {
+            query.zone = zone;
+            most = count;
+        }
+    }
+    if (m_route->promptAffinity) {
+        query.affinity = m_request.sharedPrompt;
+    }
+    if (const serving::ServiceSpec *spec = m_configuration->findService(m_service)) {
+        query.coldRate = static_cast<double>(spec->coldRequestsPerSecond)
+            / static_cast<double>(m_context.directory.sharers());
+    }
+    return query;
+}
+
+void RequestRun::sendAttempt()
+{
+    const framework::TimePoint now = m_context.clock.now();
+    const auto server = m_context.selector.select(serverQuery(), now);
+    if (!server) {
+        if (m_streaming) {
+            m_reply->breakOff();
+            finish("stream broke; no backend server left");
+            return;
+        }
+        const bool reached = wasReached();
+        refuse({reached ? RefusalKind::AnswerLost : RefusalKind::NotRun,
+                m_context.limits.retryAfter, "no backend server"});
+        return;
+    }
+    m_server = server->id;
+    m_head.reset();
+    m_body.clear();
+    m_attemptStarted = now;
+    ++m_attempts;
+    BackendRequest attempt;
+    attempt.request = &m_request;
+    attempt.server = *server;
+    attempt.timeLeft = timeLeft();
+    attempt.team = m_team != nullptr ? m_team->id : framework::TeamId();
+    if (!m_inputs.empty()) {
+        attempt.inputs.emplace();
+        for (const protocol::StageResultPlace &place : m_inputs) {
+            attempt.inputs->push_back(place.id);
+        }
+    }
+    attempt.resumeAfter = m_lastEvent;
+    attempt.priority = m_route->priority;
+    attempt.runsOnce = !m_route->isIdempotent();
+    m_context.selector.callStarted(m_server, now);
+    m_call = m_context.backends.send(attempt, *this);
+}
+
+void RequestRun::endAttempt(routing::CallOutcome outcome)
+{
+    m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
+}
+
+void RequestRun::onHead(const AnswerHead &head)
+{
+    const framework::TimePoint now = m_context.clock.now();
+    m_context.selector.callAnswered(m_server, m_attemptStarted, now);
+    if (head.load) {
+        m_context.selector.observeLoad(m_server, *head.load, now);
+    }
+    m_head = head;
+}
+
+void RequestRun::onBody(std::string_view data)
+{
+    m_body.append(data);
+}
+
+void RequestRun::onEvent(const StreamEvent &event)
+{
+    if (!m_head->isSuccess() || m_head->notExecuted || !m_head->isSigned) {
+        return;
+    }
+    if (event.id) {
+        if (m_lastEvent && *event.id <= *m_lastEvent) {
+            return;
+        }
+        if (m_lastEvent && *event.id != m_lastEvent->next()) {
+            // Nothing may be missing; the attempt is over.
+            m_call.reset();
+            onEnd(BackendCallEnd::Broken);
+            return;
+        }
+        m_lastEvent = event.id;
+    }
+    if (!m_streaming) {
+        m_streaming = true;
+        m_context.metrics.observe("lavendertally_first_event_ms",
+                                  {{"route", m_route->id.value()}}, elapsed());
+        m_reply->startStream(*m_head);
+        releaseInputs();
+    }
+    m_reply->sendEvent(event.text);
+}
+
+void RequestRun::onEnd(BackendCallEnd end)
+{
+    m_call.reset();
+    const bool notExecuted = m_head && m_head->notExecuted;
+    if (end == BackendCallEnd::NotSent || notExecuted) {
+        attemptNotRun(end);
+        return;
+    }
+    if (isStream() && m_head && m_head->isSuccess() && m_head->isEventStream) {
+        streamEnded(end);
+        return;
+    }
+    answerEnded(end);
+}
+
+void RequestRun::attemptNotRun(BackendCallEnd end)
+{
+    const bool unsent = end == BackendCallEnd::NotSent;
+    endAttempt(unsent ? routing::CallOutcome::Broken : routing::CallOutcome::Refused);
+    m_excluded.insert(m_server);
+    constexpr int InputsGone = 409;
+    if (!unsent && m_head->status == InputsGone && !m_stagesRepeated) {
+        m_stagesRepeated = true;
+        m_excluded.erase(m_server);
+        --m_attempts;
+        m_inputs.clear();
+        startStages();
+        return;
+    }
+    if (unsent) {
+        // The backend server has seen nothing, so this was no attempt.
+        --m_attempts;
+        if (++m_unsent <= m_context.limits.maxUnsent) {
+            sendAttempt();
+            return;
+        }
+    } else if (tryAgain(false)) {
+        return;
+    }
+    if (m_streaming) {
+        m_reply->breakOff();
+        finish("stream broke; refused elsewhere");
+        return;
+    }
+    refuse({RefusalKind::NotRun, m_context.limits.retryAfter,
+            unsent ? "backend servers unreachable" : "refused by backend server"});
+}
+
+void RequestRun::streamEnded(BackendCallEnd end)
+{
+    const bool complete = end == BackendCallEnd::Complete && m_head->isSigned;
+    endAttempt(complete ? routing::CallOutcome::Succeeded : routing::CallOutcome::Broken);
+    if (complete) {
+        if (!m_streaming) {
+            m_reply->startStream(*m_head);
+        }
+        m_reply->endStream();
+        finish("done");
+        return;
+    }
+    m_excluded.insert(m_server);
+    if (m_route->resumable && tryAgain(true)) {
+        return;
+    }
+    if (m_streaming) {
+        m_reply->breakOff();
+        finish("stream broke");
+        return;
+    }
+    refuse({RefusalKind::AnswerLost, {}, "stream broke before its first event"});
+}
+
+void RequestRun::answerEnded(BackendCallEnd end)
+{
+    const bool complete = end == BackendCallEnd::Complete && m_head;
+    const bool bad = !complete || m_head->status >= FirstServerError
+        || (m_head->isSuccess() && !m_head->isSigned);
+    const routing::CallOutcome failure =
+        complete ? routing::CallOutcome::Failed : routing::CallOutcome::Broken;
+    endAttempt(bad ? failure : routing::CallOutcome::Succeeded);
+    if (bad) {
+        m_excluded.insert(m_server);
+        if (m_route->isIdempotent() && tryAgain(true)) {
+            return;
+        }
+    }
+    constexpr int TooManyRequests = 429;
+    constexpr int Unavailable = 503;
+    const bool promisesNotRun =
+        complete && (m_head->status == TooManyRequests || m_head->status == Unavailable);
+    const bool unproved = complete && m_head->isSuccess() && !m_head->isSigned;
+    if (!complete || promisesNotRun || unproved) {
+        refuse({RefusalKind::AnswerLost, {}, "answer lost"});
+        return;
+    }
+    m_reply->answer(*m_head, m_body);
+    finish(bad ? "backend server failed" : "done");
+}
+
+bool RequestRun::tryAgain(bool mayHaveRun)
+{
+    if (m_attempts >= m_route->maxAttempts) {
+        return false;
+    }
+    retry::RetryQuery query;
+    query.service = m_service;
+    query.failure = mayHaveRun ? retry::FailureKind::Unknown : retry::FailureKind::NotRun;
+    query.idempotent = m_route->isIdempotent();
+    query.priority = priorityClass(m_route->priority);
+    query.attempts = m_attempts;
+    query.previousBackoff = m_backoff;
+    query.budget = timeLeft();
+    const retry::RetryDecision decision = m_context.retries.decide(query, m_context.clock.now());
+    m_context.logger.info("attempt failed",
+                          {{"request", m_request.id.value()},
+                           {"backend_server", m_server.value()},
+                           {"attempts", std::to_string(m_attempts)},
+                           {"may_have_run", mayHaveRun ? "yes" : "no"},
+                           {"retry", decision.retry ? "yes" : "no"}});
+    if (!decision.retry) {
+        return false;
+    }
+    m_backoff = decision.backoff;
+    m_backoffTimer = m_context.scheduler.callAfter(decision.backoff, [this] { sendAttempt(); });
+    return true;
+}
+
+void RequestRun::expire()
+{
+    const bool sent = m_call != nullptr;
+    if (sent) {
+        m_call.reset();
+        endAttempt(m_head ? routing::CallOutcome::Cancelled : routing::CallOutcome::Broken);
+    }
+    if (m_streaming) {
+        m_reply->breakOff();
+        finish("stream broke; time is up");
+        return;
+    }
+    if (wasReached()) {
+        refuse({RefusalKind::TimedOut, {}, "time is up"});
+        return;
+    }
+    refuse({RefusalKind::NotRun, m_context.limits.retryAfter, "time is up before it ran"});
+}
+
+void RequestRun::abandon()
+{
+    if (m_ended) {
+        return;
+    }
+    const bool goesOn = m_call && m_route->kind == serving::RouteKind::NonIdempotent;
+    if (goesOn) {
+        return;
+    }
+    if (m_call) {
+        m_call.reset();
+        endAttempt(routing::CallOutcome::Cancelled);
+    }
+    finish("client hung up");
+}
+
+void RequestRun::refuse(const Refusal &refusal)
+{
+    m_reply->refuse(refusal);
+    m_context.metrics.increment("lavendertally_refusals_total", {{"cause", refusal.cause}});
+    finish(refusal.cause);
+}
+
+void RequestRun::releaseInputs()
+{
+    std::vector<framework::StageResultId> results;
+    for (const protocol::StageResultPlace &place : std::exchange(m_inputs, {})) {
+        results.push_back(place.id);
+    }
+    m_context.stages.release(results);
+}
+
+void RequestRun::finish(const char *outcome)
+{
+    m_ended = true;
+    m_expiry.reset();
+    m_backoffTimer.reset();
+    if (m_stagesRunning) {
+        m_context.stages.cancel(m_request.id);
+    }
+    releaseInputs();
+    const std::string route = m_route != nullptr ? m_route->id.value() : std::string();
+    const std::string version =
+        m_configuration ? std::to_string(m_configuration->version().value()) : "none";
+    m_context.logger.info("request ended",
+                          {{"request", m_request.id.value()},
+                           {"route", route},
+                           {"configuration", version},
+                           {"outcome", outcome},
+                           {"backend_server", m_server.value()},
+                           {"attempts", std::to_string(m_attempts)},
+                           {"elapsed_ms", std::to_string(elapsed().value())}});
+    m_context.metrics.increment("lavendertally_requests_total",
+                                {{"route", route}, {"outcome", outcome}});
+    m_owner.onRunEnded(*this);
+}
+
+framework::Milliseconds RequestRun::elapsed() const
+{
+    return m_context.clock.now() - m_started;
+}
+
+framework::Milliseconds RequestRun::timeLeft() const
+{
+    return std::max(m_expires - m_context.clock.now(), framework::Milliseconds(0));
+}
+
+} // namespace lavendertally::proxy
--- /dev/null
+++ b/src/proxy/internal/requestrun.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "framework/types/timepoint.h"
+#include "protocol/types/stagejoboutcome.h"
+#include "proxy/ibackendanswerobserver.h"
+#include "proxy/iproxyservice.h"
+#include "proxy/types/answerhead.h"
+#include "proxy/types/clientrequest.h"
+#include "proxy/types/proxycontext.h"
+#include "proxy/types/refusal.h"
+#include "routing/types/calloutcome.h"
+#include "routing/types/serverquery.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lavendertally::framework {
+class ITimer;
+}
+
+namespace lavendertally::serving {
+struct Route;
+class ServingConfiguration;
+struct TeamEntry;
+} // namespace lavendertally::serving
+
+namespace lavendertally::proxy {
+
+class IBackendCall;
+class IClientReply;
+class IRequestRunOwner;
+
+/// One request on its way: checks, stages, attempts at backend servers, one final answer.
+class RequestRun final : public IBackendAnswerObserver
+{
+public:
+    RequestRun(const ProxyContext &context, IRequestRunOwner &owner, IProxyService::Ticket ticket,
+               ClientRequest request, std::unique_ptr<IClientReply> reply);
+    ~RequestRun() override;
+    RequestRun(const RequestRun &) = delete;
+    RequestRun &operator=(const RequestRun &) = delete;
+
+    IProxyService::Ticket ticket() const { return m_ticket; }
+    void start();
+    void abandon();
+
+    void onHead(const AnswerHead &head) override;
+    void onEvent(const StreamEvent &event) override;
+    void onBody(std::string_view data) override;
+    void onEnd(BackendCallEnd end) override;
+
+private:
+    /// \return why the request is refused at once, or nothing
+    std::optional<Refusal> admit();
+    std::optional<Refusal> identify();
+    void chooseService();
+
+    bool hasPieces() const;
+    void startStages();
+    void stagesEnded(const protocol::StageJobOutcome &outcome);
+    framework::AvailabilityZoneId wantedZone();
+    routing::ServerQuery serverQuery() const;
+
+    void sendAttempt();
+    void streamEnded(BackendCallEnd end);
+    void answerEnded(BackendCallEnd end);
+    void attemptNotRun(BackendCallEnd end);
+    /// Tries another backend server if that is allowed. \return whether it does
+    bool tryAgain(bool mayHaveRun);
+    void endAttempt(routing::CallOutcome outcome);
+    bool isStream() const;
+    bool wasReached() const { return m_attempts > 0; }
+
+    void expire();
+    void refuse(const Refusal &refusal);
+    void finish(const char *outcome);
+    void releaseInputs();
+    framework::Milliseconds timeLeft() const;
+    framework::Milliseconds elapsed() const;
+
+    const ProxyContext &m_context;
+    IRequestRunOwner &m_owner;
+    IProxyService::Ticket m_ticket;
+    ClientRequest m_request;
+    std::unique_ptr<IClientReply> m_reply;
+    framework::TimePoint m_started;
+    framework::TimePoint m_expires;
+    std::unique_ptr<framework::ITimer> m_expiry;
+    std::unique_ptr<framework::ITimer> m_backoffTimer;
+    std::shared_ptr<const serving::ServingConfiguration> m_configuration;
+    const serving::Route *m_route = nullptr;
+    const serving::TeamEntry *m_team = nullptr;
+    framework::ServiceId m_service;
+
+    bool m_stagesRunning = false;
+    bool m_stagesRepeated = false;
+    std::vector<protocol::StageResultPlace> m_inputs;
+
+    std::unique_ptr<IBackendCall> m_call;
+    framework::BackendServerId m_server;
+    framework::TimePoint m_attemptStarted;
+    /// Backend servers that may have seen the request.
+    std::uint32_t m_attempts = 0;
+    std::uint32_t m_unsent = 0;
+    framework::Milliseconds m_backoff;
+    std::set<framework::BackendServerId> m_excluded;
+    std::optional<AnswerHead> m_head;
+    std::string m_body;
+    bool m_streaming = false;
+    std::optional<framework::StreamEventId> m_lastEvent;
+    bool m_ended = false;
+};
+
+} // namespace lavendertally::proxy
--- /dev/null
+++ b/src/proxy/iproxyservice.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "proxy/types/clientrequest.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace lavendertally::proxy {
+
+class IClientReply;
+
+/// Forwards requests to backend servers. Any front end can use it.
+class IProxyService
+{
+public:
+    virtual ~IProxyService() = default;
+
+    /// Handle of a request under way.
+    using Ticket = std::uint64_t;
+
+    virtual Ticket start(ClientRequest request, std::unique_ptr<IClientReply> reply) = 0;
+
+    /// The client hung up. Work that may be repeated is cancelled, other work goes on unobserved.
+    virtual void abandon(Ticket ticket) = 0;
+
+    /// \return requests under way
+    virtual std::size_t activeRequests() const = 0;
+};
+
+} // namespace lavendertally::proxy
--- /dev/null
+++ b/src/proxy/types/proxycontext.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "proxy/types/proxylimits.h"
+
+namespace lavendertally::framework {
+class IClock;
+class ILogger;
+class IMetrics;
+class IRandom;
+class IScheduler;
+} // namespace lavendertally::framework
+
+namespace lavendertally::peers {
+class IDaemonDirectory;
+}
+
+namespace lavendertally::retry {
+class IRetryPolicy;
+}
+
+namespace lavendertally::routing {
+class IBackendServerSelector;
+}
+
+namespace lavendertally::serving {
+class IServingState;
+}
+
+namespace lavendertally::stages {
+class IStageService;
+}
+
+namespace lavendertally::proxy {
+
+class IBackendPort;
+
+/// What forwarding works with; everything outlives the service.
+struct ProxyContext
+{
+    /// Zone of this daemon.
+    framework::AvailabilityZoneId zone;
+    const framework::IClock &clock;
+    framework::IScheduler &scheduler;
+    framework::ILogger &logger;
+    framework::IMetrics &metrics;
+    framework::IRandom &random;
+    const serving::IServingState &serving;
+    const peers::IDaemonDirectory &directory;
+    routing::IBackendServerSelector &selector;
+    retry::IRetryPolicy &retries;
+    stages::IStageService &stages;
+    IBackendPort &backends;
+    ProxyLimits limits;
+};
+
+} // namespace lavendertally::proxy
--- /dev/null
+++ b/src/routing/internal/backendserverselector.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "routing/ibackendserverselector.h"
+#include "routing/internal/serverstate.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace lavendertally::framework {
+class IRandom;
+}
+
+namespace lavendertally::membership {
+class IBackendServers;
+}
+
+namespace lavendertally::routing {
+
+/// Weighs expected load, recent failures and the zone; prompts with a shared part go to the same
+/// backend server while its load stays near the average.
+class BackendServerSelector final : public IBackendServerSelector
+{
+public:
+    BackendServerSelector(const membership::IBackendServers &servers, framework::IRandom &random);
+
+    framework::Result<membership::BackendServerEntry> select(const ServerQuery &query,
+                                                             framework::TimePoint now) override;
+    void callStarted(const framework::BackendServerId &server, framework::TimePoint now) override;
+    void callAnswered(const framework::BackendServerId &server, framework::TimePoint started,
+                      framework::TimePoint now) override;
+    void callEnded(const framework::BackendServerId &server, CallOutcome outcome,
+                   framework::TimePoint now) override;
+    void observeLoad(const framework::BackendServerId &server, const ServerLoad &load,
+                     framework::TimePoint now) override;
+
+private:
+    struct Candidate
+    {
+        const membership::BackendServerEntry *entry = nullptr;
+        ServerState *state = nullptr;
+        double utilisation = 0.0;
+    };
+    using Candidates = std::vector<Candidate>;
+
+    Candidates usable(const ServerQuery &query, framework::TimePoint now);
+    const Candidate &cheapest(const Candidates &candidates, const ServerQuery &query);
+    static const Candidate *byAffinity(const Candidates &candidates, const ServerQuery &query);
+    void forgetGone();
+
+    const membership::IBackendServers &m_servers;
+    framework::IRandom &m_random;
+    std::unordered_map<framework::BackendServerId, ServerState> m_states;
+};
+
+} // namespace lavendertally::routing
--- a/src/routing/internal/routingmodule.cpp
+++ b/src/routing/internal/routingmodule.cpp
@@ -1,5 +1,6 @@
 #include "routing/routingmodule.h"
 
+#include "routing/internal/backendserverselector.h"
 #include "routing/internal/loadawareselector.h"
 #include "routing/internal/randomselector.h"
 #include "routing/internal/stalereportprobes.h"
@@ -27,4 +28,11 @@
     return {.selector = std::move(selector), .probes = std::move(probes)};
 }
 
+std::unique_ptr<IBackendServerSelector>
+RoutingModule::makeBackendServerSelector(const membership::IBackendServers &servers,
+                                         framework::IRandom &random)
+{
+    return std::make_unique<BackendServerSelector>(servers, random);
+}
+
 } // namespace lavendertally::routing
--- a/src/routing/routingmodule.h
+++ b/src/routing/routingmodule.h
@@ -10,11 +10,13 @@
 }
 
 namespace lavendertally::membership {
+class IBackendServers;
 class IMembership;
 }
 
 namespace lavendertally::routing {
 
+class IBackendServerSelector;
 class IWorkerSelector;
 struct Routing;
 
@@ -31,6 +33,11 @@
     static Routing makeRouting(const membership::IMembership &membership,
                                framework::IRandom &random, const framework::HostId &self,
                                const SelectorLimits &limits = {});
+
+    /// \return a selector of backend servers that are called directly
+    static std::unique_ptr<IBackendServerSelector>
+    makeBackendServerSelector(const membership::IBackendServers &servers,
+                              framework::IRandom &random);
 };
 
 } // namespace lavendertally::routing
--- /dev/null
+++ b/src/serving/internal/servingtracker.cpp
@@ -0,0 +1,47 @@
+#include "serving/internal/servingtracker.h"
+
+#include "framework/ilogger.h"
+#include "serving/types/servingconfiguration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::serving {
+
+ServingTracker::ServingTracker(framework::ILogger &logger) : m_logger(logger) { }
+
+std::shared_ptr<const ServingConfiguration> ServingTracker::configuration() const
+{
+    return m_configuration;
+}
+
+void ServingTracker::applyConfiguration(std::shared_ptr<const ServingConfiguration> configuration)
+{
+    if (m_configuration && configuration->version() <= m_configuration->version()) {
+        return;
+    }
+    const std::string before =
+        m_configuration ? std::to_string(m_configuration->version().value()) : "none";
+    m_configuration = std::move(configuration);
+    m_logger.info("configuration in force",
+                  {{"version", std::to_string(m_configuration->version().value())},
+                   {"before", before},
+                   {"routes", std::to_string(m_configuration->routes().size())}});
+    for (const std::function<void()> &listener : m_listeners) {
+        listener();
+    }
+}
+
+void ServingTracker::confirm(framework::TimePoint instant)
+{
+    if (m_configuration) {
+        m_confirmedAt = std::max(m_confirmedAt, instant);
+    }
+}
+
+void ServingTracker::onChange(std::function<void()> callback)
+{
+    m_listeners.push_back(std::move(callback));
+}
+
+} // namespace lavendertally::serving
--- /dev/null
+++ b/src/stages/internal/stagecoordinator.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "stages/internal/resultledger.h"
+#include "stages/internal/stagejobstate.h"
+#include "stages/internal/unitqueue.h"
+#include "stages/istagecoordinator.h"
+#include "stages/types/stagelimits.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace lavendertally::membership {
+class IBackendServers;
+}
+
+namespace lavendertally::serving {
+class IServingState;
+struct StagePool;
+} // namespace lavendertally::serving
+
+namespace lavendertally::stages {
+
+/// Keeps one queue for each pool and hands a batch to each backend server that becomes free, so
+/// that what goes into a batch is decided as late as possible.
+class StageCoordinator final : public IStageCoordinator
+{
+public:
+    StageCoordinator(const serving::IServingState &serving,
+                     const membership::IBackendServers &servers, const StageLimits &limits);
+    ~StageCoordinator() override;
+
+    void submit(const framework::DaemonId &owner, const protocol::StageJob &job,
+                framework::TimePoint now) override;
+    void cancel(const JobKey &job, framework::TimePoint now) override;
+    void cancelAll(const framework::DaemonId &owner, framework::TimePoint now) override;
+    void release(const std::vector<framework::StageResultId> &results,
+                 framework::TimePoint now) override;
+    void callEnded(StageCallId call, const StageCallOutcome &outcome,
+                   framework::TimePoint now) override;
+    void wake(framework::TimePoint now) override;
+    framework::TimePoint nextWake() const override;
+    std::vector<StageCommand> takeCommands() override;
+
+private:
+    using JobNumber = std::uint64_t;
+
+    struct RunningPiece
+    {
+        JobNumber job = 0;
+        std::size_t stage = 0;
+        std::uint32_t piece = 0;
+        framework::Bytes resultSize;
+    };
+
+    struct RunningCall
+    {
+        membership::BackendServerEntry server;
+        std::vector<RunningPiece> pieces;
+        framework::TimePoint started;
+        framework::Milliseconds expected;
+        framework::Milliseconds resultLifetime;
+        framework::Bytes reserved;
+    };
+
+    const serving::StagePool *findPool(const framework::ServiceId &service) const;
+    framework::Milliseconds tail(const StageJobState &job, std::size_t stage) const;
+    bool canRun(const protocol::StageJob &job) const;
+    void enqueue(StageJobState &job, std::size_t stage);
+    void enqueueReady(StageJobState &job);
+
+    void refuseLate(framework::TimePoint now);
+    void dispatchAll(framework::TimePoint now);
+    void dispatch(const framework::ServiceId &service, UnitQueue &queue, framework::TimePoint now);
+    const membership::BackendServerEntry *chooseServer(const framework::ServiceId &service,
+                                                       const serving::StagePool &pool,
+                                                       const StageUnit &first,
+                                                       framework::TimePoint now);
+    bool startCall(const membership::BackendServerEntry &server, const serving::StagePool &pool,
+                   UnitQueue &queue, framework::TimePoint now);
+
+    void pieceEnded(const RunningCall &call, const RunningPiece &piece, const PieceOutcome &outcome,
+                    framework::TimePoint now);
+    void pieceFailed(StageJobState &job, const RunningPiece &piece);
+    void restartInputs(StageJobState &job, std::size_t stage);
+    void stageDone(StageJobState &job, std::size_t stage);
+    void finish(StageJobState &job);
+    void fail(StageJobState &job, protocol::StageJobStatus status);
+    void erase(StageJobState &job);
+    void freeResults(const std::vector<framework::StageResultId> &results);
+    StageJobState *find(JobNumber number);
+    JobNumber numberOf(const JobKey &key) const;
+
+    const serving::IServingState &m_serving;
+    const membership::IBackendServers &m_servers;
+    StageLimits m_limits;
+    JobNumber m_nextJob = 1;
+    StageCallId m_nextCall{1};
+    std::map<JobNumber, std::unique_ptr<StageJobState>> m_jobs;
+    std::map<JobKey, JobNumber> m_numbers;
+    std::map<framework::ServiceId, UnitQueue> m_queues;
+    std::map<StageCallId, RunningCall> m_calls;
+    ResultLedger m_ledger;
+    std::vector<framework::StageResultId> m_toFree;
+    std::vector<StageCommand> m_commands;
+    framework::TimePoint m_nextWake = framework::TimePoint::never();
+};
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/internal/stagegateway.cpp
@@ -0,0 +1,194 @@
+#include "stages/internal/stagegateway.h"
+
+#include "framework/hash.h"
+#include "framework/iclock.h"
+#include "framework/ilogger.h"
+#include "framework/imetrics.h"
+#include "framework/ischeduler.h"
+#include "framework/itimer.h"
+#include "peers/idaemondirectory.h"
+#include "peers/ipeernetwork.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::stages {
+
+namespace {
+
+/// Links kept to daemons that may coordinate: the first choice and its two successors.
+constexpr std::size_t CoordinatorCandidates = 3;
+
+} // namespace
+
+StageGateway::StageGateway(framework::DaemonId self, IStageCoordinator &coordinator,
+                           IStageCallPort &calls, peers::IPeerNetwork &network,
+                           peers::IDaemonDirectory &directory, framework::IScheduler &scheduler,
+                           const framework::IClock &clock, framework::ILogger &logger,
+                           framework::IMetrics &metrics)
+    : m_self(std::move(self)), m_network(network), m_directory(directory), m_scheduler(scheduler),
+      m_clock(clock), m_logger(logger), m_metrics(metrics),
+      m_runner(coordinator, calls, scheduler, clock, logger, metrics,
+               [this](const framework::DaemonId &owner, const protocol::StageJobOutcome &outcome) {
+                   jobEnded(owner, outcome);
+               })
+{
+    m_network.setObserver(*this);
+    m_directory.onChange([this] { rankDaemons(); });
+    rankDaemons();
+}
+
+StageGateway::~StageGateway() = default;
+
+/// Orders the daemons by rendezvous hashing (Thaler and Ravishankar, 1998), so that all daemons
+/// agree on the order and a change of one daemon leaves that of the others as it is.
+void StageGateway::rankDaemons()
+{
+    std::vector<peers::DaemonAddress> others = m_directory.daemons();
+    m_order = {m_self};
+    for (const peers::DaemonAddress &daemon : others) {
+        if (daemon.daemon != m_self) {
+            m_order.push_back(daemon.daemon);
+        }
+    }
+    std::sort(m_order.begin(), m_order.end(), [](const auto &a, const auto &b) {
+        return framework::stableHash(a.value()) > framework::stableHash(b.value());
+    });
+    const std::size_t count = std::min(CoordinatorCandidates, m_order.size());
+    std::erase_if(others, [this, count](const peers::DaemonAddress &daemon) {
+        const auto end = m_order.begin() + static_cast<std::ptrdiff_t>(count);
+        return std::find(m_order.begin(), end, daemon.daemon) == end;
+    });
+    m_network.connectTo(others);
+}
+
+framework::DaemonId StageGateway::chooseCoordinator()
+{
+    const auto found = std::find_if(m_order.begin(), m_order.end(), [this](const auto &daemon) {
+        return daemon == m_self || m_network.isAccepting(daemon);
+    });
+    const framework::DaemonId chosen = found == m_order.end() ? m_self : *found;
+    if (chosen != m_coordinator) {
+        m_logger.info("coordinator of stages chosen",
+                      {{"coordinator", chosen.value()}, {"before", m_coordinator.value()}});
+        m_coordinator = chosen;
+    }
+    return chosen;
+}
+
+void StageGateway::start(const protocol::StageJob &job,
+                         std::function<void(protocol::StageJobOutcome)> done)
+{
+    PendingJob &pending = m_pending[job.request];
+    pending = PendingJob{job, std::move(done), {}, m_clock.now()};
+    submit(pending);
+}
+
+void StageGateway::submit(PendingJob &pending)
+{
+    pending.coordinator = chooseCoordinator();
+    protocol::StageJob job = pending.job;
+    const framework::Milliseconds elapsed = m_clock.now() - pending.started;
+    job.objectiveLeft -= elapsed;
+    job.timeLeft -= elapsed;
+    if (pending.coordinator != m_self && m_network.send(pending.coordinator, job)) {
+        return;
+    }
+    pending.coordinator = m_self;
+    m_runner.submit(m_self, job);
+}
+
+void StageGateway::cancel(const framework::RequestId &request)
+{
+    auto node = m_pending.extract(request);
+    if (node.empty()) {
+        return;
+    }
+    const framework::DaemonId &coordinator = node.mapped().coordinator;
+    if (coordinator == m_self) {
+        m_runner.cancel(m_self, request);
+        return;
+    }
+    m_network.send(coordinator, protocol::StageJobCancel{request});
+}
+
+void StageGateway::release(const std::vector<framework::StageResultId> &results)
+{
+    if (results.empty()) {
+        return;
+    }
+    const framework::DaemonId coordinator = chooseCoordinator();
+    const bool sent = coordinator != m_self
+        && m_network.send(coordinator, protocol::StageResultRelease{results});
+    if (!sent) {
+        m_runner.release(results);
+    }
+}
+
+void StageGateway::jobEnded(const framework::DaemonId &owner,
+                            const protocol::StageJobOutcome &outcome)
+{
+    if (owner != m_self) {
+        m_network.send(owner, outcome);
+        return;
+    }
+    m_ended.push_back(outcome);
+    m_endedTimer = m_scheduler.callAfter(framework::Milliseconds(0), [this] {
+        for (const protocol::StageJobOutcome &each : std::exchange(m_ended, {})) {
+            outcomeArrived(each);
+        }
+    });
+}
+
+void StageGateway::outcomeArrived(const protocol::StageJobOutcome &outcome)
+{
+    const auto found = m_pending.find(outcome.request);
+    if (found == m_pending.end()) {
+        // The job was cancelled while its end was on the way.
+        std::vector<framework::StageResultId> unused;
+        for (const protocol::StageResultPlace &place : outcome.results) {
+            unused.push_back(place.id);
+        }
+        release(unused);
+        return;
+    }
+    auto node = m_pending.extract(found);
+    node.mapped().done(outcome);
+}
+
+void StageGateway::onMessage(const framework::DaemonId &peer, const protocol::PeerMessage &message)
+{
+    if (const auto *job = std::get_if<protocol::StageJob>(&message)) {
+        m_runner.submit(peer, *job);
+    } else if (const auto *cancelled = std::get_if<protocol::StageJobCancel>(&message)) {
+        m_runner.cancel(peer, cancelled->request);
+    } else if (const auto *released = std::get_if<protocol::StageResultRelease>(&message)) {
+        m_runner.release(released->results);
+    } else if (const auto *outcome = std::get_if<protocol::StageJobOutcome>(&message)) {
+        outcomeArrived(*outcome);
+    }
+}
+
+void StageGateway::onLinkLost(const framework::DaemonId &peer)
+{
+    std::size_t moved = 0;
+    for (auto &[request, pending] : m_pending) {
+        if (pending.coordinator == peer) {
+            submit(pending);
+            ++moved;
+        }
+    }
+    if (moved > 0) {
+        m_logger.warning("coordinator of stages lost; its jobs start anew elsewhere",
+                         {{"peer", peer.value()}, {"jobs", std::to_string(moved)}});
+        m_metrics.increment("lavendertally_stage_jobs_moved_total", {},
+                            static_cast<std::int64_t>(moved));
+    }
+}
+
+void StageGateway::onPeerLeft(const framework::DaemonId &peer)
+{
+    m_runner.cancelAll(peer);
+}
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/internal/stagejobstate.cpp
@@ -0,0 +1,182 @@
+#include "stages/internal/stagejobstate.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace lavendertally::stages {
+
+StageJobState::StageJobState(JobKey key, protocol::StageJob job, framework::TimePoint now)
+    : m_key(std::move(key)), m_job(std::move(job)), m_objective(now + m_job.objectiveLeft),
+      m_deadline(now + m_job.timeLeft)
+{
+    std::map<std::uint32_t, std::size_t> positions;
+    for (const protocol::JobStage &stage : m_job.stages) {
+        Stage state;
+        state.pieces.resize(stage.pieces);
+        state.waiting = stage.pieces;
+        for (const std::uint32_t index : stage.after) {
+            // A stage without pieces is not part of the job, and its results are not needed.
+            if (const auto found = positions.find(index); found != positions.end()) {
+                state.after.push_back(found->second);
+            }
+        }
+        positions.emplace(stage.index, m_stages.size());
+        m_stages.push_back(std::move(state));
+    }
+}
+
+bool StageJobState::isReady(std::size_t position) const
+{
+    const auto &after = m_stages[position].after;
+    return std::all_of(after.begin(), after.end(),
+                       [this](std::size_t before) { return isStageDone(before); });
+}
+
+bool StageJobState::isStageDone(std::size_t position) const
+{
+    const Stage &stage = m_stages[position];
+    return stage.done == stage.pieces.size();
+}
+
+bool StageJobState::isDone() const
+{
+    for (std::size_t position = 0; position < m_stages.size(); ++position) {
+        if (!isStageDone(position)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<std::size_t> StageJobState::dependents(std::size_t position) const
+{
+    std::vector<std::size_t> result;
+    for (std::size_t other = 0; other < m_stages.size(); ++other) {
+        const auto &after = m_stages[other].after;
+        if (std::find(after.begin(), after.end(), position) != after.end()) {
+            result.push_back(other);
+        }
+    }
+    return result;
+}
+
+std::uint32_t StageJobState::waitingPieces(std::size_t position) const
+{
+    return m_stages[position].waiting;
+}
+
+std::uint32_t StageJobState::startPiece(std::size_t position)
+{
+    Stage &stage = m_stages[position];
+    const auto piece =
+        std::find_if(stage.pieces.begin(), stage.pieces.end(),
+                     [](const Piece &each) { return each.state == PieceState::Waiting; });
+    piece->state = PieceState::Running;
+    ++piece->attempts;
+    --stage.waiting;
+    m_started = true;
+    return static_cast<std::uint32_t>(piece - stage.pieces.begin());
+}
+
+void StageJobState::finishPiece(std::size_t position, std::uint32_t piece,
+                                protocol::StageResultPlace result)
+{
+    Stage &stage = m_stages[position];
+    stage.pieces[piece].state = PieceState::Done;
+    stage.pieces[piece].result = std::move(result);
+    ++stage.done;
+}
+
+std::uint32_t StageJobState::retryPiece(std::size_t position, std::uint32_t piece)
+{
+    Stage &stage = m_stages[position];
+    stage.pieces[piece].state = PieceState::Waiting;
+    ++stage.waiting;
+    return stage.pieces[piece].attempts;
+}
+
+void StageJobState::restartStage(std::size_t position)
+{
+    Stage &stage = m_stages[position];
+    for (Piece &piece : stage.pieces) {
+        if (piece.state == PieceState::Done) {
+            piece.state = PieceState::Waiting;
+            piece.result = {};
+            ++stage.waiting;
+            --stage.done;
+        }
+    }
+}
+
+std::vector<framework::StageResultId> StageJobState::inputs(std::size_t position) const
+{
+    std::vector<framework::StageResultId> result;
+    for (const std::size_t before : m_stages[position].after) {
+        for (const Piece &piece : m_stages[before].pieces) {
+            result.push_back(piece.result.id);
+        }
+    }
+    return result;
+}
+
+framework::AvailabilityZoneId StageJobState::preferredZone(std::size_t position) const
+{
+    std::map<framework::AvailabilityZoneId, std::int64_t> bytes;
+    for (const std::size_t before : m_stages[position].after) {
+        for (const Piece &piece : m_stages[before].pieces) {
+            bytes[piece.result.zone] += m_job.stages[before].resultSize.value();
+        }
+    }
+    const auto most = std::max_element(bytes.begin(), bytes.end(), [](const auto &a, const auto &b) {
+        return a.second < b.second;
+    });
+    return most == bytes.end() ? m_job.zone : most->first;
+}
+
+std::vector<protocol::StageResultPlace> StageJobState::results(std::size_t position) const
+{
+    std::vector<protocol::StageResultPlace> found;
+    for (const Piece &piece : m_stages[position].pieces) {
+        if (piece.state == PieceState::Done && !piece.result.id.isEmpty()) {
+            found.push_back(piece.result);
+        }
+    }
+    return found;
+}
+
+std::vector<protocol::StageResultPlace> StageJobState::finalResults() const
+{
+    std::vector<protocol::StageResultPlace> found;
+    for (std::size_t position = 0; position < m_stages.size(); ++position) {
+        if (dependents(position).empty()) {
+            const auto more = results(position);
+            found.insert(found.end(), more.begin(), more.end());
+        }
+    }
+    return found;
+}
+
+std::vector<framework::StageResultId> StageJobState::allResults() const
+{
+    std::vector<framework::StageResultId> found;
+    for (std::size_t position = 0; position < m_stages.size(); ++position) {
+        for (const protocol::StageResultPlace &place : results(position)) {
+            found.push_back(place.id);
+        }
+    }
+    return found;
+}
+
+std::vector<framework::StageResultId> StageJobState::takeResults(std::size_t position)
+{
+    std::vector<framework::StageResultId> taken;
+    for (Piece &piece : m_stages[position].pieces) {
+        if (!piece.result.id.isEmpty()) {
+            taken.push_back(std::exchange(piece.result, {}).id);
+        }
+    }
+    return taken;
+}
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/internal/stagerunner.cpp
@@ -0,0 +1,141 @@
+#include "stages/internal/stagerunner.h"
+
+#include "framework/iclock.h"
+#include "framework/ilogger.h"
+#include "framework/imetrics.h"
+#include "framework/ischeduler.h"
+#include "framework/itimer.h"
+#include "stages/istagecallport.h"
+#include "stages/istagecoordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::stages {
+
+namespace {
+
+/// Results are freed in groups; short against the life of a result.
+constexpr framework::Milliseconds FreeDelay{40};
+
+const char *statusName(StageCallStatus status)
+{
+    switch (status) {
+    case StageCallStatus::Answered:
+        return "answered";
+    case StageCallStatus::NotRun:
+        return "not_run";
+    case StageCallStatus::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+StageRunner::StageRunner(IStageCoordinator &coordinator, IStageCallPort &calls,
+                         framework::IScheduler &scheduler, const framework::IClock &clock,
+                         framework::ILogger &logger, framework::IMetrics &metrics, JobEnded ended)
+    : m_coordinator(coordinator), m_calls(calls), m_scheduler(scheduler), m_clock(clock),
+      m_logger(logger), m_metrics(metrics), m_ended(std::move(ended))
+{ }
+
+StageRunner::~StageRunner() = default;
+
+void StageRunner::submit(const framework::DaemonId &owner, const protocol::StageJob &job)
+{
+    m_coordinator.submit(owner, job, m_clock.now());
+    pump();
+}
+
+void StageRunner::cancel(const framework::DaemonId &owner, const framework::RequestId &request)
+{
+    m_coordinator.cancel({owner, request}, m_clock.now());
+    pump();
+}
+
+void StageRunner::cancelAll(const framework::DaemonId &owner)
+{
+    m_coordinator.cancelAll(owner, m_clock.now());
+    pump();
+}
+
+void StageRunner::release(const std::vector<framework::StageResultId> &results)
+{
+    m_coordinator.release(results, m_clock.now());
+    pump();
+}
+
+void StageRunner::pump()
+{
+    for (const StageCommand &command : m_coordinator.takeCommands()) {
+        std::visit([this](const auto &each) { carryOut(each); }, command);
+    }
+    scheduleWake();
+}
+
+void StageRunner::carryOut(const StartStageCall &command)
+{
+    m_metrics.increment("lavendertally_stage_calls_total",
+                        {{"service", command.server.service.value()}});
+    m_metrics.observe("lavendertally_stage_batch_pieces",
+                      {{"service", command.server.service.value()}},
+                      framework::Milliseconds(static_cast<std::int64_t>(command.pieces.size())));
+    m_calls.startCall(command, [this, command](const StageCallOutcome &outcome) {
+        callEnded(command, outcome);
+    });
+}
+
+void StageRunner::callEnded(const StartStageCall &call, const StageCallOutcome &outcome)
+{
+    const auto failed = std::count_if(
+        outcome.pieces.begin(), outcome.pieces.end(),
+        [](const PieceOutcome &piece) { return piece.status != PieceStatus::Done; });
+    if (outcome.status != StageCallStatus::Answered || failed > 0) {
+        m_logger.warning("stage call failed; its pieces are sent again",
+                         {{"backend_server", call.server.id.value()},
+                          {"service", call.server.service.value()},
+                          {"status", statusName(outcome.status)},
+                          {"pieces", std::to_string(call.pieces.size())},
+                          {"failed", std::to_string(failed)},
+                          {"request", call.pieces.front().request.value()}});
+        m_metrics.increment("lavendertally_stage_call_failures_total",
+                            {{"service", call.server.service.value()},
+                             {"status", statusName(outcome.status)}});
+    }
+    m_coordinator.callEnded(call.call, outcome, m_clock.now());
+    pump();
+}
+
+void StageRunner::carryOut(const FreeStageResults &command)
+{
+    m_toFree.insert(m_toFree.end(), command.results.begin(), command.results.end());
+    if (!m_freeTimer) {
+        m_freeTimer = m_scheduler.callAfter(FreeDelay, [this] {
+            m_calls.freeResults(std::exchange(m_toFree, {}));
+            m_freeTimer.reset();
+        });
+    }
+}
+
+void StageRunner::carryOut(const EndStageJob &command)
+{
+    m_ended(command.owner, command.outcome);
+}
+
+void StageRunner::scheduleWake()
+{
+    const framework::TimePoint wake = m_coordinator.nextWake();
+    if (wake == framework::TimePoint::never() || m_wakeTimer) {
+        return;
+    }
+    const framework::Milliseconds delay =
+        std::max(wake - m_clock.now(), framework::Milliseconds(1));
+    m_wakeTimer = m_scheduler.callAfter(delay, [this] {
+        m_wakeTimer.reset();
+        m_coordinator.wake(m_clock.now());
+        pump();
+    });
+}
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/internal/stagerunner.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "protocol/types/stagejob.h"
+#include "protocol/types/stagejoboutcome.h"
+#include "stages/types/stagecommand.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace lavendertally::framework {
+class IClock;
+class ILogger;
+class IMetrics;
+class IScheduler;
+class ITimer;
+} // namespace lavendertally::framework
+
+namespace lavendertally::stages {
+
+class IStageCallPort;
+class IStageCoordinator;
+struct StageCallOutcome;
+
+/// Carries out what this daemon's coordinator decides.
+class StageRunner
+{
+public:
+    using JobEnded =
+        std::function<void(const framework::DaemonId &owner, const protocol::StageJobOutcome &)>;
+
+    /// \param ended called for each job that ended
+    StageRunner(IStageCoordinator &coordinator, IStageCallPort &calls,
+                framework::IScheduler &scheduler, const framework::IClock &clock,
+                framework::ILogger &logger, framework::IMetrics &metrics, JobEnded ended);
+    ~StageRunner();
+    StageRunner(const StageRunner &) = delete;
+    StageRunner &operator=(const StageRunner &) = delete;
+
+    void submit(const framework::DaemonId &owner, const protocol::StageJob &job);
+    void cancel(const framework::DaemonId &owner, const framework::RequestId &request);
+    void cancelAll(const framework::DaemonId &owner);
+    void release(const std::vector<framework::StageResultId> &results);
+
+private:
+    void pump();
+    void carryOut(const StartStageCall &command);
+    void carryOut(const FreeStageResults &command);
+    void carryOut(const EndStageJob &command);
+    void callEnded(const StartStageCall &call, const StageCallOutcome &outcome);
+    void scheduleWake();
+
+    IStageCoordinator &m_coordinator;
+    IStageCallPort &m_calls;
+    framework::IScheduler &m_scheduler;
+    const framework::IClock &m_clock;
+    framework::ILogger &m_logger;
+    framework::IMetrics &m_metrics;
+    JobEnded m_ended;
+    std::unique_ptr<framework::ITimer> m_wakeTimer;
+    std::unique_ptr<framework::ITimer> m_freeTimer;
+    std::vector<framework::StageResultId> m_toFree;
+};
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/internal/stageserverstate.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "framework/types/milliseconds.h"
+#include "framework/types/timepoint.h"
+#include "framework/types/units.h"
+#include "stages/types/stagelimits.h"
+
+#include <cstdint>
+
+namespace lavendertally::stages {
+
+/// What the coordinator knows about one backend server of a pool.
+class StageServerState
+{
+public:
+    void callStarted() { ++m_calls; }
+    /// \param expected time that the pool's description gives for such a call
+    /// \param taken time that it took
+    void callAnswered(framework::Milliseconds expected, framework::Milliseconds taken);
+    void callRefused(const StageLimits &limits, framework::TimePoint now);
+    void callFailed(const StageLimits &limits, framework::TimePoint now);
+
+    void addHeld(framework::Bytes size) { m_held += size; }
+    void removeHeld(framework::Bytes size) { m_held -= size; }
+
+    std::uint32_t calls() const { return m_calls; }
+    framework::Bytes held() const { return m_held; }
+    bool isPaused(framework::TimePoint now) const { return now < m_pausedUntil; }
+    framework::TimePoint pausedUntil() const { return m_pausedUntil; }
+    /// \return time that a call with this expected time usually takes here
+    framework::Milliseconds usualTime(framework::Milliseconds expected) const;
+
+private:
+    std::uint32_t m_calls = 0;
+    std::uint32_t m_failures = 0;
+    framework::Bytes m_held;
+    framework::TimePoint m_pausedUntil;
+    /// Time taken as a part of the expected one, smoothed.
+    double m_slowness = 1.0;
+};
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/internal/stagesmodule.cpp
@@ -0,0 +1,26 @@
+#include "stages/stagesmodule.h"
+
+#include "stages/internal/stagecoordinator.h"
+#include "stages/internal/stagegateway.h"
+
+namespace lavendertally::stages {
+
+std::unique_ptr<IStageCoordinator>
+StagesModule::makeCoordinator(const serving::IServingState &serving,
+                              const membership::IBackendServers &servers, const StageLimits &limits)
+{
+    return std::make_unique<StageCoordinator>(serving, servers, limits);
+}
+
+std::unique_ptr<IStageService>
+StagesModule::makeService(const framework::DaemonId &self, IStageCoordinator &coordinator,
+                          IStageCallPort &calls, peers::IPeerNetwork &network,
+                          peers::IDaemonDirectory &directory, framework::IScheduler &scheduler,
+                          const framework::IClock &clock, framework::ILogger &logger,
+                          framework::IMetrics &metrics)
+{
+    return std::make_unique<StageGateway>(self, coordinator, calls, network, directory, scheduler,
+                                          clock, logger, metrics);
+}
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/internal/stageunit.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "framework/types/timepoint.h"
+
+#include <cstddef>
+
+namespace lavendertally::stages {
+
+class StageJobState;
+
+/// A stage of a job that has pieces to send.
+struct StageUnit
+{
+    StageJobState *job = nullptr;
+    std::size_t stage = 0;
+    /// Latest start at which the request can still meet its latency objective.
+    framework::TimePoint latestStart;
+};
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/types/jobkey.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+namespace lavendertally::stages {
+
+/// Identifies a job among those of all daemons.
+struct JobKey
+{
+    framework::DaemonId owner;
+    framework::RequestId request;
+
+    auto operator<=>(const JobKey &) const = default;
+};
+
+} // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/types/startstagecall.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "framework/types/milliseconds.h"
+#include "membership/types/backendserverentry.h"
+#include "stages/types/pieceorder.h"
+#include "stages/types/stagecallid.h"
+
+#include <vector>
+
+namespace lavendertally::stages {
+
+/// Command to send a batch of pieces to a backend server.
+struct StartStageCall
+{
+    StageCallId call;
+    membership::BackendServerEntry server;
+    std::vector<PieceOrder> pieces;
+    /// Longest wait for the answer.
+    framework::Milliseconds timeout;
+};
+
+} // namespace lavendertally::stages
--- a/src/standins/internal/discardedexchange.h
+++ b/src/standins/internal/discardedexchange.h
@@ -17,6 +17,7 @@
     { }
 
     http::HttpMethod method() const override { return m_exchange->method(); }
+    const http::HttpRequestHead &head() const override { return m_exchange->head(); }
     const std::string &path() const override { return m_exchange->path(); }
     std::optional<std::string> query(const std::string &name) const override
     {
--- a/src/standins/internal/faultyexchange.h
+++ b/src/standins/internal/faultyexchange.h
@@ -18,6 +18,7 @@
                    DeferredCalls &deferred);
 
     http::HttpMethod method() const override { return m_exchange->method(); }
+    const http::HttpRequestHead &head() const override { return m_exchange->head(); }
     const std::string &path() const override { return m_exchange->path(); }
     std::optional<std::string> query(const std::string &name) const override
     {
