Stages: admission along the path of a job, room counted until it is free; shutdown refuses late work

Change: room is free when the backend server has answered; inputs are freed once fetched where room is short; results that would only wait are made late; a job is admitted if the work ahead of it by due date lets it finish in time, and jobs of routes that are better off give way; after the balancer's notice a stopping gateway refuses, and ends what is left with an answer.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -50,9 +50,11 @@
 constexpr framework::Milliseconds TickInterval{250};
 constexpr framework::Milliseconds DrainCheckInterval{20};
 /// The balancer asks each second and stops after two refusals; until then it sends requests.
-constexpr framework::Milliseconds BalancerNotice{3000};
+constexpr framework::Milliseconds BalancerNotice{2500};
 /// Kept back from the time that a shutdown may take.
 constexpr framework::Milliseconds ShutdownMargin{500};
+/// Time for the last answers to leave.
+constexpr framework::Milliseconds FlushTime{100};
 /// Kept back from the time after which a revoked key must not work, for clocks that drift and
 /// timers that fire late.
 constexpr framework::Milliseconds RevocationMargin{500};
@@ -209,10 +211,20 @@
 void GatewayDaemon::checkDrained()
 {
     const framework::Milliseconds elapsed = m_clock->now() - m_drainBegun;
+    const framework::Milliseconds last = m_settings.gateway.shutdownGrace - ShutdownMargin;
+    if (elapsed >= BalancerNotice) {
+        // What is taken now might not be done before the process ends.
+        m_clientServer->stopListening();
+        m_clientServer->closeIdleConnections();
+        m_requests->beginDrain();
+    }
+    if (elapsed >= last) {
+        m_requests->endAll();
+    }
     const bool idle =
         m_requests->activeRequests() == 0 && m_clientServer->unfinishedExchanges() == 0;
     const bool noticed = elapsed >= BalancerNotice;
-    if ((idle && noticed) || elapsed >= m_settings.gateway.shutdownGrace - ShutdownMargin) {
+    if ((idle && noticed) || elapsed >= last + FlushTime) {
         m_logger->info("gateway stopped",
                        {{"requests", std::to_string(m_requests->activeRequests())}});
         m_drained();
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -38,6 +38,9 @@
     /// request on its way is still answered.
     virtual void closeAfterResponses() = 0;
 
+    /// Closes the connections on which no request is under way.
+    virtual void closeIdleConnections() = 0;
+
     /// \return exchanges whose response has not yet been handed to the network as a whole
     virtual std::size_t unfinishedExchanges() const = 0;
 };
--- a/src/http/internal/bufferedhttpserver.cpp
+++ b/src/http/internal/bufferedhttpserver.cpp
@@ -77,6 +77,19 @@
     }
 }
 
+void BufferedHttpServer::closeIdleConnections()
+{
+    std::vector<ServerConnection *> idle;
+    for (const auto &[address, connection] : m_connections) {
+        if (connection->isIdle()) {
+            idle.push_back(address);
+        }
+    }
+    for (ServerConnection *connection : idle) {
+        connection->close();
+    }
+}
+
 void BufferedHttpServer::accepted(evconnlistener * /*listener*/, int fd, sockaddr * /*address*/,
                                   int /*length*/, void *self)
 {
--- a/src/http/internal/bufferedhttpserver.h
+++ b/src/http/internal/bufferedhttpserver.h
@@ -31,6 +31,7 @@
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
     void stopListening() override;
     void closeAfterResponses() override { m_closing = true; }
+    void closeIdleConnections() override;
     std::size_t unfinishedExchanges() const override { return *m_unfinished; }
 
     framework::IEventLoop &loop() { return m_loop; }
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -43,6 +43,11 @@
     return m_lastResponse || m_server.isClosing();
 }
 
+bool ServerConnection::isIdle() const
+{
+    return !m_handling && !m_lingering && !m_parser->hasStarted();
+}
+
 void ServerConnection::onReadable()
 {
     if (m_lingering) {
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -33,6 +33,8 @@
     /// Whether the response under way is the last one on this connection.
     bool closesAfterResponse() const;
     void closeAfterResponse() { m_lastResponse = true; }
+    /// \return whether no byte of a request has come since the last response
+    bool isIdle() const;
     /// The response has been written as a whole.
     void responseEnded();
     /// Ends the connection; the object is destroyed later.
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -55,7 +55,9 @@
         });
 }
 
-void HttpStageCallPort::freeResults(const std::vector<framework::StageResultId> &results)
+void HttpStageCallPort::freeResults(
+    const std::vector<framework::StageResultId> &results,
+    std::function<void(const std::vector<framework::StageResultId> &)> done)
 {
     std::map<framework::Endpoint, std::vector<framework::StageResultId>> byServer;
     for (const framework::StageResultId &result : results) {
@@ -71,14 +73,17 @@
         request.timeout = FreeTimeout;
         const std::uint64_t number = m_next++;
         m_calls[number] = m_client.fetch(
-            request, [this, number, server = endpoint](const http::HttpResponse &response) {
+            request,
+            [this, number, server = endpoint, own, done](const http::HttpResponse &response) {
                 const auto node = m_calls.extract(number);
                 constexpr int Ok = 200;
                 if (response.end != http::HttpEnd::Complete || response.status != Ok) {
                     m_logger.info("results not freed; they expire",
                                   {{"endpoint", server.toString()},
                                    {"status", std::to_string(response.status)}});
+                    return;
                 }
+                done(own);
             });
     }
 }
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -34,6 +34,7 @@
     {
         peerwire::StageJob &out = *envelope.mutable_stage_job();
         out.set_request(message.request.value());
+        out.set_route(message.route.value());
         for (const JobStage &stage : message.stages) {
             peerwire::JobStage &target = *out.add_stages();
             target.set_index(stage.index);
@@ -78,6 +79,7 @@
 {
     StageJob job;
     job.request = framework::RequestId(in.request());
+    job.route = framework::RouteId(in.route());
     for (const peerwire::JobStage &stage : in.stages()) {
         JobStage target;
         target.index = stage.index();
--- a/src/protocol/types/stagejob.h
+++ b/src/protocol/types/stagejob.h
@@ -13,6 +13,7 @@
 struct StageJob
 {
     framework::RequestId request;
+    framework::RouteId route;
     /// Stages that have pieces, in the order of their numbers.
     std::vector<JobStage> stages;
     /// What stages without predecessors work on.
--- a/src/proxy/internal/proxyservice.cpp
+++ b/src/proxy/internal/proxyservice.cpp
@@ -16,6 +16,9 @@
 /// Weight of the newest request in the usual size.
 constexpr double NewestWeight = 0.05;
 
+/// Until a route has been seen: an empty engine's time for a prompt of some thousand tokens.
+constexpr framework::Milliseconds AssumedFirstEventTime{150};
+
 /// A request is worth this much whatever its size, and the rest by its size (users' price sheet).
 constexpr double FixedWorth = 0.3;
 constexpr double MaxWorth = 4.0;
@@ -46,6 +49,20 @@
     }
 }
 
+void ProxyService::endAll()
+{
+    std::vector<Ticket> tickets;
+    for (const auto &[ticket, run] : m_runs) {
+        tickets.push_back(ticket);
+    }
+    for (const Ticket ticket : tickets) {
+        const auto found = m_runs.find(ticket);
+        if (found != m_runs.end()) {
+            found->second->end("shutting down");
+        }
+    }
+}
+
 void ProxyService::onRunEnded(RequestRun &run)
 {
     auto node = m_runs.extract(run.ticket());
@@ -66,4 +83,21 @@
     return static_cast<std::uint32_t>(std::lround(worth * Hundredths));
 }
 
+framework::Milliseconds ProxyService::firstEventTime(const framework::RouteId &route) const
+{
+    const auto found = m_firstEventTimes.find(route);
+    if (found == m_firstEventTimes.end()) {
+        return AssumedFirstEventTime;
+    }
+    return framework::Milliseconds(std::llround(found->second));
+}
+
+void ProxyService::observeFirstEvent(const framework::RouteId &route,
+                                     framework::Milliseconds taken)
+{
+    const auto value = static_cast<double>(taken.value());
+    double &usual = m_firstEventTimes.try_emplace(route, value).first->second;
+    usual = (1.0 - NewestWeight) * usual + NewestWeight * value;
+}
+
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/requestrun.cpp
+++ b/src/proxy/internal/requestrun.cpp
@@ -64,7 +64,7 @@
     }
     m_expires = m_started + std::min(m_request.timeLeft.value_or(m_route->timeout),
                                      m_route->timeout);
-    m_expiry = m_context.scheduler.callAfter(timeLeft(), [this] { expire(); });
+    m_expiry = m_context.scheduler.callAfter(timeLeft(), [this] { end("time is up"); });
     chooseService();
     m_context.retries.recordFreshCall(m_service, m_started);
     if (hasPieces()) {
@@ -76,6 +76,9 @@
 
 std::optional<Refusal> RequestRun::admit()
 {
+    if (m_owner.isDraining()) {
+        return Refusal{RefusalKind::NotRun, {}, "shutting down"};
+    }
     m_configuration = m_context.serving.configuration();
     if (!m_configuration) {
         return Refusal{RefusalKind::NotRun, m_context.limits.retryAfter, "no configuration yet"};
@@ -139,6 +142,7 @@
 {
     protocol::StageJob job;
     job.request = m_request.id;
+    job.route = m_route->id;
     for (std::size_t index = 0; index < m_route->stages.size(); ++index) {
         const serving::StagePlan &plan = m_route->stages[index];
         const std::uint32_t pieces =
@@ -150,7 +154,8 @@
                               {plan.after.begin(), plan.after.end()}, pieces, plan.resultSize});
     }
     job.input = m_request.stageInput;
-    job.objectiveLeft = m_route->latencyObjective - elapsed();
+    job.objectiveLeft =
+        m_route->latencyObjective - elapsed() - m_owner.firstEventTime(m_route->id);
     job.timeLeft = timeLeft();
     job.priority = m_team != nullptr ? m_team->priority.value_or(m_route->priority)
                                      : m_route->priority;
@@ -295,6 +300,7 @@
         m_streaming = true;
         m_context.metrics.observe("lavendertally_first_event_ms",
                                   {{"route", m_route->id.value()}}, elapsed());
+        m_owner.observeFirstEvent(m_route->id, m_context.clock.now() - m_attemptStarted);
         m_reply->startStream(*m_head);
         releaseInputs();
     }
@@ -428,7 +434,7 @@
     return true;
 }
 
-void RequestRun::expire()
+void RequestRun::end(const char *cause)
 {
     const bool sent = m_call != nullptr;
     if (sent) {
@@ -437,14 +443,14 @@
     }
     if (m_streaming) {
         m_reply->breakOff();
-        finish("stream broke; time is up");
+        finish(cause);
         return;
     }
     if (wasReached()) {
-        refuse({RefusalKind::TimedOut, {}, "time is up"});
+        refuse({RefusalKind::TimedOut, {}, cause});
         return;
     }
-    refuse({RefusalKind::NotRun, m_context.limits.retryAfter, "time is up before it ran"});
+    refuse({RefusalKind::NotRun, m_context.limits.retryAfter, cause});
 }
 
 void RequestRun::abandon()
--- a/src/proxy/internal/requestrun.h
+++ b/src/proxy/internal/requestrun.h
@@ -46,6 +46,9 @@
     IProxyService::Ticket ticket() const { return m_ticket; }
     void start();
     void abandon();
+    /// Gives the final answer now, whatever is under way.
+    /// \param cause for the log
+    void end(const char *cause);
 
     void onHead(const AnswerHead &head) override;
     void onEvent(const StreamEvent &event) override;
@@ -74,7 +77,6 @@
     bool isStream() const;
     bool wasReached() const { return m_attempts > 0; }
 
-    void expire();
     void refuse(const Refusal &refusal);
     void finish(const char *outcome);
     void releaseInputs();
--- a/src/proxy/iproxyservice.h
+++ b/src/proxy/iproxyservice.h
@@ -24,6 +24,12 @@
     /// The client hung up. Work that may be repeated is cancelled, other work goes on unobserved.
     virtual void abandon(Ticket ticket) = 0;
 
+    /// Refuses new requests from now on.
+    virtual void beginDrain() = 0;
+
+    /// Gives every request under way its final answer now.
+    virtual void endAll() = 0;
+
     /// \return requests under way
     virtual std::size_t activeRequests() const = 0;
 };
--- a/src/stages/internal/resultledger.cpp
+++ b/src/stages/internal/resultledger.cpp
@@ -12,6 +12,13 @@
     }
 }
 
+void ResultLedger::addUnknown(const framework::BackendServerId &server, framework::Bytes size,
+                              framework::TimePoint expires)
+{
+    m_unknown.push_back({server, size, expires});
+    m_servers[server].addHeld(size);
+}
+
 void ResultLedger::remove(const framework::StageResultId &result)
 {
     const auto found = m_results.find(result);
@@ -22,16 +29,27 @@
     m_results.erase(found);
 }
 
+framework::Bytes ResultLedger::heldBeside(const framework::StageResultId &result) const
+{
+    const auto found = m_results.find(result);
+    if (found == m_results.end()) {
+        return framework::Bytes(0);
+    }
+    return m_servers.at(found->second.server).held();
+}
+
 void ResultLedger::expire(framework::TimePoint now)
 {
-    std::erase_if(m_results, [this, now](const auto &entry) {
-        const Held &held = entry.second;
+    const auto hasExpired = [this, now](const Held &held) {
         if (held.expires > now) {
             return false;
         }
         m_servers[held.server].removeHeld(held.size);
         return true;
-    });
+    };
+    std::erase_if(m_results,
+                  [&hasExpired](const auto &entry) { return hasExpired(entry.second); });
+    std::erase_if(m_unknown, hasExpired);
 }
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/resultledger.h
+++ b/src/stages/internal/resultledger.h
@@ -18,7 +18,12 @@
 
     void add(const framework::StageResultId &result, const framework::BackendServerId &server,
              framework::Bytes size, framework::TimePoint expires);
+    /// Room that is taken by results that nobody here knows.
+    void addUnknown(const framework::BackendServerId &server, framework::Bytes size,
+                    framework::TimePoint expires);
     void remove(const framework::StageResultId &result);
+    /// \return room taken at the backend server that keeps \p result; zero if it is not known
+    framework::Bytes heldBeside(const framework::StageResultId &result) const;
     /// Forgets results that their backend servers have dropped by now.
     void expire(framework::TimePoint now);
 
@@ -32,6 +37,7 @@
 
     std::unordered_map<framework::BackendServerId, StageServerState> m_servers;
     std::unordered_map<framework::StageResultId, Held> m_results;
+    std::vector<Held> m_unknown;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -19,7 +19,7 @@
 StageCoordinator::StageCoordinator(const serving::IServingState &serving,
                                    const membership::IBackendServers &servers,
                                    const StageLimits &limits)
-    : m_serving(serving), m_servers(servers), m_limits(limits)
+    : m_servers(servers), m_limits(limits), m_estimator(serving, servers, m_ledger, m_limits)
 { }
 
 StageCoordinator::~StageCoordinator() = default;
@@ -34,51 +34,112 @@
     StageJobState &added = *state;
     m_jobs.emplace(number, std::move(state));
     m_numbers[key] = number;
-    if (!canRun(job)) {
-        fail(added, protocol::StageJobStatus::Overloaded);
+    const framework::Milliseconds excess =
+        canRun(job) ? makeRoom(added, now) : m_limits.maxRetryAfter;
+    if (excess.value() > 0) {
+        fail(added, protocol::StageJobStatus::Overloaded, excess);
         return;
     }
-    enqueueReady(added);
+    enqueueReady(added, now);
     dispatchAll(now);
 }
 
-bool StageCoordinator::canRun(const protocol::StageJob &job) const
+framework::Milliseconds StageCoordinator::makeRoom(const StageJobState &job,
+                                                   framework::TimePoint now)
 {
-    return std::all_of(job.stages.begin(), job.stages.end(),
-                       [this](const protocol::JobStage &stage) {
-                           return findPool(stage.service) != nullptr
-                               && !m_servers.admitting(stage.service).empty();
-                       });
+    while (true) {
+        estimateAhead(job, now);
+        const framework::Milliseconds lateness = m_estimator.finish(job, now) - job.objective();
+        StageJobState *victim = lateness.value() > 0 ? findVictim(job, now) : nullptr;
+        if (victim == nullptr) {
+            return lateness;
+        }
+        fail(*victim, protocol::StageJobStatus::Overloaded, lateness);
+    }
 }
 
-const serving::StagePool *StageCoordinator::findPool(const framework::ServiceId &service) const
+/// Adds up the work that is served before \p job.
+void StageCoordinator::estimateAhead(const StageJobState &job, framework::TimePoint now)
 {
-    const auto configuration = m_serving.configuration();
-    const serving::ServiceSpec *spec = configuration ? configuration->findService(service) : nullptr;
-    return spec != nullptr && spec->stagePool ? &*spec->stagePool : nullptr;
+    m_estimator.reset();
+    const framework::TimePoint rank = m_estimator.rank(job);
+    for (const auto &[number, other] : m_jobs) {
+        if (other.get() != &job && m_estimator.rank(*other) <= rank) {
+            m_estimator.add(*other);
+        }
+    }
+    for (const auto &[id, call] : m_calls) {
+        m_estimator.add(call.server.service, call.started + call.expected - now);
+    }
+}
+
+/// \return a job that has cost nothing yet, is served before \p job where it waits longest, and
+/// has to give way to it; the one that is best off
+StageJobState *StageCoordinator::findVictim(const StageJobState &job, framework::TimePoint now)
+{
+    const framework::ServiceId bottleneck = m_estimator.bottleneck(job, now);
+    const framework::TimePoint rank = m_estimator.rank(job);
+    StageJobState *victim = nullptr;
+    for (const auto &[number, other] : m_jobs) {
+        const bool ahead = other.get() != &job && m_estimator.rank(*other) <= rank;
+        if (!ahead || other->hasStarted() || !other->waitsFor(bottleneck)
+            || !givesWay(*other, job)) {
+            continue;
+        }
+        if (victim == nullptr || standing(*other) > standing(*victim)) {
+            victim = other.get();
+        }
+    }
+    return victim;
 }
 
-/// Time from the start of a stage to the first token, with half-full batches on the way.
-framework::Milliseconds StageCoordinator::tail(const StageJobState &job, std::size_t stage) const
+bool StageCoordinator::givesWay(const StageJobState &other, const StageJobState &job) const
 {
-    framework::Milliseconds longest = m_limits.finishTime;
-    for (const std::size_t dependent : job.dependents(stage)) {
-        longest = std::max(longest, tail(job, dependent));
+    if (other.job().route == job.job().route) {
+        return other.job().worth * m_limits.worthRatio <= job.job().worth;
     }
-    const serving::StagePool *pool = findPool(job.stage(stage).service);
-    return pool == nullptr ? longest : longest + pool->batchTime(pool->batchSize / 2);
+    return standing(other) > standing(job) + m_limits.sharePerRank / 2;
 }
 
-void StageCoordinator::enqueue(StageJobState &job, std::size_t stage)
+/// How well off the job's route is; a less urgent one counts as better off.
+double StageCoordinator::standing(const StageJobState &job) const
 {
-    m_queues[job.stage(stage).service].add({&job, stage, job.objective() - tail(job, stage)});
+    return m_shares.share(job.job().route)
+        + m_limits.sharePerRank * static_cast<double>(job.job().priority.value());
 }
 
-void StageCoordinator::enqueueReady(StageJobState &job)
+bool StageCoordinator::canRun(const protocol::StageJob &job) const
+{
+    return std::all_of(job.stages.begin(), job.stages.end(),
+                       [this](const protocol::JobStage &stage) {
+                           return m_estimator.findPool(stage.service) != nullptr
+                               && !m_servers.admitting(stage.service).empty();
+                       });
+}
+
+void StageCoordinator::enqueue(StageJobState &job, std::size_t stage, framework::TimePoint now)
+{
+    const framework::Milliseconds own = m_estimator.tail(job, stage);
+    framework::Milliseconds others(0);
+    for (std::size_t other = 0; other < job.stageCount(); ++other) {
+        if (other != stage && !job.isStageDone(other)) {
+            others = std::max(others, m_estimator.tail(job, other));
+        }
+    }
+    StageUnit unit{&job, stage, job.objective() - own, now, {}};
+    if (job.dependents(stage).empty() && others > own + m_limits.earliness) {
+        unit.notBefore = now + others - own - m_limits.earliness;
+    }
+    unit.rank = unit.latestStart
+        + m_limits.leadPerRank * static_cast<std::int64_t>(job.job().priority.value());
+    m_queues[job.stage(stage).service].add(unit);
+}
+
+void StageCoordinator::enqueueReady(StageJobState &job, framework::TimePoint now)
 {
     for (std::size_t stage = 0; stage < job.stageCount(); ++stage) {
         if (job.waitingPieces(stage) > 0 && job.isReady(stage)) {
-            enqueue(job, stage);
+            enqueue(job, stage, now);
         }
     }
 }
@@ -117,23 +178,29 @@
 }
 
 void StageCoordinator::release(const std::vector<framework::StageResultId> &results,
-                               framework::TimePoint now)
+                               framework::TimePoint /*now*/)
 {
     freeResults(results);
-    dispatchAll(now);
 }
 
 void StageCoordinator::freeResults(const std::vector<framework::StageResultId> &results)
+{
+    m_toFree.insert(m_toFree.end(), results.begin(), results.end());
+}
+
+void StageCoordinator::resultsFreed(const std::vector<framework::StageResultId> &results,
+                                    framework::TimePoint now)
 {
     for (const framework::StageResultId &result : results) {
         m_ledger.remove(result);
-        m_toFree.push_back(result);
     }
+    dispatchAll(now);
 }
 
 void StageCoordinator::wake(framework::TimePoint now)
 {
     m_ledger.expire(now);
+    freeFetchedInputs(now);
     refuseLate(now);
     dispatchAll(now);
     m_nextWake = m_jobs.empty() ? framework::TimePoint::never() : now + WakeInterval;
@@ -144,14 +211,18 @@
     return m_jobs.empty() ? framework::TimePoint::never() : m_nextWake;
 }
 
-/// Ends jobs that have not cost anything yet and would miss their objective, and those whose
-/// deadline has passed.
+/// Ends jobs that have not cost anything yet and would miss their objective, and those that have
+/// fallen far behind it or have passed their deadline.
 void StageCoordinator::refuseLate(framework::TimePoint now)
 {
     std::vector<StageJobState *> late;
     for (const auto &[service, queue] : m_queues) {
         for (const StageUnit &unit : queue.units()) {
-            const bool refusable = !unit.job->hasStarted() && now > unit.latestStart;
+            const bool waits = unit.notBefore > now;
+            const framework::Milliseconds lateness = now - unit.latestStart;
+            const bool refusable = !waits
+                && (unit.job->hasStarted() ? lateness > m_limits.maxLateness
+                                           : lateness > framework::Milliseconds(0));
             const bool known = std::find(late.begin(), late.end(), unit.job) != late.end();
             if ((refusable || now > unit.job->deadline()) && !known) {
                 late.push_back(unit.job);
@@ -160,7 +231,8 @@
     }
     for (StageJobState *job : late) {
         fail(*job, job->hasStarted() ? protocol::StageJobStatus::Failed
-                                     : protocol::StageJobStatus::Overloaded);
+                                     : protocol::StageJobStatus::Overloaded,
+             m_limits.minRetryAfter);
     }
 }
 
@@ -177,12 +249,15 @@
 void StageCoordinator::dispatch(const framework::ServiceId &service, UnitQueue &queue,
                                 framework::TimePoint now)
 {
-    const serving::StagePool *pool = findPool(service);
+    const serving::StagePool *pool = m_estimator.findPool(service);
     if (pool == nullptr) {
         return;
     }
     while (!queue.isEmpty()) {
         const StageUnit first = queue.ordered(now).front();
+        if (first.notBefore > now) {
+            return;
+        }
         const membership::BackendServerEntry *server = chooseServer(service, *pool, first, now);
         if (server == nullptr || !startCall(*server, *pool, queue, now)) {
             return;
@@ -191,7 +266,8 @@
     }
 }
 
-/// Prefers the zone in which the first unit's inputs lie, then the fastest backend server.
+/// Prefers the zone in which the first unit's inputs lie among backend servers of like speed. A slow
+/// one is used only for a unit that can wait for it.
 const membership::BackendServerEntry *
 StageCoordinator::chooseServer(const framework::ServiceId &service, const serving::StagePool &pool,
                                const StageUnit &first, framework::TimePoint now)
@@ -199,18 +275,22 @@
     const framework::AvailabilityZoneId zone = first.job->preferredZone(first.stage);
     const framework::Bytes size = first.job->stage(first.stage).resultSize;
     const membership::BackendServerEntry *best = nullptr;
-    std::pair<framework::Milliseconds, bool> bestKey;
+    std::pair<std::int64_t, bool> bestKey;
     for (const membership::BackendServerEntry *server : m_servers.admitting(service)) {
         const StageServerState &state = m_ledger.server(server->id);
         const bool hasRoom = state.held() + size <= pool.resultRoom;
         if (state.calls() >= pool.slots || state.isPaused(now) || !hasRoom) {
             continue;
         }
-        const framework::Milliseconds usual = state.usualTime(pool.callTime);
+        const framework::Milliseconds extra = state.usualTime(pool.callTime, now) - pool.callTime;
+        const bool slow = extra > pool.callTime;
+        if (slow && now + extra > first.latestStart && now <= first.latestStart) {
+            continue;
+        }
         // Small differences in speed must not outweigh a transfer between zones.
-        const std::int64_t slowness = usual.value() / std::max<std::int64_t>(pool.callTime.value(), 1);
-        const framework::Milliseconds coarse(std::max<std::int64_t>(slowness, 1));
-        const std::pair<framework::Milliseconds, bool> key{coarse, server->zone != zone};
+        const std::int64_t coarse = std::max<std::int64_t>(
+            extra.value() / std::max<std::int64_t>(pool.callTime.value(), 1), 0);
+        const std::pair<std::int64_t, bool> key{coarse, server->zone != zone};
         if (best == nullptr || key < bestKey) {
             best = server;
             bestKey = key;
@@ -228,6 +308,9 @@
     RunningCall call{server, {}, now, {}, pool.resultLifetime, {}};
     StartStageCall command{m_nextCall, server, {}, {}};
     for (const StageUnit &unit : queue.units()) {
+        if (unit.notBefore > now) {
+            break;
+        }
         StageJobState &job = *unit.job;
         const protocol::JobStage &stage = job.stage(unit.stage);
         while (command.pieces.size() < pool.batchSize && job.waitingPieces(unit.stage) > 0
@@ -244,8 +327,9 @@
         return false;
     }
     call.expected = pool.batchTime(static_cast<std::uint32_t>(command.pieces.size()));
-    command.timeout =
-        state.usualTime(call.expected) * m_limits.timeoutFactor + m_limits.timeoutSlack;
+    const auto usual = static_cast<double>(state.usualTime(call.expected, now).value());
+    command.timeout = m_limits.timeoutSlack
+        + framework::Milliseconds(static_cast<std::int64_t>(usual * m_limits.timeoutFactor));
     state.callStarted();
     state.addHeld(call.reserved);
     m_calls.emplace(m_nextCall, std::move(call));
@@ -266,11 +350,13 @@
     state.removeHeld(call.reserved);
     const bool complete = outcome.pieces.size() == call.pieces.size();
     if (outcome.status == StageCallStatus::Answered && complete) {
-        state.callAnswered(call.expected, now - call.started);
+        state.callAnswered(call.expected, now - call.started, now);
     } else if (outcome.status == StageCallStatus::NotRun) {
         state.callRefused(m_limits, now);
     } else {
-        state.callFailed(m_limits, now);
+        state.callFailed(m_limits, call.expected, now - call.started, now);
+        // Results that nobody knows may lie there.
+        m_ledger.addUnknown(call.server.id, call.reserved, now + call.resultLifetime);
     }
     for (std::size_t index = 0; index < call.pieces.size(); ++index) {
         pieceEnded(call, call.pieces[index], complete ? outcome.pieces[index] : PieceOutcome{},
@@ -296,27 +382,35 @@
     if (made) {
         job->finishPiece(piece.stage, piece.piece, {outcome.result, call.server.zone});
         if (job->isStageDone(piece.stage)) {
-            stageDone(*job, piece.stage);
+            stageDone(*job, piece.stage, now);
         }
         return;
     }
     if (outcome.status == PieceStatus::Late) {
-        fail(*job, protocol::StageJobStatus::Failed);
+        fail(*job, protocol::StageJobStatus::Failed, m_limits.minRetryAfter);
         return;
     }
-    if (outcome.status == PieceStatus::InputGone) {
+    const auto inputs = job->inputs(piece.stage);
+    const bool freed = std::any_of(inputs.begin(), inputs.end(),
+                                   [](const auto &input) { return input.isEmpty(); });
+    if (outcome.status == PieceStatus::InputGone || freed) {
         restartInputs(*job, piece.stage);
     }
-    pieceFailed(*job, piece);
+    if (outcome.status == PieceStatus::NoRoom) {
+        m_ledger.addUnknown(call.server.id, piece.resultSize, now + m_limits.noRoomPause);
+    }
+    pieceFailed(*job, piece, outcome.status, now);
 }
 
-void StageCoordinator::pieceFailed(StageJobState &job, const RunningPiece &piece)
+void StageCoordinator::pieceFailed(StageJobState &job, const RunningPiece &piece,
+                                   PieceStatus status, framework::TimePoint now)
 {
-    if (job.retryPiece(piece.stage, piece.piece) >= m_limits.maxPieceAttempts) {
-        fail(job, protocol::StageJobStatus::Failed);
+    const std::uint32_t attempts = job.retryPiece(piece.stage, piece.piece);
+    if (status != PieceStatus::NoRoom && attempts >= m_limits.maxPieceAttempts) {
+        fail(job, protocol::StageJobStatus::Failed, m_limits.minRetryAfter);
         return;
     }
-    enqueueReady(job);
+    enqueueReady(job, now);
 }
 
 /// Makes the results again that a stage found gone.
@@ -342,25 +436,72 @@
     m_queues[job.stage(stage).service].removeJob(job);
 }
 
-void StageCoordinator::stageDone(StageJobState &job, std::size_t stage)
+void StageCoordinator::stageDone(StageJobState &job, std::size_t stage, framework::TimePoint now)
+{
+    freeInputs(job, stage);
+    if (job.isDone()) {
+        finish(job, now);
+        return;
+    }
+    enqueueReady(job, now);
+}
+
+/// Frees the results that this stage needed, unless another one still does.
+void StageCoordinator::freeInputs(StageJobState &job, std::size_t stage)
 {
     for (std::size_t before = 0; before < stage; ++before) {
         const auto dependents = job.dependents(before);
-        const bool needed = std::any_of(dependents.begin(), dependents.end(),
-                                        [&job](std::size_t each) { return !job.isStageDone(each); });
-        if (!dependents.empty() && !needed) {
+        const bool isInput =
+            std::find(dependents.begin(), dependents.end(), stage) != dependents.end();
+        const bool needed = std::any_of(dependents.begin(), dependents.end(), [&](std::size_t each) {
+            return job.waitingPieces(each) > 0 || (each != stage && !job.isStageDone(each));
+        });
+        if (isInput && !needed) {
             freeResults(job.takeResults(before));
         }
     }
-    if (job.isDone()) {
-        finish(job);
-        return;
+}
+
+/// Where room is short, frees the inputs of calls that have had the time to fetch them. If such a
+/// call fails, its inputs are made again.
+void StageCoordinator::freeFetchedInputs(framework::TimePoint now)
+{
+    for (auto &[id, call] : m_calls) {
+        if (call.inputsChecked || now - call.started < m_limits.fetchTime) {
+            continue;
+        }
+        call.inputsChecked = true;
+        for (const RunningPiece &piece : call.pieces) {
+            StageJobState *job = find(piece.job);
+            if (job != nullptr && isRoomPressed(*job, piece.stage)) {
+                freeInputs(*job, piece.stage);
+            }
+        }
+    }
+}
+
+bool StageCoordinator::isRoomPressed(const StageJobState &job, std::size_t stage)
+{
+    for (std::size_t before = 0; before < stage; ++before) {
+        const auto dependents = job.dependents(before);
+        const serving::StagePool *pool = m_estimator.findPool(job.stage(before).service);
+        if (pool == nullptr
+            || std::find(dependents.begin(), dependents.end(), stage) == dependents.end()) {
+            continue;
+        }
+        const auto limit = static_cast<double>(pool->resultRoom.value()) * m_limits.pressedRoom;
+        for (const protocol::StageResultPlace &place : job.results(before)) {
+            if (static_cast<double>(m_ledger.heldBeside(place.id).value()) > limit) {
+                return true;
+            }
+        }
     }
-    enqueueReady(job);
+    return false;
 }
 
-void StageCoordinator::finish(StageJobState &job)
+void StageCoordinator::finish(StageJobState &job, framework::TimePoint now)
 {
+    m_shares.record(job.job().route, now <= job.objective());
     protocol::StageJobOutcome outcome;
     outcome.request = job.key().request;
     outcome.status = protocol::StageJobStatus::Done;
@@ -369,12 +510,14 @@
     erase(job);
 }
 
-void StageCoordinator::fail(StageJobState &job, protocol::StageJobStatus status)
+void StageCoordinator::fail(StageJobState &job, protocol::StageJobStatus status,
+                            framework::Milliseconds retryAfter)
 {
+    m_shares.record(job.job().route, false);
     protocol::StageJobOutcome outcome;
     outcome.request = job.key().request;
     outcome.status = status;
-    outcome.retryAfter = m_limits.retryAfter;
+    outcome.retryAfter = std::clamp(retryAfter, m_limits.minRetryAfter, m_limits.maxRetryAfter);
     m_commands.emplace_back(EndStageJob{job.key().owner, std::move(outcome)});
     freeResults(job.allResults());
     erase(job);
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "stages/internal/resultledger.h"
+#include "stages/internal/routeshares.h"
+#include "stages/internal/stageestimator.h"
 #include "stages/internal/stagejobstate.h"
 #include "stages/internal/unitqueue.h"
 #include "stages/istagecoordinator.h"
@@ -36,6 +38,8 @@
     void cancelAll(const framework::DaemonId &owner, framework::TimePoint now) override;
     void release(const std::vector<framework::StageResultId> &results,
                  framework::TimePoint now) override;
+    void resultsFreed(const std::vector<framework::StageResultId> &results,
+                      framework::TimePoint now) override;
     void callEnded(StageCallId call, const StageCallOutcome &outcome,
                    framework::TimePoint now) override;
     void wake(framework::TimePoint now) override;
@@ -61,13 +65,19 @@
         framework::Milliseconds expected;
         framework::Milliseconds resultLifetime;
         framework::Bytes reserved;
+        bool inputsChecked = false;
     };
 
-    const serving::StagePool *findPool(const framework::ServiceId &service) const;
-    framework::Milliseconds tail(const StageJobState &job, std::size_t stage) const;
     bool canRun(const protocol::StageJob &job) const;
-    void enqueue(StageJobState &job, std::size_t stage);
-    void enqueueReady(StageJobState &job);
+    /// Makes room for a job by refusing others that have to give way to it.
+    /// \return by how much it would be late nonetheless; zero or less if it is admitted
+    framework::Milliseconds makeRoom(const StageJobState &job, framework::TimePoint now);
+    void estimateAhead(const StageJobState &job, framework::TimePoint now);
+    StageJobState *findVictim(const StageJobState &job, framework::TimePoint now);
+    bool givesWay(const StageJobState &other, const StageJobState &job) const;
+    double standing(const StageJobState &job) const;
+    void enqueue(StageJobState &job, std::size_t stage, framework::TimePoint now);
+    void enqueueReady(StageJobState &job, framework::TimePoint now);
 
     void refuseLate(framework::TimePoint now);
     void dispatchAll(framework::TimePoint now);
@@ -81,17 +91,21 @@
 
     void pieceEnded(const RunningCall &call, const RunningPiece &piece, const PieceOutcome &outcome,
                     framework::TimePoint now);
-    void pieceFailed(StageJobState &job, const RunningPiece &piece);
+    void pieceFailed(StageJobState &job, const RunningPiece &piece, PieceStatus status,
+                     framework::TimePoint now);
     void restartInputs(StageJobState &job, std::size_t stage);
-    void stageDone(StageJobState &job, std::size_t stage);
-    void finish(StageJobState &job);
-    void fail(StageJobState &job, protocol::StageJobStatus status);
+    void stageDone(StageJobState &job, std::size_t stage, framework::TimePoint now);
+    void freeFetchedInputs(framework::TimePoint now);
+    void freeInputs(StageJobState &job, std::size_t stage);
+    bool isRoomPressed(const StageJobState &job, std::size_t stage);
+    void finish(StageJobState &job, framework::TimePoint now);
+    void fail(StageJobState &job, protocol::StageJobStatus status,
+              framework::Milliseconds retryAfter);
     void erase(StageJobState &job);
     void freeResults(const std::vector<framework::StageResultId> &results);
     StageJobState *find(JobNumber number);
     JobNumber numberOf(const JobKey &key) const;
 
-    const serving::IServingState &m_serving;
     const membership::IBackendServers &m_servers;
     StageLimits m_limits;
     JobNumber m_nextJob = 1;
@@ -101,6 +115,8 @@
     std::map<framework::ServiceId, UnitQueue> m_queues;
     std::map<StageCallId, RunningCall> m_calls;
     ResultLedger m_ledger;
+    StageEstimator m_estimator;
+    RouteShares m_shares;
     std::vector<framework::StageResultId> m_toFree;
     std::vector<StageCommand> m_commands;
     framework::TimePoint m_nextWake = framework::TimePoint::never();
--- a/src/stages/internal/stagejobstate.cpp
+++ b/src/stages/internal/stagejobstate.cpp
@@ -26,6 +26,16 @@
     }
 }
 
+bool StageJobState::waitsFor(const framework::ServiceId &service) const
+{
+    for (std::size_t position = 0; position < m_stages.size(); ++position) {
+        if (m_job.stages[position].service == service && m_stages[position].waiting > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool StageJobState::isReady(std::size_t position) const
 {
     const auto &after = m_stages[position].after;
@@ -49,6 +59,11 @@
     return true;
 }
 
+const std::vector<std::size_t> &StageJobState::predecessors(std::size_t position) const
+{
+    return m_stages[position].after;
+}
+
 std::vector<std::size_t> StageJobState::dependents(std::size_t position) const
 {
     std::vector<std::size_t> result;
--- a/src/stages/internal/stagejobstate.h
+++ b/src/stages/internal/stagejobstate.h
@@ -26,10 +26,14 @@
     std::size_t stageCount() const { return m_stages.size(); }
     const protocol::JobStage &stage(std::size_t position) const { return m_job.stages[position]; }
 
+    /// \return whether a stage of that service has pieces to send
+    bool waitsFor(const framework::ServiceId &service) const;
     /// \return whether all results that the stage needs are there
     bool isReady(std::size_t position) const;
     bool isStageDone(std::size_t position) const;
     bool isDone() const;
+    /// \return positions of the stages whose results this one needs
+    const std::vector<std::size_t> &predecessors(std::size_t position) const;
     /// \return positions of the stages that need the results of this one
     std::vector<std::size_t> dependents(std::size_t position) const;
 
--- a/src/stages/internal/stagerunner.cpp
+++ b/src/stages/internal/stagerunner.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// Results are freed in groups; short against the life of a result.
-constexpr framework::Milliseconds FreeDelay{40};
+constexpr framework::Milliseconds FreeDelay{10};
 
 const char *statusName(StageCallStatus status)
 {
@@ -112,8 +112,12 @@
     m_toFree.insert(m_toFree.end(), command.results.begin(), command.results.end());
     if (!m_freeTimer) {
         m_freeTimer = m_scheduler.callAfter(FreeDelay, [this] {
-            m_calls.freeResults(std::exchange(m_toFree, {}));
             m_freeTimer.reset();
+            m_calls.freeResults(std::exchange(m_toFree, {}),
+                                [this](const std::vector<framework::StageResultId> &freed) {
+                                    m_coordinator.resultsFreed(freed, m_clock.now());
+                                    pump();
+                                });
         });
     }
 }
--- a/src/stages/internal/stageserverstate.h
+++ b/src/stages/internal/stageserverstate.h
@@ -16,9 +16,13 @@
     void callStarted() { ++m_calls; }
     /// \param expected time that the pool's description gives for such a call
     /// \param taken time that it took
-    void callAnswered(framework::Milliseconds expected, framework::Milliseconds taken);
+    void callAnswered(framework::Milliseconds expected, framework::Milliseconds taken,
+                      framework::TimePoint now);
     void callRefused(const StageLimits &limits, framework::TimePoint now);
-    void callFailed(const StageLimits &limits, framework::TimePoint now);
+    /// \param expected time that the pool's description gives for such a call
+    /// \param taken time after which it was given up or broke
+    void callFailed(const StageLimits &limits, framework::Milliseconds expected,
+                    framework::Milliseconds taken, framework::TimePoint now);
 
     void addHeld(framework::Bytes size) { m_held += size; }
     void removeHeld(framework::Bytes size) { m_held -= size; }
@@ -28,7 +32,11 @@
     bool isPaused(framework::TimePoint now) const { return now < m_pausedUntil; }
     framework::TimePoint pausedUntil() const { return m_pausedUntil; }
     /// \return time that a call with this expected time usually takes here
-    framework::Milliseconds usualTime(framework::Milliseconds expected) const;
+    framework::Milliseconds usualTime(framework::Milliseconds expected,
+                                      framework::TimePoint now) const;
+    /// \return time taken as a part of the expected one; what is known to be slow counts less the
+    /// longer it was not tried
+    double slowness(framework::TimePoint now) const;
 
 private:
     std::uint32_t m_calls = 0;
@@ -37,6 +45,7 @@
     framework::TimePoint m_pausedUntil;
     /// Time taken as a part of the expected one, smoothed.
     double m_slowness = 1.0;
+    framework::TimePoint m_measured;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/stageunit.h
+++ b/src/stages/internal/stageunit.h
@@ -15,6 +15,10 @@
     std::size_t stage = 0;
     /// Latest start at which the request can still meet its latency objective.
     framework::TimePoint latestStart;
+    /// Until then its results would only take room while the other stages of the job are made.
+    framework::TimePoint notBefore;
+    /// Order among units that are in time.
+    framework::TimePoint rank;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/unitqueue.cpp
+++ b/src/stages/internal/unitqueue.cpp
@@ -34,7 +34,7 @@
 {
     const auto key = [now](const StageUnit &unit) {
         const bool late = now > unit.latestStart;
-        return std::make_tuple(late, unit.job->job().priority, unit.latestStart);
+        return std::make_tuple(unit.notBefore > now, late, unit.rank);
     };
     std::stable_sort(
         m_units.begin(), m_units.end(),
--- a/src/stages/internal/unitqueue.h
+++ b/src/stages/internal/unitqueue.h
@@ -8,7 +8,7 @@
 namespace lavendertally::stages {
 
 /// Units of one pool that wait, and the order in which they are served: what can still meet its
-/// objective first, then by priority, then by the time that is left (earliest due date first).
+/// objective first, and by due date with a lead for the more urgent (earliest due date first).
 class UnitQueue
 {
 public:
@@ -17,7 +17,8 @@
     /// Drops units whose pieces have all been sent.
     void removeEmpty();
 
-    /// \return the units in the order in which they are to be served now
+    /// \return the units in the order in which they are to be served now; those that must wait on
+    /// purpose come last
     const std::vector<StageUnit> &ordered(framework::TimePoint now);
     const std::vector<StageUnit> &units() const { return m_units; }
     bool isEmpty() const { return m_units.empty(); }
--- a/src/stages/istagecallport.h
+++ b/src/stages/istagecallport.h
@@ -21,7 +21,11 @@
 
     /// Tells the backend servers that made these results to drop them. Best effort: a result also
     /// expires by itself.
-    virtual void freeResults(const std::vector<framework::StageResultId> &results) = 0;
+    /// \param done called for each backend server that answered, with the results it has dropped
+    virtual void
+    freeResults(const std::vector<framework::StageResultId> &results,
+                std::function<void(const std::vector<framework::StageResultId> &)> done)
+        = 0;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/istagecoordinator.h
+++ b/src/stages/istagecoordinator.h
@@ -34,6 +34,11 @@
                          framework::TimePoint now)
         = 0;
 
+    /// Backend servers have dropped these results, so there is room again.
+    virtual void resultsFreed(const std::vector<framework::StageResultId> &results,
+                              framework::TimePoint now)
+        = 0;
+
     virtual void callEnded(StageCallId call, const StageCallOutcome &outcome,
                            framework::TimePoint now)
         = 0;
