--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -5,7 +5,6 @@
 #include "serving/types/servingconfiguration.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace lavendertally::stages {
@@ -20,8 +19,7 @@
 StageCoordinator::StageCoordinator(const serving::IServingState &serving,
                                    const membership::IBackendServers &servers,
                                    const StageLimits &limits)
-    : m_servers(servers), m_limits(limits), m_estimator(serving, servers, m_ledger, m_limits),
-      m_repeats(limits.repeatMemory)
+    : m_servers(servers), m_limits(limits), m_estimator(serving, servers, m_ledger, m_limits)
 { }
 
 StageCoordinator::~StageCoordinator() = default;
@@ -32,13 +30,7 @@
     const JobKey key{owner, job.request};
     cancel(key, now);
     const JobNumber number = m_nextJob++;
-    protocol::StageJob adjusted = job;
-    const auto firstAsked = m_repeats.firstAsked(job.input, now);
-    if (firstAsked) {
-        adjusted.objectiveLeft -= now - *firstAsked;
-    }
-    auto state =
-        std::make_unique<StageJobState>(key, adjusted, firstAsked.has_value(), now);
+    auto state = std::make_unique<StageJobState>(key, job, now);
     StageJobState &added = *state;
     m_jobs.emplace(number, std::move(state));
     m_numbers[key] = number;
@@ -58,9 +50,6 @@
     while (true) {
         estimateAhead(job, now);
         const framework::Milliseconds lateness = m_estimator.finish(job, now) - job.objective();
-        if (lateness.value() > 0 && job.isRepeat()) {
-            return lateExcess(job, now);
-        }
         StageJobState *victim = lateness.value() > 0 ? findVictim(job, now) : nullptr;
         if (victim == nullptr) {
             return lateness;
@@ -69,23 +58,6 @@
     }
 }
 
-/// A repeated request that will be late is taken if the pools have time for it soon.
-framework::Milliseconds StageCoordinator::lateExcess(const StageJobState &job,
-                                                     framework::TimePoint now)
-{
-    m_estimator.reset();
-    for (const auto &[number, other] : m_jobs) {
-        if (other.get() != &job) {
-            m_estimator.add(*other);
-        }
-    }
-    framework::Milliseconds path(0);
-    for (std::size_t stage = 0; stage < job.stageCount(); ++stage) {
-        path = std::max(path, m_estimator.tail(job, stage));
-    }
-    return m_estimator.finish(job, now) - now - path - m_limits.maxLateBacklog;
-}
-
 /// Adds up the work that is served before \p job.
 void StageCoordinator::estimateAhead(const StageJobState &job, framework::TimePoint now)
 {
@@ -246,8 +218,13 @@
     std::vector<StageJobState *> late;
     for (const auto &[service, queue] : m_queues) {
         for (const StageUnit &unit : queue.units()) {
+            const bool waits = unit.notBefore > now;
+            const framework::Milliseconds lateness = now - unit.latestStart;
+            const bool refusable = !waits
+                && (unit.job->hasStarted() ? lateness > m_limits.maxLateness
+                                           : lateness > framework::Milliseconds(0));
             const bool known = std::find(late.begin(), late.end(), unit.job) != late.end();
-            if (!known && isHopeless(unit, now)) {
+            if ((refusable || now > unit.job->deadline()) && !known) {
                 late.push_back(unit.job);
             }
         }
@@ -259,20 +236,6 @@
     }
 }
 
-bool StageCoordinator::isHopeless(const StageUnit &unit, framework::TimePoint now) const
-{
-    const StageJobState &job = *unit.job;
-    if (now > job.deadline()) {
-        return true;
-    }
-    if (unit.notBefore > now || now <= unit.latestStart) {
-        return false;
-    }
-    const bool mayBeLate = job.hasStarted() || job.isRepeat();
-    return !mayBeLate
-        || now - std::max(unit.latestStart, job.submitted()) > m_limits.maxLateness;
-}
-
 void StageCoordinator::dispatchAll(framework::TimePoint now)
 {
     for (auto &[service, queue] : m_queues) {
@@ -295,9 +258,6 @@
         if (first.notBefore > now) {
             return;
         }
-        if (now > first.latestStart && !mayServeLate(service, *pool, now)) {
-            return;
-        }
         const membership::BackendServerEntry *server = chooseServer(service, *pool, first, now);
         if (server == nullptr || !startCall(*server, *pool, queue, now)) {
             return;
@@ -306,20 +266,6 @@
     }
 }
 
-/// A call with late work takes a backend server from what is in time for its whole length, so half
-/// of the pool stays free for that.
-bool StageCoordinator::mayServeLate(const framework::ServiceId &service,
-                                    const serving::StagePool &pool, framework::TimePoint now)
-{
-    std::size_t idle = 0;
-    const auto &servers = m_servers.admitting(service);
-    for (const membership::BackendServerEntry *server : servers) {
-        const StageServerState &state = m_ledger.server(server->id);
-        idle += state.calls() < pool.slots && !state.isPaused(now) ? 1 : 0;
-    }
-    return idle * m_limits.lateDivisor > servers.size();
-}
-
 /// Prefers the zone in which the first unit's inputs lie among backend servers of like speed. A slow
 /// one is used only for a unit that can wait for it.
 const membership::BackendServerEntry *
@@ -361,14 +307,10 @@
     framework::Bytes room = pool.resultRoom - state.held();
     RunningCall call{server, {}, now, {}, pool.resultLifetime, {}};
     StartStageCall command{m_nextCall, server, {}, {}};
-    bool startedLate = false;
     for (const StageUnit &unit : queue.units()) {
-        const bool late = now > unit.latestStart;
-        // Late pieces would lengthen the call for those that are in time.
-        if (unit.notBefore > now || (late && !startedLate && !command.pieces.empty())) {
+        if (unit.notBefore > now) {
             break;
         }
-        startedLate = late;
         StageJobState &job = *unit.job;
         const protocol::JobStage &stage = job.stage(unit.stage);
         while (command.pieces.size() < pool.batchSize && job.waitingPieces(unit.stage) > 0
@@ -575,11 +517,7 @@
     protocol::StageJobOutcome outcome;
     outcome.request = job.key().request;
     outcome.status = status;
-    const double missed = 1.0 - m_shares.share(job.job().route);
-    const framework::Milliseconds overload(
-        std::llround(missed * static_cast<double>(m_limits.overloadTime.value())));
-    outcome.retryAfter =
-        std::clamp(retryAfter + overload, m_limits.minRetryAfter, m_limits.maxRetryAfter);
+    outcome.retryAfter = std::clamp(retryAfter, m_limits.minRetryAfter, m_limits.maxRetryAfter);
     m_commands.emplace_back(EndStageJob{job.key().owner, std::move(outcome)});
     freeResults(job.allResults());
     erase(job);
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "stages/internal/repeatmemory.h"
 #include "stages/internal/resultledger.h"
 #include "stages/internal/routeshares.h"
 #include "stages/internal/stageestimator.h"
@@ -73,7 +72,6 @@
     /// Makes room for a job by refusing others that have to give way to it.
     /// \return by how much it would be late nonetheless; zero or less if it is admitted
     framework::Milliseconds makeRoom(const StageJobState &job, framework::TimePoint now);
-    framework::Milliseconds lateExcess(const StageJobState &job, framework::TimePoint now);
     void estimateAhead(const StageJobState &job, framework::TimePoint now);
     StageJobState *findVictim(const StageJobState &job, framework::TimePoint now);
     bool givesWay(const StageJobState &other, const StageJobState &job) const;
@@ -82,11 +80,8 @@
     void enqueueReady(StageJobState &job, framework::TimePoint now);
 
     void refuseLate(framework::TimePoint now);
-    bool isHopeless(const StageUnit &unit, framework::TimePoint now) const;
     void dispatchAll(framework::TimePoint now);
     void dispatch(const framework::ServiceId &service, UnitQueue &queue, framework::TimePoint now);
-    bool mayServeLate(const framework::ServiceId &service, const serving::StagePool &pool,
-                      framework::TimePoint now);
     const membership::BackendServerEntry *chooseServer(const framework::ServiceId &service,
                                                        const serving::StagePool &pool,
                                                        const StageUnit &first,
@@ -122,7 +117,6 @@
     ResultLedger m_ledger;
     StageEstimator m_estimator;
     RouteShares m_shares;
-    RepeatMemory m_repeats;
     std::vector<framework::StageResultId> m_toFree;
     std::vector<StageCommand> m_commands;
     framework::TimePoint m_nextWake = framework::TimePoint::never();
--- a/src/stages/internal/stagejobstate.cpp
+++ b/src/stages/internal/stagejobstate.cpp
@@ -6,10 +6,9 @@
 
 namespace lavendertally::stages {
 
-StageJobState::StageJobState(JobKey key, protocol::StageJob job, bool isRepeat,
-                             framework::TimePoint now)
-    : m_key(std::move(key)), m_job(std::move(job)), m_submitted(now),
-      m_objective(now + m_job.objectiveLeft), m_deadline(now + m_job.timeLeft), m_repeat(isRepeat)
+StageJobState::StageJobState(JobKey key, protocol::StageJob job, framework::TimePoint now)
+    : m_key(std::move(key)), m_job(std::move(job)), m_objective(now + m_job.objectiveLeft),
+      m_deadline(now + m_job.timeLeft)
 {
     std::map<std::uint32_t, std::size_t> positions;
     for (const protocol::JobStage &stage : m_job.stages) {
--- a/src/stages/internal/stagejobstate.h
+++ b/src/stages/internal/stagejobstate.h
@@ -15,15 +15,12 @@
 class StageJobState
 {
 public:
-    /// \param isRepeat whether the client has asked for the same work before
-    StageJobState(JobKey key, protocol::StageJob job, bool isRepeat, framework::TimePoint now);
+    StageJobState(JobKey key, protocol::StageJob job, framework::TimePoint now);
 
     const JobKey &key() const { return m_key; }
     const protocol::StageJob &job() const { return m_job; }
     framework::TimePoint objective() const { return m_objective; }
     framework::TimePoint deadline() const { return m_deadline; }
-    framework::TimePoint submitted() const { return m_submitted; }
-    bool isRepeat() const { return m_repeat; }
     bool hasStarted() const { return m_started; }
 
     std::size_t stageCount() const { return m_stages.size(); }
@@ -88,10 +85,8 @@
 
     JobKey m_key;
     protocol::StageJob m_job;
-    framework::TimePoint m_submitted;
     framework::TimePoint m_objective;
     framework::TimePoint m_deadline;
-    bool m_repeat;
     bool m_started = false;
     std::vector<Stage> m_stages;
 };
--- a/src/stages/types/stagelimits.h
+++ b/src/stages/types/stagelimits.h
@@ -2,7 +2,6 @@
 
 #include "framework/types/milliseconds.h"
 
-#include <cstddef>
 #include <cstdint>
 
 namespace lavendertally::stages {
@@ -25,19 +24,10 @@
     framework::Milliseconds noRoomPause{500};
     /// Bounds on when a refused request may come back.
     framework::Milliseconds minRetryAfter{100};
-    framework::Milliseconds maxRetryAfter{6000};
-    /// Added to when a refused request may come back, in the part in which its route's recent jobs
-    /// were not done in time: about the time that a burst lasts.
-    framework::Milliseconds overloadTime{6000};
-    /// How long a job that cannot meet its objective any more may wait before it is given up;
-    /// clients leave a silent stream a few seconds later.
-    framework::Milliseconds maxLateness{3000};
-    /// Work ahead up to which a repeated request is taken although it will be late.
-    framework::Milliseconds maxLateBacklog{2500};
-    /// Late work is begun only while more than one in so many backend servers of its pool is idle.
-    std::size_t lateDivisor = 2;
-    /// How long the first attempt of a request is remembered; longer than most deadlines.
-    framework::Milliseconds repeatMemory{20000};
+    framework::Milliseconds maxRetryAfter{2000};
+    /// How far behind its objective a started job may fall before it is given up; what it still
+    /// earns then is less than what its pieces take from others.
+    framework::Milliseconds maxLateness{2000};
     /// Share of its requests done in time that a route of a less urgent rank has to give up for one
     /// of the next more urgent rank.
     double sharePerRank = 0.1;
