Stages: data stays within zones, margin of admission; resumed streams get stage results anew

Ruled out: waiting for a backend server of the zone in any case (it costs the slack under load). Change: pieces with large inputs or results wait for their zone while there is slack; inputs are freed early only at backend servers whose last call was answered; a margin that grows with late jobs; stages run again before a resume; long poll of 0.75 s.

--- a/src/platform/internal/operatorfeed.cpp
+++ b/src/platform/internal/operatorfeed.cpp
@@ -15,7 +15,7 @@
 
 /// The store answers at once when there is a change; the wait bounds the age of the confirmation
 /// that there is none, which must stay well under the time in which a revoked key may still work.
-constexpr TopicPace Pace{framework::Milliseconds(1500), framework::Milliseconds(0)};
+constexpr TopicPace Pace{framework::Milliseconds(750), framework::Milliseconds(0)};
 
 } // namespace
 
--- a/src/proxy/internal/requestrun.cpp
+++ b/src/proxy/internal/requestrun.cpp
@@ -406,6 +406,17 @@
     finish(bad ? "backend server failed" : "done");
 }
 
+/// The results of the stages are released once a stream has begun, so one that goes on elsewhere
+/// needs them again.
+void RequestRun::nextAttempt()
+{
+    if (hasPieces() && m_inputs.empty()) {
+        startStages();
+        return;
+    }
+    sendAttempt();
+}
+
 bool RequestRun::tryAgain(bool mayHaveRun)
 {
     if (m_attempts >= m_route->maxAttempts) {
@@ -430,7 +441,7 @@
         return false;
     }
     m_backoff = decision.backoff;
-    m_backoffTimer = m_context.scheduler.callAfter(decision.backoff, [this] { sendAttempt(); });
+    m_backoffTimer = m_context.scheduler.callAfter(decision.backoff, [this] { nextAttempt(); });
     return true;
 }
 
--- a/src/proxy/internal/requestrun.h
+++ b/src/proxy/internal/requestrun.h
@@ -67,6 +67,7 @@
     framework::AvailabilityZoneId wantedZone();
     routing::ServerQuery serverQuery() const;
 
+    void nextAttempt();
     void sendAttempt();
     void streamEnded(BackendCallEnd end);
     void answerEnded(BackendCallEnd end);
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -49,7 +49,8 @@
 {
     while (true) {
         estimateAhead(job, now);
-        const framework::Milliseconds lateness = m_estimator.finish(job, now) - job.objective();
+        const framework::Milliseconds lateness = m_estimator.finish(job, now)
+            + m_shares.margin(job.job().route) - job.objective();
         StageJobState *victim = lateness.value() > 0 ? findVictim(job, now) : nullptr;
         if (victim == nullptr) {
             return lateness;
@@ -126,7 +127,8 @@
             others = std::max(others, m_estimator.tail(job, other));
         }
     }
-    StageUnit unit{&job, stage, job.objective() - own, now, {}};
+    StageUnit unit{&job, stage, job.objective() - own, now, {}, {}};
+    unit.zone = job.preferredZone(stage, m_limits.zonalSize);
     if (job.dependents(stage).empty() && others > own + m_limits.earliness) {
         unit.notBefore = now + others - own - m_limits.earliness;
     }
@@ -250,56 +252,67 @@
                                 framework::TimePoint now)
 {
     const serving::StagePool *pool = m_estimator.findPool(service);
-    if (pool == nullptr) {
+    if (pool == nullptr || queue.isEmpty()) {
         return;
     }
-    while (!queue.isEmpty()) {
-        const StageUnit first = queue.ordered(now).front();
-        if (first.notBefore > now) {
-            return;
-        }
-        const membership::BackendServerEntry *server = chooseServer(service, *pool, first, now);
-        if (server == nullptr || !startCall(*server, *pool, queue, now)) {
-            return;
-        }
+    for (const membership::BackendServerEntry *server : idleServers(service, *pool, now)) {
+        queue.sort(now);
+        startCall(*server, *pool, queue, now);
         queue.removeEmpty();
     }
 }
 
-/// Prefers the zone in which the first unit's inputs lie among backend servers of like speed. A slow
-/// one is used only for a unit that can wait for it.
-const membership::BackendServerEntry *
-StageCoordinator::chooseServer(const framework::ServiceId &service, const serving::StagePool &pool,
-                               const StageUnit &first, framework::TimePoint now)
+/// Backend servers that can take a call, the fastest first.
+std::vector<const membership::BackendServerEntry *>
+StageCoordinator::idleServers(const framework::ServiceId &service, const serving::StagePool &pool,
+                              framework::TimePoint now)
 {
-    const framework::AvailabilityZoneId zone = first.job->preferredZone(first.stage);
-    const framework::Bytes size = first.job->stage(first.stage).resultSize;
-    const membership::BackendServerEntry *best = nullptr;
-    std::pair<std::int64_t, bool> bestKey;
+    std::vector<std::pair<std::int64_t, const membership::BackendServerEntry *>> idle;
     for (const membership::BackendServerEntry *server : m_servers.admitting(service)) {
         const StageServerState &state = m_ledger.server(server->id);
-        const bool hasRoom = state.held() + size <= pool.resultRoom;
-        if (state.calls() >= pool.slots || state.isPaused(now) || !hasRoom) {
-            continue;
+        if (state.calls() < pool.slots && !state.isPaused(now) && state.held() < pool.resultRoom) {
+            // Small differences in speed are not worth a transfer between zones.
+            const std::int64_t call = std::max<std::int64_t>(pool.callTime.value(), 1);
+            idle.emplace_back(state.usualTime(pool.callTime, now).value() / call, server);
         }
+    }
+    std::stable_sort(idle.begin(), idle.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<const membership::BackendServerEntry *> servers;
+    for (const auto &[slowness, server] : idle) {
+        servers.push_back(server);
+    }
+    return servers;
+}
+
+/// Whether a backend server is right for a unit: in its zone, unless it cannot wait for one there;
+/// and not a slow one, unless it has the time.
+bool StageCoordinator::suits(const membership::BackendServerEntry &server, const StageUnit &unit,
+                             const serving::StagePool &pool, framework::TimePoint now)
+{
+    const framework::Milliseconds slack = unit.latestStart - now;
+    if (slack.value() >= 0) {
+        const StageServerState &state = m_ledger.server(server.id);
         const framework::Milliseconds extra = state.usualTime(pool.callTime, now) - pool.callTime;
-        const bool slow = extra > pool.callTime;
-        if (slow && now + extra > first.latestStart && now <= first.latestStart) {
-            continue;
-        }
-        // Small differences in speed must not outweigh a transfer between zones.
-        const std::int64_t coarse = std::max<std::int64_t>(
-            extra.value() / std::max<std::int64_t>(pool.callTime.value(), 1), 0);
-        const std::pair<std::int64_t, bool> key{coarse, server->zone != zone};
-        if (best == nullptr || key < bestKey) {
-            best = server;
-            bestKey = key;
+        if (extra > pool.callTime && extra > slack) {
+            return false;
         }
     }
-    return best;
+    const bool anyZone = unit.zone.isEmpty() || unit.zone == server.zone;
+    return anyZone || slack < m_limits.zonalSlack || !hasServerIn(server.service, unit.zone, now);
+}
+
+bool StageCoordinator::hasServerIn(const framework::ServiceId &service,
+                                   const framework::AvailabilityZoneId &zone,
+                                   framework::TimePoint now)
+{
+    const auto &servers = m_servers.admitting(service);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto *server) {
+        return server->zone == zone && !m_ledger.server(server->id).isPaused(now);
+    });
 }
 
-bool StageCoordinator::startCall(const membership::BackendServerEntry &server,
+void StageCoordinator::startCall(const membership::BackendServerEntry &server,
                                  const serving::StagePool &pool, UnitQueue &queue,
                                  framework::TimePoint now)
 {
@@ -311,6 +324,9 @@
         if (unit.notBefore > now) {
             break;
         }
+        if (!suits(server, unit, pool, now)) {
+            continue;
+        }
         StageJobState &job = *unit.job;
         const protocol::JobStage &stage = job.stage(unit.stage);
         while (command.pieces.size() < pool.batchSize && job.waitingPieces(unit.stage) > 0
@@ -324,18 +340,18 @@
         }
     }
     if (command.pieces.empty()) {
-        return false;
+        return;
     }
     call.expected = pool.batchTime(static_cast<std::uint32_t>(command.pieces.size()));
     const auto usual = static_cast<double>(state.usualTime(call.expected, now).value());
     command.timeout = m_limits.timeoutSlack
         + framework::Milliseconds(static_cast<std::int64_t>(usual * m_limits.timeoutFactor));
+    call.fetchesAtOnce = state.isSound();
     state.callStarted();
     state.addHeld(call.reserved);
     m_calls.emplace(m_nextCall, std::move(call));
     m_nextCall = m_nextCall.next();
     m_commands.emplace_back(std::move(command));
-    return true;
 }
 
 void StageCoordinator::callEnded(StageCallId id, const StageCallOutcome &outcome,
@@ -467,10 +483,10 @@
 void StageCoordinator::freeFetchedInputs(framework::TimePoint now)
 {
     for (auto &[id, call] : m_calls) {
-        if (call.inputsChecked || now - call.started < m_limits.fetchTime) {
+        if (!call.fetchesAtOnce || now - call.started < m_limits.fetchTime) {
             continue;
         }
-        call.inputsChecked = true;
+        call.fetchesAtOnce = false;
         for (const RunningPiece &piece : call.pieces) {
             StageJobState *job = find(piece.job);
             if (job != nullptr && isRoomPressed(*job, piece.stage)) {
@@ -501,7 +517,7 @@
 
 void StageCoordinator::finish(StageJobState &job, framework::TimePoint now)
 {
-    m_shares.record(job.job().route, now <= job.objective());
+    m_shares.recordDone(job.job().route, now <= job.objective());
     protocol::StageJobOutcome outcome;
     outcome.request = job.key().request;
     outcome.status = protocol::StageJobStatus::Done;
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -65,7 +65,9 @@
         framework::Milliseconds expected;
         framework::Milliseconds resultLifetime;
         framework::Bytes reserved;
-        bool inputsChecked = false;
+        /// Whether its inputs have been fetched once StageLimits::fetchTime has passed, and this has
+        /// not been made use of.
+        bool fetchesAtOnce = false;
     };
 
     bool canRun(const protocol::StageJob &job) const;
@@ -82,11 +84,14 @@
     void refuseLate(framework::TimePoint now);
     void dispatchAll(framework::TimePoint now);
     void dispatch(const framework::ServiceId &service, UnitQueue &queue, framework::TimePoint now);
-    const membership::BackendServerEntry *chooseServer(const framework::ServiceId &service,
-                                                       const serving::StagePool &pool,
-                                                       const StageUnit &first,
-                                                       framework::TimePoint now);
-    bool startCall(const membership::BackendServerEntry &server, const serving::StagePool &pool,
+    std::vector<const membership::BackendServerEntry *>
+    idleServers(const framework::ServiceId &service, const serving::StagePool &pool,
+                framework::TimePoint now);
+    bool suits(const membership::BackendServerEntry &server, const StageUnit &unit,
+               const serving::StagePool &pool, framework::TimePoint now);
+    bool hasServerIn(const framework::ServiceId &service, const framework::AvailabilityZoneId &zone,
+                     framework::TimePoint now);
+    void startCall(const membership::BackendServerEntry &server, const serving::StagePool &pool,
                    UnitQueue &queue, framework::TimePoint now);
 
     void pieceEnded(const RunningCall &call, const RunningPiece &piece, const PieceOutcome &outcome,
--- a/src/stages/internal/stagejobstate.cpp
+++ b/src/stages/internal/stagejobstate.cpp
@@ -135,7 +135,8 @@
     return result;
 }
 
-framework::AvailabilityZoneId StageJobState::preferredZone(std::size_t position) const
+framework::AvailabilityZoneId StageJobState::preferredZone(std::size_t position,
+                                                           framework::Bytes least) const
 {
     std::map<framework::AvailabilityZoneId, std::int64_t> bytes;
     for (const std::size_t before : m_stages[position].after) {
@@ -143,10 +144,15 @@
             bytes[piece.result.zone] += m_job.stages[before].resultSize.value();
         }
     }
+    if (dependents(position).empty()) {
+        const protocol::JobStage &stage = m_job.stages[position];
+        bytes[m_job.zone] += stage.resultSize.value() * stage.pieces;
+    }
     const auto most = std::max_element(bytes.begin(), bytes.end(), [](const auto &a, const auto &b) {
         return a.second < b.second;
     });
-    return most == bytes.end() ? m_job.zone : most->first;
+    const bool large = most != bytes.end() && most->second >= least.value();
+    return large ? most->first : framework::AvailabilityZoneId();
 }
 
 std::vector<protocol::StageResultPlace> StageJobState::results(std::size_t position) const
--- a/src/stages/internal/stagejobstate.h
+++ b/src/stages/internal/stagejobstate.h
@@ -50,8 +50,10 @@
 
     /// \return results of the stages that this one needs, in order
     std::vector<framework::StageResultId> inputs(std::size_t position) const;
-    /// \return zone in which most inputs lie; for a first stage the zone that the owner prefers
-    framework::AvailabilityZoneId preferredZone(std::size_t position) const;
+    /// \param least smaller amounts of data do not count
+    /// \return zone in which most of the stage's inputs lie, or in which its results are wanted;
+    /// empty if neither is large
+    framework::AvailabilityZoneId preferredZone(std::size_t position, framework::Bytes least) const;
     std::vector<protocol::StageResultPlace> results(std::size_t position) const;
     /// \return results of the stages that no other stage follows
     std::vector<protocol::StageResultPlace> finalResults() const;
--- a/src/stages/internal/stageserverstate.h
+++ b/src/stages/internal/stageserverstate.h
@@ -27,6 +27,8 @@
     void addHeld(framework::Bytes size) { m_held += size; }
     void removeHeld(framework::Bytes size) { m_held -= size; }
 
+    /// \return whether the last call was answered, so that nothing of an earlier one can be running
+    bool isSound() const { return m_failures == 0; }
     std::uint32_t calls() const { return m_calls; }
     framework::Bytes held() const { return m_held; }
     bool isPaused(framework::TimePoint now) const { return now < m_pausedUntil; }
--- a/src/stages/internal/stageunit.h
+++ b/src/stages/internal/stageunit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
 
 #include <cstddef>
@@ -17,6 +18,8 @@
     framework::TimePoint latestStart;
     /// Until then its results would only take room while the other stages of the job are made.
     framework::TimePoint notBefore;
+    /// Zone to prefer; empty if any will do.
+    framework::AvailabilityZoneId zone;
     /// Order among units that are in time.
     framework::TimePoint rank;
 };
--- a/src/stages/internal/unitqueue.cpp
+++ b/src/stages/internal/unitqueue.cpp
@@ -30,7 +30,7 @@
     });
 }
 
-const std::vector<StageUnit> &UnitQueue::ordered(framework::TimePoint now)
+void UnitQueue::sort(framework::TimePoint now)
 {
     const auto key = [now](const StageUnit &unit) {
         const bool late = now > unit.latestStart;
@@ -39,7 +39,6 @@
     std::stable_sort(
         m_units.begin(), m_units.end(),
         [&key](const StageUnit &a, const StageUnit &b) { return key(a) < key(b); });
-    return m_units;
 }
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/unitqueue.h
+++ b/src/stages/internal/unitqueue.h
@@ -17,9 +17,9 @@
     /// Drops units whose pieces have all been sent.
     void removeEmpty();
 
-    /// \return the units in the order in which they are to be served now; those that must wait on
-    /// purpose come last
-    const std::vector<StageUnit> &ordered(framework::TimePoint now);
+    /// Brings the units into the order in which they are to be served now; those that wait on
+    /// purpose come last.
+    void sort(framework::TimePoint now);
     const std::vector<StageUnit> &units() const { return m_units; }
     bool isEmpty() const { return m_units.empty(); }
 
--- a/src/stages/types/stagelimits.h
+++ b/src/stages/types/stagelimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/milliseconds.h"
+#include "framework/types/units.h"
 
 #include <cstdint>
 
@@ -43,6 +44,11 @@
     /// A stage whose results would only wait for the others of its job starts this much before they
     /// are due.
     framework::Milliseconds earliness{250};
+    /// Inputs or results of a job that are at least this large are kept within one zone if there is
+    /// time; less costs next to nothing to move.
+    framework::Bytes zonalSize{50000};
+    /// Slack that a job must have to wait for a backend server of its zone: about one call.
+    framework::Milliseconds zonalSlack{350};
     /// Lead that a job has over one of the next rank with the same due date.
     framework::Milliseconds leadPerRank{100};
 };
