--- a/src/app/lavendertallyd.cpp
+++ b/src/app/lavendertallyd.cpp
@@ -34,7 +34,8 @@
     "  --help            show this text\n"
     "  --version         show the version\n"
     "\n"
-    "SIGHUP reads the settings file again. SIGTERM and SIGINT finish what is under way and exit with 0; a second one exits at once.\n"
+    "SIGHUP reads the settings file again. SIGTERM and SIGINT finish what is under way and exit "
+    "with 0; a second one exits at once.\n"
     "Exit codes: 0 success, 64 usage, 69 unavailable, 78 bad settings.\n";
 
 constexpr const char *SettingsVariable = "LAVENDERTALLY_CONFIG";
--- a/src/claims/internal/claimpartition.cpp
+++ b/src/claims/internal/claimpartition.cpp
@@ -17,7 +17,8 @@
 using framework::Milliseconds;
 using framework::TimePoint;
 
-ClaimPartition::ClaimPartition(const infrastructure::StreamName &stream, const ClaimContext &context)
+ClaimPartition::ClaimPartition(const infrastructure::StreamName &stream,
+                               const ClaimContext &context)
     : m_context(context), m_table(context.settings), m_outbox(stream, context, *this),
       m_reader(stream, context, *this)
 { }
--- a/src/configuration/internal/yamlsettingsparser.cpp
+++ b/src/configuration/internal/yamlsettingsparser.cpp
@@ -15,9 +15,9 @@
 
 void readIdentity(YamlMapping &root, DaemonSettings &settings)
 {
-    static const auto roleScalar =
-        choiceType<DaemonRole>({{"entry", DaemonRole::Entry}, {"host", DaemonRole::Host},
-                                 {"gateway", DaemonRole::Gateway}});
+    static const auto roleScalar = choiceType<DaemonRole>({{"entry", DaemonRole::Entry},
+                                                           {"host", DaemonRole::Host},
+                                                           {"gateway", DaemonRole::Gateway}});
     root.readRequired("role", roleScalar, settings.role);
     root.readRequired("id", idType<framework::DaemonId>(nameType()), settings.id);
     root.readRequired("host", idType<framework::HostId>(nameType()), settings.host);
--- a/src/control/controlmodule.h
+++ b/src/control/controlmodule.h
@@ -60,10 +60,9 @@
                       std::unique_ptr<IControlClient> client);
 
     /// \param replica fed by the IDaemonControl of the same process
-    static std::unique_ptr<IOperatorService>
-    makeOperatorService(infrastructure::ILogService &log, configuration::IConfigurationReplica &replica,
-                        const configuration::IControlRecordCodec &codec,
-                        framework::IScheduler &scheduler);
+    static std::unique_ptr<IOperatorService> makeOperatorService(
+        infrastructure::ILogService &log, configuration::IConfigurationReplica &replica,
+        const configuration::IControlRecordCodec &codec, framework::IScheduler &scheduler);
 };
 
 } // namespace lavendertally::control
--- a/src/control/internal/hostlistpoller.cpp
+++ b/src/control/internal/hostlistpoller.cpp
@@ -4,8 +4,8 @@
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "membership/imembershipupdates.h"
 #include "infrastructure/ihostlist.h"
+#include "membership/imembershipupdates.h"
 
 namespace lavendertally::control {
 
--- a/src/control/internal/logfollower.cpp
+++ b/src/control/internal/logfollower.cpp
@@ -98,7 +98,8 @@
         handlePage(result.value());
         return;
     }
-    const auto error = framework::errorOf(std::move(result), infrastructure::InfrastructureError::Unavailable);
+    const auto error =
+        framework::errorOf(std::move(result), infrastructure::InfrastructureError::Unavailable);
     handleError(error == infrastructure::InfrastructureError::Expired);
 }
 
--- a/src/control/internal/operatorservice.cpp
+++ b/src/control/internal/operatorservice.cpp
@@ -82,7 +82,8 @@
     if (result) {
         return;
     }
-    const auto error = framework::errorOf(std::move(result), infrastructure::InfrastructureError::AnswerLost);
+    const auto error =
+        framework::errorOf(std::move(result), infrastructure::InfrastructureError::AnswerLost);
     if (hadNoEffect(error)) {
         fail(key, OperatorError::Unavailable);
     }
--- a/src/control/internal/snapshotwriter.cpp
+++ b/src/control/internal/snapshotwriter.cpp
@@ -10,8 +10,8 @@
 #include "framework/ilogger.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "membership/imembership.h"
 #include "infrastructure/ilogservice.h"
+#include "membership/imembership.h"
 
 #include <utility>
 
--- a/src/control/internal/snapshotwriter.h
+++ b/src/control/internal/snapshotwriter.h
@@ -34,8 +34,8 @@
 class SnapshotWriter
 {
 public:
-    SnapshotWriter(ControlIdentity identity, infrastructure::ILogService &log, ISnapshotPolicy &policy,
-                   const configuration::IConfigurationReplica &replica,
+    SnapshotWriter(ControlIdentity identity, infrastructure::ILogService &log,
+                   ISnapshotPolicy &policy, const configuration::IConfigurationReplica &replica,
                    const configuration::IControlRecordCodec &codec,
                    const membership::IMembership &membership, framework::IScheduler &scheduler,
                    const framework::IClock &clock, framework::ILogger &logger);
--- a/src/control/testing/controlfleet.h
+++ b/src/control/testing/controlfleet.h
@@ -14,10 +14,10 @@
 #include "framework/irandom.h"
 #include "framework/testing/fakescheduler.h"
 #include "framework/testing/nulllogger.h"
-#include "membership/imembershiptracker.h"
-#include "membership/membershipmodule.h"
 #include "infrastructure/ihostlist.h"
 #include "infrastructure/testing/fakelogservice.h"
+#include "membership/imembershiptracker.h"
+#include "membership/membershipmodule.h"
 
 #include <memory>
 #include <optional>
@@ -191,7 +191,10 @@
         m_log.append(infrastructure::StreamName("control"), {m_codec->encode(change).value()});
     }
 
-    std::uint64_t logEnd() const { return m_log.end(infrastructure::StreamName("control")).value(); }
+    std::uint64_t logEnd() const
+    {
+        return m_log.end(infrastructure::StreamName("control")).value();
+    }
 
     void advance(framework::Milliseconds step) { m_scheduler.advance(step); }
 
--- a/src/daemon/internal/daemonparts.cpp
+++ b/src/daemon/internal/daemonparts.cpp
@@ -12,10 +12,10 @@
 #include "framework/irandom.h"
 #include "http/httpmodule.h"
 #include "http/ihttpclient.h"
-#include "membership/imembershiptracker.h"
-#include "membership/membershipmodule.h"
 #include "infrastructure/ihostlist.h"
 #include "infrastructure/infrastructuremodule.h"
+#include "membership/imembershiptracker.h"
+#include "membership/membershipmodule.h"
 #include "protocol/imessagecodec.h"
 #include "protocol/protocolmodule.h"
 
--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -27,15 +27,15 @@
 #include "http/ihttpclient.h"
 #include "http/ihttpexchange.h"
 #include "http/ihttpserver.h"
+#include "infrastructure/ihostlist.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/infrastructuremodule.h"
 #include "membership/imembershiptracker.h"
 #include "membership/membershipmodule.h"
 #include "membership/types/hoststatus.h"
 #include "pipeline/irequestservice.h"
 #include "pipeline/pipelinemodule.h"
 #include "pipeline/types/pipelinecontext.h"
-#include "infrastructure/ihostlist.h"
-#include "infrastructure/ilogservice.h"
-#include "infrastructure/infrastructuremodule.h"
 #include "protocol/imessagecodec.h"
 #include "protocol/protocolmodule.h"
 #include "retry/iretrypolicy.h"
@@ -62,8 +62,8 @@
 } // namespace
 
 EntryDaemon::EntryDaemon(const configuration::DaemonSettings &settings, framework::IEventLoop &loop)
-    : m_parts(settings, loop),
-      m_log(infrastructure::InfrastructureModule::makeLogService(*m_parts.client, settings.logService))
+    : m_parts(settings, loop), m_log(infrastructure::InfrastructureModule::makeLogService(
+                                   *m_parts.client, settings.logService))
 {
     makeControl();
     makeRequests();
--- a/src/framework/internal/systemclock.cpp
+++ b/src/framework/internal/systemclock.cpp
@@ -18,7 +18,8 @@
     // before must not count as fresh afterwards.
     timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time);
-    return TimePoint(time.tv_sec * MillisecondsPerSecond + time.tv_nsec / NanosecondsPerMillisecond);
+    return TimePoint(time.tv_sec * MillisecondsPerSecond
+                     + time.tv_nsec / NanosecondsPerMillisecond);
 }
 
 TimePoint SystemClock::wallNow() const
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -107,10 +107,10 @@
 {
     proxy::ProxyLimits limits;
     limits.maxKeyAge = m_settings.gateway.revocationLimit - RevocationMargin;
-    m_requests = proxy::ProxyModule::makeService(
-        {m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_random, *m_serving,
-         m_platform->daemons(), *m_selector, *m_retries, *m_stages, m_platform->backends(),
-         limits});
+    m_requests =
+        proxy::ProxyModule::makeService({m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics,
+                                         *m_random, *m_serving, m_platform->daemons(), *m_selector,
+                                         *m_retries, *m_stages, m_platform->backends(), limits});
     m_clients = std::make_unique<platform::ClientGateway>(*m_requests, *m_logger, *m_metrics);
 }
 
--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -3,10 +3,10 @@
 #include "framework/ieventloop.h"
 #include "framework/itimer.h"
 #include "http/headerlookup.h"
-#include "network/bufferedsocket.h"
 #include "http/internal/clientcall.h"
 #include "http/internal/pooledhttpclient.h"
 #include "http/internal/responseparser.h"
+#include "network/bufferedsocket.h"
 
 #include <charconv>
 #include <optional>
@@ -66,7 +66,8 @@
     m_socket = std::make_unique<network::BufferedSocket>(m_client.loop().base(), *this);
     const bool begun =
         m_socket->connect(m_endpoint.address.c_str(), m_endpoint.port, options.acknowledgeTimeout);
-    const framework::Milliseconds limit = begun ? options.connectTimeout : framework::Milliseconds(0);
+    const framework::Milliseconds limit =
+        begun ? options.connectTimeout : framework::Milliseconds(0);
     m_timer = m_client.loop().callAfter(limit, [this] { finish(false); });
 }
 
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -3,8 +3,8 @@
 #include "framework/types/endpoint.h"
 #include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
-#include "network/ibufferedsocketobserver.h"
 #include "http/types/httpclientoptions.h"
+#include "network/ibufferedsocketobserver.h"
 
 #include <cstddef>
 #include <memory>
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -3,10 +3,10 @@
 #include "framework/ieventloop.h"
 #include "framework/itimer.h"
 #include "http/internal/bufferedhttpserver.h"
-#include "network/bufferedsocket.h"
 #include "http/internal/httpstatus.h"
 #include "http/internal/requestparser.h"
 #include "http/internal/serverexchange.h"
+#include "network/bufferedsocket.h"
 
 #include <string>
 #include <utility>
--- a/src/infrastructure/testing/fakelogservice.h
+++ b/src/infrastructure/testing/fakelogservice.h
@@ -31,8 +31,8 @@
 /// service.setDelays(a, b);                       // effect after a, answer after b more
 /// service.freeze(); service.thaw();              // calls wait; appends take effect on thaw()
 /// service.setLagging(true);                      // reads see the log as it is now
-/// service.failReads(InfrastructureError::MalformedAnswer); // next read, for instance cut or doubled
-/// service.shortenPages(3);                       // pages of three records at most
+/// service.failReads(InfrastructureError::MalformedAnswer); // next read, for instance cut or
+/// doubled service.shortenPages(3);                       // pages of three records at most
 /// log.expireUpTo(stream, offset);                // reads before it end as Expired
 /// \endcode
 ///
@@ -55,7 +55,8 @@
         ++m_appends;
         const std::uint64_t id = begin(m_pendingAppends, std::move(callback));
         const FakeLogFault fault = takeFault();
-        later(timeout, [this, id] { finish(m_pendingAppends, id, InfrastructureError::AnswerLost); });
+        later(timeout,
+              [this, id] { finish(m_pendingAppends, id, InfrastructureError::AnswerLost); });
         arrive([this, id, fault, stream, records = std::move(records)] {
             runAppend(id, fault, stream, records);
         });
--- a/src/infrastructure/tests/infrastructureclienttest.cpp
+++ b/src/infrastructure/tests/infrastructureclienttest.cpp
@@ -1,7 +1,7 @@
 #include "framework/asyncerror.h"
 #include "infrastructure/ihostlist.h"
-#include "infrastructure/iweightstore.h"
 #include "infrastructure/infrastructuremodule.h"
+#include "infrastructure/iweightstore.h"
 #include "infrastructure/tests/standinfixture.h"
 #include "infrastructure/types/infrastructureerror.h"
 #include "standins/hostliststandin.h"
@@ -93,7 +93,7 @@
     HostListTest()
         : m_standIn(*m_fixture.m_loop, standins::HostListOptions{}),
           m_hostList(InfrastructureModule::makeHostList(*m_fixture.m_client,
-                                                  m_standIn.listen({"127.0.0.1", 0}).value()))
+                                                        m_standIn.listen({"127.0.0.1", 0}).value()))
     { }
 
     Hosts fetch()
@@ -190,8 +190,8 @@
     WeightStoreTest()
         : m_standIn(*m_fixture.m_loop, standins::WeightOptions{framework::Bytes(1000), 2}),
           m_store(InfrastructureModule::makeWeightStore(*m_fixture.m_client, *m_fixture.m_loop,
-                                                  *m_fixture.m_clock,
-                                                  m_standIn.listen({"127.0.0.1", 0}).value()))
+                                                        *m_fixture.m_clock,
+                                                        m_standIn.listen({"127.0.0.1", 0}).value()))
     { }
 
     std::string fetch(framework::Milliseconds timeout = Timeout)
--- a/src/membership/ibackendserverupdates.h
+++ b/src/membership/ibackendserverupdates.h
@@ -28,8 +28,7 @@
 
     /// All registrations, after changes were missed.
     virtual void retainOnly(const std::set<framework::BackendServerId> &servers,
-                            framework::TimePoint now)
-        = 0;
+                            framework::TimePoint now) = 0;
 
     virtual void setZonesOut(std::set<framework::AvailabilityZoneId> zones) = 0;
 };
--- a/src/orders/internal/leasekeeper.cpp
+++ b/src/orders/internal/leasekeeper.cpp
@@ -3,11 +3,11 @@
 #include "framework/asyncerror.h"
 #include "framework/iclock.h"
 #include "framework/ilogger.h"
-#include "orders/internal/leasejson.h"
-#include "orders/types/leaserecord.h"
 #include "infrastructure/ilogservice.h"
 #include "infrastructure/types/firstkept.h"
 #include "infrastructure/types/infrastructureerror.h"
+#include "orders/internal/leasejson.h"
+#include "orders/types/leaserecord.h"
 
 #include <utility>
 
@@ -22,9 +22,9 @@
 
 } // namespace
 
-LeaseKeeper::LeaseKeeper(infrastructure::StreamName stream, HolderId holder, const OrderPolicy &policy,
-                         infrastructure::ILogService &log, const framework::IClock &clock,
-                         framework::ILogger &logger)
+LeaseKeeper::LeaseKeeper(infrastructure::StreamName stream, HolderId holder,
+                         const OrderPolicy &policy, infrastructure::ILogService &log,
+                         const framework::IClock &clock, framework::ILogger &logger)
     : m_stream(std::move(stream)), m_holder(std::move(holder)), m_policy(policy), m_logService(log),
       m_clock(clock), m_logger(logger), m_others(policy.clockDriftPercent)
 { }
@@ -98,8 +98,8 @@
         guarded<framework::LogOffset>(
             [this, attempt, deadline](framework::Result<framework::LogOffset> result) {
                 if (!result) {
-                    const auto error =
-                        framework::errorOf(std::move(result), infrastructure::InfrastructureError::AnswerLost);
+                    const auto error = framework::errorOf(
+                        std::move(result), infrastructure::InfrastructureError::AnswerLost);
                     if (!infrastructure::mayHaveTakenEffect(error)) {
                         fail(OrderError::LogUnavailable);
                         return;
@@ -142,29 +142,30 @@
 void LeaseKeeper::read(framework::Milliseconds wait,
                        std::function<void(const infrastructure::LogPage &)> then)
 {
-    const auto onPage = [this, wait,
-                         then = std::move(then)](framework::Result<infrastructure::LogPage> result) {
-        std::optional<framework::LogOffset> firstKept;
-        const auto page = framework::leaf::try_handle_all(
-            [&]() -> framework::Result<std::optional<infrastructure::LogPage>> {
-                BOOST_LEAF_AUTO(received, std::move(result));
-                return std::optional(std::move(received));
-            },
-            [&](infrastructure::InfrastructureError /*error*/, const infrastructure::FirstKept &kept) {
-                firstKept = kept.offset;
-                return std::optional<infrastructure::LogPage>();
-            },
-            [] { return std::optional<infrastructure::LogPage>(); });
-        if (page) {
-            apply(*page);
-            then(*page);
-        } else if (firstKept) {
-            restartAtFirstKept(*firstKept);
-            read(wait, then);
-        } else {
-            fail(OrderError::LogUnavailable);
-        }
-    };
+    const auto onPage =
+        [this, wait, then = std::move(then)](framework::Result<infrastructure::LogPage> result) {
+            std::optional<framework::LogOffset> firstKept;
+            const auto page = framework::leaf::try_handle_all(
+                [&]() -> framework::Result<std::optional<infrastructure::LogPage>> {
+                    BOOST_LEAF_AUTO(received, std::move(result));
+                    return std::optional(std::move(received));
+                },
+                [&](infrastructure::InfrastructureError /*error*/,
+                    const infrastructure::FirstKept &kept) {
+                    firstKept = kept.offset;
+                    return std::optional<infrastructure::LogPage>();
+                },
+                [] { return std::optional<infrastructure::LogPage>(); });
+            if (page) {
+                apply(*page);
+                then(*page);
+            } else if (firstKept) {
+                restartAtFirstKept(*firstKept);
+                read(wait, then);
+            } else {
+                fail(OrderError::LogUnavailable);
+            }
+        };
     m_logService.read(m_stream, m_next, PageLimit, wait, wait + m_policy.logTimeout,
                       guarded<infrastructure::LogPage>(onPage));
 }
--- a/src/orders/internal/leasekeeper.h
+++ b/src/orders/internal/leasekeeper.h
@@ -3,13 +3,13 @@
 #include "framework/result.h"
 #include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
+#include "infrastructure/types/streamname.h"
 #include "orders/internal/leaselog.h"
 #include "orders/internal/otherleases.h"
 #include "orders/types/heldlease.h"
 #include "orders/types/holderid.h"
 #include "orders/types/ordererror.h"
 #include "orders/types/orderpolicy.h"
-#include "infrastructure/types/streamname.h"
 
 #include <cstdint>
 #include <functional>
@@ -61,7 +61,8 @@
     void readUntilSeen(std::uint64_t attempt, framework::TimePoint deadline);
     void judge();
 
-    void read(framework::Milliseconds wait, std::function<void(const infrastructure::LogPage &)> then);
+    void read(framework::Milliseconds wait,
+              std::function<void(const infrastructure::LogPage &)> then);
     void restartAtFirstKept(framework::LogOffset first);
     void apply(const infrastructure::LogPage &page);
     void applyRecord(framework::LogOffset offset, const LeaseRecord &record);
--- a/src/orders/internal/orderservice.h
+++ b/src/orders/internal/orderservice.h
@@ -23,8 +23,9 @@
 {
 public:
     OrderService(const framework::HostId &host, HolderId holder, const OrderPolicy &policy,
-                 infrastructure::ILogService &log, IEnginePort &engine, framework::IScheduler &scheduler,
-                 const framework::IClock &clock, framework::ILogger &logger);
+                 infrastructure::ILogService &log, IEnginePort &engine,
+                 framework::IScheduler &scheduler, const framework::IClock &clock,
+                 framework::ILogger &logger);
     ~OrderService() override;
 
     void order(const EngineOrder &order,
--- a/src/orders/ordersmodule.h
+++ b/src/orders/ordersmodule.h
@@ -33,11 +33,10 @@
     /// \param host host of the engine; names the stream `orders.HOST`
     /// \param daemon the daemon that gives the orders
     /// \param random makes the holder differ from earlier starts of the daemon
-    static std::unique_ptr<IOrderService>
-    makeOrderService(const framework::HostId &host, const framework::DaemonId &daemon,
-                     const OrderPolicy &policy, infrastructure::ILogService &log, IEnginePort &engine,
-                     framework::IScheduler &scheduler, const framework::IClock &clock,
-                     framework::IRandom &random, framework::ILogger &logger);
+    static std::unique_ptr<IOrderService> makeOrderService(
+        const framework::HostId &host, const framework::DaemonId &daemon, const OrderPolicy &policy,
+        infrastructure::ILogService &log, IEnginePort &engine, framework::IScheduler &scheduler,
+        const framework::IClock &clock, framework::IRandom &random, framework::ILogger &logger);
 
     /// \param endpoint where the engine answers
     static std::unique_ptr<IEnginePort> makeEnginePort(http::IHttpClient &client,
--- a/src/orders/tests/orderspathtest.cpp
+++ b/src/orders/tests/orderspathtest.cpp
@@ -7,13 +7,13 @@
 #include "framework/testing/nulllogger.h"
 #include "http/httpmodule.h"
 #include "http/ihttpclient.h"
+#include "infrastructure/ilogservice.h"
+#include "infrastructure/infrastructuremodule.h"
 #include "orders/iengineport.h"
 #include "orders/iorderservice.h"
 #include "orders/ordersmodule.h"
 #include "orders/types/ordererror.h"
 #include "orders/types/orderpolicy.h"
-#include "infrastructure/ilogservice.h"
-#include "infrastructure/infrastructuremodule.h"
 #include "standins/logstandin.h"
 #include "standins/modelenginestandin.h"
 
@@ -59,8 +59,9 @@
     std::unique_ptr<http::IHttpClient> m_client = http::HttpModule::makeClient(*m_loop);
     standins::LogStandIn m_logStandIn{*m_loop, standins::LogOptions{}};
     standins::ModelEngineStandIn m_engine{*m_loop, standins::EngineOptions{}};
-    std::unique_ptr<infrastructure::ILogService> m_log = infrastructure::InfrastructureModule::makeLogService(
-        *m_client, m_logStandIn.listen({"127.0.0.1", 0}).value());
+    std::unique_ptr<infrastructure::ILogService> m_log =
+        infrastructure::InfrastructureModule::makeLogService(
+            *m_client, m_logStandIn.listen({"127.0.0.1", 0}).value());
     std::unique_ptr<IEnginePort> m_port =
         OrdersModule::makeEnginePort(*m_client, m_engine.listen({"127.0.0.1", 0}).value());
 };
--- a/src/orders/tests/process.h
+++ b/src/orders/tests/process.h
@@ -6,10 +6,10 @@
 #include "framework/testing/fakeclock.h"
 #include "framework/testing/fakescheduler.h"
 #include "framework/testing/nulllogger.h"
+#include "infrastructure/testing/fakelogservice.h"
 #include "orders/iengineport.h"
 #include "orders/internal/orderservice.h"
 #include "orders/tests/fakeengine.h"
-#include "infrastructure/testing/fakelogservice.h"
 
 #include <cstdint>
 #include <functional>
@@ -71,8 +71,8 @@
     {
         m_log.append(stream, std::move(records), timeout, heldResult(std::move(callback)));
     }
-    void read(const infrastructure::StreamName &stream, framework::LogOffset from, std::uint32_t limit,
-              framework::Milliseconds wait, framework::Milliseconds timeout,
+    void read(const infrastructure::StreamName &stream, framework::LogOffset from,
+              std::uint32_t limit, framework::Milliseconds wait, framework::Milliseconds timeout,
               std::function<void(framework::Result<infrastructure::LogPage>)> callback) override
     {
         m_log.read(stream, from, limit, wait, timeout, heldResult(std::move(callback)));
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -54,10 +54,9 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(endpoint.port);
     if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) == 1) {
-        m_listener = evconnlistener_new_bind(m_loop.base(), &PeerNetwork::accepted, this,
-                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, Backlog,
-                                             reinterpret_cast<sockaddr *>(&address),
-                                             sizeof address);
+        m_listener = evconnlistener_new_bind(
+            m_loop.base(), &PeerNetwork::accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+            Backlog, reinterpret_cast<sockaddr *>(&address), sizeof address);
     }
     if (m_listener == nullptr) {
         return framework::leaf::new_error(
@@ -75,8 +74,7 @@
                            int /*length*/, void *self)
 {
     auto *network = static_cast<PeerNetwork *>(self);
-    auto link =
-        std::make_unique<PeerLink>(network->m_loop.base(), fd, *network->m_codec, *network);
+    auto link = std::make_unique<PeerLink>(network->m_loop.base(), fd, *network->m_codec, *network);
     link->setLastHeard(network->m_clock.now());
     network->m_inbound.push_back(std::move(link));
 }
--- a/src/peers/ipeerobserver.h
+++ b/src/peers/ipeerobserver.h
@@ -11,8 +11,8 @@
 public:
     virtual ~IPeerObserver() = default;
 
-    virtual void onMessage(const framework::DaemonId &peer, const protocol::PeerMessage &message)
-        = 0;
+    virtual void onMessage(const framework::DaemonId &peer,
+                           const protocol::PeerMessage &message) = 0;
 
     /// A link that this daemon keeps to \p peer is lost; what was sent on it may be lost too.
     virtual void onLinkLost(const framework::DaemonId &peer) = 0;
--- a/src/peers/peersmodule.h
+++ b/src/peers/peersmodule.h
@@ -19,10 +19,11 @@
 class PeersModule
 {
 public:
-    static std::unique_ptr<IPeerNetwork>
-    makeNetwork(framework::IEventLoop &loop, const framework::IClock &clock,
-                framework::ILogger &logger, const framework::DaemonId &self,
-                const PeerLimits &limits = {});
+    static std::unique_ptr<IPeerNetwork> makeNetwork(framework::IEventLoop &loop,
+                                                     const framework::IClock &clock,
+                                                     framework::ILogger &logger,
+                                                     const framework::DaemonId &self,
+                                                     const PeerLimits &limits = {});
 };
 
 } // namespace lavendertally::peers
--- a/src/platform/internal/backendservercodec.cpp
+++ b/src/platform/internal/backendservercodec.cpp
@@ -48,8 +48,8 @@
                                           framework::ErrorContext{fields.problem()});
     }
     if (!endpoint || (state != "ready" && state != "draining")) {
-        return framework::leaf::new_error(
-            DecodeError::Malformed, framework::ErrorContext{"address or state is not known"});
+        return framework::leaf::new_error(DecodeError::Malformed,
+                                          framework::ErrorContext{"address or state is not known"});
     }
     entry.endpoint = *endpoint;
     entry.state = state == "ready" ? membership::BackendServerState::Ready
--- a/src/platform/internal/clientrequestcodec.cpp
+++ b/src/platform/internal/clientrequestcodec.cpp
@@ -20,11 +20,10 @@
 
 /// Fields that this system sets for backend servers; whatever a client sends under these names must
 /// not reach them.
-constexpr std::array OwnFields = {wire::DeadlineMs, wire::ExpectInstance, wire::ExpectVersion,
-                                  wire::Tenant,     wire::ApiKey,         wire::Inputs,
-                                  wire::Urgency,    wire::PinMs,          wire::KvHold,
-                                  wire::KvBackup,   wire::KvFrom,         wire::KvFetch,
-                                  wire::LastEventId};
+constexpr std::array OwnFields = {
+    wire::DeadlineMs, wire::ExpectInstance, wire::ExpectVersion, wire::Tenant, wire::ApiKey,
+    wire::Inputs,     wire::Urgency,        wire::PinMs,         wire::KvHold, wire::KvBackup,
+    wire::KvFrom,     wire::KvFetch,        wire::LastEventId};
 
 std::optional<std::int64_t> parseNumber(std::string_view text)
 {
@@ -67,8 +66,7 @@
     return framework::stableHash(shared.substr(0, shared.find(':')));
 }
 
-framework::Result<void> readNumbers(const http::HttpHeaders &headers,
-                                    proxy::ClientRequest &request)
+framework::Result<void> readNumbers(const http::HttpHeaders &headers, proxy::ClientRequest &request)
 {
     if (const auto text = http::findHeader(headers, wire::DeadlineMs)) {
         const auto number = parseNumber(*text);
--- a/src/platform/internal/configurationcodec.cpp
+++ b/src/platform/internal/configurationcodec.cpp
@@ -120,7 +120,8 @@
     route.latencyObjective = milliseconds(
         fields.numberOr("targetLatencyMs", static_cast<double>(route.timeout.value())));
     route.maxEventGap = milliseconds(fields.numberOr("targetGapMs", 0.0));
-    route.priority = framework::PriorityRank(static_cast<std::uint64_t>(fields.integerOr("priority", 0)));
+    route.priority =
+        framework::PriorityRank(static_cast<std::uint64_t>(fields.integerOr("priority", 0)));
     route.split = readSplit(fields, problems);
     route.maxAttempts = static_cast<std::uint32_t>(fields.integerOr("maxAttempts", 1));
     route.stages = readStages(fields, problems);
@@ -140,8 +141,8 @@
     pool.queueLimit = static_cast<std::uint32_t>(fields.integerOr("queueLimit", 0));
     pool.batchSize = static_cast<std::uint32_t>(fields.integer("batchSize"));
     pool.callTime = milliseconds(fields.number("callMs"));
-    pool.pieceTime = framework::Microseconds(
-        std::llround(fields.number("itemMs") * MicrosecondsPerMillisecond));
+    pool.pieceTime =
+        framework::Microseconds(std::llround(fields.number("itemMs") * MicrosecondsPerMillisecond));
     // Room for results, not memory left over.
     pool.resultRoom =
         framework::Bytes(std::llround(fields.number("headroomMb") * BytesPerMegabyte));
@@ -179,8 +180,8 @@
     limits.maxHeaders =
         framework::Bytes(fields.integerOr("maxHeaderBytes", limits.maxHeaders.value()));
     limits.maxBody = framework::Bytes(fields.integerOr("maxBodyBytes", limits.maxBody.value()));
-    limits.headerTimeout = framework::Milliseconds(
-        fields.integerOr("headerTimeoutMs", limits.headerTimeout.value()));
+    limits.headerTimeout =
+        framework::Milliseconds(fields.integerOr("headerTimeoutMs", limits.headerTimeout.value()));
     limits.idleTimeout =
         framework::Milliseconds(fields.integerOr("idleTimeoutMs", limits.idleTimeout.value()));
     problems.note(fields);
@@ -193,7 +194,8 @@
     serving::TeamEntry team;
     team.id = framework::TeamId(fields.text("name"));
     if (fields.find("priority") != nullptr) {
-        team.priority = framework::PriorityRank(static_cast<std::uint64_t>(fields.integer("priority")));
+        team.priority =
+            framework::PriorityRank(static_cast<std::uint64_t>(fields.integer("priority")));
     }
     for (const auto &key : fields.array("apiKeys")) {
         if (key.is_string()) {
@@ -235,9 +237,8 @@
                                           framework::ErrorContext{problems.first()});
     }
     return std::shared_ptr<const serving::ServingConfiguration>(
-        std::make_shared<serving::ServingConfiguration>(version, std::move(routes),
-                                                        std::move(services), limits,
-                                                        std::move(teams)));
+        std::make_shared<serving::ServingConfiguration>(
+            version, std::move(routes), std::move(services), limits, std::move(teams)));
 }
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -70,12 +70,13 @@
     if (m_leaving) {
         return;
     }
-    m_append = m_store.append(
-        wire::DaemonsTopic, {m_self.value(), encodeEndpoint(m_endpoint)},
-        [this](const framework::Result<void> &result) {
-            const framework::Milliseconds delay = result ? RegisterInterval : RegisterRetry;
-            m_registerTimer = m_scheduler.callAfter(delay, [this] { registerSelf(); });
-        });
+    m_append = m_store.append(wire::DaemonsTopic, {m_self.value(), encodeEndpoint(m_endpoint)},
+                              [this](const framework::Result<void> &result) {
+                                  const framework::Milliseconds delay =
+                                      result ? RegisterInterval : RegisterRetry;
+                                  m_registerTimer =
+                                      m_scheduler.callAfter(delay, [this] { registerSelf(); });
+                              });
 }
 
 void DaemonFeed::leave()
@@ -137,9 +138,8 @@
 void DaemonFeed::expireSilent()
 {
     const framework::TimePoint now = m_clock.now();
-    std::erase_if(m_known, [now](const auto &entry) {
-        return now - entry.second.heard > DaemonLifetime;
-    });
+    std::erase_if(m_known,
+                  [now](const auto &entry) { return now - entry.second.heard > DaemonLifetime; });
 }
 
 void DaemonFeed::update()
--- a/src/platform/internal/headerrules.cpp
+++ b/src/platform/internal/headerrules.cpp
@@ -11,10 +11,17 @@
 namespace {
 
 /// Fields that concern one connection or the framing of a body (RFC 9110, section 7.6.1).
-constexpr std::array<std::string_view, 11> ConnectionFields = {
-    "Connection",       "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-    "Proxy-Authorization", "TE",      "Trailer",          "Transfer-Encoding",
-    "Upgrade",          "Content-Length", "Expect"};
+constexpr std::array<std::string_view, 11> ConnectionFields = {"Connection",
+                                                               "Keep-Alive",
+                                                               "Proxy-Connection",
+                                                               "Proxy-Authenticate",
+                                                               "Proxy-Authorization",
+                                                               "TE",
+                                                               "Trailer",
+                                                               "Transfer-Encoding",
+                                                               "Upgrade",
+                                                               "Content-Length",
+                                                               "Expect"};
 
 std::string_view trimmed(std::string_view text)
 {
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -68,8 +68,7 @@
         }
     }
     for (const auto &[endpoint, own] : byServer) {
-        http::HttpRequest request =
-            jsonRequest(endpoint, wire::StageFree, encodeResultIds(own));
+        http::HttpRequest request = jsonRequest(endpoint, wire::StageFree, encodeResultIds(own));
         request.timeout = FreeTimeout;
         const std::uint64_t number = m_next++;
         m_calls[number] = m_client.fetch(
--- a/src/platform/internal/httpstagecallport.h
+++ b/src/platform/internal/httpstagecallport.h
@@ -26,9 +26,9 @@
 
     void startCall(const stages::StartStageCall &call,
                    std::function<void(stages::StageCallOutcome)> done) override;
-    void freeResults(
-        const std::vector<framework::StageResultId> &results,
-        std::function<void(const std::vector<framework::StageResultId> &)> done) override;
+    void
+    freeResults(const std::vector<framework::StageResultId> &results,
+                std::function<void(const std::vector<framework::StageResultId> &)> done) override;
 
 private:
     http::IHttpClient &m_client;
--- a/src/platform/internal/itopicobserver.h
+++ b/src/platform/internal/itopicobserver.h
@@ -15,8 +15,8 @@
 
     /// All newest records of the topic.
     /// \param asked when the first call was sent: nothing written before was missed
-    virtual void onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked)
-        = 0;
+    virtual void onSnapshot(const std::vector<StoreRecord> &records,
+                            framework::TimePoint asked) = 0;
 
     /// Changes since the last call.
     virtual void onChanges(const std::vector<StoreRecord> &records, framework::TimePoint asked) = 0;
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -79,12 +79,12 @@
         request.target += "&after=" + escapeQuery(after);
     }
     request.timeout = AnswerTimeout;
-    return m_client.fetch(request, [this, callback = std::move(callback)](
-                                       const http::HttpResponse &response) {
-        count("newest", response);
-        callback(isSuccess(response) ? decodePage(response.body)
-                                     : framework::asyncError<StorePage>(errorIn(response)));
-    });
+    return m_client.fetch(
+        request, [this, callback = std::move(callback)](const http::HttpResponse &response) {
+            count("newest", response);
+            callback(isSuccess(response) ? decodePage(response.body)
+                                         : framework::asyncError<StorePage>(errorIn(response)));
+        });
 }
 
 StoreClient::Call
@@ -94,18 +94,17 @@
 {
     http::HttpRequest request;
     request.endpoint = m_store;
-    request.target =
-        topicTarget(wire::LogRead, topic) + "&from=" + std::to_string(from.value());
+    request.target = topicTarget(wire::LogRead, topic) + "&from=" + std::to_string(from.value());
     if (wait.value() > 0) {
         request.target += "&waitMs=" + std::to_string(wait.value());
     }
     request.timeout = wait + AnswerTimeout;
-    return m_client.fetch(request, [this, from, callback = std::move(callback)](
-                                       const http::HttpResponse &response) {
-        count("read", response);
-        callback(isSuccess(response) ? decodeChanges(response.body, from)
-                                     : framework::asyncError<StoreChanges>(errorIn(response)));
-    });
+    return m_client.fetch(
+        request, [this, from, callback = std::move(callback)](const http::HttpResponse &response) {
+            count("read", response);
+            callback(isSuccess(response) ? decodeChanges(response.body, from)
+                                         : framework::asyncError<StoreChanges>(errorIn(response)));
+        });
 }
 
 StoreClient::Call StoreClient::append(std::string_view topic, const StoreRecord &record,
@@ -117,12 +116,12 @@
     request.target = topicTarget(wire::LogAppend, topic);
     request.body = encodeRecord(record);
     request.timeout = AnswerTimeout;
-    return m_client.fetch(request, [this, callback = std::move(callback)](
-                                       const http::HttpResponse &response) {
-        count("append", response);
-        callback(isSuccess(response) ? framework::Result<void>()
-                                     : framework::asyncError<void>(errorIn(response)));
-    });
+    return m_client.fetch(
+        request, [this, callback = std::move(callback)](const http::HttpResponse &response) {
+            count("append", response);
+            callback(isSuccess(response) ? framework::Result<void>()
+                                         : framework::asyncError<void>(errorIn(response)));
+        });
 }
 
 void StoreClient::count(const char *call, const http::HttpResponse &response)
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -58,9 +58,8 @@
         m_snapshot.clear();
         m_snapshotAsked = m_asked;
     }
-    m_call = m_store.readNewest(m_topic, after, [this](framework::Result<StorePage> page) {
-        onPage(std::move(page));
-    });
+    m_call = m_store.readNewest(
+        m_topic, after, [this](framework::Result<StorePage> page) { onPage(std::move(page)); });
 }
 
 void TopicReader::onPage(framework::Result<StorePage> page)
@@ -87,10 +86,9 @@
 void TopicReader::readChanges()
 {
     m_asked = m_clock.now();
-    m_call = m_store.readChanges(m_topic, m_next, m_pace.wait,
-                                 [this](framework::Result<StoreChanges> changes) {
-                                     onChanges(std::move(changes));
-                                 });
+    m_call = m_store.readChanges(
+        m_topic, m_next, m_pace.wait,
+        [this](framework::Result<StoreChanges> changes) { onChanges(std::move(changes)); });
 }
 
 void TopicReader::onChanges(framework::Result<StoreChanges> changes)
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -110,8 +110,8 @@
     }
     outcome.status = static_cast<StageJobStatus>(in.status());
     for (const peerwire::StageResultPlace &place : in.results()) {
-        outcome.results.push_back({framework::StageResultId(place.id()),
-                                   framework::AvailabilityZoneId(place.zone())});
+        outcome.results.push_back(
+            {framework::StageResultId(place.id()), framework::AvailabilityZoneId(place.zone())});
     }
     outcome.retryAfter = framework::Milliseconds(in.retry_after_ms());
     return PeerMessage(std::move(outcome));
--- a/src/proxy/ibackendport.h
+++ b/src/proxy/ibackendport.h
@@ -16,8 +16,7 @@
 
     /// \param observer outlives the returned handle; never called from within this function
     virtual std::unique_ptr<IBackendCall> send(const BackendRequest &request,
-                                               IBackendAnswerObserver &observer)
-        = 0;
+                                               IBackendAnswerObserver &observer) = 0;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/irequestrunowner.h
+++ b/src/proxy/internal/irequestrunowner.h
@@ -27,8 +27,8 @@
 
     /// \return usual time from an attempt to the first event of its stream
     virtual framework::Milliseconds firstEventTime(const framework::RouteId &route) const = 0;
-    virtual void observeFirstEvent(const framework::RouteId &route, framework::Milliseconds taken)
-        = 0;
+    virtual void observeFirstEvent(const framework::RouteId &route,
+                                   framework::Milliseconds taken) = 0;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/proxyservice.cpp
+++ b/src/proxy/internal/proxyservice.cpp
@@ -70,8 +70,8 @@
         return;
     }
     m_ended.push_back(std::move(node.mapped()));
-    m_endedTimer = m_context.scheduler.callAfter(framework::Milliseconds(0),
-                                                 [this] { m_ended.clear(); });
+    m_endedTimer =
+        m_context.scheduler.callAfter(framework::Milliseconds(0), [this] { m_ended.clear(); });
 }
 
 std::uint32_t ProxyService::worthOf(const framework::RouteId &route, framework::TokenCount size)
@@ -92,8 +92,7 @@
     return framework::Milliseconds(std::llround(found->second));
 }
 
-void ProxyService::observeFirstEvent(const framework::RouteId &route,
-                                     framework::Milliseconds taken)
+void ProxyService::observeFirstEvent(const framework::RouteId &route, framework::Milliseconds taken)
 {
     const auto value = static_cast<double>(taken.value());
     double &usual = m_firstEventTimes.try_emplace(route, value).first->second;
--- a/src/proxy/internal/proxyservice.h
+++ b/src/proxy/internal/proxyservice.h
@@ -30,8 +30,7 @@
     void onRunEnded(RequestRun &run) override;
     std::uint32_t worthOf(const framework::RouteId &route, framework::TokenCount size) override;
     framework::Milliseconds firstEventTime(const framework::RouteId &route) const override;
-    void observeFirstEvent(const framework::RouteId &route,
-                           framework::Milliseconds taken) override;
+    void observeFirstEvent(const framework::RouteId &route, framework::Milliseconds taken) override;
 
 private:
     ProxyContext m_context;
--- a/src/proxy/internal/requestrun.cpp
+++ b/src/proxy/internal/requestrun.cpp
@@ -62,8 +62,8 @@
         refuse(*refusal);
         return;
     }
-    m_expires = m_started + std::min(m_request.timeLeft.value_or(m_route->timeout),
-                                     m_route->timeout);
+    m_expires =
+        m_started + std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout);
     m_expiry = m_context.scheduler.callAfter(timeLeft(), [this] { end("time is up"); });
     chooseService();
     m_context.retries.recordFreshCall(m_service, m_started);
@@ -145,28 +145,28 @@
     job.route = m_route->id;
     for (std::size_t index = 0; index < m_route->stages.size(); ++index) {
         const serving::StagePlan &plan = m_route->stages[index];
-        const std::uint32_t pieces =
-            index < m_request.pieces.size() ? m_request.pieces[index] : 0;
+        const std::uint32_t pieces = index < m_request.pieces.size() ? m_request.pieces[index] : 0;
         if (pieces == 0) {
             continue;
         }
-        job.stages.push_back({static_cast<std::uint32_t>(index), plan.service,
-                              {plan.after.begin(), plan.after.end()}, pieces, plan.resultSize});
+        job.stages.push_back({static_cast<std::uint32_t>(index),
+                              plan.service,
+                              {plan.after.begin(), plan.after.end()},
+                              pieces,
+                              plan.resultSize});
     }
     job.input = m_request.stageInput;
-    job.objectiveLeft =
-        m_route->latencyObjective - elapsed() - m_owner.firstEventTime(m_route->id);
+    job.objectiveLeft = m_route->latencyObjective - elapsed() - m_owner.firstEventTime(m_route->id);
     job.timeLeft = timeLeft();
-    job.priority = m_team != nullptr ? m_team->priority.value_or(m_route->priority)
-                                     : m_route->priority;
+    job.priority =
+        m_team != nullptr ? m_team->priority.value_or(m_route->priority) : m_route->priority;
     const framework::TokenCount size =
         m_request.promptTokens + m_request.maxOutputTokens * OutputTokenWeight;
     job.worth = m_owner.worthOf(m_route->id, size);
     job.zone = wantedZone();
     m_stagesRunning = true;
-    m_context.stages.start(job, [this](const protocol::StageJobOutcome &outcome) {
-        stagesEnded(outcome);
-    });
+    m_context.stages.start(
+        job, [this](const protocol::StageJobOutcome &outcome) { stagesEnded(outcome); });
 }
 
 /// Zone of the backend server that would run the request now.
@@ -298,8 +298,8 @@
     }
     if (!m_streaming) {
         m_streaming = true;
-        m_context.metrics.observe("lavendertally_first_event_ms",
-                                  {{"route", m_route->id.value()}}, elapsed());
+        m_context.metrics.observe("lavendertally_first_event_ms", {{"route", m_route->id.value()}},
+                                  elapsed());
         m_owner.observeFirstEvent(m_route->id, m_context.clock.now() - m_attemptStarted);
         m_reply->startStream(*m_head);
         releaseInputs();
--- a/src/routing/ibackendserverselector.h
+++ b/src/routing/ibackendserverselector.h
@@ -19,25 +19,21 @@
 
     /// \return the backend server to call, or RoutingError
     virtual framework::Result<membership::BackendServerEntry> select(const ServerQuery &query,
-                                                                     framework::TimePoint now)
-        = 0;
+                                                                     framework::TimePoint now) = 0;
 
     /// A call was sent.
-    virtual void callStarted(const framework::BackendServerId &server, framework::TimePoint now)
-        = 0;
+    virtual void callStarted(const framework::BackendServerId &server,
+                             framework::TimePoint now) = 0;
 
     /// The first part of an answer came.
-    virtual void callAnswered(const framework::BackendServerId &server, framework::TimePoint started,
-                              framework::TimePoint now)
-        = 0;
+    virtual void callAnswered(const framework::BackendServerId &server,
+                              framework::TimePoint started, framework::TimePoint now) = 0;
 
     virtual void callEnded(const framework::BackendServerId &server, CallOutcome outcome,
-                           framework::TimePoint now)
-        = 0;
+                           framework::TimePoint now) = 0;
 
     virtual void observeLoad(const framework::BackendServerId &server, const ServerLoad &load,
-                             framework::TimePoint now)
-        = 0;
+                             framework::TimePoint now) = 0;
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/internal/backendserverselector.cpp
+++ b/src/routing/internal/backendserverselector.cpp
@@ -89,11 +89,11 @@
     const Candidate *best = nullptr;
     double bestCost = 0.0;
     for (const Candidate &candidate : candidates) {
-        const double tie =
-            TieSpread * static_cast<double>(m_random.below(TieSteps)) / static_cast<double>(TieSteps);
+        const double tie = TieSpread * static_cast<double>(m_random.below(TieSteps))
+            / static_cast<double>(TieSteps);
         const double zone = candidate.entry->zone == query.zone ? 0.0 : ZonePenalty;
-        const double cost = candidate.utilisation + zone
-            + FailurePenalty * candidate.state->failureRate() + tie;
+        const double cost =
+            candidate.utilisation + zone + FailurePenalty * candidate.state->failureRate() + tie;
         if (best == nullptr || cost < bestCost) {
             best = &candidate;
             bestCost = cost;
--- a/src/routing/internal/serverstate.cpp
+++ b/src/routing/internal/serverstate.cpp
@@ -39,9 +39,8 @@
     }
     m_lastAnswer = now;
     const auto taken = static_cast<double>((now - started).value());
-    m_answerTime = m_answerTime == 0.0
-        ? taken
-        : (1.0 - NewestWeight) * m_answerTime + NewestWeight * taken;
+    m_answerTime =
+        m_answerTime == 0.0 ? taken : (1.0 - NewestWeight) * m_answerTime + NewestWeight * taken;
 }
 
 void ServerState::callEnded(CallOutcome outcome, framework::TimePoint now)
@@ -92,8 +91,8 @@
     if (m_unanswered.empty()) {
         return false;
     }
-    const framework::Milliseconds limit = std::max(
-        MinOverdue, framework::Milliseconds(std::llround(m_answerTime * OverdueFactor)));
+    const framework::Milliseconds limit =
+        std::max(MinOverdue, framework::Milliseconds(std::llround(m_answerTime * OverdueFactor)));
     const framework::TimePoint oldest = *m_unanswered.begin();
     return now - oldest > limit && now - m_lastAnswer > limit;
 }
--- a/src/routing/routingmodule.h
+++ b/src/routing/routingmodule.h
@@ -12,7 +12,7 @@
 namespace lavendertally::membership {
 class IBackendServers;
 class IMembership;
-}
+} // namespace lavendertally::membership
 
 namespace lavendertally::routing {
 
--- a/src/stages/internal/resultledger.cpp
+++ b/src/stages/internal/resultledger.cpp
@@ -47,8 +47,7 @@
         m_servers[held.server].removeHeld(held.size);
         return true;
     };
-    std::erase_if(m_results,
-                  [&hasExpired](const auto &entry) { return hasExpired(entry.second); });
+    std::erase_if(m_results, [&hasExpired](const auto &entry) { return hasExpired(entry.second); });
     std::erase_if(m_unknown, hasExpired);
 }
 
--- a/src/stages/internal/routeshares.h
+++ b/src/stages/internal/routeshares.h
@@ -29,16 +29,11 @@
     void recordDone(const framework::RouteId &route, bool inTime)
     {
         record(route, inTime);
-        framework::Milliseconds &margin = m_margins[route];
-        margin += inTime ? framework::Milliseconds(0) - MarginDecrease : MarginIncrease;
-        margin = std::clamp(margin, framework::Milliseconds(0), MaxMargin);
+        m_margin += inTime ? framework::Milliseconds(0) - MarginDecrease : MarginIncrease;
+        m_margin = std::clamp(m_margin, framework::Milliseconds(0), MaxMargin);
     }
 
-    framework::Milliseconds margin(const framework::RouteId &route) const
-    {
-        const auto found = m_margins.find(route);
-        return found == m_margins.end() ? framework::Milliseconds(0) : found->second;
-    }
+    framework::Milliseconds margin() const { return m_margin; }
 
 private:
     /// In balance, one job in ten is late.
@@ -51,7 +46,7 @@
     static constexpr double NewestWeight = 0.03;
 
     std::unordered_map<framework::RouteId, double> m_shares;
-    std::unordered_map<framework::RouteId, framework::Milliseconds> m_margins;
+    framework::Milliseconds m_margin;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -49,8 +49,8 @@
 {
     while (true) {
         estimateAhead(job, now);
-        const framework::Milliseconds lateness = m_estimator.finish(job, now)
-            + m_shares.margin(job.job().route) - job.objective();
+        const framework::Milliseconds lateness =
+            m_estimator.finish(job, now) + m_shares.margin() - job.objective();
         StageJobState *victim = lateness.value() > 0 ? findVictim(job, now) : nullptr;
         if (victim == nullptr) {
             return lateness;
@@ -232,8 +232,9 @@
         }
     }
     for (StageJobState *job : late) {
-        fail(*job, job->hasStarted() ? protocol::StageJobStatus::Failed
-                                     : protocol::StageJobStatus::Overloaded,
+        fail(*job,
+             job->hasStarted() ? protocol::StageJobStatus::Failed
+                               : protocol::StageJobStatus::Overloaded,
              m_limits.minRetryAfter);
     }
 }
@@ -469,9 +470,10 @@
         const auto dependents = job.dependents(before);
         const bool isInput =
             std::find(dependents.begin(), dependents.end(), stage) != dependents.end();
-        const bool needed = std::any_of(dependents.begin(), dependents.end(), [&](std::size_t each) {
-            return job.waitingPieces(each) > 0 || (each != stage && !job.isStageDone(each));
-        });
+        const bool needed =
+            std::any_of(dependents.begin(), dependents.end(), [&](std::size_t each) {
+                return job.waitingPieces(each) > 0 || (each != stage && !job.isStageDone(each));
+            });
         if (isInput && !needed) {
             freeResults(job.takeResults(before));
         }
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -65,8 +65,8 @@
         framework::Milliseconds expected;
         framework::Milliseconds resultLifetime;
         framework::Bytes reserved;
-        /// Whether its inputs have been fetched once StageLimits::fetchTime has passed, and this has
-        /// not been made use of.
+        /// Whether its inputs have been fetched once StageLimits::fetchTime has passed, and this
+        /// has not been made use of.
         bool fetchesAtOnce = false;
     };
 
--- a/src/stages/internal/stageestimator.cpp
+++ b/src/stages/internal/stageestimator.cpp
@@ -26,7 +26,8 @@
 const serving::StagePool *StageEstimator::findPool(const framework::ServiceId &service) const
 {
     const auto configuration = m_serving.configuration();
-    const serving::ServiceSpec *spec = configuration ? configuration->findService(service) : nullptr;
+    const serving::ServiceSpec *spec =
+        configuration ? configuration->findService(service) : nullptr;
     return spec != nullptr && spec->stagePool ? &*spec->stagePool : nullptr;
 }
 
--- a/src/stages/internal/stagegateway.cpp
+++ b/src/stages/internal/stagegateway.cpp
@@ -118,8 +118,8 @@
         return;
     }
     const framework::DaemonId coordinator = chooseCoordinator();
-    const bool sent = coordinator != m_self
-        && m_network.send(coordinator, protocol::StageResultRelease{results});
+    const bool sent =
+        coordinator != m_self && m_network.send(coordinator, protocol::StageResultRelease{results});
     if (!sent) {
         m_runner.release(results);
     }
--- a/src/stages/internal/stagejobstate.cpp
+++ b/src/stages/internal/stagejobstate.cpp
@@ -148,9 +148,9 @@
         const protocol::JobStage &stage = m_job.stages[position];
         bytes[m_job.zone] += stage.resultSize.value() * stage.pieces;
     }
-    const auto most = std::max_element(bytes.begin(), bytes.end(), [](const auto &a, const auto &b) {
-        return a.second < b.second;
-    });
+    const auto most =
+        std::max_element(bytes.begin(), bytes.end(),
+                         [](const auto &a, const auto &b) { return a.second < b.second; });
     const bool large = most != bytes.end() && most->second >= least.value();
     return large ? most->first : framework::AvailabilityZoneId();
 }
--- a/src/stages/internal/stagerunner.cpp
+++ b/src/stages/internal/stagerunner.cpp
@@ -81,16 +81,15 @@
     m_metrics.observe("lavendertally_stage_batch_pieces",
                       {{"service", command.server.service.value()}},
                       framework::Milliseconds(static_cast<std::int64_t>(command.pieces.size())));
-    m_calls.startCall(command, [this, command](const StageCallOutcome &outcome) {
-        callEnded(command, outcome);
-    });
+    m_calls.startCall(
+        command, [this, command](const StageCallOutcome &outcome) { callEnded(command, outcome); });
 }
 
 void StageRunner::callEnded(const StartStageCall &call, const StageCallOutcome &outcome)
 {
-    const auto failed = std::count_if(
-        outcome.pieces.begin(), outcome.pieces.end(),
-        [](const PieceOutcome &piece) { return piece.status != PieceStatus::Done; });
+    const auto failed =
+        std::count_if(outcome.pieces.begin(), outcome.pieces.end(),
+                      [](const PieceOutcome &piece) { return piece.status != PieceStatus::Done; });
     if (outcome.status != StageCallStatus::Answered || failed > 0) {
         m_logger.warning("stage call failed; its pieces are sent again",
                          {{"backend_server", call.server.id.value()},
@@ -99,9 +98,9 @@
                           {"pieces", std::to_string(call.pieces.size())},
                           {"failed", std::to_string(failed)},
                           {"request", call.pieces.front().request.value()}});
-        m_metrics.increment("lavendertally_stage_call_failures_total",
-                            {{"service", call.server.service.value()},
-                             {"status", statusName(outcome.status)}});
+        m_metrics.increment(
+            "lavendertally_stage_call_failures_total",
+            {{"service", call.server.service.value()}, {"status", statusName(outcome.status)}});
     }
     m_coordinator.callEnded(call.call, outcome, m_clock.now());
     pump();
--- a/src/stages/istagecoordinator.h
+++ b/src/stages/istagecoordinator.h
@@ -20,8 +20,7 @@
 
     /// Takes a job on. Its end is told by EndStageJob.
     virtual void submit(const framework::DaemonId &owner, const protocol::StageJob &job,
-                        framework::TimePoint now)
-        = 0;
+                        framework::TimePoint now) = 0;
 
     /// A job is not wanted any more; its end is not told.
     virtual void cancel(const JobKey &job, framework::TimePoint now) = 0;
@@ -31,17 +30,14 @@
 
     /// Results handed out by EndStageJob are not needed any more.
     virtual void release(const std::vector<framework::StageResultId> &results,
-                         framework::TimePoint now)
-        = 0;
+                         framework::TimePoint now) = 0;
 
     /// Backend servers have dropped these results, so there is room again.
     virtual void resultsFreed(const std::vector<framework::StageResultId> &results,
-                              framework::TimePoint now)
-        = 0;
+                              framework::TimePoint now) = 0;
 
     virtual void callEnded(StageCallId call, const StageCallOutcome &outcome,
-                           framework::TimePoint now)
-        = 0;
+                           framework::TimePoint now) = 0;
 
     /// Lets time pass; call it at nextWake() and when backend servers come or go.
     virtual void wake(framework::TimePoint now) = 0;
--- a/src/stages/istageservice.h
+++ b/src/stages/istageservice.h
@@ -17,8 +17,7 @@
 
     /// \param done called once, later, unless the job is cancelled
     virtual void start(const protocol::StageJob &job,
-                       std::function<void(protocol::StageJobOutcome)> done)
-        = 0;
+                       std::function<void(protocol::StageJobOutcome)> done) = 0;
 
     virtual void cancel(const framework::RequestId &request) = 0;
 
--- a/src/stages/types/pieceoutcome.h
+++ b/src/stages/types/pieceoutcome.h
@@ -5,7 +5,6 @@
 
 namespace lavendertally::stages {
 
-
 /// What became of one piece of a call.
 struct PieceOutcome
 {
--- a/src/stages/types/stagecalloutcome.h
+++ b/src/stages/types/stagecalloutcome.h
@@ -7,7 +7,6 @@
 
 namespace lavendertally::stages {
 
-
 /// How a call to a backend server ended.
 struct StageCallOutcome
 {
