--- /dev/null
+++ b/src/http/tests/clientfaulttest.cpp
@@ -0,0 +1,235 @@
+#include "framework/frameworkmodule.h"
+#include "framework/ieventloop.h"
+#include "framework/itimer.h"
+#include "http/headerlookup.h"
+#include "http/httpmodule.h"
+#include "http/ihttpcall.h"
+#include "http/ihttpclient.h"
+#include "http/ihttpresponseobserver.h"
+#include "http/tests/scriptedserver.h"
+#include "http/types/httprequest.h"
+
+#include <gtest/gtest.h>
+
+using namespace lavendertally;
+using namespace lavendertally::http;
+
+namespace {
+
+constexpr framework::Milliseconds GenerousTimeout{10000};
+
+/// Takes only answers that carry the request's number.
+class MatchingObserver final : public IHttpResponseObserver
+{
+public:
+    MatchingObserver(framework::IEventLoop &loop, std::string number)
+        : m_loop(loop), m_number(std::move(number))
+    { }
+
+    bool onHead(const HttpResponseHead &head) override
+    {
+        return findHeader(head.headers, "X-Number") == m_number;
+    }
+    void onData(int /*status*/, std::string_view data) override { m_body.append(data); }
+    void onEnd(HttpEnd end, int status) override
+    {
+        m_end = end;
+        m_status = status;
+        m_loop.stop();
+    }
+
+    std::string m_body;
+    HttpEnd m_end = HttpEnd::NotSent;
+    int m_status = -1;
+
+private:
+    framework::IEventLoop &m_loop;
+    std::string m_number;
+};
+
+std::string answer(const std::string &number, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Number: " + number
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+class ClientFaultTest : public testing::Test
+{
+protected:
+    ClientFaultTest()
+        : m_loop(framework::FrameworkModule::makeEventLoop()),
+          m_server(*m_loop, [this](ScriptedServer::Connection &connection) { m_script(connection); }),
+          m_client(HttpModule::makeClient(*m_loop)),
+          m_guard(m_loop->callAfter(GenerousTimeout, [this] { m_loop->stop(); }))
+    { }
+
+    HttpRequest request(framework::Milliseconds timeout = GenerousTimeout) const
+    {
+        HttpRequest result;
+        result.endpoint = m_server.endpoint();
+        result.target = "/";
+        result.timeout = timeout;
+        return result;
+    }
+    HttpResponse fetch()
+    {
+        HttpResponse response;
+        const auto call = m_client->fetch(request(), [&](HttpResponse received) {
+            response = std::move(received);
+            m_loop->stop();
+        });
+        m_loop->run();
+        return response;
+    }
+    /// Lets the loop handle what is on its way.
+    void settle()
+    {
+        const auto timer =
+            m_loop->callAfter(framework::Milliseconds(20), [this] { m_loop->stop(); });
+        m_loop->run();
+    }
+
+    std::unique_ptr<framework::IEventLoop> m_loop;
+    std::function<void(ScriptedServer::Connection &)> m_script;
+    ScriptedServer m_server;
+    std::unique_ptr<IHttpClient> m_client;
+    std::unique_ptr<framework::ITimer> m_guard;
+    std::unique_ptr<framework::ITimer> m_later;
+};
+
+TEST_F(ClientFaultTest, ConnectionIsReusedAfterAWholeAnswer)
+{
+    m_script = [](auto &connection) { ScriptedServer::send(connection, answer("1", "ab")); };
+    EXPECT_EQ(fetch().body, "ab");
+    EXPECT_EQ(fetch().body, "ab");
+    EXPECT_EQ(m_server.connections(), 1U);
+}
+
+TEST_F(ClientFaultTest, BytesAfterTheAnswerEndTheConnectionAndReachNobody)
+{
+    m_script = [](auto &connection) {
+        ScriptedServer::send(connection, answer("1", "ab") + answer("2", "stolen"));
+    };
+    EXPECT_EQ(fetch().body, "ab");
+    EXPECT_EQ(fetch().body, "ab");
+    EXPECT_EQ(m_server.connections(), 2U);
+}
+
+TEST_F(ClientFaultTest, LateBytesOnAnIdleConnectionEndIt)
+{
+    m_script = [](auto &connection) { ScriptedServer::send(connection, answer("1", "ab")); };
+    EXPECT_EQ(fetch().body, "ab");
+    ScriptedServer::send(m_server.connection(0), answer("1", "extra"));
+    settle();
+    EXPECT_EQ(fetch().body, "ab");
+    EXPECT_EQ(m_server.connections(), 2U);
+}
+
+TEST_F(ClientFaultTest, AnswerToAnotherRequestIsPassedOver)
+{
+    m_script = [](auto &connection) {
+        ScriptedServer::send(connection, answer("other", "wrong") + answer("mine", "right"));
+    };
+    MatchingObserver observer(*m_loop, "mine");
+    const auto call = m_client->send(request(), observer);
+    m_loop->run();
+    EXPECT_EQ(observer.m_end, HttpEnd::Complete);
+    EXPECT_EQ(observer.m_body, "right");
+}
+
+TEST_F(ClientFaultTest, OnlyAnAnswerToAnotherRequestIsNoAnswer)
+{
+    m_script = [](auto &connection) {
+        ScriptedServer::send(connection, answer("other", "wrong"));
+        ScriptedServer::end(connection);
+    };
+    MatchingObserver observer(*m_loop, "mine");
+    const auto call = m_client->send(request(), observer);
+    m_loop->run();
+    EXPECT_EQ(observer.m_end, HttpEnd::Broken);
+    EXPECT_EQ(observer.m_body, "");
+}
+
+TEST_F(ClientFaultTest, UnframedAnswerIsCompleteWithAnOrderlyClose)
+{
+    m_script = [](auto &connection) {
+        ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\n\r\nab");
+        ScriptedServer::end(connection);
+    };
+    const HttpResponse response = fetch();
+    EXPECT_EQ(response.end, HttpEnd::Complete);
+    EXPECT_EQ(response.body, "ab");
+}
+
+TEST_F(ClientFaultTest, UnframedAnswerThatIsResetIsBroken)
+{
+    m_script = [this](auto &connection) {
+        ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\n\r\nab");
+        m_later = m_loop->callAfter(framework::Milliseconds(10),
+                                    [&connection] { ScriptedServer::reset(connection); });
+    };
+    EXPECT_EQ(fetch().end, HttpEnd::Broken);
+}
+
+TEST_F(ClientFaultTest, ShortAnswerIsBroken)
+{
+    m_script = [](auto &connection) {
+        ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+        ScriptedServer::end(connection);
+    };
+    EXPECT_EQ(fetch().end, HttpEnd::Broken);
+}
+
+TEST_F(ClientFaultTest, BytesThatAreNoAnswerAreBroken)
+{
+    m_script = [](auto &connection) { ScriptedServer::send(connection, "what?\r\n\r\n"); };
+    EXPECT_EQ(fetch().end, HttpEnd::Broken);
+}
+
+TEST_F(ClientFaultTest, InterimAnswersArePassedOver)
+{
+    m_script = [](auto &connection) {
+        ScriptedServer::send(connection,
+                             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+                                 + answer("1", "ab"));
+    };
+    const HttpResponse response = fetch();
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, "ab");
+}
+
+TEST_F(ClientFaultTest, ConnectionThatStatesNoKeepAliveTimeIsNotKept)
+{
+    m_script = [](auto &connection) {
+        ScriptedServer::send(
+            connection, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
+    };
+    fetch();
+    fetch();
+    EXPECT_EQ(m_server.connections(), 2U);
+}
+
+TEST_F(ClientFaultTest, OldIdleConnectionIsNotUsedForACallThatAsksForAFreshOne)
+{
+    m_script = [](auto &connection) { ScriptedServer::send(connection, answer("1", "ab")); };
+    fetch();
+    settle();
+    HttpRequest fresh = request();
+    fresh.maxIdleBefore = framework::Milliseconds(5);
+    const auto call =
+        m_client->fetch(fresh, [&](const HttpResponse & /*response*/) { m_loop->stop(); });
+    m_loop->run();
+    EXPECT_EQ(m_server.connections(), 2U);
+}
+
+TEST_F(ClientFaultTest, CancelledCallClosesItsConnection)
+{
+    m_script = [this](auto & /*connection*/) { m_loop->stop(); };
+    auto call = m_client->fetch(request(), [](const HttpResponse & /*response*/) { FAIL(); });
+    m_loop->run();
+    call.reset();
+    settle();
+    EXPECT_EQ(m_server.connection(0).fd, -1);
+}
--- /dev/null
+++ b/src/http/tests/strictrequesttest.cpp
@@ -0,0 +1,234 @@
+#include "framework/frameworkmodule.h"
+#include "framework/ieventloop.h"
+#include "framework/itimer.h"
+#include "http/httpmodule.h"
+#include "http/ihttpexchange.h"
+#include "http/ihttpserver.h"
+#include "http/tests/rawsocket.h"
+#include "http/types/httprequesthead.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <vector>
+
+using namespace lavendertally;
+using namespace lavendertally::http;
+
+namespace {
+
+constexpr framework::Milliseconds GenerousTimeout{10000};
+constexpr framework::Milliseconds PollInterval{2};
+
+} // namespace
+
+class RawServerTest : public testing::Test
+{
+protected:
+    RawServerTest()
+        : m_loop(framework::FrameworkModule::makeEventLoop()),
+          m_server(HttpModule::makeServer(*m_loop, limits()))
+    {
+        m_endpoint = m_server->listen({"127.0.0.1", 0}).value();
+        m_server->setHandler([this](const std::shared_ptr<IHttpExchange> &exchange) {
+            m_targets.push_back(exchange->head().target);
+            m_bodies.push_back(exchange->body());
+            exchange->reply(200, "text/plain", "ok");
+        });
+    }
+
+    static HttpLimits limits()
+    {
+        HttpLimits limits;
+        limits.maxBody = framework::Bytes(1000);
+        limits.maxHeaders = framework::Bytes(500);
+        limits.requestTimeout = framework::Milliseconds(80);
+        limits.idleTimeout = framework::Milliseconds(80);
+        return limits;
+    }
+
+    /// Runs the loop until \p condition holds.
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        bool timedOut = false;
+        const auto guard = m_loop->callAfter(GenerousTimeout, [&] {
+            timedOut = true;
+            m_loop->stop();
+        });
+        std::function<void()> poll = [&] {
+            if (condition()) {
+                m_loop->stop();
+                return;
+            }
+            m_poll = m_loop->callAfter(PollInterval, poll);
+        };
+        m_poll = m_loop->callAfter(PollInterval, poll);
+        m_loop->run();
+        return !timedOut;
+    }
+
+    std::unique_ptr<framework::IEventLoop> m_loop;
+    std::unique_ptr<IHttpServer> m_server;
+    std::unique_ptr<framework::ITimer> m_poll;
+    framework::Endpoint m_endpoint;
+    std::vector<std::string> m_targets;
+    std::vector<std::string> m_bodies;
+};
+
+struct RawRequestCase
+{
+    const char *name;
+    const char *bytes;
+    /// Start of the expected answer.
+    const char *answer;
+    /// Requests that may reach the handler.
+    std::size_t handled;
+};
+
+class RawRequestTest : public RawServerTest, public testing::WithParamInterface<RawRequestCase>
+{ };
+
+TEST_P(RawRequestTest, OnlyOneReadingIsAccepted)
+{
+    RawSocket client(m_endpoint);
+    client.send(GetParam().bytes);
+    ASSERT_TRUE(runUntil([&] { return client.received().find("\r\n\r\n") != std::string::npos; }));
+    EXPECT_TRUE(client.received().starts_with(GetParam().answer)) << client.received();
+    EXPECT_EQ(m_targets.size(), GetParam().handled);
+}
+
+constexpr const char *Ok = "HTTP/1.1 200";
+constexpr const char *Bad = "HTTP/1.1 400";
+
+INSTANTIATE_TEST_SUITE_P(
+    Http, RawRequestTest,
+    testing::Values(
+        RawRequestCase{"Plain", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", Ok, 1},
+        RawRequestCase{"WithBody",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", Ok, 1},
+        RawRequestCase{"Chunked",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "2\r\nab\r\n0\r\n\r\n",
+                       Ok, 1},
+        RawRequestCase{"TwoLengths",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 40\r\n"
+                       "\r\nabGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
+                       Bad, 0},
+        RawRequestCase{"LengthAndChunked",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                       Bad, 0},
+        RawRequestCase{"SpaceBeforeColon",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n"
+                       "0\r\n\r\n",
+                       Bad, 0},
+        RawRequestCase{"SignedLength",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +2\r\n\r\nab", Bad, 0},
+        RawRequestCase{"HexPrefixedChunk",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "0x2\r\nab\r\n0\r\n\r\n",
+                       Bad, 0},
+        RawRequestCase{"UnknownCoding",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+                       "0\r\n\r\n",
+                       Bad, 0},
+        RawRequestCase{"BareLineFeeds", "GET /a HTTP/1.1\nHost: h\n\n\r\n\r\n", Bad, 0},
+        RawRequestCase{"NoHost", "GET /a HTTP/1.1\r\n\r\n", Bad, 0},
+        RawRequestCase{"TwoHosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", Bad, 0},
+        RawRequestCase{"AbsoluteTarget", "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n", Bad, 0},
+        RawRequestCase{"SpaceInName", "GET /a HTTP/1.1\r\nHost: h\r\nX y: 1\r\n\r\n", Bad, 0},
+        RawRequestCase{"BodyTooLarge",
+                       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n",
+                       "HTTP/1.1 413", 0}),
+    [](const auto &info) { return info.param.name; });
+
+TEST_F(RawServerTest, ZeroByteInValueIsRefused)
+{
+    RawSocket client(m_endpoint);
+    client.send(std::string_view("GET /a HTTP/1.1\r\nHost: h\r\nX: a\0b\r\n\r\n", 37));
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_TRUE(client.received().starts_with(Bad));
+    EXPECT_TRUE(m_targets.empty());
+}
+
+TEST_F(RawServerTest, LargeHeadersAreRefused)
+{
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 431")) << client.received();
+}
+
+TEST_F(RawServerTest, PipelinedRequestsAreAnsweredInOrder)
+{
+    RawSocket client(m_endpoint);
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nxGET /b HTTP/1.1\r\n"
+                "Host: h\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_EQ(m_targets, (std::vector<std::string>{"/a", "/b"}));
+    EXPECT_EQ(m_bodies, (std::vector<std::string>{"x", ""}));
+}
+
+TEST_F(RawServerTest, SlowRequestIsTimedOut)
+{
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.1\r\nHo");
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 408"));
+}
+
+TEST_F(RawServerTest, IdleConnectionIsClosedWithoutAnswer)
+{
+    RawSocket client(m_endpoint);
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_EQ(client.received(), "");
+}
+
+TEST_F(RawServerTest, ClosingServerEndsConnectionsAfterTheNextResponse)
+{
+    RawSocket client(m_endpoint);
+    m_server->closeAfterResponses();
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_TRUE(client.received().starts_with(Ok));
+    EXPECT_NE(client.received().find("Connection: close"), std::string::npos);
+}
+
+TEST_F(RawServerTest, IdleConnectionsCanBeClosedWhileOthersAreServed)
+{
+    std::shared_ptr<IHttpExchange> kept;
+    m_server->setHandler([&](const std::shared_ptr<IHttpExchange> &exchange) { kept = exchange; });
+    RawSocket idle(m_endpoint);
+    RawSocket busy(m_endpoint);
+    busy.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return kept != nullptr; }));
+    m_server->closeIdleConnections();
+    ASSERT_TRUE(runUntil([&] { return idle.isClosed(); }));
+    kept->reply(200, "text/plain", "ok");
+    ASSERT_TRUE(runUntil([&] { return busy.received().ends_with("ok"); }));
+}
+
+TEST_F(RawServerTest, ClientThatWaitsForLeaveGetsIt)
+{
+    RawSocket client(m_endpoint);
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    ASSERT_TRUE(
+        runUntil([&] { return client.received().starts_with("HTTP/1.1 100 Continue\r\n\r\n"); }));
+    client.send("ab");
+    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("ok"); }));
+    EXPECT_EQ(m_bodies, (std::vector<std::string>{"ab"}));
+}
+
+TEST_F(RawServerTest, StreamWithALengthIsNotChunked)
+{
+    m_server->setHandler([](const std::shared_ptr<IHttpExchange> &exchange) {
+        exchange->startStream(200, {}, {{"Content-Length", "4"}});
+        exchange->sendPart("ab");
+        exchange->sendPart("cd");
+        exchange->endStream();
+    });
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("\r\n\r\nabcd"); }));
+    EXPECT_EQ(client.received().find("chunked"), std::string::npos);
+}
--- /dev/null
+++ b/src/membership/tests/backendservertrackertest.cpp
@@ -0,0 +1,112 @@
+#include "framework/testing/nulllogger.h"
+#include "membership/ibackendservertracker.h"
+#include "membership/membershipmodule.h"
+
+#include <gtest/gtest.h>
+
+using namespace lavendertally;
+using namespace lavendertally::membership;
+
+namespace {
+
+constexpr framework::TimePoint Start(1000);
+const framework::ServiceId Service("ledger");
+
+BackendServerEntry entry(const std::string &id, const char *zone = "za",
+                         BackendServerState state = BackendServerState::Ready)
+{
+    BackendServerEntry result;
+    result.id = framework::BackendServerId(id);
+    result.service = Service;
+    result.endpoint = {"10.0.0.1", 80};
+    result.zone = framework::AvailabilityZoneId(zone);
+    result.state = state;
+    return result;
+}
+
+} // namespace
+
+class BackendServerTrackerTest : public testing::Test
+{
+protected:
+    std::size_t admitting() const { return m_tracker->admitting(Service).size(); }
+
+    framework::NullLogger m_logger;
+    std::unique_ptr<IBackendServerTracker> m_tracker =
+        MembershipModule::makeBackendServerTracker(m_logger);
+};
+
+TEST_F(BackendServerTrackerTest, OnlyReadyServersOfZonesInServiceAdmit)
+{
+    EXPECT_FALSE(m_tracker->isKnown());
+    m_tracker->put(entry("a"));
+    m_tracker->put(entry("b", "zb"));
+    m_tracker->put(entry("c", "za", BackendServerState::Draining));
+    EXPECT_TRUE(m_tracker->isKnown());
+    EXPECT_EQ(admitting(), 2U);
+    m_tracker->setZonesOut({framework::AvailabilityZoneId("zb")});
+    EXPECT_EQ(admitting(), 1U);
+    EXPECT_EQ(m_tracker->findAdmitting(framework::BackendServerId("b")), nullptr);
+    m_tracker->setZonesOut({});
+    EXPECT_EQ(admitting(), 2U);
+}
+
+TEST_F(BackendServerTrackerTest, DrainingServerGetsNoMore)
+{
+    m_tracker->put(entry("a"));
+    m_tracker->put(entry("a", "za", BackendServerState::Draining));
+    EXPECT_EQ(admitting(), 0U);
+}
+
+TEST_F(BackendServerTrackerTest, RemovedServerIsGoneAtOnce)
+{
+    m_tracker->put(entry("a"));
+    m_tracker->remove(framework::BackendServerId("a"), Start);
+    EXPECT_EQ(admitting(), 0U);
+}
+
+TEST_F(BackendServerTrackerTest, LapsedEntriesAreKeptUntilTheyCanBeBack)
+{
+    m_tracker->put(entry("a"));
+    m_tracker->put(entry("b"));
+    m_tracker->registrationsReturned(Start);
+    m_tracker->remove(framework::BackendServerId("a"), Start);
+    m_tracker->remove(framework::BackendServerId("b"), Start);
+    EXPECT_EQ(admitting(), 2U);
+    m_tracker->put(entry("a"));
+    m_tracker->expire(Start + framework::Milliseconds(1999));
+    EXPECT_EQ(admitting(), 2U);
+    m_tracker->expire(Start + framework::Milliseconds(2000));
+    EXPECT_EQ(admitting(), 1U);
+    EXPECT_NE(m_tracker->findAdmitting(framework::BackendServerId("a")), nullptr);
+}
+
+TEST_F(BackendServerTrackerTest, SnapshotDropsWhatItDoesNotName)
+{
+    m_tracker->put(entry("a"));
+    m_tracker->put(entry("b"));
+    m_tracker->retainOnly({framework::BackendServerId("b")}, Start);
+    EXPECT_EQ(admitting(), 1U);
+    EXPECT_NE(m_tracker->findAdmitting(framework::BackendServerId("b")), nullptr);
+}
+
+TEST_F(BackendServerTrackerTest, HeartbeatWithoutChangeKeepsTheGeneration)
+{
+    m_tracker->put(entry("a"));
+    const MembershipGeneration before = m_tracker->generation();
+    BackendServerEntry again = entry("a");
+    again.coldUntil = Start;
+    m_tracker->put(again);
+    EXPECT_EQ(m_tracker->generation(), before);
+    EXPECT_EQ(m_tracker->admitting(Service).front()->coldUntil, Start);
+}
+
+TEST_F(BackendServerTrackerTest, AddressThatChangesIsUsedAtOnce)
+{
+    m_tracker->put(entry("a"));
+    EXPECT_EQ(m_tracker->admitting(Service).front()->endpoint.port, 80);
+    BackendServerEntry moved = entry("a");
+    moved.endpoint.port = 81;
+    m_tracker->put(moved);
+    EXPECT_EQ(m_tracker->admitting(Service).front()->endpoint.port, 81);
+}
--- a/src/platform/internal/configurationcodec.cpp
+++ b/src/platform/internal/configurationcodec.cpp
@@ -114,7 +114,7 @@
     Route route;
     route.id = framework::RouteId(fields.text("name"));
     route.hostName = fields.text("hostname");
-    route.pathPrefix = fields.text("pathPrefix");
+    route.prefix = fields.text("pathPrefix");
     route.kind = readKind(fields.text("routeKind"), problems);
     route.timeout = milliseconds(fields.number("timeoutMs"));
     route.latencyObjective = milliseconds(
--- /dev/null
+++ b/src/protocol/tests/peercodectest.cpp
@@ -0,0 +1,63 @@
+#include "protocol/ipeermessagecodec.h"
+#include "protocol/protocolmodule.h"
+
+#include <gtest/gtest.h>
+
+using namespace lavendertally;
+using namespace lavendertally::protocol;
+
+class PeerCodecTest : public testing::TestWithParam<PeerMessage>
+{ };
+
+TEST_P(PeerCodecTest, MessageSurvivesTheWire)
+{
+    const auto codec = ProtocolModule::makePeerCodec();
+    const auto decoded = codec->decode(codec->encode(GetParam()));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, GetParam());
+}
+
+namespace {
+
+StageJob job()
+{
+    StageJob result;
+    result.request = framework::RequestId("r1");
+    result.route = framework::RouteId("plans");
+    result.stages = {{0, framework::ServiceId("a"), {}, 3, framework::Bytes(800000)},
+                     {2, framework::ServiceId("b"), {0}, 1, framework::Bytes(6000)}};
+    result.input = framework::StageInputId("key");
+    result.objectiveLeft = framework::Milliseconds(-20);
+    result.timeLeft = framework::Milliseconds(900);
+    result.priority = framework::PriorityRank(2);
+    result.worth = 250;
+    result.zone = framework::AvailabilityZoneId("za");
+    return result;
+}
+
+StageJobOutcome outcome()
+{
+    return {framework::RequestId("r1"),
+            StageJobStatus::Overloaded,
+            {{framework::StageResultId("1.2.3.4:5/x"), framework::AvailabilityZoneId("zb")}},
+            framework::Milliseconds(120)};
+}
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(
+    Protocol, PeerCodecTest,
+    testing::Values(PeerMessage(PeerHello{framework::DaemonId("d1")}), PeerMessage(PeerPing{7}),
+                    PeerMessage(PeerPong{7, true}), PeerMessage(job()),
+                    PeerMessage(StageJobCancel{framework::RequestId("r1")}), PeerMessage(outcome()),
+                    PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}})));
+
+TEST(PeerCodecErrors, BytesThatAreNoMessageAreRefused)
+{
+    const auto codec = ProtocolModule::makePeerCodec();
+    EXPECT_FALSE(codec->decode("\xff\xff\xff"));
+    EXPECT_FALSE(codec->decode(""));
+    StageJob empty = job();
+    empty.stages.clear();
+    EXPECT_FALSE(codec->decode(codec->encode(empty)));
+}
--- /dev/null
+++ b/src/proxy/tests/proxyfixture.h
@@ -0,0 +1,292 @@
+#pragma once
+
+#include "framework/frameworkmodule.h"
+#include "framework/imetrics.h"
+#include "framework/irandom.h"
+#include "framework/testing/fakescheduler.h"
+#include "framework/testing/nulllogger.h"
+#include "membership/testing/fakebackendservers.h"
+#include "peers/idaemondirectory.h"
+#include "proxy/ibackendanswerobserver.h"
+#include "proxy/ibackendcall.h"
+#include "proxy/ibackendport.h"
+#include "proxy/iclientreply.h"
+#include "proxy/iproxyservice.h"
+#include "proxy/proxymodule.h"
+#include "proxy/types/answerhead.h"
+#include "proxy/types/backendrequest.h"
+#include "proxy/types/proxycontext.h"
+#include "proxy/types/refusal.h"
+#include "proxy/types/streamevent.h"
+#include "retry/iretrypolicy.h"
+#include "retry/retrymodule.h"
+#include "routing/ibackendserverselector.h"
+#include "routing/routingmodule.h"
+#include "serving/testing/fakeservingstate.h"
+#include "stages/istageservice.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lavendertally::proxy {
+
+/// What a client has got.
+struct ReceivedAnswer
+{
+    std::optional<RefusalKind> refusal;
+    int status = 0;
+    std::string body;
+    bool ended = false;
+    bool brokenOff = false;
+};
+
+/// Client's side that records the answer.
+class RecordingReply final : public IClientReply
+{
+public:
+    explicit RecordingReply(std::shared_ptr<ReceivedAnswer> answer) : m_answer(std::move(answer)) { }
+
+    void answer(const AnswerHead &head, std::string_view body) override
+    {
+        m_answer->status = head.status;
+        m_answer->body = body;
+        m_answer->ended = true;
+    }
+    void startStream(const AnswerHead &head) override { m_answer->status = head.status; }
+    void sendEvent(std::string_view text) override { m_answer->body.append(text); }
+    void endStream() override { m_answer->ended = true; }
+    void breakOff() override { m_answer->brokenOff = true; }
+    void refuse(const Refusal &refusal) override { m_answer->refusal = refusal.kind; }
+
+private:
+    std::shared_ptr<ReceivedAnswer> m_answer;
+};
+
+/// Backend servers that a test answers for.
+class FakeBackendPort final : public IBackendPort
+{
+public:
+    struct Sent
+    {
+        BackendRequest request;
+        IBackendAnswerObserver *observer = nullptr;
+        std::shared_ptr<bool> live;
+    };
+
+    std::unique_ptr<IBackendCall> send(const BackendRequest &request,
+                                       IBackendAnswerObserver &observer) override
+    {
+        auto live = std::make_shared<bool>(true);
+        m_sent.push_back({request, &observer, live});
+        return std::make_unique<Call>(live);
+    }
+
+    std::vector<Sent> m_sent;
+
+private:
+    class Call final : public IBackendCall
+    {
+    public:
+        explicit Call(std::shared_ptr<bool> live) : m_live(std::move(live)) { }
+        ~Call() override { *m_live = false; }
+        Call(const Call &) = delete;
+        Call &operator=(const Call &) = delete;
+
+    private:
+        std::shared_ptr<bool> m_live;
+    };
+};
+
+/// Stages that a test ends.
+class FakeStageService final : public stages::IStageService
+{
+public:
+    void start(const protocol::StageJob &job,
+               std::function<void(protocol::StageJobOutcome)> done) override
+    {
+        m_jobs.push_back(job);
+        m_done[job.request] = std::move(done);
+    }
+    void cancel(const framework::RequestId &request) override
+    {
+        m_cancelled.push_back(request);
+        m_done.erase(request);
+    }
+    void release(const std::vector<framework::StageResultId> &results) override
+    {
+        m_released.insert(m_released.end(), results.begin(), results.end());
+    }
+    void end(const char *request, protocol::StageJobStatus status)
+    {
+        protocol::StageJobOutcome outcome;
+        outcome.request = framework::RequestId(request);
+        outcome.status = status;
+        outcome.results = {
+            {framework::StageResultId("1.2.3.4:5/x"), framework::AvailabilityZoneId("zb")}};
+        const auto done = m_done.at(outcome.request);
+        m_done.erase(outcome.request);
+        done(outcome);
+    }
+
+    std::vector<protocol::StageJob> m_jobs;
+    std::map<framework::RequestId, std::function<void(protocol::StageJobOutcome)>> m_done;
+    std::vector<framework::RequestId> m_cancelled;
+    std::vector<framework::StageResultId> m_released;
+};
+
+/// No other daemons.
+class LonelyDirectory final : public peers::IDaemonDirectory
+{
+public:
+    const std::vector<peers::DaemonAddress> &daemons() const override { return m_daemons; }
+    std::size_t sharers() const override { return 1; }
+    void onChange(std::function<void()> /*callback*/) override { }
+
+private:
+    std::vector<peers::DaemonAddress> m_daemons;
+};
+
+/// A proxy service with one route of each kind and two backend servers.
+class ProxyFixture : public testing::Test
+{
+protected:
+    static constexpr std::uint64_t Seed = 11;
+
+    ProxyFixture()
+        : m_scheduler(m_clock), m_metrics(framework::FrameworkModule::makeMetrics()),
+          m_random(framework::FrameworkModule::makeRandom(Seed)),
+          m_selector(routing::RoutingModule::makeBackendServerSelector(m_servers, *m_random)),
+          m_retries(retry::RetryModule::makeBudgetedRetryPolicy(*m_random))
+    {
+        m_clock.set(framework::TimePoint(1000000));
+        configure();
+        m_serving.confirm(m_clock.now());
+        addServer("w1");
+        addServer("w2");
+        m_service = ProxyModule::makeService(ProxyContext{
+            framework::AvailabilityZoneId("za"), m_clock, m_scheduler, m_logger, *m_metrics,
+            *m_random, m_serving, m_directory, *m_selector, *m_retries, m_stages, m_backends, {}});
+    }
+
+    static serving::Route route(const char *id, serving::RouteKind kind, std::uint32_t attempts)
+    {
+        serving::Route result;
+        result.id = framework::RouteId(id);
+        result.hostName = "h";
+        result.prefix = std::string("/") + id + "/";
+        result.kind = kind;
+        result.timeout = framework::Milliseconds(1000);
+        result.latencyObjective = framework::Milliseconds(300);
+        result.split = {{framework::ServiceId("s"), 1}};
+        result.maxAttempts = attempts;
+        return result;
+    }
+    void configure()
+    {
+        auto resumable = route("resumable", serving::RouteKind::Streaming, 2);
+        resumable.resumable = true;
+        auto staged = route("staged", serving::RouteKind::Streaming, 1);
+        staged.stages = {{framework::ServiceId("pool"), {}, framework::Bytes(1000)}};
+        auto stagedResumable = staged;
+        stagedResumable.id = framework::RouteId("stagedresumable");
+        stagedResumable.prefix = "/stagedresumable/";
+        stagedResumable.resumable = true;
+        stagedResumable.maxAttempts = 2;
+        auto open = route("open", serving::RouteKind::Idempotent, 1);
+        open.isPublic = true;
+        serving::TeamEntry team;
+        team.id = framework::TeamId("members");
+        team.keys = {framework::ApiKey("key")};
+        m_serving.set({route("read", serving::RouteKind::Idempotent, 2),
+                       route("book", serving::RouteKind::NonIdempotent, 2),
+                       route("stream", serving::RouteKind::Streaming, 2), resumable, staged,
+                       stagedResumable, open},
+                      {}, {team});
+    }
+    void addServer(const char *id)
+    {
+        membership::BackendServerEntry entry;
+        entry.id = framework::BackendServerId(id);
+        entry.service = framework::ServiceId("s");
+        entry.zone = framework::AvailabilityZoneId("za");
+        entry.slots = 4;
+        m_servers.add(entry);
+    }
+
+    ClientRequest request(const char *route) const
+    {
+        ClientRequest result;
+        result.id = framework::RequestId("r1");
+        result.method = "POST";
+        result.path = std::string("/") + route + "/x";
+        result.target = result.path;
+        result.hostName = "h";
+        result.key = framework::ApiKey("key");
+        result.timeLeft = framework::Milliseconds(800);
+        return result;
+    }
+    std::shared_ptr<ReceivedAnswer> start(ClientRequest request)
+    {
+        auto answer = std::make_shared<ReceivedAnswer>();
+        m_ticket = m_service->start(std::move(request), std::make_unique<RecordingReply>(answer));
+        return answer;
+    }
+    std::shared_ptr<ReceivedAnswer> start(const char *route) { return start(request(route)); }
+    void advance(std::int64_t milliseconds)
+    {
+        m_scheduler.advance(framework::Milliseconds(milliseconds));
+    }
+
+    FakeBackendPort::Sent &sent(std::size_t index = 0) { return m_backends.m_sent.at(index); }
+    static AnswerHead head(int status, bool isStream = false)
+    {
+        AnswerHead result;
+        result.status = status;
+        result.isSigned = true;
+        result.isEventStream = isStream;
+        return result;
+    }
+    void answer(std::size_t index, const AnswerHead &head, const char *body = "ok")
+    {
+        IBackendAnswerObserver &observer = *sent(index).observer;
+        observer.onHead(head);
+        observer.onBody(body);
+        observer.onEnd(BackendCallEnd::Complete);
+    }
+    static AnswerHead notExecuted()
+    {
+        AnswerHead result = head(503);
+        result.notExecuted = true;
+        return result;
+    }
+    void event(std::size_t index, std::uint64_t id)
+    {
+        StreamEvent event;
+        event.id = framework::StreamEventId(id);
+        event.text = std::to_string(id) + ";";
+        sent(index).observer->onEvent(event);
+    }
+
+    framework::FakeClock m_clock;
+    framework::FakeScheduler m_scheduler;
+    framework::NullLogger m_logger;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<framework::IRandom> m_random;
+    serving::FakeServingState m_serving;
+    membership::FakeBackendServers m_servers;
+    LonelyDirectory m_directory;
+    std::unique_ptr<routing::IBackendServerSelector> m_selector;
+    std::unique_ptr<retry::IRetryPolicy> m_retries;
+    FakeStageService m_stages;
+    FakeBackendPort m_backends;
+    std::unique_ptr<IProxyService> m_service;
+    IProxyService::Ticket m_ticket = 0;
+};
+
+} // namespace lavendertally::proxy
--- /dev/null
+++ b/src/proxy/tests/streamtest.cpp
@@ -0,0 +1,176 @@
+#include "proxy/tests/proxyfixture.h"
+
+using namespace lavendertally;
+using namespace lavendertally::proxy;
+
+using ProxyStreamTest = ProxyFixture;
+
+TEST_F(ProxyStreamTest, EventsArePassedOnAsTheyCome)
+{
+    const auto received = start("stream");
+    sent().observer->onHead(head(200, true));
+    EXPECT_EQ(received->status, 0);
+    event(0, 1);
+    event(0, 2);
+    EXPECT_EQ(received->body, "1;2;");
+    EXPECT_FALSE(received->ended);
+    sent().observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_TRUE(received->ended);
+}
+
+TEST_F(ProxyStreamTest, BrokenStreamIsNotEndedAsComplete)
+{
+    const auto received = start("stream");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    EXPECT_TRUE(received->brokenOff);
+    EXPECT_FALSE(received->ended);
+    EXPECT_EQ(m_backends.m_sent.size(), 1U);
+}
+
+TEST_F(ProxyStreamTest, StreamThatBrokeBeforeItsFirstEventIsLost)
+{
+    const auto received = start("stream");
+    sent().observer->onHead(head(200, true));
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    EXPECT_EQ(received->refusal, RefusalKind::AnswerLost);
+}
+
+TEST_F(ProxyStreamTest, ResumableStreamGoesOnElsewhereWithinOneAnswer)
+{
+    const auto received = start("resumable");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    event(0, 2);
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    EXPECT_EQ(sent(1).request.resumeAfter, framework::StreamEventId(2));
+    sent(1).observer->onHead(head(200, true));
+    event(1, 2);
+    event(1, 3);
+    sent(1).observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_EQ(received->body, "1;2;3;");
+    EXPECT_TRUE(received->ended);
+}
+
+TEST_F(ProxyStreamTest, GapInTheEventsIsNeverPassedOn)
+{
+    const auto received = start("stream");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    event(0, 3);
+    EXPECT_EQ(received->body, "1;");
+    EXPECT_TRUE(received->brokenOff);
+}
+
+TEST_F(ProxyStreamTest, ClientsOwnResumeIsPassedOn)
+{
+    ClientRequest resumed = request("resumable");
+    resumed.lastEvent = framework::StreamEventId(7);
+    const auto received = start(resumed);
+    EXPECT_EQ(sent().request.resumeAfter, framework::StreamEventId(7));
+    sent().observer->onHead(head(200, true));
+    event(0, 8);
+    EXPECT_EQ(received->body, "8;");
+}
+
+TEST_F(ProxyStreamTest, StreamIsCutWhenItsTimeIsUp)
+{
+    const auto received = start("stream");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    advance(801);
+    EXPECT_TRUE(received->brokenOff);
+    EXPECT_FALSE(*sent().live);
+}
+
+TEST_F(ProxyStreamTest, StagesRunFirstAndTheirResultsAreHandedOver)
+{
+    ClientRequest staged = request("staged");
+    staged.pieces = {2};
+    staged.stageInput = framework::StageInputId("in");
+    const auto received = start(staged);
+    EXPECT_TRUE(m_backends.m_sent.empty());
+    ASSERT_EQ(m_stages.m_jobs.size(), 1U);
+    EXPECT_EQ(m_stages.m_jobs[0].stages[0].pieces, 2U);
+    EXPECT_EQ(m_stages.m_jobs[0].input.value(), "in");
+    m_stages.end("r1", protocol::StageJobStatus::Done);
+    ASSERT_EQ(m_backends.m_sent.size(), 1U);
+    ASSERT_TRUE(sent().request.inputs.has_value());
+    EXPECT_EQ(sent().request.inputs->front().value(), "1.2.3.4:5/x");
+    sent().observer->onHead(head(200, true));
+    EXPECT_TRUE(m_stages.m_released.empty());
+    event(0, 1);
+    EXPECT_EQ(m_stages.m_released.size(), 1U);
+    sent().observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_TRUE(received->ended);
+}
+
+TEST_F(ProxyStreamTest, RequestWithoutPiecesNeedsNoStages)
+{
+    ClientRequest staged = request("staged");
+    staged.pieces = {0};
+    start(staged);
+    EXPECT_TRUE(m_stages.m_jobs.empty());
+    ASSERT_EQ(m_backends.m_sent.size(), 1U);
+    EXPECT_FALSE(sent().request.inputs.has_value());
+}
+
+TEST_F(ProxyStreamTest, OverloadedStagesAreAnHonestRefusal)
+{
+    ClientRequest staged = request("staged");
+    staged.pieces = {1};
+    const auto received = start(staged);
+    m_stages.end("r1", protocol::StageJobStatus::Overloaded);
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+}
+
+TEST_F(ProxyStreamTest, ClientThatLeavesEndsItsStages)
+{
+    ClientRequest staged = request("staged");
+    staged.pieces = {1};
+    start(staged);
+    m_service->abandon(m_ticket);
+    ASSERT_EQ(m_stages.m_cancelled.size(), 1U);
+    EXPECT_EQ(m_service->activeRequests(), 0U);
+}
+
+TEST_F(ProxyStreamTest, ResumedStreamGetsItsStageResultsAnew)
+{
+    ClientRequest staged = request("stagedresumable");
+    staged.pieces = {1};
+    const auto received = start(staged);
+    m_stages.end("r1", protocol::StageJobStatus::Done);
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    advance(50);
+    ASSERT_EQ(m_stages.m_jobs.size(), 2U);
+    m_stages.end("r1", protocol::StageJobStatus::Done);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    EXPECT_TRUE(sent(1).request.inputs.has_value());
+    sent(1).observer->onHead(head(200, true));
+    event(1, 2);
+    sent(1).observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_EQ(received->body, "1;2;");
+    EXPECT_TRUE(received->ended);
+}
+
+TEST_F(ProxyStreamTest, LostStageResultsAreMadeAgainOnce)
+{
+    ClientRequest staged = request("staged");
+    staged.pieces = {1};
+    const auto received = start(staged);
+    m_stages.end("r1", protocol::StageJobStatus::Done);
+    AnswerHead gone = notExecuted();
+    gone.status = 409;
+    answer(0, gone);
+    ASSERT_EQ(m_stages.m_jobs.size(), 2U);
+    m_stages.end("r1", protocol::StageJobStatus::Done);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    answer(1, gone);
+    EXPECT_EQ(m_stages.m_jobs.size(), 2U);
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+}
--- a/src/serving/internal/servingconfiguration.cpp
+++ b/src/serving/internal/servingconfiguration.cpp
@@ -21,7 +21,7 @@
     }
     for (auto &[host, indexes] : m_routesByHost) {
         std::stable_sort(indexes.begin(), indexes.end(), [this](std::size_t a, std::size_t b) {
-            return m_routes[a].pathPrefix.size() > m_routes[b].pathPrefix.size();
+            return m_routes[a].prefix.size() > m_routes[b].prefix.size();
         });
     }
     for (std::size_t index = 0; index < m_teams.size(); ++index) {
@@ -38,7 +38,7 @@
         return nullptr;
     }
     for (const std::size_t index : found->second) {
-        if (path.starts_with(m_routes[index].pathPrefix)) {
+        if (path.starts_with(m_routes[index].prefix)) {
             return &m_routes[index];
         }
     }
--- a/src/serving/types/route.h
+++ b/src/serving/types/route.h
@@ -18,7 +18,7 @@
     framework::RouteId id;
     std::string hostName;
     /// Begins and ends with a slash.
-    std::string pathPrefix;
+    std::string prefix;
     RouteKind kind = RouteKind::NonIdempotent;
     /// Longest time that a client is kept waiting.
     framework::Milliseconds timeout;
--- /dev/null
+++ b/src/stages/tests/stagefixture.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "membership/testing/fakebackendservers.h"
+#include "serving/testing/fakeservingstate.h"
+#include "stages/istagecoordinator.h"
+#include "stages/stagesmodule.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lavendertally::stages {
+
+/// A coordinator with two pools, `first` and `second`, and its commands sorted by kind.
+class StageFixture : public testing::Test
+{
+protected:
+    static constexpr framework::TimePoint Start{100000};
+
+    StageFixture()
+    {
+        m_serving.set({}, {pool("first", 4, 1000000), pool("second", 4, 1000000)});
+        m_coordinator = StagesModule::makeCoordinator(m_serving, m_servers);
+    }
+
+    static serving::ServiceSpec pool(const char *id, std::uint32_t batch, std::int64_t room)
+    {
+        serving::ServiceSpec service;
+        service.id = framework::ServiceId(id);
+        service.stagePool = serving::StagePool{1,
+                                               2,
+                                               batch,
+                                               framework::Milliseconds(200),
+                                               framework::Microseconds(10000),
+                                               framework::Bytes(room),
+                                               framework::Milliseconds(4000)};
+        return service;
+    }
+    void addServer(const std::string &id, const char *service, const char *zone = "za")
+    {
+        membership::BackendServerEntry entry;
+        entry.id = framework::BackendServerId(id);
+        entry.service = framework::ServiceId(service);
+        entry.zone = framework::AvailabilityZoneId(zone);
+        m_servers.add(entry);
+    }
+    /// \param pieces pieces of `first` and of `second`, which needs the results of `first`
+    static protocol::StageJob job(const std::string &request, std::uint32_t first,
+                                  std::uint32_t second = 0, std::int64_t objective = 2000)
+    {
+        protocol::StageJob result;
+        result.request = framework::RequestId(request);
+        result.route = framework::RouteId("route");
+        result.stages.push_back(
+            {0, framework::ServiceId("first"), {}, first, framework::Bytes(1000)});
+        if (second > 0) {
+            result.stages.push_back(
+                {1, framework::ServiceId("second"), {0}, second, framework::Bytes(1000)});
+        }
+        result.input = framework::StageInputId("key-" + request);
+        result.objectiveLeft = framework::Milliseconds(objective);
+        result.timeLeft = framework::Milliseconds(10000);
+        return result;
+    }
+    void submit(const protocol::StageJob &job)
+    {
+        m_coordinator->submit(Owner, job, m_now);
+        take();
+    }
+    void advance(std::int64_t milliseconds)
+    {
+        m_now = m_now + framework::Milliseconds(milliseconds);
+    }
+    void wake()
+    {
+        m_coordinator->wake(m_now);
+        take();
+    }
+    void end(const StartStageCall &call, const StageCallOutcome &outcome)
+    {
+        m_coordinator->callEnded(call.call, outcome, m_now);
+        take();
+    }
+    /// Answers a call with a result for each piece.
+    void answer(const StartStageCall &call)
+    {
+        StageCallOutcome outcome;
+        outcome.status = StageCallStatus::Answered;
+        for (const PieceOrder &piece : call.pieces) {
+            outcome.pieces.push_back(
+                {PieceStatus::Done,
+                 framework::StageResultId(piece.request.value() + "/" + std::to_string(piece.stage)
+                                          + "/" + std::to_string(piece.piece))});
+        }
+        end(call, outcome);
+    }
+    void fail(const StartStageCall &call, PieceStatus status)
+    {
+        StageCallOutcome outcome;
+        outcome.status = StageCallStatus::Answered;
+        outcome.pieces.resize(call.pieces.size(), {status, {}});
+        end(call, outcome);
+    }
+    void take()
+    {
+        for (StageCommand &command : m_coordinator->takeCommands()) {
+            if (auto *call = std::get_if<StartStageCall>(&command)) {
+                m_calls.push_back(*call);
+            } else if (auto *free = std::get_if<FreeStageResults>(&command)) {
+                m_freed.insert(m_freed.end(), free->results.begin(), free->results.end());
+            } else {
+                const auto &ended = std::get<EndStageJob>(command);
+                m_ended[ended.outcome.request.value()] = ended.outcome;
+            }
+        }
+    }
+    bool isDone(const std::string &request) const
+    {
+        const auto found = m_ended.find(request);
+        return found != m_ended.end() && found->second.status == protocol::StageJobStatus::Done;
+    }
+
+    const framework::DaemonId Owner{"d1"};
+    serving::FakeServingState m_serving;
+    membership::FakeBackendServers m_servers;
+    std::unique_ptr<IStageCoordinator> m_coordinator;
+    framework::TimePoint m_now = Start;
+    std::vector<StartStageCall> m_calls;
+    std::vector<framework::StageResultId> m_freed;
+    std::map<std::string, protocol::StageJobOutcome> m_ended;
+};
+
+} // namespace lavendertally::stages
