Stand-ins that speak the platform's protocol, process tests of the gateway, bounded logs on stdout

Cause: a request that every backend server had refused as not executed was answered 502, although it had not run (found by the process test FullBackendServerIsAnHonestRefusal, which failed first). Change: a run remembers whether a backend server may have run it; log lines go to standard output through a bounded buffer that drops and counts lines instead of waiting.

--- /dev/null
+++ b/src/app/tests/gatewaytest.cpp
@@ -0,0 +1,179 @@
+#include "app/tests/gatewayfixture.h"
+#include "http/headerlookup.h"
+
+using namespace lavendertally;
+using namespace lavendertally::app;
+
+TEST_F(GatewayFixture, NothingIsDeniedBeforeTheStoreHasBeenRead)
+{
+    const GatewayProcess gateway = startGateway("g1");
+    EXPECT_FALSE(isReady(gateway));
+    const auto refused = call(ask(gateway, "/book/x", "r1"));
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(http::findHeader(refused.headers, "Retry-After").has_value());
+    publish();
+    registerServers();
+    EXPECT_TRUE(waitFor([&] { return isReady(gateway); }));
+}
+
+TEST_F(GatewayFixture, RequestRunsOnceForTheTeamOfItsKey)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    const auto answer = call(ask(gateway, "/book/x", "r1"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "desk ran r1");
+    EXPECT_EQ(http::findHeader(answer.headers, "X-Lavendertally-Response-Signature"), "s-r1");
+    EXPECT_EQ(m_desk.runs("r1"), 1U);
+    EXPECT_NE(m_desk.lastHeaders().find("X-Lavendertally-Tenant: members"), std::string::npos);
+    EXPECT_EQ(m_desk.lastHeaders().find("forged"), std::string::npos);
+    EXPECT_EQ(m_desk.lastHeaders().find("Api-Key"), std::string::npos);
+    EXPECT_EQ(call(ask(gateway, "/book/x", "r2", "stolen")).status, 401);
+    EXPECT_EQ(call(ask(gateway, "/other/x", "r3")).status, 404);
+    EXPECT_EQ(m_desk.runs("r2"), 0U);
+}
+
+TEST_F(GatewayFixture, LostAnswerOfABookingIsNoPromiseAndNoSecondRun)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    standins::Fault fault;
+    fault.mode = standins::FaultMode::LostAnswer;
+    m_desk.setFault(fault);
+    EXPECT_EQ(call(ask(gateway, "/book/x", "r1")).status, 502);
+    EXPECT_EQ(m_desk.runs("r1"), 1U);
+}
+
+TEST_F(GatewayFixture, FullBackendServerIsAnHonestRefusal)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    m_desk.setFull(true);
+    EXPECT_EQ(call(ask(gateway, "/book/x", "r1")).status, 503);
+    EXPECT_EQ(m_desk.runs("r1"), 0U);
+}
+
+TEST_F(GatewayFixture, BrokenStreamGoesOnAtAnotherServerWithItsStagesRunAgain)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    m_model.setBreakAfter(2);
+    for (int each = 0; each < 4; ++each) {
+        const std::string id = "r" + std::to_string(each);
+        http::HttpRequest request = ask(gateway, "/stream/x", id.c_str());
+        request.headers.emplace_back("X-Lavendertally-Pieces", "2");
+        request.headers.emplace_back("X-Lavendertally-Piece-Key", "in");
+        const auto answer = call(request);
+        EXPECT_EQ(answer.end, http::HttpEnd::Complete);
+        for (int event = 1; event <= 5; ++event) {
+            const std::string line = "id: " + std::to_string(event) + "\n";
+            const std::size_t first = answer.body.find(line);
+            ASSERT_NE(first, std::string::npos) << answer.body;
+            EXPECT_EQ(answer.body.find(line, first + 1), std::string::npos) << answer.body;
+        }
+    }
+    EXPECT_TRUE(waitFor([this] { return m_pool.freedResults() >= 8; }));
+}
+
+TEST_F(GatewayFixture, RevokedKeyStopsWorkingAlsoWithoutTheStore)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    setStoreFault(standins::FaultMode::Frozen);
+    EXPECT_EQ(call(ask(gateway, "/book/x", "r1")).status, 200);
+    EXPECT_TRUE(waitFor([&] { return !isReady(gateway); }));
+    EXPECT_EQ(call(ask(gateway, "/book/x", "r2")).status, 503);
+    EXPECT_EQ(m_desk.runs("r2"), 0U);
+    setStoreFault(standins::FaultMode::None);
+    EXPECT_TRUE(waitFor([&] { return isReady(gateway); }));
+    EXPECT_EQ(call(ask(gateway, "/book/x", "r3")).status, 200);
+}
+
+TEST_F(GatewayFixture, StopFinishesWhatWasTakenAndIsNotReadyAtOnce)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    standins::Fault slow;
+    slow.mode = standins::FaultMode::Slow;
+    slow.delay = framework::Milliseconds(600);
+    m_desk.setFault(slow);
+    http::HttpResponse answer;
+    bool ended = false;
+    const auto under =
+        m_client->fetch(ask(gateway, "/book/x", "r1"), [&](http::HttpResponse received) {
+            answer = std::move(received);
+            ended = true;
+        });
+    ASSERT_TRUE(waitFor([this] { return true; }));
+    pause(framework::Milliseconds(100));
+    gateway.process->signal(SIGTERM);
+    EXPECT_TRUE(waitFor([&] { return !isReady(gateway); }));
+    EXPECT_TRUE(waitFor([&] { return ended; }));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(gateway.process->wait(WaitLimit), 0);
+    EXPECT_FALSE(m_store.newest("keyed.daemons", "g1").has_value());
+}
+
+TEST_F(GatewayFixture, ReloadCutsNothing)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    gateway.process->signal(SIGHUP);
+    EXPECT_EQ(call(ask(gateway, "/book/x", "r1")).status, 200);
+    EXPECT_TRUE(isReady(gateway));
+}
+
+TEST_F(GatewayFixture, StagesGoOnWhenTheirCoordinatorDies)
+{
+    publish();
+    registerServers();
+    std::vector<GatewayProcess> gateways;
+    for (const char *id : {"g1", "g2", "g3"}) {
+        gateways.push_back(startGateway(id));
+    }
+    for (const GatewayProcess &gateway : gateways) {
+        ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    }
+    // Links between the gateways take a moment after they know each other.
+    pause(framework::Milliseconds(3000));
+    for (std::size_t dead = 0; dead + 1 < gateways.size(); ++dead) {
+        gateways[dead].process->signal(SIGKILL);
+        for (std::size_t living = dead + 1; living < gateways.size(); ++living) {
+            const std::string id = "r" + std::to_string(dead) + std::to_string(living);
+            http::HttpRequest request = ask(gateways[living], "/stream/x", id.c_str());
+            request.headers.emplace_back("X-Lavendertally-Pieces", "1");
+            request.headers.emplace_back("X-Lavendertally-Piece-Key", "in");
+            EXPECT_EQ(call(request).status, 200) << id;
+        }
+    }
+}
+
+TEST_F(GatewayFixture, MetricsAndStateAreShown)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    call(ask(gateway, "/book/x", "r1"));
+    const auto metrics = call(get(gateway.metrics, "/metrics"));
+    EXPECT_NE(metrics.body.find("lavendertally_requests_total{route=\"book\",outcome=\"done\"} 1"),
+              std::string::npos)
+        << metrics.body;
+    const auto state = nlohmann::json::parse(call(get(gateway.metrics, "/dump")).body);
+    EXPECT_EQ(state["role"], "gateway");
+    EXPECT_EQ(state["configuration"], 1);
+}
--- a/src/framework/internal/boostlogger.cpp
+++ b/src/framework/internal/boostlogger.cpp
@@ -1,17 +1,23 @@
 #include "framework/internal/boostlogger.h"
 
+#include "framework/internal/boundedlinewriter.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/frontend_requirements.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <ctime>
 #include <iomanip>
-#include <iostream>
 #include <sstream>
+#include <string>
+#include <unistd.h>
 
 namespace lavendertally::framework {
 
@@ -47,13 +53,31 @@
     return stream.str();
 }
 
+/// Kept for a reader of standard output that is behind: about a thousand lines.
+constexpr std::size_t MaxUnreadOutput = 256 * 1024;
+
+/// Sink on standard output that drops lines instead of waiting.
+class OutputBackend final
+    : public boost::log::sinks::basic_formatted_sink_backend<
+          char, boost::log::sinks::synchronized_feeding>
+{
+public:
+    void consume(const boost::log::record_view & /*record*/, const string_type &line)
+    {
+        m_writer.add(line);
+    }
+
+private:
+    BoundedLineWriter m_writer{STDOUT_FILENO, MaxUnreadOutput};
+};
+
 void installSink()
 {
     static const bool installed = [] {
-        boost::log::add_console_log(std::clog,
-                                    boost::log::keywords::format = boost::log::expressions::stream
-                                        << boost::log::expressions::smessage,
-                                    boost::log::keywords::auto_flush = true);
+        using Sink = boost::log::sinks::synchronous_sink<OutputBackend>;
+        const auto sink = boost::make_shared<Sink>(boost::make_shared<OutputBackend>());
+        sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+        boost::log::core::get()->add_sink(sink);
         return true;
     }();
     static_cast<void>(installed);
--- a/src/platform/internal/configurationcodec.cpp
+++ b/src/platform/internal/configurationcodec.cpp
@@ -115,7 +115,10 @@
     route.id = framework::RouteId(fields.text("name"));
     route.hostName = fields.text("hostname");
     route.prefix = fields.text("pathPrefix");
-    route.kind = readKind(fields.text("routeKind"), problems);
+    const std::string kind = fields.text("routeKind");
+    if (!kind.empty()) {
+        route.kind = readKind(kind, problems);
+    }
     route.timeout = milliseconds(fields.number("timeoutMs"));
     route.latencyObjective = milliseconds(
         fields.numberOr("targetLatencyMs", static_cast<double>(route.timeout.value())));
--- /dev/null
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -0,0 +1,201 @@
+#include "framework/frameworkmodule.h"
+#include "framework/iclock.h"
+#include "framework/ieventloop.h"
+#include "framework/imetrics.h"
+#include "framework/itimer.h"
+#include "framework/testing/nulllogger.h"
+#include "membership/ibackendservertracker.h"
+#include "membership/membershipmodule.h"
+#include "peers/idaemondirectory.h"
+#include "platform/iplatform.h"
+#include "platform/platformmodule.h"
+#include "platform/types/platformparts.h"
+#include "serving/iservingtracker.h"
+#include "serving/servingmodule.h"
+#include "serving/types/servingconfiguration.h"
+#include "standins/platformstorestandin.h"
+#include "standins/types/fault.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+using namespace lavendertally;
+using namespace lavendertally::platform;
+
+namespace {
+
+constexpr framework::Milliseconds WaitLimit{10000};
+constexpr framework::Milliseconds PollInterval{5};
+
+std::string configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+std::string server(const char *state = "ready")
+{
+    return std::string(
+               R"({"service":"m","address":"127.0.0.1:9","zone":"za","slots":4,"state":")")
+        + state + R"("})";
+}
+
+} // namespace
+
+/// The adapter against the stand-in of the store.
+class UsersPlatformTest : public testing::Test
+{
+protected:
+    UsersPlatformTest()
+        : m_loop(framework::FrameworkModule::makeEventLoop()),
+          m_clock(framework::FrameworkModule::makeSystemClock()),
+          m_metrics(framework::FrameworkModule::makeMetrics()),
+          m_serving(serving::ServingModule::makeTracker(m_logger)),
+          m_servers(membership::MembershipModule::makeBackendServerTracker(m_logger)),
+          m_store(*m_loop)
+    {
+        const auto endpoint = m_store.listen({"127.0.0.1", 0}).value();
+        m_platform = PlatformModule::makePlatform({framework::DaemonId("self"), endpoint, *m_loop,
+                                                   *m_clock, m_logger, *m_metrics, *m_serving,
+                                                   *m_servers});
+    }
+
+    void start() { m_platform->start({"127.0.0.1", 7}); }
+    bool waitFor(const std::function<bool()> &condition)
+    {
+        const framework::TimePoint end = m_clock->now() + WaitLimit;
+        while (!condition() && m_clock->now() < end) {
+            const auto timer = m_loop->callAfter(PollInterval, [this] { m_loop->stop(); });
+            m_loop->run();
+        }
+        return condition();
+    }
+    std::uint64_t version() const
+    {
+        const auto configuration = m_serving->configuration();
+        return configuration ? configuration->version().value() : 0;
+    }
+    std::size_t admitting() const
+    {
+        return m_servers->admitting(framework::ServiceId("m")).size();
+    }
+    void setFault(standins::FaultMode mode)
+    {
+        standins::Fault fault;
+        fault.mode = mode;
+        m_store.setFault(fault);
+    }
+
+    framework::NullLogger m_logger;
+    std::unique_ptr<framework::IEventLoop> m_loop;
+    std::unique_ptr<framework::IClock> m_clock;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<serving::IServingTracker> m_serving;
+    std::unique_ptr<membership::IBackendServerTracker> m_servers;
+    standins::PlatformStoreStandIn m_store;
+    std::unique_ptr<IPlatform> m_platform;
+};
+
+TEST_F(UsersPlatformTest, StateComesFromTheNewestRecordsAndThenFromChanges)
+{
+    m_store.put("keyed.op", "config", configuration(3));
+    m_store.put("keyed.servers", "i-1", server());
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 3 && admitting() == 1; }));
+    m_store.put("keyed.op", "config", configuration(8));
+    m_store.put("keyed.servers", "i-2", server());
+    ASSERT_TRUE(waitFor([this] { return version() == 8 && admitting() == 2; }));
+    m_store.put("keyed.servers", "i-1", server("draining"));
+    m_store.remove("keyed.servers", "i-2");
+    ASSERT_TRUE(waitFor([this] { return admitting() == 0; }));
+}
+
+TEST_F(UsersPlatformTest, OlderOrUnreadableVersionChangesNothing)
+{
+    m_store.put("keyed.op", "config", configuration(8));
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 8; }));
+    m_store.put("keyed.op", "config", configuration(3));
+    m_store.put("keyed.op", "config", "{");
+    m_store.put("keyed.op", "evacuate/za", "{}");
+    ASSERT_TRUE(waitFor(
+        [this] { return m_servers->isZoneOut(framework::AvailabilityZoneId("za")); }));
+    EXPECT_EQ(version(), 8U);
+}
+
+TEST_F(UsersPlatformTest, ZoneComesBackWhenItsKeyIsDropped)
+{
+    m_store.put("keyed.op", "evacuate/za", "{}");
+    start();
+    const framework::AvailabilityZoneId zone("za");
+    ASSERT_TRUE(waitFor([&] { return m_servers->isZoneOut(zone); }));
+    m_store.remove("keyed.op", "evacuate/za");
+    ASSERT_TRUE(waitFor([&] { return !m_servers->isZoneOut(zone); }));
+}
+
+TEST_F(UsersPlatformTest, DroppedHistoryIsReadAnew)
+{
+    m_store.put("keyed.op", "config", configuration(1));
+    m_store.put("keyed.servers", "i-1", server());
+    m_store.put("keyed.servers", "i-2", server());
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 1 && admitting() == 2; }));
+    setFault(standins::FaultMode::Down);
+    m_store.put("keyed.op", "config", configuration(2));
+    m_store.remove("keyed.servers", "i-1");
+    m_store.dropHistory("keyed.op");
+    m_store.dropHistory("keyed.servers");
+    setFault(standins::FaultMode::None);
+    ASSERT_TRUE(waitFor([this] {
+        m_servers->expire(m_clock->now());
+        return version() == 2 && admitting() == 1;
+    }));
+}
+
+TEST_F(UsersPlatformTest, OneBadEntryHidesNoOther)
+{
+    m_store.put("keyed.servers", "bad", "\xff");
+    m_store.put("keyed.servers", "i-1", server());
+    start();
+    ASSERT_TRUE(waitFor([this] { return admitting() == 1; }));
+}
+
+TEST_F(UsersPlatformTest, StoreThatIsAwayIsAskedAgainUntilItIsBack)
+{
+    m_store.put("keyed.op", "config", configuration(4));
+    setFault(standins::FaultMode::Refuse);
+    start();
+    EXPECT_FALSE(m_serving->configuration());
+    const auto timer = m_loop->callAfter(framework::Milliseconds(300), [this] { m_loop->stop(); });
+    m_loop->run();
+    EXPECT_FALSE(m_serving->configuration());
+    setFault(standins::FaultMode::None);
+    ASSERT_TRUE(waitFor([this] { return version() == 4; }));
+}
+
+TEST_F(UsersPlatformTest, ConfirmationCountsFromWhenItWasAskedFor)
+{
+    m_store.put("keyed.op", "config", configuration(4));
+    const framework::TimePoint before = m_clock->now();
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 4; }));
+    EXPECT_GE(m_serving->confirmedAt(), before);
+    EXPECT_LE(m_serving->confirmedAt(), m_clock->now());
+    setFault(standins::FaultMode::Frozen);
+    const auto timer = m_loop->callAfter(framework::Milliseconds(900), [this] { m_loop->stop(); });
+    m_loop->run();
+    const framework::TimePoint last = m_serving->confirmedAt();
+    EXPECT_LT(last + framework::Milliseconds(100), m_clock->now());
+}
+
+TEST_F(UsersPlatformTest, DaemonsFindEachOther)
+{
+    m_store.put("keyed.daemons", "other", R"({"endpoint":"127.0.0.1:70"})");
+    m_store.put("keyed.daemons", "odd", "{");
+    start();
+    ASSERT_TRUE(waitFor([this] { return m_platform->daemons().daemons().size() == 1; }));
+    EXPECT_EQ(m_platform->daemons().sharers(), 2U);
+    ASSERT_TRUE(waitFor([this] { return m_store.newest("keyed.daemons", "self").has_value(); }));
+    m_platform->leave();
+    ASSERT_TRUE(waitFor([this] { return !m_store.newest("keyed.daemons", "self").has_value(); }));
+}
--- a/src/proxy/internal/requestrun.cpp
+++ b/src/proxy/internal/requestrun.cpp
@@ -231,8 +231,7 @@
             finish("stream broke; no backend server left");
             return;
         }
-        const bool reached = wasReached();
-        refuse({reached ? RefusalKind::AnswerLost : RefusalKind::NotRun,
+        refuse({mayHaveRun() ? RefusalKind::AnswerLost : RefusalKind::NotRun,
                 m_context.limits.retryAfter, "no backend server"});
         return;
     }
@@ -315,6 +314,7 @@
         attemptNotRun(end);
         return;
     }
+    m_ranSomewhere = true;
     if (isStream() && m_head && m_head->isSuccess() && m_head->isEventStream) {
         streamEnded(end);
         return;
@@ -447,8 +447,8 @@
 
 void RequestRun::end(const char *cause)
 {
-    const bool sent = m_call != nullptr;
-    if (sent) {
+    const bool reached = mayHaveRun();
+    if (m_call) {
         m_call.reset();
         endAttempt(m_head ? routing::CallOutcome::Cancelled : routing::CallOutcome::Broken);
     }
@@ -457,7 +457,7 @@
         finish(cause);
         return;
     }
-    if (wasReached()) {
+    if (reached) {
         refuse({RefusalKind::TimedOut, {}, cause});
         return;
     }
--- a/src/proxy/internal/requestrun.h
+++ b/src/proxy/internal/requestrun.h
@@ -76,7 +76,8 @@
     bool tryAgain(bool mayHaveRun);
     void endAttempt(routing::CallOutcome outcome);
     bool isStream() const;
-    bool wasReached() const { return m_attempts > 0; }
+    /// \return whether a backend server may have run the request or may be running it
+    bool mayHaveRun() const { return m_ranSomewhere || m_call != nullptr; }
 
     void refuse(const Refusal &refusal);
     void finish(const char *outcome);
@@ -108,6 +109,7 @@
     /// Backend servers that may have seen the request.
     std::uint32_t m_attempts = 0;
     std::uint32_t m_unsent = 0;
+    bool m_ranSomewhere = false;
     framework::Milliseconds m_backoff;
     std::set<framework::BackendServerId> m_excluded;
     std::optional<AnswerHead> m_head;
--- a/src/proxy/tests/attempttest.cpp
+++ b/src/proxy/tests/attempttest.cpp
@@ -82,6 +82,24 @@
     EXPECT_EQ(received->refusal, RefusalKind::NotRun);
 }
 
+TEST_F(ProxyAttemptTest, RefusalByTheOnlyServerIsPromisedAsNotRun)
+{
+    m_servers.remove(framework::BackendServerId("w2"));
+    const auto received = start("book");
+    answer(0, notExecuted());
+    advance(50);
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+}
+
+TEST_F(ProxyAttemptTest, RefusalBeforeTheTimeIsUpIsPromisedAsNotRun)
+{
+    const auto received = start("book");
+    answer(0, notExecuted());
+    m_servers.remove(framework::BackendServerId("w2"));
+    advance(801);
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+}
+
 TEST_F(ProxyAttemptTest, UnavailableWithoutThePromiseBecomesLost)
 {
     const auto received = start("book");
--- /dev/null
+++ b/src/standins/internal/platformserverstandin.cpp
@@ -0,0 +1,107 @@
+#include "standins/platformserverstandin.h"
+
+#include "http/ihttpexchange.h"
+#include "http/types/httprequesthead.h"
+#include "standins/internal/httpstatus.h"
+#include "standins/internal/json.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace lavendertally::standins {
+
+namespace {
+
+constexpr const char *RequestIdField = "X-Lavendertally-Request-Id";
+constexpr const char *SignatureField = "X-Lavendertally-Response-Signature";
+constexpr const char *NotExecutedField = "X-Lavendertally-Not-Executed";
+constexpr const char *InstanceField = "X-Lavendertally-Expect-Instance";
+constexpr int HttpMisdirected = 421;
+
+} // namespace
+
+PlatformServerStandIn::PlatformServerStandIn(framework::IEventLoop &loop, std::string id)
+    : StandInServer(loop), m_id(std::move(id))
+{ }
+
+std::size_t PlatformServerStandIn::runs(const std::string &request) const
+{
+    return m_runs.count(request);
+}
+
+void PlatformServerStandIn::handle(const ExchangePtr &exchange, FaultMode /*mode*/)
+{
+    if (exchange->header(InstanceField).value_or(m_id) != m_id) {
+        exchange->reply(HttpMisdirected, {}, {});
+        return;
+    }
+    if (exchange->path() == "/stage-run") {
+        makePieces(exchange);
+    } else if (exchange->path() == "/stage-free") {
+        freeResults(exchange);
+    } else {
+        run(exchange);
+    }
+}
+
+void PlatformServerStandIn::makePieces(const ExchangePtr &exchange)
+{
+    const auto order = nlohmann::json::parse(exchange->body(), nullptr, false);
+    if (!order.is_object() || !order.contains("items")) {
+        replyError(*exchange, HttpStatus::BadRequest, "malformed");
+        return;
+    }
+    nlohmann::json items = nlohmann::json::array();
+    for (std::size_t index = 0; index < order["items"].size(); ++index) {
+        items.push_back(
+            {{"handleId", endpoint().toString() + "/" + std::to_string(m_nextResult++)}});
+    }
+    replyJson(*exchange, HttpStatus::Ok, {{"items", items}});
+}
+
+void PlatformServerStandIn::freeResults(const ExchangePtr &exchange)
+{
+    const auto order = nlohmann::json::parse(exchange->body(), nullptr, false);
+    m_freed += order.is_object() && order.contains("handleIds") ? order["handleIds"].size() : 0;
+    replyJson(*exchange, HttpStatus::Ok, nlohmann::json::object());
+}
+
+void PlatformServerStandIn::run(const ExchangePtr &exchange)
+{
+    const std::string request = exchange->header(RequestIdField).value_or("");
+    m_lastHeaders.clear();
+    for (const auto &[name, value] : exchange->head().headers) {
+        m_lastHeaders.append(name).append(": ").append(value).append("\n");
+    }
+    if (m_full) {
+        exchange->reply(HttpStatus::ServiceUnavailable, {}, {},
+                        {{RequestIdField, request}, {NotExecutedField, "1"}});
+        return;
+    }
+    m_runs.insert(request);
+    if (exchange->path().starts_with("/stream/")) {
+        stream(exchange, request);
+        return;
+    }
+    exchange->reply(HttpStatus::Ok, {}, m_id + " ran " + request,
+                    {{RequestIdField, request}, {SignatureField, "s-" + request}});
+}
+
+void PlatformServerStandIn::stream(const ExchangePtr &exchange, const std::string &request)
+{
+    const auto after = exchange->header("Last-Event-Id");
+    exchange->startStream(HttpStatus::Ok, "text/event-stream",
+                          {{RequestIdField, request}, {SignatureField, "s-" + request}});
+    for (std::uint64_t event = after ? std::stoull(*after) + 1 : 1; event <= EventsInAStream;
+         ++event) {
+        exchange->sendPart("id: " + std::to_string(event) + "\ndata: e\n\n");
+        if (event == m_breakAfter) {
+            deferred().callAfter(framework::Milliseconds(20), [exchange] { exchange->abort(); });
+            return;
+        }
+    }
+    exchange->endStream();
+}
+
+} // namespace lavendertally::standins
--- /dev/null
+++ b/src/standins/platformserverstandin.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "standins/standinserver.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lavendertally::standins {
+
+/// Stand-in of a backend server on the users' platform: answers requests, streams events and makes
+/// pieces of stages. It counts the runs of each request.
+class PlatformServerStandIn final : public StandInServer
+{
+public:
+    /// \param id name under which it registered
+    PlatformServerStandIn(framework::IEventLoop &loop, std::string id);
+
+    /// \return how often the request was run here
+    std::size_t runs(const std::string &request) const;
+    /// \return header fields of the newest request, as `name: value` lines
+    const std::string &lastHeaders() const { return m_lastHeaders; }
+    /// Refuses every request as not executed.
+    void setFull(bool full) { m_full = full; }
+    /// Streams break after this many events; zero lets them end.
+    void setBreakAfter(std::uint64_t events) { m_breakAfter = events; }
+    std::size_t freedResults() const { return m_freed; }
+
+private:
+    static constexpr std::uint64_t EventsInAStream = 5;
+
+    void handle(const ExchangePtr &exchange, FaultMode mode) override;
+    void makePieces(const ExchangePtr &exchange);
+    void freeResults(const ExchangePtr &exchange);
+    void run(const ExchangePtr &exchange);
+    void stream(const ExchangePtr &exchange, const std::string &request);
+
+    std::string m_id;
+    std::multiset<std::string> m_runs;
+    std::string m_lastHeaders;
+    bool m_full = false;
+    std::uint64_t m_breakAfter = 0;
+    std::size_t m_freed = 0;
+    std::uint64_t m_nextResult = 0;
+};
+
+} // namespace lavendertally::standins
