--- a/src/infrastructure/infrastructuremodule.h
+++ b/src/infrastructure/infrastructuremodule.h
@@ -3,10 +3,8 @@
 #include <memory>
 
 namespace lavendertally::framework {
-class IClock;
-class IScheduler;
 struct Endpoint;
-} // namespace lavendertally::framework
+}
 
 namespace lavendertally::http {
 class IHttpClient;
@@ -16,7 +14,6 @@
 
 class IHostList;
 class ILogService;
-class IWeightStore;
 
 /// Makes clients of the platform's services. Destroying a client silences its callbacks.
 class InfrastructureModule
@@ -28,11 +25,6 @@
     /// \param client outlives the returned object
     static std::unique_ptr<IHostList> makeHostList(http::IHttpClient &client,
                                                    const framework::Endpoint &endpoint);
-    /// \param client, scheduler, clock outlive the returned object
-    static std::unique_ptr<IWeightStore> makeWeightStore(http::IHttpClient &client,
-                                                         framework::IScheduler &scheduler,
-                                                         const framework::IClock &clock,
-                                                         const framework::Endpoint &endpoint);
 };
 
 } // namespace lavendertally::infrastructure
--- /dev/null
+++ b/src/peers/tests/peernetworktest.cpp
@@ -0,0 +1,140 @@
+#include "framework/frameworkmodule.h"
+#include "framework/iclock.h"
+#include "framework/ieventloop.h"
+#include "framework/itimer.h"
+#include "framework/testing/nulllogger.h"
+#include "http/tests/scriptedserver.h"
+#include "peers/ipeernetwork.h"
+#include "peers/ipeerobserver.h"
+#include "peers/peersmodule.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <vector>
+
+using namespace lavendertally;
+using namespace lavendertally::peers;
+
+namespace {
+
+constexpr framework::Milliseconds WaitLimit{10000};
+constexpr framework::Milliseconds PollInterval{5};
+
+class RecordingObserver final : public IPeerObserver
+{
+public:
+    void onMessage(const framework::DaemonId &peer, const protocol::PeerMessage &message) override
+    {
+        m_messages.emplace_back(peer, message);
+    }
+    void onLinkLost(const framework::DaemonId &peer) override { m_lost.push_back(peer); }
+    void onPeerLeft(const framework::DaemonId &peer) override { m_left.push_back(peer); }
+
+    std::vector<std::pair<framework::DaemonId, protocol::PeerMessage>> m_messages;
+    std::vector<framework::DaemonId> m_lost;
+    std::vector<framework::DaemonId> m_left;
+};
+
+} // namespace
+
+class PeerNetworkTest : public testing::Test
+{
+protected:
+    PeerNetworkTest()
+        : m_loop(framework::FrameworkModule::makeEventLoop()),
+          m_clock(framework::FrameworkModule::makeSystemClock()), m_a(make("a", m_seenByA)),
+          m_b(make("b", m_seenByB))
+    {
+        m_endpointB = m_b->listen({"127.0.0.1", 0}).value();
+        EXPECT_TRUE(m_a->listen({"127.0.0.1", 0}));
+    }
+
+    std::unique_ptr<IPeerNetwork> make(const char *id, RecordingObserver &observer)
+    {
+        auto network =
+            PeersModule::makeNetwork(*m_loop, *m_clock, m_logger, framework::DaemonId(id));
+        network->setObserver(observer);
+        network->setAcceptsJobs([this] { return m_accepts; });
+        return network;
+    }
+    bool waitFor(const std::function<bool()> &condition)
+    {
+        const framework::TimePoint end = m_clock->now() + WaitLimit;
+        while (!condition() && m_clock->now() < end) {
+            const auto timer = m_loop->callAfter(PollInterval, [this] { m_loop->stop(); });
+            m_loop->run();
+        }
+        return condition();
+    }
+    bool connect(const framework::Endpoint &endpoint)
+    {
+        m_a->connectTo({{B, endpoint}});
+        return waitFor([this] { return m_a->isAccepting(B); });
+    }
+
+    const framework::DaemonId A{"a"};
+    const framework::DaemonId B{"b"};
+    framework::NullLogger m_logger;
+    std::unique_ptr<framework::IEventLoop> m_loop;
+    std::unique_ptr<framework::IClock> m_clock;
+    RecordingObserver m_seenByA;
+    RecordingObserver m_seenByB;
+    bool m_accepts = true;
+    std::unique_ptr<IPeerNetwork> m_a;
+    std::unique_ptr<IPeerNetwork> m_b;
+    framework::Endpoint m_endpointB;
+};
+
+TEST_F(PeerNetworkTest, MessagesGoBothWaysOnOneLink)
+{
+    ASSERT_TRUE(connect(m_endpointB));
+    EXPECT_FALSE(m_b->isAccepting(A));
+    ASSERT_TRUE(m_a->send(B, protocol::StageJobCancel{framework::RequestId("r1")}));
+    ASSERT_TRUE(waitFor([this] { return m_seenByB.m_messages.size() == 1; }));
+    EXPECT_EQ(m_seenByB.m_messages[0].first, A);
+    ASSERT_TRUE(m_b->send(A, protocol::StageJobCancel{framework::RequestId("r2")}));
+    ASSERT_TRUE(waitFor([this] { return m_seenByA.m_messages.size() == 1; }));
+    EXPECT_EQ(m_seenByA.m_messages[0].first, B);
+}
+
+TEST_F(PeerNetworkTest, PeerThatTakesNoJobsIsNotAccepting)
+{
+    ASSERT_TRUE(connect(m_endpointB));
+    m_accepts = false;
+    EXPECT_TRUE(waitFor([this] { return !m_a->isAccepting(B); }));
+    m_accepts = true;
+    EXPECT_TRUE(waitFor([this] { return m_a->isAccepting(B); }));
+}
+
+TEST_F(PeerNetworkTest, BothSidesHearThatAPeerIsGone)
+{
+    ASSERT_TRUE(connect(m_endpointB));
+    m_b.reset();
+    ASSERT_TRUE(waitFor([this] { return !m_seenByA.m_lost.empty(); }));
+    EXPECT_FALSE(m_a->send(B, protocol::PeerPing{1}));
+    m_b = make("b", m_seenByB);
+    ASSERT_TRUE(m_b->listen(m_endpointB));
+    ASSERT_TRUE(waitFor([this] { return m_a->isAccepting(B); }));
+    m_a.reset();
+    EXPECT_TRUE(waitFor([this] { return !m_seenByB.m_left.empty(); }));
+}
+
+TEST_F(PeerNetworkTest, SilentPeerIsLostAlthoughItsConnectionStands)
+{
+    http::ScriptedServer silent(*m_loop, [](auto & /*connection*/) {});
+    m_a->connectTo({{B, silent.endpoint()}});
+    ASSERT_TRUE(waitFor([&] { return silent.connections() >= 2; }));
+    EXPECT_FALSE(m_a->isAccepting(B));
+}
+
+TEST_F(PeerNetworkTest, BytesThatAreNoMessageEndTheLinkOnly)
+{
+    ASSERT_TRUE(connect(m_endpointB));
+    http::ScriptedServer noise(*m_loop, [](auto &connection) {
+        http::ScriptedServer::send(connection, std::string("\x00\x00\x00\x02\xff\xff", 6));
+    });
+    m_a->connectTo({{B, m_endpointB}, {framework::DaemonId("c"), noise.endpoint()}});
+    ASSERT_TRUE(waitFor([&] { return noise.connections() >= 2; }));
+    EXPECT_TRUE(m_a->isAccepting(B));
+}
