--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -47,12 +47,13 @@
     GatewayFixture()
         : m_clock(framework::FrameworkModule::makeSystemClock()),
           m_loop(framework::FrameworkModule::makeEventLoop()),
-          m_client(http::HttpModule::makeClient(*m_loop)), m_store(*m_loop), m_desk(*m_loop, "desk"),
-          m_model(*m_loop, "model"), m_otherModel(*m_loop, "othermodel"), m_pool(*m_loop, "pool")
+          m_client(http::HttpModule::makeClient(*m_loop)), m_store(*m_loop),
+          m_desk(*m_loop, "desk"), m_model(*m_loop, "model"), m_otherModel(*m_loop, "othermodel"),
+          m_pool(*m_loop, "pool")
     {
         const auto *test = testing::UnitTest::GetInstance()->current_test_info();
-        m_folder = testing::TempDir() + "lavendertally-" + test->name() + "-"
-            + std::to_string(::getpid());
+        m_folder =
+            testing::TempDir() + "lavendertally-" + test->name() + "-" + std::to_string(::getpid());
         std::filesystem::create_directories(m_folder);
         m_storeEndpoint = m_store.listen({"127.0.0.1", 0}).value();
         for (auto *server : {&m_desk, &m_model, &m_otherModel, &m_pool}) {
@@ -68,17 +69,23 @@
 
     void publish(int version = 1)
     {
-        const nlohmann::json route = {{"hostname", "h"},      {"timeoutMs", 3000},
-                                      {"priority", 0},        {"public", false},
-                                      {"maxAttempts", 2},     {"targetLatencyMs", 1000}};
+        const nlohmann::json route = {{"hostname", "h"},  {"timeoutMs", 3000},
+                                      {"priority", 0},    {"public", false},
+                                      {"maxAttempts", 2}, {"targetLatencyMs", 1000}};
         nlohmann::json book = route;
-        book.update({{"name", "book"}, {"pathPrefix", "/book/"}, {"service", "desk"},
+        book.update({{"name", "book"},
+                     {"pathPrefix", "/book/"},
+                     {"service", "desk"},
                      {"routeKind", "non_idempotent"}});
         nlohmann::json stream = route;
-        stream.update({{"name", "stream"}, {"pathPrefix", "/stream/"}, {"service", "models"},
-                       {"routeKind", "streaming"}, {"streamResume", true},
-                       {"stages", {{{"service", "pool"}, {"after", nlohmann::json::array()},
-                                    {"bytes", 1000}}}}});
+        stream.update(
+            {{"name", "stream"},
+             {"pathPrefix", "/stream/"},
+             {"service", "models"},
+             {"routeKind", "streaming"},
+             {"streamResume", true},
+             {"stages",
+              {{{"service", "pool"}, {"after", nlohmann::json::array()}, {"bytes", 1000}}}}});
         const nlohmann::json configuration = {
             {"version", version},
             {"routes", {book, stream}},
@@ -87,8 +94,13 @@
               {{"name", "models"}, {"engineKind", nlohmann::json::object()}},
               {{"name", "pool"},
                {"pieces",
-                {{"slots", 1}, {"queueLimit", 2}, {"batchSize", 4}, {"callMs", 20.0},
-                 {"itemMs", 1.0}, {"headroomMb", 1.0}, {"handleS", 4.0}}}}}},
+                {{"slots", 1},
+                 {"queueLimit", 2},
+                 {"batchSize", 4},
+                 {"callMs", 20.0},
+                 {"itemMs", 1.0},
+                 {"headroomMb", 1.0},
+                 {"handleS", 4.0}}}}}},
             {"tenants", {{{"name", "members"}, {"apiKeys", {"key"}}}}}};
         m_store.put("keyed.op", "config", configuration.dump());
     }
@@ -96,9 +108,11 @@
     {
         const auto add = [this](const char *id, const char *service,
                                 const standins::PlatformServerStandIn &server) {
-            const nlohmann::json entry = {{"service", service}, {"zone", "za"},
+            const nlohmann::json entry = {{"service", service},
+                                          {"zone", "za"},
                                           {"address", server.endpoint().toString()},
-                                          {"slots", 4}, {"state", "ready"}};
+                                          {"slots", 4},
+                                          {"state", "ready"}};
             m_store.put("keyed.servers", id, entry.dump());
         };
         add("desk", "desk", m_desk);
--- a/src/app/tests/processtest.cpp
+++ b/src/app/tests/processtest.cpp
@@ -74,8 +74,7 @@
     // The first entry may still wait before it asks the log again, and says so until then.
     waitUntil("the result at the first entry", [this] {
         const auto repeat = ask(0, "b1", "book");
-        const bool waits =
-            repeat["outcome"] == "not_run" && repeat["reason"] == "log_unavailable";
+        const bool waits = repeat["outcome"] == "not_run" && repeat["reason"] == "log_unavailable";
         EXPECT_TRUE(waits || repeat["outcome"] == "done") << repeat;
         return !waits;
     });
--- a/src/framework/internal/boostlogger.cpp
+++ b/src/framework/internal/boostlogger.cpp
@@ -57,9 +57,8 @@
 constexpr std::size_t MaxUnreadOutput = 256 * 1024;
 
 /// Sink on standard output that drops lines instead of waiting.
-class OutputBackend final
-    : public boost::log::sinks::basic_formatted_sink_backend<
-          char, boost::log::sinks::synchronized_feeding>
+class OutputBackend final : public boost::log::sinks::basic_formatted_sink_backend<
+                                char, boost::log::sinks::synchronized_feeding>
 {
 public:
     void consume(const boost::log::record_view & /*record*/, const string_type &line)
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -60,7 +60,8 @@
 protected:
     ClientFaultTest()
         : m_loop(framework::FrameworkModule::makeEventLoop()),
-          m_server(*m_loop, [this](ScriptedServer::Connection &connection) { m_script(connection); }),
+          m_server(*m_loop,
+                   [this](ScriptedServer::Connection &connection) { m_script(connection); }),
           m_client(HttpModule::makeClient(*m_loop)),
           m_guard(m_loop->callAfter(GenerousTimeout, [this] { m_loop->stop(); }))
     { }
--- a/src/http/tests/rawsocket.h
+++ b/src/http/tests/rawsocket.h
@@ -24,8 +24,7 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(endpoint.port);
         inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-        m_connected =
-            connect(m_fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+        m_connected = connect(m_fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
         fcntl(m_fd, F_SETFL, O_NONBLOCK);
     }
     ~RawSocket() { close(m_fd); }
--- a/src/http/tests/scriptedserver.h
+++ b/src/http/tests/scriptedserver.h
@@ -48,7 +48,8 @@
         getsockname(m_fd, reinterpret_cast<sockaddr *>(&address), &length);
         m_port = ntohs(address.sin_port);
         fcntl(m_fd, F_SETFL, O_NONBLOCK);
-        m_accept = event_new(loop.base(), m_fd, EV_READ | EV_PERSIST, &ScriptedServer::accepted, this);
+        m_accept =
+            event_new(loop.base(), m_fd, EV_READ | EV_PERSIST, &ScriptedServer::accepted, this);
         event_add(m_accept, nullptr);
     }
     ~ScriptedServer()
--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -104,8 +104,8 @@
     Http, RawRequestTest,
     testing::Values(
         RawRequestCase{"Plain", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", Ok, 1},
-        RawRequestCase{"WithBody",
-                       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", Ok, 1},
+        RawRequestCase{"WithBody", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", Ok,
+                       1},
         RawRequestCase{"Chunked",
                        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
                        "2\r\nab\r\n0\r\n\r\n",
--- a/src/membership/testing/fakebackendservers.h
+++ b/src/membership/testing/fakebackendservers.h
@@ -30,8 +30,7 @@
     {
         return m_byService[service];
     }
-    const BackendServerEntry *
-    findAdmitting(const framework::BackendServerId &server) const override
+    const BackendServerEntry *findAdmitting(const framework::BackendServerId &server) const override
     {
         const auto found = m_entries.find(server);
         return found == m_entries.end() ? nullptr : &found->second;
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -266,8 +266,7 @@
 void PeerNetwork::onLinkClosed(PeerLink &link, const char *reason)
 {
     if (isOutbound(link)) {
-        const framework::DaemonId peer = link.peer();
-        lose(peer, m_outbound.at(peer), reason);
+        lose(link.peer(), m_outbound.at(link.peer()), reason);
         return;
     }
     dropInbound(link);
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -67,7 +67,9 @@
             byServer[*endpoint].push_back(result);
         }
     }
-    for (const auto &[endpoint, own] : byServer) {
+    for (const auto &entry : byServer) {
+        const framework::Endpoint &endpoint = entry.first;
+        const std::vector<framework::StageResultId> &own = entry.second;
         http::HttpRequest request = jsonRequest(endpoint, wire::StageFree, encodeResultIds(own));
         request.timeout = FreeTimeout;
         const std::uint64_t number = m_next++;
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -131,33 +131,33 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Platform, BadEntryTest,
-    testing::Values("", "\xff\xfe", "[]", R"({"service":"m"})",
-                    R"({"service":5,"address":"1.1.1.1:1","zone":"z","slots":1,"state":"ready"})",
-                    R"({"service":"m","address":"nowhere","zone":"z","slots":1,"state":"ready"})",
-                    R"({"service":"m","address":"1.1.1.1:1","zone":"z","slots":1,"state":"odd"})",
-                    R"({"service":"m","address":"1.1.1.1:0","zone":"z","slots":1,"state":"ready"})",
-                    R"({"service":"m","address":"1.1.1.1:1","zone":"z","slots":"1","state":"ready"})"));
+    testing::Values(
+        "", "\xff\xfe", "[]", R"({"service":"m"})",
+        R"({"service":5,"address":"1.1.1.1:1","zone":"z","slots":1,"state":"ready"})",
+        R"({"service":"m","address":"nowhere","zone":"z","slots":1,"state":"ready"})",
+        R"({"service":"m","address":"1.1.1.1:1","zone":"z","slots":1,"state":"odd"})",
+        R"({"service":"m","address":"1.1.1.1:0","zone":"z","slots":1,"state":"ready"})",
+        R"({"service":"m","address":"1.1.1.1:1","zone":"z","slots":"1","state":"ready"})"));
 
 TEST(ClientRequestCodecTest, FieldsOfOursNeverPassFromTheClient)
 {
-    const auto request = decodeClientRequest(
-        head({{"Host", "h1:80"},
-              {"X-Lavendertally-Request-Id", "r"},
-              {"Api-Key", "k"},
-              {"X-Lavendertally-Deadline-Ms", "900"},
-              {"x-lavendertally-tenant", "forged"},
-              {"X-Lavendertally-Expect-Instance", "forged"},
-              {"X-Lavendertally-Kv-Hold", "1"},
-              {"X-Lavendertally-Pin-Ms", "1"},
-              {"X-Lavendertally-Kv-Backup", "1.1.1.1:1"},
-              {"Kv-From", "1.1.1.1:1/x"},
-              {"Kv-Fetch", "1.1.1.1:1"},
-              {"X-Lavendertally-Inputs", "forged"},
-              {"X-Lavendertally-Request-Urgency", "0"},
-              {"Connection", "X-Private, close"},
-              {"X-Private", "1"},
-              {"Accept", "all"}}),
-        "body");
+    const auto request = decodeClientRequest(head({{"Host", "h1:80"},
+                                                   {"X-Lavendertally-Request-Id", "r"},
+                                                   {"Api-Key", "k"},
+                                                   {"X-Lavendertally-Deadline-Ms", "900"},
+                                                   {"x-lavendertally-tenant", "forged"},
+                                                   {"X-Lavendertally-Expect-Instance", "forged"},
+                                                   {"X-Lavendertally-Kv-Hold", "1"},
+                                                   {"X-Lavendertally-Pin-Ms", "1"},
+                                                   {"X-Lavendertally-Kv-Backup", "1.1.1.1:1"},
+                                                   {"Kv-From", "1.1.1.1:1/x"},
+                                                   {"Kv-Fetch", "1.1.1.1:1"},
+                                                   {"X-Lavendertally-Inputs", "forged"},
+                                                   {"X-Lavendertally-Request-Urgency", "0"},
+                                                   {"Connection", "X-Private, close"},
+                                                   {"X-Private", "1"},
+                                                   {"Accept", "all"}}),
+                                             "body");
     ASSERT_TRUE(request);
     EXPECT_EQ(request->hostName, "h1");
     EXPECT_EQ(request->path, "/a/b");
@@ -168,8 +168,7 @@
     for (const auto &[name, value] : request->headers) {
         names.push_back(name);
     }
-    EXPECT_EQ(names,
-              (std::vector<std::string>{"Host", "X-Lavendertally-Request-Id", "Accept"}));
+    EXPECT_EQ(names, (std::vector<std::string>{"Host", "X-Lavendertally-Request-Id", "Accept"}));
 }
 
 TEST(ClientRequestCodecTest, PromptAndPiecesAreRead)
@@ -202,17 +201,16 @@
     EXPECT_FALSE(decodeClientRequest(head(GetParam()), {}));
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Platform, BadRequestTest,
-    testing::Values(http::HttpHeaders{{"Host", "h"}},
-                    http::HttpHeaders{{"X-Lavendertally-Request-Id", "r"},
-                                      {"X-Lavendertally-Deadline-Ms", "-1"}},
-                    http::HttpHeaders{{"X-Lavendertally-Request-Id", "r"},
-                                      {"X-Lavendertally-Token-Count", "12"}},
-                    http::HttpHeaders{{"X-Lavendertally-Request-Id", "r"},
-                                      {"X-Lavendertally-Pieces", "1,x"}},
-                    http::HttpHeaders{{"X-Lavendertally-Request-Id", "r"},
-                                      {"Last-Event-Id", "abc"}}));
+INSTANTIATE_TEST_SUITE_P(Platform, BadRequestTest,
+                         testing::Values(http::HttpHeaders{{"Host", "h"}},
+                                         http::HttpHeaders{{"X-Lavendertally-Request-Id", "r"},
+                                                           {"X-Lavendertally-Deadline-Ms", "-1"}},
+                                         http::HttpHeaders{{"X-Lavendertally-Request-Id", "r"},
+                                                           {"X-Lavendertally-Token-Count", "12"}},
+                                         http::HttpHeaders{{"X-Lavendertally-Request-Id", "r"},
+                                                           {"X-Lavendertally-Pieces", "1,x"}},
+                                         http::HttpHeaders{{"X-Lavendertally-Request-Id", "r"},
+                                                           {"Last-Event-Id", "abc"}}));
 
 TEST(AnswerCodecTest, MeaningOfAnAnswersHead)
 {
@@ -238,7 +236,8 @@
 
 TEST(EventStreamReaderTest, EventsAreCutOutWholeWhateverThePieces)
 {
-    const std::string text = "id: 1\ndata: a\n\nx-weight-versions: 3\nid: 2\ndata: b\r\n\r\nid: 3\nda";
+    const std::string text =
+        "id: 1\ndata: a\n\nx-weight-versions: 3\nid: 2\ndata: b\r\n\r\nid: 3\nda";
     EventStreamReader reader;
     std::vector<proxy::StreamEvent> events;
     for (const char character : text) {
@@ -297,8 +296,8 @@
 TEST(StoreCodecTest, RecordsAreCutOutOfALogRead)
 {
     const std::string offsets(16, '\0');
-    const auto changes = decodeChanges(offsets + record("a", "1") + record("b", ""),
-                                       framework::LogOffset(40));
+    const auto changes =
+        decodeChanges(offsets + record("a", "1") + record("b", ""), framework::LogOffset(40));
     ASSERT_TRUE(changes);
     EXPECT_EQ(changes->next.value(), 42U);
     ASSERT_EQ(changes->records.size(), 2U);
@@ -311,8 +310,7 @@
 {
     const std::string offsets(16, '\0');
     const std::string odd("\x00\x00\x00\x02\x09z", 6);
-    const auto changes =
-        decodeChanges(offsets + odd + record("b", "2"), framework::LogOffset(0));
+    const auto changes = decodeChanges(offsets + odd + record("b", "2"), framework::LogOffset(0));
     ASSERT_TRUE(changes);
     ASSERT_EQ(changes->records.size(), 2U);
     EXPECT_EQ(changes->records[0].key, "");
--- a/src/platform/tests/usersplatformtest.cpp
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -35,8 +35,7 @@
 
 std::string server(const char *state = "ready")
 {
-    return std::string(
-               R"({"service":"m","address":"127.0.0.1:9","zone":"za","slots":4,"state":")")
+    return std::string(R"({"service":"m","address":"127.0.0.1:9","zone":"za","slots":4,"state":")")
         + state + R"("})";
 }
 
@@ -55,9 +54,9 @@
           m_store(*m_loop)
     {
         const auto endpoint = m_store.listen({"127.0.0.1", 0}).value();
-        m_platform = PlatformModule::makePlatform({framework::DaemonId("self"), endpoint, *m_loop,
-                                                   *m_clock, m_logger, *m_metrics, *m_serving,
-                                                   *m_servers});
+        m_platform =
+            PlatformModule::makePlatform({framework::DaemonId("self"), endpoint, *m_loop, *m_clock,
+                                          m_logger, *m_metrics, *m_serving, *m_servers});
     }
 
     void start() { m_platform->start({"127.0.0.1", 7}); }
@@ -75,10 +74,7 @@
         const auto configuration = m_serving->configuration();
         return configuration ? configuration->version().value() : 0;
     }
-    std::size_t admitting() const
-    {
-        return m_servers->admitting(framework::ServiceId("m")).size();
-    }
+    std::size_t admitting() const { return m_servers->admitting(framework::ServiceId("m")).size(); }
     void setFault(standins::FaultMode mode)
     {
         standins::Fault fault;
@@ -118,8 +114,8 @@
     m_store.put("keyed.op", "config", configuration(3));
     m_store.put("keyed.op", "config", "{");
     m_store.put("keyed.op", "evacuate/za", "{}");
-    ASSERT_TRUE(waitFor(
-        [this] { return m_servers->isZoneOut(framework::AvailabilityZoneId("za")); }));
+    ASSERT_TRUE(
+        waitFor([this] { return m_servers->isZoneOut(framework::AvailabilityZoneId("za")); }));
     EXPECT_EQ(version(), 8U);
 }
 
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -50,7 +50,8 @@
 class RecordingReply final : public IClientReply
 {
 public:
-    explicit RecordingReply(std::shared_ptr<ReceivedAnswer> answer) : m_answer(std::move(answer)) { }
+    explicit RecordingReply(std::shared_ptr<ReceivedAnswer> answer)
+        : m_answer(std::move(answer)) { }
 
     void answer(const AnswerHead &head, std::string_view body) override
     {
@@ -169,9 +170,19 @@
         m_serving.confirm(m_clock.now());
         addServer("w1");
         addServer("w2");
-        m_service = ProxyModule::makeService(ProxyContext{
-            framework::AvailabilityZoneId("za"), m_clock, m_scheduler, m_logger, *m_metrics,
-            *m_random, m_serving, m_directory, *m_selector, *m_retries, m_stages, m_backends, {}});
+        m_service = ProxyModule::makeService(ProxyContext{framework::AvailabilityZoneId("za"),
+                                                          m_clock,
+                                                          m_scheduler,
+                                                          m_logger,
+                                                          *m_metrics,
+                                                          *m_random,
+                                                          m_serving,
+                                                          m_directory,
+                                                          *m_selector,
+                                                          *m_retries,
+                                                          m_stages,
+                                                          m_backends,
+                                                          {}});
     }
 
     static serving::Route route(const char *id, serving::RouteKind kind, std::uint32_t attempts)
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -280,6 +280,7 @@
     std::stable_sort(idle.begin(), idle.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
     std::vector<const membership::BackendServerEntry *> servers;
+    servers.reserve(idle.size());
     for (const auto &[slowness, server] : idle) {
         servers.push_back(server);
     }
@@ -546,10 +547,10 @@
     for (auto &[service, queue] : m_queues) {
         queue.removeJob(job);
     }
-    const JobKey key = job.key();
-    const JobNumber number = numberOf(key);
-    m_numbers.erase(key);
-    m_jobs.erase(number);
+    const auto number = m_numbers.find(job.key());
+    const JobNumber erased = number->second;
+    m_numbers.erase(number);
+    m_jobs.erase(erased);
 }
 
 std::vector<StageCommand> StageCoordinator::takeCommands()
--- a/src/stages/internal/stagegateway.cpp
+++ b/src/stages/internal/stagegateway.cpp
@@ -67,7 +67,7 @@
     const auto found = std::find_if(m_order.begin(), m_order.end(), [this](const auto &daemon) {
         return daemon == m_self || m_network.isAccepting(daemon);
     });
-    const framework::DaemonId chosen = found == m_order.end() ? m_self : *found;
+    const framework::DaemonId &chosen = found == m_order.end() ? m_self : *found;
     if (chosen != m_coordinator) {
         m_logger.info("coordinator of stages chosen",
                       {{"coordinator", chosen.value()}, {"before", m_coordinator.value()}});
--- a/src/stages/tests/naivecoordinator.h
+++ b/src/stages/tests/naivecoordinator.h
@@ -92,13 +92,12 @@
                 const std::uint32_t piece = job.startPiece(next.stage);
                 m_busy.insert(server->id);
                 m_running[m_nextCall] = {next.job, next.stage, piece, *server};
-                m_commands.emplace_back(
-                    StartStageCall{m_nextCall,
-                                   *server,
-                                   {{next.job.request, job.stage(next.stage).index, piece,
-                                     framework::Milliseconds(0), job.job().input,
-                                     job.inputs(next.stage)}},
-                                   framework::Milliseconds(60000)});
+                m_commands.emplace_back(StartStageCall{
+                    m_nextCall,
+                    *server,
+                    {{next.job.request, job.stage(next.stage).index, piece,
+                      framework::Milliseconds(0), job.job().input, job.inputs(next.stage)}},
+                    framework::Milliseconds(60000)});
                 m_nextCall = m_nextCall.next();
             }
         }
--- a/src/stages/tests/stagedifferentialtest.cpp
+++ b/src/stages/tests/stagedifferentialtest.cpp
@@ -53,7 +53,8 @@
         std::vector<Arrival> result;
         framework::TimePoint at = Begin;
         while (at < Begin + framework::Milliseconds(Length)) {
-            at = at + framework::Milliseconds(static_cast<std::int64_t>(random->below(2 * meanGap)));
+            at =
+                at + framework::Milliseconds(static_cast<std::int64_t>(random->below(2 * meanGap)));
             const auto first = static_cast<std::uint32_t>(1 + random->below(4));
             const auto second = static_cast<std::uint32_t>(1 + random->below(4));
             result.push_back({at, job("r" + std::to_string(result.size()), first, second, 1500)});
--- a/src/standins/internal/platformstorestandin.cpp
+++ b/src/standins/internal/platformstorestandin.cpp
@@ -42,8 +42,8 @@
 {
     using namespace boost::archive::iterators;
     constexpr int BitsPerDigit = 6;
-    using Encoder = base64_from_binary<
-        transform_width<std::string::const_iterator, BitsPerDigit, BitsPerByte>>;
+    using Encoder =
+        base64_from_binary<transform_width<std::string::const_iterator, BitsPerDigit, BitsPerByte>>;
     std::string text(Encoder(bytes.begin()), Encoder(bytes.end()));
     constexpr std::size_t Group = 4;
     return text.append((Group - text.size() % Group) % Group, '=');
