The gateway that has been up longest coordinates and hands over when it stops; retries shared

The saved retries of five gateways together could exceed the platform's slack (100 against 56). A fraction in a bound of the platform would have stopped a gateway at its start. Change: order by time since the start, then by hash; a stopping gateway tells at once and hands back jobs that have not begun; saved retries are shared among the gateways known; durations with decimals. Jobs that end without results are logged with cause and lateness.

--- a/src/configuration/internal/scalartypes.cpp
+++ b/src/configuration/internal/scalartypes.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstddef>
 #include <string_view>
 
@@ -48,6 +49,17 @@
     return isNumber && text.front() != '-' ? std::optional(value) : std::nullopt;
 }
 
+std::optional<double> parseDecimal(std::string_view text)
+{
+    double number = 0.0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return number;
+}
+
 template <std::size_t Count>
 std::optional<std::int64_t> parseQuantity(std::string_view text, const Unit (&units)[Count],
                                           std::int64_t maximum)
@@ -107,11 +119,20 @@
 
 std::optional<framework::Milliseconds> parseDuration(const std::string &text)
 {
-    const auto value = parseQuantity(text, DurationUnits, MaxDuration);
-    if (!value || *value == 0) {
+    const std::size_t length = std::min(text.find_first_not_of("0123456789."), text.size());
+    const auto number = parseDecimal(std::string_view(text).substr(0, length));
+    const auto unit = std::find_if(
+        std::begin(DurationUnits), std::end(DurationUnits), [&](const Unit &candidate) {
+            return candidate.suffix == std::string_view(text).substr(length);
+        });
+    if (!number || unit == std::end(DurationUnits)) {
+        return std::nullopt;
+    }
+    const double value = *number * static_cast<double>(unit->factor);
+    if (value < 1.0 || value > static_cast<double>(MaxDuration)) {
         return std::nullopt;
     }
-    return framework::Milliseconds(*value);
+    return framework::Milliseconds(std::llround(value));
 }
 
 std::optional<framework::Endpoint> parseEndpoint(const std::string &text, std::uint16_t minimumPort)
@@ -140,6 +161,18 @@
     return wordType("a name of at most 64 letters, digits, '.', '-', '_', ':' and '/'", "._-:/");
 }
 
+ScalarType<std::uint32_t> wholePartType(std::uint32_t maximum)
+{
+    return {"a number from 0 to " + std::to_string(maximum) + "; what follows the point is cut off",
+            [maximum](const std::string &text) -> std::optional<std::uint32_t> {
+                const auto number = parseDecimal(text);
+                if (!number || *number < 0.0 || *number > maximum) {
+                    return std::nullopt;
+                }
+                return static_cast<std::uint32_t>(*number);
+            }};
+}
+
 ScalarType<framework::Milliseconds> durationType()
 {
     return {"a duration above zero with unit ms, s, m or h, such as 500ms, at most 720h",
--- a/src/configuration/internal/scalartypes.h
+++ b/src/configuration/internal/scalartypes.h
@@ -33,6 +33,9 @@
 /// Decimal with up to six digits after the point.
 ScalarType<framework::MicroCost> costType();
 
+/// A number with or without decimals, of which the whole part counts.
+ScalarType<std::uint32_t> wholePartType(std::uint32_t maximum);
+
 ScalarType<bool> booleanType();
 
 /// IPv4 address and port.
--- a/src/configuration/internal/yamlsettingsparser.cpp
+++ b/src/configuration/internal/yamlsettingsparser.cpp
@@ -12,6 +12,7 @@
 
 constexpr framework::Bytes MinRequestLimit{1024};
 constexpr framework::Bytes MaxRequestLimit{64 * 1024 * 1024};
+constexpr std::uint32_t MaxSharedRetries = 1000000;
 
 void readIdentity(YamlMapping &root, DaemonSettings &settings)
 {
@@ -49,6 +50,7 @@
     root.readRequired("store", endpointType(1), gateway.store);
     root.readOptional("revocation_limit", durationType(), gateway.revocationLimit);
     root.readOptional("shutdown_grace", durationType(), gateway.shutdownGrace);
+    root.readOptional("shared_retries", wholePartType(MaxSharedRetries), gateway.sharedRetries);
 }
 
 void readBackend(YamlMapping &root, DiagnosticSink &sink, DaemonSettings &settings)
--- a/src/configuration/tests/settingsparsertest.cpp
+++ b/src/configuration/tests/settingsparsertest.cpp
@@ -17,6 +17,16 @@
 )";
 const std::string Entry = "role: entry\n" + Common;
 const std::string Host = "role: host\n" + Common;
+const std::string Gateway = R"(role: gateway
+id: g1
+host: g1
+availability_zone: z1
+listen: 127.0.0.1:1
+control_listen: 127.0.0.1:2
+ready_listen: 127.0.0.1:3
+metrics_listen: 127.0.0.1:4
+store: 10.0.0.1:7000
+)";
 
 struct BadSettings
 {
@@ -36,6 +46,10 @@
     {"Empty", "", 1, "", "empty"},
     {"UnknownKey", Entry + "drain: 5s\n", 9, "drain", "drain_timeout"},
     {"BadRole", "role: both\n" + Common, 1, "role", "entry host"},
+    {"GatewayWithoutStore", Gateway.substr(0, Gateway.find("store")), 1, "store", "missing"},
+    {"GatewayWithLog", Gateway + "log_service: 127.0.0.1:7\n", 10, "log_service", "drain_timeout"},
+    {"BadRetries", Gateway + "shared_retries: many\n", 10, "shared_retries", "number"},
+    {"BadGrace", Gateway + "shutdown_grace: 1.2.3s\n", 10, "shutdown_grace", "duration"},
     {"MissingId", "role: entry\n", 1, "id", "missing"},
     {"HostWithoutBackend", Host, 1, "backend", "missing"},
     {"EntryWithBackend", Entry + "backend: {endpoint: 127.0.0.1:80, service: s}\n", 9, "backend",
@@ -94,3 +108,17 @@
     EXPECT_EQ(read.logRetention, framework::Milliseconds(7200000));
     EXPECT_EQ(read.claimWindow, framework::Milliseconds(1800000));
 }
+
+TEST(SettingsParser, GatewaysNumbersMayHaveDecimals)
+{
+    const auto settings = ConfigurationModule::makeSettingsParser()->parse(
+        "g.yaml",
+        Gateway
+            + "seed_peers: [\"10.0.0.2:7\",\"10.0.0.3:7\"]\nrevocation_limit: 5000ms\n"
+              "shutdown_grace: 7.5s\nshared_retries: 56.9\nlog_format: json\n");
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->role, DaemonRole::Gateway);
+    EXPECT_EQ(settings->gateway.store.toString(), "10.0.0.1:7000");
+    EXPECT_EQ(settings->gateway.shutdownGrace, framework::Milliseconds(7500));
+    EXPECT_EQ(settings->gateway.sharedRetries, 56U);
+}
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -58,6 +58,8 @@
 /// Kept back from the time after which a revoked key must not work, for clocks that drift and
 /// timers that fire late.
 constexpr framework::Milliseconds RevocationMargin{500};
+/// Time over which the platform counts retries.
+constexpr framework::Milliseconds RetryWindow{10000};
 
 http::HttpLimits httpLimits(const serving::RequestLimits &limits, framework::Milliseconds idle)
 {
@@ -101,6 +103,20 @@
     m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_random);
     m_retries = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_serving->onChange([this] { applyLimits(); });
+    m_platform->daemons().onChange([this] { shareRetries(); });
+    shareRetries();
+}
+
+/// Retries saved up count for all gateways together; half of them is kept back for what other
+/// gateways may have saved up under an older count.
+void GatewayDaemon::shareRetries()
+{
+    const auto sharers = static_cast<std::uint32_t>(m_platform->daemons().sharers());
+    retry::RetryLimits limits;
+    limits.maxSaved = std::max<std::uint32_t>(m_settings.gateway.sharedRetries / (2 * sharers), 1);
+    limits.minRetries = 1;
+    limits.minRetriesInterval = RetryWindow;
+    m_retries->setLimits(limits);
 }
 
 void GatewayDaemon::makeRequests()
@@ -203,6 +219,7 @@
     m_drainBegun = m_clock->now();
     m_clientServer->closeAfterResponses();
     m_platform->leave();
+    m_stages->handOver();
     m_logger->info("shutting down; not ready any more, requests are still served",
                    {{"requests", std::to_string(m_requests->activeRequests())}});
     checkDrained();
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -82,6 +82,7 @@
     void makeRequests();
     void makeServers();
     void applyLimits();
+    void shareRetries();
     bool isInformed() const;
     bool isReady() const;
     void answerReadiness(const std::shared_ptr<http::IHttpExchange> &exchange);
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -33,7 +33,8 @@
                          framework::ILogger &logger, framework::DaemonId self,
                          const PeerLimits &limits)
     : m_loop(loop), m_clock(clock), m_logger(logger), m_self(std::move(self)), m_limits(limits),
-      m_codec(protocol::ProtocolModule::makePeerCodec()), m_acceptsJobs([] { return false; })
+      m_codec(protocol::ProtocolModule::makePeerCodec()), m_acceptsJobs([] { return false; }),
+      m_started(clock.now())
 { }
 
 PeerNetwork::~PeerNetwork()
@@ -117,6 +118,30 @@
     return outbound.answered && outbound.acceptsJobs && proved;
 }
 
+framework::TimePoint PeerNetwork::startOf(const framework::DaemonId &peer) const
+{
+    if (peer == m_self) {
+        return m_started;
+    }
+    const auto found = m_outbound.find(peer);
+    const bool known = found != m_outbound.end() && found->second.answered;
+    return known ? found->second.peerStart : framework::TimePoint::never();
+}
+
+protocol::PeerPong PeerNetwork::pong(std::uint64_t sequence) const
+{
+    return {sequence, m_acceptsJobs(), m_clock.now() - m_started};
+}
+
+void PeerNetwork::announce()
+{
+    for (const auto &link : m_inbound) {
+        if (!link->peer().isEmpty()) {
+            link->send(pong(0));
+        }
+    }
+}
+
 bool PeerNetwork::send(const framework::DaemonId &peer, const protocol::PeerMessage &message)
 {
     const auto outbound = m_outbound.find(peer);
@@ -216,7 +241,7 @@
         return;
     }
     if (const auto *ping = std::get_if<protocol::PeerPing>(&message)) {
-        link.send(protocol::PeerPong{ping->sequence, m_acceptsJobs()});
+        link.send(pong(ping->sequence));
         return;
     }
     if (const auto *pong = std::get_if<protocol::PeerPong>(&message)) {
@@ -255,6 +280,7 @@
         m_logger.info("link to a daemon is good", {{"peer", link.peer().value()}});
     }
     outbound.acceptsJobs = pong.acceptsJobs;
+    outbound.peerStart = m_clock.now() - pong.uptime;
 }
 
 bool PeerNetwork::isOutbound(const PeerLink &link) const
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -44,6 +44,9 @@
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
     void connectTo(const std::vector<DaemonAddress> &daemons) override;
     bool isAccepting(const framework::DaemonId &peer) const override;
+    bool isSelfAccepting() const override { return m_acceptsJobs(); }
+    framework::TimePoint startOf(const framework::DaemonId &peer) const override;
+    void announce() override;
     bool send(const framework::DaemonId &peer, const protocol::PeerMessage &message) override;
 
     void onLinkConnected(PeerLink &link) override;
@@ -62,6 +65,7 @@
         bool wasLost = false;
         bool answered = false;
         bool acceptsJobs = false;
+        framework::TimePoint peerStart;
     };
 
     static void accepted(evconnlistener *listener, int fd, sockaddr *address, int length,
@@ -72,6 +76,7 @@
     void lose(const framework::DaemonId &peer, Outbound &outbound, const char *reason);
     void closeSilentInbound(framework::TimePoint now);
     void onHello(PeerLink &link, const protocol::PeerHello &hello);
+    protocol::PeerPong pong(std::uint64_t sequence) const;
     void onPong(const PeerLink &link, const protocol::PeerPong &pong);
     bool isOutbound(const PeerLink &link) const;
     void dropInbound(PeerLink &link);
@@ -92,6 +97,7 @@
     std::unique_ptr<framework::ITimer> m_tickTimer;
     std::unique_ptr<framework::ITimer> m_discardTimer;
     std::uint64_t m_pingSequence = 0;
+    framework::TimePoint m_started;
 };
 
 } // namespace lavendertally::peers
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -3,6 +3,7 @@
 #include "framework/result.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
+#include "framework/types/timepoint.h"
 #include "peers/types/daemonaddress.h"
 #include "protocol/types/peermessage.h"
 
@@ -34,6 +35,15 @@
     /// \return whether the link to \p peer is good and the peer takes stage jobs
     virtual bool isAccepting(const framework::DaemonId &peer) const = 0;
 
+    /// \return whether this daemon takes stage jobs
+    virtual bool isSelfAccepting() const = 0;
+
+    /// \return when \p peer started, on this daemon's clock; TimePoint::never() if it is not known
+    virtual framework::TimePoint startOf(const framework::DaemonId &peer) const = 0;
+
+    /// Tells the peers at once whether this daemon takes stage jobs.
+    virtual void announce() = 0;
+
     /// Sends on the link to \p peer, or else on its link to this daemon.
     /// \return false if there is none
     virtual bool send(const framework::DaemonId &peer, const protocol::PeerMessage &message) = 0;
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -29,6 +29,7 @@
     {
         envelope.mutable_pong()->set_sequence(message.sequence);
         envelope.mutable_pong()->set_accepts_jobs(message.acceptsJobs);
+        envelope.mutable_pong()->set_uptime_ms(message.uptime.value());
     }
     void operator()(const StageJob &message) const
     {
@@ -151,7 +152,8 @@
     case peerwire::Envelope::kPing:
         return PeerMessage(PeerPing{envelope.ping().sequence()});
     case peerwire::Envelope::kPong:
-        return PeerMessage(PeerPong{envelope.pong().sequence(), envelope.pong().accepts_jobs()});
+        return PeerMessage(PeerPong{envelope.pong().sequence(), envelope.pong().accepts_jobs(),
+                                    framework::Milliseconds(envelope.pong().uptime_ms())});
     case peerwire::Envelope::kStageJob:
         return read(envelope.stage_job());
     case peerwire::Envelope::kStageJobCancel:
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -48,7 +48,7 @@
 INSTANTIATE_TEST_SUITE_P(
     Protocol, PeerCodecTest,
     testing::Values(PeerMessage(PeerHello{framework::DaemonId("d1")}), PeerMessage(PeerPing{7}),
-                    PeerMessage(PeerPong{7, true}), PeerMessage(job()),
+                    PeerMessage(PeerPong{7, true, framework::Milliseconds(90)}), PeerMessage(job()),
                     PeerMessage(StageJobCancel{framework::RequestId("r1")}), PeerMessage(outcome()),
                     PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}})));
 
--- a/src/proxy/internal/requestrun.cpp
+++ b/src/proxy/internal/requestrun.cpp
@@ -165,6 +165,7 @@
     job.worth = m_owner.worthOf(m_route->id, size);
     job.zone = wantedZone();
     m_stagesRunning = true;
+    m_stagesStarted = m_context.clock.now();
     m_context.stages.start(
         job, [this](const protocol::StageJobOutcome &outcome) { stagesEnded(outcome); });
 }
@@ -179,6 +180,7 @@
 void RequestRun::stagesEnded(const protocol::StageJobOutcome &outcome)
 {
     m_stagesRunning = false;
+    m_stageTime += m_context.clock.now() - m_stagesStarted;
     if (outcome.status == protocol::StageJobStatus::Done) {
         m_inputs = outcome.results;
         sendAttempt();
@@ -508,13 +510,16 @@
     const std::string route = m_route != nullptr ? m_route->id.value() : std::string();
     const std::string version =
         m_configuration ? std::to_string(m_configuration->version().value()) : "none";
+    const framework::Milliseconds age = m_started - m_context.serving.confirmedAt();
     m_context.logger.info("request ended",
                           {{"request", m_request.id.value()},
                            {"route", route},
                            {"configuration", version},
+                           {"configuration_age_ms", std::to_string(age.value())},
                            {"outcome", outcome},
                            {"backend_server", m_server.value()},
                            {"attempts", std::to_string(m_attempts)},
+                           {"stages_ms", std::to_string(m_stageTime.value())},
                            {"elapsed_ms", std::to_string(elapsed().value())}});
     m_context.metrics.increment("lavendertally_requests_total",
                                 {{"route", route}, {"outcome", outcome}});
--- a/src/proxy/internal/requestrun.h
+++ b/src/proxy/internal/requestrun.h
@@ -115,6 +115,9 @@
     std::optional<AnswerHead> m_head;
     std::string m_body;
     bool m_streaming = false;
+    framework::TimePoint m_stagesStarted;
+    /// Time that the stages took, all runs of them together.
+    framework::Milliseconds m_stageTime;
     std::optional<framework::StreamEventId> m_lastEvent;
     bool m_ended = false;
 };
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -123,6 +123,7 @@
     {
         m_released.insert(m_released.end(), results.begin(), results.end());
     }
+    void handOver() override { }
     void end(const char *request, protocol::StageJobStatus status)
     {
         protocol::StageJobOutcome outcome;
--- a/src/retry/internal/budgetedretrypolicy.cpp
+++ b/src/retry/internal/budgetedretrypolicy.cpp
@@ -17,6 +17,14 @@
     budgetOf(service).recordFreshCall();
 }
 
+void BudgetedRetryPolicy::setLimits(const RetryLimits &limits)
+{
+    m_limits = limits;
+    for (auto &[service, budget] : m_budgets) {
+        budget.setLimits(limits);
+    }
+}
+
 RetryDecision BudgetedRetryPolicy::decide(const RetryQuery &query, framework::TimePoint now)
 {
     if (!isSafeToRepeat(query) || query.attempts >= m_limits.maxAttempts) {
--- a/src/retry/internal/retrybudget.cpp
+++ b/src/retry/internal/retrybudget.cpp
@@ -13,6 +13,13 @@
 RetryBudget::RetryBudget(const RetryLimits &limits) : m_limits(limits), m_reserve(limits.minRetries)
 { }
 
+void RetryBudget::setLimits(const RetryLimits &limits)
+{
+    m_limits = limits;
+    m_saved = std::min(m_saved, limits.maxSaved * OneRetry);
+    m_reserve = std::min(m_reserve, limits.minRetries);
+}
+
 void RetryBudget::recordFreshCall()
 {
     const std::int64_t most = m_limits.maxSaved * OneRetry;
--- a/src/retry/internal/retrybudget.h
+++ b/src/retry/internal/retrybudget.h
@@ -16,6 +16,9 @@
 public:
     explicit RetryBudget(const RetryLimits &limits);
 
+    /// Retries saved up beyond the new limits are lost.
+    void setLimits(const RetryLimits &limits);
+
     void recordFreshCall();
 
     /// \param leave saved retries that must remain for others; the reserve is for all
--- a/src/retry/iretrypolicy.h
+++ b/src/retry/iretrypolicy.h
@@ -3,6 +3,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
 #include "retry/types/retrydecision.h"
+#include "retry/types/retrylimits.h"
 #include "retry/types/retryquery.h"
 
 namespace lavendertally::retry {
@@ -17,6 +18,9 @@
     /// A first attempt was sent to \p service.
     virtual void recordFreshCall(const framework::ServiceId &service, framework::TimePoint now) = 0;
 
+    /// Bounds retries from now on, also those that were saved up.
+    virtual void setLimits(const RetryLimits &limits) = 0;
+
     virtual RetryDecision decide(const RetryQuery &query, framework::TimePoint now) = 0;
 };
 
--- a/src/retry/tests/retrytest.cpp
+++ b/src/retry/tests/retrytest.cpp
@@ -184,3 +184,28 @@
     const TimePoint later = Start + Milliseconds(11000);
     EXPECT_EQ(budget->budgetFor(stages, 0, Milliseconds(600), later), Milliseconds(600));
 }
+
+TEST(RetryBudgetLimits, SavedRetriesAreLostWhenMoreDaemonsShareThem)
+{
+    const auto random = framework::FrameworkModule::makeRandom(1);
+    RetryLimits limits;
+    limits.minRetries = 0;
+    limits.maxSaved = 10;
+    limits.standardLeavesPercent = 0;
+    const auto policy = RetryModule::makeBudgetedRetryPolicy(*random, limits);
+    const framework::ServiceId service("s");
+    const framework::TimePoint now(1000);
+    for (int call = 0; call < 200; ++call) {
+        policy->recordFreshCall(service, now);
+    }
+    limits.maxSaved = 2;
+    policy->setLimits(limits);
+    RetryQuery query;
+    query.service = service;
+    query.budget = framework::Milliseconds(1000);
+    int retries = 0;
+    while (policy->decide(query, now).retry) {
+        ++retries;
+    }
+    EXPECT_EQ(retries, 2);
+}
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -37,7 +37,8 @@
     const framework::Milliseconds excess =
         canRun(job) ? makeRoom(added, now) : m_limits.maxRetryAfter;
     if (excess.value() > 0) {
-        fail(added, protocol::StageJobStatus::Overloaded, excess);
+        fail(added, protocol::StageJobStatus::Overloaded,
+             canRun(job) ? "would be late" : "no backend server", excess);
         return;
     }
     enqueueReady(added, now);
@@ -55,7 +56,7 @@
         if (victim == nullptr) {
             return lateness;
         }
-        fail(*victim, protocol::StageJobStatus::Overloaded, lateness);
+        fail(*victim, protocol::StageJobStatus::Overloaded, "gave way", lateness);
     }
 }
 
@@ -179,6 +180,24 @@
     }
 }
 
+void StageCoordinator::handOver()
+{
+    std::vector<StageJobState *> waiting;
+    for (const auto &[number, job] : m_jobs) {
+        if (!job->hasStarted()) {
+            waiting.push_back(job.get());
+        }
+    }
+    for (StageJobState *job : waiting) {
+        protocol::StageJobOutcome outcome;
+        outcome.request = job->key().request;
+        outcome.status = protocol::StageJobStatus::NotCoordinator;
+        m_commands.emplace_back(
+            EndStageJob{job->key().owner, std::move(outcome), "handed over", {}});
+        erase(*job);
+    }
+}
+
 void StageCoordinator::release(const std::vector<framework::StageResultId> &results,
                                framework::TimePoint /*now*/)
 {
@@ -232,10 +251,12 @@
         }
     }
     for (StageJobState *job : late) {
-        fail(*job,
-             job->hasStarted() ? protocol::StageJobStatus::Failed
-                               : protocol::StageJobStatus::Overloaded,
-             m_limits.minRetryAfter);
+        const framework::Milliseconds lateness = now - job->objective();
+        if (job->hasStarted()) {
+            fail(*job, protocol::StageJobStatus::Failed, "fell too far behind", lateness);
+        } else {
+            fail(*job, protocol::StageJobStatus::Overloaded, "waited too long", lateness);
+        }
     }
 }
 
@@ -405,7 +426,8 @@
         return;
     }
     if (outcome.status == PieceStatus::Late) {
-        fail(*job, protocol::StageJobStatus::Failed, m_limits.minRetryAfter);
+        fail(*job, protocol::StageJobStatus::Failed, "time was up at a backend server",
+             now - job->objective());
         return;
     }
     const auto inputs = job->inputs(piece.stage);
@@ -425,7 +447,7 @@
 {
     const std::uint32_t attempts = job.retryPiece(piece.stage, piece.piece);
     if (status != PieceStatus::NoRoom && attempts >= m_limits.maxPieceAttempts) {
-        fail(job, protocol::StageJobStatus::Failed, m_limits.minRetryAfter);
+        fail(job, protocol::StageJobStatus::Failed, "a piece kept failing", now - job.objective());
         return;
     }
     enqueueReady(job, now);
@@ -525,19 +547,20 @@
     outcome.request = job.key().request;
     outcome.status = protocol::StageJobStatus::Done;
     outcome.results = job.finalResults();
-    m_commands.emplace_back(EndStageJob{job.key().owner, std::move(outcome)});
+    m_commands.emplace_back(
+        EndStageJob{job.key().owner, std::move(outcome), "", now - job.objective()});
     erase(job);
 }
 
-void StageCoordinator::fail(StageJobState &job, protocol::StageJobStatus status,
-                            framework::Milliseconds retryAfter)
+void StageCoordinator::fail(StageJobState &job, protocol::StageJobStatus status, const char *cause,
+                            framework::Milliseconds lateness)
 {
     m_shares.record(job.job().route, false);
     protocol::StageJobOutcome outcome;
     outcome.request = job.key().request;
     outcome.status = status;
-    outcome.retryAfter = std::clamp(retryAfter, m_limits.minRetryAfter, m_limits.maxRetryAfter);
-    m_commands.emplace_back(EndStageJob{job.key().owner, std::move(outcome)});
+    outcome.retryAfter = std::clamp(lateness, m_limits.minRetryAfter, m_limits.maxRetryAfter);
+    m_commands.emplace_back(EndStageJob{job.key().owner, std::move(outcome), cause, lateness});
     freeResults(job.allResults());
     erase(job);
 }
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -36,6 +36,7 @@
                 framework::TimePoint now) override;
     void cancel(const JobKey &job, framework::TimePoint now) override;
     void cancelAll(const framework::DaemonId &owner, framework::TimePoint now) override;
+    void handOver() override;
     void release(const std::vector<framework::StageResultId> &results,
                  framework::TimePoint now) override;
     void resultsFreed(const std::vector<framework::StageResultId> &results,
@@ -104,8 +105,10 @@
     void freeInputs(StageJobState &job, std::size_t stage);
     bool isRoomPressed(const StageJobState &job, std::size_t stage);
     void finish(StageJobState &job, framework::TimePoint now);
-    void fail(StageJobState &job, protocol::StageJobStatus status,
-              framework::Milliseconds retryAfter);
+    /// \param cause for the log
+    /// \param lateness by how much the job is, or would be, behind its objective
+    void fail(StageJobState &job, protocol::StageJobStatus status, const char *cause,
+              framework::Milliseconds lateness);
     void erase(StageJobState &job);
     void freeResults(const std::vector<framework::StageResultId> &results);
     StageJobState *find(JobNumber number);
--- a/src/stages/internal/stagegateway.cpp
+++ b/src/stages/internal/stagegateway.cpp
@@ -19,6 +19,9 @@
 /// Links kept to daemons that may coordinate: the first choice and its two successors.
 constexpr std::size_t CoordinatorCandidates = 3;
 
+/// Daemons of which one started less than this much earlier count as started together.
+constexpr framework::Milliseconds StartSpread{2000};
+
 } // namespace
 
 StageGateway::StageGateway(framework::DaemonId self, IStageCoordinator &coordinator,
@@ -62,12 +65,23 @@
     m_network.connectTo(others);
 }
 
+/// The daemon that has been up longest, so that one that was restarted does not take the jobs back;
+/// among those that started together the first in the common order.
 framework::DaemonId StageGateway::chooseCoordinator()
 {
-    const auto found = std::find_if(m_order.begin(), m_order.end(), [this](const auto &daemon) {
-        return daemon == m_self || m_network.isAccepting(daemon);
-    });
-    const framework::DaemonId &chosen = found == m_order.end() ? m_self : *found;
+    framework::DaemonId chosen = m_self;
+    framework::TimePoint oldest = framework::TimePoint::never();
+    const std::size_t candidates = std::min(CoordinatorCandidates, m_order.size());
+    for (std::size_t index = 0; index < candidates; ++index) {
+        const framework::DaemonId &daemon = m_order[index];
+        const bool usable =
+            daemon == m_self ? m_network.isSelfAccepting() : m_network.isAccepting(daemon);
+        const framework::TimePoint start = m_network.startOf(daemon);
+        if (usable && (oldest == framework::TimePoint::never() || start + StartSpread < oldest)) {
+            chosen = daemon;
+            oldest = start;
+        }
+    }
     if (chosen != m_coordinator) {
         m_logger.info("coordinator of stages chosen",
                       {{"coordinator", chosen.value()}, {"before", m_coordinator.value()}});
@@ -152,6 +166,10 @@
         release(unused);
         return;
     }
+    if (outcome.status == protocol::StageJobStatus::NotCoordinator) {
+        submit(found->second);
+        return;
+    }
     auto node = m_pending.extract(found);
     node.mapped().done(outcome);
 }
@@ -169,6 +187,12 @@
     }
 }
 
+void StageGateway::handOver()
+{
+    m_network.announce();
+    m_runner.handOver();
+}
+
 void StageGateway::onLinkLost(const framework::DaemonId &peer)
 {
     std::size_t moved = 0;
--- a/src/stages/internal/stagegateway.h
+++ b/src/stages/internal/stagegateway.h
@@ -32,6 +32,7 @@
                std::function<void(protocol::StageJobOutcome)> done) override;
     void cancel(const framework::RequestId &request) override;
     void release(const std::vector<framework::StageResultId> &results) override;
+    void handOver() override;
 
     void onMessage(const framework::DaemonId &peer, const protocol::PeerMessage &message) override;
     void onLinkLost(const framework::DaemonId &peer) override;
--- a/src/stages/internal/stagerunner.cpp
+++ b/src/stages/internal/stagerunner.cpp
@@ -60,6 +60,12 @@
     pump();
 }
 
+void StageRunner::handOver()
+{
+    m_coordinator.handOver();
+    pump();
+}
+
 void StageRunner::release(const std::vector<framework::StageResultId> &results)
 {
     m_coordinator.release(results, m_clock.now());
@@ -123,6 +129,17 @@
 
 void StageRunner::carryOut(const EndStageJob &command)
 {
+    const bool done = command.outcome.status == protocol::StageJobStatus::Done;
+    m_metrics.increment("lavendertally_stage_jobs_total",
+                        {{"outcome", done ? "done" : command.cause}});
+    if (!done) {
+        m_logger.info("stage job ended without results",
+                      {{"request", command.outcome.request.value()},
+                       {"owner", command.owner.value()},
+                       {"cause", command.cause},
+                       {"lateness_ms", std::to_string(command.lateness.value())},
+                       {"retry_after_ms", std::to_string(command.outcome.retryAfter.value())}});
+    }
     m_ended(command.owner, command.outcome);
 }
 
--- a/src/stages/internal/stagerunner.h
+++ b/src/stages/internal/stagerunner.h
@@ -41,6 +41,7 @@
     void submit(const framework::DaemonId &owner, const protocol::StageJob &job);
     void cancel(const framework::DaemonId &owner, const framework::RequestId &request);
     void cancelAll(const framework::DaemonId &owner);
+    void handOver();
     void release(const std::vector<framework::StageResultId> &results);
 
 private:
--- a/src/stages/istagecoordinator.h
+++ b/src/stages/istagecoordinator.h
@@ -28,6 +28,9 @@
     /// No job of that daemon is wanted any more.
     virtual void cancelAll(const framework::DaemonId &owner, framework::TimePoint now) = 0;
 
+    /// Ends the jobs that have not begun, for another coordinator to take them.
+    virtual void handOver() = 0;
+
     /// Results handed out by EndStageJob are not needed any more.
     virtual void release(const std::vector<framework::StageResultId> &results,
                          framework::TimePoint now) = 0;
--- a/src/stages/istageservice.h
+++ b/src/stages/istageservice.h
@@ -23,6 +23,9 @@
 
     /// Results of a job that is done are not needed any more.
     virtual void release(const std::vector<framework::StageResultId> &results) = 0;
+
+    /// This daemon is about to stop: jobs that it coordinates and has not begun go elsewhere.
+    virtual void handOver() = 0;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/tests/naivecoordinator.h
+++ b/src/stages/tests/naivecoordinator.h
@@ -27,6 +27,7 @@
     }
     void cancel(const JobKey & /*job*/, framework::TimePoint /*now*/) override { }
     void cancelAll(const framework::DaemonId & /*owner*/, framework::TimePoint /*now*/) override { }
+    void handOver() override { }
     void release(const std::vector<framework::StageResultId> & /*results*/,
                  framework::TimePoint /*now*/) override
     { }
@@ -45,7 +46,9 @@
         if (job.isDone()) {
             m_commands.emplace_back(EndStageJob{
                 running.job.owner,
-                {running.job.request, protocol::StageJobStatus::Done, job.finalResults(), {}}});
+                {running.job.request, protocol::StageJobStatus::Done, job.finalResults(), {}},
+                "",
+                {}});
         } else if (job.isStageDone(running.stage)) {
             enqueue(job);
         }
--- a/src/stages/tests/stagecoordinatortest.cpp
+++ b/src/stages/tests/stagecoordinatortest.cpp
@@ -165,6 +165,19 @@
     EXPECT_TRUE(m_ended.empty());
 }
 
+TEST_F(StageCoordinatorTest, JobsThatHaveNotBegunAreHandedOver)
+{
+    addServer("f1", "first");
+    submit(job("begun", 4));
+    submit(job("waiting", 4));
+    m_coordinator->handOver();
+    take();
+    EXPECT_EQ(m_ended["waiting"].status, protocol::StageJobStatus::NotCoordinator);
+    EXPECT_FALSE(m_ended.contains("begun"));
+    answer(m_calls[0]);
+    EXPECT_TRUE(isDone("begun"));
+}
+
 TEST_F(StageCoordinatorTest, RoomIsTakenUntilTheServerHasDroppedTheResults)
 {
     m_serving.set({}, {pool("first", 4, 4000), pool("second", 4, 4000)});
--- a/src/stages/types/endstagejob.h
+++ b/src/stages/types/endstagejob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "framework/types/milliseconds.h"
 #include "protocol/types/stagejoboutcome.h"
 
 namespace lavendertally::stages {
@@ -10,6 +11,10 @@
 {
     framework::DaemonId owner;
     protocol::StageJobOutcome outcome;
+    /// Why it ended without results, for the log.
+    const char *cause = "";
+    /// By how much it was, or was expected to be, behind its objective.
+    framework::Milliseconds lateness;
 };
 
 } // namespace lavendertally::stages
