--- /dev/null
+++ b/src/proxy/internal/requestgate.cpp
@@ -0,0 +1,68 @@
+#include "proxy/internal/requestgate.h"
+
+#include "framework/irandom.h"
+#include "proxy/types/clientrequest.h"
+#include "serving/iservingstate.h"
+#include "serving/types/servingconfiguration.h"
+
+namespace lavendertally::proxy {
+
+framework::PriorityRank RequestPlan::priority() const
+{
+    return team != nullptr ? team->priority.value_or(route->priority) : route->priority;
+}
+
+RequestGate::RequestGate(const ProxyContext &context) : m_context(context) { }
+
+std::optional<Refusal> RequestGate::check(const ClientRequest &request, framework::TimePoint now,
+                                          RequestPlan &plan) const
+{
+    plan.configuration = m_context.serving.configuration();
+    if (!plan.configuration) {
+        return Refusal{RefusalKind::NotRun, m_context.limits.retryAfter, "no configuration yet"};
+    }
+    plan.route = plan.configuration->findRoute(request.hostName, request.path);
+    if (plan.route == nullptr) {
+        return Refusal{RefusalKind::NoRoute, {}, "no route"};
+    }
+    plan.service = chooseService(*plan.route);
+    return identify(request, now, plan);
+}
+
+std::optional<Refusal> RequestGate::identify(const ClientRequest &request, framework::TimePoint now,
+                                             RequestPlan &plan) const
+{
+    if (!plan.configuration->hasTeams() || plan.route->isPublic) {
+        return std::nullopt;
+    }
+    plan.team = plan.configuration->findTeam(request.key);
+    if (plan.team == nullptr) {
+        return Refusal{RefusalKind::UnknownKey, {}, "unknown key"};
+    }
+    // The request was sent before now, so a revocation that was acknowledged long before is in this
+    // configuration as long as its confirmation is not older than that.
+    const framework::Milliseconds age = now - m_context.serving.confirmedAt();
+    if (age > m_context.limits.maxKeyAge) {
+        return Refusal{RefusalKind::NotRun, m_context.limits.retryAfter,
+                       "configuration not confirmed"};
+    }
+    return std::nullopt;
+}
+
+framework::ServiceId RequestGate::chooseService(const serving::Route &route) const
+{
+    std::uint64_t sum = 0;
+    for (const serving::TrafficShare &share : route.split) {
+        sum += share.weight;
+    }
+    std::uint64_t drawn = route.split.size() > 1 ? m_context.random.below(sum) : 0;
+    for (const serving::TrafficShare &share : route.split) {
+        if (drawn < share.weight) {
+            return share.service;
+        }
+        drawn -= share.weight;
+    }
+    return route.split.back().service;
+}
+
+} // namespace lavendertally::proxy
--- a/src/proxy/internal/requestrun.cpp
+++ b/src/proxy/internal/requestrun.cpp
@@ -3,25 +3,22 @@
 #include "framework/iclock.h"
 #include "framework/ilogger.h"
 #include "framework/imetrics.h"
-#include "framework/irandom.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "peers/idaemondirectory.h"
-#include "protocol/types/stagejob.h"
 #include "proxy/ibackendcall.h"
 #include "proxy/ibackendport.h"
 #include "proxy/iclientreply.h"
 #include "proxy/internal/irequestrunowner.h"
+#include "proxy/internal/requestgate.h"
 #include "proxy/types/backendrequest.h"
 #include "proxy/types/streamevent.h"
 #include "retry/iretrypolicy.h"
 #include "routing/ibackendserverselector.h"
 #include "serving/iservingstate.h"
 #include "serving/types/servingconfiguration.h"
-#include "stages/istageservice.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace lavendertally::proxy {
@@ -51,123 +48,46 @@
                        IProxyService::Ticket ticket, ClientRequest request,
                        std::unique_ptr<IClientReply> reply)
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
-      m_reply(std::move(reply)), m_started(context.clock.now()), m_lastEvent(m_request.lastEvent)
+      m_reply(std::move(reply)), m_started(context.clock.now()),
+      m_stages(context, m_request, m_plan), m_lastEvent(m_request.lastEvent)
 { }
 
 RequestRun::~RequestRun() = default;
 
 void RequestRun::start()
 {
-    if (const std::optional<Refusal> refusal = admit()) {
-        refuse(*refusal);
+    if (m_owner.isDraining()) {
+        refuse({RefusalKind::NotRun, {}, "shutting down"});
         return;
     }
-    m_expires =
-        m_started + std::min(m_request.timeLeft.value_or(m_route->timeout), m_route->timeout);
-    m_expiry = m_context.scheduler.callAfter(timeLeft(), [this] { end("time is up"); });
-    chooseService();
-    m_context.retries.recordFreshCall(m_service, m_started);
-    if (hasPieces()) {
-        startStages();
+    if (const auto refusal = RequestGate(m_context).check(m_request, m_started, m_plan)) {
+        refuse(*refusal);
         return;
     }
-    sendAttempt();
-}
-
-std::optional<Refusal> RequestRun::admit()
-{
-    if (m_owner.isDraining()) {
-        return Refusal{RefusalKind::NotRun, {}, "shutting down"};
-    }
-    m_configuration = m_context.serving.configuration();
-    if (!m_configuration) {
-        return Refusal{RefusalKind::NotRun, m_context.limits.retryAfter, "no configuration yet"};
-    }
-    m_route = m_configuration->findRoute(m_request.hostName, m_request.path);
-    if (m_route == nullptr) {
-        return Refusal{RefusalKind::NoRoute, {}, "no route"};
-    }
-    return identify();
-}
-
-std::optional<Refusal> RequestRun::identify()
-{
-    if (!m_configuration->hasTeams() || m_route->isPublic) {
-        return std::nullopt;
-    }
-    m_team = m_configuration->findTeam(m_request.key);
-    if (m_team == nullptr) {
-        return Refusal{RefusalKind::UnknownKey, {}, "unknown key"};
-    }
-    // The request was sent before now, so a revocation that was acknowledged long before is in this
-    // configuration as long as its confirmation is not older than that.
-    const framework::Milliseconds age = m_started - m_context.serving.confirmedAt();
-    if (age > m_context.limits.maxKeyAge) {
-        return Refusal{RefusalKind::NotRun, m_context.limits.retryAfter,
-                       "configuration not confirmed"};
-    }
-    return std::nullopt;
-}
-
-void RequestRun::chooseService()
-{
-    std::uint64_t sum = 0;
-    for (const serving::TrafficShare &share : m_route->split) {
-        sum += share.weight;
-    }
-    std::uint64_t drawn = m_route->split.size() > 1 ? m_context.random.below(sum) : 0;
-    for (const serving::TrafficShare &share : m_route->split) {
-        m_service = share.service;
-        if (drawn < share.weight) {
-            return;
-        }
-        drawn -= share.weight;
-    }
+    m_expires = m_started
+        + std::min(m_request.timeLeft.value_or(m_plan.route->timeout), m_plan.route->timeout);
+    m_expiry = m_context.scheduler.callAfter(timeLeft(), [this] { end("time is up"); });
+    m_context.retries.recordFreshCall(m_plan.service, m_started);
+    nextAttempt();
 }
 
 bool RequestRun::isStream() const
 {
-    return m_route->kind == serving::RouteKind::Streaming;
-}
-
-bool RequestRun::hasPieces() const
-{
-    const std::size_t count = std::min(m_route->stages.size(), m_request.pieces.size());
-    const auto end = m_request.pieces.begin() + static_cast<std::ptrdiff_t>(count);
-    return std::any_of(m_request.pieces.begin(), end,
-                       [](std::uint32_t pieces) { return pieces > 0; });
+    return m_plan.route->kind == serving::RouteKind::Streaming;
 }
 
 void RequestRun::startStages()
 {
-    protocol::StageJob job;
-    job.request = m_request.id;
-    job.route = m_route->id;
-    for (std::size_t index = 0; index < m_route->stages.size(); ++index) {
-        const serving::StagePlan &plan = m_route->stages[index];
-        const std::uint32_t pieces = index < m_request.pieces.size() ? m_request.pieces[index] : 0;
-        if (pieces == 0) {
-            continue;
-        }
-        job.stages.push_back({static_cast<std::uint32_t>(index),
-                              plan.service,
-                              {plan.after.begin(), plan.after.end()},
-                              pieces,
-                              plan.resultSize});
-    }
-    job.input = m_request.stageInput;
-    job.objectiveLeft = m_route->latencyObjective - elapsed() - m_owner.firstEventTime(m_route->id);
-    job.timeLeft = timeLeft();
-    job.priority =
-        m_team != nullptr ? m_team->priority.value_or(m_route->priority) : m_route->priority;
     const framework::TokenCount size =
         m_request.promptTokens + m_request.maxOutputTokens * OutputTokenWeight;
-    job.worth = m_owner.worthOf(m_route->id, size);
+    protocol::StageJob job;
+    job.objectiveLeft =
+        m_plan.route->latencyObjective - elapsed() - m_owner.firstEventTime(m_plan.route->id);
+    job.timeLeft = timeLeft();
+    job.worth = m_owner.worthOf(m_plan.route->id, size);
     job.zone = wantedZone();
-    m_stagesRunning = true;
-    m_stagesStarted = m_context.clock.now();
-    m_context.stages.start(
-        job, [this](const protocol::StageJobOutcome &outcome) { stagesEnded(outcome); });
+    m_stages.start(std::move(job),
+                   [this](const protocol::StageJobOutcome &outcome) { stagesEnded(outcome); });
 }
 
 /// Zone of the backend server that would run the request now.
@@ -179,10 +99,7 @@
 
 void RequestRun::stagesEnded(const protocol::StageJobOutcome &outcome)
 {
-    m_stagesRunning = false;
-    m_stageTime += m_context.clock.now() - m_stagesStarted;
     if (outcome.status == protocol::StageJobStatus::Done) {
-        m_inputs = outcome.results;
         sendAttempt();
         return;
     }
@@ -199,24 +116,13 @@
 routing::ServerQuery RequestRun::serverQuery() const
 {
     routing::ServerQuery query;
-    query.service = m_service;
+    query.service = m_plan.service;
     query.excluded = m_excluded;
-    query.zone = m_context.zone;
-    std::map<framework::AvailabilityZoneId, std::size_t> zones;
-    for (const protocol::StageResultPlace &place : m_inputs) {
-        ++zones[place.zone];
-    }
-    std::size_t most = 0;
-    for (const auto &[zone, count] : zones) {
-        if (count > most) {
-            query.zone = zone;
-            most = count;
-        }
-    }
-    if (m_route->promptAffinity) {
+    query.zone = m_stages.zone().value_or(m_context.zone);
+    if (m_plan.route->promptAffinity) {
         query.affinity = m_request.sharedPrompt;
     }
-    if (const serving::ServiceSpec *spec = m_configuration->findService(m_service)) {
+    if (const serving::ServiceSpec *spec = m_plan.configuration->findService(m_plan.service)) {
         query.coldRate = static_cast<double>(spec->coldRequestsPerSecond)
             / static_cast<double>(m_context.directory.sharers());
     }
@@ -246,16 +152,15 @@
     attempt.request = &m_request;
     attempt.server = *server;
     attempt.timeLeft = timeLeft();
-    attempt.team = m_team != nullptr ? m_team->id : framework::TeamId();
-    if (!m_inputs.empty()) {
+    attempt.team = m_plan.team != nullptr ? m_plan.team->id : framework::TeamId();
+    if (!m_stages.results().empty()) {
         attempt.inputs.emplace();
-        for (const protocol::StageResultPlace &place : m_inputs) {
+        for (const protocol::StageResultPlace &place : m_stages.results()) {
             attempt.inputs->push_back(place.id);
         }
     }
     attempt.resumeAfter = m_lastEvent;
-    attempt.priority = m_route->priority;
-    attempt.runsOnce = !m_route->isIdempotent();
+    attempt.runsOnce = !m_plan.route->isIdempotent();
     m_context.selector.callStarted(m_server, now);
     m_call = m_context.backends.send(attempt, *this);
 }
@@ -299,11 +204,11 @@
     }
     if (!m_streaming) {
         m_streaming = true;
-        m_context.metrics.observe("lavendertally_first_event_ms", {{"route", m_route->id.value()}},
-                                  elapsed());
-        m_owner.observeFirstEvent(m_route->id, m_context.clock.now() - m_attemptStarted);
+        m_context.metrics.observe("lavendertally_first_event_ms",
+                                  {{"route", m_plan.route->id.value()}}, elapsed());
+        m_owner.observeFirstEvent(m_plan.route->id, m_context.clock.now() - m_attemptStarted);
         m_reply->startStream(*m_head);
-        releaseInputs();
+        m_stages.release();
     }
     m_reply->sendEvent(event.text);
 }
@@ -334,7 +239,7 @@
         m_stagesRepeated = true;
         m_excluded.erase(m_server);
         --m_attempts;
-        m_inputs.clear();
+        m_stages.forget();
         startStages();
         return;
     }
@@ -370,7 +275,7 @@
         return;
     }
     m_excluded.insert(m_server);
-    if (m_route->resumable && tryAgain(true)) {
+    if (m_plan.route->resumable && tryAgain(true)) {
         return;
     }
     if (m_streaming) {
@@ -391,7 +296,7 @@
     endAttempt(bad ? failure : routing::CallOutcome::Succeeded);
     if (bad) {
         m_excluded.insert(m_server);
-        if (m_route->isIdempotent() && tryAgain(true)) {
+        if (m_plan.route->isIdempotent() && tryAgain(true)) {
             return;
         }
     }
@@ -412,7 +317,7 @@
 /// needs them again.
 void RequestRun::nextAttempt()
 {
-    if (hasPieces() && m_inputs.empty()) {
+    if (m_stages.areNeeded()) {
         startStages();
         return;
     }
@@ -421,14 +326,14 @@
 
 bool RequestRun::tryAgain(bool mayHaveRun)
 {
-    if (m_attempts >= m_route->maxAttempts) {
+    if (m_attempts >= m_plan.route->maxAttempts) {
         return false;
     }
     retry::RetryQuery query;
-    query.service = m_service;
+    query.service = m_plan.service;
     query.failure = mayHaveRun ? retry::FailureKind::Unknown : retry::FailureKind::NotRun;
-    query.idempotent = m_route->isIdempotent();
-    query.priority = priorityClass(m_route->priority);
+    query.idempotent = m_plan.route->isIdempotent();
+    query.priority = priorityClass(m_plan.priority());
     query.attempts = m_attempts;
     query.previousBackoff = m_backoff;
     query.budget = timeLeft();
@@ -471,7 +376,7 @@
     if (m_ended) {
         return;
     }
-    const bool goesOn = m_call && m_route->kind == serving::RouteKind::NonIdempotent;
+    const bool goesOn = m_call && m_plan.route->kind == serving::RouteKind::NonIdempotent;
     if (goesOn) {
         return;
     }
@@ -489,27 +394,16 @@
     finish(refusal.cause);
 }
 
-void RequestRun::releaseInputs()
-{
-    std::vector<framework::StageResultId> results;
-    for (const protocol::StageResultPlace &place : std::exchange(m_inputs, {})) {
-        results.push_back(place.id);
-    }
-    m_context.stages.release(results);
-}
-
 void RequestRun::finish(const char *outcome)
 {
     m_ended = true;
     m_expiry.reset();
     m_backoffTimer.reset();
-    if (m_stagesRunning) {
-        m_context.stages.cancel(m_request.id);
-    }
-    releaseInputs();
-    const std::string route = m_route != nullptr ? m_route->id.value() : std::string();
+    m_stages.cancel();
+    m_stages.release();
+    const std::string route = m_plan.route != nullptr ? m_plan.route->id.value() : std::string();
     const std::string version =
-        m_configuration ? std::to_string(m_configuration->version().value()) : "none";
+        m_plan.configuration ? std::to_string(m_plan.configuration->version().value()) : "none";
     const framework::Milliseconds age = m_started - m_context.serving.confirmedAt();
     m_context.logger.info("request ended",
                           {{"request", m_request.id.value()},
@@ -519,7 +413,7 @@
                            {"outcome", outcome},
                            {"backend_server", m_server.value()},
                            {"attempts", std::to_string(m_attempts)},
-                           {"stages_ms", std::to_string(m_stageTime.value())},
+                           {"stages_ms", std::to_string(m_stages.timeTaken().value())},
                            {"elapsed_ms", std::to_string(elapsed().value())}});
     m_context.metrics.increment("lavendertally_requests_total",
                                 {{"route", route}, {"outcome", outcome}});
--- a/src/proxy/internal/requestrun.h
+++ b/src/proxy/internal/requestrun.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "framework/types/timepoint.h"
-#include "protocol/types/stagejoboutcome.h"
 #include "proxy/ibackendanswerobserver.h"
+#include "proxy/internal/requestplan.h"
+#include "proxy/internal/requeststages.h"
 #include "proxy/iproxyservice.h"
 #include "proxy/types/answerhead.h"
 #include "proxy/types/clientrequest.h"
@@ -21,12 +22,6 @@
 class ITimer;
 }
 
-namespace lavendertally::serving {
-struct Route;
-class ServingConfiguration;
-struct TeamEntry;
-} // namespace lavendertally::serving
-
 namespace lavendertally::proxy {
 
 class IBackendCall;
@@ -56,12 +51,6 @@
     void onEnd(BackendCallEnd end) override;
 
 private:
-    /// \return why the request is refused at once, or nothing
-    std::optional<Refusal> admit();
-    std::optional<Refusal> identify();
-    void chooseService();
-
-    bool hasPieces() const;
     void startStages();
     void stagesEnded(const protocol::StageJobOutcome &outcome);
     framework::AvailabilityZoneId wantedZone();
@@ -81,7 +70,6 @@
 
     void refuse(const Refusal &refusal);
     void finish(const char *outcome);
-    void releaseInputs();
     framework::Milliseconds timeLeft() const;
     framework::Milliseconds elapsed() const;
 
@@ -94,14 +82,10 @@
     framework::TimePoint m_expires;
     std::unique_ptr<framework::ITimer> m_expiry;
     std::unique_ptr<framework::ITimer> m_backoffTimer;
-    std::shared_ptr<const serving::ServingConfiguration> m_configuration;
-    const serving::Route *m_route = nullptr;
-    const serving::TeamEntry *m_team = nullptr;
-    framework::ServiceId m_service;
+    RequestPlan m_plan;
 
-    bool m_stagesRunning = false;
+    RequestStages m_stages;
     bool m_stagesRepeated = false;
-    std::vector<protocol::StageResultPlace> m_inputs;
 
     std::unique_ptr<IBackendCall> m_call;
     framework::BackendServerId m_server;
@@ -115,9 +99,6 @@
     std::optional<AnswerHead> m_head;
     std::string m_body;
     bool m_streaming = false;
-    framework::TimePoint m_stagesStarted;
-    /// Time that the stages took, all runs of them together.
-    framework::Milliseconds m_stageTime;
     std::optional<framework::StreamEventId> m_lastEvent;
     bool m_ended = false;
 };
--- a/src/proxy/types/backendrequest.h
+++ b/src/proxy/types/backendrequest.h
@@ -24,7 +24,6 @@
     std::optional<std::vector<framework::StageResultId>> inputs;
     /// Last event that the client has.
     std::optional<framework::StreamEventId> resumeAfter;
-    framework::PriorityRank priority;
     /// Whether it may run once at most, so that a connection which may have gone stale is no good.
     bool runsOnce = true;
 };
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -1,10 +1,9 @@
 #include "stages/internal/stagecoordinator.h"
 
-#include "membership/ibackendservers.h"
-#include "serving/iservingstate.h"
-#include "serving/types/servingconfiguration.h"
+#include "serving/types/stagepool.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace lavendertally::stages {
@@ -19,7 +18,9 @@
 StageCoordinator::StageCoordinator(const serving::IServingState &serving,
                                    const membership::IBackendServers &servers,
                                    const StageLimits &limits)
-    : m_servers(servers), m_limits(limits), m_estimator(serving, servers, m_ledger, m_limits)
+    : m_limits(limits), m_estimator(serving, servers, m_ledger, m_limits),
+      m_dispatcher(servers, m_estimator, m_ledger, m_limits),
+      m_admission(m_jobs, m_dispatcher, servers, m_estimator, m_shares, m_limits)
 { }
 
 StageCoordinator::~StageCoordinator() = default;
@@ -29,16 +30,12 @@
 {
     const JobKey key{owner, job.request};
     cancel(key, now);
-    const JobNumber number = m_nextJob++;
-    auto state = std::make_unique<StageJobState>(key, job, now);
-    StageJobState &added = *state;
-    m_jobs.emplace(number, std::move(state));
-    m_numbers[key] = number;
-    const framework::Milliseconds excess =
-        canRun(job) ? makeRoom(added, now) : m_limits.maxRetryAfter;
+    StageJobState &added = m_jobs.add(key, job, now);
+    const bool canRun = m_admission.canRun(job);
+    const framework::Milliseconds excess = canRun ? makeRoom(added, now) : m_limits.maxRetryAfter;
     if (excess.value() > 0) {
         fail(added, protocol::StageJobStatus::Overloaded,
-             canRun(job) ? "would be late" : "no backend server", excess);
+             canRun ? "would be late" : "no backend server", excess);
         return;
     }
     enqueueReady(added, now);
@@ -49,10 +46,8 @@
                                                    framework::TimePoint now)
 {
     while (true) {
-        estimateAhead(job, now);
-        const framework::Milliseconds lateness =
-            m_estimator.finish(job, now) + m_shares.margin() - job.objective();
-        StageJobState *victim = lateness.value() > 0 ? findVictim(job, now) : nullptr;
+        const framework::Milliseconds lateness = m_admission.lateness(job, now);
+        StageJobState *victim = lateness.value() > 0 ? m_admission.findVictim(job, now) : nullptr;
         if (victim == nullptr) {
             return lateness;
         }
@@ -60,65 +55,6 @@
     }
 }
 
-/// Adds up the work that is served before \p job.
-void StageCoordinator::estimateAhead(const StageJobState &job, framework::TimePoint now)
-{
-    m_estimator.reset();
-    const framework::TimePoint rank = m_estimator.rank(job);
-    for (const auto &[number, other] : m_jobs) {
-        if (other.get() != &job && m_estimator.rank(*other) <= rank) {
-            m_estimator.add(*other);
-        }
-    }
-    for (const auto &[id, call] : m_calls) {
-        m_estimator.add(call.server.service, call.started + call.expected - now);
-    }
-}
-
-/// \return a job that has cost nothing yet, is served before \p job where it waits longest, and
-/// has to give way to it; the one that is best off
-StageJobState *StageCoordinator::findVictim(const StageJobState &job, framework::TimePoint now)
-{
-    const framework::ServiceId bottleneck = m_estimator.bottleneck(job, now);
-    const framework::TimePoint rank = m_estimator.rank(job);
-    StageJobState *victim = nullptr;
-    for (const auto &[number, other] : m_jobs) {
-        const bool ahead = other.get() != &job && m_estimator.rank(*other) <= rank;
-        if (!ahead || other->hasStarted() || !other->waitsFor(bottleneck)
-            || !givesWay(*other, job)) {
-            continue;
-        }
-        if (victim == nullptr || standing(*other) > standing(*victim)) {
-            victim = other.get();
-        }
-    }
-    return victim;
-}
-
-bool StageCoordinator::givesWay(const StageJobState &other, const StageJobState &job) const
-{
-    if (other.job().route == job.job().route) {
-        return other.job().worth * m_limits.worthRatio <= job.job().worth;
-    }
-    return standing(other) > standing(job) + m_limits.sharePerRank / 2;
-}
-
-/// How well off the job's route is; a less urgent one counts as better off.
-double StageCoordinator::standing(const StageJobState &job) const
-{
-    return m_shares.share(job.job().route)
-        + m_limits.sharePerRank * static_cast<double>(job.job().priority.value());
-}
-
-bool StageCoordinator::canRun(const protocol::StageJob &job) const
-{
-    return std::all_of(job.stages.begin(), job.stages.end(),
-                       [this](const protocol::JobStage &stage) {
-                           return m_estimator.findPool(stage.service) != nullptr
-                               && !m_servers.admitting(stage.service).empty();
-                       });
-}
-
 void StageCoordinator::enqueue(StageJobState &job, std::size_t stage, framework::TimePoint now)
 {
     const framework::Milliseconds own = m_estimator.tail(job, stage);
@@ -147,21 +83,9 @@
     }
 }
 
-StageJobState *StageCoordinator::find(JobNumber number)
-{
-    const auto found = m_jobs.find(number);
-    return found == m_jobs.end() ? nullptr : found->second.get();
-}
-
-StageCoordinator::JobNumber StageCoordinator::numberOf(const JobKey &key) const
-{
-    const auto found = m_numbers.find(key);
-    return found == m_numbers.end() ? 0 : found->second;
-}
-
 void StageCoordinator::cancel(const JobKey &key, framework::TimePoint /*now*/)
 {
-    if (StageJobState *const job = find(numberOf(key))) {
+    if (StageJobState *const job = m_jobs.find(key)) {
         freeResults(job->allResults());
         erase(*job);
     }
@@ -169,13 +93,7 @@
 
 void StageCoordinator::cancelAll(const framework::DaemonId &owner, framework::TimePoint now)
 {
-    std::vector<JobKey> keys;
-    for (const auto &[key, number] : m_numbers) {
-        if (key.owner == owner) {
-            keys.push_back(key);
-        }
-    }
-    for (const JobKey &key : keys) {
+    for (const JobKey &key : m_jobs.keysOf(owner)) {
         cancel(key, now);
     }
 }
@@ -183,7 +101,7 @@
 void StageCoordinator::handOver()
 {
     std::vector<StageJobState *> waiting;
-    for (const auto &[number, job] : m_jobs) {
+    for (const auto &[number, job] : m_jobs.all()) {
         if (!job->hasStarted()) {
             waiting.push_back(job.get());
         }
@@ -224,12 +142,12 @@
     freeFetchedInputs(now);
     refuseLate(now);
     dispatchAll(now);
-    m_nextWake = m_jobs.empty() ? framework::TimePoint::never() : now + WakeInterval;
+    m_nextWake = m_jobs.isEmpty() ? framework::TimePoint::never() : now + WakeInterval;
 }
 
 framework::TimePoint StageCoordinator::nextWake() const
 {
-    return m_jobs.empty() ? framework::TimePoint::never() : m_nextWake;
+    return m_jobs.isEmpty() ? framework::TimePoint::never() : m_nextWake;
 }
 
 /// Ends jobs that have not cost anything yet and would miss their objective, and those that have
@@ -263,128 +181,23 @@
 void StageCoordinator::dispatchAll(framework::TimePoint now)
 {
     for (auto &[service, queue] : m_queues) {
-        dispatch(service, queue, now);
-    }
-    if (m_nextWake == framework::TimePoint::never() && !m_jobs.empty()) {
-        m_nextWake = now + WakeInterval;
-    }
-}
-
-void StageCoordinator::dispatch(const framework::ServiceId &service, UnitQueue &queue,
-                                framework::TimePoint now)
-{
-    const serving::StagePool *pool = m_estimator.findPool(service);
-    if (pool == nullptr || queue.isEmpty()) {
-        return;
-    }
-    for (const membership::BackendServerEntry *server : idleServers(service, *pool, now)) {
-        queue.sort(now);
-        startCall(*server, *pool, queue, now);
-        queue.removeEmpty();
-    }
-}
-
-/// Backend servers that can take a call, the fastest first.
-std::vector<const membership::BackendServerEntry *>
-StageCoordinator::idleServers(const framework::ServiceId &service, const serving::StagePool &pool,
-                              framework::TimePoint now)
-{
-    std::vector<std::pair<std::int64_t, const membership::BackendServerEntry *>> idle;
-    for (const membership::BackendServerEntry *server : m_servers.admitting(service)) {
-        const StageServerState &state = m_ledger.server(server->id);
-        if (state.calls() < pool.slots && !state.isPaused(now) && state.held() < pool.resultRoom) {
-            // Small differences in speed are not worth a transfer between zones.
-            const std::int64_t call = std::max<std::int64_t>(pool.callTime.value(), 1);
-            idle.emplace_back(state.usualTime(pool.callTime, now).value() / call, server);
-        }
-    }
-    std::stable_sort(idle.begin(), idle.end(),
-                     [](const auto &a, const auto &b) { return a.first < b.first; });
-    std::vector<const membership::BackendServerEntry *> servers;
-    servers.reserve(idle.size());
-    for (const auto &[slowness, server] : idle) {
-        servers.push_back(server);
-    }
-    return servers;
-}
-
-/// Whether a backend server is right for a unit: in its zone, unless it cannot wait for one there;
-/// and not a slow one, unless it has the time.
-bool StageCoordinator::suits(const membership::BackendServerEntry &server, const StageUnit &unit,
-                             const serving::StagePool &pool, framework::TimePoint now)
-{
-    const framework::Milliseconds slack = unit.latestStart - now;
-    if (slack.value() >= 0) {
-        const StageServerState &state = m_ledger.server(server.id);
-        const framework::Milliseconds extra = state.usualTime(pool.callTime, now) - pool.callTime;
-        if (extra > pool.callTime && extra > slack) {
-            return false;
-        }
-    }
-    const bool anyZone = unit.zone.isEmpty() || unit.zone == server.zone;
-    return anyZone || slack < m_limits.zonalSlack || !hasServerIn(server.service, unit.zone, now);
-}
-
-bool StageCoordinator::hasServerIn(const framework::ServiceId &service,
-                                   const framework::AvailabilityZoneId &zone,
-                                   framework::TimePoint now)
-{
-    const auto &servers = m_servers.admitting(service);
-    return std::any_of(servers.begin(), servers.end(), [&](const auto *server) {
-        return server->zone == zone && !m_ledger.server(server->id).isPaused(now);
-    });
-}
-
-void StageCoordinator::startCall(const membership::BackendServerEntry &server,
-                                 const serving::StagePool &pool, UnitQueue &queue,
-                                 framework::TimePoint now)
-{
-    StageServerState &state = m_ledger.server(server.id);
-    framework::Bytes room = pool.resultRoom - state.held();
-    RunningCall call{server, {}, now, {}, pool.resultLifetime, {}};
-    StartStageCall command{m_nextCall, server, {}, {}};
-    for (const StageUnit &unit : queue.units()) {
-        if (unit.notBefore > now) {
-            break;
-        }
-        if (!suits(server, unit, pool, now)) {
-            continue;
-        }
-        StageJobState &job = *unit.job;
-        const protocol::JobStage &stage = job.stage(unit.stage);
-        while (command.pieces.size() < pool.batchSize && job.waitingPieces(unit.stage) > 0
-               && stage.resultSize <= room) {
-            const std::uint32_t piece = job.startPiece(unit.stage);
-            command.pieces.push_back({job.key().request, stage.index, piece, job.deadline() - now,
-                                      job.job().input, job.inputs(unit.stage)});
-            call.pieces.push_back({numberOf(job.key()), unit.stage, piece, stage.resultSize});
-            call.reserved += stage.resultSize;
-            room -= stage.resultSize;
+        for (StartStageCall &call : m_dispatcher.dispatch(service, queue, now)) {
+            m_commands.emplace_back(std::move(call));
         }
     }
-    if (command.pieces.empty()) {
-        return;
+    if (m_nextWake == framework::TimePoint::never() && !m_jobs.isEmpty()) {
+        m_nextWake = now + WakeInterval;
     }
-    call.expected = pool.batchTime(static_cast<std::uint32_t>(command.pieces.size()));
-    const auto usual = static_cast<double>(state.usualTime(call.expected, now).value());
-    command.timeout = m_limits.timeoutSlack
-        + framework::Milliseconds(static_cast<std::int64_t>(usual * m_limits.timeoutFactor));
-    call.fetchesAtOnce = state.isSound();
-    state.callStarted();
-    state.addHeld(call.reserved);
-    m_calls.emplace(m_nextCall, std::move(call));
-    m_nextCall = m_nextCall.next();
-    m_commands.emplace_back(std::move(command));
 }
 
 void StageCoordinator::callEnded(StageCallId id, const StageCallOutcome &outcome,
                                  framework::TimePoint now)
 {
-    auto node = m_calls.extract(id);
-    if (node.empty()) {
+    const std::optional<RunningCall> ended = m_dispatcher.take(id);
+    if (!ended) {
         return;
     }
-    const RunningCall &call = node.mapped();
+    const RunningCall &call = *ended;
     StageServerState &state = m_ledger.server(call.server.id);
     state.removeHeld(call.reserved);
     const bool complete = outcome.pieces.size() == call.pieces.size();
@@ -411,7 +224,7 @@
     if (made) {
         m_ledger.add(outcome.result, call.server.id, piece.resultSize, now + call.resultLifetime);
     }
-    StageJobState *job = find(piece.job);
+    StageJobState *job = m_jobs.find(piece.job);
     if (job == nullptr) {
         if (made) {
             freeResults({outcome.result});
@@ -507,13 +320,13 @@
 /// call fails, its inputs are made again.
 void StageCoordinator::freeFetchedInputs(framework::TimePoint now)
 {
-    for (auto &[id, call] : m_calls) {
+    for (auto &[id, call] : m_dispatcher.calls()) {
         if (!call.fetchesAtOnce || now - call.started < m_limits.fetchTime) {
             continue;
         }
         call.fetchesAtOnce = false;
         for (const RunningPiece &piece : call.pieces) {
-            StageJobState *job = find(piece.job);
+            StageJobState *job = m_jobs.find(piece.job);
             if (job != nullptr && isRoomPressed(*job, piece.stage)) {
                 freeInputs(*job, piece.stage);
             }
@@ -570,10 +383,7 @@
     for (auto &[service, queue] : m_queues) {
         queue.removeJob(job);
     }
-    const auto number = m_numbers.find(job.key());
-    const JobNumber erased = number->second;
-    m_numbers.erase(number);
-    m_jobs.erase(erased);
+    m_jobs.erase(job);
 }
 
 std::vector<StageCommand> StageCoordinator::takeCommands()
--- a/src/stages/internal/stagejobstate.cpp
+++ b/src/stages/internal/stagejobstate.cpp
@@ -6,9 +6,10 @@
 
 namespace lavendertally::stages {
 
-StageJobState::StageJobState(JobKey key, protocol::StageJob job, framework::TimePoint now)
-    : m_key(std::move(key)), m_job(std::move(job)), m_objective(now + m_job.objectiveLeft),
-      m_deadline(now + m_job.timeLeft)
+StageJobState::StageJobState(JobNumber number, JobKey key, protocol::StageJob job,
+                             framework::TimePoint now)
+    : m_number(number), m_key(std::move(key)), m_job(std::move(job)),
+      m_objective(now + m_job.objectiveLeft), m_deadline(now + m_job.timeLeft)
 {
     std::map<std::uint32_t, std::size_t> positions;
     for (const protocol::JobStage &stage : m_job.stages) {
--- a/src/stages/internal/stagejobstate.h
+++ b/src/stages/internal/stagejobstate.h
@@ -3,6 +3,7 @@
 #include "framework/types/timepoint.h"
 #include "protocol/types/stagejob.h"
 #include "protocol/types/stageresultplace.h"
+#include "stages/internal/jobnumber.h"
 #include "stages/types/jobkey.h"
 
 #include <cstdint>
@@ -15,8 +16,9 @@
 class StageJobState
 {
 public:
-    StageJobState(JobKey key, protocol::StageJob job, framework::TimePoint now);
+    StageJobState(JobNumber number, JobKey key, protocol::StageJob job, framework::TimePoint now);
 
+    JobNumber number() const { return m_number; }
     const JobKey &key() const { return m_key; }
     const protocol::StageJob &job() const { return m_job; }
     framework::TimePoint objective() const { return m_objective; }
@@ -85,6 +87,7 @@
         std::vector<std::size_t> after;
     };
 
+    JobNumber m_number;
     JobKey m_key;
     protocol::StageJob m_job;
     framework::TimePoint m_objective;
--- a/src/stages/tests/naivecoordinator.h
+++ b/src/stages/tests/naivecoordinator.h
@@ -21,7 +21,7 @@
                 framework::TimePoint now) override
     {
         const JobKey key{owner, job.request};
-        m_jobs[key] = std::make_unique<StageJobState>(key, job, now);
+        m_jobs[key] = std::make_unique<StageJobState>(JobNumber(), key, job, now);
         enqueue(*m_jobs[key]);
         dispatch();
     }
