Gateways that cannot read the store follow a peer's copy of its topics

Cause: a gateway cut from the store, or turned away by it, refused keyed requests once its last confirmation was older than the revocation limit, and one that started meanwhile answered 503, although its peers could read the store. Change: the package replication keeps a copy of each keyed topic by offset, fed from the store or from a peer; TopicExchange asks peers while the last read from the store is too old, and seed peers at a start. A confirmation's age counts from when the query was sent. Ruled out: passing on decoded state (offsets already order raw records, so both sources mix without a rule of precedence). Tests: TopicReplicaTest, TopicExchangeTest, and a process test of a gateway whose store is silent; without the exchange that gateway never became ready.

--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -34,6 +34,7 @@
     framework::Endpoint clients;
     framework::Endpoint ready;
     framework::Endpoint metrics;
+    framework::Endpoint control;
 };
 
 /// Real gateways before stand-ins of the store and of backend servers, which run in the test.
@@ -67,7 +68,7 @@
         }
     }
 
-    void publish(int version = 1)
+    void publish(int version = 1, const char *key = "key")
     {
         const nlohmann::json route = {{"hostname", "h"},  {"timeoutMs", 3000},
                                       {"priority", 0},    {"public", false},
@@ -101,7 +102,7 @@
                  {"itemMs", 1.0},
                  {"headroomMb", 1.0},
                  {"handleS", 4.0}}}}}},
-            {"tenants", {{{"name", "members"}, {"apiKeys", {"key"}}}}}};
+            {"tenants", {{{"name", "members"}, {"apiKeys", {key}}}}}};
         m_store.put("keyed.op", "config", configuration.dump());
     }
     void registerServers()
@@ -122,14 +123,20 @@
     }
 
     GatewayProcess startGateway(const std::string &id)
+    {
+        return startGateway(id, m_storeEndpoint, "");
+    }
+    /// \param seeds endpoints of other gateways, separated by commas
+    GatewayProcess startGateway(const std::string &id, const framework::Endpoint &store,
+                                const std::string &seeds)
     {
         const std::string file = m_folder + "/" + id + ".yaml";
         std::ofstream(file) << "role: gateway\nid: " << id << "\nhost: " << id
                             << "\navailability_zone: za\nlisten: 127.0.0.1:0\n"
                                "ready_listen: 127.0.0.1:0\ncontrol_listen: 127.0.0.1:0\n"
                                "metrics_listen: 127.0.0.1:0\nstore: "
-                            << m_storeEndpoint.toString()
-                            << "\nrevocation_limit: 2500ms\nshutdown_grace: 8s\n"
+                            << store.toString() << "\nseed_peers: [" << seeds
+                            << "]\nrevocation_limit: 2500ms\nshutdown_grace: 8s\n"
                                "log_format: json\n";
         GatewayProcess gateway;
         gateway.process = std::make_unique<localfleet::ChildProcess>(
@@ -144,6 +151,7 @@
         gateway.clients = endpoint(started["clients"]);
         gateway.ready = endpoint(started["ready"]);
         gateway.metrics = endpoint(started["metrics"]);
+        gateway.control = endpoint(started["control"]);
         return gateway;
     }
     static framework::Endpoint endpoint(const std::string &text)
--- a/src/app/tests/gatewaytest.cpp
+++ b/src/app/tests/gatewaytest.cpp
@@ -99,6 +99,31 @@
     EXPECT_EQ(call(ask(gateway, "/book/x", "r3")).status, 200);
 }
 
+TEST_F(GatewayFixture, GatewayThatCannotReadTheStoreStartsAndGoesOnFromAPeer)
+{
+    publish();
+    registerServers();
+    const GatewayProcess informed = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(informed); }));
+    standins::PlatformStoreStandIn silentStore(*m_loop);
+    const framework::Endpoint silent = silentStore.listen({"127.0.0.1", 0}).value();
+    standins::Fault frozen;
+    frozen.mode = standins::FaultMode::Frozen;
+    silentStore.setFault(frozen);
+    const GatewayProcess cut = startGateway("g2", silent, informed.control.toString());
+    ASSERT_TRUE(waitFor([&] { return isReady(cut); }));
+    pause(framework::Milliseconds(4000));
+    EXPECT_TRUE(isReady(cut)) << "confirmations come from the peer";
+    EXPECT_EQ(call(ask(cut, "/book/x", "r1")).status, 200);
+    publish(2, "other");
+    EXPECT_TRUE(waitFor([&] { return call(ask(cut, "/book/x", "r2")).status == 401; }));
+    EXPECT_EQ(call(ask(cut, "/book/x", "r3", "other")).status, 200);
+    setStoreFault(standins::FaultMode::Frozen);
+    EXPECT_TRUE(waitFor([&] { return !isReady(cut); }));
+    EXPECT_EQ(call(ask(cut, "/book/x", "r4", "other")).status, 503);
+    EXPECT_EQ(m_desk.runs("r4"), 0U);
+}
+
 TEST_F(GatewayFixture, StopFinishesWhatWasTakenAndIsNotReadyAtOnce)
 {
     publish();
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -24,6 +24,7 @@
 #include "proxy/iproxyservice.h"
 #include "proxy/proxymodule.h"
 #include "proxy/types/proxycontext.h"
+#include "replication/topicexchange.h"
 #include "retry/iretrypolicy.h"
 #include "retry/retrymodule.h"
 #include "routing/ibackendserverselector.h"
@@ -38,6 +39,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace lavendertally::gateway {
 
@@ -61,6 +63,13 @@
 /// Time over which the platform counts retries.
 constexpr framework::Milliseconds RetryWindow{10000};
 
+/// Age of the last read from the store after which other gateways are asked: twice the time
+/// between two reads of that topic.
+constexpr std::array<std::pair<protocol::StateTopic, framework::Milliseconds>, 3> StorePatience{
+    {{protocol::StateTopic::Operators, framework::Milliseconds(1500)},
+     {protocol::StateTopic::BackendServers, framework::Milliseconds(2000)},
+     {protocol::StateTopic::Daemons, framework::Milliseconds(8000)}}};
+
 http::HttpLimits httpLimits(const serving::RequestLimits &limits, framework::Milliseconds idle)
 {
     http::HttpLimits result;
@@ -96,6 +105,11 @@
                                                          *m_serving, *m_servers});
     m_peers = peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id);
     m_peers->setAcceptsJobs([this] { return isInformed() && !m_draining; });
+    m_exchange = std::make_unique<replication::TopicExchange>(*m_peers, m_loop, *m_clock, *m_logger,
+                                                              *m_metrics);
+    for (const auto &[topic, patience] : StorePatience) {
+        m_exchange->add(topic, m_platform->replica(topic), patience);
+    }
     m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers);
     m_stages = stages::StagesModule::makeService(
         m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
@@ -162,6 +176,7 @@
                     {"store", m_settings.gateway.store.toString()},
                     {"zone", m_settings.zone.value()}});
     m_platform->start(control);
+    m_exchange->start(m_settings.seedPeers);
     tick();
     return {};
 }
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -43,6 +43,10 @@
 class IProxyService;
 }
 
+namespace lavendertally::replication {
+class TopicExchange;
+}
+
 namespace lavendertally::retry {
 class IRetryPolicy;
 }
@@ -100,6 +104,7 @@
     std::unique_ptr<membership::IBackendServerTracker> m_servers;
     std::unique_ptr<platform::IPlatform> m_platform;
     std::unique_ptr<peers::IPeerNetwork> m_peers;
+    std::unique_ptr<replication::TopicExchange> m_exchange;
     std::unique_ptr<stages::IStageCoordinator> m_coordinator;
     std::unique_ptr<stages::IStageService> m_stages;
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr int Backlog = 128;
+constexpr const char *SeedLinkSuffix = "/seed";
 
 } // namespace
 
@@ -67,8 +68,9 @@
     sockaddr_in bound{};
     socklen_t length = sizeof bound;
     getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&bound), &length);
+    m_endpoint = framework::Endpoint{endpoint.address, ntohs(bound.sin_port)};
     tick();
-    return framework::Endpoint{endpoint.address, ntohs(bound.sin_port)};
+    return m_endpoint;
 }
 
 void PeerNetwork::accepted(evconnlistener * /*listener*/, int fd, sockaddr * /*address*/,
@@ -82,8 +84,27 @@
 
 void PeerNetwork::connectTo(const std::vector<DaemonAddress> &daemons)
 {
+    m_daemons = daemons;
+    relink();
+}
+
+void PeerNetwork::connectToSeeds(const std::vector<framework::Endpoint> &seeds)
+{
+    m_seeds.clear();
+    for (const framework::Endpoint &seed : seeds) {
+        if (seed != m_endpoint) {
+            m_seeds.push_back({framework::DaemonId(seed.toString()), seed});
+        }
+    }
+    relink();
+}
+
+void PeerNetwork::relink()
+{
+    std::vector<DaemonAddress> wanted = m_daemons;
+    wanted.insert(wanted.end(), m_seeds.begin(), m_seeds.end());
     std::map<framework::DaemonId, Outbound> kept;
-    for (const DaemonAddress &daemon : daemons) {
+    for (const DaemonAddress &daemon : wanted) {
         if (daemon.daemon == m_self) {
             continue;
         }
@@ -100,10 +121,27 @@
     std::map<framework::DaemonId, Outbound> dropped = std::exchange(m_outbound, std::move(kept));
     for (auto &[peer, outbound] : dropped) {
         discard(std::move(outbound.link));
-        if (m_observer != nullptr) {
-            m_observer->onLinkLost(peer);
+        for (IPeerObserver *observer : m_observers) {
+            observer->onLinkLost(peer);
+        }
+    }
+}
+
+std::vector<framework::DaemonId> PeerNetwork::linkedPeers() const
+{
+    std::vector<framework::DaemonId> peers;
+    for (const auto &[peer, outbound] : m_outbound) {
+        if (outbound.answered) {
+            peers.push_back(peer);
         }
     }
+    return peers;
+}
+
+bool PeerNetwork::isSeed(const framework::DaemonId &peer) const
+{
+    return std::any_of(m_seeds.begin(), m_seeds.end(),
+                       [&peer](const DaemonAddress &seed) { return seed.daemon == peer; });
 }
 
 bool PeerNetwork::isAccepting(const framework::DaemonId &peer) const
@@ -208,8 +246,8 @@
     outbound.wasLost = true;
     m_logger.warning("link to a daemon lost; reconnects",
                      {{"peer", peer.value()}, {"reason", reason}});
-    if (m_observer != nullptr) {
-        m_observer->onLinkLost(peer);
+    for (IPeerObserver *observer : m_observers) {
+        observer->onLinkLost(peer);
     }
 }
 
@@ -229,7 +267,9 @@
 void PeerNetwork::onLinkConnected(PeerLink &link)
 {
     link.setLastHeard(m_clock.now());
-    link.send(protocol::PeerHello{m_self});
+    // A peer keeps one link from each daemon, so that to a seed goes by another name.
+    const std::string name = m_self.value() + (isSeed(link.peer()) ? SeedLinkSuffix : "");
+    link.send(protocol::PeerHello{framework::DaemonId(name)});
     link.send(protocol::PeerPing{++m_pingSequence});
 }
 
@@ -248,8 +288,11 @@
         onPong(link, *pong);
         return;
     }
-    if (m_observer != nullptr && !link.peer().isEmpty()) {
-        m_observer->onMessage(link.peer(), message);
+    if (link.peer().isEmpty()) {
+        return;
+    }
+    for (IPeerObserver *observer : m_observers) {
+        observer->onMessage(link.peer(), message);
     }
 }
 
@@ -308,8 +351,11 @@
     const framework::DaemonId peer = link.peer();
     discard(std::move(*found));
     m_inbound.erase(found);
-    if (m_observer != nullptr && !peer.isEmpty()) {
-        m_observer->onPeerLeft(peer);
+    if (peer.isEmpty()) {
+        return;
+    }
+    for (IPeerObserver *observer : m_observers) {
+        observer->onPeerLeft(peer);
     }
 }
 
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -39,10 +39,12 @@
     PeerNetwork(const PeerNetwork &) = delete;
     PeerNetwork &operator=(const PeerNetwork &) = delete;
 
-    void setObserver(IPeerObserver &observer) override { m_observer = &observer; }
+    void addObserver(IPeerObserver &observer) override { m_observers.push_back(&observer); }
     void setAcceptsJobs(std::function<bool()> accepts) override;
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
     void connectTo(const std::vector<DaemonAddress> &daemons) override;
+    void connectToSeeds(const std::vector<framework::Endpoint> &seeds) override;
+    std::vector<framework::DaemonId> linkedPeers() const override;
     bool isAccepting(const framework::DaemonId &peer) const override;
     bool isSelfAccepting() const override { return m_acceptsJobs(); }
     framework::TimePoint startOf(const framework::DaemonId &peer) const override;
@@ -71,10 +73,12 @@
     static void accepted(evconnlistener *listener, int fd, sockaddr *address, int length,
                          void *self);
 
+    void relink();
     void tick();
     void tend(const framework::DaemonId &peer, Outbound &outbound, framework::TimePoint now);
     void lose(const framework::DaemonId &peer, Outbound &outbound, const char *reason);
     void closeSilentInbound(framework::TimePoint now);
+    bool isSeed(const framework::DaemonId &peer) const;
     void onHello(PeerLink &link, const protocol::PeerHello &hello);
     protocol::PeerPong pong(std::uint64_t sequence) const;
     void onPong(const PeerLink &link, const protocol::PeerPong &pong);
@@ -88,9 +92,12 @@
     framework::DaemonId m_self;
     PeerLimits m_limits;
     std::unique_ptr<protocol::IPeerMessageCodec> m_codec;
-    IPeerObserver *m_observer = nullptr;
+    std::vector<IPeerObserver *> m_observers;
     std::function<bool()> m_acceptsJobs;
     evconnlistener *m_listener = nullptr;
+    framework::Endpoint m_endpoint;
+    std::vector<DaemonAddress> m_daemons;
+    std::vector<DaemonAddress> m_seeds;
     std::map<framework::DaemonId, Outbound> m_outbound;
     std::vector<std::unique_ptr<PeerLink>> m_inbound;
     std::vector<std::unique_ptr<PeerLink>> m_discarded;
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -21,7 +21,7 @@
     virtual ~IPeerNetwork() = default;
 
     /// \param observer outlives the network
-    virtual void setObserver(IPeerObserver &observer) = 0;
+    virtual void addObserver(IPeerObserver &observer) = 0;
 
     /// \param accepts tells other daemons whether this one takes stage jobs
     virtual void setAcceptsJobs(std::function<bool()> accepts) = 0;
@@ -32,6 +32,13 @@
     /// Keeps links to exactly these daemons.
     virtual void connectTo(const std::vector<DaemonAddress> &daemons) = 0;
 
+    /// Keeps links to exactly these daemons too, whose ids are not known.
+    virtual void connectToSeeds(const std::vector<framework::Endpoint> &seeds) = 0;
+
+    /// \return the daemons to which there are good links, in a stable order; seeds by their
+    /// endpoints
+    virtual std::vector<framework::DaemonId> linkedPeers() const = 0;
+
     /// \return whether the link to \p peer is good and the peer takes stage jobs
     virtual bool isAccepting(const framework::DaemonId &peer) const = 0;
 
--- a/src/peers/tests/peernetworktest.cpp
+++ b/src/peers/tests/peernetworktest.cpp
@@ -54,7 +54,7 @@
     {
         auto network =
             PeersModule::makeNetwork(*m_loop, *m_clock, m_logger, framework::DaemonId(id));
-        network->setObserver(observer);
+        network->addObserver(observer);
         network->setAcceptsJobs([this] { return m_accepts; });
         return network;
     }
--- a/src/platform/internal/backendserverfeed.cpp
+++ b/src/platform/internal/backendserverfeed.cpp
@@ -25,24 +25,24 @@
                                      const framework::IClock &clock, framework::ILogger &logger,
                                      membership::IBackendServerUpdates &servers)
     : m_clock(clock), m_logger(logger), m_servers(servers),
-      m_reader(store, scheduler, clock, logger, std::string(wire::ServersTopic), Pace, *this)
+      m_reader(store, scheduler, clock, logger, std::string(wire::ServersTopic), Pace, m_replica)
 { }
 
-void BackendServerFeed::onSnapshot(const std::vector<StoreRecord> &records,
+void BackendServerFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records,
                                    framework::TimePoint asked)
 {
     std::set<framework::BackendServerId> present;
-    for (const StoreRecord &record : records) {
+    for (const protocol::TopicRecord &record : records) {
         present.emplace(record.key);
     }
     m_servers.retainOnly(present, m_clock.now());
     onChanges(records, asked);
 }
 
-void BackendServerFeed::onChanges(const std::vector<StoreRecord> &records,
+void BackendServerFeed::onChanges(const std::vector<protocol::TopicRecord> &records,
                                   framework::TimePoint /*asked*/)
 {
-    for (const StoreRecord &record : records) {
+    for (const protocol::TopicRecord &record : records) {
         apply(record);
     }
 }
@@ -52,7 +52,7 @@
     m_servers.registrationsReturned(m_clock.now());
 }
 
-void BackendServerFeed::apply(const StoreRecord &record)
+void BackendServerFeed::apply(const protocol::TopicRecord &record)
 {
     const framework::BackendServerId id(record.key);
     if (!record.value) {
--- a/src/platform/internal/backendserverfeed.h
+++ b/src/platform/internal/backendserverfeed.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "platform/internal/itopicobserver.h"
 #include "platform/internal/topicreader.h"
+#include "replication/itopicobserver.h"
+#include "replication/topicreplica.h"
 
 namespace lavendertally::membership {
 class IBackendServerUpdates;
@@ -10,7 +11,7 @@
 namespace lavendertally::platform {
 
 /// Hands on the registrations of backend servers.
-class BackendServerFeed final : public ITopicObserver
+class BackendServerFeed final : public replication::ITopicObserver
 {
 public:
     BackendServerFeed(StoreClient &store, framework::IScheduler &scheduler,
@@ -18,17 +19,21 @@
                       membership::IBackendServerUpdates &servers);
 
     void start() { m_reader.start(); }
+    replication::TopicReplica &replica() { return m_replica; }
 
-    void onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
-    void onChanges(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
+    void onSnapshot(const std::vector<protocol::TopicRecord> &records,
+                    framework::TimePoint asked) override;
+    void onChanges(const std::vector<protocol::TopicRecord> &records,
+                   framework::TimePoint asked) override;
     void onReturned() override;
 
 private:
-    void apply(const StoreRecord &record);
+    void apply(const protocol::TopicRecord &record);
 
     const framework::IClock &m_clock;
     framework::ILogger &m_logger;
     membership::IBackendServerUpdates &m_servers;
+    replication::TopicReplica m_replica{*this};
     TopicReader m_reader;
 };
 
--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -53,7 +53,7 @@
                        framework::DaemonId self)
     : m_store(store), m_scheduler(scheduler), m_clock(clock), m_logger(logger),
       m_self(std::move(self)),
-      m_reader(store, scheduler, clock, logger, std::string(wire::DaemonsTopic), Pace, *this)
+      m_reader(store, scheduler, clock, logger, std::string(wire::DaemonsTopic), Pace, m_replica)
 { }
 
 DaemonFeed::~DaemonFeed() = default;
@@ -70,7 +70,7 @@
     if (m_leaving) {
         return;
     }
-    m_append = m_store.append(wire::DaemonsTopic, {m_self.value(), encodeEndpoint(m_endpoint)},
+    m_append = m_store.append(wire::DaemonsTopic, {{}, m_self.value(), encodeEndpoint(m_endpoint)},
                               [this](const framework::Result<void> &result) {
                                   const framework::Milliseconds delay =
                                       result ? RegisterInterval : RegisterRetry;
@@ -83,7 +83,7 @@
 {
     m_leaving = true;
     m_registerTimer.reset();
-    m_append = m_store.append(wire::DaemonsTopic, {m_self.value(), std::nullopt},
+    m_append = m_store.append(wire::DaemonsTopic, {{}, m_self.value(), std::nullopt},
                               [](const framework::Result<void> & /*result*/) {
                                   // The entry expires by itself if this was lost.
                               });
@@ -99,15 +99,17 @@
     m_listeners.push_back(std::move(callback));
 }
 
-void DaemonFeed::onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked)
+void DaemonFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records,
+                            framework::TimePoint asked)
 {
     m_isKnown = true;
     onChanges(records, asked);
 }
 
-void DaemonFeed::onChanges(const std::vector<StoreRecord> &records, framework::TimePoint /*asked*/)
+void DaemonFeed::onChanges(const std::vector<protocol::TopicRecord> &records,
+                           framework::TimePoint /*asked*/)
 {
-    for (const StoreRecord &record : records) {
+    for (const protocol::TopicRecord &record : records) {
         const framework::DaemonId daemon(record.key);
         if (daemon == m_self) {
             continue;
--- a/src/platform/internal/daemonfeed.h
+++ b/src/platform/internal/daemonfeed.h
@@ -2,8 +2,9 @@
 
 #include "framework/types/timepoint.h"
 #include "peers/idaemondirectory.h"
-#include "platform/internal/itopicobserver.h"
 #include "platform/internal/topicreader.h"
+#include "replication/itopicobserver.h"
+#include "replication/topicreplica.h"
 
 #include <map>
 
@@ -11,7 +12,7 @@
 
 /// Registers this daemon in a topic of its own and reads which others are up. Each registers again
 /// at intervals; one that stops doing so is forgotten.
-class DaemonFeed final : public ITopicObserver, public peers::IDaemonDirectory
+class DaemonFeed final : public replication::ITopicObserver, public peers::IDaemonDirectory
 {
 public:
     DaemonFeed(StoreClient &store, framework::IScheduler &scheduler, const framework::IClock &clock,
@@ -22,13 +23,16 @@
     void start(const framework::Endpoint &endpoint);
     /// Removes this daemon's entry; it is about to stop.
     void leave();
+    replication::TopicReplica &replica() { return m_replica; }
 
     const std::vector<peers::DaemonAddress> &daemons() const override { return m_daemons; }
     std::size_t sharers() const override;
     void onChange(std::function<void()> callback) override;
 
-    void onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
-    void onChanges(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
+    void onSnapshot(const std::vector<protocol::TopicRecord> &records,
+                    framework::TimePoint asked) override;
+    void onChanges(const std::vector<protocol::TopicRecord> &records,
+                   framework::TimePoint asked) override;
     void onReturned() override;
 
 private:
@@ -55,6 +59,7 @@
     std::vector<std::function<void()>> m_listeners;
     StoreClient::Call m_append;
     std::unique_ptr<framework::ITimer> m_registerTimer;
+    replication::TopicReplica m_replica{*this};
     TopicReader m_reader;
 };
 
--- a/src/platform/internal/operatorfeed.cpp
+++ b/src/platform/internal/operatorfeed.cpp
@@ -24,25 +24,27 @@
                            serving::IServingUpdates &serving,
                            membership::IBackendServerUpdates &servers)
     : m_logger(logger), m_serving(serving), m_servers(servers),
-      m_reader(store, scheduler, clock, logger, std::string(wire::OperatorTopic), Pace, *this)
+      m_reader(store, scheduler, clock, logger, std::string(wire::OperatorTopic), Pace, m_replica)
 { }
 
-void OperatorFeed::onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked)
+void OperatorFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records,
+                              framework::TimePoint asked)
 {
     m_zonesOut.clear();
     onChanges(records, asked);
 }
 
-void OperatorFeed::onChanges(const std::vector<StoreRecord> &records, framework::TimePoint asked)
+void OperatorFeed::onChanges(const std::vector<protocol::TopicRecord> &records,
+                             framework::TimePoint asked)
 {
-    for (const StoreRecord &record : records) {
+    for (const protocol::TopicRecord &record : records) {
         apply(record);
     }
     m_servers.setZonesOut(m_zonesOut);
     m_serving.confirm(asked);
 }
 
-void OperatorFeed::apply(const StoreRecord &record)
+void OperatorFeed::apply(const protocol::TopicRecord &record)
 {
     if (record.key == wire::ConfigurationKey && record.value) {
         applyConfiguration(*record.value);
--- a/src/platform/internal/operatorfeed.h
+++ b/src/platform/internal/operatorfeed.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "framework/types/ids.h"
-#include "platform/internal/itopicobserver.h"
 #include "platform/internal/topicreader.h"
+#include "replication/itopicobserver.h"
+#include "replication/topicreplica.h"
 
 #include <set>
 
@@ -17,7 +18,7 @@
 namespace lavendertally::platform {
 
 /// Hands on what operators write to the store: configurations, and availability zones taken out.
-class OperatorFeed final : public ITopicObserver
+class OperatorFeed final : public replication::ITopicObserver
 {
 public:
     OperatorFeed(StoreClient &store, framework::IScheduler &scheduler,
@@ -25,19 +26,23 @@
                  serving::IServingUpdates &serving, membership::IBackendServerUpdates &servers);
 
     void start() { m_reader.start(); }
+    replication::TopicReplica &replica() { return m_replica; }
 
-    void onSnapshot(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
-    void onChanges(const std::vector<StoreRecord> &records, framework::TimePoint asked) override;
+    void onSnapshot(const std::vector<protocol::TopicRecord> &records,
+                    framework::TimePoint asked) override;
+    void onChanges(const std::vector<protocol::TopicRecord> &records,
+                   framework::TimePoint asked) override;
     void onReturned() override { }
 
 private:
-    void apply(const StoreRecord &record);
+    void apply(const protocol::TopicRecord &record);
     void applyConfiguration(const std::string &text);
 
     framework::ILogger &m_logger;
     serving::IServingUpdates &m_serving;
     membership::IBackendServerUpdates &m_servers;
     std::set<framework::AvailabilityZoneId> m_zonesOut;
+    replication::TopicReplica m_replica{*this};
     TopicReader m_reader;
 };
 
--- a/src/platform/internal/storechanges.h
+++ b/src/platform/internal/storechanges.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "framework/types/ids.h"
-#include "platform/internal/storerecord.h"
+#include "protocol/types/topicrecord.h"
 
 #include <vector>
 
@@ -10,7 +10,7 @@
 /// Records read from one offset on.
 struct StoreChanges
 {
-    std::vector<StoreRecord> records;
+    std::vector<protocol::TopicRecord> records;
     /// Where to read on.
     framework::LogOffset next;
 };
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -107,7 +107,7 @@
         });
 }
 
-StoreClient::Call StoreClient::append(std::string_view topic, const StoreRecord &record,
+StoreClient::Call StoreClient::append(std::string_view topic, const protocol::TopicRecord &record,
                                       std::function<void(framework::Result<void>)> callback)
 {
     http::HttpRequest request;
--- a/src/platform/internal/storeclient.h
+++ b/src/platform/internal/storeclient.h
@@ -47,7 +47,7 @@
 
     /// Writes one record of a keyed topic.
     /// \param callback gets nothing, or StoreError
-    Call append(std::string_view topic, const StoreRecord &record,
+    Call append(std::string_view topic, const protocol::TopicRecord &record,
                 std::function<void(framework::Result<void>)> callback);
 
 private:
--- a/src/platform/internal/storecodec.cpp
+++ b/src/platform/internal/storecodec.cpp
@@ -36,13 +36,14 @@
 }
 
 /// \return the record, or one with an empty key if its bytes make no sense
-StoreRecord decodeRecord(std::string_view bytes)
+protocol::TopicRecord decodeRecord(std::string_view bytes, framework::LogOffset offset)
 {
     const std::size_t keySize = bytes.empty() ? 0 : static_cast<unsigned char>(bytes.front());
+    protocol::TopicRecord record;
+    record.offset = offset;
     if (bytes.size() < 1 + keySize) {
-        return {};
+        return record;
     }
-    StoreRecord record;
     record.key = bytes.substr(1, keySize);
     const std::string_view value = bytes.substr(1 + keySize);
     if (!value.empty()) {
@@ -79,6 +80,7 @@
     }
     std::string_view rest = body.substr(2 * OffsetSize);
     StoreChanges changes;
+    changes.next = from;
     while (!rest.empty()) {
         if (rest.size() < LengthSize) {
             return framework::leaf::new_error(StoreError::Malformed);
@@ -88,10 +90,10 @@
         if (rest.size() < length) {
             return framework::leaf::new_error(StoreError::Malformed);
         }
-        changes.records.push_back(decodeRecord(rest.substr(0, length)));
+        changes.records.push_back(decodeRecord(rest.substr(0, length), changes.next));
+        changes.next = changes.next.next();
         rest.remove_prefix(length);
     }
-    changes.next = framework::LogOffset(from.value() + changes.records.size());
     return changes;
 }
 
@@ -114,12 +116,17 @@
         }
         // A value that cannot be read is a record nonetheless; its reader refuses it.
         const auto bytes = decodeBase64(value->get<std::string>());
-        page.records.push_back({key->get<std::string>(), bytes.value_or(std::string())});
+        const auto offset = item.find("offset");
+        if (offset == item.end() || !offset->is_number_unsigned()) {
+            return framework::leaf::new_error(StoreError::Malformed);
+        }
+        page.records.push_back({framework::LogOffset(offset->get<std::uint64_t>()),
+                                key->get<std::string>(), bytes.value_or(std::string())});
     }
     return page;
 }
 
-std::string encodeRecord(const StoreRecord &record)
+std::string encodeRecord(const protocol::TopicRecord &record)
 {
     std::string content(1, static_cast<char>(record.key.size()));
     content.append(record.key);
--- a/src/platform/internal/storecodec.h
+++ b/src/platform/internal/storecodec.h
@@ -17,6 +17,6 @@
 framework::Result<StorePage> decodePage(std::string_view body);
 
 /// \return the body of an append of one record
-std::string encodeRecord(const StoreRecord &record);
+std::string encodeRecord(const protocol::TopicRecord &record);
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/storepage.h
+++ b/src/platform/internal/storepage.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "framework/types/ids.h"
-#include "platform/internal/storerecord.h"
+#include "protocol/types/topicrecord.h"
 
 #include <vector>
 
@@ -10,7 +10,7 @@
 /// Newest records of a keyed topic, as far as one call returns them.
 struct StorePage
 {
-    std::vector<StoreRecord> records;
+    std::vector<protocol::TopicRecord> records;
     /// End of the topic when the page was made.
     framework::LogOffset end;
     bool hasMore = false;
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -6,8 +6,8 @@
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "http/ihttpcall.h"
-#include "platform/internal/itopicobserver.h"
 #include "platform/types/storeerror.h"
+#include "replication/topicreplica.h"
 
 #include <utility>
 
@@ -38,9 +38,9 @@
 
 TopicReader::TopicReader(StoreClient &store, framework::IScheduler &scheduler,
                          const framework::IClock &clock, framework::ILogger &logger,
-                         std::string topic, TopicPace pace, ITopicObserver &observer)
+                         std::string topic, TopicPace pace, replication::TopicReplica &replica)
     : m_store(store), m_scheduler(scheduler), m_clock(clock), m_logger(logger),
-      m_topic(std::move(topic)), m_pace(pace), m_observer(observer)
+      m_topic(std::move(topic)), m_pace(pace), m_replica(replica)
 { }
 
 TopicReader::~TopicReader() = default;
@@ -71,7 +71,7 @@
     }
     if (m_snapshot.empty()) {
         // Later pages may be newer; reading on from the first page's end repeats those changes.
-        m_next = page->end;
+        m_snapshotEnd = page->end;
     }
     m_snapshot.insert(m_snapshot.end(), page->records.begin(), page->records.end());
     if (page->hasMore && !page->records.empty()) {
@@ -79,15 +79,16 @@
         return;
     }
     succeeded();
-    m_observer.onSnapshot(std::exchange(m_snapshot, {}), m_snapshotAsked);
+    m_replica.replace(std::exchange(m_snapshot, {}), m_snapshotEnd, m_snapshotAsked);
     later(m_pace.pause, [this] { readChanges(); });
 }
 
 void TopicReader::readChanges()
 {
     m_asked = m_clock.now();
+    m_from = m_replica.next();
     m_call = m_store.readChanges(
-        m_topic, m_next, m_pace.wait,
+        m_topic, m_from, m_pace.wait,
         [this](framework::Result<StoreChanges> changes) { onChanges(std::move(changes)); });
 }
 
@@ -97,7 +98,7 @@
         const StoreError error = framework::errorOf(std::move(changes), StoreError::Malformed);
         if (error == StoreError::HistoryDropped) {
             m_logger.info("history of a topic dropped; reads its newest records",
-                          {{"topic", m_topic}, {"offset", std::to_string(m_next.value())}});
+                          {{"topic", m_topic}, {"offset", std::to_string(m_from.value())}});
             later(framework::Milliseconds(0), [this] { readNewest({}); });
             return;
         }
@@ -105,8 +106,7 @@
         return;
     }
     succeeded();
-    m_next = changes->next;
-    m_observer.onChanges(changes->records, m_asked);
+    m_replica.append(changes->records, m_from, changes->next, m_asked);
     later(m_pace.pause, [this] { readChanges(); });
 }
 
@@ -117,7 +117,7 @@
                       {{"topic", m_topic},
                        {"away_ms", std::to_string((m_clock.now() - m_lastSuccess).value())}});
         m_lost = false;
-        m_observer.onReturned();
+        m_replica.sourceReturned();
     }
     m_lastSuccess = m_clock.now();
 }
--- a/src/platform/internal/topicreader.h
+++ b/src/platform/internal/topicreader.h
@@ -18,19 +18,22 @@
 class ITimer;
 } // namespace lavendertally::framework
 
+namespace lavendertally::replication {
+class TopicReplica;
+}
+
 namespace lavendertally::platform {
 
-class ITopicObserver;
 enum class StoreError;
 
-/// Follows one keyed topic: its newest records first, then every change. Starts over with the
-/// newest records when the history it needs has been dropped.
+/// Keeps the copy of one keyed topic fresh from the store: its newest records first, then every
+/// change. Starts over with the newest records when the history it needs has been dropped.
 class TopicReader
 {
 public:
     TopicReader(StoreClient &store, framework::IScheduler &scheduler,
                 const framework::IClock &clock, framework::ILogger &logger, std::string topic,
-                TopicPace pace, ITopicObserver &observer);
+                TopicPace pace, replication::TopicReplica &replica);
     ~TopicReader();
     TopicReader(const TopicReader &) = delete;
     TopicReader &operator=(const TopicReader &) = delete;
@@ -52,11 +55,12 @@
     framework::ILogger &m_logger;
     std::string m_topic;
     TopicPace m_pace;
-    ITopicObserver &m_observer;
+    replication::TopicReplica &m_replica;
     StoreClient::Call m_call;
     std::unique_ptr<framework::ITimer> m_timer;
-    std::vector<StoreRecord> m_snapshot;
-    framework::LogOffset m_next;
+    std::vector<protocol::TopicRecord> m_snapshot;
+    framework::LogOffset m_snapshotEnd;
+    framework::LogOffset m_from;
     framework::TimePoint m_asked;
     framework::TimePoint m_snapshotAsked;
     framework::TimePoint m_lastSuccess;
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -47,6 +47,19 @@
     m_daemons.start(endpoint);
 }
 
+replication::TopicReplica &UsersPlatform::replica(protocol::StateTopic topic)
+{
+    switch (topic) {
+    case protocol::StateTopic::Operators:
+        return m_operators.replica();
+    case protocol::StateTopic::BackendServers:
+        return m_servers.replica();
+    case protocol::StateTopic::Daemons:
+        break;
+    }
+    return m_daemons.replica();
+}
+
 void UsersPlatform::leave()
 {
     m_daemons.leave();
--- a/src/platform/iplatform.h
+++ b/src/platform/iplatform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/endpoint.h"
+#include "protocol/types/statetopic.h"
 
 namespace lavendertally::peers {
 class IDaemonDirectory;
@@ -10,6 +11,10 @@
 class IBackendPort;
 }
 
+namespace lavendertally::replication {
+class TopicReplica;
+}
+
 namespace lavendertally::stages {
 class IStageCallPort;
 }
@@ -32,6 +37,9 @@
     virtual proxy::IBackendPort &backends() = 0;
     virtual stages::IStageCallPort &stageCalls() = 0;
     virtual peers::IDaemonDirectory &daemons() = 0;
+
+    /// \return this daemon's copy of a part of the shared state
+    virtual replication::TopicReplica &replica(protocol::StateTopic topic) = 0;
 };
 
 } // namespace lavendertally::platform
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -43,7 +43,7 @@
 
 std::string record(const std::string &key, const std::string &value)
 {
-    return encodeRecord({key, value.empty() ? std::nullopt : std::optional(value)});
+    return encodeRecord({{}, key, value.empty() ? std::nullopt : std::optional(value)});
 }
 
 } // namespace
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -74,6 +74,32 @@
             out.add_results(result.value());
         }
     }
+    void operator()(const TopicQuery &message) const
+    {
+        peerwire::TopicQuery &out = *envelope.mutable_topic_query();
+        out.set_topic(static_cast<std::uint32_t>(message.topic));
+        out.set_sequence(message.sequence);
+        if (message.from) {
+            out.set_from(message.from->value());
+        }
+    }
+    void operator()(const TopicState &message) const
+    {
+        peerwire::TopicState &out = *envelope.mutable_topic_state();
+        out.set_topic(static_cast<std::uint32_t>(message.topic));
+        out.set_sequence(message.sequence);
+        out.set_is_complete(message.isComplete);
+        for (const TopicRecord &record : message.records) {
+            peerwire::TopicRecord &target = *out.add_records();
+            target.set_offset(record.offset.value());
+            target.set_key(record.key);
+            if (record.value) {
+                target.set_value(*record.value);
+            }
+        }
+        out.set_next(message.next.value());
+        out.set_age_ms(message.age.value());
+    }
 };
 
 framework::Result<PeerMessage> read(const peerwire::StageJob &in)
@@ -127,6 +153,46 @@
     return PeerMessage(std::move(release));
 }
 
+framework::Result<StateTopic> readTopic(std::uint32_t number)
+{
+    if (number > static_cast<std::uint32_t>(StateTopic::Daemons)) {
+        return framework::leaf::new_error(ProtocolError::Malformed);
+    }
+    return static_cast<StateTopic>(number);
+}
+
+framework::Result<PeerMessage> read(const peerwire::TopicQuery &in)
+{
+    TopicQuery query;
+    BOOST_LEAF_ASSIGN(query.topic, readTopic(in.topic()));
+    query.sequence = in.sequence();
+    if (in.has_from()) {
+        query.from = framework::LogOffset(in.from());
+    }
+    return PeerMessage(query);
+}
+
+framework::Result<PeerMessage> read(const peerwire::TopicState &in)
+{
+    TopicState state;
+    BOOST_LEAF_ASSIGN(state.topic, readTopic(in.topic()));
+    state.sequence = in.sequence();
+    state.isComplete = in.is_complete();
+    for (const peerwire::TopicRecord &record : in.records()) {
+        TopicRecord target{framework::LogOffset(record.offset()), record.key(), {}};
+        if (record.has_value()) {
+            target.value = record.value();
+        }
+        state.records.push_back(std::move(target));
+    }
+    state.next = framework::LogOffset(in.next());
+    state.age = framework::Milliseconds(in.age_ms());
+    if (state.age < framework::Milliseconds(0)) {
+        return framework::leaf::new_error(ProtocolError::Malformed);
+    }
+    return PeerMessage(std::move(state));
+}
+
 } // namespace
 
 std::string ProtobufPeerCodec::encode(const PeerMessage &message) const
@@ -163,6 +229,10 @@
         return read(envelope.stage_job_outcome());
     case peerwire::Envelope::kStageResultRelease:
         return read(envelope.stage_result_release());
+    case peerwire::Envelope::kTopicQuery:
+        return read(envelope.topic_query());
+    case peerwire::Envelope::kTopicState:
+        return read(envelope.topic_state());
     case peerwire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -45,12 +45,30 @@
 
 } // namespace
 
+namespace {
+
+TopicState topicState()
+{
+    return {StateTopic::BackendServers,
+            4,
+            true,
+            {{framework::LogOffset(7), std::string("k\0\xff", 3), "value"},
+             {framework::LogOffset(9), "gone", std::nullopt}},
+            framework::LogOffset(11),
+            framework::Milliseconds(350)};
+}
+
+} // namespace
+
 INSTANTIATE_TEST_SUITE_P(
     Protocol, PeerCodecTest,
     testing::Values(PeerMessage(PeerHello{framework::DaemonId("d1")}), PeerMessage(PeerPing{7}),
                     PeerMessage(PeerPong{7, true, framework::Milliseconds(90)}), PeerMessage(job()),
                     PeerMessage(StageJobCancel{framework::RequestId("r1")}), PeerMessage(outcome()),
-                    PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}})));
+                    PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}}),
+                    PeerMessage(TopicQuery{StateTopic::Operators, 3, std::nullopt}),
+                    PeerMessage(TopicQuery{StateTopic::Daemons, 4, framework::LogOffset(5)}),
+                    PeerMessage(topicState())));
 
 TEST(PeerCodecErrors, BytesThatAreNoMessageAreRefused)
 {
@@ -60,4 +78,8 @@
     StageJob empty = job();
     empty.stages.clear();
     EXPECT_FALSE(codec->decode(codec->encode(empty)));
+    TopicState future = topicState();
+    future.age = framework::Milliseconds(-1);
+    EXPECT_FALSE(codec->decode(codec->encode(future)));
+    EXPECT_FALSE(codec->decode(codec->encode(TopicQuery{static_cast<StateTopic>(9), 1, {}})));
 }
--- a/src/protocol/types/peermessage.h
+++ b/src/protocol/types/peermessage.h
@@ -7,6 +7,8 @@
 #include "protocol/types/stagejobcancel.h"
 #include "protocol/types/stagejoboutcome.h"
 #include "protocol/types/stageresultrelease.h"
+#include "protocol/types/topicquery.h"
+#include "protocol/types/topicstate.h"
 
 #include <variant>
 
@@ -14,6 +16,6 @@
 
 /// Any message on a link between two daemons.
 using PeerMessage = std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel,
-                                 StageJobOutcome, StageResultRelease>;
+                                 StageJobOutcome, StageResultRelease, TopicQuery, TopicState>;
 
 } // namespace lavendertally::protocol
--- a/src/platform/internal/storerecord.h
+++ b/src/protocol/types/topicrecord.h
@@ -5,14 +5,17 @@
 #include <optional>
 #include <string>
 
-namespace lavendertally::platform {
+namespace lavendertally::protocol {
 
 /// Record of a keyed topic.
-struct StoreRecord
+struct TopicRecord
 {
+    framework::LogOffset offset;
     std::string key;
     /// Nothing if the key was dropped.
     std::optional<std::string> value;
+
+    bool operator==(const TopicRecord &) const = default;
 };
 
-} // namespace lavendertally::platform
+} // namespace lavendertally::protocol
--- a/src/stages/internal/stagegateway.cpp
+++ b/src/stages/internal/stagegateway.cpp
@@ -36,7 +36,7 @@
                    jobEnded(owner, outcome);
                })
 {
-    m_network.setObserver(*this);
+    m_network.addObserver(*this);
     m_directory.onChange([this] { rankDaemons(); });
     rankDaemons();
 }
