--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -25,6 +25,7 @@
 #include "proxy/proxymodule.h"
 #include "proxy/types/proxycontext.h"
 #include "replication/topicexchange.h"
+#include "replication/types/sharedtopic.h"
 #include "retry/iretrypolicy.h"
 #include "retry/retrymodule.h"
 #include "routing/ibackendserverselector.h"
@@ -63,12 +64,13 @@
 /// Time over which the platform counts retries.
 constexpr framework::Milliseconds RetryWindow{10000};
 
-/// Age of the last read from the store after which other gateways are asked: twice the time
-/// between two reads of that topic.
+/// Age of what other gateways confirm after which this one reads the store itself: more than the
+/// time between two reads of that topic and two pings, and short enough that a backend server that
+/// leaves or a key that is revoked is heard of in time.
 constexpr std::array<std::pair<protocol::StateTopic, framework::Milliseconds>, 3> StorePatience{
-    {{protocol::StateTopic::Operators, framework::Milliseconds(1500)},
-     {protocol::StateTopic::BackendServers, framework::Milliseconds(2000)},
-     {protocol::StateTopic::Daemons, framework::Milliseconds(8000)}}};
+    {{protocol::StateTopic::Operators, framework::Milliseconds(2000)},
+     {protocol::StateTopic::BackendServers, framework::Milliseconds(1600)},
+     {protocol::StateTopic::Daemons, framework::Milliseconds(6000)}}};
 
 http::HttpLimits httpLimits(const serving::RequestLimits &limits, framework::Milliseconds idle)
 {
@@ -105,10 +107,10 @@
                                                          *m_serving, *m_servers});
     m_peers = peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id);
     m_peers->setAcceptsJobs([this] { return isInformed() && !m_draining; });
-    m_exchange = std::make_unique<replication::TopicExchange>(*m_peers, m_loop, *m_clock, *m_logger,
-                                                              *m_metrics);
+    m_exchange = std::make_unique<replication::TopicExchange>(
+        m_settings.id, *m_peers, m_platform->daemons(), m_loop, *m_clock, *m_logger, *m_metrics);
     for (const auto &[topic, patience] : StorePatience) {
-        m_exchange->add(topic, m_platform->replica(topic), patience);
+        m_exchange->add(topic, m_platform->topic(topic), patience);
     }
     m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers);
     m_stages = stages::StagesModule::makeService(
--- a/src/membership/ibackendserverupdates.h
+++ b/src/membership/ibackendserverupdates.h
@@ -16,8 +16,9 @@
 public:
     virtual ~IBackendServerUpdates() = default;
 
-    /// A backend server registered or changed.
-    virtual void put(const BackendServerEntry &entry) = 0;
+    /// A backend server registered, changed, or is still there.
+    /// \return whether its entry changed
+    virtual bool put(const BackendServerEntry &entry) = 0;
 
     /// The entry of a backend server is gone.
     virtual void remove(const framework::BackendServerId &server, framework::TimePoint now) = 0;
--- a/src/membership/internal/backendservertracker.cpp
+++ b/src/membership/internal/backendservertracker.cpp
@@ -12,6 +12,9 @@
 /// (platform's promise).
 constexpr framework::Milliseconds ReturnGrace{2000};
 
+/// Ends of the same cold start differ by the time for which a registration was on its way.
+constexpr framework::Milliseconds ColdTolerance{1500};
+
 const char *stateName(BackendServerState state)
 {
     return state == BackendServerState::Ready ? "ready" : "draining";
@@ -58,7 +61,7 @@
     m_admitting.clear();
 }
 
-void BackendServerTracker::put(const BackendServerEntry &entry)
+bool BackendServerTracker::put(const BackendServerEntry &entry)
 {
     m_known = true;
     m_missing.erase(entry.id);
@@ -68,8 +71,10 @@
         || found->second.endpoint != entry.endpoint || found->second.service != entry.service
         || found->second.zone != entry.zone || found->second.incarnation != entry.incarnation;
     if (!differs) {
+        const bool isChange = found->second.slots != entry.slots
+            || entry.coldUntil > found->second.coldUntil + ColdTolerance;
         found->second = entry;
-        return;
+        return isChange;
     }
     m_entries[entry.id] = entry;
     changed();
@@ -79,6 +84,7 @@
                    {"zone", entry.zone.value()},
                    {"endpoint", entry.endpoint.toString()},
                    {"state", stateName(entry.state)}});
+    return true;
 }
 
 void BackendServerTracker::remove(const framework::BackendServerId &server,
--- a/src/membership/internal/backendservertracker.h
+++ b/src/membership/internal/backendservertracker.h
@@ -23,7 +23,7 @@
     findAdmitting(const framework::BackendServerId &server) const override;
     bool isZoneOut(const framework::AvailabilityZoneId &zone) const override;
 
-    void put(const BackendServerEntry &entry) override;
+    bool put(const BackendServerEntry &entry) override;
     void remove(const framework::BackendServerId &server, framework::TimePoint now) override;
     void registrationsReturned(framework::TimePoint now) override;
     void retainOnly(const std::set<framework::BackendServerId> &servers,
--- a/src/membership/tests/backendservertrackertest.cpp
+++ b/src/membership/tests/backendservertrackertest.cpp
@@ -110,3 +110,19 @@
     m_tracker->put(moved);
     EXPECT_EQ(m_tracker->admitting(Service).front()->endpoint.port, 81);
 }
+
+TEST_F(BackendServerTrackerTest, OnlyWhatChangesCountsAsAChange)
+{
+    EXPECT_TRUE(m_tracker->put(entry("a")));
+    EXPECT_FALSE(m_tracker->put(entry("a")));
+    BackendServerEntry changed = entry("a");
+    changed.slots = 9;
+    EXPECT_TRUE(m_tracker->put(changed));
+    changed.coldUntil = Start + framework::Milliseconds(5000);
+    EXPECT_TRUE(m_tracker->put(changed)) << "it became cold";
+    changed.coldUntil = Start + framework::Milliseconds(5900);
+    EXPECT_FALSE(m_tracker->put(changed)) << "the same cold start, told later";
+    changed.state = BackendServerState::Draining;
+    EXPECT_TRUE(m_tracker->put(changed));
+    EXPECT_FALSE(m_tracker->put(changed));
+}
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -35,7 +35,7 @@
                          const PeerLimits &limits)
     : m_loop(loop), m_clock(clock), m_logger(logger), m_self(std::move(self)), m_limits(limits),
       m_codec(protocol::ProtocolModule::makePeerCodec()), m_acceptsJobs([] { return false; }),
-      m_started(clock.now())
+      m_digests([] { return std::vector<protocol::TopicDigest>(); }), m_started(clock.now())
 { }
 
 PeerNetwork::~PeerNetwork()
@@ -50,6 +50,11 @@
     m_acceptsJobs = std::move(accepts);
 }
 
+void PeerNetwork::setDigests(std::function<std::vector<protocol::TopicDigest>()> digests)
+{
+    m_digests = std::move(digests);
+}
+
 framework::Result<framework::Endpoint> PeerNetwork::listen(const framework::Endpoint &endpoint)
 {
     sockaddr_in address{};
@@ -166,16 +171,16 @@
     return known ? found->second.peerStart : framework::TimePoint::never();
 }
 
-protocol::PeerPong PeerNetwork::pong(std::uint64_t sequence) const
+protocol::PeerPong PeerNetwork::pong(std::optional<framework::TimePoint> pingSent) const
 {
-    return {sequence, m_acceptsJobs(), m_clock.now() - m_started};
+    return {pingSent, m_acceptsJobs(), m_clock.now() - m_started, m_digests()};
 }
 
 void PeerNetwork::announce()
 {
     for (const auto &link : m_inbound) {
         if (!link->peer().isEmpty()) {
-            link->send(pong(0));
+            link->send(pong(std::nullopt));
         }
     }
 }
@@ -233,7 +238,7 @@
         lose(peer, outbound, "no answer to pings");
         return;
     }
-    outbound.link->send(protocol::PeerPing{++m_pingSequence});
+    outbound.link->send(protocol::PeerPing{now});
 }
 
 void PeerNetwork::lose(const framework::DaemonId &peer, Outbound &outbound, const char *reason)
@@ -270,7 +275,7 @@
     // A peer keeps one link from each daemon, so that to a seed goes by another name.
     const std::string name = m_self.value() + (isSeed(link.peer()) ? SeedLinkSuffix : "");
     link.send(protocol::PeerHello{framework::DaemonId(name)});
-    link.send(protocol::PeerPing{++m_pingSequence});
+    link.send(protocol::PeerPing{m_clock.now()});
 }
 
 void PeerNetwork::onLinkMessage(PeerLink &link, const protocol::PeerMessage &message)
@@ -281,7 +286,7 @@
         return;
     }
     if (const auto *ping = std::get_if<protocol::PeerPing>(&message)) {
-        link.send(pong(ping->sequence));
+        link.send(pong(ping->sent));
         return;
     }
     if (const auto *pong = std::get_if<protocol::PeerPong>(&message)) {
@@ -324,6 +329,9 @@
     }
     outbound.acceptsJobs = pong.acceptsJobs;
     outbound.peerStart = m_clock.now() - pong.uptime;
+    for (IPeerObserver *observer : m_observers) {
+        observer->onDigests(link.peer(), pong.digests, pong.pingSent);
+    }
 }
 
 bool PeerNetwork::isOutbound(const PeerLink &link) const
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -5,9 +5,9 @@
 #include "peers/ipeernetwork.h"
 #include "peers/types/peerlimits.h"
 
-#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 struct evconnlistener;
@@ -41,6 +41,7 @@
 
     void addObserver(IPeerObserver &observer) override { m_observers.push_back(&observer); }
     void setAcceptsJobs(std::function<bool()> accepts) override;
+    void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) override;
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
     void connectTo(const std::vector<DaemonAddress> &daemons) override;
     void connectToSeeds(const std::vector<framework::Endpoint> &seeds) override;
@@ -80,7 +81,7 @@
     void closeSilentInbound(framework::TimePoint now);
     bool isSeed(const framework::DaemonId &peer) const;
     void onHello(PeerLink &link, const protocol::PeerHello &hello);
-    protocol::PeerPong pong(std::uint64_t sequence) const;
+    protocol::PeerPong pong(std::optional<framework::TimePoint> pingSent) const;
     void onPong(const PeerLink &link, const protocol::PeerPong &pong);
     bool isOutbound(const PeerLink &link) const;
     void dropInbound(PeerLink &link);
@@ -94,6 +95,7 @@
     std::unique_ptr<protocol::IPeerMessageCodec> m_codec;
     std::vector<IPeerObserver *> m_observers;
     std::function<bool()> m_acceptsJobs;
+    std::function<std::vector<protocol::TopicDigest>()> m_digests;
     evconnlistener *m_listener = nullptr;
     framework::Endpoint m_endpoint;
     std::vector<DaemonAddress> m_daemons;
@@ -103,7 +105,6 @@
     std::vector<std::unique_ptr<PeerLink>> m_discarded;
     std::unique_ptr<framework::ITimer> m_tickTimer;
     std::unique_ptr<framework::ITimer> m_discardTimer;
-    std::uint64_t m_pingSequence = 0;
     framework::TimePoint m_started;
 };
 
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -26,6 +26,9 @@
     /// \param accepts tells other daemons whether this one takes stage jobs
     virtual void setAcceptsJobs(std::function<bool()> accepts) = 0;
 
+    /// \param digests tells other daemons how fresh the topics are that this one knows
+    virtual void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) = 0;
+
     /// \return the endpoint with its real port, or PeerError
     virtual framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) = 0;
 
@@ -48,7 +51,7 @@
     /// \return when \p peer started, on this daemon's clock; TimePoint::never() if it is not known
     virtual framework::TimePoint startOf(const framework::DaemonId &peer) const = 0;
 
-    /// Tells the peers at once whether this daemon takes stage jobs.
+    /// Tells the peers at once whether this daemon takes stage jobs and how fresh its topics are.
     virtual void announce() = 0;
 
     /// Sends on the link to \p peer, or else on its link to this daemon.
--- a/src/peers/tests/peernetworktest.cpp
+++ b/src/peers/tests/peernetworktest.cpp
@@ -28,10 +28,25 @@
     {
         m_messages.emplace_back(peer, message);
     }
+    void onDigests(const framework::DaemonId &peer,
+                   const std::vector<protocol::TopicDigest> &digests,
+                   std::optional<framework::TimePoint> asked) override
+    {
+        for (const protocol::TopicDigest &digest : digests) {
+            m_digests.push_back({peer, digest, asked});
+        }
+    }
     void onLinkLost(const framework::DaemonId &peer) override { m_lost.push_back(peer); }
     void onPeerLeft(const framework::DaemonId &peer) override { m_left.push_back(peer); }
 
     std::vector<std::pair<framework::DaemonId, protocol::PeerMessage>> m_messages;
+    struct Digest
+    {
+        framework::DaemonId peer;
+        protocol::TopicDigest digest;
+        std::optional<framework::TimePoint> asked;
+    };
+    std::vector<Digest> m_digests;
     std::vector<framework::DaemonId> m_lost;
     std::vector<framework::DaemonId> m_left;
 };
@@ -112,7 +127,7 @@
     ASSERT_TRUE(connect(m_endpointB));
     m_b.reset();
     ASSERT_TRUE(waitFor([this] { return !m_seenByA.m_lost.empty(); }));
-    EXPECT_FALSE(m_a->send(B, protocol::PeerPing{1}));
+    EXPECT_FALSE(m_a->send(B, protocol::PeerPing{}));
     m_b = make("b", m_seenByB);
     ASSERT_TRUE(m_b->listen(m_endpointB));
     ASSERT_TRUE(waitFor([this] { return m_a->isAccepting(B); }));
@@ -138,3 +153,39 @@
     ASSERT_TRUE(waitFor([&] { return noise.connections() >= 2; }));
     EXPECT_TRUE(m_a->isAccepting(B));
 }
+
+TEST_F(PeerNetworkTest, PongsTellHowFreshTheTopicsAre)
+{
+    const protocol::TopicDigest digest{protocol::StateTopic::Daemons, framework::LogOffset(4),
+                                       framework::LogOffset(6), framework::Milliseconds(30),
+                                       std::nullopt};
+    m_b->setDigests([digest] { return std::vector<protocol::TopicDigest>{digest}; });
+    const framework::TimePoint before = m_clock->now();
+    ASSERT_TRUE(connect(m_endpointB));
+    ASSERT_FALSE(m_seenByA.m_digests.empty());
+    EXPECT_EQ(m_seenByA.m_digests[0].peer, B);
+    EXPECT_EQ(m_seenByA.m_digests[0].digest, digest);
+    ASSERT_TRUE(m_seenByA.m_digests[0].asked);
+    EXPECT_GE(*m_seenByA.m_digests[0].asked, before);
+    EXPECT_LE(*m_seenByA.m_digests[0].asked, m_clock->now());
+    m_b->announce();
+    EXPECT_TRUE(waitFor([this] { return !m_seenByA.m_digests.back().asked; }));
+}
+
+TEST_F(PeerNetworkTest, SeedIsLinkedByItsEndpointBesideTheLinkToTheSameDaemon)
+{
+    ASSERT_TRUE(connect(m_endpointB));
+    m_a->connectToSeeds({m_endpointB});
+    ASSERT_TRUE(waitFor([this] { return m_a->linkedPeers().size() == 2; }));
+    const framework::DaemonId seed(m_endpointB.toString());
+    ASSERT_TRUE(m_a->send(seed, protocol::StageJobCancel{framework::RequestId("r1")}));
+    ASSERT_TRUE(waitFor([this] { return m_seenByB.m_messages.size() == 1; }));
+    EXPECT_TRUE(m_b->send(m_seenByB.m_messages[0].first,
+                          protocol::StageJobCancel{framework::RequestId("r2")}));
+    ASSERT_TRUE(waitFor([this] { return m_seenByA.m_messages.size() == 1; }));
+    EXPECT_EQ(m_seenByA.m_messages[0].first, seed);
+    m_a->connectToSeeds({});
+    EXPECT_EQ(m_a->linkedPeers().size(), 1U);
+    EXPECT_TRUE(m_a->isAccepting(B));
+    EXPECT_TRUE(m_seenByB.m_left.empty() || m_seenByB.m_left.front() != A);
+}
--- a/src/platform/internal/backendserverfeed.cpp
+++ b/src/platform/internal/backendserverfeed.cpp
@@ -28,22 +28,15 @@
       m_reader(store, scheduler, clock, logger, std::string(wire::ServersTopic), Pace, m_replica)
 { }
 
-void BackendServerFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records,
-                                   framework::TimePoint asked)
+void BackendServerFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records)
 {
     std::set<framework::BackendServerId> present;
     for (const protocol::TopicRecord &record : records) {
         present.emplace(record.key);
     }
     m_servers.retainOnly(present, m_clock.now());
-    onChanges(records, asked);
-}
-
-void BackendServerFeed::onChanges(const std::vector<protocol::TopicRecord> &records,
-                                  framework::TimePoint /*asked*/)
-{
     for (const protocol::TopicRecord &record : records) {
-        apply(record);
+        onRecord(record);
     }
 }
 
@@ -52,25 +45,28 @@
     m_servers.registrationsReturned(m_clock.now());
 }
 
-void BackendServerFeed::apply(const protocol::TopicRecord &record)
+bool BackendServerFeed::onRecord(const protocol::TopicRecord &record)
 {
     const framework::BackendServerId id(record.key);
     if (!record.value) {
         m_servers.remove(id, m_clock.now());
-        return;
+        return true;
     }
-    framework::leaf::try_handle_all(
-        [&]() -> framework::Result<void> {
+    return framework::leaf::try_handle_all(
+        [&]() -> framework::Result<bool> {
             BOOST_LEAF_AUTO(entry, decodeBackendServer(record.key, *record.value, m_clock.now()));
-            m_servers.put(entry);
-            return {};
+            return m_servers.put(entry);
         },
         [&](DecodeError /*error*/, const framework::ErrorContext &context) {
             m_logger.warning("entry of a backend server cannot be read; it is not used",
                              {{"backend_server", record.key}, {"problem", context.message}});
             m_servers.remove(id, m_clock.now());
+            return true;
         },
-        [&] { m_servers.remove(id, m_clock.now()); });
+        [&] {
+            m_servers.remove(id, m_clock.now());
+            return true;
+        });
 }
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -99,32 +99,34 @@
     m_listeners.push_back(std::move(callback));
 }
 
-void DaemonFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records,
-                            framework::TimePoint asked)
+void DaemonFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records)
 {
     m_isKnown = true;
-    onChanges(records, asked);
+    for (const protocol::TopicRecord &record : records) {
+        onRecord(record);
+    }
 }
 
-void DaemonFeed::onChanges(const std::vector<protocol::TopicRecord> &records,
-                           framework::TimePoint /*asked*/)
+bool DaemonFeed::onRecord(const protocol::TopicRecord &record)
 {
-    for (const protocol::TopicRecord &record : records) {
-        const framework::DaemonId daemon(record.key);
-        if (daemon == m_self) {
-            continue;
-        }
-        if (!record.value) {
-            m_known.erase(daemon);
-            continue;
-        }
-        if (const auto endpoint = decodeEndpoint(*record.value)) {
-            m_known[daemon] = {*endpoint, m_clock.now()};
-            continue;
-        }
-        m_logger.warning("entry of a daemon cannot be read; it is passed over",
-                         {{"peer", record.key}});
+    const framework::DaemonId daemon(record.key);
+    if (daemon == m_self) {
+        return true;
+    }
+    if (!record.value) {
+        m_known.erase(daemon);
+        return true;
     }
+    if (const auto endpoint = decodeEndpoint(*record.value)) {
+        m_known[daemon] = {*endpoint, m_clock.now()};
+        return true;
+    }
+    m_logger.warning("entry of a daemon cannot be read; it is passed over", {{"peer", record.key}});
+    return true;
+}
+
+void DaemonFeed::onConfirmed(framework::TimePoint /*instant*/)
+{
     expireSilent();
     update();
 }
--- a/src/platform/internal/daemonfeed.h
+++ b/src/platform/internal/daemonfeed.h
@@ -5,6 +5,7 @@
 #include "platform/internal/topicreader.h"
 #include "replication/itopicobserver.h"
 #include "replication/topicreplica.h"
+#include "replication/types/sharedtopic.h"
 
 #include <map>
 
@@ -23,16 +24,15 @@
     void start(const framework::Endpoint &endpoint);
     /// Removes this daemon's entry; it is about to stop.
     void leave();
-    replication::TopicReplica &replica() { return m_replica; }
+    replication::SharedTopic topic() { return {m_replica, m_reader}; }
 
     const std::vector<peers::DaemonAddress> &daemons() const override { return m_daemons; }
     std::size_t sharers() const override;
     void onChange(std::function<void()> callback) override;
 
-    void onSnapshot(const std::vector<protocol::TopicRecord> &records,
-                    framework::TimePoint asked) override;
-    void onChanges(const std::vector<protocol::TopicRecord> &records,
-                   framework::TimePoint asked) override;
+    void onSnapshot(const std::vector<protocol::TopicRecord> &records) override;
+    bool onRecord(const protocol::TopicRecord &record) override;
+    void onConfirmed(framework::TimePoint instant) override;
     void onReturned() override;
 
 private:
--- a/src/platform/internal/operatorfeed.cpp
+++ b/src/platform/internal/operatorfeed.cpp
@@ -27,21 +27,25 @@
       m_reader(store, scheduler, clock, logger, std::string(wire::OperatorTopic), Pace, m_replica)
 { }
 
-void OperatorFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records,
-                              framework::TimePoint asked)
+void OperatorFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records)
 {
     m_zonesOut.clear();
-    onChanges(records, asked);
-}
-
-void OperatorFeed::onChanges(const std::vector<protocol::TopicRecord> &records,
-                             framework::TimePoint asked)
-{
     for (const protocol::TopicRecord &record : records) {
         apply(record);
     }
     m_servers.setZonesOut(m_zonesOut);
-    m_serving.confirm(asked);
+}
+
+bool OperatorFeed::onRecord(const protocol::TopicRecord &record)
+{
+    apply(record);
+    m_servers.setZonesOut(m_zonesOut);
+    return true;
+}
+
+void OperatorFeed::onConfirmed(framework::TimePoint instant)
+{
+    m_serving.confirm(instant);
 }
 
 void OperatorFeed::apply(const protocol::TopicRecord &record)
--- a/src/platform/internal/operatorfeed.h
+++ b/src/platform/internal/operatorfeed.h
@@ -4,6 +4,7 @@
 #include "platform/internal/topicreader.h"
 #include "replication/itopicobserver.h"
 #include "replication/topicreplica.h"
+#include "replication/types/sharedtopic.h"
 
 #include <set>
 
@@ -26,12 +27,11 @@
                  serving::IServingUpdates &serving, membership::IBackendServerUpdates &servers);
 
     void start() { m_reader.start(); }
-    replication::TopicReplica &replica() { return m_replica; }
+    replication::SharedTopic topic() { return {m_replica, m_reader}; }
 
-    void onSnapshot(const std::vector<protocol::TopicRecord> &records,
-                    framework::TimePoint asked) override;
-    void onChanges(const std::vector<protocol::TopicRecord> &records,
-                   framework::TimePoint asked) override;
+    void onSnapshot(const std::vector<protocol::TopicRecord> &records) override;
+    bool onRecord(const protocol::TopicRecord &record) override;
+    void onConfirmed(framework::TimePoint instant) override;
     void onReturned() override { }
 
 private:
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -117,7 +117,7 @@
                       {{"topic", m_topic},
                        {"away_ms", std::to_string((m_clock.now() - m_lastSuccess).value())}});
         m_lost = false;
-        m_replica.sourceReturned();
+        m_replica.sourceReturned(m_clock.now());
     }
     m_lastSuccess = m_clock.now();
 }
@@ -137,8 +137,20 @@
     // The call whose answer is being handled must outlive this function.
     m_timer = m_scheduler.callAfter(delay, [this, step = std::move(step)] {
         m_call.reset();
+        if (!m_active) {
+            m_held = step;
+            return;
+        }
         step();
     });
 }
 
+void TopicReader::setActive(bool active)
+{
+    m_active = active;
+    if (active && m_held) {
+        std::exchange(m_held, nullptr)();
+    }
+}
+
 } // namespace lavendertally::platform
--- a/src/platform/internal/topicreader.h
+++ b/src/platform/internal/topicreader.h
@@ -5,6 +5,7 @@
 #include "framework/types/timepoint.h"
 #include "platform/internal/storeclient.h"
 #include "platform/internal/topicpace.h"
+#include "replication/itopicsource.h"
 
 #include <functional>
 #include <memory>
@@ -28,17 +29,18 @@
 
 /// Keeps the copy of one keyed topic fresh from the store: its newest records first, then every
 /// change. Starts over with the newest records when the history it needs has been dropped.
-class TopicReader
+class TopicReader final : public replication::ITopicSource
 {
 public:
     TopicReader(StoreClient &store, framework::IScheduler &scheduler,
                 const framework::IClock &clock, framework::ILogger &logger, std::string topic,
                 TopicPace pace, replication::TopicReplica &replica);
-    ~TopicReader();
+    ~TopicReader() override;
     TopicReader(const TopicReader &) = delete;
     TopicReader &operator=(const TopicReader &) = delete;
 
     void start();
+    void setActive(bool active) override;
 
 private:
     void readNewest(const std::string &after);
@@ -58,6 +60,9 @@
     replication::TopicReplica &m_replica;
     StoreClient::Call m_call;
     std::unique_ptr<framework::ITimer> m_timer;
+    bool m_active = true;
+    /// Next step, while it waits for setActive().
+    std::function<void()> m_held;
     std::vector<protocol::TopicRecord> m_snapshot;
     framework::LogOffset m_snapshotEnd;
     framework::LogOffset m_from;
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -47,17 +47,17 @@
     m_daemons.start(endpoint);
 }
 
-replication::TopicReplica &UsersPlatform::replica(protocol::StateTopic topic)
+replication::SharedTopic UsersPlatform::topic(protocol::StateTopic name)
 {
-    switch (topic) {
+    switch (name) {
     case protocol::StateTopic::Operators:
-        return m_operators.replica();
+        return m_operators.topic();
     case protocol::StateTopic::BackendServers:
-        return m_servers.replica();
+        return m_servers.topic();
     case protocol::StateTopic::Daemons:
         break;
     }
-    return m_daemons.replica();
+    return m_daemons.topic();
 }
 
 void UsersPlatform::leave()
--- a/src/platform/iplatform.h
+++ b/src/platform/iplatform.h
@@ -12,7 +12,7 @@
 }
 
 namespace lavendertally::replication {
-class TopicReplica;
+struct SharedTopic;
 }
 
 namespace lavendertally::stages {
@@ -38,8 +38,8 @@
     virtual stages::IStageCallPort &stageCalls() = 0;
     virtual peers::IDaemonDirectory &daemons() = 0;
 
-    /// \return this daemon's copy of a part of the shared state
-    virtual replication::TopicReplica &replica(protocol::StateTopic topic) = 0;
+    /// \return a part of the state that all daemons share
+    virtual replication::SharedTopic topic(protocol::StateTopic name) = 0;
 };
 
 } // namespace lavendertally::platform
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -23,13 +23,26 @@
     }
     void operator()(const PeerPing &message) const
     {
-        envelope.mutable_ping()->set_sequence(message.sequence);
+        envelope.mutable_ping()->set_sent_ms(message.sent.sinceEpoch());
     }
     void operator()(const PeerPong &message) const
     {
-        envelope.mutable_pong()->set_sequence(message.sequence);
-        envelope.mutable_pong()->set_accepts_jobs(message.acceptsJobs);
-        envelope.mutable_pong()->set_uptime_ms(message.uptime.value());
+        peerwire::Pong &out = *envelope.mutable_pong();
+        if (message.pingSent) {
+            out.set_ping_sent_ms(message.pingSent->sinceEpoch());
+        }
+        out.set_accepts_jobs(message.acceptsJobs);
+        out.set_uptime_ms(message.uptime.value());
+        for (const TopicDigest &digest : message.digests) {
+            peerwire::TopicDigest &target = *out.add_digests();
+            target.set_topic(static_cast<std::uint32_t>(digest.topic));
+            target.set_changed(digest.changed.value());
+            target.set_next(digest.next.value());
+            target.set_age_ms(digest.age.value());
+            if (digest.returned) {
+                target.set_returned_ms(digest.returned->value());
+            }
+        }
     }
     void operator()(const StageJob &message) const
     {
@@ -161,6 +174,31 @@
     return static_cast<StateTopic>(number);
 }
 
+framework::Result<PeerMessage> read(const peerwire::Pong &in)
+{
+    PeerPong pong;
+    if (in.has_ping_sent_ms()) {
+        pong.pingSent = framework::TimePoint(in.ping_sent_ms());
+    }
+    pong.acceptsJobs = in.accepts_jobs();
+    pong.uptime = framework::Milliseconds(in.uptime_ms());
+    for (const peerwire::TopicDigest &digest : in.digests()) {
+        TopicDigest target;
+        BOOST_LEAF_ASSIGN(target.topic, readTopic(digest.topic()));
+        target.changed = framework::LogOffset(digest.changed());
+        target.next = framework::LogOffset(digest.next());
+        target.age = framework::Milliseconds(digest.age_ms());
+        if (digest.has_returned_ms()) {
+            target.returned = framework::Milliseconds(digest.returned_ms());
+        }
+        if (target.age < framework::Milliseconds(0)) {
+            return framework::leaf::new_error(ProtocolError::Malformed);
+        }
+        pong.digests.push_back(target);
+    }
+    return PeerMessage(std::move(pong));
+}
+
 framework::Result<PeerMessage> read(const peerwire::TopicQuery &in)
 {
     TopicQuery query;
@@ -216,10 +254,9 @@
     case peerwire::Envelope::kHello:
         return PeerMessage(PeerHello{framework::DaemonId(envelope.hello().daemon())});
     case peerwire::Envelope::kPing:
-        return PeerMessage(PeerPing{envelope.ping().sequence()});
+        return PeerMessage(PeerPing{framework::TimePoint(envelope.ping().sent_ms())});
     case peerwire::Envelope::kPong:
-        return PeerMessage(PeerPong{envelope.pong().sequence(), envelope.pong().accepts_jobs(),
-                                    framework::Milliseconds(envelope.pong().uptime_ms())});
+        return read(envelope.pong());
     case peerwire::Envelope::kStageJob:
         return read(envelope.stage_job());
     case peerwire::Envelope::kStageJobCancel:
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -47,6 +47,17 @@
 
 namespace {
 
+PeerPong pong()
+{
+    return {framework::TimePoint(7),
+            false,
+            framework::Milliseconds(90),
+            {{StateTopic::Daemons, framework::LogOffset(3), framework::LogOffset(5),
+              framework::Milliseconds(70), framework::Milliseconds(20)},
+             {StateTopic::Operators, framework::LogOffset(1), framework::LogOffset(1),
+              framework::Milliseconds(0), std::nullopt}}};
+}
+
 TopicState topicState()
 {
     return {StateTopic::BackendServers,
@@ -62,8 +73,10 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Protocol, PeerCodecTest,
-    testing::Values(PeerMessage(PeerHello{framework::DaemonId("d1")}), PeerMessage(PeerPing{7}),
-                    PeerMessage(PeerPong{7, true, framework::Milliseconds(90)}), PeerMessage(job()),
+    testing::Values(PeerMessage(PeerHello{framework::DaemonId("d1")}),
+                    PeerMessage(PeerPing{framework::TimePoint(7)}),
+                    PeerMessage(PeerPong{std::nullopt, true, framework::Milliseconds(90), {}}),
+                    PeerMessage(pong()), PeerMessage(job()),
                     PeerMessage(StageJobCancel{framework::RequestId("r1")}), PeerMessage(outcome()),
                     PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}}),
                     PeerMessage(TopicQuery{StateTopic::Operators, 3, std::nullopt}),
@@ -81,5 +94,8 @@
     TopicState future = topicState();
     future.age = framework::Milliseconds(-1);
     EXPECT_FALSE(codec->decode(codec->encode(future)));
+    PeerPong early = pong();
+    early.digests[0].age = framework::Milliseconds(-1);
+    EXPECT_FALSE(codec->decode(codec->encode(early)));
     EXPECT_FALSE(codec->decode(codec->encode(TopicQuery{static_cast<StateTopic>(9), 1, {}})));
 }
--- a/src/protocol/types/peerping.h
+++ b/src/protocol/types/peerping.h
@@ -1,13 +1,14 @@
 #pragma once
 
-#include <cstdint>
+#include "framework/types/timepoint.h"
 
 namespace lavendertally::protocol {
 
 /// Asks whether the peer is alive.
 struct PeerPing
 {
-    std::uint64_t sequence = 0;
+    /// On the sender's clock; means nothing to the peer, which returns it.
+    framework::TimePoint sent;
 
     bool operator==(const PeerPing &) const = default;
 };
--- a/src/replication/internal/topicexchange.cpp
+++ b/src/replication/internal/topicexchange.cpp
@@ -6,8 +6,12 @@
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "framework/types/endpoint.h"
+#include "peers/daemonranking.h"
+#include "peers/idaemondirectory.h"
 #include "peers/ipeernetwork.h"
+#include "replication/itopicsource.h"
 #include "replication/topicreplica.h"
+#include "replication/types/sharedtopic.h"
 #include "replication/types/topicchanges.h"
 
 #include <algorithm>
@@ -32,29 +36,35 @@
 
 } // namespace
 
-TopicExchange::TopicExchange(peers::IPeerNetwork &network, framework::IScheduler &scheduler,
+TopicExchange::Topic::Topic(const SharedTopic &topic, framework::Milliseconds time)
+    : replica(topic.replica), source(topic.source), patience(time)
+{ }
+
+TopicExchange::TopicExchange(framework::DaemonId self, peers::IPeerNetwork &network,
+                             peers::IDaemonDirectory &directory, framework::IScheduler &scheduler,
                              const framework::IClock &clock, framework::ILogger &logger,
                              framework::IMetrics &metrics, const ExchangeLimits &limits)
-    : m_network(network), m_scheduler(scheduler), m_clock(clock), m_logger(logger),
-      m_metrics(metrics), m_limits(limits)
+    : m_self(std::move(self)), m_network(network), m_directory(directory), m_scheduler(scheduler),
+      m_clock(clock), m_logger(logger), m_metrics(metrics), m_limits(limits)
 {
     m_network.addObserver(*this);
+    m_network.setDigests([this] { return digests(); });
+    m_directory.onChange([this] { m_isLeadingReader = isLeadingReader(); });
 }
 
 TopicExchange::~TopicExchange() = default;
 
-void TopicExchange::add(protocol::StateTopic topic, TopicReplica &replica,
+void TopicExchange::add(protocol::StateTopic name, const SharedTopic &topic,
                         framework::Milliseconds patience)
 {
-    m_topics[topic].replica = &replica;
-    m_topics[topic].patience = patience;
+    m_topics.emplace(name, Topic(topic, patience));
 }
 
 void TopicExchange::start(std::vector<framework::Endpoint> seeds)
 {
     m_seeds = std::move(seeds);
     m_started = m_clock.now();
-    m_timer = m_scheduler.callAfter(m_limits.startPatience, [this] { tick(); });
+    tick();
 }
 
 void TopicExchange::tick()
@@ -62,76 +72,137 @@
     const framework::TimePoint now = m_clock.now();
     keepSeeds(now);
     for (auto &[name, topic] : m_topics) {
-        tend(name, topic, now);
+        chooseSource(name, topic, now);
     }
     m_timer = m_scheduler.callAfter(m_limits.interval, [this] { tick(); });
 }
 
-bool TopicExchange::isUnknown() const
+bool TopicExchange::isLeadingReader() const
+{
+    const std::vector<framework::DaemonId> ranking =
+        peers::rankDaemons(m_self, m_directory.daemons());
+    const auto end = ranking.begin()
+        + static_cast<std::ptrdiff_t>(std::min(m_limits.storeReaders, ranking.size()));
+    return std::find(ranking.begin(), end, m_self) != end;
+}
+
+void TopicExchange::chooseSource(protocol::StateTopic name, Topic &topic, framework::TimePoint now)
 {
-    return std::any_of(m_topics.begin(), m_topics.end(),
-                       [](const auto &entry) { return !entry.second.replica->isKnown(); });
+    const framework::Milliseconds age = now - topic.confirmedByPeer;
+    const bool isLate = !topic.replica.isKnown() || age > topic.patience;
+    const bool isSettled = topic.readsStore && now - topic.readsSince < m_limits.minActive;
+    const bool reads = m_isLeadingReader || isLate || isSettled;
+    if (reads == topic.readsStore) {
+        return;
+    }
+    topic.readsStore = reads;
+    topic.readsSince = now;
+    topic.source.setActive(reads);
+    m_logger.info(reads ? "reads a topic from the store" : "follows peers instead of the store",
+                  {{"topic", topicName(name)},
+                   {"offset", std::to_string(topic.replica.next().value())},
+                   {"peer_age_ms", std::to_string(age.value())},
+                   {"leading", m_isLeadingReader ? "yes" : "no"}});
 }
 
 /// Seeds are linked only while something is unknown: after that the other daemons are known too.
 void TopicExchange::keepSeeds(framework::TimePoint now)
 {
-    const bool wanted = isUnknown() && now - m_started >= m_limits.startPatience;
+    const bool isUnknown = std::any_of(m_topics.begin(), m_topics.end(), [](const auto &entry) {
+        return !entry.second.replica.isKnown();
+    });
+    const bool wanted = isUnknown && now - m_started >= m_limits.startPatience;
     if (wanted == m_seedsUsed) {
         return;
     }
     m_seedsUsed = wanted;
     m_network.connectToSeeds(wanted ? m_seeds : std::vector<framework::Endpoint>());
     if (wanted) {
-        m_logger.warning("nothing known from the store yet; asks seed peers",
+        m_logger.warning("store not read yet; asks seed peers",
                          {{"seeds", std::to_string(m_seeds.size())}});
     }
 }
 
-bool TopicExchange::needsPeers(const Topic &topic, framework::TimePoint now) const
+std::vector<protocol::TopicDigest> TopicExchange::digests() const
+{
+    const framework::TimePoint now = m_clock.now();
+    std::vector<protocol::TopicDigest> result;
+    for (const auto &[name, topic] : m_topics) {
+        const TopicReplica &replica = topic.replica;
+        if (!replica.isKnown()) {
+            continue;
+        }
+        protocol::TopicDigest digest{name, replica.changed(), replica.next(),
+                                     now - replica.confirmedAt(), std::nullopt};
+        if (now - replica.returnedAt() < m_limits.returnNotice) {
+            digest.returned = now - replica.returnedAt();
+        }
+        result.push_back(digest);
+    }
+    return result;
+}
+
+void TopicExchange::onDigests(const framework::DaemonId &peer,
+                              const std::vector<protocol::TopicDigest> &digests,
+                              std::optional<framework::TimePoint> asked)
 {
-    if (!topic.replica->isKnown()) {
-        return true;
+    for (const protocol::TopicDigest &digest : digests) {
+        const auto found = m_topics.find(digest.topic);
+        if (found != m_topics.end()) {
+            compare(peer, found->second, digest, asked);
+        }
     }
-    const bool storeIsNewest = topic.replica->confirmedAt() > topic.fromPeer;
-    return !storeIsNewest || now - topic.replica->confirmedAt() > topic.patience;
 }
 
-void TopicExchange::tend(protocol::StateTopic name, Topic &topic, framework::TimePoint now)
+/// The age counts from when the ping was sent, so that the time on the way makes the state older
+/// than it is, not newer.
+void TopicExchange::compare(const framework::DaemonId &peer, Topic &topic,
+                            const protocol::TopicDigest &digest,
+                            std::optional<framework::TimePoint> asked)
 {
-    const bool needed = needsPeers(topic, now);
-    if (needed != topic.usesPeers) {
-        topic.usesPeers = needed;
-        topic.sequence.reset();
-        m_logger.info(needed ? "store not read in time; asks peers for its state"
-                             : "store read again; peers are not asked any more",
-                      {{"topic", topicName(name)},
-                       {"offset", std::to_string(topic.replica->next().value())}});
+    TopicReplica &replica = topic.replica;
+    if (asked && digest.returned && !topic.readsStore) {
+        noteReturn(topic, *asked - *digest.returned);
     }
-    const bool waits = topic.sequence && now - topic.askedAt <= m_limits.answerTimeout;
-    if (needed && !waits) {
-        ask(name, topic, now);
+    if (!replica.isKnown() || replica.next() < digest.changed) {
+        ask(peer, digest.topic, topic);
+        return;
+    }
+    if (!asked) {
+        return;
+    }
+    const framework::TimePoint confirmed = *asked - digest.age;
+    topic.confirmedByPeer = std::max(topic.confirmedByPeer, confirmed);
+    if (confirmed > replica.confirmedAt()) {
+        replica.append({}, replica.next(), digest.next, confirmed);
     }
 }
 
-void TopicExchange::ask(protocol::StateTopic name, Topic &topic, framework::TimePoint now)
+/// Entries that lapsed while the store was away may come back; they are kept for a while here too.
+void TopicExchange::noteReturn(Topic &topic, framework::TimePoint returned)
 {
-    topic.sequence.reset();
-    const std::vector<framework::DaemonId> peers = m_network.linkedPeers();
-    if (peers.empty()) {
+    if (topic.replica.isKnown() && returned - topic.replica.returnedAt() > m_limits.returnSpread) {
+        topic.replica.sourceReturned(returned);
+    }
+}
+
+void TopicExchange::ask(const framework::DaemonId &peer, protocol::StateTopic name, Topic &topic)
+{
+    const framework::TimePoint now = m_clock.now();
+    if (topic.sequence && now - topic.askedAt <= m_limits.answerTimeout) {
         return;
     }
     protocol::TopicQuery query;
     query.topic = name;
     query.sequence = ++m_sequence;
-    if (topic.replica->isKnown()) {
-        query.from = topic.replica->next();
+    if (topic.replica.isKnown()) {
+        query.from = topic.replica.next();
     }
-    topic.asked = peers[m_turn++ % peers.size()];
+    topic.asked = peer;
     topic.sequence = query.sequence;
     topic.askedAt = now;
-    topic.askedFrom = topic.replica->next();
-    if (!m_network.send(topic.asked, query)) {
+    topic.askedFrom = topic.replica.next();
+    if (!m_network.send(peer, query)) {
         topic.sequence.reset();
     }
 }
@@ -148,10 +219,10 @@
 void TopicExchange::answer(const framework::DaemonId &peer, const protocol::TopicQuery &query)
 {
     const auto found = m_topics.find(query.topic);
-    if (found == m_topics.end() || !found->second.replica->isKnown()) {
+    if (found == m_topics.end() || !found->second.replica.isKnown()) {
         return;
     }
-    const TopicReplica &replica = *found->second.replica;
+    const TopicReplica &replica = found->second.replica;
     TopicChanges changes = replica.changesSince(query.from);
     protocol::TopicState state;
     state.topic = query.topic;
@@ -165,8 +236,6 @@
                         {{"topic", topicName(query.topic)}});
 }
 
-/// The age counts from when the query was sent, so that the time on the way makes the state older
-/// than it is, not newer.
 void TopicExchange::take(const framework::DaemonId &peer, const protocol::TopicState &state)
 {
     const auto found = m_topics.find(state.topic);
@@ -174,34 +243,25 @@
         return;
     }
     Topic &topic = found->second;
+    TopicReplica &replica = topic.replica;
     topic.sequence.reset();
-    TopicReplica &replica = *topic.replica;
     const framework::TimePoint confirmed = topic.askedAt - state.age;
-    if (replica.isKnown() && confirmed <= replica.confirmedAt()) {
-        return;
-    }
-    if (replica.isKnown() && m_clock.now() - replica.confirmedAt() > topic.patience) {
-        replica.sourceReturned();
-    }
     if (state.isComplete) {
         replica.replace(state.records, state.next, confirmed);
-    } else if (replica.isKnown()) {
+    } else {
         replica.append(state.records, topic.askedFrom, state.next, confirmed);
     }
-    if (replica.confirmedAt() == confirmed) {
-        topic.fromPeer = confirmed;
-    }
+    topic.confirmedByPeer = std::max(topic.confirmedByPeer, confirmed);
     m_metrics.increment("lavendertally_peer_states_taken_total",
                         {{"topic", topicName(state.topic)}});
-    if (state.records.empty()) {
-        return;
+    if (!topic.readsStore || state.isComplete) {
+        m_logger.info("state taken from a peer",
+                      {{"topic", topicName(state.topic)},
+                       {"peer", peer.value()},
+                       {"age_ms", std::to_string(state.age.value())},
+                       {"records", std::to_string(state.records.size())},
+                       {"offset", std::to_string(replica.next().value())}});
     }
-    m_logger.info("state taken from a peer",
-                  {{"topic", topicName(state.topic)},
-                   {"peer", peer.value()},
-                   {"age_ms", std::to_string(state.age.value())},
-                   {"records", std::to_string(state.records.size())},
-                   {"offset", std::to_string(replica.next().value())}});
 }
 
 void TopicExchange::onLinkLost(const framework::DaemonId &peer)
--- a/src/replication/internal/topicreplica.cpp
+++ b/src/replication/internal/topicreplica.cpp
@@ -30,13 +30,14 @@
     m_newest.clear();
     m_droppedKeys = 0;
     for (const protocol::TopicRecord &record : records) {
-        keep(record);
+        keep(record, true);
     }
     m_isKnown = true;
     m_next = end;
+    m_changed = end;
     m_completeFrom = end;
+    m_observer.onSnapshot(records);
     confirm(asked);
-    m_observer.onSnapshot(records, m_confirmedAt);
 }
 
 void TopicReplica::append(const std::vector<protocol::TopicRecord> &records,
@@ -46,38 +47,48 @@
     if (!m_isKnown || m_next < from) {
         return;
     }
-    std::vector<protocol::TopicRecord> fresh;
-    std::copy_if(records.begin(), records.end(), std::back_inserter(fresh),
-                 [this](const protocol::TopicRecord &record) { return record.offset >= m_next; });
-    for (const protocol::TopicRecord &record : fresh) {
-        keep(record);
+    for (const protocol::TopicRecord &record : records) {
+        if (record.offset >= m_next) {
+            keep(record, m_observer.onRecord(record));
+        }
     }
     m_next = std::max(m_next, next);
+    if (m_droppedKeys > MaxDroppedKeys) {
+        forgetDroppedKeys();
+    }
     confirm(asked);
-    m_observer.onChanges(fresh, m_confirmedAt);
 }
 
-void TopicReplica::keep(const protocol::TopicRecord &record)
+void TopicReplica::keep(const protocol::TopicRecord &record, bool isChange)
 {
-    protocol::TopicRecord &kept = m_newest[record.key];
-    const bool wasDropped = !kept.value && !kept.key.empty();
-    kept = record;
+    const auto [position, isNew] = m_newest.try_emplace(record.key, record);
+    protocol::TopicRecord &kept = position->second;
     m_droppedKeys += record.value ? 0 : 1;
-    m_droppedKeys -= wasDropped ? 1 : 0;
-    if (m_droppedKeys > MaxDroppedKeys) {
-        std::erase_if(m_newest, [](const auto &entry) { return !entry.second.value; });
-        m_droppedKeys = 0;
-        m_completeFrom = record.offset.next();
+    m_droppedKeys -= !isNew && !kept.value ? 1 : 0;
+    if (isNew || isChange) {
+        kept = record;
+        m_changed = record.offset.next();
+        return;
     }
+    kept.value = record.value;
+}
+
+void TopicReplica::forgetDroppedKeys()
+{
+    std::erase_if(m_newest, [](const auto &entry) { return !entry.second.value; });
+    m_droppedKeys = 0;
+    m_completeFrom = m_next;
 }
 
 void TopicReplica::confirm(framework::TimePoint asked)
 {
     m_confirmedAt = std::max(m_confirmedAt, asked);
+    m_observer.onConfirmed(m_confirmedAt);
 }
 
-void TopicReplica::sourceReturned()
+void TopicReplica::sourceReturned(framework::TimePoint instant)
 {
+    m_returnedAt = instant;
     m_observer.onReturned();
 }
 
--- a/src/replication/itopicobserver.h
+++ b/src/replication/itopicobserver.h
@@ -14,13 +14,14 @@
     virtual ~ITopicObserver() = default;
 
     /// All newest records of the topic.
-    /// \param asked instant before which nothing written was missed
-    virtual void onSnapshot(const std::vector<protocol::TopicRecord> &records,
-                            framework::TimePoint asked) = 0;
+    virtual void onSnapshot(const std::vector<protocol::TopicRecord> &records) = 0;
 
-    /// Changes since the last call.
-    virtual void onChanges(const std::vector<protocol::TopicRecord> &records,
-                           framework::TimePoint asked) = 0;
+    /// The next record.
+    /// \return whether it says more than that its writer is still there
+    virtual bool onRecord(const protocol::TopicRecord &record) = 0;
+
+    /// All that was written before \p instant has been told.
+    virtual void onConfirmed(framework::TimePoint instant) = 0;
 
     /// The topic can be read again; called before the records that were missed.
     virtual void onReturned() = 0;
--- a/src/replication/tests/recordingobserver.h
+++ b/src/replication/tests/recordingobserver.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 namespace lavendertally::replication {
 
@@ -11,26 +12,23 @@
 class RecordingObserver final : public ITopicObserver
 {
 public:
-    void onSnapshot(const std::vector<protocol::TopicRecord> &records,
-                    framework::TimePoint asked) override
+    void onSnapshot(const std::vector<protocol::TopicRecord> &records) override
     {
         state.clear();
         ++snapshots;
-        onChanges(records, asked);
+        for (const protocol::TopicRecord &record : records) {
+            onRecord(record);
+        }
     }
-    void onChanges(const std::vector<protocol::TopicRecord> &records,
-                   framework::TimePoint asked) override
+    bool onRecord(const protocol::TopicRecord &record) override
     {
-        for (const protocol::TopicRecord &record : records) {
-            if (record.value) {
-                state[record.key] = *record.value;
-            } else {
-                state.erase(record.key);
-            }
-            ++seen;
+        ++seen;
+        if (!record.value) {
+            return state.erase(record.key) > 0;
         }
-        confirmed = asked;
+        return std::exchange(state[record.key], *record.value) != *record.value;
     }
+    void onConfirmed(framework::TimePoint instant) override { confirmed = instant; }
     void onReturned() override { ++returns; }
 
     std::map<std::string, std::string> state;
--- a/src/replication/tests/topicexchangetest.cpp
+++ b/src/replication/tests/topicexchangetest.cpp
@@ -5,9 +5,13 @@
 #include "framework/testing/fakescheduler.h"
 #include "framework/testing/nulllogger.h"
 #include "framework/types/endpoint.h"
+#include "peers/daemonranking.h"
+#include "peers/idaemondirectory.h"
 #include "peers/ipeernetwork.h"
+#include "replication/itopicsource.h"
 #include "replication/tests/recordingobserver.h"
 #include "replication/topicreplica.h"
+#include "replication/types/sharedtopic.h"
 
 #include <gtest/gtest.h>
 
@@ -25,14 +29,24 @@
 
 using State = std::map<std::string, std::string>;
 
-/// Links of one daemon that the test joins to those of others.
+constexpr Milliseconds Patience{2000};
+constexpr Milliseconds PingInterval{200};
+constexpr Milliseconds ReadInterval{1000};
+
+/// Links of one daemon, which the test joins to those of others.
 class JoinedNetwork final : public peers::IPeerNetwork
 {
 public:
-    explicit JoinedNetwork(const char *self) : m_self(self) { }
+    JoinedNetwork(DaemonId self, const framework::IClock &clock)
+        : m_self(std::move(self)), m_clock(clock)
+    { }
 
     void addObserver(peers::IPeerObserver &observer) override { m_observer = &observer; }
     void setAcceptsJobs(std::function<bool()> /*accepts*/) override { }
+    void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) override
+    {
+        m_digests = std::move(digests);
+    }
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override
     {
         return endpoint;
@@ -42,14 +56,7 @@
     {
         seedCount = seeds.size();
     }
-    std::vector<DaemonId> linkedPeers() const override
-    {
-        std::vector<DaemonId> ids;
-        for (const auto &[id, network] : links) {
-            ids.push_back(id);
-        }
-        return ids;
-    }
+    std::vector<DaemonId> linkedPeers() const override { return {}; }
     bool isAccepting(const DaemonId & /*peer*/) const override { return true; }
     bool isSelfAccepting() const override { return true; }
     TimePoint startOf(const DaemonId & /*peer*/) const override { return {}; }
@@ -57,76 +64,174 @@
     bool send(const DaemonId &peer, const protocol::PeerMessage &message) override
     {
         ++sent;
-        if (holds) {
-            held.emplace_back(peer, message);
-            return true;
+        if (!links.contains(peer)) {
+            return false;
+        }
+        if (!isMute) {
+            links.at(peer)->m_observer->onMessage(m_self, message);
         }
-        deliver(peer, message);
         return true;
     }
-    void deliver(const DaemonId &peer, const protocol::PeerMessage &message)
+    /// What one ping to \p peer gives.
+    /// \param onTheWay time that it takes
+    void ping(const DaemonId &peer, framework::FakeClock *clock = nullptr,
+              Milliseconds onTheWay = Milliseconds(0))
     {
-        links.at(peer)->m_observer->onMessage(m_self, message);
+        const TimePoint sentAt = m_clock.now();
+        const auto digests = links.at(peer)->m_digests();
+        if (clock != nullptr) {
+            clock->advance(onTheWay);
+        }
+        m_observer->onDigests(peer, digests, sentAt);
     }
     void lose(const DaemonId &peer) { m_observer->onLinkLost(peer); }
 
     std::map<DaemonId, JoinedNetwork *> links;
     std::size_t seedCount = 0;
     int sent = 0;
-    bool holds = false;
-    std::vector<std::pair<DaemonId, protocol::PeerMessage>> held;
+    bool isMute = false;
 
 private:
     DaemonId m_self;
+    const framework::IClock &m_clock;
     peers::IPeerObserver *m_observer = nullptr;
+    std::function<std::vector<protocol::TopicDigest>()> m_digests;
 };
 
-} // namespace
+class FixedDirectory final : public peers::IDaemonDirectory
+{
+public:
+    const std::vector<peers::DaemonAddress> &daemons() const override { return m_daemons; }
+    std::size_t sharers() const override { return m_daemons.size() + 1; }
+    void onChange(std::function<void()> callback) override { m_callback = std::move(callback); }
+    void set(std::vector<peers::DaemonAddress> daemons)
+    {
+        m_daemons = std::move(daemons);
+        m_callback();
+    }
 
-class TopicExchangeTest : public testing::Test
+private:
+    std::vector<peers::DaemonAddress> m_daemons;
+    std::function<void()> m_callback;
+};
+
+class SwitchedSource final : public ITopicSource
 {
-protected:
-    static constexpr Milliseconds Patience{2000};
+public:
+    void setActive(bool active) override { isActive = active; }
+
+    bool isActive = true;
+};
+
+/// The store, as far as these tests need it.
+struct Store
+{
+    std::vector<protocol::TopicRecord> records;
 
-    struct Daemon
+    void put(const char *key, const char *value)
+    {
+        records.push_back({LogOffset(records.size()), key, value});
+    }
+};
+
+struct Daemon
+{
+    Daemon(const DaemonId &id, framework::IScheduler &scheduler, const framework::IClock &clock)
+        : network(id, clock), metrics(framework::FrameworkModule::makeMetrics()),
+          exchange(id, network, directory, scheduler, clock, logger, *metrics)
+    {
+        exchange.add(StateTopic::Operators, {replica, source}, Patience);
+    }
+    void read(const Store &store, TimePoint now)
     {
-        Daemon(const char *id, framework::IScheduler &scheduler, const framework::IClock &clock)
-            : network(id), metrics(framework::FrameworkModule::makeMetrics()),
-              exchange(network, scheduler, clock, logger, *metrics)
-        {
-            exchange.add(StateTopic::Operators, replica, Patience);
+        if (isCut || !source.isActive) {
+            return;
         }
+        ++reads;
+        const LogOffset end(store.records.size());
+        if (!replica.isKnown()) {
+            replica.replace(store.records, end, now);
+            return;
+        }
+        replica.append({store.records.begin() + static_cast<std::ptrdiff_t>(replica.next().value()),
+                        store.records.end()},
+                       replica.next(), end, now);
+    }
+
+    framework::NullLogger logger;
+    FixedDirectory directory;
+    JoinedNetwork network;
+    std::unique_ptr<framework::IMetrics> metrics;
+    RecordingObserver seen;
+    TopicReplica replica{seen};
+    SwitchedSource source;
+    TopicExchange exchange;
+    bool isCut = false;
+    int reads = 0;
+};
 
-        framework::NullLogger logger;
-        JoinedNetwork network;
-        std::unique_ptr<framework::IMetrics> metrics;
-        RecordingObserver seen;
-        TopicReplica replica{seen};
-        TopicExchange exchange;
-    };
+} // namespace
 
-    TopicExchangeTest()
-        : m_scheduler(m_clock), m_a("a", m_scheduler, m_clock), m_b("b", m_scheduler, m_clock)
+/// Four daemons in the order of their ranking; each keeps links to the three first.
+class TopicExchangeTest : public testing::Test
+{
+protected:
+    TopicExchangeTest() : m_scheduler(m_clock)
     {
-        m_a.network.links[DaemonId("b")] = &m_b.network;
-        m_b.network.links[DaemonId("a")] = &m_a.network;
         m_clock.set(TimePoint(100000));
+        std::vector<peers::DaemonAddress> addresses;
+        for (const char *name : {"a", "b", "c", "d"}) {
+            addresses.push_back({DaemonId(name), {}});
+        }
+        m_order = peers::rankDaemons(DaemonId("a"), addresses);
+        for (const DaemonId &id : m_order) {
+            m_daemons.push_back(std::make_unique<Daemon>(id, m_scheduler, m_clock));
+        }
+        for (std::size_t each = 0; each < m_order.size(); ++each) {
+            for (std::size_t other = 0; other < peers::LeadingDaemons; ++other) {
+                if (each != other) {
+                    m_daemons[each]->network.links[m_order[other]] = &m_daemons[other]->network;
+                }
+            }
+            m_daemons[other(each)]->network.links[m_order[each]] = &m_daemons[each]->network;
+            m_daemons[each]->directory.set(addresses);
+        }
+        // Leaders answer the last one on its own link.
+        for (std::size_t leader = 0; leader < peers::LeadingDaemons; ++leader) {
+            m_daemons[leader]->network.links[m_order[3]] = &m_daemons[3]->network;
+        }
+        m_store.put("k", "1");
     }
+    static std::size_t other(std::size_t index) { return index == 0 ? 1 : 0; }
+
+    Daemon &first() { return *m_daemons[0]; }
+    Daemon &second() { return *m_daemons[1]; }
+    Daemon &last() { return *m_daemons[3]; }
 
-    /// What a read of the store gives at once.
-    void readStore(Daemon &daemon, const char *value, std::uint64_t end)
+    void startAll()
     {
-        daemon.replica.replace({{LogOffset(end - 1), "k", value}}, LogOffset(end), m_clock.now());
+        for (const auto &daemon : m_daemons) {
+            daemon->read(m_store, m_clock.now());
+            daemon->exchange.start({});
+        }
     }
-    /// Lets time go by in which \p daemon reads the store and finds nothing new.
-    void advance(Milliseconds time, Daemon *reader)
+    /// Lets time go by: daemons read the store and ping each other.
+    void advance(Milliseconds time)
     {
         const TimePoint end = m_clock.now() + time;
         while (m_clock.now() < end) {
-            m_scheduler.advance(Milliseconds(100));
-            if (reader != nullptr) {
-                reader->replica.append({}, reader->replica.next(), reader->replica.next(),
-                                       m_clock.now());
+            m_scheduler.advance(PingInterval);
+            for (std::size_t each = 0; each < m_daemons.size(); ++each) {
+                m_elapsed[each] = m_elapsed[each] + PingInterval;
+                if (m_elapsed[each] >= ReadInterval) {
+                    m_elapsed[each] = Milliseconds(0);
+                    m_daemons[each]->read(m_store, m_clock.now());
+                }
+                for (std::size_t leader = 0; leader < peers::LeadingDaemons; ++leader) {
+                    if (each != leader && !m_isDown[leader] && !m_isDown[each]) {
+                        m_daemons[each]->network.ping(m_order[leader]);
+                    }
+                }
             }
         }
     }
@@ -137,109 +242,153 @@
 
     framework::FakeClock m_clock;
     framework::FakeScheduler m_scheduler;
-    Daemon m_a;
-    Daemon m_b;
+    std::vector<DaemonId> m_order;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::map<std::size_t, Milliseconds> m_elapsed;
+    std::map<std::size_t, bool> m_isDown;
+    Store m_store;
 };
 
-TEST_F(TopicExchangeTest, NobodyIsAskedWhileTheStoreIsRead)
+TEST_F(TopicExchangeTest, TwoDaemonsReadTheStoreForAll)
 {
-    readStore(m_a, "1", 5);
-    m_a.exchange.start({{"127.0.0.1", 1}});
-    advance(Milliseconds(10000), &m_a);
-    EXPECT_EQ(m_a.network.sent, 0);
-    EXPECT_EQ(m_a.network.seedCount, 0U);
+    startAll();
+    advance(Milliseconds(4000));
+    EXPECT_TRUE(first().source.isActive);
+    EXPECT_TRUE(second().source.isActive);
+    EXPECT_FALSE(m_daemons[2]->source.isActive);
+    EXPECT_FALSE(last().source.isActive);
+    const int reads = last().reads;
+    m_store.put("k", "2");
+    advance(ReadInterval + PingInterval);
+    EXPECT_EQ(last().seen.state, (State{{"k", "2"}}));
+    advance(Milliseconds(20000));
+    EXPECT_EQ(last().reads, reads);
+    EXPECT_LE(age(last()), ReadInterval + PingInterval);
 }
 
-TEST_F(TopicExchangeTest, DaemonThatKnowsNothingLearnsFromASeed)
+TEST_F(TopicExchangeTest, NothingIsSentWhileNothingChanges)
+{
+    startAll();
+    advance(Milliseconds(4000));
+    const int before = last().network.sent;
+    m_store.put("k", "1");
+    advance(Milliseconds(20000));
+    EXPECT_EQ(last().network.sent, before) << "a record that changes nothing is not passed on";
+}
+
+TEST_F(TopicExchangeTest, FollowerReadsTheStoreWhenItsLeadersAreGone)
 {
-    readStore(m_b, "1", 5);
-    m_a.exchange.start({{"127.0.0.1", 1}, {"127.0.0.1", 2}});
-    advance(Milliseconds(400), &m_b);
-    EXPECT_EQ(m_a.network.seedCount, 0U);
-    advance(Milliseconds(1200), &m_b);
-    EXPECT_EQ(m_a.seen.state, (State{{"k", "1"}}));
-    EXPECT_EQ(m_a.network.seedCount, 0U) << "seeds are left once something is known";
+    startAll();
+    advance(Milliseconds(4000));
+    m_isDown = {{0, true}, {1, true}, {2, true}};
+    m_store.put("k", "2");
+    advance(Patience + ReadInterval + PingInterval);
+    EXPECT_TRUE(last().source.isActive);
+    EXPECT_EQ(last().seen.state, (State{{"k", "2"}}));
+    m_isDown.clear();
+    advance(Milliseconds(3000));
+    EXPECT_FALSE(last().source.isActive);
 }
 
-TEST_F(TopicExchangeTest, DaemonCutFromTheStoreFollowsAPeer)
-{
-    readStore(m_a, "1", 5);
-    readStore(m_b, "1", 5);
-    m_a.exchange.start({});
-    advance(Milliseconds(3000), &m_b);
-    m_b.replica.append({{LogOffset(5), "k", "2"}}, LogOffset(5), LogOffset(6), m_clock.now());
-    advance(Milliseconds(700), &m_b);
-    EXPECT_EQ(m_a.seen.state, (State{{"k", "2"}}));
-    EXPECT_LE(age(m_a), Milliseconds(1200));
-    EXPECT_EQ(m_a.seen.returns, 1) << "entries that lapsed meanwhile may come back";
-    advance(Milliseconds(20000), &m_b);
-    EXPECT_LE(age(m_a), Milliseconds(1200));
-    EXPECT_EQ(m_a.seen.returns, 1);
+TEST_F(TopicExchangeTest, LossOfOneReaderIsNotNoticed)
+{
+    startAll();
+    advance(Milliseconds(4000));
+    m_isDown[0] = true;
+    advance(Milliseconds(10000));
+    EXPECT_FALSE(last().source.isActive);
+    EXPECT_LE(age(last()), ReadInterval + PingInterval);
 }
 
-TEST_F(TopicExchangeTest, PeersAreLeftAloneWhenTheStoreIsBack)
+TEST_F(TopicExchangeTest, ReaderCutFromTheStoreFollowsTheOther)
 {
-    readStore(m_a, "1", 5);
-    readStore(m_b, "1", 5);
-    m_a.exchange.start({});
-    advance(Milliseconds(5000), &m_b);
-    advance(Milliseconds(1000), &m_a);
-    const int before = m_a.network.sent;
-    advance(Milliseconds(3000), &m_a);
-    EXPECT_EQ(m_a.network.sent, before);
+    startAll();
+    advance(Milliseconds(4000));
+    first().isCut = true;
+    m_store.put("k", "2");
+    advance(Milliseconds(5000));
+    EXPECT_EQ(first().seen.state, (State{{"k", "2"}}));
+    EXPECT_LE(age(first()), ReadInterval + PingInterval);
+    EXPECT_TRUE(first().source.isActive) << "it goes on trying";
 }
 
-TEST_F(TopicExchangeTest, PeerThatIsCutTooMakesNothingNewer)
+TEST_F(TopicExchangeTest, NothingGetsNewerWhileNobodyReadsTheStore)
 {
-    readStore(m_a, "1", 5);
-    readStore(m_b, "1", 5);
-    const TimePoint last = m_clock.now();
-    m_a.exchange.start({});
-    m_b.exchange.start({});
-    advance(Milliseconds(10000), nullptr);
-    EXPECT_EQ(m_a.replica.confirmedAt(), last);
-    EXPECT_EQ(m_b.replica.confirmedAt(), last);
+    startAll();
+    const TimePoint start = m_clock.now();
+    for (const auto &daemon : m_daemons) {
+        daemon->isCut = true;
+    }
+    advance(Milliseconds(10000));
+    for (const auto &daemon : m_daemons) {
+        EXPECT_EQ(daemon->replica.confirmedAt(), start);
+        EXPECT_TRUE(daemon->source.isActive);
+    }
+}
+
+TEST_F(TopicExchangeTest, DaemonThatKnowsNothingLearnsFromASeed)
+{
+    first().read(m_store, m_clock.now());
+    first().exchange.start({});
+    last().isCut = true;
+    last().exchange.start({{"127.0.0.1", 1}, {"127.0.0.1", 2}});
+    m_scheduler.advance(Milliseconds(400));
+    EXPECT_EQ(last().network.seedCount, 0U);
+    m_scheduler.advance(Milliseconds(400));
+    EXPECT_EQ(last().network.seedCount, 2U);
+    last().network.ping(m_order[0]);
+    EXPECT_EQ(last().seen.state, (State{{"k", "1"}}));
+    m_scheduler.advance(Milliseconds(400));
+    EXPECT_EQ(last().network.seedCount, 0U) << "seeds are left once all is known";
 }
 
 TEST_F(TopicExchangeTest, TimeOnTheWayMakesTheStateOlder)
 {
-    readStore(m_a, "1", 5);
-    m_a.exchange.start({});
-    advance(Milliseconds(2600), nullptr);
-    m_a.network.holds = true;
-    readStore(m_b, "1", 5);
-    m_a.network.held.clear();
-    advance(Milliseconds(2000), &m_b);
-    ASSERT_FALSE(m_a.network.held.empty());
+    startAll();
+    advance(Milliseconds(4000));
+    last().isCut = true;
+    first().read(m_store, m_clock.now());
     const TimePoint asked = m_clock.now();
-    const auto [peer, query] = m_a.network.held.back();
-    m_clock.advance(Milliseconds(1200));
-    m_b.replica.append({}, LogOffset(5), LogOffset(5), m_clock.now());
-    m_a.network.deliver(peer, query);
-    EXPECT_LE(m_a.replica.confirmedAt(), asked);
+    last().network.ping(m_order[0], &m_clock, Milliseconds(1200));
+    EXPECT_EQ(last().replica.confirmedAt(), asked);
 }
 
-TEST_F(TopicExchangeTest, AnotherPeerIsAskedWhenOneFallsSilent)
-{
-    Daemon silent("0", m_scheduler, m_clock);
-    silent.network.links[DaemonId("a")] = &m_a.network;
-    m_a.network.links[DaemonId("0")] = &silent.network;
-    readStore(m_a, "1", 5);
-    readStore(m_b, "2", 6);
-    m_a.exchange.start({});
-    advance(Milliseconds(6000), &m_b);
-    EXPECT_EQ(m_a.seen.state, (State{{"k", "2"}}));
-    EXPECT_LE(age(m_a), Milliseconds(3500));
+TEST_F(TopicExchangeTest, QueryOnALostLinkIsAskedElsewhere)
+{
+    startAll();
+    advance(Milliseconds(4000));
+    m_store.put("k", "2");
+    first().read(m_store, m_clock.now());
+    second().read(m_store, m_clock.now());
+    last().network.isMute = true;
+    last().network.ping(m_order[0]);
+    last().network.isMute = false;
+    last().network.ping(m_order[1]);
+    EXPECT_EQ(last().seen.state, (State{{"k", "1"}})) << "one query at a time";
+    last().network.lose(m_order[0]);
+    last().network.ping(m_order[1]);
+    EXPECT_EQ(last().seen.state, (State{{"k", "2"}}));
+}
+
+TEST_F(TopicExchangeTest, QueryWithoutAnAnswerIsRepeated)
+{
+    startAll();
+    advance(Milliseconds(4000));
+    m_store.put("k", "2");
+    first().read(m_store, m_clock.now());
+    last().network.isMute = true;
+    last().network.ping(m_order[0]);
+    last().network.isMute = false;
+    advance(Milliseconds(2000));
+    EXPECT_EQ(last().seen.state, (State{{"k", "2"}}));
 }
 
-TEST_F(TopicExchangeTest, QueryOnALostLinkIsAskedElsewhereAtOnce)
+TEST_F(TopicExchangeTest, FollowerHearsOnceThatTheStoreWasAway)
 {
-    readStore(m_a, "1", 5);
-    m_a.exchange.start({});
-    m_a.network.holds = true;
-    advance(Milliseconds(2600), nullptr);
-    ASSERT_EQ(m_a.network.sent, 1);
-    m_a.network.lose(DaemonId("b"));
-    advance(Milliseconds(500), nullptr);
-    EXPECT_EQ(m_a.network.sent, 2);
+    startAll();
+    advance(Milliseconds(4000));
+    first().replica.sourceReturned(m_clock.now());
+    advance(Milliseconds(4000));
+    EXPECT_EQ(last().seen.returns, 1);
+    EXPECT_EQ(second().seen.returns, 0) << "it reads the store and sees for itself";
 }
--- a/src/replication/tests/topicreplicatest.cpp
+++ b/src/replication/tests/topicreplicatest.cpp
@@ -118,3 +118,16 @@
     passOn(m_replica, reader, TimePoint(21));
     EXPECT_EQ(seen.state, (State{{"kept", "1"}}));
 }
+
+TEST_F(TopicReplicaTest, RecordThatChangesNothingIsNotPassedOn)
+{
+    m_replica.replace({put(0, "a", "1"), put(1, "b", "1")}, LogOffset(2), TimePoint(10));
+    m_replica.append({put(2, "a", "1"), put(3, "a", "1")}, LogOffset(2), LogOffset(4),
+                     TimePoint(20));
+    EXPECT_EQ(m_replica.changed(), LogOffset(2));
+    EXPECT_TRUE(m_replica.changesSince(LogOffset(2)).records.empty());
+    m_replica.append({put(4, "b", "2")}, LogOffset(4), LogOffset(5), TimePoint(30));
+    EXPECT_EQ(m_replica.changed(), LogOffset(5));
+    EXPECT_EQ(m_replica.changesSince(LogOffset(2)).records,
+              (std::vector<protocol::TopicRecord>{put(4, "b", "2")}));
+}
--- a/src/replication/topicreplica.h
+++ b/src/replication/topicreplica.h
@@ -43,24 +43,33 @@
                 framework::LogOffset next, framework::TimePoint asked);
 
     /// The topic can be read again after a time in which it could not.
-    void sourceReturned();
+    void sourceReturned(framework::TimePoint instant);
+
+    /// \return when it could be read again last; the start of the clock if it always could
+    framework::TimePoint returnedAt() const { return m_returnedAt; }
+
+    /// \return first offset after the last record that changed something
+    framework::LogOffset changed() const { return m_changed; }
 
     /// \param from first offset that a reader does not know; nothing if it knows nothing
     /// \return what the reader has to take in, in order of the offsets
     TopicChanges changesSince(std::optional<framework::LogOffset> from) const;
 
 private:
-    void keep(const protocol::TopicRecord &record);
+    void keep(const protocol::TopicRecord &record, bool isChange);
+    void forgetDroppedKeys();
     void confirm(framework::TimePoint asked);
 
     ITopicObserver &m_observer;
     bool m_isKnown = false;
     framework::LogOffset m_next;
     framework::TimePoint m_confirmedAt;
-    /// Newest record of each key; dropped keys too if they were dropped at or after
-    /// m_completeFrom.
+    /// Newest value of each key with the offset of the last change of its meaning; dropped keys too
+    /// if they were dropped at or after m_completeFrom.
     std::map<std::string, protocol::TopicRecord> m_newest;
     framework::LogOffset m_completeFrom;
+    framework::LogOffset m_changed;
+    framework::TimePoint m_returnedAt;
     std::size_t m_droppedKeys = 0;
 };
 
--- a/src/stages/internal/stagegateway.cpp
+++ b/src/stages/internal/stagegateway.cpp
@@ -1,11 +1,11 @@
 #include "stages/internal/stagegateway.h"
 
-#include "framework/hash.h"
 #include "framework/iclock.h"
 #include "framework/ilogger.h"
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
+#include "peers/daemonranking.h"
 #include "peers/idaemondirectory.h"
 #include "peers/ipeernetwork.h"
 
@@ -16,9 +16,6 @@
 
 namespace {
 
-/// Links kept to daemons that may coordinate: the first choice and its two successors.
-constexpr std::size_t CoordinatorCandidates = 3;
-
 /// Daemons of which one started less than this much earlier count as started together.
 constexpr framework::Milliseconds StartSpread{2000};
 
@@ -43,24 +40,12 @@
 
 StageGateway::~StageGateway() = default;
 
-/// Orders the daemons by rendezvous hashing (Thaler and Ravishankar, 1998), so that all daemons
-/// agree on the order and a change of one daemon leaves that of the others as it is.
 void StageGateway::rankDaemons()
 {
     std::vector<peers::DaemonAddress> others = m_directory.daemons();
-    m_order = {m_self};
-    for (const peers::DaemonAddress &daemon : others) {
-        if (daemon.daemon != m_self) {
-            m_order.push_back(daemon.daemon);
-        }
-    }
-    std::sort(m_order.begin(), m_order.end(), [](const auto &a, const auto &b) {
-        return framework::stableHash(a.value()) > framework::stableHash(b.value());
-    });
-    const std::size_t count = std::min(CoordinatorCandidates, m_order.size());
-    std::erase_if(others, [this, count](const peers::DaemonAddress &daemon) {
-        const auto end = m_order.begin() + static_cast<std::ptrdiff_t>(count);
-        return std::find(m_order.begin(), end, daemon.daemon) == end;
+    m_ranking = peers::rankDaemons(m_self, others);
+    std::erase_if(others, [this](const peers::DaemonAddress &daemon) {
+        return !peers::isLeading(m_ranking, daemon.daemon);
     });
     m_network.connectTo(others);
 }
@@ -71,9 +56,9 @@
 {
     framework::DaemonId chosen = m_self;
     framework::TimePoint oldest = framework::TimePoint::never();
-    const std::size_t candidates = std::min(CoordinatorCandidates, m_order.size());
+    const std::size_t candidates = std::min(peers::LeadingDaemons, m_ranking.size());
     for (std::size_t index = 0; index < candidates; ++index) {
-        const framework::DaemonId &daemon = m_order[index];
+        const framework::DaemonId &daemon = m_ranking[index];
         const bool usable =
             daemon == m_self ? m_network.isSelfAccepting() : m_network.isAccepting(daemon);
         const framework::TimePoint start = m_network.startOf(daemon);
@@ -193,6 +178,13 @@
     m_runner.handOver();
 }
 
+void StageGateway::onDigests(const framework::DaemonId & /*peer*/,
+                             const std::vector<protocol::TopicDigest> & /*digests*/,
+                             std::optional<framework::TimePoint> /*asked*/)
+{
+    // Stages need none of the shared topics from a peer.
+}
+
 void StageGateway::onLinkLost(const framework::DaemonId &peer)
 {
     std::size_t moved = 0;
--- a/src/stages/internal/stagegateway.h
+++ b/src/stages/internal/stagegateway.h
@@ -35,6 +35,9 @@
     void handOver() override;
 
     void onMessage(const framework::DaemonId &peer, const protocol::PeerMessage &message) override;
+    void onDigests(const framework::DaemonId &peer,
+                   const std::vector<protocol::TopicDigest> &digests,
+                   std::optional<framework::TimePoint> asked) override;
     void onLinkLost(const framework::DaemonId &peer) override;
     void onPeerLeft(const framework::DaemonId &peer) override;
 
@@ -61,8 +64,7 @@
     framework::ILogger &m_logger;
     framework::IMetrics &m_metrics;
     StageRunner m_runner;
-    /// All daemons, the first choice first.
-    std::vector<framework::DaemonId> m_order;
+    std::vector<framework::DaemonId> m_ranking;
     framework::DaemonId m_coordinator;
     std::map<framework::RequestId, PendingJob> m_pending;
     /// Ends of jobs that were coordinated here, told after the calls under way have returned.
