Entries that come back after a lapse reach followers; a short silence of the store counts

Cause 1: a reader still kept the lapsed entries, so their return changed nothing for it and was not passed on to followers, which had dropped them. A key that comes back is a change now. Cause 2: the silence was shorter than the time-out of the call for registrations, so only the call for another topic failed, and the lapsed entries were dropped at once. Failed and late calls of all topics count now. Ruled out: the grace itself (it ended as it should in the log). Tests: TopicReplicaTest.KeyThatComesBack..., UsersPlatformTest.EntriesThatLapsedWhileTheStoreHung..., both seen failing before.

--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/internal/storeclient.h"
 
 #include "framework/asyncerror.h"
+#include "framework/iclock.h"
 #include "framework/imetrics.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
@@ -20,6 +21,10 @@
 constexpr int HttpOk = 200;
 constexpr int HttpGone = 410;
 
+/// An answer that takes longer than this beyond the wait is late: more than a store that is slow
+/// needs, less than the time-out, so that a short silence is noticed.
+constexpr framework::Milliseconds LateAnswer{500};
+
 /// Time for an answer beyond the wait that was asked for; a few times that of a slow store.
 constexpr framework::Milliseconds AnswerTimeout{1500};
 
@@ -64,8 +69,8 @@
 } // namespace
 
 StoreClient::StoreClient(http::IHttpClient &client, framework::Endpoint store,
-                         framework::IMetrics &metrics)
-    : m_client(client), m_store(std::move(store)), m_metrics(metrics)
+                         const framework::IClock &clock, framework::IMetrics &metrics)
+    : m_client(client), m_store(std::move(store)), m_clock(clock), m_metrics(metrics)
 { }
 
 StoreClient::Call
@@ -79,12 +84,14 @@
         request.target += "&after=" + escapeQuery(after);
     }
     request.timeout = AnswerTimeout;
-    return m_client.fetch(
-        request, [this, callback = std::move(callback)](const http::HttpResponse &response) {
-            count("newest", response);
-            callback(isSuccess(response) ? decodePage(response.body)
-                                         : framework::asyncError<StorePage>(errorIn(response)));
-        });
+    return m_client.fetch(request,
+                          [this, due = m_clock.now() + LateAnswer,
+                           callback = std::move(callback)](const http::HttpResponse &response) {
+                              note("newest", response, due);
+                              callback(isSuccess(response)
+                                           ? decodePage(response.body)
+                                           : framework::asyncError<StorePage>(errorIn(response)));
+                          });
 }
 
 StoreClient::Call
@@ -100,8 +107,10 @@
     }
     request.timeout = wait + AnswerTimeout;
     return m_client.fetch(
-        request, [this, from, callback = std::move(callback)](const http::HttpResponse &response) {
-            count("read", response);
+        request,
+        [this, from, due = m_clock.now() + wait + LateAnswer,
+         callback = std::move(callback)](const http::HttpResponse &response) {
+            note("read", response, due);
             callback(isSuccess(response) ? decodeChanges(response.body, from)
                                          : framework::asyncError<StoreChanges>(errorIn(response)));
         });
@@ -116,16 +125,24 @@
     request.target = topicTarget(wire::LogAppend, topic);
     request.body = encodeRecord(record);
     request.timeout = AnswerTimeout;
-    return m_client.fetch(
-        request, [this, callback = std::move(callback)](const http::HttpResponse &response) {
-            count("append", response);
-            callback(isSuccess(response) ? framework::Result<void>()
-                                         : framework::asyncError<void>(errorIn(response)));
-        });
+    return m_client.fetch(request,
+                          [this, due = m_clock.now() + LateAnswer,
+                           callback = std::move(callback)](const http::HttpResponse &response) {
+                              note("append", response, due);
+                              callback(isSuccess(response)
+                                           ? framework::Result<void>()
+                                           : framework::asyncError<void>(errorIn(response)));
+                          });
 }
 
-void StoreClient::count(const char *call, const http::HttpResponse &response)
+void StoreClient::note(const char *call, const http::HttpResponse &response,
+                       framework::TimePoint due)
 {
+    const framework::TimePoint now = m_clock.now();
+    const bool isAnswered = isSuccess(response) || response.status == HttpGone;
+    if (!isAnswered || now > due) {
+        m_lastTrouble = now;
+    }
     m_metrics.increment("lavendertally_store_calls_total",
                         {{"call", call}, {"status", std::to_string(response.status)}});
 }
--- a/src/platform/internal/storeclient.h
+++ b/src/platform/internal/storeclient.h
@@ -4,6 +4,7 @@
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "framework/types/milliseconds.h"
+#include "framework/types/timepoint.h"
 #include "platform/internal/storechanges.h"
 #include "platform/internal/storepage.h"
 
@@ -13,8 +14,9 @@
 #include <string_view>
 
 namespace lavendertally::framework {
+class IClock;
 class IMetrics;
-}
+} // namespace lavendertally::framework
 
 namespace lavendertally::http {
 class IHttpCall;
@@ -30,7 +32,8 @@
 public:
     using Call = std::unique_ptr<http::IHttpCall>;
 
-    StoreClient(http::IHttpClient &client, framework::Endpoint store, framework::IMetrics &metrics);
+    StoreClient(http::IHttpClient &client, framework::Endpoint store,
+                const framework::IClock &clock, framework::IMetrics &metrics);
 
     /// Reads the newest record of each key of a topic.
     /// \param after key after which to go on; empty for the first page
@@ -50,11 +53,16 @@
     Call append(std::string_view topic, const protocol::TopicRecord &record,
                 std::function<void(framework::Result<void>)> callback);
 
+    /// \return when a call failed last or its answer was late: registrations may have lapsed then
+    framework::TimePoint lastTrouble() const { return m_lastTrouble; }
+
 private:
-    void count(const char *call, const http::HttpResponse &response);
+    void note(const char *call, const http::HttpResponse &response, framework::TimePoint due);
 
     http::IHttpClient &m_client;
     framework::Endpoint m_store;
+    const framework::IClock &m_clock;
+    framework::TimePoint m_lastTrouble;
     framework::IMetrics &m_metrics;
 };
 
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -110,16 +110,21 @@
     later(m_pace.pause, [this] { readChanges(); });
 }
 
+/// Any call that failed or was late since the last success counts, also one for another topic: a
+/// short silence need not fall on a call for this one.
 void TopicReader::succeeded()
 {
+    const framework::TimePoint now = m_clock.now();
     if (m_lost) {
-        m_logger.info("store reachable again",
-                      {{"topic", m_topic},
-                       {"away_ms", std::to_string((m_clock.now() - m_lastSuccess).value())}});
+        m_logger.info(
+            "store reachable again",
+            {{"topic", m_topic}, {"away_ms", std::to_string((now - m_lastSuccess).value())}});
         m_lost = false;
-        m_replica.sourceReturned(m_clock.now());
     }
-    m_lastSuccess = m_clock.now();
+    if (m_store.lastTrouble() > m_lastSuccess) {
+        m_replica.sourceReturned(now);
+    }
+    m_lastSuccess = now;
 }
 
 void TopicReader::failed(StoreError error, std::function<void()> retry)
--- a/src/platform/tests/usersplatformtest.cpp
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -195,3 +195,30 @@
     m_platform->leave();
     ASSERT_TRUE(waitFor([this] { return !m_store.newest("keyed.daemons", "self").has_value(); }));
 }
+
+TEST_F(UsersPlatformTest, EntriesThatLapsedWhileTheStoreHungAreKeptForAWhile)
+{
+    m_store.put("keyed.op", "config", configuration(1));
+    m_store.put("keyed.servers", "i-1", server());
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 1 && admitting() == 1; }));
+    m_store.put("keyed.servers", "i-2", server());
+    ASSERT_TRUE(waitFor([this] { return admitting() == 2; }));
+    // The next read hangs, but for less than the time-out of a call.
+    setFault(standins::FaultMode::Frozen);
+    const auto hang = m_loop->callAfter(framework::Milliseconds(1900), [this] { m_loop->stop(); });
+    m_loop->run();
+    m_store.remove("keyed.servers", "i-1");
+    setFault(standins::FaultMode::None);
+    const framework::TimePoint end = m_clock->now() + framework::Milliseconds(1500);
+    while (m_clock->now() < end) {
+        const auto timer = m_loop->callAfter(PollInterval, [this] { m_loop->stop(); });
+        m_loop->run();
+        m_servers->expire(m_clock->now());
+        ASSERT_EQ(admitting(), 2U);
+    }
+    EXPECT_TRUE(waitFor([this] {
+        m_servers->expire(m_clock->now());
+        return admitting() == 1;
+    })) << "an entry that stays away is gone";
+}
--- a/src/replication/internal/topicreplica.cpp
+++ b/src/replication/internal/topicreplica.cpp
@@ -63,9 +63,11 @@
 {
     const auto [position, isNew] = m_newest.try_emplace(record.key, record);
     protocol::TopicRecord &kept = position->second;
+    // An observer may have kept the key meanwhile and see no change; other readers have not.
+    const bool isBack = !kept.value && record.value;
     m_droppedKeys += record.value ? 0 : 1;
     m_droppedKeys -= !isNew && !kept.value ? 1 : 0;
-    if (isNew || isChange) {
+    if (isNew || isChange || isBack) {
         kept = record;
         m_changed = record.offset.next();
         return;
--- a/src/replication/tests/topicreplicatest.cpp
+++ b/src/replication/tests/topicreplicatest.cpp
@@ -131,3 +131,32 @@
     EXPECT_EQ(m_replica.changesSince(LogOffset(2)).records,
               (std::vector<protocol::TopicRecord>{put(4, "b", "2")}));
 }
+
+TEST_F(TopicReplicaTest, KeyThatComesBackIsPassedOnThoughTheObserverSawNoChange)
+{
+    class KeepingObserver final : public ITopicObserver
+    {
+    public:
+        void onSnapshot(const std::vector<protocol::TopicRecord> & /*records*/) override { }
+        bool onRecord(const protocol::TopicRecord &record) override
+        {
+            // Dropped keys are kept for a while, so their return changes nothing here.
+            return !record.value;
+        }
+        void onConfirmed(TimePoint /*instant*/) override { }
+        void onReturned() override { }
+    };
+    KeepingObserver keeping;
+    TopicReplica source(keeping);
+    source.replace({put(0, "a", "1")}, LogOffset(1), TimePoint(10));
+    RecordingObserver seen;
+    TopicReplica reader(seen);
+    passOn(source, reader, TimePoint(11));
+    source.append({dropped(1, "a")}, LogOffset(1), LogOffset(2), TimePoint(20));
+    passOn(source, reader, TimePoint(21));
+    EXPECT_TRUE(seen.state.empty());
+    source.append({put(2, "a", "1")}, LogOffset(2), LogOffset(3), TimePoint(30));
+    EXPECT_EQ(source.changed(), LogOffset(3));
+    passOn(source, reader, TimePoint(31));
+    EXPECT_EQ(seen.state, (State{{"a", "1"}}));
+}
