--- a/src/localfleet/childprocess.h
+++ b/src/localfleet/childprocess.h
@@ -13,9 +13,17 @@
 class ChildProcess
 {
 public:
+    /// Where standard output goes.
+    enum class Output
+    {
+        /// To waitForLine().
+        Kept,
+        LogFile,
+    };
+
     /// \param logFile gets what the program writes to standard error
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
-                 const std::string &logFile);
+                 const std::string &logFile, Output output = Output::Kept);
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
--- a/src/localfleet/internal/childprocess.cpp
+++ b/src/localfleet/internal/childprocess.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
-                           const std::string &logFile)
+                           const std::string &logFile, Output output)
 {
     int ends[2];
     if (pipe2(ends, O_CLOEXEC) != 0) {
@@ -35,9 +35,10 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const bool kept = output == Output::Kept;
+    posix_spawn_file_actions_adddup2(&actions, kept ? ends[1] : STDERR_FILENO, STDOUT_FILENO);
     std::vector<char *> argv{const_cast<char *>(program.c_str())};
     for (const std::string &argument : arguments) {
         argv.push_back(const_cast<char *>(argument.c_str()));
--- a/src/standins/internal/platformserverstandin.cpp
+++ b/src/standins/internal/platformserverstandin.cpp
@@ -17,10 +17,25 @@
 constexpr const char *SignatureField = "X-Lavendertally-Response-Signature";
 constexpr const char *NotExecutedField = "X-Lavendertally-Not-Executed";
 constexpr const char *InstanceField = "X-Lavendertally-Expect-Instance";
+constexpr const char *TeamField = "X-Lavendertally-Tenant";
 constexpr int HttpMisdirected = 421;
 
+std::string eventText(std::uint64_t event)
+{
+    return "id: " + std::to_string(event) + "\ndata: e\n\n";
+}
+
 } // namespace
 
+std::string PlatformServerStandIn::wholeStream()
+{
+    std::string text;
+    for (std::uint64_t event = 1; event <= EventsInAStream; ++event) {
+        text += eventText(event);
+    }
+    return text;
+}
+
 PlatformServerStandIn::PlatformServerStandIn(framework::IEventLoop &loop, std::string id)
     : StandInServer(loop), m_id(std::move(id))
 { }
@@ -80,6 +95,18 @@
         return;
     }
     m_runs.insert(request);
+    if (m_onRun) {
+        m_onRun(request, exchange->header(TeamField).value_or(""));
+    }
+    if (m_workTime.value() == 0) {
+        answer(exchange, request);
+        return;
+    }
+    deferred().callAfter(m_workTime, [this, exchange, request] { answer(exchange, request); });
+}
+
+void PlatformServerStandIn::answer(const ExchangePtr &exchange, const std::string &request)
+{
     if (exchange->path().starts_with("/stream/")) {
         stream(exchange, request);
         return;
@@ -95,7 +122,7 @@
                           {{RequestIdField, request}, {SignatureField, "s-" + request}});
     for (std::uint64_t event = after ? std::stoull(*after) + 1 : 1; event <= EventsInAStream;
          ++event) {
-        exchange->sendPart("id: " + std::to_string(event) + "\ndata: e\n\n");
+        exchange->sendPart(eventText(event));
         if (event == m_breakAfter) {
             deferred().callAfter(framework::Milliseconds(20), [exchange] { exchange->abort(); });
             return;
--- a/src/standins/internal/platformstorestandin.cpp
+++ b/src/standins/internal/platformstorestandin.cpp
@@ -120,7 +120,12 @@
         const std::string_view record = rest.substr(LengthSize, length);
         rest.remove_prefix(LengthSize + length);
         const std::size_t keySize = static_cast<unsigned char>(record.front());
-        add(topic, std::string(record.substr(1, keySize)), std::string(record.substr(1 + keySize)));
+        const std::string key(record.substr(1, keySize));
+        std::string value(record.substr(1 + keySize));
+        if (m_appendFilter && !value.empty()) {
+            value = m_appendFilter(topic, key, value);
+        }
+        add(topic, key, value);
     }
     replyJson(*exchange, HttpStatus::Ok,
               {{"offset", offset}, {"endOffset", m_topics[topic].records.size()}});
--- a/src/standins/platformserverstandin.h
+++ b/src/standins/platformserverstandin.h
@@ -3,8 +3,10 @@
 #include "standins/standinserver.h"
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lavendertally::standins {
@@ -26,6 +28,15 @@
     /// Streams break after this many events; zero lets them end.
     void setBreakAfter(std::uint64_t events) { m_breakAfter = events; }
     std::size_t freedResults() const { return m_freed; }
+    /// Time from a request to its answer; zero answers at once.
+    void setWorkTime(framework::Milliseconds time) { m_workTime = time; }
+    /// \param callback hears of the id and the team of each run
+    void onRun(std::function<void(const std::string &, const std::string &)> callback)
+    {
+        m_onRun = std::move(callback);
+    }
+    /// Whole content of a stream.
+    static std::string wholeStream();
 
 private:
     static constexpr std::uint64_t EventsInAStream = 5;
@@ -36,7 +47,11 @@
     void run(const ExchangePtr &exchange);
     void stream(const ExchangePtr &exchange, const std::string &request);
 
+    void answer(const ExchangePtr &exchange, const std::string &request);
+
     std::string m_id;
+    framework::Milliseconds m_workTime;
+    std::function<void(const std::string &, const std::string &)> m_onRun;
     std::multiset<std::string> m_runs;
     std::string m_lastHeaders;
     bool m_full = false;
--- a/src/standins/platformstorestandin.h
+++ b/src/standins/platformstorestandin.h
@@ -4,9 +4,11 @@
 #include "standins/standinserver.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lavendertally::standins {
@@ -25,6 +27,14 @@
     /// \return the newest value of a key
     std::optional<std::string> newest(const std::string &topic, const std::string &key) const;
     std::uint64_t calls() const { return m_calls; }
+    /// \param filter gets topic, key and value of what clients append, and returns the value to
+    /// keep
+    void setAppendFilter(
+        std::function<std::string(const std::string &, const std::string &, const std::string &)>
+            filter)
+    {
+        m_appendFilter = std::move(filter);
+    }
 
 private:
     struct Record
@@ -59,6 +69,8 @@
 
     std::map<std::string, Topic> m_topics;
     std::vector<Waiting> m_waiting;
+    std::function<std::string(const std::string &, const std::string &, const std::string &)>
+        m_appendFilter;
     std::uint64_t m_calls = 0;
 };
 
