Order of daemons by first registration; jobs wait while their coordinator cannot be told

Change: daemons rank by the offset of their first registration, which a restart keeps, so that new ones come last; links go past daemons that cannot be reached; a job waits up to 0.6 s while a candidate that may come first is not judged and the current one is gone. Daemons that do not read the store for all repeat failed reads less often (2,400 refused calls in 8 s of a store that was down). A daemon reads the topic again once it is registered, and keeps its seeds while it knows nobody else: one had learned an empty list of daemons from its seed and was cut off again.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -279,7 +279,7 @@
             {"configuration_age_ms", age.value()},
             {"ready", isReady()},
             {"active_requests", m_requests->activeRequests()},
-            {"daemons", m_platform->daemons().daemons().size()}};
+            {"daemons", m_platform->daemons().ranking().size()}};
 }
 
 } // namespace lavendertally::gateway
--- a/src/peers/idaemondirectory.h
+++ b/src/peers/idaemondirectory.h
@@ -14,8 +14,9 @@
 public:
     virtual ~IDaemonDirectory() = default;
 
-    /// \return the other daemons
-    virtual const std::vector<DaemonAddress> &daemons() const = 0;
+    /// \return all daemons, this one too, in an order that all of them agree on: by when each was
+    /// first known, so that a new one comes last and a restart changes nothing
+    virtual const std::vector<DaemonAddress> &ranking() const = 0;
 
     /// \return how many daemons share limits that hold for all of them together, at least one
     virtual std::size_t sharers() const = 0;
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -7,6 +7,7 @@
 #include "framework/types/errorcontext.h"
 #include "peers/internal/peerlink.h"
 #include "peers/ipeerobserver.h"
+#include "peers/leadingdaemons.h"
 #include "peers/types/peererror.h"
 #include "protocol/ipeermessagecodec.h"
 #include "protocol/protocolmodule.h"
@@ -87,12 +88,42 @@
     network->m_inbound.push_back(std::move(link));
 }
 
-void PeerNetwork::connectTo(const std::vector<DaemonAddress> &daemons)
+void PeerNetwork::connectTo(const std::vector<DaemonAddress> &ranking)
 {
-    m_daemons = daemons;
+    m_ranking = ranking;
     relink();
 }
 
+bool PeerNetwork::isNew(const framework::DaemonId &peer) const
+{
+    const auto found = m_outbound.find(peer);
+    return found != m_outbound.end() && !found->second.answered && !found->second.wasLost
+        && m_clock.now() - found->second.created < m_limits.settleTime;
+}
+
+bool PeerNetwork::isFailing(const framework::DaemonId &peer) const
+{
+    const auto found = m_outbound.find(peer);
+    return found != m_outbound.end() && !found->second.answered && !isNew(peer);
+}
+
+/// The seeds, and the first of the ranking until enough of them can be reached.
+std::vector<DaemonAddress> PeerNetwork::wanted() const
+{
+    std::vector<DaemonAddress> result = m_seeds;
+    std::size_t reachable = 0;
+    for (const DaemonAddress &daemon : m_ranking) {
+        if (reachable == LeadingDaemons) {
+            break;
+        }
+        reachable += isFailing(daemon.daemon) ? 0 : 1;
+        if (daemon.daemon != m_self) {
+            result.push_back(daemon);
+        }
+    }
+    return result;
+}
+
 void PeerNetwork::connectToSeeds(const std::vector<framework::Endpoint> &seeds)
 {
     m_seeds.clear();
@@ -106,13 +137,9 @@
 
 void PeerNetwork::relink()
 {
-    std::vector<DaemonAddress> wanted = m_daemons;
-    wanted.insert(wanted.end(), m_seeds.begin(), m_seeds.end());
+    const framework::TimePoint now = m_clock.now();
     std::map<framework::DaemonId, Outbound> kept;
-    for (const DaemonAddress &daemon : wanted) {
-        if (daemon.daemon == m_self) {
-            continue;
-        }
+    for (const DaemonAddress &daemon : wanted()) {
         auto node = m_outbound.extract(daemon.daemon);
         if (!node.empty() && node.mapped().endpoint == daemon.endpoint) {
             kept.insert(std::move(node));
@@ -121,7 +148,9 @@
         if (!node.empty()) {
             discard(std::move(node.mapped().link));
         }
-        kept[daemon.daemon].endpoint = daemon.endpoint;
+        Outbound &added = kept[daemon.daemon];
+        added.endpoint = daemon.endpoint;
+        added.created = now;
     }
     std::map<framework::DaemonId, Outbound> dropped = std::exchange(m_outbound, std::move(kept));
     for (auto &[peer, outbound] : dropped) {
@@ -130,6 +159,11 @@
             observer->onLinkLost(peer);
         }
     }
+    for (auto &[peer, outbound] : m_outbound) {
+        if (!outbound.link) {
+            tend(peer, outbound, now);
+        }
+    }
 }
 
 std::vector<framework::DaemonId> PeerNetwork::linkedPeers() const
@@ -204,6 +238,7 @@
 void PeerNetwork::tick()
 {
     const framework::TimePoint now = m_clock.now();
+    relink();
     for (auto &[peer, outbound] : m_outbound) {
         tend(peer, outbound, now);
     }
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -43,10 +43,11 @@
     void setAcceptsJobs(std::function<bool()> accepts) override;
     void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) override;
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
-    void connectTo(const std::vector<DaemonAddress> &daemons) override;
+    void connectTo(const std::vector<DaemonAddress> &ranking) override;
     void connectToSeeds(const std::vector<framework::Endpoint> &seeds) override;
     std::vector<framework::DaemonId> linkedPeers() const override;
     bool isAccepting(const framework::DaemonId &peer) const override;
+    bool isNew(const framework::DaemonId &peer) const override;
     bool isSelfAccepting() const override { return m_acceptsJobs(); }
     framework::TimePoint startOf(const framework::DaemonId &peer) const override;
     void announce() override;
@@ -62,6 +63,7 @@
     {
         framework::Endpoint endpoint;
         std::unique_ptr<PeerLink> link;
+        framework::TimePoint created;
         framework::TimePoint nextAttempt;
         framework::TimePoint begun;
         framework::TimePoint goodSince;
@@ -75,6 +77,8 @@
                          void *self);
 
     void relink();
+    std::vector<DaemonAddress> wanted() const;
+    bool isFailing(const framework::DaemonId &peer) const;
     void tick();
     void tend(const framework::DaemonId &peer, Outbound &outbound, framework::TimePoint now);
     void lose(const framework::DaemonId &peer, Outbound &outbound, const char *reason);
@@ -98,7 +102,7 @@
     std::function<std::vector<protocol::TopicDigest>()> m_digests;
     evconnlistener *m_listener = nullptr;
     framework::Endpoint m_endpoint;
-    std::vector<DaemonAddress> m_daemons;
+    std::vector<DaemonAddress> m_ranking;
     std::vector<DaemonAddress> m_seeds;
     std::map<framework::DaemonId, Outbound> m_outbound;
     std::vector<std::unique_ptr<PeerLink>> m_inbound;
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -32,10 +32,11 @@
     /// \return the endpoint with its real port, or PeerError
     virtual framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) = 0;
 
-    /// Keeps links to exactly these daemons.
-    virtual void connectTo(const std::vector<DaemonAddress> &daemons) = 0;
+    /// Keeps links to the first of these daemons, this one among them, so that LeadingDaemons of
+    /// them can be reached.
+    virtual void connectTo(const std::vector<DaemonAddress> &ranking) = 0;
 
-    /// Keeps links to exactly these daemons too, whose ids are not known.
+    /// Keeps links to these daemons too, whose ids are not known.
     virtual void connectToSeeds(const std::vector<framework::Endpoint> &seeds) = 0;
 
     /// \return the daemons to which there are good links, in a stable order; seeds by their
@@ -45,6 +46,9 @@
     /// \return whether the link to \p peer is good and the peer takes stage jobs
     virtual bool isAccepting(const framework::DaemonId &peer) const = 0;
 
+    /// \return whether the link to \p peer is too young to tell whether the peer can be reached
+    virtual bool isNew(const framework::DaemonId &peer) const = 0;
+
     /// \return whether this daemon takes stage jobs
     virtual bool isSelfAccepting() const = 0;
 
--- a/src/peers/tests/peernetworktest.cpp
+++ b/src/peers/tests/peernetworktest.cpp
@@ -189,3 +189,18 @@
     EXPECT_TRUE(m_a->isAccepting(B));
     EXPECT_TRUE(m_seenByB.m_left.empty() || m_seenByB.m_left.front() != A);
 }
+
+TEST_F(PeerNetworkTest, DaemonsBehindThoseThatCannotBeReachedAreLinked)
+{
+    // Ports on which nobody listens.
+    std::vector<DaemonAddress> ranking;
+    for (const char *dead : {"x", "y", "z"}) {
+        ranking.push_back({framework::DaemonId(dead), {"127.0.0.1", 1}});
+    }
+    ranking.push_back({B, m_endpointB});
+    m_a->connectTo(ranking);
+    EXPECT_TRUE(m_a->isNew(framework::DaemonId("x"))) << "it may still be starting";
+    EXPECT_FALSE(m_a->isNew(B)) << "not linked yet";
+    EXPECT_TRUE(waitFor([this] { return m_a->isAccepting(B); }));
+    EXPECT_FALSE(m_a->isNew(framework::DaemonId("x")));
+}
--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace lavendertally::platform {
@@ -22,6 +23,8 @@
 
 /// Time between two registrations of a daemon.
 constexpr framework::Milliseconds RegisterInterval{8000};
+/// How long the first registration waits for the topic to be read.
+constexpr framework::Milliseconds RegisterPatience{500};
 /// After a registration failed it is repeated sooner.
 constexpr framework::Milliseconds RegisterRetry{1000};
 /// A daemon that did not register for so long is gone: three registrations missed.
@@ -31,19 +34,43 @@
 /// site has.
 constexpr std::size_t AssumedSharers = 8;
 
-std::string encodeEndpoint(const framework::Endpoint &endpoint)
+constexpr const char *EndpointField = "endpoint";
+constexpr const char *JoinedField = "joined";
+
+/// A daemon's own registration.
+struct Registration
+{
+    framework::Endpoint endpoint;
+    /// Nothing in the first registration, whose offset it is.
+    std::optional<framework::LogOffset> joined;
+};
+
+std::string encode(const Registration &registration)
 {
-    return nlohmann::json({{"endpoint", endpoint.toString()}}).dump();
+    nlohmann::json json = {{EndpointField, registration.endpoint.toString()}};
+    if (registration.joined) {
+        json[JoinedField] = registration.joined->value();
+    }
+    return json.dump();
 }
 
-std::optional<framework::Endpoint> decodeEndpoint(const std::string &text)
+std::optional<Registration> decode(const std::string &text)
 {
     const auto json = nlohmann::json::parse(text, nullptr, false);
-    const auto member = json.is_object() ? json.find("endpoint") : json.end();
+    const auto member = json.is_object() ? json.find(EndpointField) : json.end();
     if (member == json.end() || !member->is_string()) {
         return std::nullopt;
     }
-    return parseEndpoint(member->get<std::string>());
+    const auto endpoint = parseEndpoint(member->get<std::string>());
+    if (!endpoint) {
+        return std::nullopt;
+    }
+    Registration registration{*endpoint, std::nullopt};
+    const auto joined = json.find(JoinedField);
+    if (joined != json.end() && joined->is_number_unsigned()) {
+        registration.joined = framework::LogOffset(joined->get<std::uint64_t>());
+    }
+    return registration;
 }
 
 } // namespace
@@ -61,7 +88,9 @@
 void DaemonFeed::start(const framework::Endpoint &endpoint)
 {
     m_endpoint = endpoint;
-    registerSelf();
+    update();
+    // An earlier registration is read first, to go on with its offset.
+    m_registerTimer = m_scheduler.callAfter(RegisterPatience, [this] { registerSelf(); });
     m_reader.start();
 }
 
@@ -70,13 +99,31 @@
     if (m_leaving) {
         return;
     }
-    m_append = m_store.append(wire::DaemonsTopic, {{}, m_self.value(), encodeEndpoint(m_endpoint)},
-                              [this](const framework::Result<void> &result) {
-                                  const framework::Milliseconds delay =
-                                      result ? RegisterInterval : RegisterRetry;
-                                  m_registerTimer =
-                                      m_scheduler.callAfter(delay, [this] { registerSelf(); });
-                              });
+    m_isRegistered = true;
+    m_append = m_store.append(
+        wire::DaemonsTopic, {{}, m_self.value(), encode({m_endpoint, m_joined})},
+        [this](const framework::Result<void> &result) {
+            const framework::Milliseconds delay = result ? RegisterInterval : RegisterRetry;
+            m_registerTimer = m_scheduler.callAfter(delay, [this] { registerSelf(); });
+        });
+}
+
+void DaemonFeed::leave()
+{
+    m_leaving = true;
+    m_registerTimer.reset();
+    m_append = m_store.append(
+        wire::DaemonsTopic, {{}, m_self.value(), encode({m_endpoint, m_joined})},
+        [this](const framework::Result<void> &result) { registered(result.has_value()); });
+}
+
+void DaemonFeed::registered(bool isDone)
+{
+    if (isDone && !m_joined) {
+        m_reader.readSoon();
+    }
+    m_registerTimer = m_scheduler.callAfter(isDone ? RegisterInterval : RegisterRetry,
+                                            [this] { registerSelf(); });
 }
 
 void DaemonFeed::leave()
@@ -91,7 +138,7 @@
 
 std::size_t DaemonFeed::sharers() const
 {
-    return m_isKnown ? m_daemons.size() + 1 : AssumedSharers;
+    return m_isKnown ? m_ranking.size() : AssumedSharers;
 }
 
 void DaemonFeed::onChange(std::function<void()> callback)
@@ -105,23 +152,29 @@
     for (const protocol::TopicRecord &record : records) {
         onRecord(record);
     }
+    if (!m_isRegistered) {
+        registerSelf();
+    }
 }
 
 bool DaemonFeed::onRecord(const protocol::TopicRecord &record)
 {
     const framework::DaemonId daemon(record.key);
-    if (daemon == m_self) {
-        return true;
-    }
-    if (!record.value) {
+    const auto registration = record.value ? decode(*record.value) : std::optional<Registration>();
+    if (!registration) {
         m_known.erase(daemon);
+        if (record.value) {
+            m_logger.warning("entry of a daemon cannot be read; it is passed over",
+                             {{"peer", record.key}});
+        }
         return true;
     }
-    if (const auto endpoint = decodeEndpoint(*record.value)) {
-        m_known[daemon] = {*endpoint, m_clock.now()};
+    const framework::LogOffset joined = registration->joined.value_or(record.offset);
+    if (daemon == m_self) {
+        m_joined = joined;
         return true;
     }
-    m_logger.warning("entry of a daemon cannot be read; it is passed over", {{"peer", record.key}});
+    m_known[daemon] = {registration->endpoint, m_clock.now(), joined};
     return true;
 }
 
@@ -146,17 +199,28 @@
                   [now](const auto &entry) { return now - entry.second.heard > DaemonLifetime; });
 }
 
+/// A daemon that does not know its own offset yet comes last.
 void DaemonFeed::update()
 {
-    std::vector<peers::DaemonAddress> daemons;
+    std::vector<std::pair<framework::LogOffset, peers::DaemonAddress>> entries;
     for (const auto &[daemon, known] : m_known) {
-        daemons.push_back({daemon, known.endpoint});
+        entries.emplace_back(known.joined, peers::DaemonAddress{daemon, known.endpoint});
+    }
+    const framework::LogOffset last(std::numeric_limits<std::uint64_t>::max());
+    entries.emplace_back(m_joined.value_or(last), peers::DaemonAddress{m_self, m_endpoint});
+    std::sort(entries.begin(), entries.end(),
+              [](const auto &one, const auto &other) { return one.first < other.first; });
+    std::vector<peers::DaemonAddress> ranking;
+    for (auto &[joined, address] : entries) {
+        ranking.push_back(std::move(address));
     }
-    if (daemons == m_daemons) {
+    if (ranking == m_ranking) {
         return;
     }
-    m_daemons = std::move(daemons);
-    m_logger.info("other daemons known", {{"daemons", std::to_string(m_daemons.size())}});
+    m_ranking = std::move(ranking);
+    m_logger.info("daemons known",
+                  {{"daemons", std::to_string(m_ranking.size())},
+                   {"first", m_ranking.front().daemon.value()}});
     for (const std::function<void()> &listener : m_listeners) {
         listener();
     }
--- a/src/platform/internal/daemonfeed.h
+++ b/src/platform/internal/daemonfeed.h
@@ -8,11 +8,13 @@
 #include "replication/types/sharedtopic.h"
 
 #include <map>
+#include <optional>
 
 namespace lavendertally::platform {
 
 /// Registers this daemon in a topic of its own and reads which others are up. Each registers again
-/// at intervals; one that stops doing so is forgotten.
+/// at intervals; one that stops doing so is forgotten. A registration names the offset of the first
+/// one, also after a restart: by these offsets all daemons agree on an order.
 class DaemonFeed final : public replication::ITopicObserver, public peers::IDaemonDirectory
 {
 public:
@@ -26,7 +28,7 @@
     void leave();
     replication::SharedTopic topic() { return {m_replica, m_reader}; }
 
-    const std::vector<peers::DaemonAddress> &daemons() const override { return m_daemons; }
+    const std::vector<peers::DaemonAddress> &ranking() const override { return m_ranking; }
     std::size_t sharers() const override;
     void onChange(std::function<void()> callback) override;
 
@@ -40,9 +42,12 @@
     {
         framework::Endpoint endpoint;
         framework::TimePoint heard;
+        /// Offset of its first registration.
+        framework::LogOffset joined;
     };
 
     void registerSelf();
+    void registered(bool isDone);
     void expireSilent();
     void update();
 
@@ -53,9 +58,12 @@
     framework::DaemonId m_self;
     framework::Endpoint m_endpoint;
     bool m_isKnown = false;
+    bool m_isRegistered = false;
     bool m_leaving = false;
     std::map<framework::DaemonId, Known> m_known;
-    std::vector<peers::DaemonAddress> m_daemons;
+    /// Offset of this daemon's own first registration, once it is known.
+    std::optional<framework::LogOffset> m_joined;
+    std::vector<peers::DaemonAddress> m_ranking;
     std::vector<std::function<void()>> m_listeners;
     StoreClient::Call m_append;
     std::unique_ptr<framework::ITimer> m_registerTimer;
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -9,15 +9,18 @@
 #include "platform/types/storeerror.h"
 #include "replication/topicreplica.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lavendertally::platform {
 
 namespace {
 
-/// Time until a failed call is repeated; a few calls a second from each daemon while the store is
-/// away.
-constexpr framework::Milliseconds RetryDelay{250};
+/// Time until a failed call is repeated, doubled with each failure in a row. Daemons that read for
+/// all come back soon, so that the others, which hear from them, can wait longer.
+constexpr framework::Milliseconds MinRetryDelay{250};
+constexpr framework::Milliseconds MaxLeadingRetryDelay{500};
+constexpr framework::Milliseconds MaxRetryDelay{1500};
 
 const char *errorName(StoreError error)
 {
@@ -125,6 +128,7 @@
         m_replica.sourceReturned(now);
     }
     m_lastSuccess = now;
+    m_retryDelay = {};
 }
 
 void TopicReader::failed(StoreError error, std::function<void()> retry)
@@ -134,27 +138,44 @@
         m_logger.warning("store lost; goes on with what is known",
                          {{"topic", m_topic}, {"error", errorName(error)}});
     }
-    later(RetryDelay, std::move(retry));
+    const framework::Milliseconds limit =
+        m_mode == replication::SourceMode::Leading ? MaxLeadingRetryDelay : MaxRetryDelay;
+    m_retryDelay = std::clamp(m_retryDelay * 2, MinRetryDelay, limit);
+    later(m_retryDelay, std::move(retry));
 }
 
 void TopicReader::later(framework::Milliseconds delay, std::function<void()> step)
 {
-    // The call whose answer is being handled must outlive this function.
-    m_timer = m_scheduler.callAfter(delay, [this, step = std::move(step)] {
-        m_call.reset();
-        if (!m_active) {
-            m_held = step;
-            return;
-        }
-        step();
+    m_step = std::move(step);
+    m_isStepDue = false;
+    m_timer = m_scheduler.callAfter(delay, [this] {
+        m_isStepDue = true;
+        runStep();
     });
 }
 
-void TopicReader::setActive(bool active)
+void TopicReader::runStep()
+{
+    if (m_mode == replication::SourceMode::Off || !m_step) {
+        return;
+    }
+    // The call whose answer was being handled when the step was set has returned by now.
+    m_call.reset();
+    std::exchange(m_step, nullptr)();
+}
+
+void TopicReader::setMode(replication::SourceMode mode)
+{
+    m_mode = mode;
+    if (m_isStepDue) {
+        runStep();
+    }
+}
+
+void TopicReader::readSoon()
 {
-    m_active = active;
-    if (active && m_held) {
-        std::exchange(m_held, nullptr)();
+    if (m_step) {
+        later(framework::Milliseconds(0), std::exchange(m_step, nullptr));
     }
 }
 
--- a/src/platform/internal/topicreader.h
+++ b/src/platform/internal/topicreader.h
@@ -6,6 +6,7 @@
 #include "platform/internal/storeclient.h"
 #include "platform/internal/topicpace.h"
 #include "replication/itopicsource.h"
+#include "replication/types/sourcemode.h"
 
 #include <functional>
 #include <memory>
@@ -40,7 +41,9 @@
     TopicReader &operator=(const TopicReader &) = delete;
 
     void start();
-    void setActive(bool active) override;
+    void setMode(replication::SourceMode mode) override;
+    /// Ends the pause before the next read.
+    void readSoon();
 
 private:
     void readNewest(const std::string &after);
@@ -50,6 +53,7 @@
     void succeeded();
     void failed(StoreError error, std::function<void()> retry);
     void later(framework::Milliseconds delay, std::function<void()> step);
+    void runStep();
 
     StoreClient &m_store;
     framework::IScheduler &m_scheduler;
@@ -60,9 +64,11 @@
     replication::TopicReplica &m_replica;
     StoreClient::Call m_call;
     std::unique_ptr<framework::ITimer> m_timer;
-    bool m_active = true;
-    /// Next step, while it waits for setActive().
-    std::function<void()> m_held;
+    replication::SourceMode m_mode = replication::SourceMode::Leading;
+    framework::Milliseconds m_retryDelay;
+    /// What is done after a pause, or once the store is to be read.
+    std::function<void()> m_step;
+    bool m_isStepDue = false;
     std::vector<protocol::TopicRecord> m_snapshot;
     framework::LogOffset m_snapshotEnd;
     framework::LogOffset m_from;
--- a/src/replication/internal/topicexchange.cpp
+++ b/src/replication/internal/topicexchange.cpp
@@ -6,12 +6,12 @@
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "framework/types/endpoint.h"
-#include "peers/daemonranking.h"
 #include "peers/idaemondirectory.h"
 #include "peers/ipeernetwork.h"
 #include "replication/itopicsource.h"
 #include "replication/topicreplica.h"
 #include "replication/types/sharedtopic.h"
+#include "replication/types/sourcemode.h"
 #include "replication/types/topicchanges.h"
 
 #include <algorithm>
@@ -79,11 +79,11 @@
 
 bool TopicExchange::isLeadingReader() const
 {
-    const std::vector<framework::DaemonId> ranking =
-        peers::rankDaemons(m_self, m_directory.daemons());
+    const std::vector<peers::DaemonAddress> &ranking = m_directory.ranking();
     const auto end = ranking.begin()
         + static_cast<std::ptrdiff_t>(std::min(m_limits.storeReaders, ranking.size()));
-    return std::find(ranking.begin(), end, m_self) != end;
+    return std::any_of(ranking.begin(), end,
+                       [this](const auto &daemon) { return daemon.daemon == m_self; });
 }
 
 void TopicExchange::chooseSource(protocol::StateTopic name, Topic &topic, framework::TimePoint now)
@@ -92,12 +92,16 @@
     const bool isLate = !topic.replica.isKnown() || age > topic.patience;
     const bool isSettled = topic.readsStore && now - topic.readsSince < m_limits.minActive;
     const bool reads = m_isLeadingReader || isLate || isSettled;
+    const SourceMode mode = m_isLeadingReader ? SourceMode::Leading
+        : reads                               ? SourceMode::Fallback
+                                              : SourceMode::Off;
     if (reads == topic.readsStore) {
+        topic.source.setMode(mode);
         return;
     }
     topic.readsStore = reads;
     topic.readsSince = now;
-    topic.source.setActive(reads);
+    topic.source.setMode(mode);
     m_logger.info(reads ? "reads a topic from the store" : "follows peers instead of the store",
                   {{"topic", topicName(name)},
                    {"offset", std::to_string(topic.replica.next().value())},
@@ -105,21 +109,24 @@
                    {"leading", m_isLeadingReader ? "yes" : "no"}});
 }
 
-/// Seeds are linked only while something is unknown: after that the other daemons are known too.
+/// Seeds are linked only while something is unknown, the other daemons among it.
 void TopicExchange::keepSeeds(framework::TimePoint now)
 {
     const bool isUnknown = std::any_of(m_topics.begin(), m_topics.end(), [](const auto &entry) {
         return !entry.second.replica.isKnown();
     });
-    const bool wanted = isUnknown && now - m_started >= m_limits.startPatience;
+    const bool isAlone = m_directory.ranking().size() <= 1;
+    const bool wanted =
+        (isUnknown || isAlone) && now - m_started >= m_limits.startPatience && !m_seeds.empty();
     if (wanted == m_seedsUsed) {
         return;
     }
     m_seedsUsed = wanted;
     m_network.connectToSeeds(wanted ? m_seeds : std::vector<framework::Endpoint>());
     if (wanted) {
-        m_logger.warning("store not read yet; asks seed peers",
-                         {{"seeds", std::to_string(m_seeds.size())}});
+        m_logger.info("links seed peers",
+                      {{"seeds", std::to_string(m_seeds.size())},
+                       {"reason", isUnknown ? "store not read yet" : "no other daemon known"}});
     }
 }
 
--- /dev/null
+++ b/src/stages/internal/coordinatorchoice.cpp
@@ -0,0 +1,37 @@
+#include "stages/internal/coordinatorchoice.h"
+
+#include <algorithm>
+
+namespace lavendertally::stages {
+
+namespace {
+
+/// Daemons of which one started less than this much earlier count as started together.
+constexpr framework::Milliseconds StartSpread{2000};
+
+} // namespace
+
+std::optional<framework::DaemonId>
+chooseCoordinator(const std::vector<CoordinatorCandidate> &candidates,
+                  const framework::DaemonId &current)
+{
+    const CoordinatorCandidate *best = nullptr;
+    bool isNewAhead = false;
+    bool isCurrentUsable = false;
+    for (const CoordinatorCandidate &candidate : candidates) {
+        isNewAhead = isNewAhead || (candidate.isNew && best == nullptr);
+        if (!candidate.isUsable) {
+            continue;
+        }
+        isCurrentUsable = isCurrentUsable || candidate.daemon == current;
+        if (best == nullptr || candidate.start + StartSpread < best->start) {
+            best = &candidate;
+        }
+    }
+    if (best == nullptr || (isNewAhead && !isCurrentUsable)) {
+        return std::nullopt;
+    }
+    return best->daemon;
+}
+
+} // namespace lavendertally::stages
--- a/src/stages/internal/stagegateway.cpp
+++ b/src/stages/internal/stagegateway.cpp
@@ -5,9 +5,10 @@
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
-#include "peers/daemonranking.h"
 #include "peers/idaemondirectory.h"
 #include "peers/ipeernetwork.h"
+#include "peers/leadingdaemons.h"
+#include "stages/internal/coordinatorchoice.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,8 +17,9 @@
 
 namespace {
 
-/// Daemons of which one started less than this much earlier count as started together.
-constexpr framework::Milliseconds StartSpread{2000};
+/// Longest time for which a job waits for its coordinator to be known: that for a new link.
+constexpr framework::Milliseconds MaxHold{600};
+constexpr framework::Milliseconds HoldInterval{50};
 
 } // namespace
 
@@ -34,43 +36,44 @@
                })
 {
     m_network.addObserver(*this);
-    m_directory.onChange([this] { rankDaemons(); });
-    rankDaemons();
+    m_directory.onChange([this] { connect(); });
+    connect();
 }
 
 StageGateway::~StageGateway() = default;
 
-void StageGateway::rankDaemons()
+void StageGateway::connect()
 {
-    std::vector<peers::DaemonAddress> others = m_directory.daemons();
-    m_ranking = peers::rankDaemons(m_self, others);
-    std::erase_if(others, [this](const peers::DaemonAddress &daemon) {
-        return !peers::isLeading(m_ranking, daemon.daemon);
-    });
-    m_network.connectTo(others);
-}
-
-/// The daemon that has been up longest, so that one that was restarted does not take the jobs back;
-/// among those that started together the first in the common order.
-framework::DaemonId StageGateway::chooseCoordinator()
-{
-    framework::DaemonId chosen = m_self;
-    framework::TimePoint oldest = framework::TimePoint::never();
-    const std::size_t candidates = std::min(peers::LeadingDaemons, m_ranking.size());
-    for (std::size_t index = 0; index < candidates; ++index) {
-        const framework::DaemonId &daemon = m_ranking[index];
-        const bool usable =
-            daemon == m_self ? m_network.isSelfAccepting() : m_network.isAccepting(daemon);
-        const framework::TimePoint start = m_network.startOf(daemon);
-        if (usable && (oldest == framework::TimePoint::never() || start + StartSpread < oldest)) {
-            chosen = daemon;
-            oldest = start;
+    m_network.connectTo(m_directory.ranking());
+}
+
+std::vector<CoordinatorCandidate> StageGateway::candidates() const
+{
+    std::vector<CoordinatorCandidate> result;
+    for (const peers::DaemonAddress &address : m_directory.ranking()) {
+        if (result.size() == peers::LeadingDaemons) {
+            break;
+        }
+        const framework::DaemonId &daemon = address.daemon;
+        const bool isSelf = daemon == m_self;
+        const bool isUsable = isSelf ? m_network.isSelfAccepting() : m_network.isAccepting(daemon);
+        const bool isNew = !isSelf && m_network.isNew(daemon);
+        if (isUsable || isNew) {
+            result.push_back({daemon, isUsable, isNew, m_network.startOf(daemon)});
         }
     }
-    if (chosen != m_coordinator) {
+    return result;
+}
+
+/// \return the coordinator, or nothing while it cannot be told
+std::optional<framework::DaemonId> StageGateway::findCoordinator()
+{
+    const std::optional<framework::DaemonId> chosen =
+        chooseCoordinator(candidates(), m_coordinator);
+    if (chosen && *chosen != m_coordinator) {
         m_logger.info("coordinator of stages chosen",
-                      {{"coordinator", chosen.value()}, {"before", m_coordinator.value()}});
-        m_coordinator = chosen;
+                      {{"coordinator", chosen->value()}, {"before", m_coordinator.value()}});
+        m_coordinator = *chosen;
     }
     return chosen;
 }
@@ -83,11 +86,19 @@
     submit(pending);
 }
 
+/// Holds the job while the coordinator cannot be told, for a short time: a daemon that coordinates
+/// beside the right one only gets in its way.
 void StageGateway::submit(PendingJob &pending)
 {
-    pending.coordinator = chooseCoordinator();
-    protocol::StageJob job = pending.job;
+    const std::optional<framework::DaemonId> coordinator = findCoordinator();
     const framework::Milliseconds elapsed = m_clock.now() - pending.started;
+    pending.isHeld = !coordinator && elapsed < MaxHold;
+    if (pending.isHeld) {
+        m_holdTimer = m_scheduler.callAfter(HoldInterval, [this] { submitHeld(); });
+        return;
+    }
+    pending.coordinator = coordinator.value_or(m_self);
+    protocol::StageJob job = pending.job;
     job.objectiveLeft -= elapsed;
     job.timeLeft -= elapsed;
     if (pending.coordinator != m_self && m_network.send(pending.coordinator, job)) {
@@ -97,10 +108,27 @@
     m_runner.submit(m_self, job);
 }
 
+void StageGateway::submitHeld()
+{
+    std::vector<framework::RequestId> held;
+    for (const auto &[request, pending] : m_pending) {
+        if (pending.isHeld) {
+            held.push_back(request);
+        }
+    }
+    for (const framework::RequestId &request : held) {
+        // Submitting one job may end others.
+        const auto found = m_pending.find(request);
+        if (found != m_pending.end()) {
+            submit(found->second);
+        }
+    }
+}
+
 void StageGateway::cancel(const framework::RequestId &request)
 {
     auto node = m_pending.extract(request);
-    if (node.empty()) {
+    if (node.empty() || node.mapped().isHeld) {
         return;
     }
     const framework::DaemonId &coordinator = node.mapped().coordinator;
@@ -116,7 +144,7 @@
     if (results.empty()) {
         return;
     }
-    const framework::DaemonId coordinator = chooseCoordinator();
+    const framework::DaemonId coordinator = findCoordinator().value_or(m_self);
     const bool sent =
         coordinator != m_self && m_network.send(coordinator, protocol::StageResultRelease{results});
     if (!sent) {
@@ -189,7 +217,7 @@
 {
     std::size_t moved = 0;
     for (auto &[request, pending] : m_pending) {
-        if (pending.coordinator == peer) {
+        if (!pending.isHeld && pending.coordinator == peer) {
             submit(pending);
             ++moved;
         }
--- a/src/stages/internal/stagegateway.h
+++ b/src/stages/internal/stagegateway.h
@@ -2,11 +2,14 @@
 
 #include "framework/types/timepoint.h"
 #include "peers/ipeerobserver.h"
+#include "stages/internal/coordinatorcandidate.h"
 #include "stages/internal/stagerunner.h"
 #include "stages/istageservice.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace lavendertally::peers {
 class IDaemonDirectory;
@@ -48,11 +51,15 @@
         std::function<void(protocol::StageJobOutcome)> done;
         framework::DaemonId coordinator;
         framework::TimePoint started;
+        /// Whether it waits for the coordinator to be known.
+        bool isHeld = false;
     };
 
-    void rankDaemons();
-    framework::DaemonId chooseCoordinator();
+    void connect();
+    std::vector<CoordinatorCandidate> candidates() const;
+    std::optional<framework::DaemonId> findCoordinator();
     void submit(PendingJob &pending);
+    void submitHeld();
     void jobEnded(const framework::DaemonId &owner, const protocol::StageJobOutcome &outcome);
     void outcomeArrived(const protocol::StageJobOutcome &outcome);
 
@@ -64,12 +71,12 @@
     framework::ILogger &m_logger;
     framework::IMetrics &m_metrics;
     StageRunner m_runner;
-    std::vector<framework::DaemonId> m_ranking;
     framework::DaemonId m_coordinator;
     std::map<framework::RequestId, PendingJob> m_pending;
     /// Ends of jobs that were coordinated here, told after the calls under way have returned.
     std::vector<protocol::StageJobOutcome> m_ended;
     std::unique_ptr<framework::ITimer> m_endedTimer;
+    std::unique_ptr<framework::ITimer> m_holdTimer;
 };
 
 } // namespace lavendertally::stages
--- /dev/null
+++ b/src/stages/tests/coordinatorchoicetest.cpp
@@ -0,0 +1,55 @@
+#include "stages/internal/coordinatorchoice.h"
+
+#include <gtest/gtest.h>
+
+using namespace lavendertally;
+using namespace lavendertally::stages;
+using framework::DaemonId;
+using framework::TimePoint;
+
+namespace {
+
+const DaemonId A("a");
+const DaemonId B("b");
+const DaemonId C("c");
+const DaemonId None;
+
+CoordinatorCandidate usable(const DaemonId &daemon, std::int64_t start)
+{
+    return {daemon, true, false, TimePoint(start)};
+}
+
+CoordinatorCandidate fresh(const DaemonId &daemon)
+{
+    return {daemon, false, true, TimePoint::never()};
+}
+
+} // namespace
+
+TEST(CoordinatorChoice, FirstOfThoseThatStartedTogether)
+{
+    EXPECT_EQ(chooseCoordinator({usable(A, 1500), usable(B, 0), usable(C, 700)}, None), A);
+}
+
+TEST(CoordinatorChoice, DaemonThatWasRestartedDoesNotTakeTheJobsBack)
+{
+    EXPECT_EQ(chooseCoordinator({usable(A, 9000), usable(B, 0), usable(C, 700)}, B), B);
+}
+
+TEST(CoordinatorChoice, WaitsForOneThatMayComeFirst)
+{
+    EXPECT_EQ(chooseCoordinator({fresh(A), usable(B, 0)}, None), std::nullopt);
+    EXPECT_EQ(chooseCoordinator({usable(A, 0), fresh(B)}, None), A);
+}
+
+TEST(CoordinatorChoice, CurrentOneGoesOnWhileANewOneIsJudged)
+{
+    EXPECT_EQ(chooseCoordinator({fresh(A), usable(B, 0)}, B), B);
+    EXPECT_EQ(chooseCoordinator({fresh(A), usable(B, 0)}, C), std::nullopt) << "C is gone";
+}
+
+TEST(CoordinatorChoice, NobodyUsable)
+{
+    EXPECT_EQ(chooseCoordinator({}, A), std::nullopt);
+    EXPECT_EQ(chooseCoordinator({fresh(A)}, None), std::nullopt);
+}
