--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -102,19 +102,7 @@
     m_isRegistered = true;
     m_append = m_store.append(
         wire::DaemonsTopic, {{}, m_self.value(), encode({m_endpoint, m_joined})},
-        [this](const framework::Result<void> &result) {
-            const framework::Milliseconds delay = result ? RegisterInterval : RegisterRetry;
-            m_registerTimer = m_scheduler.callAfter(delay, [this] { registerSelf(); });
-        });
-}
-
-void DaemonFeed::leave()
-{
-    m_leaving = true;
-    m_registerTimer.reset();
-    m_append = m_store.append(
-        wire::DaemonsTopic, {{}, m_self.value(), encode({m_endpoint, m_joined})},
-        [this](const framework::Result<void> &result) { registered(result.has_value()); });
+        [this](const framework::Result<void> &result) { registered(static_cast<bool>(result)); });
 }
 
 void DaemonFeed::registered(bool isDone)
