--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -4,21 +4,12 @@
 #include "framework/ieventloop.h"
 #include "framework/ilogger.h"
 #include "framework/itimer.h"
-#include "framework/types/errorcontext.h"
 #include "peers/internal/peerlink.h"
 #include "peers/ipeerobserver.h"
 #include "peers/leadingdaemons.h"
-#include "peers/types/peererror.h"
 #include "protocol/ipeermessagecodec.h"
 #include "protocol/protocolmodule.h"
 
-#include <event2/event.h>
-#include <event2/listener.h>
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -26,7 +17,6 @@
 
 namespace {
 
-constexpr int Backlog = 128;
 constexpr const char *SeedLinkSuffix = "/seed";
 
 } // namespace
@@ -36,15 +26,11 @@
                          const PeerLimits &limits)
     : m_loop(loop), m_clock(clock), m_logger(logger), m_self(std::move(self)), m_limits(limits),
       m_codec(protocol::ProtocolModule::makePeerCodec()), m_acceptsJobs([] { return false; }),
-      m_digests([] { return std::vector<protocol::TopicDigest>(); }), m_started(clock.now())
+      m_digests([] { return std::vector<protocol::TopicDigest>(); }),
+      m_listener(loop.base(), [this](int fd) { accepted(fd); }), m_started(clock.now())
 { }
 
-PeerNetwork::~PeerNetwork()
-{
-    if (m_listener != nullptr) {
-        evconnlistener_free(m_listener);
-    }
-}
+PeerNetwork::~PeerNetwork() = default;
 
 void PeerNetwork::setAcceptsJobs(std::function<bool()> accepts)
 {
@@ -58,34 +44,16 @@
 
 framework::Result<framework::Endpoint> PeerNetwork::listen(const framework::Endpoint &endpoint)
 {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) == 1) {
-        m_listener = evconnlistener_new_bind(
-            m_loop.base(), &PeerNetwork::accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-            Backlog, reinterpret_cast<sockaddr *>(&address), sizeof address);
-    }
-    if (m_listener == nullptr) {
-        return framework::leaf::new_error(
-            PeerError::ListenFailed,
-            framework::ErrorContext{"cannot listen on " + endpoint.toString()});
-    }
-    sockaddr_in bound{};
-    socklen_t length = sizeof bound;
-    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&bound), &length);
-    m_endpoint = framework::Endpoint{endpoint.address, ntohs(bound.sin_port)};
+    BOOST_LEAF_ASSIGN(m_endpoint, m_listener.listen(endpoint));
     tick();
     return m_endpoint;
 }
 
-void PeerNetwork::accepted(evconnlistener * /*listener*/, int fd, sockaddr * /*address*/,
-                           int /*length*/, void *self)
+void PeerNetwork::accepted(int fd)
 {
-    auto *network = static_cast<PeerNetwork *>(self);
-    auto link = std::make_unique<PeerLink>(network->m_loop.base(), fd, *network->m_codec, *network);
-    link->setLastHeard(network->m_clock.now());
-    network->m_inbound.push_back(std::move(link));
+    auto link = std::make_unique<PeerLink>(m_loop.base(), fd, *m_codec, *this);
+    link->setLastHeard(m_clock.now());
+    m_inbound.push_back(std::move(link));
 }
 
 void PeerNetwork::connectTo(const std::vector<DaemonAddress> &ranking)
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/timepoint.h"
 #include "peers/internal/ipeerlinkowner.h"
+#include "peers/internal/peerlistener.h"
 #include "peers/ipeernetwork.h"
 #include "peers/types/peerlimits.h"
 
@@ -10,9 +11,6 @@
 #include <optional>
 #include <vector>
 
-struct evconnlistener;
-struct sockaddr;
-
 namespace lavendertally::framework {
 class IClock;
 class IEventLoop;
@@ -73,9 +71,7 @@
         framework::TimePoint peerStart;
     };
 
-    static void accepted(evconnlistener *listener, int fd, sockaddr *address, int length,
-                         void *self);
-
+    void accepted(int fd);
     void relink();
     std::vector<DaemonAddress> wanted() const;
     bool isFailing(const framework::DaemonId &peer) const;
@@ -100,7 +96,7 @@
     std::vector<IPeerObserver *> m_observers;
     std::function<bool()> m_acceptsJobs;
     std::function<std::vector<protocol::TopicDigest>()> m_digests;
-    evconnlistener *m_listener = nullptr;
+    PeerListener m_listener;
     framework::Endpoint m_endpoint;
     std::vector<DaemonAddress> m_ranking;
     std::vector<DaemonAddress> m_seeds;
--- a/src/proxy/internal/requestrun.cpp
+++ b/src/proxy/internal/requestrun.cpp
@@ -30,18 +30,6 @@
 /// Output tokens take about ten times as long as prompt tokens.
 constexpr std::int64_t OutputTokenWeight = 10;
 
-configuration::PriorityClass priorityClass(framework::PriorityRank rank)
-{
-    switch (rank.value()) {
-    case 0:
-        return configuration::PriorityClass::Interactive;
-    case 1:
-        return configuration::PriorityClass::Standard;
-    default:
-        return configuration::PriorityClass::Background;
-    }
-}
-
 } // namespace
 
 RequestRun::RequestRun(const ProxyContext &context, IRequestRunOwner &owner,
@@ -49,7 +37,8 @@
                        std::unique_ptr<IClientReply> reply)
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
       m_reply(std::move(reply)), m_started(context.clock.now()),
-      m_stages(context, m_request, m_plan), m_lastEvent(m_request.lastEvent)
+      m_stages(context, m_request, m_plan), m_attempts(context, m_request, m_plan),
+      m_lastEvent(m_request.lastEvent)
 { }
 
 RequestRun::~RequestRun() = default;
@@ -117,7 +106,7 @@
 {
     routing::ServerQuery query;
     query.service = m_plan.service;
-    query.excluded = m_excluded;
+    query.excluded = m_attempts.excluded();
     query.zone = m_stages.zone().value_or(m_context.zone);
     if (m_plan.route->promptAffinity) {
         query.affinity = m_request.sharedPrompt;
@@ -147,7 +136,7 @@
     m_head.reset();
     m_body.clear();
     m_attemptStarted = now;
-    ++m_attempts;
+    m_attempts.begin();
     BackendRequest attempt;
     attempt.request = &m_request;
     attempt.server = *server;
@@ -233,20 +222,19 @@
 {
     const bool unsent = end == BackendCallEnd::NotSent;
     endAttempt(unsent ? routing::CallOutcome::Broken : routing::CallOutcome::Refused);
-    m_excluded.insert(m_server);
+    m_attempts.exclude(m_server);
     constexpr int InputsGone = 409;
     if (!unsent && m_head->status == InputsGone && !m_stagesRepeated) {
         m_stagesRepeated = true;
-        m_excluded.erase(m_server);
-        --m_attempts;
+        m_attempts.readmit(m_server);
+        m_attempts.takeBack();
         m_stages.forget();
         startStages();
         return;
     }
     if (unsent) {
-        // The backend server has seen nothing, so this was no attempt.
-        --m_attempts;
-        if (++m_unsent <= m_context.limits.maxUnsent) {
+        m_attempts.takeBack();
+        if (m_attempts.mayConnectElsewhere()) {
             sendAttempt();
             return;
         }
@@ -274,7 +262,7 @@
         finish("done");
         return;
     }
-    m_excluded.insert(m_server);
+    m_attempts.exclude(m_server);
     if (m_plan.route->resumable && tryAgain(true)) {
         return;
     }
@@ -295,7 +283,7 @@
         complete ? routing::CallOutcome::Failed : routing::CallOutcome::Broken;
     endAttempt(bad ? failure : routing::CallOutcome::Succeeded);
     if (bad) {
-        m_excluded.insert(m_server);
+        m_attempts.exclude(m_server);
         if (m_plan.route->isIdempotent() && tryAgain(true)) {
             return;
         }
@@ -326,29 +314,11 @@
 
 bool RequestRun::tryAgain(bool mayHaveRun)
 {
-    if (m_attempts >= m_plan.route->maxAttempts) {
-        return false;
-    }
-    retry::RetryQuery query;
-    query.service = m_plan.service;
-    query.failure = mayHaveRun ? retry::FailureKind::Unknown : retry::FailureKind::NotRun;
-    query.idempotent = m_plan.route->isIdempotent();
-    query.priority = priorityClass(m_plan.priority());
-    query.attempts = m_attempts;
-    query.previousBackoff = m_backoff;
-    query.budget = timeLeft();
-    const retry::RetryDecision decision = m_context.retries.decide(query, m_context.clock.now());
-    m_context.logger.info("attempt failed",
-                          {{"request", m_request.id.value()},
-                           {"backend_server", m_server.value()},
-                           {"attempts", std::to_string(m_attempts)},
-                           {"may_have_run", mayHaveRun ? "yes" : "no"},
-                           {"retry", decision.retry ? "yes" : "no"}});
-    if (!decision.retry) {
+    const auto backoff = m_attempts.next(m_server, mayHaveRun, timeLeft());
+    if (!backoff) {
         return false;
     }
-    m_backoff = decision.backoff;
-    m_backoffTimer = m_context.scheduler.callAfter(decision.backoff, [this] { nextAttempt(); });
+    m_backoffTimer = m_context.scheduler.callAfter(*backoff, [this] { nextAttempt(); });
     return true;
 }
 
@@ -412,7 +382,7 @@
                            {"configuration_age_ms", std::to_string(age.value())},
                            {"outcome", outcome},
                            {"backend_server", m_server.value()},
-                           {"attempts", std::to_string(m_attempts)},
+                           {"attempts", std::to_string(m_attempts.count())},
                            {"stages_ms", std::to_string(m_stages.timeTaken().value())},
                            {"elapsed_ms", std::to_string(elapsed().value())}});
     m_context.metrics.increment("lavendertally_requests_total",
--- a/src/proxy/internal/requestrun.h
+++ b/src/proxy/internal/requestrun.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/timepoint.h"
 #include "proxy/ibackendanswerobserver.h"
+#include "proxy/internal/requestattempts.h"
 #include "proxy/internal/requestplan.h"
 #include "proxy/internal/requeststages.h"
 #include "proxy/iproxyservice.h"
@@ -14,7 +15,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -90,12 +90,8 @@
     std::unique_ptr<IBackendCall> m_call;
     framework::BackendServerId m_server;
     framework::TimePoint m_attemptStarted;
-    /// Backend servers that may have seen the request.
-    std::uint32_t m_attempts = 0;
-    std::uint32_t m_unsent = 0;
+    RequestAttempts m_attempts;
     bool m_ranSomewhere = false;
-    framework::Milliseconds m_backoff;
-    std::set<framework::BackendServerId> m_excluded;
     std::optional<AnswerHead> m_head;
     std::string m_body;
     bool m_streaming = false;
--- a/src/soak/internal/soakrun.cpp
+++ b/src/soak/internal/soakrun.cpp
@@ -76,48 +76,9 @@
 
 void SoakRun::publish()
 {
-    const auto route = [](const char *name, const char *path, const char *service,
-                          const char *kind) {
-        return nlohmann::json{{"name", name},       {"hostname", "h"},
-                              {"pathPrefix", path}, {"service", service},
-                              {"routeKind", kind},  {"timeoutMs", Promises::RequestTimeout.value()},
-                              {"priority", 0},      {"public", false},
-                              {"maxAttempts", 2},   {"targetLatencyMs", 1000}};
-    };
-    nlohmann::json stream = route("stream", "/stream/", "models", "streaming");
-    stream["streamResume"] = true;
-    stream["stages"] = {{{"service", "pool"}, {"after", nlohmann::json::array()}, {"bytes", 1000}}};
-    nlohmann::json routes = {route("book", "/book/", "desk", "non_idempotent"),
-                             route("look", "/look/", "archive", "idempotent"), stream};
-    if (m_hasAddedRoute) {
-        routes.push_back(route("added", "/added/", "archive", "idempotent"));
-    }
-    nlohmann::json teams = nlohmann::json::array();
-    for (std::size_t each = 0; each < LoadClients::TeamCount; ++each) {
-        const bool isRevoked = each >= 1 && each <= m_revokedKeys;
-        const nlohmann::json keys =
-            isRevoked ? nlohmann::json::array() : nlohmann::json{LoadClients::key(each)};
-        teams.push_back({{"name", LoadClients::team(each)}, {"apiKeys", keys}});
-    }
-    const nlohmann::json pieces = {{"slots", 1},     {"queueLimit", 4}, {"batchSize", 8},
-                                   {"callMs", 20.0}, {"itemMs", 1.0},   {"headroomMb", 1.0},
-                                   {"handleS", 4.0}};
-    const nlohmann::json configuration = {
-        {"version", m_version},
-        {"routes", routes},
-        {"services",
-         {{{"name", "desk"}},
-          {{"name", "archive"}},
-          {{"name", "models"}, {"engineKind", nlohmann::json::object()}},
-          {{"name", "pool"}, {"pieces", pieces}}}},
-        {"limits",
-         {{"maxHeaderBytes", 16384},
-          {"maxBodyBytes", 1048576},
-          {"headerTimeoutMs", 2000},
-          {"idleTimeoutMs", 5000}}},
-        {"tenants", teams}};
-    m_store->put(OperatorTopic, "config", configuration.dump());
-    m_version += 3;
+    m_store->put(OperatorTopic, "config", m_configuration.text());
+    // Versions rise in uneven steps.
+    m_configuration.version += 1 + static_cast<int>(m_configuration.revokedKeys);
 }
 
 void SoakRun::startGateways()
@@ -322,7 +283,7 @@
         m_servers->replace(fault.target, fault.variant % 2 == 0);
         return;
     case FaultKind::RouteAdded:
-        m_hasAddedRoute = true;
+        m_configuration.hasAddedRoute = true;
         publish();
         m_promises->routeAdded(m_clock->now());
         m_load->useAddedRoute();
@@ -338,12 +299,12 @@
 void SoakRun::revokeKey()
 {
     // One team keeps its key, so that there is always proper traffic.
-    if (m_revokedKeys + 2 > LoadClients::TeamCount) {
+    if (m_configuration.revokedKeys + 2 > LoadClients::TeamCount) {
         return;
     }
-    ++m_revokedKeys;
+    ++m_configuration.revokedKeys;
     publish();
-    m_promises->keyRevoked(LoadClients::team(m_revokedKeys), m_clock->now());
+    m_promises->keyRevoked(LoadClients::team(m_configuration.revokedKeys), m_clock->now());
 }
 
 void SoakRun::takeZoneOut(framework::Milliseconds time)
--- a/src/soak/internal/soakrun.h
+++ b/src/soak/internal/soakrun.h
@@ -3,6 +3,7 @@
 #include "framework/types/timepoint.h"
 #include "soak/internal/plannedfault.h"
 #include "soak/internal/proxymode.h"
+#include "soak/internal/soakconfiguration.h"
 #include "soak/internal/soakoptions.h"
 #include "standins/deferredcalls.h"
 
@@ -80,9 +81,7 @@
     std::vector<int> m_misses;
     std::unique_ptr<framework::ITimer> m_probeTimer;
     standins::DeferredCalls m_later;
-    int m_version = 1;
-    std::size_t m_revokedKeys = 0;
-    bool m_hasAddedRoute = false;
+    SoakConfiguration m_configuration;
     bool m_zoneIsOut = false;
     /// The store, or links to it or between gateways, were disturbed last.
     framework::TimePoint m_controlDisturbed;
