Coordinators of stages that overlap tell each other what they have at backend servers

Change: a daemon that coordinates jobs beside the chosen coordinator tells it every 0.1 s what it holds, and is told in turn; servers and room that another one uses are left to it. Results are released at the coordinator that keeps account of them. Room that a server said it does not have counts as taken for 1.5 s instead of 0.5 s. Tests: StageCoordinatorTest.ServerThatAnotherCoordinatorUses..., CoordinatorThatFallsSilent...

--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -87,6 +87,16 @@
             out.add_results(result.value());
         }
     }
+    void operator()(const StageHoldings &message) const
+    {
+        envelope.mutable_stage_holdings();
+        for (const StageHolding &holding : message.holdings) {
+            peerwire::StageHolding &target = *envelope.mutable_stage_holdings()->add_holdings();
+            target.set_server(holding.server.value());
+            target.set_held_bytes(holding.held.value());
+            target.set_calls(holding.calls);
+        }
+    }
     void operator()(const TopicQuery &message) const
     {
         peerwire::TopicQuery &out = *envelope.mutable_topic_query();
@@ -166,6 +176,16 @@
     return PeerMessage(std::move(release));
 }
 
+PeerMessage read(const peerwire::StageHoldings &in)
+{
+    StageHoldings holdings;
+    for (const peerwire::StageHolding &holding : in.holdings()) {
+        holdings.holdings.push_back({framework::BackendServerId(holding.server()),
+                                     framework::Bytes(holding.held_bytes()), holding.calls()});
+    }
+    return PeerMessage(std::move(holdings));
+}
+
 framework::Result<StateTopic> readTopic(std::uint32_t number)
 {
     if (number > static_cast<std::uint32_t>(StateTopic::Daemons)) {
@@ -266,6 +286,8 @@
         return read(envelope.stage_job_outcome());
     case peerwire::Envelope::kStageResultRelease:
         return read(envelope.stage_result_release());
+    case peerwire::Envelope::kStageHoldings:
+        return read(envelope.stage_holdings());
     case peerwire::Envelope::kTopicQuery:
         return read(envelope.topic_query());
     case peerwire::Envelope::kTopicState:
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -79,6 +79,9 @@
                     PeerMessage(pong()), PeerMessage(job()),
                     PeerMessage(StageJobCancel{framework::RequestId("r1")}), PeerMessage(outcome()),
                     PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}}),
+                    PeerMessage(StageHoldings{}),
+                    PeerMessage(StageHoldings{
+                        {{framework::BackendServerId("i-1"), framework::Bytes(5), 1}}}),
                     PeerMessage(TopicQuery{StateTopic::Operators, 3, std::nullopt}),
                     PeerMessage(TopicQuery{StateTopic::Daemons, 4, framework::LogOffset(5)}),
                     PeerMessage(topicState())));
--- a/src/protocol/types/peermessage.h
+++ b/src/protocol/types/peermessage.h
@@ -3,6 +3,7 @@
 #include "protocol/types/peerhello.h"
 #include "protocol/types/peerping.h"
 #include "protocol/types/peerpong.h"
+#include "protocol/types/stageholdings.h"
 #include "protocol/types/stagejob.h"
 #include "protocol/types/stagejobcancel.h"
 #include "protocol/types/stagejoboutcome.h"
@@ -15,7 +16,8 @@
 namespace lavendertally::protocol {
 
 /// Any message on a link between two daemons.
-using PeerMessage = std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel,
-                                 StageJobOutcome, StageResultRelease, TopicQuery, TopicState>;
+using PeerMessage =
+    std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel, StageJobOutcome,
+                 StageResultRelease, StageHoldings, TopicQuery, TopicState>;
 
 } // namespace lavendertally::protocol
--- a/src/proxy/internal/requestrun.cpp
+++ b/src/proxy/internal/requestrun.cpp
@@ -228,7 +228,7 @@
         m_stagesRepeated = true;
         m_attempts.readmit(m_server);
         m_attempts.takeBack();
-        m_stages.forget();
+        m_stages.release();
         startStages();
         return;
     }
--- a/src/proxy/internal/requeststages.h
+++ b/src/proxy/internal/requeststages.h
@@ -37,8 +37,6 @@
     std::optional<framework::AvailabilityZoneId> zone() const;
     /// The results are not needed any more.
     void release();
-    /// The results are gone.
-    void forget() { m_results.clear(); }
     /// \return time that all runs of the stages took together
     framework::Milliseconds timeTaken() const { return m_timeTaken; }
 
--- a/src/stages/internal/resultledger.cpp
+++ b/src/stages/internal/resultledger.cpp
@@ -49,6 +49,43 @@
     };
     std::erase_if(m_results, [&hasExpired](const auto &entry) { return hasExpired(entry.second); });
     std::erase_if(m_unknown, hasExpired);
+    std::erase_if(m_foreign, [this, now](const auto &entry) {
+        const bool hasEnded = entry.second.expires <= now;
+        if (hasEnded) {
+            removeForeign(entry.second);
+        }
+        return hasEnded;
+    });
+}
+
+void ResultLedger::setForeign(const framework::DaemonId &daemon,
+                              const std::vector<protocol::StageHolding> &holdings,
+                              framework::TimePoint expires)
+{
+    Foreign &foreign = m_foreign[daemon];
+    removeForeign(foreign);
+    foreign = {holdings, expires};
+    for (const protocol::StageHolding &holding : holdings) {
+        m_servers[holding.server].addForeign(holding);
+    }
+}
+
+void ResultLedger::removeForeign(const Foreign &foreign)
+{
+    for (const protocol::StageHolding &holding : foreign.holdings) {
+        m_servers[holding.server].removeForeign(holding);
+    }
+}
+
+std::vector<protocol::StageHolding> ResultLedger::holdings() const
+{
+    std::vector<protocol::StageHolding> result;
+    for (const auto &[server, state] : m_servers) {
+        if (state.ownCalls() > 0 || state.ownHeld() > framework::Bytes(0)) {
+            result.push_back({server, state.ownHeld(), state.ownCalls()});
+        }
+    }
+    return result;
 }
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -116,6 +116,14 @@
     }
 }
 
+void StageCoordinator::setForeign(const framework::DaemonId &daemon,
+                                  const std::vector<protocol::StageHolding> &holdings,
+                                  framework::TimePoint now)
+{
+    m_ledger.setForeign(daemon, holdings, now + m_limits.foreignLifetime);
+    dispatchAll(now);
+}
+
 void StageCoordinator::release(const std::vector<framework::StageResultId> &results,
                                framework::TimePoint /*now*/)
 {
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -37,6 +37,11 @@
     void cancel(const JobKey &job, framework::TimePoint now) override;
     void cancelAll(const framework::DaemonId &owner, framework::TimePoint now) override;
     void handOver() override;
+    bool hasJobs() const override { return !m_jobs.isEmpty(); }
+    std::vector<protocol::StageHolding> holdings() const override { return m_ledger.holdings(); }
+    void setForeign(const framework::DaemonId &daemon,
+                    const std::vector<protocol::StageHolding> &holdings,
+                    framework::TimePoint now) override;
     void release(const std::vector<framework::StageResultId> &results,
                  framework::TimePoint now) override;
     void resultsFreed(const std::vector<framework::StageResultId> &results,
--- a/src/stages/internal/stagegateway.cpp
+++ b/src/stages/internal/stagegateway.cpp
@@ -21,6 +21,9 @@
 constexpr framework::Milliseconds MaxHold{600};
 constexpr framework::Milliseconds HoldInterval{50};
 
+/// Short against a call of a stage.
+constexpr framework::Milliseconds HoldingsInterval{100};
+
 } // namespace
 
 StageGateway::StageGateway(framework::DaemonId self, IStageCoordinator &coordinator,
@@ -74,6 +77,7 @@
         m_logger.info("coordinator of stages chosen",
                       {{"coordinator", chosen->value()}, {"before", m_coordinator.value()}});
         m_coordinator = *chosen;
+        tellHoldings();
     }
     return chosen;
 }
@@ -139,16 +143,20 @@
     m_network.send(coordinator, protocol::StageJobCancel{request});
 }
 
+/// Results are released at the coordinator that keeps account of them.
 void StageGateway::release(const std::vector<framework::StageResultId> &results)
 {
-    if (results.empty()) {
-        return;
+    std::map<framework::DaemonId, std::vector<framework::StageResultId>> byMaker;
+    for (const framework::StageResultId &result : results) {
+        const auto maker = m_makers.extract(result);
+        byMaker[maker.empty() ? m_self : maker.mapped()].push_back(result);
     }
-    const framework::DaemonId coordinator = findCoordinator().value_or(m_self);
-    const bool sent =
-        coordinator != m_self && m_network.send(coordinator, protocol::StageResultRelease{results});
-    if (!sent) {
-        m_runner.release(results);
+    for (const auto &[maker, group] : byMaker) {
+        const bool sent =
+            maker != m_self && m_network.send(maker, protocol::StageResultRelease{group});
+        if (!sent) {
+            m_runner.release(group);
+        }
     }
 }
 
@@ -162,13 +170,17 @@
     m_ended.push_back(outcome);
     m_endedTimer = m_scheduler.callAfter(framework::Milliseconds(0), [this] {
         for (const protocol::StageJobOutcome &each : std::exchange(m_ended, {})) {
-            outcomeArrived(each);
+            outcomeArrived(m_self, each);
         }
     });
 }
 
-void StageGateway::outcomeArrived(const protocol::StageJobOutcome &outcome)
+void StageGateway::outcomeArrived(const framework::DaemonId &maker,
+                                  const protocol::StageJobOutcome &outcome)
 {
+    for (const protocol::StageResultPlace &place : outcome.results) {
+        m_makers[place.id] = maker;
+    }
     const auto found = m_pending.find(outcome.request);
     if (found == m_pending.end()) {
         // The job was cancelled while its end was on the way.
@@ -196,14 +208,42 @@
     } else if (const auto *released = std::get_if<protocol::StageResultRelease>(&message)) {
         m_runner.release(released->results);
     } else if (const auto *outcome = std::get_if<protocol::StageJobOutcome>(&message)) {
-        outcomeArrived(*outcome);
+        outcomeArrived(peer, *outcome);
+    } else if (const auto *holdings = std::get_if<protocol::StageHoldings>(&message)) {
+        m_runner.setForeign(peer, *holdings);
+        m_besideMe.insert(peer);
+        tellHoldings();
+    }
+}
+
+/// While this daemon and another one both coordinate jobs, each tells the other what it has at
+/// backend servers, so that they do not get in each other's way.
+void StageGateway::tellHoldings()
+{
+    if (m_holdingsTimer) {
+        return;
     }
+    m_holdingsTimer = m_scheduler.callAfter(HoldingsInterval, [this] {
+        m_holdingsTimer.reset();
+        const bool isBeside = !m_coordinator.isEmpty() && m_coordinator != m_self;
+        std::set<framework::DaemonId> peers = std::exchange(m_besideMe, {});
+        if (isBeside && m_runner.hasJobs()) {
+            peers.insert(m_coordinator);
+            tellHoldings();
+        }
+        const protocol::StageHoldings holdings = m_runner.holdings();
+        for (const framework::DaemonId &peer : peers) {
+            m_network.send(peer, holdings);
+        }
+    });
 }
 
 void StageGateway::handOver()
 {
     m_network.announce();
     m_runner.handOver();
+    findCoordinator();
+    tellHoldings();
 }
 
 void StageGateway::onDigests(const framework::DaemonId & /*peer*/,
--- a/src/stages/internal/stagegateway.h
+++ b/src/stages/internal/stagegateway.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lavendertally::peers {
@@ -61,7 +62,8 @@
     void submit(PendingJob &pending);
     void submitHeld();
     void jobEnded(const framework::DaemonId &owner, const protocol::StageJobOutcome &outcome);
-    void outcomeArrived(const protocol::StageJobOutcome &outcome);
+    void outcomeArrived(const framework::DaemonId &maker, const protocol::StageJobOutcome &outcome);
+    void tellHoldings();
 
     framework::DaemonId m_self;
     peers::IPeerNetwork &m_network;
@@ -73,10 +75,15 @@
     StageRunner m_runner;
     framework::DaemonId m_coordinator;
     std::map<framework::RequestId, PendingJob> m_pending;
+    /// Which coordinator keeps account of results that were handed out.
+    std::map<framework::StageResultId, framework::DaemonId> m_makers;
+    /// Daemons that told lately that they coordinate jobs too.
+    std::set<framework::DaemonId> m_besideMe;
     /// Ends of jobs that were coordinated here, told after the calls under way have returned.
     std::vector<protocol::StageJobOutcome> m_ended;
     std::unique_ptr<framework::ITimer> m_endedTimer;
     std::unique_ptr<framework::ITimer> m_holdTimer;
+    std::unique_ptr<framework::ITimer> m_holdingsTimer;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/stagerunner.cpp
+++ b/src/stages/internal/stagerunner.cpp
@@ -66,6 +66,23 @@
     pump();
 }
 
+bool StageRunner::hasJobs() const
+{
+    return m_coordinator.hasJobs();
+}
+
+protocol::StageHoldings StageRunner::holdings() const
+{
+    return {m_coordinator.holdings()};
+}
+
+void StageRunner::setForeign(const framework::DaemonId &daemon,
+                             const protocol::StageHoldings &holdings)
+{
+    m_coordinator.setForeign(daemon, holdings.holdings, m_clock.now());
+    pump();
+}
+
 void StageRunner::release(const std::vector<framework::StageResultId> &results)
 {
     m_coordinator.release(results, m_clock.now());
--- a/src/stages/internal/stagerunner.h
+++ b/src/stages/internal/stagerunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "protocol/types/stageholdings.h"
 #include "protocol/types/stagejob.h"
 #include "protocol/types/stagejoboutcome.h"
 #include "stages/types/stagecommand.h"
@@ -42,6 +43,9 @@
     void cancel(const framework::DaemonId &owner, const framework::RequestId &request);
     void cancelAll(const framework::DaemonId &owner);
     void handOver();
+    bool hasJobs() const;
+    protocol::StageHoldings holdings() const;
+    void setForeign(const framework::DaemonId &daemon, const protocol::StageHoldings &holdings);
     void release(const std::vector<framework::StageResultId> &results);
 
 private:
--- a/src/stages/internal/stageserverstate.h
+++ b/src/stages/internal/stageserverstate.h
@@ -3,6 +3,7 @@
 #include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
 #include "framework/types/units.h"
+#include "protocol/types/stageholding.h"
 #include "stages/types/stagelimits.h"
 
 #include <cstdint>
@@ -27,10 +28,24 @@
     void addHeld(framework::Bytes size) { m_held += size; }
     void removeHeld(framework::Bytes size) { m_held -= size; }
 
+    /// Another coordinator's calls and results.
+    void addForeign(const protocol::StageHolding &holding)
+    {
+        m_foreignCalls += holding.calls;
+        m_foreignHeld += holding.held;
+    }
+    void removeForeign(const protocol::StageHolding &holding)
+    {
+        m_foreignCalls -= holding.calls;
+        m_foreignHeld -= holding.held;
+    }
+
     /// \return whether the last call was answered, so that nothing of an earlier one can be running
     bool isSound() const { return m_failures == 0; }
-    std::uint32_t calls() const { return m_calls; }
-    framework::Bytes held() const { return m_held; }
+    std::uint32_t calls() const { return m_calls + m_foreignCalls; }
+    framework::Bytes held() const { return m_held + m_foreignHeld; }
+    std::uint32_t ownCalls() const { return m_calls; }
+    framework::Bytes ownHeld() const { return m_held; }
     bool isPaused(framework::TimePoint now) const { return now < m_pausedUntil; }
     framework::TimePoint pausedUntil() const { return m_pausedUntil; }
     /// \return time that a call with this expected time usually takes here
@@ -42,6 +57,8 @@
 
 private:
     std::uint32_t m_calls = 0;
+    std::uint32_t m_foreignCalls = 0;
+    framework::Bytes m_foreignHeld;
     std::uint32_t m_failures = 0;
     framework::Bytes m_held;
     framework::TimePoint m_pausedUntil;
--- a/src/stages/istagecoordinator.h
+++ b/src/stages/istagecoordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/timepoint.h"
+#include "protocol/types/stageholding.h"
 #include "protocol/types/stagejob.h"
 #include "stages/types/jobkey.h"
 #include "stages/types/stagecallid.h"
@@ -39,6 +40,17 @@
     virtual void resultsFreed(const std::vector<framework::StageResultId> &results,
                               framework::TimePoint now) = 0;
 
+    /// \return whether there are jobs
+    virtual bool hasJobs() const = 0;
+
+    /// \return what the jobs here have at backend servers
+    virtual std::vector<protocol::StageHolding> holdings() const = 0;
+
+    /// Another daemon still coordinates jobs, which have these things at backend servers.
+    virtual void setForeign(const framework::DaemonId &daemon,
+                            const std::vector<protocol::StageHolding> &holdings,
+                            framework::TimePoint now) = 0;
+
     virtual void callEnded(StageCallId call, const StageCallOutcome &outcome,
                            framework::TimePoint now) = 0;
 
--- a/src/stages/tests/naivecoordinator.h
+++ b/src/stages/tests/naivecoordinator.h
@@ -34,6 +34,12 @@
     void resultsFreed(const std::vector<framework::StageResultId> & /*results*/,
                       framework::TimePoint /*now*/) override
     { }
+    bool hasJobs() const override { return !m_jobs.empty(); }
+    std::vector<protocol::StageHolding> holdings() const override { return {}; }
+    void setForeign(const framework::DaemonId & /*daemon*/,
+                    const std::vector<protocol::StageHolding> & /*holdings*/,
+                    framework::TimePoint /*now*/) override
+    { }
     void callEnded(StageCallId call, const StageCallOutcome &outcome,
                    framework::TimePoint /*now*/) override
     {
--- a/src/stages/tests/stagecoordinatortest.cpp
+++ b/src/stages/tests/stagecoordinatortest.cpp
@@ -279,3 +279,36 @@
     });
     EXPECT_TRUE(gaveWay);
 }
+
+TEST_F(StageCoordinatorTest, ServerThatAnotherCoordinatorUsesIsLeftToIt)
+{
+    addServer("a", "first");
+    const framework::BackendServerId server("a");
+    m_coordinator->setForeign(framework::DaemonId("other"), {{server, framework::Bytes(0), 1}},
+                              Start);
+    submit(job("r1", 2));
+    EXPECT_TRUE(m_calls.empty());
+    m_coordinator->setForeign(framework::DaemonId("other"), {{server, framework::Bytes(999500), 0}},
+                              Start);
+    take();
+    EXPECT_TRUE(m_calls.empty()) << "no room for a result of 1000 bytes";
+    m_coordinator->setForeign(framework::DaemonId("other"), {{server, framework::Bytes(998500), 0}},
+                              Start);
+    take();
+    ASSERT_EQ(m_calls.size(), 1U);
+    EXPECT_EQ(m_calls[0].pieces.size(), 1U);
+    const auto holdings = m_coordinator->holdings();
+    ASSERT_EQ(holdings.size(), 1U);
+    EXPECT_EQ(holdings[0], (protocol::StageHolding{server, framework::Bytes(1000), 1}));
+}
+
+TEST_F(StageCoordinatorTest, CoordinatorThatFallsSilentIsForgotten)
+{
+    addServer("a", "first");
+    m_coordinator->setForeign(framework::DaemonId("other"),
+                              {{framework::BackendServerId("a"), framework::Bytes(0), 1}}, Start);
+    submit(job("r1", 2));
+    m_coordinator->wake(Start + framework::Milliseconds(600));
+    take();
+    EXPECT_EQ(m_calls.size(), 1U);
+}
--- a/src/stages/types/stagelimits.h
+++ b/src/stages/types/stagelimits.h
@@ -22,7 +22,10 @@
     framework::Milliseconds minEjection{500};
     framework::Milliseconds maxEjection{4000};
     /// How long the room counts as taken that a backend server said it does not have.
-    framework::Milliseconds noRoomPause{500};
+    framework::Milliseconds noRoomPause{1500};
+    /// How long what another coordinator has at backend servers counts after it told; a few times
+    /// the interval at which it tells.
+    framework::Milliseconds foreignLifetime{500};
     /// Bounds on when a refused request may come back.
     framework::Milliseconds minRetryAfter{100};
     framework::Milliseconds maxRetryAfter{2000};
