Telling of what coordinators hold ends with the jobs

Cause (read-through): each daemon answered every telling, so two that had once overlapped went on answering each other ten times a second for good. Only the chosen coordinator answers now. Tests: StageGatewayTest, DaemonThatIsNotTheCoordinatorAnswersNoTelling seen failing before; jobs held while their coordinator cannot be told are tested there too.

--- a/src/stages/internal/stagegateway.cpp
+++ b/src/stages/internal/stagegateway.cpp
@@ -209,7 +209,16 @@
     } else if (const auto *outcome = std::get_if<protocol::StageJobOutcome>(&message)) {
         outcomeArrived(peer, *outcome);
     } else if (const auto *holdings = std::get_if<protocol::StageHoldings>(&message)) {
-        m_runner.setForeign(peer, *holdings);
+        holdingsArrived(peer, *holdings);
+    }
+}
+
+/// Only the chosen coordinator answers, so that the exchange ends with the other one's jobs.
+void StageGateway::holdingsArrived(const framework::DaemonId &peer,
+                                   const protocol::StageHoldings &holdings)
+{
+    m_runner.setForeign(peer, holdings);
+    if (m_coordinator == m_self) {
         m_besideMe.insert(peer);
         tellHoldings();
     }
--- a/src/stages/internal/stagegateway.h
+++ b/src/stages/internal/stagegateway.h
@@ -63,6 +63,7 @@
     void submitHeld();
     void jobEnded(const framework::DaemonId &owner, const protocol::StageJobOutcome &outcome);
     void outcomeArrived(const framework::DaemonId &maker, const protocol::StageJobOutcome &outcome);
+    void holdingsArrived(const framework::DaemonId &peer, const protocol::StageHoldings &holdings);
     void tellHoldings();
 
     framework::DaemonId m_self;
