--- a/src/soak/internal/promises.cpp
+++ b/src/soak/internal/promises.cpp
@@ -125,7 +125,7 @@
 {
     const int status = response.status;
     const bool isNew = request.kind == RequestKind::Added;
-    const bool addedLongAgo = request.sent > m_routeAddedAt + ConfigurationLimit
+    const bool addedLongAgo = m_routeAddedAt < request.sent - ConfigurationLimit
         && isCalm(request.gateway, m_routeAddedAt);
     const bool wrongRoute = status == HttpNotFound && (!isNew || addedLongAgo);
     const bool wrongKey = (status == HttpUnauthorized || status == HttpForbidden)
