Connections that were given up send nothing any more

Cause: a connection is destroyed one pass of the loop after its call has ended. If it was still being established, the pass could report it as connected first, and the request was sent although its caller had been told that it was not. A request that must not run twice then ran at up to four backend servers (one, and three more after failed connections), and its client was told 503 not run; a cancelled one reached a server after its client had left. A process that has little processor time hits this often, since the timeout and the connection become ready in neighbouring passes.

Closing a connection now ends all its callbacks. The links between daemons did the same with messages that had arrived on a discarded link.

Test: CallCancelledBeforeConnectionIsEstablished_NothingIsSent, red before (one request arrived).

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -162,8 +162,7 @@
         const auto stated = statedKeepAlive(m_parser->head().headers);
         m_client.release(*this, stated);
     } else {
-        m_closed = true;
-        m_client.discard(*this);
+        close();
     }
     if (call != nullptr) {
         call->end(complete && !skipped, sent);
@@ -180,7 +179,15 @@
 {
     m_call = nullptr;
     m_timer.reset();
+    close();
+}
+
+/// The connection is destroyed only after the callbacks under way have returned. Until then it must
+/// not send the request: its outcome has been reported, or nobody waits for it.
+void ClientConnection::close()
+{
     m_closed = true;
+    m_socket->detach();
     m_client.discard(*this);
 }
 
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -43,6 +43,8 @@
     void begin(ClientCall &call, std::string request, bool bodiless);
     /// The call is not wanted any more; closes the connection.
     void cancel();
+    /// Ends all callbacks and has the connection destroyed.
+    void close();
     /// \return whether the server may have seen a byte of the request
     bool hasSent() const;
     /// Waits for the next call, for as long as the server keeps idle connections.
--- a/src/http/internal/pooledhttpclient.cpp
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -65,7 +65,7 @@
         keepFor = std::min(keepFor, *stated - KeepAliveMargin);
     }
     if (idle.size() >= m_options.maxIdlePerEndpoint || keepFor <= framework::Milliseconds(0)) {
-        discard(connection);
+        connection.close();
         return;
     }
     idle.push_back(&connection);
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -108,6 +108,17 @@
     EXPECT_EQ(m_server.connections(), 1U);
 }
 
+TEST_F(ClientFaultTest, CallCancelledBeforeConnectionIsEstablished_NothingIsSent)
+{
+    std::size_t requests = 0;
+    m_script = [&requests](auto & /*connection*/) { ++requests; };
+    MatchingObserver observer(*m_loop, "1");
+    auto call = m_client->send(request(), observer);
+    call.reset();
+    settle();
+    EXPECT_EQ(requests, 0U);
+}
+
 TEST_F(ClientFaultTest, BytesAfterTheAnswerEndTheConnectionAndReachNobody)
 {
     m_script = [](auto &connection) {
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -42,6 +42,9 @@
     void write(std::string_view data);
     /// \return number of buffered bytes not yet passed to the kernel
     std::size_t unsent() const;
+    /// Ends all notifications, that of a pending connection attempt included. The connection is
+    /// closed when this object is destroyed.
+    void detach();
     /// Shuts down the sending side once the output buffer is empty.
     void shutDownSending();
 
--- a/src/network/internal/bufferedsocket.cpp
+++ b/src/network/internal/bufferedsocket.cpp
@@ -110,6 +110,12 @@
     return evbuffer_get_length(bufferevent_get_output(m_bufferEvent));
 }
 
+void BufferedSocket::detach()
+{
+    bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
+    bufferevent_setcb(m_bufferEvent, nullptr, nullptr, nullptr, nullptr);
+}
+
 void BufferedSocket::shutDownSending()
 {
     m_shutDownWhenFlushed = true;
--- a/src/peers/internal/peerlink.cpp
+++ b/src/peers/internal/peerlink.cpp
@@ -45,6 +45,12 @@
     m_socket->write(protocol::IFrameReader::frame(m_codec.encode(message)));
 }
 
+void PeerLink::detach()
+{
+    m_connected = false;
+    m_socket->detach();
+}
+
 void PeerLink::setPeer(framework::DaemonId peer)
 {
     m_peer = std::move(peer);
--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -41,6 +41,8 @@
     /// \return false if that fails at once
     bool connect(const char *address, unsigned short port);
     void send(const protocol::PeerMessage &message);
+    /// Ends all notifications to the owner; what has arrived and was not handled yet is dropped.
+    void detach();
 
     /// \return the daemon at the other end; empty on an inbound link before its hello
     const framework::DaemonId &peer() const { return m_peer; }
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -380,6 +380,7 @@
     if (!link) {
         return;
     }
+    link->detach();
     m_discarded.push_back(std::move(link));
     m_discardTimer = m_loop.callAfter(framework::Milliseconds(0), [this] { m_discarded.clear(); });
 }
