A timer that a pause has made late lets the loop read its sockets first

Cause: when a process is paused while the loop waits, the wait ends by an interrupt without events, and the timers that became due meanwhile run before the input that has arrived. A process that wakes after a pause so took peers, connections and calls for silent that had answered long ago: links were dropped, jobs submitted again, servers ejected.

A timer that fires more than 20 ms late is put off by one pass, in which the loop reads its sockets. Test: ProcessPausedWhileInputArrives_InputIsHandledBeforeLateTimer, red before (the timer ran first).

--- a/src/framework/internal/eventloop.cpp
+++ b/src/framework/internal/eventloop.cpp
@@ -4,27 +4,11 @@
 
 #include <event2/event.h>
 
-#include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace lavendertally::framework {
 
-namespace {
-
-constexpr std::int64_t MillisecondsPerSecond = 1000;
-constexpr std::int64_t MicrosecondsPerMillisecond = 1000;
-
-timeval toTimeval(Milliseconds delay)
-{
-    const std::int64_t milliseconds = std::max<std::int64_t>(delay.value(), 0);
-    timeval result{};
-    result.tv_sec = milliseconds / MillisecondsPerSecond;
-    result.tv_usec = (milliseconds % MillisecondsPerSecond) * MicrosecondsPerMillisecond;
-    return result;
-}
-
-} // namespace
-
 EventLoop::EventLoop() : m_base(event_base_new())
 {
     // A write to a connection that the peer has closed is an error of that write, not a reason to
@@ -40,8 +24,7 @@
 std::unique_ptr<ITimer> EventLoop::callAfter(Milliseconds delay, std::function<void()> callback)
 {
     auto timer = std::make_unique<EventTimer>(m_base, -1, 0, std::move(callback));
-    const timeval timeout = toTimeval(delay);
-    timer->add(&timeout);
+    timer->add(delay);
     return timer;
 }
 
@@ -49,7 +32,7 @@
 {
     auto handler =
         std::make_unique<EventTimer>(m_base, signal, EV_SIGNAL | EV_PERSIST, std::move(callback));
-    handler->add(nullptr);
+    handler->add();
     return handler;
 }
 
--- a/src/framework/internal/eventtimer.h
+++ b/src/framework/internal/eventtimer.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "framework/itimer.h"
+#include "framework/types/milliseconds.h"
 
+#include <chrono>
 #include <functional>
+#include <optional>
 
 struct event;
 struct event_base;
-struct timeval;
 
 namespace lavendertally::framework {
 
@@ -21,14 +23,22 @@
     EventTimer(const EventTimer &) = delete;
     EventTimer &operator=(const EventTimer &) = delete;
 
-    /// \param timeout delay, or null for none
-    void add(const timeval *timeout);
+    /// Waits for the signal of a signal handler.
+    void add();
+    /// \param delay time after which a timer fires
+    void add(Milliseconds delay);
 
 private:
+    using Clock = std::chrono::steady_clock;
+
     static void fire(int fileOrSignal, short flags, void *self);
+    void schedule(Milliseconds delay);
+    bool isLate() const;
 
     std::function<void()> m_callback;
     event *m_event;
+    /// When the timer should fire; nothing if it runs its callback whenever it fires.
+    std::optional<Clock::time_point> m_due;
 };
 
 } // namespace lavendertally::framework
--- a/src/framework/ischeduler.h
+++ b/src/framework/ischeduler.h
@@ -16,9 +16,10 @@
     virtual ~IScheduler() = default;
 
     /// Schedules one call.
-    /// \param delay time to wait; zero means after the current callback returns
-    /// \param callback called once, never from within this function
-    /// \return handle that cancels the call when it is destroyed
+    /// \param delay time to wait; zero means after the current callback returns. When a pause of
+    /// the process has made the call late, input that has arrived meanwhile is handled first \param
+    /// callback called once, never from within this function \return handle that cancels the call
+    /// when it is destroyed
     virtual std::unique_ptr<ITimer> callAfter(Milliseconds delay,
                                               std::function<void()> callback) = 0;
 };
