Stage coordinator: admission without visiting every job

Cause: for each job submitted, admission added up the waiting pieces of all other jobs, and each time it looked for one to evict it visited them all again; each visit looked the pool up by name. The cost of a job grew with the number of jobs, and at this size all jobs go through one daemon, which fell behind: everything behind it waited instead of being refused.

Waiting pieces are counted by service and due time as they change, jobs without a piece sent are kept by route and priority, the ends of calls in flight by service; queues are sorted once for each dispatch, and the usable zones of a pool are found once.

--- a/src/stages/internal/batchdispatcher.cpp
+++ b/src/stages/internal/batchdispatcher.cpp
@@ -25,9 +25,22 @@
     if (node.empty()) {
         return std::nullopt;
     }
+    m_expectedEnds[node.mapped().server.service].erase(call);
     return std::move(node.mapped());
 }
 
+framework::Milliseconds BatchDispatcher::timeInFlight(const framework::ServiceId &service,
+                                                      framework::TimePoint now) const
+{
+    framework::Milliseconds total(0);
+    if (const auto calls = m_expectedEnds.find(service); calls != m_expectedEnds.end()) {
+        for (const auto &[call, end] : calls->second) {
+            total += std::max(end - now, framework::Milliseconds(0));
+        }
+    }
+    return total;
+}
+
 std::vector<StartStageCall> BatchDispatcher::dispatch(const framework::ServiceId &service,
                                                       StageQueue &queue, framework::TimePoint now)
 {
@@ -36,9 +49,15 @@
     if (pool == nullptr || queue.isEmpty()) {
         return commands;
     }
-    for (const membership::BackendServerEntry *server : findAvailableServers(service, *pool, now)) {
-        queue.sort(now);
-        if (auto command = makeCall(*server, *pool, queue, now)) {
+    const auto available = findAvailableServers(service, *pool, now);
+    if (available.empty()) {
+        return commands;
+    }
+    queue.sort(now);
+    const std::set<framework::AvailabilityZoneId> zones = usableZones(service, now);
+    for (const membership::BackendServerEntry *server : available) {
+        const CallTarget target{*server, m_resultTracker.server(server->id), zones};
+        if (auto command = makeCall(target, *pool, queue, now)) {
             commands.push_back(std::move(*command));
             queue.removeFullySent();
         }
@@ -77,49 +96,49 @@
 /// the stage has too little slack to wait for one there or none there is usable. It must not be
 /// more than twice as slow as configured if the extra time exceeds the slack; a late stage runs at
 /// any speed.
-bool BatchDispatcher::isSuitable(const membership::BackendServerEntry &server,
-                                 const QueuedStage &queued, const serving::StagePool &pool,
-                                 framework::TimePoint now)
+bool BatchDispatcher::isSuitable(const CallTarget &target, const QueuedStage &queued,
+                                 const serving::StagePool &pool, framework::TimePoint now) const
 {
     const framework::Milliseconds slack = queued.latestStart - now;
     if (slack.value() >= 0) {
-        const StageServerState &state = m_resultTracker.server(server.id);
         const framework::Milliseconds delay =
-            state.predictedTime(pool.callOverhead, now) - pool.callOverhead;
+            target.state.predictedTime(pool.callOverhead, now) - pool.callOverhead;
         if (delay > pool.callOverhead && delay > slack) {
             return false;
         }
     }
     const bool isZoneSuitable =
-        queued.preferredZone.isEmpty() || queued.preferredZone == server.zone;
+        queued.preferredZone.isEmpty() || queued.preferredZone == target.server.zone;
     return isZoneSuitable || slack < m_options.zoneAffinityMinSlack
-        || !hasUsableServerIn(server.service, queued.preferredZone, now);
+        || !target.usableZones.contains(queued.preferredZone);
 }
 
-bool BatchDispatcher::hasUsableServerIn(const framework::ServiceId &service,
-                                        const framework::AvailabilityZoneId &zone,
-                                        framework::TimePoint now)
+std::set<framework::AvailabilityZoneId>
+BatchDispatcher::usableZones(const framework::ServiceId &service, framework::TimePoint now)
 {
-    const auto &servers = m_servers.admitting(service);
-    return std::any_of(servers.begin(), servers.end(), [&](const auto *server) {
-        return server->zone == zone && !m_resultTracker.server(server->id).isPaused(now);
-    });
+    std::set<framework::AvailabilityZoneId> zones;
+    for (const membership::BackendServerEntry *server : m_servers.admitting(service)) {
+        if (!m_resultTracker.server(server->id).isPaused(now)) {
+            zones.insert(server->zone);
+        }
+    }
+    return zones;
 }
 
-std::optional<StartStageCall>
-BatchDispatcher::makeCall(const membership::BackendServerEntry &server,
-                          const serving::StagePool &pool, StageQueue &queue,
-                          framework::TimePoint now)
+std::optional<StartStageCall> BatchDispatcher::makeCall(const CallTarget &target,
+                                                        const serving::StagePool &pool,
+                                                        const StageQueue &queue,
+                                                        framework::TimePoint now)
 {
-    StageServerState &state = m_resultTracker.server(server.id);
+    StageServerState &state = target.state;
     framework::Bytes freeStorage = pool.resultCapacity - state.storedBytes();
-    RunningCall call{server, {}, now, {}, pool.resultLifetime, {}};
-    StartStageCall command{m_nextCall, server, {}, {}};
+    RunningCall call{target.server, {}, now, {}, pool.resultLifetime, {}};
+    StartStageCall command{m_nextCall, target.server, {}, {}};
     for (const QueuedStage &queued : queue.stages()) {
-        if (queued.notBefore > now) {
+        if (queued.notBefore > now || command.pieces.size() == pool.batchSize) {
             break;
         }
-        if (!isSuitable(server, queued, pool, now)) {
+        if (!isSuitable(target, queued, pool, now)) {
             continue;
         }
         StageJobState &job = *queued.job;
@@ -144,6 +163,7 @@
     call.mayFreeInputsEarly = state.isHealthy();
     state.callStarted();
     state.addStored(call.reservedStorage);
+    m_expectedEnds[target.server.service].emplace(m_nextCall, now + call.expected);
     m_calls.emplace(m_nextCall, std::move(call));
     m_nextCall = m_nextCall.next();
     return command;
--- a/src/stages/internal/batchdispatcher.h
+++ b/src/stages/internal/batchdispatcher.h
@@ -8,6 +8,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace lavendertally::membership {
@@ -23,6 +25,7 @@
 class ResultTracker;
 class StageEstimator;
 class StageQueue;
+class StageServerState;
 struct StageCoordinatorOptions;
 struct QueuedStage;
 
@@ -42,21 +45,34 @@
     /// \return the call, or nothing if the id is unknown
     std::optional<RunningCall> removeCall(StageCallId call);
 
+    /// \return time until the calls in flight to a service are expected to end, added up; calls
+    /// that are overdue count as ended
+    framework::Milliseconds timeInFlight(const framework::ServiceId &service,
+                                         framework::TimePoint now) const;
+
     /// \return calls in flight
     const std::map<StageCallId, RunningCall> &calls() const { return m_calls; }
     std::map<StageCallId, RunningCall> &calls() { return m_calls; }
 
 private:
+    /// Backend server that may receive a call, with what decides which stages suit it.
+    struct CallTarget
+    {
+        const membership::BackendServerEntry &server;
+        StageServerState &state;
+        /// Zones in which some backend server of the service is not paused.
+        const std::set<framework::AvailabilityZoneId> &usableZones;
+    };
+
     std::vector<const membership::BackendServerEntry *>
     findAvailableServers(const framework::ServiceId &service, const serving::StagePool &pool,
                          framework::TimePoint now);
-    bool isSuitable(const membership::BackendServerEntry &server, const QueuedStage &queued,
-                    const serving::StagePool &pool, framework::TimePoint now);
-    bool hasUsableServerIn(const framework::ServiceId &service,
-                           const framework::AvailabilityZoneId &zone, framework::TimePoint now);
-    std::optional<StartStageCall> makeCall(const membership::BackendServerEntry &server,
-                                           const serving::StagePool &pool, StageQueue &queue,
-                                           framework::TimePoint now);
+    bool isSuitable(const CallTarget &target, const QueuedStage &queued,
+                    const serving::StagePool &pool, framework::TimePoint now) const;
+    std::set<framework::AvailabilityZoneId> usableZones(const framework::ServiceId &service,
+                                                        framework::TimePoint now);
+    std::optional<StartStageCall> makeCall(const CallTarget &target, const serving::StagePool &pool,
+                                           const StageQueue &queue, framework::TimePoint now);
 
     const membership::IBackendServers &m_servers;
     const StageEstimator &m_estimator;
@@ -64,6 +80,9 @@
     const StageCoordinatorOptions &m_options;
     StageCallId m_nextCall{1};
     std::map<StageCallId, RunningCall> m_calls;
+    /// Expected ends of the calls in flight to each service.
+    std::unordered_map<framework::ServiceId, std::map<StageCallId, framework::TimePoint>>
+        m_expectedEnds;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/jobadmission.cpp
+++ b/src/stages/internal/jobadmission.cpp
@@ -2,6 +2,7 @@
 
 #include "membership/ibackendservers.h"
 #include "stages/internal/batchdispatcher.h"
+#include "stages/internal/jobclass.h"
 #include "stages/internal/jobtable.h"
 #include "stages/internal/routeattainment.h"
 #include "stages/internal/stageestimator.h"
@@ -31,59 +32,61 @@
 framework::Milliseconds JobAdmission::expectedLateness(const StageJobState &job,
                                                        framework::TimePoint now)
 {
-    estimateWorkAhead(job, now);
+    estimateWaits(job, now);
     return m_estimator.expectedCompletion(job, now) + m_attainment.safetyMargin() - job.objective();
 }
 
-/// Adds up the work of the jobs that are due before \p job and of all calls in flight.
-void JobAdmission::estimateWorkAhead(const StageJobState &job, framework::TimePoint now)
+/// A job waits for the pieces of the jobs that are due before it and for the calls in flight.
+void JobAdmission::estimateWaits(const StageJobState &job, framework::TimePoint now)
 {
-    m_estimator.clearWorkAhead();
-    const framework::TimePoint dueTime = m_estimator.effectiveDueTime(job);
-    for (const auto &[number, other] : m_jobs.all()) {
-        if (other.get() != &job && m_estimator.effectiveDueTime(*other) <= dueTime) {
-            m_estimator.addWorkAhead(*other);
-        }
-    }
-    for (const auto &[id, call] : m_dispatcher.calls()) {
-        m_estimator.addWorkAhead(call.server.service, call.started + call.expected - now);
+    m_estimator.clearWaits();
+    for (std::size_t stage = 0; stage < job.stageCount(); ++stage) {
+        const framework::ServiceId &service = job.stage(stage).service;
+        m_estimator.addWait(service, m_jobs.piecesAhead(job, service),
+                            m_dispatcher.timeInFlight(service, now), now);
     }
 }
 
-StageJobState *JobAdmission::findEvictableJob(const StageJobState &job, framework::TimePoint now)
+StageJobState *JobAdmission::findEvictableJob(const StageJobState &job) const
 {
-    const framework::ServiceId bottleneck = m_estimator.bottleneck(job, now);
-    const framework::TimePoint dueTime = m_estimator.effectiveDueTime(job);
+    const framework::ServiceId bottleneck = m_estimator.bottleneck(job);
+    const framework::TimePoint dueTime = m_jobs.dueTime(job);
+    const double ownAttainment = weightedAttainment({job.job().route, job.job().priority});
     StageJobState *evictable = nullptr;
-    for (const auto &[number, other] : m_jobs.all()) {
-        const bool isAhead = other.get() != &job && m_estimator.effectiveDueTime(*other) <= dueTime;
-        if (!isAhead || other->hasStarted() || !other->hasWaitingPieces(bottleneck)
-            || !mayBeEvictedFor(*other, job)) {
+    double highest = 0.0;
+    for (const auto &[jobClass, members] : m_jobs.unstarted()) {
+        const double attainment = weightedAttainment(jobClass);
+        const bool isServedBetter = attainment > ownAttainment + m_options.attainmentPerRank / 2;
+        const bool isSameRoute = jobClass.route == job.job().route;
+        if ((!isSameRoute && !isServedBetter) || (evictable != nullptr && attainment <= highest)) {
             continue;
         }
-        if (evictable == nullptr || weightedAttainment(*other) > weightedAttainment(*evictable)) {
-            evictable = other.get();
+        const auto found = std::find_if(members.begin(), members.end(), [&](const auto &member) {
+            const StageJobState &other = *member.second;
+            return &other != &job && m_jobs.dueTime(other) <= dueTime
+                && (!isSameRoute || isWorthEvicting(other, job))
+                && other.hasWaitingPieces(bottleneck);
+        });
+        if (found != members.end()) {
+            evictable = found->second;
+            highest = attainment;
         }
     }
     return evictable;
 }
 
-/// \return whether \p job is worth enough more on the same route, or its route is served enough
-/// worse
-bool JobAdmission::mayBeEvictedFor(const StageJobState &other, const StageJobState &job) const
+/// \return whether \p job is worth enough more than \p other of the same route
+bool JobAdmission::isWorthEvicting(const StageJobState &other, const StageJobState &job) const
 {
-    if (other.job().route == job.job().route) {
-        return other.job().worth * m_options.evictionWorthRatio <= job.job().worth;
-    }
-    return weightedAttainment(other) > weightedAttainment(job) + m_options.attainmentPerRank / 2;
+    return other.job().worth * m_options.evictionWorthRatio <= job.job().worth;
 }
 
-/// \return attainment of the job's route, raised per priority rank so that a less urgent route
-/// counts as better served
-double JobAdmission::weightedAttainment(const StageJobState &job) const
+/// \return attainment of the route, raised per priority rank so that a less urgent route counts as
+/// better served
+double JobAdmission::weightedAttainment(const JobClass &jobClass) const
 {
-    return m_attainment.attainment(job.job().route)
-        + m_options.attainmentPerRank * static_cast<double>(job.job().priority.value());
+    return m_attainment.attainment(jobClass.route)
+        + m_options.attainmentPerRank * static_cast<double>(jobClass.priority.value());
 }
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/jobadmission.h
+++ b/src/stages/internal/jobadmission.h
@@ -14,6 +14,7 @@
 namespace lavendertally::stages {
 
 class BatchDispatcher;
+struct JobClass;
 class JobTable;
 class RouteAttainment;
 class StageEstimator;
@@ -40,12 +41,12 @@
     /// Finds an unstarted job that is ahead of \p job at its bottleneck and may be evicted for it.
     /// To be called after expectedLateness() for the same job, whose estimate it uses. \return the
     /// one with the highest weighted attainment, or null
-    StageJobState *findEvictableJob(const StageJobState &job, framework::TimePoint now);
+    StageJobState *findEvictableJob(const StageJobState &job) const;
 
 private:
-    void estimateWorkAhead(const StageJobState &job, framework::TimePoint now);
-    bool mayBeEvictedFor(const StageJobState &other, const StageJobState &job) const;
-    double weightedAttainment(const StageJobState &job) const;
+    void estimateWaits(const StageJobState &job, framework::TimePoint now);
+    bool isWorthEvicting(const StageJobState &other, const StageJobState &job) const;
+    double weightedAttainment(const JobClass &jobClass) const;
 
     const JobTable &m_jobs;
     const BatchDispatcher &m_dispatcher;
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -18,7 +18,8 @@
 StageCoordinator::StageCoordinator(const serving::IServingState &serving,
                                    const membership::IBackendServers &servers,
                                    const StageCoordinatorOptions &options)
-    : m_options(options), m_estimator(serving, servers, m_resultTracker, m_options),
+    : m_options(options), m_jobs(m_options),
+      m_estimator(serving, servers, m_resultTracker, m_options),
       m_dispatcher(servers, m_estimator, m_resultTracker, m_options),
       m_admission(m_jobs, m_dispatcher, servers, m_estimator, m_attainment, m_options)
 { }
@@ -49,7 +50,7 @@
     while (true) {
         const framework::Milliseconds lateness = m_admission.expectedLateness(job, now);
         StageJobState *evictable =
-            lateness.value() > 0 ? m_admission.findEvictableJob(job, now) : nullptr;
+            lateness.value() > 0 ? m_admission.findEvictableJob(job) : nullptr;
         if (evictable == nullptr) {
             return lateness;
         }
--- a/src/stages/internal/stageestimator.cpp
+++ b/src/stages/internal/stageestimator.cpp
@@ -42,37 +42,26 @@
     return pool == nullptr ? longest : longest + pool->batchTime(pool->batchSize / 2);
 }
 
-framework::TimePoint StageEstimator::effectiveDueTime(const StageJobState &job) const
+void StageEstimator::addWait(const framework::ServiceId &service, std::int64_t piecesAhead,
+                             framework::Milliseconds callsAhead, framework::TimePoint now)
 {
-    return job.objective()
-        + m_options.headStartPerRank * static_cast<std::int64_t>(job.job().priority.value());
-}
-
-void StageEstimator::addWorkAhead(const StageJobState &job)
-{
-    for (std::size_t stage = 0; stage < job.stageCount(); ++stage) {
-        const serving::StagePool *pool = findPool(job.stage(stage).service);
-        if (pool == nullptr) {
-            continue;
-        }
-        const auto timePerPiece =
-            static_cast<double>(pool->batchTime(pool->batchSize).value()) / pool->batchSize;
-        m_workAheadMs[job.stage(stage).service] +=
-            job.waitingPieces(stage) * timePerPiece / m_options.assumedBatchFill;
+    const serving::StagePool *pool = findPool(service);
+    if (pool == nullptr) {
+        return;
     }
+    const auto timePerPiece =
+        static_cast<double>(pool->batchTime(pool->batchSize).value()) / pool->batchSize;
+    const double workAheadMs =
+        static_cast<double>(piecesAhead) * timePerPiece / m_options.assumedBatchFill
+        + static_cast<double>(callsAhead.value());
+    const double servers = std::max(effectiveServerCount(service, now), MinServerCount);
+    m_waits[service] = framework::Milliseconds(static_cast<std::int64_t>(workAheadMs / servers));
 }
 
-void StageEstimator::addWorkAhead(const framework::ServiceId &service,
-                                  framework::Milliseconds remaining)
-{
-    m_workAheadMs[service] += static_cast<double>(std::max<std::int64_t>(remaining.value(), 0));
-}
-
-framework::Milliseconds StageEstimator::expectedWait(const framework::ServiceId &service,
-                                                     framework::TimePoint now)
+framework::Milliseconds StageEstimator::waitFor(const framework::ServiceId &service) const
 {
-    const double servers = std::max(effectiveServerCount(service, now), MinServerCount);
-    return framework::Milliseconds(static_cast<std::int64_t>(m_workAheadMs[service] / servers));
+    const auto found = m_waits.find(service);
+    return found == m_waits.end() ? framework::Milliseconds(0) : found->second;
 }
 
 double StageEstimator::effectiveServerCount(const framework::ServiceId &service,
@@ -89,12 +78,12 @@
 }
 
 framework::TimePoint StageEstimator::expectedCompletion(const StageJobState &job,
-                                                        framework::TimePoint now)
+                                                        framework::TimePoint now) const
 {
     std::vector<framework::TimePoint> ends;
     framework::TimePoint last = now;
     for (std::size_t stage = 0; stage < job.stageCount(); ++stage) {
-        framework::TimePoint start = now + expectedWait(job.stage(stage).service, now);
+        framework::TimePoint start = now + waitFor(job.stage(stage).service);
         for (const std::size_t predecessor : job.predecessors(stage)) {
             start = std::max(start, ends[predecessor]);
         }
@@ -105,12 +94,12 @@
     return last;
 }
 
-framework::ServiceId StageEstimator::bottleneck(const StageJobState &job, framework::TimePoint now)
+framework::ServiceId StageEstimator::bottleneck(const StageJobState &job) const
 {
     framework::ServiceId worst;
     framework::Milliseconds longest(-1);
     for (std::size_t stage = 0; stage < job.stageCount(); ++stage) {
-        const framework::Milliseconds own = expectedWait(job.stage(stage).service, now);
+        const framework::Milliseconds own = waitFor(job.stage(stage).service);
         if (own > longest) {
             longest = own;
             worst = job.stage(stage).service;
--- a/src/stages/internal/stageestimator.h
+++ b/src/stages/internal/stageestimator.h
@@ -37,35 +37,30 @@
     /// half-full batches and without waiting
     framework::Milliseconds criticalPathTime(const StageJobState &job, std::size_t stage) const;
 
-    /// \return time by which jobs are ordered: the objective plus a delay per priority rank, which
-    /// gives more urgent jobs a head start
-    framework::TimePoint effectiveDueTime(const StageJobState &job) const;
-
-    /// Starts a new estimate of the work ahead of a job.
-    void clearWorkAhead() { m_workAheadMs.clear(); }
-    /// Adds the waiting pieces of \p job.
-    void addWorkAhead(const StageJobState &job);
-    /// Adds a call in flight.
-    /// \param remaining expected time until it ends; negative if it is overdue
-    void addWorkAhead(const framework::ServiceId &service, framework::Milliseconds remaining);
-
-    /// \return time at which the job would be done behind the work that was added
-    framework::TimePoint expectedCompletion(const StageJobState &job, framework::TimePoint now);
+    /// Starts a new estimate of the time that a job waits.
+    void clearWaits() { m_waits.clear(); }
+    /// Estimates how long a job waits for a backend server of a service.
+    /// \param piecesAhead pieces that are sent before those of the job
+    /// \param callsAhead time until the calls in flight end, added up
+    void addWait(const framework::ServiceId &service, std::int64_t piecesAhead,
+                 framework::Milliseconds callsAhead, framework::TimePoint now);
+
+    /// \return time at which the job would be done after the waits that were added
+    framework::TimePoint expectedCompletion(const StageJobState &job,
+                                            framework::TimePoint now) const;
 
     /// \return service whose backend servers the job would wait for longest
-    framework::ServiceId bottleneck(const StageJobState &job, framework::TimePoint now);
+    framework::ServiceId bottleneck(const StageJobState &job) const;
 
 private:
-    framework::Milliseconds expectedWait(const framework::ServiceId &service,
-                                         framework::TimePoint now);
+    framework::Milliseconds waitFor(const framework::ServiceId &service) const;
     double effectiveServerCount(const framework::ServiceId &service, framework::TimePoint now);
 
     const serving::IServingState &m_serving;
     const membership::IBackendServers &m_servers;
     ResultTracker &m_resultTracker;
     const StageCoordinatorOptions &m_options;
-    /// Work ahead per service, as time of a single backend server.
-    std::map<framework::ServiceId, double> m_workAheadMs;
+    std::map<framework::ServiceId, framework::Milliseconds> m_waits;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/stagejobstate.cpp
+++ b/src/stages/internal/stagejobstate.cpp
@@ -1,5 +1,7 @@
 #include "stages/internal/stagejobstate.h"
 
+#include "stages/internal/ijobprogressobserver.h"
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -7,8 +9,8 @@
 namespace lavendertally::stages {
 
 StageJobState::StageJobState(JobNumber number, JobKey key, protocol::StageJob job,
-                             framework::TimePoint now)
-    : m_number(number), m_key(std::move(key)), m_job(std::move(job)),
+                             framework::TimePoint now, IJobProgressObserver &observer)
+    : m_observer(observer), m_number(number), m_key(std::move(key)), m_job(std::move(job)),
       m_objective(now + m_job.objectiveLeft), m_deadline(now + m_job.timeLeft)
 {
     std::map<std::uint32_t, std::size_t> positions;
@@ -91,7 +93,10 @@
     piece->state = PieceState::Running;
     ++piece->attempts;
     --stage.waiting;
-    m_started = true;
+    m_observer.onWaitingChanged(*this, position, -1);
+    if (!std::exchange(m_started, true)) {
+        m_observer.onStarted(*this);
+    }
     return static_cast<std::uint32_t>(piece - stage.pieces.begin());
 }
 
@@ -109,20 +114,23 @@
     Stage &stage = m_stages[position];
     stage.pieces[piece].state = PieceState::Waiting;
     ++stage.waiting;
+    m_observer.onWaitingChanged(*this, position, 1);
     return stage.pieces[piece].attempts;
 }
 
 void StageJobState::restartStage(std::size_t position)
 {
     Stage &stage = m_stages[position];
+    const std::uint32_t restarted = stage.done;
     for (Piece &piece : stage.pieces) {
         if (piece.state == PieceState::Done) {
             piece.state = PieceState::Waiting;
             piece.result = {};
-            ++stage.waiting;
-            --stage.done;
         }
     }
+    stage.waiting += restarted;
+    stage.done = 0;
+    m_observer.onWaitingChanged(*this, position, restarted);
 }
 
 std::vector<framework::StageResultId> StageJobState::inputs(std::size_t position) const
--- a/src/stages/internal/stagejobstate.h
+++ b/src/stages/internal/stagejobstate.h
@@ -12,12 +12,16 @@
 
 namespace lavendertally::stages {
 
+class IJobProgressObserver;
+
 /// Progress of one job through its stages. Stages are addressed by their position in the job, which
 /// may differ from their index in the route.
 class StageJobState
 {
 public:
-    StageJobState(JobNumber number, JobKey key, protocol::StageJob job, framework::TimePoint now);
+    /// \param observer must outlive this object; not called from within this constructor
+    StageJobState(JobNumber number, JobKey key, protocol::StageJob job, framework::TimePoint now,
+                  IJobProgressObserver &observer);
 
     JobNumber number() const { return m_number; }
     const JobKey &key() const { return m_key; }
@@ -92,6 +96,7 @@
         std::vector<std::size_t> predecessors;
     };
 
+    IJobProgressObserver &m_observer;
     JobNumber m_number;
     JobKey m_key;
     protocol::StageJob m_job;
--- a/src/stages/tests/fifocoordinator.h
+++ b/src/stages/tests/fifocoordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/ibackendservers.h"
+#include "stages/internal/ijobprogressobserver.h"
 #include "stages/internal/stagejobstate.h"
 #include "stages/istagecoordinator.h"
 
@@ -12,7 +13,7 @@
 namespace lavendertally::stages {
 
 /// Baseline for comparison: sends one piece per call in the order of arrival and refuses nothing.
-class FifoCoordinator final : public IStageCoordinator
+class FifoCoordinator final : public IStageCoordinator, private IJobProgressObserver
 {
 public:
     explicit FifoCoordinator(const membership::IBackendServers &servers) : m_servers(servers) { }
@@ -21,7 +22,9 @@
                 framework::TimePoint now) override
     {
         const JobKey key{owner, job.request};
-        m_jobs[key] = std::make_unique<StageJobState>(JobNumber(), key, job, now);
+        IJobProgressObserver &observer = *this;
+        m_jobs[key] = std::make_unique<StageJobState>(JobNumber(), key, job, now, observer);
+        ++m_unfinished;
         enqueue(*m_jobs[key]);
         dispatch();
     }
@@ -34,7 +37,7 @@
     void resultsFreed(const std::vector<framework::StageResultId> & /*results*/,
                       framework::TimePoint /*now*/) override
     { }
-    bool hasJobs() const override { return !m_jobs.empty(); }
+    bool hasJobs() const override { return m_unfinished > 0; }
     std::vector<protocol::StageHolding> holdings() const override { return {}; }
     void setPeerHoldings(const framework::DaemonId & /*daemon*/,
                          const std::vector<protocol::StageHolding> & /*holdings*/,
@@ -50,6 +53,7 @@
         job.finishPiece(running.stage, running.piece,
                         {outcome.pieces.front().result, running.server.zone});
         if (job.isDone()) {
+            --m_unfinished;
             m_commands.emplace_back(EndStageJob{
                 running.job.owner,
                 {running.job.request, protocol::StageJobStatus::Done, job.finalResults(), {}},
@@ -78,6 +82,11 @@
         membership::BackendServerEntry server;
     };
 
+    void onWaitingChanged(const StageJobState & /*job*/, std::size_t /*stage*/,
+                          std::int64_t /*change*/) override
+    { }
+    void onStarted(const StageJobState & /*job*/) override { }
+
     void enqueue(StageJobState &job)
     {
         for (std::size_t stage = 0; stage < job.stageCount(); ++stage) {
@@ -119,6 +128,7 @@
     std::map<StageCallId, CallInFlight> m_running;
     StageCallId m_nextCall{1};
     std::vector<StageCommand> m_commands;
+    std::size_t m_unfinished = 0;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/tests/stagedifferentialtest.cpp
+++ b/src/stages/tests/stagedifferentialtest.cpp
@@ -1,34 +1,22 @@
 #include "framework/frameworkmodule.h"
 #include "framework/irandom.h"
+#include "stages/testing/stageloadsimulation.h"
 #include "stages/tests/fifocoordinator.h"
 #include "stages/tests/stagefixture.h"
 
-#include <queue>
-
 using namespace lavendertally;
 using namespace lavendertally::stages;
 
 namespace {
 
-/// A job and the time at which it is submitted.
-struct Arrival
-{
-    framework::TimePoint at;
-    protocol::StageJob job;
-};
+constexpr framework::TimePoint LoadStart(1000000);
 
 /// Number of jobs by outcome, and of calls.
-struct LoadResult
+struct LoadResult : StageLoadResult
 {
-    std::size_t submitted = 0;
-    std::size_t inTime = 0;
-    std::size_t late = 0;
-    std::size_t refused = 0;
     std::size_t calls = 0;
 };
 
-constexpr framework::TimePoint LoadStart(1000000);
-
 } // namespace
 
 /// Simulates a random load with a fixed seed on two pools of four backend servers, where a call
@@ -50,10 +38,10 @@
 
     /// Generates jobs with one to four pieces per stage and an objective of 1500 ms.
     /// \param meanGapMs mean time between two arrivals
-    static std::vector<Arrival> arrivals(std::uint64_t meanGapMs)
+    static std::vector<StageArrival> arrivals(std::uint64_t meanGapMs)
     {
         const auto random = framework::FrameworkModule::makeRandom(Seed);
-        std::vector<Arrival> result;
+        std::vector<StageArrival> result;
         framework::TimePoint at = LoadStart;
         while (at < LoadStart + framework::Milliseconds(DurationMs)) {
             at = at
@@ -65,73 +53,11 @@
         return result;
     }
 
-    /// Runs the arrivals against a coordinator in simulated time.
-    LoadResult runLoad(IStageCoordinator &coordinator, const std::vector<Arrival> &arrivals)
+    LoadResult runLoad(IStageCoordinator &coordinator, const std::vector<StageArrival> &arrivals)
     {
-        using CallEnd = std::pair<framework::TimePoint, StartStageCall>;
-        const auto later = [](const CallEnd &a, const CallEnd &b) { return a.first > b.first; };
-        std::priority_queue<CallEnd, std::vector<CallEnd>, decltype(later)> running(later);
-        std::map<std::string, framework::TimePoint> submittedAt;
-        LoadResult result;
-        std::size_t next = 0;
-        framework::TimePoint now = LoadStart;
-        framework::TimePoint nextWake = LoadStart;
-        const framework::TimePoint end = LoadStart + framework::Milliseconds(4 * DurationMs);
-        while (now < end && (next < arrivals.size() || !running.empty())) {
-            now = nextWake;
-            if (next < arrivals.size()) {
-                now = std::min(now, arrivals[next].at);
-            }
-            if (!running.empty()) {
-                now = std::min(now, running.top().first);
-            }
-            if (!running.empty() && running.top().first == now) {
-                const StartStageCall call = running.top().second;
-                running.pop();
-                StageCallOutcome outcome;
-                outcome.status = StageCallStatus::Answered;
-                for (const PieceRequest &piece : call.pieces) {
-                    outcome.pieces.push_back(
-                        {PieceStatus::Done,
-                         framework::StageResultId(std::to_string(call.call.value()) + "/"
-                                                  + std::to_string(piece.piece)
-                                                  + piece.request.value())});
-                }
-                coordinator.callEnded(call.call, outcome, now);
-            } else if (next < arrivals.size() && arrivals[next].at == now) {
-                submittedAt[arrivals[next].job.request.value()] = now;
-                coordinator.submit(framework::DaemonId("d"), arrivals[next].job, now);
-                ++next;
-                ++result.submitted;
-            } else {
-                coordinator.wake(now);
-                nextWake = now + framework::Milliseconds(50);
-            }
-            for (const StageCommand &command : coordinator.takeCommands()) {
-                if (const auto *call = std::get_if<StartStageCall>(&command)) {
-                    ++result.calls;
-                    const framework::Milliseconds duration(
-                        200 + 10 * static_cast<std::int64_t>(call->pieces.size()));
-                    running.emplace(now + duration, *call);
-                } else if (const auto *ended = std::get_if<EndStageJob>(&command)) {
-                    count(ended->outcome, now - submittedAt[ended->outcome.request.value()],
-                          result);
-                }
-            }
-        }
-        return result;
-    }
-
-    static void count(const protocol::StageJobOutcome &outcome, framework::Milliseconds duration,
-                      LoadResult &result)
-    {
-        if (outcome.status != protocol::StageJobStatus::Done) {
-            ++result.refused;
-        } else if (duration <= framework::Milliseconds(1500)) {
-            ++result.inTime;
-        } else {
-            ++result.late;
-        }
+        StageLoadSimulation simulation(m_serving, coordinator);
+        simulation.run(arrivals);
+        return {simulation.total(), simulation.calls()};
     }
 };
 
