Daemons with more processor capacity lead the ranking

Cause: the first daemons in the order of registration coordinate all stages and read the store for all.

Daemons register the capacity that their settings state (processor_share); the ranking puts the largest first and keeps the order of registration among equals. The order is decided in peers, no longer in the adapter. A registration without capacity, of an earlier version, comes last.

--- a/src/configuration/internal/scalartypes.cpp
+++ b/src/configuration/internal/scalartypes.cpp
@@ -174,6 +174,20 @@
             }};
 }
 
+ScalarType<framework::Millicores> coresType()
+{
+    constexpr double MillicoresPerCore = 1000.0;
+    constexpr double MaxCores = 1024.0;
+    return {"a number of cores above zero, such as 0.5, at most 1024",
+            [=](const std::string &text) -> std::optional<framework::Millicores> {
+                const auto cores = parseDecimal(text);
+                if (!cores || *cores <= 0.0 || *cores > MaxCores) {
+                    return std::nullopt;
+                }
+                return framework::Millicores(std::llround(*cores * MillicoresPerCore));
+            }};
+}
+
 ScalarType<framework::Milliseconds> durationType()
 {
     return {"a duration above zero with unit ms, s, m or h, such as 500ms, at most 720h",
--- a/src/configuration/internal/scalartypes.h
+++ b/src/configuration/internal/scalartypes.h
@@ -36,6 +36,9 @@
 /// Decimal number from zero to \p maximum; the fractional part is truncated.
 ScalarType<std::uint32_t> integerPartType(std::uint32_t maximum);
 
+/// Processor capacity as a decimal number of cores, above zero.
+ScalarType<framework::Millicores> coresType();
+
 ScalarType<bool> booleanType();
 
 /// IPv4 address and port.
--- a/src/configuration/internal/yamlsettingsparser.cpp
+++ b/src/configuration/internal/yamlsettingsparser.cpp
@@ -51,6 +51,7 @@
     root.readOptional("revocation_limit", durationType(), gateway.revocationLimit);
     root.readOptional("shutdown_grace", durationType(), gateway.shutdownGrace);
     root.readOptional("shared_retries", integerPartType(MaxSharedRetries), gateway.sharedRetries);
+    root.readOptional("processor_share", coresType(), gateway.processorShare);
 }
 
 void readBackend(YamlMapping &root, DiagnosticSink &sink, DaemonSettings &settings)
--- a/src/configuration/tests/settingsparsertest.cpp
+++ b/src/configuration/tests/settingsparsertest.cpp
@@ -49,6 +49,7 @@
     {"GatewayWithoutStore", Gateway.substr(0, Gateway.find("store")), 1, "store", "missing"},
     {"GatewayWithLog", Gateway + "log_service: 127.0.0.1:7\n", 10, "log_service", "drain_timeout"},
     {"BadRetries", Gateway + "shared_retries: many\n", 10, "shared_retries", "number"},
+    {"NoProcessor", Gateway + "processor_share: 0\n", 10, "processor_share", "cores"},
     {"BadGrace", Gateway + "shutdown_grace: 1.2.3s\n", 10, "shutdown_grace", "duration"},
     {"MissingId", "role: entry\n", 1, "id", "missing"},
     {"HostWithoutBackend", Host, 1, "backend", "missing"},
@@ -116,10 +117,12 @@
         "g.yaml",
         Gateway
             + "seed_peers: [\"10.0.0.2:7\",\"10.0.0.3:7\"]\nrevocation_limit: 5000ms\n"
-              "shutdown_grace: 7.5s\nshared_retries: 56.9\nlog_format: json\n");
+              "shutdown_grace: 7.5s\nshared_retries: 56.9\nprocessor_share: 0.09\n"
+              "log_format: json\n");
     ASSERT_TRUE(settings);
     EXPECT_EQ(settings->role, DaemonRole::Gateway);
     EXPECT_EQ(settings->gateway.store.toString(), "10.0.0.1:7000");
     EXPECT_EQ(settings->gateway.shutdownGrace, framework::Milliseconds(7500));
     EXPECT_EQ(settings->gateway.sharedRetries, 56U);
+    EXPECT_EQ(settings->gateway.processorShare, framework::Millicores(90));
 }
--- a/src/configuration/types/gatewaysettings.h
+++ b/src/configuration/types/gatewaysettings.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/endpoint.h"
 #include "framework/types/milliseconds.h"
+#include "framework/types/units.h"
 
 #include <cstdint>
 
@@ -22,6 +23,9 @@
     /// Retry budget: concurrent retries that all gateways together may send to a service, in
     /// addition to a ratio of its first attempts.
     std::uint32_t sharedRetries = 50;
+    /// Processor capacity that the gateway may use. Gateways with more of it do the tasks that one
+    /// gateway does for all.
+    framework::Millicores processorShare{1000};
 };
 
 } // namespace lavendertally::configuration
--- a/src/framework/types/units.h
+++ b/src/framework/types/units.h
@@ -8,6 +8,7 @@
 struct TokenTag;
 struct CostTag;
 struct MicrosecondsTag;
+struct MillicoresTag;
 
 using Bytes = Quantity<BytesTag>;
 using TokenCount = Quantity<TokenTag>;
@@ -17,4 +18,7 @@
 /// Service time too short for milliseconds; see Milliseconds for all other times.
 using Microseconds = Quantity<MicrosecondsTag>;
 
+/// Processor capacity in thousandths of a core.
+using Millicores = Quantity<MillicoresTag>;
+
 } // namespace lavendertally::framework
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -103,9 +103,9 @@
 {
     m_serving = serving::ServingModule::makeTracker(*m_logger);
     m_servers = membership::MembershipModule::makeBackendServerTracker(*m_logger);
-    m_platform = platform::PlatformModule::makePlatform({m_settings.id, m_settings.gateway.store,
-                                                         m_loop, *m_clock, *m_logger, *m_metrics,
-                                                         *m_serving, *m_servers});
+    m_platform = platform::PlatformModule::makePlatform(
+        {m_settings.id, m_settings.gateway.processorShare, m_settings.gateway.store, m_loop,
+         *m_clock, *m_logger, *m_metrics, *m_serving, *m_servers});
     m_peers = peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id);
     m_peers->setAcceptsJobs([this] { return hasRequiredState() && !m_draining; });
     m_topicExchange = std::make_unique<replication::TopicExchange>(
--- a/src/peers/idaemondirectory.h
+++ b/src/peers/idaemondirectory.h
@@ -14,8 +14,8 @@
 public:
     virtual ~IDaemonDirectory() = default;
 
-    /// \return all daemons, this one included, in an order on which all daemons agree: by first
-    /// registration, so that a new daemon comes last and one that restarts keeps its place
+    /// \return all daemons, this one included, in the order of PeersModule::rank(), on which all
+    /// daemons agree
     virtual const std::vector<DaemonAddress> &ranking() const = 0;
 
     /// \return number of daemons among which limits that hold for all of them together are divided;
--- a/src/peers/internal/peersmodule.cpp
+++ b/src/peers/internal/peersmodule.cpp
@@ -1,7 +1,10 @@
 #include "peers/peersmodule.h"
 
+#include "peers/internal/daemonranking.h"
 #include "peers/internal/peernetwork.h"
 
+#include <utility>
+
 namespace lavendertally::peers {
 
 std::unique_ptr<IPeerNetwork> PeersModule::makeNetwork(framework::IEventLoop &loop,
@@ -13,4 +16,9 @@
     return std::make_unique<PeerNetwork>(loop, clock, logger, self, limits);
 }
 
+std::vector<DaemonAddress> PeersModule::rank(std::vector<DaemonRegistration> registrations)
+{
+    return rankByCapacity(std::move(registrations));
+}
+
 } // namespace lavendertally::peers
--- a/src/peers/peersmodule.h
+++ b/src/peers/peersmodule.h
@@ -4,6 +4,7 @@
 #include "peers/types/peerlimits.h"
 
 #include <memory>
+#include <vector>
 
 namespace lavendertally::framework {
 class IClock;
@@ -14,6 +15,8 @@
 namespace lavendertally::peers {
 
 class IPeerNetwork;
+struct DaemonAddress;
+struct DaemonRegistration;
 
 /// Creates the network of links between daemons.
 class PeersModule
@@ -25,6 +28,10 @@
                                                      framework::ILogger &logger,
                                                      const framework::DaemonId &self,
                                                      const PeerLimits &limits = {});
+
+    /// Orders daemons so that those at the head can bear the tasks that one daemon does for all.
+    /// All daemons get the same order from the same registrations.
+    static std::vector<DaemonAddress> rank(std::vector<DaemonRegistration> registrations);
 };
 
 } // namespace lavendertally::peers
--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -5,12 +5,12 @@
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "http/ihttpcall.h"
+#include "peers/peersmodule.h"
 #include "platform/internal/backendservercodec.h"
 #include "platform/internal/wirenames.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -36,6 +36,7 @@
 
 constexpr const char *EndpointField = "endpoint";
 constexpr const char *JoinedField = "joined";
+constexpr const char *CapacityField = "millicores";
 
 /// A daemon's own registration.
 struct Registration
@@ -43,11 +44,13 @@
     framework::Endpoint endpoint;
     /// Nothing in the first registration, whose offset it is.
     std::optional<framework::LogOffset> joined;
+    framework::Millicores capacity;
 };
 
 std::string encode(const Registration &registration)
 {
-    nlohmann::json json = {{EndpointField, registration.endpoint.toString()}};
+    nlohmann::json json = {{EndpointField, registration.endpoint.toString()},
+                           {CapacityField, registration.capacity.value()}};
     if (registration.joined) {
         json[JoinedField] = registration.joined->value();
     }
@@ -65,11 +68,15 @@
     if (!endpoint) {
         return std::nullopt;
     }
-    Registration registration{*endpoint, std::nullopt};
+    Registration registration{*endpoint, std::nullopt, {}};
     const auto joined = json.find(JoinedField);
     if (joined != json.end() && joined->is_number_unsigned()) {
         registration.joined = framework::LogOffset(joined->get<std::uint64_t>());
     }
+    const auto capacity = json.find(CapacityField);
+    if (capacity != json.end() && capacity->is_number_unsigned()) {
+        registration.capacity = framework::Millicores(capacity->get<std::int64_t>());
+    }
     return registration;
 }
 
@@ -77,9 +84,9 @@
 
 DaemonFeed::DaemonFeed(StoreClient &store, framework::IScheduler &scheduler,
                        const framework::IClock &clock, framework::ILogger &logger,
-                       framework::DaemonId self)
+                       framework::DaemonId self, framework::Millicores capacity)
     : m_store(store), m_scheduler(scheduler), m_clock(clock), m_logger(logger),
-      m_self(std::move(self)),
+      m_self(std::move(self)), m_capacity(capacity),
       m_reader(store, scheduler, clock, logger, std::string(wire::DaemonsTopic), Pace, m_replica)
 { }
 
@@ -101,7 +108,7 @@
     }
     m_isRegistered = true;
     m_append = m_store.append(
-        wire::DaemonsTopic, {{}, m_self.value(), encode({m_endpoint, m_joined})},
+        wire::DaemonsTopic, {{}, m_self.value(), encode({m_endpoint, m_joined, m_capacity})},
         [this](const framework::Result<void> &result) { registered(static_cast<bool>(result)); });
 }
 
@@ -162,7 +169,8 @@
         m_joined = joined;
         return true;
     }
-    m_known[daemon] = {registration->endpoint, m_clock.now(), joined};
+    m_known[daemon] = {{{daemon, registration->endpoint}, registration->capacity, joined},
+                       m_clock.now()};
     return true;
 }
 
@@ -187,22 +195,16 @@
                   [now](const auto &entry) { return now - entry.second.heard > DaemonLifetime; });
 }
 
-/// A daemon that does not know its own offset yet comes last.
+/// A daemon that does not know its own offset yet comes last among those of its capacity.
 void DaemonFeed::update()
 {
-    std::vector<std::pair<framework::LogOffset, peers::DaemonAddress>> entries;
-    for (const auto &[daemon, known] : m_known) {
-        entries.emplace_back(known.joined, peers::DaemonAddress{daemon, known.endpoint});
-    }
     const framework::LogOffset last(std::numeric_limits<std::uint64_t>::max());
-    entries.emplace_back(m_joined.value_or(last), peers::DaemonAddress{m_self, m_endpoint});
-    std::sort(entries.begin(), entries.end(),
-              [](const auto &one, const auto &other) { return one.first < other.first; });
-    std::vector<peers::DaemonAddress> ranking;
-    ranking.reserve(entries.size());
-    for (auto &[joined, address] : entries) {
-        ranking.push_back(std::move(address));
+    std::vector<peers::DaemonRegistration> registrations{
+        {{m_self, m_endpoint}, m_capacity, m_joined.value_or(last)}};
+    for (const auto &[daemon, known] : m_known) {
+        registrations.push_back(known.registration);
     }
+    std::vector<peers::DaemonAddress> ranking = peers::PeersModule::rank(std::move(registrations));
     if (ranking == m_ranking) {
         return;
     }
--- a/src/platform/internal/daemonfeed.h
+++ b/src/platform/internal/daemonfeed.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/timepoint.h"
 #include "peers/idaemondirectory.h"
+#include "peers/types/daemonregistration.h"
 #include "platform/internal/topicreader.h"
 #include "replication/itopicobserver.h"
 #include "replication/topicreplica.h"
@@ -14,12 +15,14 @@
 
 /// Registers this daemon in a topic of its own and reads which others are up. Each registers again
 /// at intervals; one that stops doing so is forgotten. A registration names the offset of the first
-/// one, also after a restart: by these offsets all daemons agree on an order.
+/// one, also after a restart, and the daemon's processor capacity: by these all daemons agree on an
+/// order.
 class DaemonFeed final : public replication::ITopicObserver, public peers::IDaemonDirectory
 {
 public:
     DaemonFeed(StoreClient &store, framework::IScheduler &scheduler, const framework::IClock &clock,
-               framework::ILogger &logger, framework::DaemonId self);
+               framework::ILogger &logger, framework::DaemonId self,
+               framework::Millicores capacity);
     ~DaemonFeed() override;
 
     /// \param endpoint where this daemon answers others
@@ -40,10 +43,8 @@
 private:
     struct Known
     {
-        framework::Endpoint endpoint;
+        peers::DaemonRegistration registration;
         framework::TimePoint heard;
-        /// Offset of its first registration.
-        framework::LogOffset joined;
     };
 
     void registerSelf();
@@ -56,6 +57,7 @@
     const framework::IClock &m_clock;
     framework::ILogger &m_logger;
     framework::DaemonId m_self;
+    framework::Millicores m_capacity;
     framework::Endpoint m_endpoint;
     bool m_isKnown = false;
     bool m_isRegistered = false;
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -34,7 +34,7 @@
       m_store(*m_storeClient, parts.store, parts.clock, parts.metrics),
       m_operators(m_store, parts.loop, parts.clock, parts.logger, parts.serving, parts.servers),
       m_servers(m_store, parts.loop, parts.clock, parts.logger, parts.servers),
-      m_daemons(m_store, parts.loop, parts.clock, parts.logger, parts.self),
+      m_daemons(m_store, parts.loop, parts.clock, parts.logger, parts.self, parts.capacity),
       m_backends(*m_backendClient), m_stageCalls(*m_backendClient, parts.logger)
 { }
 
--- a/src/platform/tests/usersplatformtest.cpp
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -30,6 +30,7 @@
 
 constexpr framework::Milliseconds WaitLimit{10000};
 constexpr framework::Milliseconds PollInterval{5};
+constexpr framework::Millicores Capacity{190};
 
 std::string configuration(int version)
 {
@@ -58,8 +59,8 @@
     {
         const auto endpoint = m_store.listen({"127.0.0.1", 0}).value();
         m_platform =
-            PlatformModule::makePlatform({framework::DaemonId("self"), endpoint, *m_loop, *m_clock,
-                                          m_logger, *m_metrics, *m_serving, *m_servers});
+            PlatformModule::makePlatform({framework::DaemonId("self"), Capacity, endpoint, *m_loop,
+                                          *m_clock, m_logger, *m_metrics, *m_serving, *m_servers});
     }
 
     void start() { m_platform->start({"127.0.0.1", 7}); }
@@ -228,9 +229,9 @@
 
 TEST_F(UsersPlatformTest, OrderOfDaemonsOutlivesARestartAndNewOnesComeLast)
 {
-    m_store.put("keyed.daemons", "first", R"({"endpoint":"127.0.0.1:70"})");
+    m_store.put("keyed.daemons", "first", R"({"endpoint":"127.0.0.1:70","millicores":190})");
     m_store.put("keyed.daemons", "self", R"({"endpoint":"127.0.0.1:7"})");
-    m_store.put("keyed.daemons", "third", R"({"endpoint":"127.0.0.1:71"})");
+    m_store.put("keyed.daemons", "third", R"({"endpoint":"127.0.0.1:71","millicores":190})");
     start();
     const auto ranking = [this] {
         std::string names;
@@ -244,12 +245,24 @@
         return m_store.newest("keyed.daemons", "self").value_or("").find("joined")
             != std::string::npos;
     })) << "the offset of the first registration is named again";
-    m_store.put("keyed.daemons", "first", R"({"endpoint":"127.0.0.1:72"})");
+    m_store.put("keyed.daemons", "first", R"({"endpoint":"127.0.0.1:72","millicores":190})");
     ASSERT_TRUE(waitFor([&] { return ranking() == "self third first "; })) << ranking();
-    m_store.put("keyed.daemons", "third", R"({"endpoint":"127.0.0.1:71","joined":9})");
+    m_store.put("keyed.daemons", "third",
+                R"({"endpoint":"127.0.0.1:71","joined":9,"millicores":190})");
     ASSERT_TRUE(waitFor([&] { return ranking() == "self first third "; })) << ranking();
 }
 
+TEST_F(UsersPlatformTest, LargerDaemonRegistersLater_ItLeadsTheRanking)
+{
+    m_store.put("keyed.daemons", "small", R"({"endpoint":"127.0.0.1:70","millicores":90})");
+    start();
+    const auto first = [this] { return m_platform->daemons().ranking().front().daemon.value(); };
+    ASSERT_TRUE(waitFor([&] { return m_platform->daemons().ranking().size() == 2; }));
+    EXPECT_EQ(first(), "self");
+    m_store.put("keyed.daemons", "large", R"({"endpoint":"127.0.0.1:71","millicores":500})");
+    EXPECT_TRUE(waitFor([&] { return first() == "large"; })) << first();
+}
+
 TEST_F(UsersPlatformTest, EntryThatIsRemovedWhilePeersReadTheStoreIsGoneAtOnce)
 {
     m_store.put("keyed.servers", "i-1", server());
--- a/src/platform/types/platformparts.h
+++ b/src/platform/types/platformparts.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
+#include "framework/types/units.h"
 
 namespace lavendertally::framework {
 class IClock;
@@ -24,6 +25,8 @@
 struct PlatformParts
 {
     framework::DaemonId self;
+    /// Processor capacity of this daemon.
+    framework::Millicores capacity;
     framework::Endpoint store;
     framework::IEventLoop &loop;
     const framework::IClock &clock;
