Calls to the store grow slower than the fleet

Each of 103 gateways registered itself again every 8 s. When the first two in the ranking were down, or the store was, all others began to read it themselves within the same half second, each topic again every 1.5 s at most.

- The first two daemons that can be reached read the store, not the first two that are registered.
- While peers answer but none has read the store recently, daemons further back in the ranking wait up to 1.5 s longer before they read it themselves; one that hears nobody reads at once, as before.
- The time between registrations grows with the number of daemons, from 8 s up to 60 s; a registration states its own lifetime, so that readers with another count do not drop it.
- A daemon that does not read for all repeats a failed read after 0.5 to 3 s (0.25 to 1.5 s before).

--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -46,6 +46,7 @@
     std::vector<framework::DaemonId> linkedPeers() const override;
     bool isAccepting(const framework::DaemonId &peer) const override;
     bool isInStartupGrace(const framework::DaemonId &peer) const override;
+    bool isUnreachable(const framework::DaemonId &peer) const override;
     bool isSelfAccepting() const override { return m_acceptsJobs(); }
     framework::TimePoint startTimeOf(const framework::DaemonId &peer) const override;
     void announce() override;
@@ -75,7 +76,6 @@
     void onAccepted(int fd);
     void updateOutbound();
     std::vector<DaemonAddress> wantedPeers() const;
-    bool isUnreachable(const framework::DaemonId &peer) const;
     void tick();
     void maintain(const framework::DaemonId &peer, OutboundLink &outbound,
                   framework::TimePoint now);
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -54,6 +54,10 @@
     /// yet whether the peer is reachable
     virtual bool isInStartupGrace(const framework::DaemonId &peer) const = 0;
 
+    /// \return whether this daemon maintains an outbound link to \p peer that has failed and is not
+    /// established again
+    virtual bool isUnreachable(const framework::DaemonId &peer) const = 0;
+
     /// \return whether this daemon takes stage jobs
     virtual bool isSelfAccepting() const = 0;
 
--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -21,14 +22,20 @@
 /// Registrations of all daemons come in here, so the topic is read at intervals.
 constexpr TopicPace Pace{framework::Milliseconds(0), framework::Milliseconds(4000)};
 
-/// Time between two registrations of a daemon.
-constexpr framework::Milliseconds RegisterInterval{8000};
+/// Time between two registrations of a daemon. It grows with the number of daemons, so that all
+/// together make no more than a few calls per second.
+constexpr framework::Milliseconds MinRegisterInterval{8000};
+constexpr framework::Milliseconds MaxRegisterInterval{60000};
+constexpr framework::Milliseconds RegisterIntervalPerDaemon{250};
 /// How long the first registration waits for the topic to be read.
 constexpr framework::Milliseconds RegisterPatience{500};
-/// After a registration failed it is repeated sooner.
-constexpr framework::Milliseconds RegisterRetry{1000};
-/// A daemon that did not register for so long is gone: three registrations missed.
-constexpr framework::Milliseconds DaemonLifetime{25000};
+/// A failed registration is repeated after this part of the interval.
+constexpr std::int64_t RetriesPerInterval = 8;
+/// A daemon that misses this number of registrations is gone.
+constexpr std::int64_t RegistrationsPerLifetime = 3;
+constexpr framework::Milliseconds LifetimeMargin{1000};
+/// Lifetime of a registration that states none.
+constexpr framework::Milliseconds DefaultLifetime{25000};
 
 /// Daemons that are assumed to share limits while the others are not known; more than a small
 /// site has.
@@ -37,6 +44,7 @@
 constexpr const char *EndpointField = "endpoint";
 constexpr const char *JoinedField = "joined";
 constexpr const char *CapacityField = "millicores";
+constexpr const char *LifetimeField = "lifetime_ms";
 
 /// A daemon's own registration.
 struct Registration
@@ -45,12 +53,15 @@
     /// Nothing in the first registration, whose offset it is.
     std::optional<framework::LogOffset> joined;
     framework::Millicores capacity;
+    /// Time after which it counts as gone unless it registers again.
+    framework::Milliseconds lifetime{DefaultLifetime};
 };
 
 std::string encode(const Registration &registration)
 {
     nlohmann::json json = {{EndpointField, registration.endpoint.toString()},
-                           {CapacityField, registration.capacity.value()}};
+                           {CapacityField, registration.capacity.value()},
+                           {LifetimeField, registration.lifetime.value()}};
     if (registration.joined) {
         json[JoinedField] = registration.joined->value();
     }
@@ -68,7 +79,7 @@
     if (!endpoint) {
         return std::nullopt;
     }
-    Registration registration{*endpoint, std::nullopt, {}};
+    Registration registration{*endpoint, std::nullopt, {}, DefaultLifetime};
     const auto joined = json.find(JoinedField);
     if (joined != json.end() && joined->is_number_unsigned()) {
         registration.joined = framework::LogOffset(joined->get<std::uint64_t>());
@@ -77,6 +88,10 @@
     if (capacity != json.end() && capacity->is_number_unsigned()) {
         registration.capacity = framework::Millicores(capacity->get<std::int64_t>());
     }
+    const auto lifetime = json.find(LifetimeField);
+    if (lifetime != json.end() && lifetime->is_number_unsigned()) {
+        registration.lifetime = framework::Milliseconds(lifetime->get<std::int64_t>());
+    }
     return registration;
 }
 
@@ -107,8 +122,11 @@
         return;
     }
     m_isRegistered = true;
+    const framework::Milliseconds lifetime =
+        registerInterval() * RegistrationsPerLifetime + LifetimeMargin;
     m_append = m_store.append(
-        wire::DaemonsTopic, {{}, m_self.value(), encode({m_endpoint, m_joined, m_capacity})},
+        wire::DaemonsTopic,
+        {{}, m_self.value(), encode({m_endpoint, m_joined, m_capacity, lifetime})},
         [this](const framework::Result<void> &result) { registered(static_cast<bool>(result)); });
 }
 
@@ -117,8 +135,16 @@
     if (isDone && !m_joined) {
         m_reader.readSoon();
     }
-    m_registerTimer = m_scheduler.callAfter(isDone ? RegisterInterval : RegisterRetry,
-                                            [this] { registerSelf(); });
+    const framework::Milliseconds retryDelay(registerInterval().value() / RetriesPerInterval);
+    m_registerTimer =
+        m_scheduler.callAfter(isDone ? registerInterval() : retryDelay, [this] { registerSelf(); });
+}
+
+framework::Milliseconds DaemonFeed::registerInterval() const
+{
+    const auto daemons = static_cast<std::int64_t>(m_ranking.size());
+    return std::clamp(RegisterIntervalPerDaemon * daemons, MinRegisterInterval,
+                      MaxRegisterInterval);
 }
 
 void DaemonFeed::leave()
@@ -170,7 +196,8 @@
         return true;
     }
     m_known[daemon] = {{{daemon, registration->endpoint}, registration->capacity, joined},
-                       m_clock.now()};
+                       m_clock.now(),
+                       registration->lifetime};
     return true;
 }
 
@@ -191,8 +218,9 @@
 void DaemonFeed::expireSilent()
 {
     const framework::TimePoint now = m_clock.now();
-    std::erase_if(m_known,
-                  [now](const auto &entry) { return now - entry.second.heard > DaemonLifetime; });
+    std::erase_if(m_known, [now](const auto &entry) {
+        return now - entry.second.heard > entry.second.lifetime;
+    });
 }
 
 /// A daemon that does not know its own offset yet comes last among those of its capacity.
--- a/src/platform/internal/daemonfeed.h
+++ b/src/platform/internal/daemonfeed.h
@@ -45,10 +45,12 @@
     {
         peers::DaemonRegistration registration;
         framework::TimePoint heard;
+        framework::Milliseconds lifetime;
     };
 
     void registerSelf();
     void registered(bool isDone);
+    framework::Milliseconds registerInterval() const;
     void expireSilent();
     void update();
 
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -18,9 +18,10 @@
 
 /// Time until a failed call is repeated, doubled with each failure in a row. Daemons that read for
 /// all come back soon, so that the others, which hear from them, can wait longer.
-constexpr framework::Milliseconds MinRetryDelay{250};
+constexpr framework::Milliseconds MinLeadingRetryDelay{250};
 constexpr framework::Milliseconds MaxLeadingRetryDelay{500};
-constexpr framework::Milliseconds MaxRetryDelay{1500};
+constexpr framework::Milliseconds MinRetryDelay{500};
+constexpr framework::Milliseconds MaxRetryDelay{3000};
 
 /// Peers may have read later than this daemon before the store went away, by the time between two
 /// reads and this.
@@ -146,9 +147,10 @@
         m_logger.warning("store lost; goes on with what is known",
                          {{"topic", m_topic}, {"error", errorName(error)}});
     }
-    const framework::Milliseconds limit =
-        m_mode == replication::SourceMode::Leading ? MaxLeadingRetryDelay : MaxRetryDelay;
-    m_retryDelay = std::clamp(m_retryDelay * 2, MinRetryDelay, limit);
+    const bool isLeading = m_mode == replication::SourceMode::Leading;
+    m_retryDelay = isLeading
+        ? std::clamp(m_retryDelay * 2, MinLeadingRetryDelay, MaxLeadingRetryDelay)
+        : std::clamp(m_retryDelay * 2, MinRetryDelay, MaxRetryDelay);
     later(m_retryDelay, std::move(retry));
 }
 
--- a/src/replication/internal/topicexchange.cpp
+++ b/src/replication/internal/topicexchange.cpp
@@ -49,7 +49,7 @@
 {
     m_network.addObserver(*this);
     m_network.setDigests([this] { return digests(); });
-    m_directory.onChange([this] { m_isLeadingReader = isLeadingReader(); });
+    m_directory.onChange([this] { updatePosition(); });
 }
 
 TopicExchange::~TopicExchange() = default;
@@ -71,25 +71,42 @@
 {
     const framework::TimePoint now = m_clock.now();
     updateSeedLinks(now);
+    updatePosition();
     for (auto &[name, topic] : m_topics) {
         chooseSource(name, topic, now);
     }
     m_timer = m_scheduler.callAfter(m_limits.checkInterval, [this] { tick(); });
 }
 
-bool TopicExchange::isLeadingReader() const
+void TopicExchange::updatePosition()
 {
-    const std::vector<peers::DaemonAddress> &ranking = m_directory.ranking();
-    const auto end = ranking.begin()
-        + static_cast<std::ptrdiff_t>(std::min(m_limits.storeReaderCount, ranking.size()));
-    return std::any_of(ranking.begin(), end,
-                       [this](const auto &daemon) { return daemon.daemon == m_self; });
+    m_reachableAhead = 0;
+    for (const peers::DaemonAddress &daemon : m_directory.ranking()) {
+        if (daemon.daemon == m_self) {
+            break;
+        }
+        m_reachableAhead += m_network.isUnreachable(daemon.daemon) ? 0 : 1;
+    }
+    m_isLeadingReader = m_reachableAhead < m_limits.storeReaderCount;
+}
+
+/// The daemon after those that read the store is linked by all others, too, and replaces them
+/// without delay.
+framework::Milliseconds TopicExchange::fallbackDelay(framework::TimePoint now) const
+{
+    if (now - m_peerHeardAt > m_limits.peerSilence
+        || m_reachableAhead <= m_limits.storeReaderCount) {
+        return framework::Milliseconds(0);
+    }
+    const std::size_t candidatesAhead = m_reachableAhead - m_limits.storeReaderCount;
+    return std::min(m_limits.fallbackStep * static_cast<std::int64_t>(candidatesAhead),
+                    m_limits.maxFallbackDelay);
 }
 
 void TopicExchange::chooseSource(protocol::StateTopic name, Topic &topic, framework::TimePoint now)
 {
     const framework::Milliseconds age = now - topic.peerConfirmedAt;
-    const bool isStale = !topic.replica.isLoaded() || age > topic.maxStaleness;
+    const bool isStale = !topic.replica.isLoaded() || age > topic.maxStaleness + fallbackDelay(now);
     const bool isInMinReadTime =
         topic.readsStore && now - topic.modeChangedAt < m_limits.minReadTime;
     const bool reads = m_isLeadingReader || isStale || isInMinReadTime;
@@ -158,6 +175,9 @@
                               const std::vector<protocol::TopicDigest> &digests,
                               std::optional<framework::TimePoint> pingSent)
 {
+    if (!digests.empty()) {
+        m_peerHeardAt = m_clock.now();
+    }
     for (const protocol::TopicDigest &digest : digests) {
         const auto found = m_topics.find(digest.topic);
         if (found != m_topics.end()) {
--- a/src/replication/tests/topicexchangetest.cpp
+++ b/src/replication/tests/topicexchangetest.cpp
@@ -17,6 +17,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace lavendertally;
 using namespace lavendertally::replication;
@@ -60,6 +61,7 @@
     std::vector<DaemonId> linkedPeers() const override { return {}; }
     bool isAccepting(const DaemonId & /*peer*/) const override { return true; }
     bool isInStartupGrace(const DaemonId & /*peer*/) const override { return false; }
+    bool isUnreachable(const DaemonId &peer) const override { return unreachable.contains(peer); }
     bool isSelfAccepting() const override { return true; }
     TimePoint startTimeOf(const DaemonId & /*peer*/) const override { return {}; }
     void announce() override { }
@@ -90,6 +92,7 @@
     void loseLink(const DaemonId &peer) { m_observer->onOutboundLinkLost(peer); }
 
     std::map<DaemonId, FakeNetwork *> links;
+    std::set<DaemonId> unreachable;
     std::size_t seedCount = 0;
     int sentCount = 0;
     bool dropsMessages = false;
@@ -294,6 +297,48 @@
     EXPECT_FALSE(last().source.isActive);
 }
 
+TEST_F(TopicExchangeTest, ReadersUnreachable_NextOnesInRankingReadForAll)
+{
+    startAll();
+    advance(Milliseconds(4000));
+    m_isDown = {{0, true}, {1, true}};
+    for (const auto &daemon : m_daemons) {
+        daemon->network.unreachable = {m_order[0], m_order[1]};
+    }
+    advance(Milliseconds(1000));
+    EXPECT_TRUE(m_daemons[2]->source.isActive);
+    EXPECT_TRUE(last().source.isActive) << "two read the store for all";
+    m_daemons[3]->network.unreachable = {m_order[0]};
+    m_isDown = {{0, true}};
+    advance(Milliseconds(4000));
+    EXPECT_FALSE(last().source.isActive);
+    EXPECT_LE(age(last()), ReadInterval + PingInterval);
+}
+
+TEST_F(TopicExchangeTest, PeersAnswerButCannotReadTheStore_LaterDaemonsWaitLonger)
+{
+    startAll();
+    advance(Milliseconds(4000));
+    for (const auto &daemon : m_daemons) {
+        daemon->isCutOff = true;
+    }
+    std::vector<peers::DaemonAddress> ranking;
+    for (const char *name : {"a", "b", "c"}) {
+        ranking.push_back({DaemonId(name), {}});
+    }
+    constexpr int DaemonsBetween = 60;
+    for (int number = 0; number < DaemonsBetween; ++number) {
+        ranking.push_back({DaemonId("between" + std::to_string(number)), {}});
+    }
+    ranking.push_back({m_order[3], {}});
+    last().directory.set(ranking);
+    advance(MaxStaleness + PingInterval + PingInterval);
+    EXPECT_TRUE(m_daemons[2]->source.isActive) << "the next in the ranking does not wait";
+    EXPECT_FALSE(last().source.isActive);
+    advance(Milliseconds(1000));
+    EXPECT_TRUE(last().source.isActive) << "a daemon that others cannot help reads the store";
+}
+
 TEST_F(TopicExchangeTest, OneReaderDown_FollowerStaysUpToDate)
 {
     startAll();
--- a/src/replication/topicexchange.h
+++ b/src/replication/topicexchange.h
@@ -38,10 +38,11 @@
 class TopicReplica;
 struct ReplicatedTopic;
 
-/// Keeps replicas of topics up to date by anti-entropy between daemons. The leading daemons of the
-/// ranking read the store. The others compare the digests in their pongs with their own replicas,
-/// query what they lack, and read the store themselves only while no peer's state is recent enough.
-/// A leading daemon that cannot reach the store follows its peers in the same way.
+/// Keeps replicas of topics up to date by anti-entropy between daemons. The first daemons of the
+/// ranking that can be reached read the store. The others compare the digests in their pongs with
+/// their own replicas, query what they lack, and read the store themselves only while no peer's
+/// state is recent enough. A leading daemon that cannot reach the store follows its peers in the
+/// same way.
 class TopicExchange final : public peers::IPeerObserver
 {
 public:
@@ -92,7 +93,8 @@
     void tick();
     void chooseSource(protocol::StateTopic name, Topic &topic, framework::TimePoint now);
     void updateSeedLinks(framework::TimePoint now);
-    bool isLeadingReader() const;
+    void updatePosition();
+    framework::Milliseconds fallbackDelay(framework::TimePoint now) const;
     std::vector<protocol::TopicDigest> digests() const;
     void applyDigest(const framework::DaemonId &peer, Topic &topic,
                      const protocol::TopicDigest &digest,
@@ -115,6 +117,9 @@
     std::vector<framework::Endpoint> m_seeds;
     bool m_isLinkedToSeeds = false;
     bool m_isLeadingReader = true;
+    /// Number of daemons before this one in the ranking that are not unreachable.
+    std::size_t m_reachableAhead = 0;
+    framework::TimePoint m_peerHeardAt;
     framework::TimePoint m_started;
     std::uint64_t m_lastSequence = 0;
     std::unique_ptr<framework::ITimer> m_timer;
--- a/src/replication/types/exchangelimits.h
+++ b/src/replication/types/exchangelimits.h
@@ -22,6 +22,13 @@
     /// Least time for which a daemon reads the store once it has begun to, so that it does not
     /// start and stop with each late pong.
     framework::Milliseconds minReadTime{2000};
+    /// While peers answer and none of them has read the store recently, this daemon waits longer
+    /// before it reads the store itself, by this much for each reachable daemon ahead of it that
+    /// could do so for all. Otherwise all daemons would call a store that is away at once.
+    framework::Milliseconds fallbackStep{15};
+    framework::Milliseconds maxFallbackDelay{1500};
+    /// A peer answers as long as its last pong is no older than this; a few pings.
+    framework::Milliseconds peerSilence{1000};
     /// How long after the end of a store outage the daemon announces it to its peers. Longer than
     /// membership keeps entries that expired during the outage.
     framework::Milliseconds recoveryNoticeTime{3000};
