Daemons that take no jobs leave their place to the next in the ranking

Links were kept to the first three daemons that can be reached. While these shut down, or come back and are on probation, none of them takes stage jobs, and as no other daemon was linked, each daemon coordinated for itself after 0.6 s: a hundred coordinators sent calls to the same servers, which refused them.

Links go down the ranking until three daemons take jobs (or eight can be reached), and at once when one stops taking them. A link that is not needed any more is kept for 3 s, so that the jobs which its daemon coordinates end; they were dropped and begun anew before.

Test: LeadingDaemonsStopTakingJobs_NextInRankingIsLinked.

--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -76,16 +76,28 @@
     return found != m_outbound.end() && !found->second.isEstablished && !isInStartupGrace(peer);
 }
 
-/// \return the seeds, and the head of the ranking down to where LeadingDaemons daemons are
-/// reachable
+/// \return whether the daemon takes stage jobs or that is not known yet
+bool PeerNetwork::mayTakeJobs(const framework::DaemonId &daemon) const
+{
+    if (daemon == m_self) {
+        return m_acceptsJobs();
+    }
+    return !m_outbound.contains(daemon) || isInStartupGrace(daemon) || isAccepting(daemon);
+}
+
+/// \return the seeds, and the head of the ranking down to where LeadingDaemons daemons may take
+/// jobs. Daemons that are reachable and take none, as while they shut down, leave their place to
+/// others.
 std::vector<DaemonAddress> PeerNetwork::wantedPeers() const
 {
     std::vector<DaemonAddress> result = m_seeds;
+    std::size_t usable = 0;
     std::size_t reachable = 0;
     for (const DaemonAddress &daemon : m_ranking) {
-        if (reachable == LeadingDaemons) {
+        if (usable == LeadingDaemons || reachable == m_limits.maxReachableLinks) {
             break;
         }
+        usable += mayTakeJobs(daemon.daemon) ? 1 : 0;
         reachable += isUnreachable(daemon.daemon) ? 0 : 1;
         if (daemon.daemon != m_self) {
             result.push_back(daemon);
@@ -94,6 +106,17 @@
     return result;
 }
 
+/// \return whether a link that is not needed any more is kept for now
+bool PeerNetwork::isKept(const framework::DaemonId &peer, const OutboundLink &outbound,
+                         framework::TimePoint now) const
+{
+    const bool isRanked = std::any_of(m_ranking.begin(), m_ranking.end(), [&](const auto &daemon) {
+        return daemon.daemon == peer && daemon.endpoint == outbound.endpoint;
+    });
+    return isRanked && outbound.isEstablished
+        && now - outbound.neededAt < m_limits.unneededLinkTime;
+}
+
 void PeerNetwork::connectToSeeds(const std::vector<framework::Endpoint> &seeds)
 {
     m_seeds.clear();
@@ -112,6 +135,7 @@
     for (const DaemonAddress &daemon : wantedPeers()) {
         auto node = m_outbound.extract(daemon.daemon);
         if (!node.empty() && node.mapped().endpoint == daemon.endpoint) {
+            node.mapped().neededAt = now;
             kept.insert(std::move(node));
             continue;
         }
@@ -121,6 +145,14 @@
         OutboundLink &added = kept[daemon.daemon];
         added.endpoint = daemon.endpoint;
         added.addedAt = now;
+        added.neededAt = now;
+    }
+    for (auto unneeded = m_outbound.begin(); unneeded != m_outbound.end();) {
+        const auto next = std::next(unneeded);
+        if (isKept(unneeded->first, unneeded->second, now)) {
+            kept.insert(m_outbound.extract(unneeded));
+        }
+        unneeded = next;
     }
     std::map<framework::DaemonId, OutboundLink> dropped =
         std::exchange(m_outbound, std::move(kept));
@@ -335,11 +367,15 @@
         outbound.establishedAt = m_clock.now();
         m_logger.info("link to daemon established", {{"peer", link.peer().value()}});
     }
-    outbound.acceptsJobs = pong.acceptsJobs;
+    const bool hasStoppedTakingJobs =
+        std::exchange(outbound.acceptsJobs, pong.acceptsJobs) && !pong.acceptsJobs;
     outbound.peerStartTime = m_clock.now() - pong.uptime;
     for (IPeerObserver *observer : m_observers) {
         observer->onDigests(link.peer(), pong.digests, pong.pingSent);
     }
+    if (hasStoppedTakingJobs) {
+        updateOutbound();
+    }
 }
 
 bool PeerNetwork::isOutbound(const PeerLink &link) const
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -71,11 +71,15 @@
         bool isEstablished = false;
         bool acceptsJobs = false;
         framework::TimePoint peerStartTime;
+        framework::TimePoint neededAt;
     };
 
     void onAccepted(int fd);
     void updateOutbound();
     std::vector<DaemonAddress> wantedPeers() const;
+    bool mayTakeJobs(const framework::DaemonId &daemon) const;
+    bool isKept(const framework::DaemonId &peer, const OutboundLink &outbound,
+                framework::TimePoint now) const;
     void tick();
     void maintain(const framework::DaemonId &peer, OutboundLink &outbound,
                   framework::TimePoint now);
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -36,7 +36,7 @@
     virtual framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) = 0;
 
     /// Maintains outbound links to the head of the ranking, down to the point where LeadingDaemons
-    /// daemons can be reached. This daemon counts as one that can be reached.
+    /// daemons can be reached and take stage jobs. This daemon counts as one that can be reached.
     virtual void connectTo(const std::vector<DaemonAddress> &ranking) = 0;
 
     /// Maintains outbound links to seed peers too, whose ids are not known. Replaces earlier seeds.
--- a/src/peers/tests/peernetworktest.cpp
+++ b/src/peers/tests/peernetworktest.cpp
@@ -10,6 +10,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <vector>
 
@@ -196,6 +197,36 @@
     EXPECT_TRUE(m_observerB.m_inboundClosed.empty() || m_observerB.m_inboundClosed.front() != A);
 }
 
+TEST_F(PeerNetworkTest, LeadingDaemonsStopTakingJobs_NextInRankingIsLinked)
+{
+    std::vector<RecordingObserver> observers(3);
+    std::vector<std::unique_ptr<IPeerNetwork>> leaders;
+    std::vector<DaemonAddress> ranking;
+    bool leadersTakeJobs = true;
+    for (const char *name : {"x", "y", "z"}) {
+        leaders.push_back(make(name, observers[leaders.size()]));
+        leaders.back()->setAcceptsJobs([&leadersTakeJobs] { return leadersTakeJobs; });
+        ranking.push_back(
+            {framework::DaemonId(name), leaders.back()->listen({"127.0.0.1", 0}).value()});
+    }
+    ranking.push_back({B, m_endpointB});
+    m_a->connectTo(ranking);
+    ASSERT_TRUE(waitFor([&] {
+        return std::all_of(ranking.begin(), ranking.end() - 1,
+                           [this](const auto &each) { return m_a->isAccepting(each.daemon); });
+    }));
+    EXPECT_FALSE(m_a->isAccepting(B));
+    leadersTakeJobs = false;
+    for (const auto &leader : leaders) {
+        leader->announce();
+    }
+    ASSERT_TRUE(waitFor([this] { return m_a->isAccepting(B); }));
+    leadersTakeJobs = true;
+    ASSERT_TRUE(waitFor([&] { return m_a->isAccepting(ranking.front().daemon); }));
+    EXPECT_TRUE(m_a->isAccepting(B)) << "jobs that it coordinates are not cut off";
+    EXPECT_TRUE(waitFor([this] { return !m_a->isAccepting(B); }));
+}
+
 TEST_F(PeerNetworkTest, FirstDaemonsUnreachable_NextInRankingIsLinked)
 {
     // Nothing listens on port 1.
--- a/src/peers/types/peerlimits.h
+++ b/src/peers/types/peerlimits.h
@@ -2,6 +2,8 @@
 
 #include "framework/types/milliseconds.h"
 
+#include <cstddef>
+
 namespace lavendertally::peers {
 
 /// Intervals and timeouts of the links between daemons.
@@ -19,6 +21,12 @@
     /// How long a link that was lost must be established again before its peer counts as accepting
     /// jobs.
     framework::Milliseconds probation{1000};
+    /// How long a link to a daemon of the ranking is kept after the daemon is no longer needed; the
+    /// jobs that it coordinates end meanwhile.
+    framework::Milliseconds unneededLinkTime{3000};
+    /// Largest number of reachable daemons of the ranking that are linked while too few of them
+    /// take jobs, as when all of them start.
+    std::size_t maxReachableLinks = 8;
     /// An inbound link on which nothing arrived for so long is closed.
     framework::Milliseconds inboundIdleTimeout{3000};
 };
