Responses that never end are bounded

Cause: the body of a response that is not streamed, a fetched body and a partial event were collected without a limit until the caller's time was up; a server in trouble that sends without end could fill the memory of a gateway. Heads were bounded already (64 KB).

A body counts as broken from 8 MB (16 MB where it is fetched whole), an event from 256 KB; the connection is closed. Tests: BodyNeverEnds_* (http, proxy; seen red without the bounds), EventNeverEnds_IsFoundTooLong; HeadNeverEnds_, HeaderFieldsNeverEnd_, ChunkHeaderNeverEnds_ and InterimAnswersNeverEnd_ passed before.

--- a/src/http/internal/wholeresponsecall.cpp
+++ b/src/http/internal/wholeresponsecall.cpp
@@ -4,6 +4,13 @@
 
 namespace lavendertally::http {
 
+namespace {
+
+/// Several times the largest response of the services that are fetched whole.
+constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
+
+} // namespace
+
 WholeResponseCall::WholeResponseCall(IHttpClient &client, const HttpRequest &request,
                                      std::function<void(HttpResponse)> callback)
     : m_callback(std::move(callback)), m_call(client.send(request, *this))
@@ -12,6 +19,11 @@
 void WholeResponseCall::onData(int /*status*/, std::string_view data)
 {
     m_response.body.append(data);
+    if (m_response.body.size() > MaxBodyBytes) {
+        m_response.body.clear();
+        m_call.reset();
+        onEnd(HttpEnd::Broken, 0);
+    }
 }
 
 bool WholeResponseCall::onHead(const HttpResponseHead &head)
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -84,6 +84,24 @@
         m_loop->run();
         return response;
     }
+    /// Sends the same bytes on and on, as fast as the client reads them.
+    void flood(ScriptedServer::Connection &connection, const std::string &bytes,
+               std::size_t position = 0)
+    {
+        if (connection.fd < 0) {
+            return;
+        }
+        ssize_t sent = 0;
+        do {
+            position = (position + static_cast<std::size_t>(sent)) % bytes.size();
+            sent = ::send(connection.fd, bytes.data() + position, bytes.size() - position,
+                          MSG_NOSIGNAL | MSG_DONTWAIT);
+        } while (sent > 0);
+        m_later =
+            m_loop->callAfter(framework::Milliseconds(0), [this, &connection, bytes, position] {
+                flood(connection, bytes, position);
+            });
+    }
     /// Lets the loop handle what is on its way.
     void settle()
     {
@@ -200,6 +218,70 @@
     EXPECT_EQ(fetch().end, HttpEnd::Broken);
 }
 
+TEST_F(ClientFaultTest, HeadNeverEnds_CallIsBrokenAndConnectionIsClosed)
+{
+    m_script = [this](auto &connection) {
+        ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\nX-Number: ");
+        flood(connection, std::string(1000, 'a'));
+    };
+    EXPECT_EQ(fetch().end, HttpEnd::Broken);
+    settle();
+    EXPECT_EQ(m_server.connection(0).fd, -1);
+}
+
+TEST_F(ClientFaultTest, HeaderFieldsNeverEnd_CallIsBroken)
+{
+    m_script = [this](auto &connection) {
+        ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\n");
+        flood(connection, "X-Number: 1\r\n");
+    };
+    EXPECT_EQ(fetch().end, HttpEnd::Broken);
+}
+
+TEST_F(ClientFaultTest, BodyNeverEnds_CallIsBrokenAndConnectionIsClosed)
+{
+    m_script = [this](auto &connection) {
+        ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\n\r\n");
+        flood(connection, std::string(65536, 'a'));
+    };
+    const HttpResponse response = fetch();
+    EXPECT_EQ(response.end, HttpEnd::Broken);
+    EXPECT_TRUE(response.body.empty());
+    settle();
+    EXPECT_EQ(m_server.connection(0).fd, -1);
+}
+
+TEST_F(ClientFaultTest, ChunkHeaderNeverEnds_CallEndsAtItsTimeout)
+{
+    m_script = [this](auto &connection) {
+        ScriptedServer::send(connection,
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=");
+        flood(connection, std::string(1000, 'a'));
+    };
+    HttpResponse response;
+    const auto call =
+        m_client->fetch(request(framework::Milliseconds(300)), [&](HttpResponse received) {
+            response = std::move(received);
+            m_loop->stop();
+        });
+    m_loop->run();
+    EXPECT_NE(response.end, HttpEnd::Complete);
+    EXPECT_NE(response.end, HttpEnd::NotSent);
+}
+
+TEST_F(ClientFaultTest, InterimAnswersNeverEnd_CallEndsAtItsTimeout)
+{
+    m_script = [this](auto &connection) { flood(connection, "HTTP/1.1 102 Processing\r\n\r\n"); };
+    HttpResponse response;
+    const auto call =
+        m_client->fetch(request(framework::Milliseconds(300)), [&](HttpResponse received) {
+            response = std::move(received);
+            m_loop->stop();
+        });
+    m_loop->run();
+    EXPECT_EQ(response.end, HttpEnd::TimedOut);
+}
+
 TEST_F(ClientFaultTest, InterimAnswersArePassedOver)
 {
     m_script = [](auto &connection) {
--- a/src/platform/internal/eventstreamreader.cpp
+++ b/src/platform/internal/eventstreamreader.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// An event holds the text of some tokens.
+constexpr std::size_t MaxEventBytes = 256 * 1024;
+
 std::optional<framework::StreamEventId> readId(std::string_view event)
 {
     constexpr std::string_view Field = "id:";
@@ -48,6 +51,11 @@
 
 } // namespace
 
+bool EventStreamReader::isEventTooLong() const
+{
+    return m_buffer.size() - m_position > MaxEventBytes;
+}
+
 std::optional<proxy::StreamEvent> EventStreamReader::next()
 {
     const std::size_t end = endOfEvent(m_buffer, m_position);
--- a/src/platform/internal/eventstreamreader.h
+++ b/src/platform/internal/eventstreamreader.h
@@ -17,6 +17,8 @@
     /// \return the next whole event, or nothing
     std::optional<proxy::StreamEvent> next();
 
+    /// \return whether an event has grown beyond what any engine sends; it may never end
+    bool isEventTooLong() const;
     /// \return whether an event has begun and is not complete
     bool hasPartialEvent() const { return m_position < m_buffer.size(); }
 
--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -57,6 +57,10 @@
         }
     }
     m_destroyed = nullptr;
+    if (m_events.isEventTooLong()) {
+        // The observer destroys this call, which closes the connection.
+        m_observer.onEnd(proxy::BackendCallEnd::Broken);
+    }
 }
 
 void HttpBackendCall::onEnd(http::HttpEnd end, int /*status*/)
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -234,6 +234,29 @@
     EXPECT_FALSE(decodeServerLoad("3;1;8"));
 }
 
+TEST(EventStreamReaderTest, EventNeverEnds_IsFoundTooLong)
+{
+    EventStreamReader reader;
+    reader.append("id: 1\ndata: ");
+    constexpr int Pieces = 300;
+    for (int piece = 0; piece < Pieces && !reader.isEventTooLong(); ++piece) {
+        reader.append(std::string(1024, 'a'));
+        EXPECT_FALSE(reader.next());
+    }
+    EXPECT_TRUE(reader.isEventTooLong());
+}
+
+TEST(EventStreamReaderTest, ManyWholeEvents_AreNotTooLong)
+{
+    EventStreamReader reader;
+    constexpr int Events = 3000;
+    for (int event = 0; event < Events; ++event) {
+        reader.append("data: " + std::string(1024, 'a') + "\n\n");
+        EXPECT_TRUE(reader.next());
+    }
+    EXPECT_FALSE(reader.isEventTooLong());
+}
+
 TEST(EventStreamReaderTest, EventsAreCutOutWholeWhateverThePieces)
 {
     const std::string text =
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -173,6 +173,11 @@
 void ActiveRequest::onBody(std::string_view data)
 {
     m_body.append(data);
+    if (m_body.size() > static_cast<std::size_t>(m_context.limits.maxResponseBody.value())) {
+        m_body.clear();
+        m_call.reset();
+        onEnd(BackendCallEnd::Broken);
+    }
 }
 
 void ActiveRequest::onEvent(const StreamEvent &event)
--- a/src/proxy/tests/attempttest.cpp
+++ b/src/proxy/tests/attempttest.cpp
@@ -52,6 +52,21 @@
     EXPECT_EQ(received->refusal, RefusalKind::ResponseLost);
 }
 
+TEST_F(ProxyAttemptTest, BodyNeverEnds_CallIsCancelledAndResponseCountsAsLost)
+{
+    const auto received = start("book");
+    sent().observer->onHead(head(200));
+    const std::string piece(1024 * 1024, 'a');
+    constexpr int Pieces = 64;
+    int piecesRead = 0;
+    while (piecesRead < Pieces && *sent().live) {
+        sent().observer->onBody(piece);
+        ++piecesRead;
+    }
+    EXPECT_LT(piecesRead, Pieces);
+    EXPECT_EQ(received->refusal, RefusalKind::ResponseLost);
+}
+
 TEST_F(ProxyAttemptTest, IdempotentRequestFailsTwice_SecondErrorIsForwarded)
 {
     const auto received = start("read");
--- a/src/proxy/types/proxylimits.h
+++ b/src/proxy/types/proxylimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/milliseconds.h"
+#include "framework/types/units.h"
 
 #include <cstdint>
 
@@ -14,6 +15,9 @@
     framework::Milliseconds maxConfigurationAge{4000};
     /// Retry-after time given to a client whose request no backend server could take.
     framework::Milliseconds retryAfter{200};
+    /// Size from which the body of a response that is not streamed counts as broken; it may never
+    /// end.
+    framework::Bytes maxResponseBody{8 * 1024 * 1024};
     /// Failed connections after which one request may still try another backend server; each costs
     /// a round trip.
     std::uint32_t maxConnectFailures = 3;
