Time to the first event is estimated by the size of the prompt

Cause: the stages of a request are due at its objective less the average time to the first event on its route.

proxy/firsteventestimator: exponentially weighted linear regression over the prompt's tokens for each service, shared by its routes.

--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -8,6 +8,7 @@
 #include "peers/idaemondirectory.h"
 #include "proxy/ibackendcall.h"
 #include "proxy/ibackendclient.h"
+#include "proxy/internal/firsteventestimator.h"
 #include "proxy/internal/iactiverequestowner.h"
 #include "proxy/internal/requestresolver.h"
 #include "proxy/iresponsewriter.h"
@@ -70,8 +71,8 @@
     const framework::TokenCount size =
         m_request.promptTokens + m_request.maxOutputTokens * OutputTokenCost;
     protocol::StageJob job;
-    job.objectiveLeft =
-        m_plan.route->latencyObjective - elapsed() - m_owner.firstEventTime(m_plan.route->id);
+    job.objectiveLeft = m_plan.route->latencyObjective - elapsed()
+        - m_owner.firstEvents().estimate(m_plan.service, m_request.promptTokens);
     job.timeLeft = timeLeft();
     job.worth = m_owner.relativeWorth(m_plan.route->id, size);
     job.zone = preferredZone();
@@ -202,7 +203,8 @@
         m_streaming = true;
         m_context.metrics.observe("lavendertally_first_event_ms",
                                   {{"route", m_plan.route->id.value()}}, elapsed());
-        m_owner.observeFirstEvent(m_plan.route->id, m_context.clock.now() - m_attemptStarted);
+        m_owner.firstEvents().observe(m_plan.service, m_request.promptTokens,
+                                      m_context.clock.now() - m_attemptStarted);
         m_response->startStream(*m_head);
         m_stages.release();
     }
--- a/src/proxy/internal/iactiverequestowner.h
+++ b/src/proxy/internal/iactiverequestowner.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "framework/types/ids.h"
-#include "framework/types/milliseconds.h"
 #include "framework/types/units.h"
 
 #include <cstdint>
@@ -9,6 +8,7 @@
 namespace lavendertally::proxy {
 
 class ActiveRequest;
+class FirstEventEstimator;
 
 /// What a request in flight needs from the service that owns it.
 class IActiveRequestOwner
@@ -29,11 +29,8 @@
     virtual std::uint32_t relativeWorth(const framework::RouteId &route,
                                         framework::TokenCount size) = 0;
 
-    /// \return average time from the start of an attempt to the first event of its stream
-    virtual framework::Milliseconds firstEventTime(const framework::RouteId &route) const = 0;
-    /// Updates the average that firstEventTime() returns.
-    virtual void observeFirstEvent(const framework::RouteId &route,
-                                   framework::Milliseconds taken) = 0;
+    /// \return estimates of the time to the first event, shared by all requests
+    virtual FirstEventEstimator &firstEvents() = 0;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/proxyservice.cpp
+++ b/src/proxy/internal/proxyservice.cpp
@@ -13,13 +13,9 @@
 
 namespace {
 
-/// Weight of the newest value in the exponential moving averages.
+/// Weight of the newest value in the exponential moving average.
 constexpr double SmoothingFactor = 0.05;
 
-/// Used until a route has a measurement: time that an idle model engine takes for a prompt of a few
-/// thousand tokens.
-constexpr framework::Milliseconds DefaultFirstEventTime{150};
-
 /// Part of the worth of a request that does not depend on its size, as in the users' price list;
 /// the rest is proportional to its size.
 constexpr double FixedWorth = 0.3;
@@ -91,20 +87,4 @@
     return static_cast<std::uint32_t>(std::lround(worth * WorthScale));
 }
 
-framework::Milliseconds ProxyService::firstEventTime(const framework::RouteId &route) const
-{
-    const auto found = m_firstEventTimes.find(route);
-    if (found == m_firstEventTimes.end()) {
-        return DefaultFirstEventTime;
-    }
-    return framework::Milliseconds(std::llround(found->second));
-}
-
-void ProxyService::observeFirstEvent(const framework::RouteId &route, framework::Milliseconds taken)
-{
-    const auto value = static_cast<double>(taken.value());
-    double &average = m_firstEventTimes.try_emplace(route, value).first->second;
-    average = (1.0 - SmoothingFactor) * average + SmoothingFactor * value;
-}
-
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/proxyservice.h
+++ b/src/proxy/internal/proxyservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/internal/firsteventestimator.h"
 #include "proxy/internal/iactiverequestowner.h"
 #include "proxy/iproxyservice.h"
 #include "proxy/types/proxycontext.h"
@@ -30,8 +31,7 @@
     void onRequestEnded(ActiveRequest &request) override;
     std::uint32_t relativeWorth(const framework::RouteId &route,
                                 framework::TokenCount size) override;
-    framework::Milliseconds firstEventTime(const framework::RouteId &route) const override;
-    void observeFirstEvent(const framework::RouteId &route, framework::Milliseconds taken) override;
+    FirstEventEstimator &firstEvents() override { return m_firstEvents; }
 
 private:
     ProxyContext m_context;
@@ -43,8 +43,7 @@
     std::unique_ptr<framework::ITimer> m_cleanupTimer;
     /// Moving average of the request size of each route, in weighted tokens.
     std::unordered_map<framework::RouteId, double> m_averageSizes;
-    /// Moving average of the time to the first event of each route, in milliseconds.
-    std::unordered_map<framework::RouteId, double> m_firstEventTimes;
+    FirstEventEstimator m_firstEvents;
 };
 
 } // namespace lavendertally::proxy
