Second copies of answers to stage calls are recognised

Cause: an answer to a stage call names no call. A copy of an earlier answer that arrived when the connection was in use by the next call was taken for its answer: with as many pieces, the next call's pieces got the results of other requests, and so did those of all later calls on the connection. Bytes on an idle connection, and answers that name another request, were caught already.

No two calls have a result in common, so an answer whose first result an earlier answer of that server had is a copy: the call counts as failed and the idle connections to the server are closed. An answer without results cannot be told from a copy; its connection is not used again.

--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -5,6 +5,10 @@
 #include <functional>
 #include <memory>
 
+namespace lavendertally::framework {
+struct Endpoint;
+}
+
 namespace lavendertally::http {
 
 class IHttpCall;
@@ -26,6 +30,9 @@
     /// \param callback called once, later, unless the handle is destroyed first
     virtual std::unique_ptr<IHttpCall> fetch(const HttpRequest &request,
                                              std::function<void(HttpResponse)> callback) = 0;
+
+    /// Closes the idle connections to a server whose answers may be out of step with the requests.
+    virtual void closeIdle(const framework::Endpoint &endpoint) = 0;
 };
 
 } // namespace lavendertally::http
--- a/src/http/internal/pooledhttpclient.cpp
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -39,6 +39,19 @@
     return std::make_unique<WholeResponseCall>(*this, request, std::move(callback));
 }
 
+void PooledHttpClient::closeIdle(const framework::Endpoint &endpoint)
+{
+    const auto idle = m_idle.find(endpoint);
+    if (idle == m_idle.end()) {
+        return;
+    }
+    // Closing a connection removes it from the list.
+    const std::vector<ClientConnection *> connections = idle->second;
+    for (ClientConnection *connection : connections) {
+        connection->close();
+    }
+}
+
 ClientConnection &PooledHttpClient::acquire(const framework::Endpoint &endpoint,
                                             framework::Milliseconds maxIdle)
 {
--- a/src/http/internal/pooledhttpclient.h
+++ b/src/http/internal/pooledhttpclient.h
@@ -33,6 +33,7 @@
                                     IHttpResponseObserver &observer) override;
     std::unique_ptr<IHttpCall> fetch(const HttpRequest &request,
                                      std::function<void(HttpResponse)> callback) override;
+    void closeIdle(const framework::Endpoint &endpoint) override;
 
     framework::IEventLoop &loop() { return m_loop; }
     const HttpClientOptions &options() const { return m_options; }
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -8,7 +8,11 @@
 #include "platform/internal/backendservercodec.h"
 #include "platform/internal/stagecodec.h"
 #include "platform/internal/wirenames.h"
+#include "stages/types/pieceoutcome.h"
+#include "stages/types/stagecalloutcome.h"
+#include "stages/types/startstagecall.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -47,12 +51,35 @@
     request.headers.emplace_back(std::string(wire::ExpectInstance), call.server.id.value());
     request.timeout = call.timeout;
     const std::uint64_t number = m_next++;
-    m_calls[number] = m_client.fetch(
-        request, [this, number, done = std::move(done)](const http::HttpResponse &response) {
-            // Keeps the call until its callback has returned.
-            const auto node = m_calls.extract(number);
-            done(decodeStageAnswer(response));
-        });
+    m_calls[number] = m_client.fetch(request,
+                                     [this, number, server = call.server.endpoint,
+                                      done = std::move(done)](const http::HttpResponse &response) {
+                                         // Keeps the call until its callback has returned.
+                                         const auto node = m_calls.extract(number);
+                                         done(decodeAnswer(server, response));
+                                     });
+}
+
+/// Without results nothing shows that an answer is no copy of an earlier one; its connection is not
+/// used again either.
+stages::StageCallOutcome HttpStageCallPort::decodeAnswer(const framework::Endpoint &server,
+                                                         const http::HttpResponse &response)
+{
+    const stages::StageCallOutcome outcome = decodeStageAnswer(response);
+    if (outcome.status != stages::StageCallStatus::Answered
+        || !m_recentAnswers.record(server, outcome)) {
+        return outcome;
+    }
+    m_client.closeIdle(server);
+    const bool hasResults =
+        std::any_of(outcome.pieces.begin(), outcome.pieces.end(),
+                    [](const stages::PieceOutcome &piece) { return !piece.result.isEmpty(); });
+    if (!hasResults) {
+        return outcome;
+    }
+    m_logger.warning("answer to an earlier stage call received again; call counts as failed",
+                     {{"endpoint", server.toString()}});
+    return {};
 }
 
 void HttpStageCallPort::freeResults(
--- a/src/platform/internal/httpstagecallport.h
+++ b/src/platform/internal/httpstagecallport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/internal/recentstageanswers.h"
 #include "stages/istagecallport.h"
 
 #include <cstdint>
@@ -13,6 +14,7 @@
 namespace lavendertally::http {
 class IHttpCall;
 class IHttpClient;
+struct HttpResponse;
 } // namespace lavendertally::http
 
 namespace lavendertally::platform {
@@ -31,8 +33,12 @@
                 std::function<void(const std::vector<framework::StageResultId> &)> done) override;
 
 private:
+    stages::StageCallOutcome decodeAnswer(const framework::Endpoint &server,
+                                          const http::HttpResponse &response);
+
     http::IHttpClient &m_client;
     framework::ILogger &m_logger;
+    RecentStageAnswers m_recentAnswers;
     std::uint64_t m_next = 0;
     std::map<std::uint64_t, std::unique_ptr<http::IHttpCall>> m_calls;
 };
