The head of a request has to be complete within its time limit

Cause: each part of a head that arrived restarted the time limit, so a client that sent a byte now and then held its connection for ever. The time counts from the first byte now; a body only has to go on, as before.

Test: HeadArrivesByteByByte_RequestIsRefusedAtItsTimeLimit, red before.

--- a/src/http/internal/requestparser.h
+++ b/src/http/internal/requestparser.h
@@ -32,6 +32,8 @@
 
     /// \return whether any byte of a request has been read
     bool hasStarted() const { return m_started; }
+    /// \return whether the header fields are complete
+    bool hasHead() const { return m_headChecked; }
     /// \return whether the header fields are complete and the client waits for leave to send the
     /// body; true once
     bool takeExpectsContinue();
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -77,7 +77,10 @@
             m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
         }
         if (state == RequestParser::State::NeedMore) {
-            startTimer(m_server.limits().requestTimeout);
+            // The head has to be complete within the time limit; a body only has to go on.
+            if (!std::exchange(m_isHeadTimed, true) || m_parser->hasHead()) {
+                startTimer(m_server.limits().requestTimeout);
+            }
             return;
         }
         handleRequest();
@@ -87,6 +90,7 @@
 void ServerConnection::handleRequest()
 {
     m_timer.reset();
+    m_isHeadTimed = false;
     m_handling = true;
     m_lastResponse = !m_parser->keepAlive();
     m_exchange =
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -58,6 +58,8 @@
     std::unique_ptr<RequestParser> m_parser;
     std::shared_ptr<ServerExchange> m_exchange;
     std::unique_ptr<framework::ITimer> m_timer;
+    /// Whether the time limit of the current request's head runs.
+    bool m_isHeadTimed = false;
     bool m_handling = false;
     bool m_lastResponse = false;
     bool m_lingering = false;
--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -169,6 +169,21 @@
     EXPECT_EQ(m_bodies, (std::vector<std::string>{"x", ""}));
 }
 
+TEST_F(RawServerTest, HeadArrivesByteByByte_RequestIsRefusedAtItsTimeLimit)
+{
+    RawSocket client(m_endpoint);
+    client.send("GET / HTTP/1.1\r\nHost: h\r\nX-Slow: ");
+    std::unique_ptr<framework::ITimer> next;
+    std::function<void()> sendByte = [&] {
+        client.send("a");
+        next = m_loop->callAfter(framework::Milliseconds(30), sendByte);
+    };
+    sendByte();
+    ASSERT_TRUE(runUntil([&] { return !client.received().empty(); }));
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 408"));
+    EXPECT_TRUE(m_targets.empty());
+}
+
 TEST_F(RawServerTest, SlowRequestIsTimedOut)
 {
     RawSocket client(m_endpoint);
