configuration_age_ms is the age at a request's arrival

Cause: the age was taken when the request ended, against a confirmation that may have come after its arrival; it was negative in many lines. Test: ConfigurationConfirmedDuringRequest_AgeAtArrivalIsLogged, red before.

--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -46,6 +46,7 @@
 
 void ActiveRequest::start()
 {
+    m_configurationAge = m_started - m_context.serving.confirmedAt();
     if (m_owner.isDraining()) {
         refuse({RefusalKind::NotRun, {}, "shutting down"});
         return;
@@ -390,12 +391,11 @@
     const std::string route = m_plan.route != nullptr ? m_plan.route->id.value() : std::string();
     const std::string version =
         m_plan.configuration ? std::to_string(m_plan.configuration->version().value()) : "none";
-    const framework::Milliseconds age = m_started - m_context.serving.confirmedAt();
     m_context.logger.info("request ended",
                           {{"request", m_request.id.value()},
                            {"route", route},
                            {"configuration", version},
-                           {"configuration_age_ms", std::to_string(age.value())},
+                           {"configuration_age_ms", std::to_string(m_configurationAge.value())},
                            {"outcome", outcome},
                            {"backend_server", m_server.value()},
                            {"attempts", std::to_string(m_attempts.count())},
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -84,6 +84,8 @@
     std::unique_ptr<IResponseWriter> m_response;
     framework::TimePoint m_started;
     framework::TimePoint m_deadline;
+    /// Age of the last confirmation of the configuration when the request arrived.
+    framework::Milliseconds m_configurationAge;
     std::unique_ptr<framework::ITimer> m_deadlineTimer;
     std::unique_ptr<framework::ITimer> m_backoffTimer;
     RequestPlan m_plan;
--- a/src/proxy/tests/admissiontest.cpp
+++ b/src/proxy/tests/admissiontest.cpp
@@ -5,6 +5,18 @@
 
 using ProxyAdmissionTest = ProxyFixture;
 
+TEST_F(ProxyAdmissionTest, ConfigurationConfirmedDuringRequest_AgeAtArrivalIsLogged)
+{
+    m_serving.confirm(m_clock.now() - framework::Milliseconds(300));
+    start("read");
+    advance(500);
+    m_serving.confirm(m_clock.now());
+    respond(0, head(200));
+    ASSERT_FALSE(m_logger.m_lines.empty());
+    EXPECT_EQ(m_logger.m_lines.back().event, "request ended");
+    EXPECT_EQ(m_logger.m_lines.back().fields.at("configuration_age_ms"), "300");
+}
+
 TEST_F(ProxyAdmissionTest, NoConfigurationYet_RequestIsRefusedAsNotRun)
 {
     m_serving.clear();
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -4,7 +4,7 @@
 #include "framework/imetrics.h"
 #include "framework/irandom.h"
 #include "framework/testing/fakescheduler.h"
-#include "framework/testing/nulllogger.h"
+#include "framework/testing/recordinglogger.h"
 #include "membership/testing/fakebackendservers.h"
 #include "peers/idaemondirectory.h"
 #include "proxy/ibackendcall.h"
@@ -290,7 +290,7 @@
 
     framework::FakeClock m_clock;
     framework::FakeScheduler m_scheduler;
-    framework::NullLogger m_logger;
+    framework::RecordingLogger m_logger;
     std::unique_ptr<framework::IMetrics> m_metrics;
     std::unique_ptr<framework::IRandom> m_random;
     serving::FakeServingState m_serving;
