A planned stop answers requests that have just arrived

Cause: at the end of the time that the balancer gets, the listener was closed with connections in the kernel's backlog, which resets them, and idle connections were closed whose request had arrived and was not read yet, which resets them too.

Connections in the backlog are accepted before the listener closes; one with unread input stays open; a new one gets 300 ms for its first request; the process ends when no connection is left on which a request may still come.

Tests: ListeningStopsBeforeConnectionIsAccepted_RequestOnItIsAnswered, RequestArrivesAsIdleConnectionsAreClosed_ItIsAnswered, NewConnectionSendsNothingWhileServerCloses_ ItIsClosed; each red with its mechanism disabled.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -258,7 +258,8 @@
     if (elapsed >= forcedEndAfter) {
         m_proxy->endAll();
     }
-    const bool idle = m_proxy->activeRequests() == 0 && m_clientServer->unfinishedExchanges() == 0;
+    const bool idle = m_proxy->activeRequests() == 0 && m_clientServer->unfinishedExchanges() == 0
+        && m_clientServer->connectionsInUse() == 0;
     const bool balancerStopped = elapsed >= LoadBalancerReactionTime;
     if ((idle && balancerStopped) || elapsed >= forcedEndAfter + FlushTime) {
         m_logger->info("gateway stopped",
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -31,16 +31,21 @@
     /// \return the endpoint with its real port, or HttpError
     virtual framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) = 0;
 
-    /// Accepts no further connections; exchanges under way go on.
+    /// Accepts no further connections, apart from those that the kernel has established already;
+    /// exchanges under way go on.
     virtual void stopListening() = 0;
 
     /// Ends each connection after the next response on it. Idle connections stay open, so that a
     /// request on its way is still answered.
     virtual void closeAfterResponses() = 0;
 
-    /// Closes the connections on which no request is under way.
+    /// Closes the connections on which no request is under way. One whose request has arrived and
+    /// was not read yet stays open, and a new one gets a short time for its first request.
     virtual void closeIdleConnections() = 0;
 
+    /// \return connections on which a request is under way or may still come
+    virtual std::size_t connectionsInUse() const = 0;
+
     /// \return exchanges whose response has not yet been handed to the network as a whole
     virtual std::size_t unfinishedExchanges() const = 0;
 };
--- a/src/http/internal/bufferedhttpserver.cpp
+++ b/src/http/internal/bufferedhttpserver.cpp
@@ -14,6 +14,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace lavendertally::http {
@@ -31,7 +32,9 @@
 
 BufferedHttpServer::~BufferedHttpServer()
 {
-    stopListening();
+    if (m_listener != nullptr) {
+        evconnlistener_free(m_listener);
+    }
     for (auto &[address, connection] : std::exchange(m_connections, {})) {
         m_discarded.push_back(std::move(connection));
     }
@@ -71,10 +74,17 @@
 
 void BufferedHttpServer::stopListening()
 {
-    if (m_listener != nullptr) {
-        evconnlistener_free(m_listener);
-        m_listener = nullptr;
+    if (m_listener == nullptr) {
+        return;
+    }
+    // Closing the listener resets the connections that wait to be accepted.
+    const int listenerFd = evconnlistener_get_fd(m_listener);
+    int fd = -1;
+    while ((fd = accept4(listenerFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        accepted(m_listener, fd, nullptr, 0, this);
     }
+    evconnlistener_free(m_listener);
+    m_listener = nullptr;
 }
 
 void BufferedHttpServer::closeIdleConnections()
@@ -86,10 +96,17 @@
         }
     }
     for (ServerConnection *connection : idle) {
-        connection->close();
+        connection->closeIdle();
     }
 }
 
+std::size_t BufferedHttpServer::connectionsInUse() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const auto &entry) { return !entry.second->isLingering(); }));
+}
+
 void BufferedHttpServer::accepted(evconnlistener * /*listener*/, int fd, sockaddr * /*address*/,
                                   int /*length*/, void *self)
 {
--- a/src/http/internal/bufferedhttpserver.h
+++ b/src/http/internal/bufferedhttpserver.h
@@ -32,6 +32,7 @@
     void stopListening() override;
     void closeAfterResponses() override { m_closing = true; }
     void closeIdleConnections() override;
+    std::size_t connectionsInUse() const override;
     std::size_t unfinishedExchanges() const override { return *m_unfinished; }
 
     framework::IEventLoop &loop() { return m_loop; }
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -19,6 +19,10 @@
 /// and not a reset.
 constexpr framework::Milliseconds LingerTime{1000};
 
+/// Time for the first request on a new connection of a server that closes its idle ones; a client
+/// that has just connected sends its request within a round trip.
+constexpr framework::Milliseconds FirstRequestTime{300};
+
 } // namespace
 
 ServerConnection::ServerConnection(BufferedHttpServer &server, int fd)
@@ -48,6 +52,18 @@
     return !m_handling && !m_lingering && !m_parser->hasStarted();
 }
 
+void ServerConnection::closeIdle()
+{
+    if (m_socket->hasUnreadInput()) {
+        return;
+    }
+    if (m_hadRequest) {
+        close();
+    } else if (!std::exchange(m_awaitsFirstRequest, true)) {
+        startTimer(FirstRequestTime);
+    }
+}
+
 void ServerConnection::onReadable()
 {
     if (m_lingering) {
@@ -91,6 +107,7 @@
 {
     m_timer.reset();
     m_isHeadTimed = false;
+    m_hadRequest = true;
     m_handling = true;
     m_lastResponse = !m_parser->keepAlive();
     m_exchange =
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -35,6 +35,11 @@
     void closeAfterResponse() { m_lastResponse = true; }
     /// \return whether no byte of a request has come since the last response
     bool isIdle() const;
+    /// \return whether the last response has been sent and the client has to close
+    bool isLingering() const { return m_lingering; }
+    /// Ends an idle connection unless a request has arrived. One that has had no request yet ends
+    /// after a short time without one.
+    void closeIdle();
     /// The response has been written as a whole.
     void responseEnded();
     /// Ends the connection; the object is destroyed later.
@@ -61,6 +66,8 @@
     /// Whether the time limit of the current request's head runs.
     bool m_isHeadTimed = false;
     bool m_handling = false;
+    bool m_hadRequest = false;
+    bool m_awaitsFirstRequest = false;
     bool m_lastResponse = false;
     bool m_lingering = false;
     bool m_closed = false;
--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -209,6 +209,40 @@
     EXPECT_NE(client.received().find("Connection: close"), std::string::npos);
 }
 
+TEST_F(RawServerTest, ListeningStopsBeforeConnectionIsAccepted_RequestOnItIsAnswered)
+{
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_server->closeAfterResponses();
+    m_server->stopListening();
+    m_server->closeIdleConnections();
+    EXPECT_EQ(m_server->connectionsInUse(), 1U);
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_TRUE(client.received().starts_with(Ok)) << client.received();
+}
+
+TEST_F(RawServerTest, RequestArrivesAsIdleConnectionsAreClosed_ItIsAnswered)
+{
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("ok"); }));
+    client.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_server->closeIdleConnections();
+    ASSERT_TRUE(runUntil([&] { return m_targets.size() == 2; }));
+    EXPECT_TRUE(
+        runUntil([&] { return client.received().rfind("ok") > client.received().find("ok"); }));
+}
+
+TEST_F(RawServerTest, NewConnectionSendsNothingWhileServerCloses_ItIsClosed)
+{
+    RawSocket client(m_endpoint);
+    m_server->stopListening();
+    m_server->closeIdleConnections();
+    EXPECT_EQ(m_server->connectionsInUse(), 1U);
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_EQ(m_server->connectionsInUse(), 0U);
+}
+
 TEST_F(RawServerTest, IdleConnectionsCanBeClosedWhileOthersAreServed)
 {
     std::shared_ptr<IHttpExchange> kept;
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -35,6 +35,9 @@
 
     /// \return all unread input; valid until the next call on this socket
     std::string_view input();
+    /// \return whether input has arrived that was not consumed, also if the loop has not read it
+    /// yet
+    bool hasUnreadInput() const;
     /// Removes \p count bytes from the front of the input.
     void consume(std::size_t count);
 
--- a/src/network/internal/bufferedsocket.cpp
+++ b/src/network/internal/bufferedsocket.cpp
@@ -86,6 +86,13 @@
     return {bytes, length};
 }
 
+bool BufferedSocket::hasUnreadInput() const
+{
+    char byte = 0;
+    return evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) > 0
+        || recv(bufferevent_getfd(m_bufferEvent), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void BufferedSocket::consume(std::size_t count)
 {
     evbuffer_drain(bufferevent_get_input(m_bufferEvent), count);
