Gateways that the store turns away learn from the next ones it serves

When the store turns the leading gateways away, the others heard stale state from them and read the store for themselves, and those that the store turned away too had no way to a confirmation and refused all requests with a key.

A peer is informed if it has confirmed all topics within their limits of age. While no linked peer is, links go down the ranking; daemons known to be stale do not count among those that could read the store for this one, so the next in the ranking that the store serves reads without delay and tells all.

Tests: PeerNetworkTest.LinkedPeersAreNotInformed_NextInRankingIsLinked, TopicExchangeTest.StoreTurnsLeadingDaemonsAway_NextOneReadsAndTellsThem.

--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -28,6 +28,7 @@
     : m_loop(loop), m_clock(clock), m_logger(logger), m_self(std::move(self)), m_limits(limits),
       m_codec(protocol::ProtocolModule::makePeerCodec()), m_acceptsJobs([] { return false; }),
       m_digests([] { return std::vector<protocol::TopicDigest>(); }),
+      m_isInformed([](const framework::DaemonId & /*peer*/) { return true; }),
       m_listener(loop.base(), [this](int fd) { onAccepted(fd); }), m_started(clock.now())
 { }
 
@@ -43,6 +44,11 @@
     m_digests = std::move(digests);
 }
 
+void PeerNetwork::setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed)
+{
+    m_isInformed = std::move(isInformed);
+}
+
 framework::Result<framework::Endpoint> PeerNetwork::listen(const framework::Endpoint &endpoint)
 {
     BOOST_LEAF_ASSIGN(m_endpoint, m_listener.listen(endpoint));
@@ -85,18 +91,30 @@
     return !m_outbound.contains(daemon) || isInStartupGrace(daemon) || isAccepting(daemon);
 }
 
+/// \return whether the daemon can tell this one the shared state or that is not known yet
+bool PeerNetwork::mayBeInformed(const framework::DaemonId &daemon) const
+{
+    const auto found = m_outbound.find(daemon);
+    return daemon != m_self
+        && (found == m_outbound.end() || isInStartupGrace(daemon)
+            || (found->second.isEstablished && m_isInformed(daemon)));
+}
+
 /// \return the seeds, and the head of the ranking down to where LeadingDaemons daemons may take
-/// jobs. Daemons that are reachable and take none, as while they shut down, leave their place to
-/// others.
+/// jobs and one may be informed. Daemons that are reachable and take none, as while they shut down,
+/// or that the store has turned away, leave their place to others.
 std::vector<DaemonAddress> PeerNetwork::wantedPeers() const
 {
     std::vector<DaemonAddress> result = m_seeds;
     std::size_t usable = 0;
     std::size_t reachable = 0;
+    bool hasInformed = false;
     for (const DaemonAddress &daemon : m_ranking) {
-        if (usable == LeadingDaemons || reachable == m_limits.maxReachableLinks) {
+        const bool isEnough = usable >= LeadingDaemons && hasInformed;
+        if (isEnough || reachable == m_limits.maxReachableLinks) {
             break;
         }
+        hasInformed = hasInformed || mayBeInformed(daemon.daemon);
         usable += mayTakeJobs(daemon.daemon) ? 1 : 0;
         reachable += isUnreachable(daemon.daemon) ? 0 : 1;
         if (daemon.daemon != m_self) {
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -40,6 +40,7 @@
     void addObserver(IPeerObserver &observer) override { m_observers.push_back(&observer); }
     void setAcceptsJobs(std::function<bool()> accepts) override;
     void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) override;
+    void setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed) override;
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
     void connectTo(const std::vector<DaemonAddress> &ranking) override;
     void connectToSeeds(const std::vector<framework::Endpoint> &seeds) override;
@@ -78,6 +79,7 @@
     void updateOutbound();
     std::vector<DaemonAddress> wantedPeers() const;
     bool mayTakeJobs(const framework::DaemonId &daemon) const;
+    bool mayBeInformed(const framework::DaemonId &daemon) const;
     bool isKept(const framework::DaemonId &peer, const OutboundLink &outbound,
                 framework::TimePoint now) const;
     void tick();
@@ -104,6 +106,7 @@
     std::vector<IPeerObserver *> m_observers;
     std::function<bool()> m_acceptsJobs;
     std::function<std::vector<protocol::TopicDigest>()> m_digests;
+    std::function<bool(const framework::DaemonId &)> m_isInformed;
     PeerListener m_listener;
     framework::Endpoint m_endpoint;
     std::vector<DaemonAddress> m_ranking;
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -30,6 +30,10 @@
     /// \param digests returns how recent this daemon's topics are; sent to the peers in each pong
     virtual void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) = 0;
 
+    /// \param isInformed returns whether the state that a linked peer shares is recent. While no
+    /// linked peer's is, links go further down the ranking
+    virtual void setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed) = 0;
+
     /// Accepts inbound links, and starts to maintain the outbound ones.
     /// \param endpoint port 0 binds a free port
     /// \return the endpoint with the port that was bound, or PeerError
--- a/src/peers/tests/peernetworktest.cpp
+++ b/src/peers/tests/peernetworktest.cpp
@@ -227,6 +227,27 @@
     EXPECT_TRUE(waitFor([this] { return !m_a->isAccepting(B); }));
 }
 
+TEST_F(PeerNetworkTest, LinkedPeersAreNotInformed_NextInRankingIsLinked)
+{
+    std::vector<RecordingObserver> observers(3);
+    std::vector<std::unique_ptr<IPeerNetwork>> leaders;
+    std::vector<DaemonAddress> ranking;
+    for (const char *name : {"x", "y", "z"}) {
+        leaders.push_back(make(name, observers[leaders.size()]));
+        ranking.push_back(
+            {framework::DaemonId(name), leaders.back()->listen({"127.0.0.1", 0}).value()});
+    }
+    ranking.push_back({B, m_endpointB});
+    bool areLeadersInformed = true;
+    m_a->setIsInformed(
+        [&](const framework::DaemonId &peer) { return peer == B || areLeadersInformed; });
+    m_a->connectTo(ranking);
+    ASSERT_TRUE(waitFor([&] { return m_a->linkedPeers().size() == leaders.size(); }));
+    EXPECT_FALSE(m_a->isAccepting(B));
+    areLeadersInformed = false;
+    EXPECT_TRUE(waitFor([this] { return m_a->isAccepting(B); }));
+}
+
 TEST_F(PeerNetworkTest, FirstDaemonsUnreachable_NextInRankingIsLinked)
 {
     // Nothing listens on port 1.
--- a/src/peers/types/peerlimits.h
+++ b/src/peers/types/peerlimits.h
@@ -25,7 +25,7 @@
     /// jobs that it coordinates end meanwhile.
     framework::Milliseconds unneededLinkTime{3000};
     /// Largest number of reachable daemons of the ranking that are linked while too few of them
-    /// take jobs, as when all of them start.
+    /// take jobs or none is informed, as when all of them start.
     std::size_t maxReachableLinks = 8;
     /// An inbound link on which nothing arrived for so long is closed.
     framework::Milliseconds inboundIdleTimeout{3000};
--- a/src/replication/internal/topicexchange.cpp
+++ b/src/replication/internal/topicexchange.cpp
@@ -49,6 +49,7 @@
 {
     m_network.addObserver(*this);
     m_network.setDigests([this] { return digests(); });
+    m_network.setIsInformed([this](const framework::DaemonId &peer) { return isInformed(peer); });
     m_directory.onChange([this] { updatePosition(); });
 }
 
@@ -80,25 +81,44 @@
 
 void TopicExchange::updatePosition()
 {
-    m_reachableAhead = 0;
+    m_sourcesAhead = 0;
+    std::size_t reachableAhead = 0;
     for (const peers::DaemonAddress &daemon : m_directory.ranking()) {
         if (daemon.daemon == m_self) {
             break;
         }
-        m_reachableAhead += m_network.isUnreachable(daemon.daemon) ? 0 : 1;
+        const bool isReachable = !m_network.isUnreachable(daemon.daemon);
+        const bool isStale =
+            m_peerConfirmations.contains(daemon.daemon) && !isInformed(daemon.daemon);
+        reachableAhead += isReachable ? 1 : 0;
+        m_sourcesAhead += isReachable && !isStale ? 1 : 0;
     }
-    m_isLeadingReader = m_reachableAhead < m_limits.storeReaderCount;
+    m_isLeadingReader = reachableAhead < m_limits.storeReaderCount;
+}
+
+/// \return whether the peer has confirmed all topics recently
+bool TopicExchange::isInformed(const framework::DaemonId &peer) const
+{
+    const auto found = m_peerConfirmations.find(peer);
+    if (found == m_peerConfirmations.end()) {
+        return false;
+    }
+    const framework::TimePoint now = m_clock.now();
+    return std::all_of(m_topics.begin(), m_topics.end(), [&](const auto &entry) {
+        const auto confirmed = found->second.find(entry.first);
+        return confirmed != found->second.end()
+            && now - confirmed->second <= entry.second.maxStaleness;
+    });
 }
 
 /// The daemon after those that read the store is linked by all others, too, and replaces them
 /// without delay.
 framework::Milliseconds TopicExchange::fallbackDelay(framework::TimePoint now) const
 {
-    if (now - m_peerHeardAt > m_limits.peerSilence
-        || m_reachableAhead <= m_limits.storeReaderCount) {
+    if (now - m_peerHeardAt > m_limits.peerSilence || m_sourcesAhead <= m_limits.storeReaderCount) {
         return framework::Milliseconds(0);
     }
-    const std::size_t candidatesAhead = m_reachableAhead - m_limits.storeReaderCount;
+    const std::size_t candidatesAhead = m_sourcesAhead - m_limits.storeReaderCount;
     return std::min(m_limits.fallbackStep * static_cast<std::int64_t>(candidatesAhead),
                     m_limits.maxFallbackDelay);
 }
@@ -182,6 +202,9 @@
         const auto found = m_topics.find(digest.topic);
         if (found != m_topics.end()) {
             applyDigest(peer, found->second, digest, pingSent);
+            if (pingSent) {
+                m_peerConfirmations[peer][digest.topic] = *pingSent - digest.age;
+            }
         }
     }
 }
@@ -307,6 +330,7 @@
 
 void TopicExchange::onOutboundLinkLost(const framework::DaemonId &peer)
 {
+    m_peerConfirmations.erase(peer);
     for (auto &[name, topic] : m_topics) {
         if (topic.queriedPeer == peer) {
             topic.pendingQuery.reset();
--- a/src/replication/tests/topicexchangetest.cpp
+++ b/src/replication/tests/topicexchangetest.cpp
@@ -61,6 +61,10 @@
     std::vector<DaemonId> linkedPeers() const override { return {}; }
     bool isAccepting(const DaemonId & /*peer*/) const override { return true; }
     bool isInStartupGrace(const DaemonId & /*peer*/) const override { return false; }
+    void setIsInformed(std::function<bool(const DaemonId &)> informed) override
+    {
+        isInformed = std::move(informed);
+    }
     bool isUnreachable(const DaemonId &peer) const override { return unreachable.contains(peer); }
     bool isSelfAccepting() const override { return true; }
     TimePoint startTimeOf(const DaemonId & /*peer*/) const override { return {}; }
@@ -93,6 +97,7 @@
 
     std::map<DaemonId, FakeNetwork *> links;
     std::set<DaemonId> unreachable;
+    std::function<bool(const DaemonId &)> isInformed;
     std::size_t seedCount = 0;
     int sentCount = 0;
     bool dropsMessages = false;
@@ -339,6 +344,26 @@
     EXPECT_TRUE(last().source.isActive) << "a daemon that others cannot help reads the store";
 }
 
+TEST_F(TopicExchangeTest, StoreTurnsLeadingDaemonsAway_NextOneReadsAndTellsThem)
+{
+    startAll();
+    advance(Milliseconds(4000));
+    for (std::size_t leader = 0; leader < peers::LeadingDaemons; ++leader) {
+        m_daemons[leader]->isCutOff = true;
+    }
+    m_store.put("k", "2");
+    EXPECT_TRUE(last().network.isInformed(m_order[0]));
+    advance(MaxStaleness + ReadInterval + PingInterval);
+    EXPECT_FALSE(last().network.isInformed(m_order[0]));
+    EXPECT_TRUE(last().source.isActive) << "the first one that the store serves";
+    EXPECT_EQ(last().observer.state, (State{{"k", "2"}}));
+    first().network.ping(m_order[3]);
+    first().network.ping(m_order[3]);
+    EXPECT_TRUE(first().network.isInformed(m_order[3]));
+    EXPECT_EQ(first().observer.state, (State{{"k", "2"}}));
+    EXPECT_LE(age(first()), ReadInterval + PingInterval);
+}
+
 TEST_F(TopicExchangeTest, OneReaderDown_FollowerStaysUpToDate)
 {
     startAll();
--- a/src/replication/topicexchange.h
+++ b/src/replication/topicexchange.h
@@ -94,6 +94,7 @@
     void chooseSource(protocol::StateTopic name, Topic &topic, framework::TimePoint now);
     void updateSeedLinks(framework::TimePoint now);
     void updatePosition();
+    bool isInformed(const framework::DaemonId &peer) const;
     framework::Milliseconds fallbackDelay(framework::TimePoint now) const;
     std::vector<protocol::TopicDigest> digests() const;
     void applyDigest(const framework::DaemonId &peer, Topic &topic,
@@ -117,9 +118,13 @@
     std::vector<framework::Endpoint> m_seeds;
     bool m_isLinkedToSeeds = false;
     bool m_isLeadingReader = true;
-    /// Number of daemons before this one in the ranking that are not unreachable.
-    std::size_t m_reachableAhead = 0;
+    /// Number of daemons before this one in the ranking that may read the store for it: neither
+    /// unreachable nor known to have stale state.
+    std::size_t m_sourcesAhead = 0;
     framework::TimePoint m_peerHeardAt;
+    /// Instants before which linked peers have confirmed their state.
+    std::map<framework::DaemonId, std::map<protocol::StateTopic, framework::TimePoint>>
+        m_peerConfirmations;
     framework::TimePoint m_started;
     std::uint64_t m_lastSequence = 0;
     std::unique_ptr<framework::ITimer> m_timer;
--- a/src/stages/tests/stageservicetest.cpp
+++ b/src/stages/tests/stageservicetest.cpp
@@ -43,6 +43,7 @@
     {
         return otherIsInStartupGrace;
     }
+    void setIsInformed(std::function<bool(const DaemonId &)> /*isInformed*/) override { }
     bool isUnreachable(const DaemonId & /*peer*/) const override { return false; }
     bool isSelfAccepting() const override { return true; }
     TimePoint startTimeOf(const DaemonId & /*peer*/) const override { return {}; }
