--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -4,13 +4,14 @@
 #include "framework/ieventloop.h"
 #include "framework/ilogger.h"
 #include "framework/itimer.h"
+#include "peers/internal/linkdepth.h"
 #include "peers/internal/peerlink.h"
 #include "peers/ipeerobserver.h"
-#include "peers/leadingdaemons.h"
 #include "protocol/ipeermessagecodec.h"
 #include "protocol/protocolmodule.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lavendertally::peers {
@@ -82,45 +83,32 @@
     return found != m_outbound.end() && !found->second.isEstablished && !isInStartupGrace(peer);
 }
 
-/// \return whether the daemon takes stage jobs or that is not known yet
-bool PeerNetwork::mayTakeJobs(const framework::DaemonId &daemon) const
+LinkCandidate PeerNetwork::linkCandidate(const framework::DaemonId &daemon) const
 {
     if (daemon == m_self) {
-        return m_acceptsJobs();
+        return {true, m_acceptsJobs(), false};
     }
-    return !m_outbound.contains(daemon) || isInStartupGrace(daemon) || isAccepting(daemon);
-}
-
-/// \return whether the daemon can tell this one the shared state or that is not known yet
-bool PeerNetwork::mayBeInformed(const framework::DaemonId &daemon) const
-{
     const auto found = m_outbound.find(daemon);
-    return daemon != m_self
-        && (found == m_outbound.end() || isInStartupGrace(daemon)
-            || (found->second.isEstablished && m_isInformed(daemon)));
+    if (found == m_outbound.end() || isInStartupGrace(daemon)) {
+        return {};
+    }
+    const bool isEstablished = found->second.isEstablished;
+    return {isEstablished, isAccepting(daemon), isEstablished && m_isInformed(daemon)};
 }
 
-/// \return the seeds, and the head of the ranking down to where LeadingDaemons daemons may take
-/// jobs and one may be informed. Daemons that are reachable and take none, as while they shut down,
-/// or that the store has turned away, leave their place to others.
+/// \return the seeds and the daemons of the ranking that linkDepth() tells
 std::vector<DaemonAddress> PeerNetwork::wantedPeers() const
 {
-    std::vector<DaemonAddress> result = m_seeds;
-    std::size_t usable = 0;
-    std::size_t reachable = 0;
-    bool hasInformed = false;
+    std::vector<LinkCandidate> candidates;
+    candidates.reserve(m_ranking.size());
     for (const DaemonAddress &daemon : m_ranking) {
-        const bool isEnough = usable >= LeadingDaemons && hasInformed;
-        if (isEnough || reachable == m_limits.maxReachableLinks) {
-            break;
-        }
-        hasInformed = hasInformed || mayBeInformed(daemon.daemon);
-        usable += mayTakeJobs(daemon.daemon) ? 1 : 0;
-        reachable += isUnreachable(daemon.daemon) ? 0 : 1;
-        if (daemon.daemon != m_self) {
-            result.push_back(daemon);
-        }
+        candidates.push_back(linkCandidate(daemon.daemon));
     }
+    const std::size_t depth = linkDepth(candidates, m_limits.maxReachableLinks);
+    std::vector<DaemonAddress> result = m_seeds;
+    std::copy_if(m_ranking.begin(), m_ranking.begin() + static_cast<std::ptrdiff_t>(depth),
+                 std::back_inserter(result),
+                 [this](const DaemonAddress &daemon) { return daemon.daemon != m_self; });
     return result;
 }
 
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/timepoint.h"
 #include "peers/internal/ipeerlinkowner.h"
+#include "peers/internal/linkcandidate.h"
 #include "peers/internal/peerlistener.h"
 #include "peers/ipeernetwork.h"
 #include "peers/types/peerlimits.h"
@@ -78,8 +79,7 @@
     void onAccepted(int fd);
     void updateOutbound();
     std::vector<DaemonAddress> wantedPeers() const;
-    bool mayTakeJobs(const framework::DaemonId &daemon) const;
-    bool mayBeInformed(const framework::DaemonId &daemon) const;
+    LinkCandidate linkCandidate(const framework::DaemonId &daemon) const;
     bool isKept(const framework::DaemonId &peer, const OutboundLink &outbound,
                 framework::TimePoint now) const;
     void tick();
--- a/src/stages/testing/largepools.h
+++ b/src/stages/testing/largepools.h
@@ -24,9 +24,11 @@
 
     LargePools()
     {
-        m_serving.set({},
-                      {pool("ledger", 16, 13000, 19000000), pool("scale", 54, 3800, 5900000),
-                       pool("log", 68, 3000, 750000)});
+        m_serving.set(
+            {},
+            {pool("ledger", 16, framework::Microseconds(13000), framework::Bytes(19000000)),
+             pool("scale", 54, framework::Microseconds(3800), framework::Bytes(5900000)),
+             pool("log", 68, framework::Microseconds(3000), framework::Bytes(750000))});
         add("ledger", 46);
         add("scale", 36);
         add("log", 42);
@@ -57,7 +59,7 @@
 
 private:
     static serving::ServiceSpec pool(const char *id, std::uint32_t batchSize,
-                                     std::int64_t pieceMicroseconds, std::int64_t resultBytes)
+                                     framework::Microseconds pieceTime, framework::Bytes capacity)
     {
         serving::ServiceSpec service;
         service.id = framework::ServiceId(id);
@@ -65,8 +67,8 @@
                                                2,
                                                batchSize,
                                                framework::Milliseconds(240),
-                                               framework::Microseconds(pieceMicroseconds),
-                                               framework::Bytes(resultBytes),
+                                               pieceTime,
+                                               capacity,
                                                framework::Milliseconds(4000)};
         return service;
     }
@@ -96,24 +98,24 @@
             result.route = framework::RouteId("short");
             result.priority = framework::PriorityRank(1);
             result.objectiveLeft = framework::Milliseconds(1000);
-            addStage(result, 0, "ledger", {}, 1 + random.below(4), 800000);
+            addStage(result, 0, "ledger", {}, 1 + random.below(4), framework::Bytes(800000));
             return result;
         }
         const bool urgent = drawn < ShortShare + UrgentShare;
         result.route = framework::RouteId(urgent ? "urgent" : "background");
         result.priority = framework::PriorityRank(urgent ? 0 : 2);
         result.objectiveLeft = framework::Milliseconds(1850);
-        addStage(result, 0, "ledger", {}, 1, 8000);
-        addStage(result, 1, "scale", {0}, 4, 60000);
-        addStage(result, 2, "log", {1}, 4 + random.below(5), 6000);
+        addStage(result, 0, "ledger", {}, 1, framework::Bytes(8000));
+        addStage(result, 1, "scale", {0}, 4, framework::Bytes(60000));
+        addStage(result, 2, "log", {1}, 4 + random.below(5), framework::Bytes(6000));
         return result;
     }
     static void addStage(protocol::StageJob &job, std::uint32_t index, const char *service,
                          std::vector<std::uint32_t> after, std::uint64_t pieces,
-                         std::int64_t resultBytes)
+                         framework::Bytes resultSize)
     {
         job.stages.push_back({index, framework::ServiceId(service), std::move(after),
-                              static_cast<std::uint32_t>(pieces), framework::Bytes(resultBytes)});
+                              static_cast<std::uint32_t>(pieces), resultSize});
     }
 
     serving::FakeServingState m_serving;
