A new coordinator asks stage servers for their free storage

Cause: after all gateways, or the coordinator, were killed, the results of the jobs that were lost fill the stage servers until they expire (4 s).

stages/storagequeries: each server is asked once when it is first used, and again every 0.6 s while it holds results that are not known, for as long as such results can live. What a report tells beyond the known results counts as in use for 1 s.

Tests: ServerHoldsResultsOfKilledCoordinator_GetsNoCallUntilTheyExpire, ServersHoldNothingUnknown_EachIsAskedOnce, StageReportTest.

--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -23,6 +23,9 @@
 /// Freeing results is best effort; the results expire by themselves.
 constexpr framework::Milliseconds FreeTimeout{1000};
 
+/// A later report would be of no use: the server has calls by then.
+constexpr framework::Milliseconds ReportTimeout{500};
+
 http::HttpRequest jsonRequest(const framework::Endpoint &endpoint, std::string_view target,
                               std::string body)
 {
@@ -82,6 +85,31 @@
     return {};
 }
 
+void HttpStageCallPort::queryFreeStorage(const membership::BackendServerEntry &server,
+                                         std::function<void(framework::Bytes)> done)
+{
+    http::HttpRequest request;
+    request.endpoint = server.endpoint;
+    request.target = std::string(wire::Report);
+    request.headers.emplace_back(std::string(wire::ExpectInstance), server.id.value());
+    request.timeout = ReportTimeout;
+    const std::uint64_t number = m_next++;
+    m_calls[number] = m_client.fetch(
+        request,
+        [this, number, endpoint = server.endpoint,
+         done = std::move(done)](const http::HttpResponse &response) {
+            const auto node = m_calls.extract(number);
+            const auto free = decodeFreeStorage(response);
+            if (!free) {
+                m_logger.info("free storage of a stage server unknown; taken to be all of it",
+                              {{"endpoint", endpoint.toString()},
+                               {"status", std::to_string(response.status)}});
+                return;
+            }
+            done(*free);
+        });
+}
+
 void HttpStageCallPort::freeResults(
     const std::vector<framework::StageResultId> &results,
     std::function<void(const std::vector<framework::StageResultId> &)> done)
--- a/src/platform/internal/httpstagecallport.h
+++ b/src/platform/internal/httpstagecallport.h
@@ -31,6 +31,8 @@
     void
     freeResults(const std::vector<framework::StageResultId> &results,
                 std::function<void(const std::vector<framework::StageResultId> &)> done) override;
+    void queryFreeStorage(const membership::BackendServerEntry &server,
+                          std::function<void(framework::Bytes)> done) override;
 
 private:
     stages::StageCallOutcome decodeAnswer(const framework::Endpoint &server,
--- a/src/platform/internal/stagecodec.cpp
+++ b/src/platform/internal/stagecodec.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lavendertally::platform {
@@ -97,4 +98,18 @@
     return outcome;
 }
 
+std::optional<framework::Bytes> decodeFreeStorage(const http::HttpResponse &response)
+{
+    constexpr double BytesPerMegabyte = 1e6;
+    if (response.end != http::HttpEnd::Complete || response.status != HttpOk) {
+        return std::nullopt;
+    }
+    const auto json = nlohmann::json::parse(response.body, nullptr, false);
+    const auto free = json.is_object() ? json.find("freeMb") : json.end();
+    if (free == json.end() || !free->is_number()) {
+        return std::nullopt;
+    }
+    return framework::Bytes(std::llround(free->get<double>() * BytesPerMegabyte));
+}
+
 } // namespace lavendertally::platform
--- a/src/platform/internal/stagecodec.h
+++ b/src/platform/internal/stagecodec.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "framework/types/units.h"
 #include "stages/types/piecerequest.h"
 #include "stages/types/stagecalloutcome.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,4 +21,8 @@
 /// \return how a stage call ended; an answer that cannot be read counts as unknown
 stages::StageCallOutcome decodeStageAnswer(const http::HttpResponse &response);
 
+/// \return the free result storage that a backend server reports, or nothing if the response is no
+/// such report
+std::optional<framework::Bytes> decodeFreeStorage(const http::HttpResponse &response);
+
 } // namespace lavendertally::platform
--- a/src/platform/internal/wirenames.h
+++ b/src/platform/internal/wirenames.h
@@ -46,6 +46,7 @@
 inline constexpr std::string_view LogNewest = "/log-newest";
 inline constexpr std::string_view StageRun = "/stage-run";
 inline constexpr std::string_view StageFree = "/stage-free";
+inline constexpr std::string_view Report = "/report";
 
 inline constexpr std::string_view JsonType = "application/json";
 inline constexpr std::string_view EventStreamType = "text/event-stream";
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -234,6 +234,22 @@
     EXPECT_FALSE(decodeServerLoad("3;1;8"));
 }
 
+TEST(StageReportTest, FreeStorageIsReadAndBadReportsAreNot)
+{
+    http::HttpResponse response;
+    response.end = http::HttpEnd::Complete;
+    response.status = 200;
+    response.body = R"({"waiting":0,"busy":false,"freeMb":2.5})";
+    EXPECT_EQ(decodeFreeStorage(response), framework::Bytes(2500000));
+    response.body = R"({"freeMb":"many"})";
+    EXPECT_FALSE(decodeFreeStorage(response));
+    response.body = "{";
+    EXPECT_FALSE(decodeFreeStorage(response));
+    response.body = R"({"freeMb":2})";
+    response.status = 421;
+    EXPECT_FALSE(decodeFreeStorage(response));
+}
+
 TEST(EventStreamReaderTest, EventNeverEnds_IsFoundTooLong)
 {
     EventStreamReader reader;
--- a/src/stages/internal/resulttracker.cpp
+++ b/src/stages/internal/resulttracker.cpp
@@ -20,6 +20,21 @@
     m_servers[server].addStored(size);
 }
 
+framework::Bytes ResultTracker::setReported(const framework::BackendServerId &server,
+                                            framework::Bytes used, framework::TimePoint expires)
+{
+    StageServerState &state = m_servers[server];
+    if (const auto earlier = m_reported.extract(server); !earlier.empty()) {
+        state.removeStored(earlier.mapped().size);
+    }
+    const framework::Bytes unknown = used - state.storedBytes();
+    if (unknown > framework::Bytes(0)) {
+        m_reported.emplace(server, StoredResult{server, unknown, expires});
+        state.addStored(unknown);
+    }
+    return unknown;
+}
+
 void ResultTracker::remove(const framework::StageResultId &result)
 {
     const auto found = m_results.find(result);
@@ -50,6 +65,8 @@
     };
     std::erase_if(m_results, [&hasExpired](const auto &entry) { return hasExpired(entry.second); });
     std::erase_if(m_untracked, hasExpired);
+    std::erase_if(m_reported,
+                  [&hasExpired](const auto &entry) { return hasExpired(entry.second); });
     std::erase_if(m_peerHoldings, [this, now](const auto &entry) {
         const bool isStale = entry.second.expires <= now;
         if (isStale) {
--- a/src/stages/internal/resulttracker.h
+++ b/src/stages/internal/resulttracker.h
@@ -25,6 +25,11 @@
     /// Counts storage as used by results whose ids are unknown, such as those of a failed call.
     void addUntracked(const framework::BackendServerId &server, framework::Bytes size,
                       framework::TimePoint expires);
+    /// Counts what is in use at a backend server beyond the results that are known. Replaces what
+    /// an earlier report told. \param used storage in use according to the backend server \return
+    /// storage that is in use and unknown; zero or less if there is none
+    framework::Bytes setReported(const framework::BackendServerId &server, framework::Bytes used,
+                                 framework::TimePoint expires);
     void remove(const framework::StageResultId &result);
     /// \return storage in use at the backend server that stores \p result; zero if it is unknown
     framework::Bytes usedStorageAtHolder(const framework::StageResultId &result) const;
@@ -57,6 +62,7 @@
     std::unordered_map<framework::BackendServerId, StageServerState> m_servers;
     std::unordered_map<framework::StageResultId, StoredResult> m_results;
     std::vector<StoredResult> m_untracked;
+    std::map<framework::BackendServerId, StoredResult> m_reported;
     std::map<framework::DaemonId, PeerHoldings> m_peerHoldings;
 };
 
--- a/src/stages/internal/stagecommandexecutor.cpp
+++ b/src/stages/internal/stagecommandexecutor.cpp
@@ -163,6 +163,15 @@
     m_onJobEnded(command.owner, command.outcome);
 }
 
+void StageCommandExecutor::execute(const QueryFreeStorage &command)
+{
+    m_calls.queryFreeStorage(command.server,
+                             [this, server = command.server.id](framework::Bytes free) {
+                                 m_coordinator.storageReported(server, free, m_clock.now());
+                                 executeCommands();
+                             });
+}
+
 void StageCommandExecutor::scheduleWake()
 {
     const framework::TimePoint wake = m_coordinator.nextWake();
--- a/src/stages/internal/stagecommandexecutor.h
+++ b/src/stages/internal/stagecommandexecutor.h
@@ -57,6 +57,7 @@
     void execute(const StartStageCall &command);
     void execute(const FreeStageResults &command);
     void execute(const EndStageJob &command);
+    void execute(const QueryFreeStorage &command);
     void callEnded(const StartStageCall &call, const StageCallOutcome &outcome);
     void scheduleWake();
 
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -20,6 +20,7 @@
                                    const StageCoordinatorOptions &options)
     : m_options(options), m_jobs(m_options),
       m_estimator(serving, servers, m_resultTracker, m_options),
+      m_storageQueries(servers, m_estimator, m_resultTracker),
       m_dispatcher(servers, m_estimator, m_resultTracker, m_options),
       m_admission(m_jobs, m_dispatcher, servers, m_estimator, m_attainment, m_options)
 { }
@@ -150,6 +151,7 @@
 void StageCoordinator::wake(framework::TimePoint now)
 {
     m_resultTracker.expire(now);
+    queryStorage(m_storageQueries.due(now));
     freeFetchedInputs(now);
     endLateJobs(now);
     dispatchAll(now);
@@ -193,6 +195,7 @@
 void StageCoordinator::dispatchAll(framework::TimePoint now)
 {
     for (auto &[service, queue] : m_queues) {
+        queryStorage(m_storageQueries.newServers(service));
         for (StartStageCall &call : m_dispatcher.dispatch(service, queue, now)) {
             m_commands.emplace_back(std::move(call));
         }
@@ -202,6 +205,19 @@
     }
 }
 
+void StageCoordinator::queryStorage(const std::vector<membership::BackendServerEntry> &servers)
+{
+    for (const membership::BackendServerEntry &server : servers) {
+        m_commands.emplace_back(QueryFreeStorage{server});
+    }
+}
+
+void StageCoordinator::storageReported(const framework::BackendServerId &server,
+                                       framework::Bytes free, framework::TimePoint now)
+{
+    m_storageQueries.reported(server, free, now);
+}
+
 void StageCoordinator::callEnded(StageCallId id, const StageCallOutcome &outcome,
                                  framework::TimePoint now)
 {
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -8,6 +8,7 @@
 #include "stages/internal/stageestimator.h"
 #include "stages/internal/stagejobstate.h"
 #include "stages/internal/stagequeue.h"
+#include "stages/internal/storagequeries.h"
 #include "stages/istagecoordinator.h"
 #include "stages/types/stagecoordinatoroptions.h"
 
@@ -38,6 +39,8 @@
     void cancel(const JobKey &job, framework::TimePoint now) override;
     void cancelAll(const framework::DaemonId &owner, framework::TimePoint now) override;
     void handOver() override;
+    void storageReported(const framework::BackendServerId &server, framework::Bytes free,
+                         framework::TimePoint now) override;
     bool hasJobs() const override { return !m_jobs.isEmpty(); }
     std::vector<protocol::StageHolding> holdings() const override
     {
@@ -65,6 +68,7 @@
 
     void endLateJobs(framework::TimePoint now);
     void dispatchAll(framework::TimePoint now);
+    void queryStorage(const std::vector<membership::BackendServerEntry> &servers);
 
     void onPieceEnded(const RunningCall &call, const RunningPiece &piece,
                       const PieceOutcome &outcome, framework::TimePoint now);
@@ -91,6 +95,7 @@
     ResultTracker m_resultTracker;
     RouteAttainment m_attainment;
     StageEstimator m_estimator;
+    StorageQueries m_storageQueries;
     BatchDispatcher m_dispatcher;
     JobAdmission m_admission;
     std::vector<framework::StageResultId> m_resultsToFree;
--- a/src/stages/istagecallport.h
+++ b/src/stages/istagecallport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "framework/types/units.h"
 #include "stages/types/stagecalloutcome.h"
 #include "stages/types/startstagecall.h"
 
@@ -26,6 +27,11 @@
     virtual void
     freeResults(const std::vector<framework::StageResultId> &results,
                 std::function<void(const std::vector<framework::StageResultId> &)> done) = 0;
+
+    /// Asks a backend server how much of its result storage is free. Best effort.
+    /// \param done called once if the server tells, never from within this function
+    virtual void queryFreeStorage(const membership::BackendServerEntry &server,
+                                  std::function<void(framework::Bytes)> done) = 0;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/istagecoordinator.h
+++ b/src/stages/istagecoordinator.h
@@ -47,6 +47,12 @@
     virtual void resultsFreed(const std::vector<framework::StageResultId> &results,
                               framework::TimePoint now) = 0;
 
+    /// Reports the answer to a QueryFreeStorage command: results of which this coordinator knows
+    /// nothing may occupy storage, such as those of a coordinator that was killed.
+    /// \param free storage that is free at the backend server
+    virtual void storageReported(const framework::BackendServerId &server, framework::Bytes free,
+                                 framework::TimePoint now) = 0;
+
     virtual bool hasJobs() const = 0;
 
     /// \return calls in flight and result storage that this coordinator uses at each backend server
--- a/src/stages/testing/stageloadsimulation.h
+++ b/src/stages/testing/stageloadsimulation.h
@@ -115,9 +115,8 @@
                 m_running.emplace(now + duration(*call), *call);
             } else if (const auto *ended = std::get_if<EndStageJob>(&command)) {
                 count(ended->outcome, now);
-            } else {
-                const auto &freed = std::get<FreeStageResults>(command);
-                m_coordinator.resultsFreed(freed.results, now);
+            } else if (const auto *freed = std::get_if<FreeStageResults>(&command)) {
+                m_coordinator.resultsFreed(freed->results, now);
             }
         }
     }
--- a/src/stages/tests/fifocoordinator.h
+++ b/src/stages/tests/fifocoordinator.h
@@ -37,6 +37,9 @@
     void resultsFreed(const std::vector<framework::StageResultId> & /*results*/,
                       framework::TimePoint /*now*/) override
     { }
+    void storageReported(const framework::BackendServerId & /*server*/, framework::Bytes /*free*/,
+                         framework::TimePoint /*now*/) override
+    { }
     bool hasJobs() const override { return m_unfinished > 0; }
     std::vector<protocol::StageHolding> holdings() const override { return {}; }
     void setPeerHoldings(const framework::DaemonId & /*daemon*/,
--- a/src/stages/tests/stagecoordinatortest.cpp
+++ b/src/stages/tests/stagecoordinatortest.cpp
@@ -199,6 +199,50 @@
     EXPECT_EQ(m_calls.size(), 2U);
 }
 
+TEST_F(StageCoordinatorTest, ServerHoldsResultsOfKilledCoordinator_GetsNoCallUntilTheyExpire)
+{
+    m_serving.set({}, {pool("first", 4, 4000), pool("second", 4, 4000)});
+    addServer("f1", "first");
+    const framework::BackendServerId server("f1");
+    submit(job("a", 1));
+    EXPECT_EQ(m_queries, (std::vector<std::string>{"f1"}));
+    answerCall(m_calls[0]);
+    m_coordinator->storageReported(server, framework::Bytes(0), m_now);
+    submit(job("b", 1, 0, 9000));
+    EXPECT_EQ(m_calls.size(), 1U) << "the server has no room";
+    advance(700);
+    wake();
+    EXPECT_EQ(m_queries.size(), 2U) << "some of the unknown results may have expired";
+    m_coordinator->storageReported(server, framework::Bytes(0), m_now);
+    advance(700);
+    wake();
+    EXPECT_EQ(m_calls.size(), 1U) << "the newer report counts";
+    m_coordinator->storageReported(server, framework::Bytes(3000), m_now);
+    wake();
+    EXPECT_EQ(m_calls.size(), 2U);
+    const std::size_t queries = m_queries.size();
+    advance(4000);
+    wake();
+    EXPECT_EQ(m_queries.size(), queries) << "nothing unknown is left";
+}
+
+TEST_F(StageCoordinatorTest, ServersHoldNothingUnknown_EachIsAskedOnce)
+{
+    addServer("f1", "first");
+    addServer("f2", "first");
+    submit(job("a", 1));
+    for (const char *server : {"f1", "f2"}) {
+        m_coordinator->storageReported(framework::BackendServerId(server),
+                                       framework::Bytes(1000000), m_now);
+    }
+    addServer("f3", "first");
+    submit(job("b", 1));
+    advance(5000);
+    submit(job("c", 1));
+    wake();
+    EXPECT_EQ(m_queries, (std::vector<std::string>{"f1", "f2", "f3"}));
+}
+
 TEST_F(StageCoordinatorTest, ResultsExpired_StorageIsReused)
 {
     m_serving.set({}, {pool("first", 4, 4000), pool("second", 4, 4000)});
--- a/src/stages/tests/stagefixture.h
+++ b/src/stages/tests/stagefixture.h
@@ -120,6 +120,8 @@
             } else if (auto *free = std::get_if<FreeStageResults>(&command)) {
                 m_freedResults.insert(m_freedResults.end(), free->results.begin(),
                                       free->results.end());
+            } else if (auto *query = std::get_if<QueryFreeStorage>(&command)) {
+                m_queries.push_back(query->server.id.value());
             } else {
                 const auto &ended = std::get<EndStageJob>(command);
                 m_outcomes[ended.outcome.request.value()] = ended.outcome;
@@ -138,6 +140,8 @@
     std::unique_ptr<IStageCoordinator> m_coordinator;
     framework::TimePoint m_now = Start;
     std::vector<StartStageCall> m_calls;
+    /// Backend servers that were asked for their free storage.
+    std::vector<std::string> m_queries;
     std::vector<framework::StageResultId> m_freedResults;
     std::map<std::string, protocol::StageJobOutcome> m_outcomes;
 };
--- a/src/stages/tests/stageservicetest.cpp
+++ b/src/stages/tests/stageservicetest.cpp
@@ -96,6 +96,9 @@
         const std::vector<framework::StageResultId> & /*results*/,
         std::function<void(const std::vector<framework::StageResultId> &)> /*done*/) override
     { }
+    void queryFreeStorage(const membership::BackendServerEntry & /*server*/,
+                          std::function<void(framework::Bytes)> /*done*/) override
+    { }
 
     int calls = 0;
 };
