--- a/src/platform/internal/stagecodec.cpp
+++ b/src/platform/internal/stagecodec.cpp
@@ -109,7 +109,9 @@
     if (free == json.end() || !free->is_number()) {
         return std::nullopt;
     }
-    return framework::Bytes(std::llround(free->get<double>() * BytesPerMegabyte));
+    // A whole number may be rounded down, and some pools have less than a megabyte in all.
+    const double rounding = free->is_number_integer() ? 1.0 : 0.0;
+    return framework::Bytes(std::llround((free->get<double>() + rounding) * BytesPerMegabyte));
 }
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/stagecodec.h
+++ b/src/platform/internal/stagecodec.h
@@ -21,8 +21,8 @@
 /// \return how a stage call ended; an answer that cannot be read counts as unknown
 stages::StageCallOutcome decodeStageAnswer(const http::HttpResponse &response);
 
-/// \return the free result storage that a backend server reports, or nothing if the response is no
-/// such report
+/// \return the most result storage that can be free according to a backend server's report, or
+/// nothing if the response is no such report
 std::optional<framework::Bytes> decodeFreeStorage(const http::HttpResponse &response);
 
 } // namespace lavendertally::platform
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -241,6 +241,8 @@
     response.status = 200;
     response.body = R"({"waiting":0,"busy":false,"freeMb":2.5})";
     EXPECT_EQ(decodeFreeStorage(response), framework::Bytes(2500000));
+    response.body = R"({"freeMb":2})";
+    EXPECT_EQ(decodeFreeStorage(response), framework::Bytes(3000000)) << "rounded down";
     response.body = R"({"freeMb":"many"})";
     EXPECT_FALSE(decodeFreeStorage(response));
     response.body = "{";
