--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -68,7 +68,7 @@
 stages::StageCallOutcome HttpStageCallPort::decodeAnswer(const framework::Endpoint &server,
                                                          const http::HttpResponse &response)
 {
-    const stages::StageCallOutcome outcome = decodeStageAnswer(response);
+    stages::StageCallOutcome outcome = decodeStageAnswer(response);
     if (outcome.status != stages::StageCallStatus::Answered
         || !m_recentAnswers.record(server, outcome)) {
         return outcome;
