--- a/src/standins/internal/platformserverstandin.cpp
+++ b/src/standins/internal/platformserverstandin.cpp
@@ -55,6 +55,8 @@
         makePieces(exchange);
     } else if (exchange->path() == "/stage-free") {
         freeResults(exchange);
+    } else if (exchange->path() == "/report") {
+        reportStorage(exchange);
     } else {
         run(exchange);
     }
@@ -82,6 +84,14 @@
     replyJson(*exchange, HttpStatus::Ok, nlohmann::json::object());
 }
 
+void PlatformServerStandIn::reportStorage(const ExchangePtr &exchange)
+{
+    // Storage is not limited here.
+    constexpr int FreeMegabytes = 1000;
+    replyJson(*exchange, HttpStatus::Ok,
+              {{"waiting", 0}, {"busy", false}, {"freeMb", FreeMegabytes}});
+}
+
 void PlatformServerStandIn::run(const ExchangePtr &exchange)
 {
     const std::string request = exchange->header(RequestIdField).value_or("");
--- a/src/standins/platformserverstandin.h
+++ b/src/standins/platformserverstandin.h
@@ -44,6 +44,7 @@
     void handle(const ExchangePtr &exchange, FaultMode mode) override;
     void makePieces(const ExchangePtr &exchange);
     void freeResults(const ExchangePtr &exchange);
+    void reportStorage(const ExchangePtr &exchange);
     void run(const ExchangePtr &exchange);
     void stream(const ExchangePtr &exchange, const std::string &request);
 
