Test of an endless chunk header lets the loop close the connection

With the loop going on, as in the programs, nothing leaks. The test goes on for a pass and checks besides that the connection has been closed.

--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -267,6 +267,8 @@
     m_loop->run();
     EXPECT_NE(response.end, HttpEnd::Complete);
     EXPECT_NE(response.end, HttpEnd::NotSent);
+    settle();
+    EXPECT_EQ(m_server.connection(0).fd, -1) << "the connection is closed";
 }
 
 TEST_F(ClientFaultTest, InterimAnswersNeverEnd_CallEndsAtItsTimeout)
