A repeated SIGTERM no longer ends a daemon that is draining

Callers saw their connections break without an answer when a stop came twice: planned stops that overlap, or a supervisor that repeats the signal.

Cause: the second signal to stop called _Exit() at once, whatever was in flight. It was meant for someone at a terminal. A supervisor that wants the process gone has SIGKILL.

Now SIGTERM while draining changes nothing; a SIGINT while draining still ends the process at once.

The soak now repeats SIGTERM to a gateway that is stopping already; it skipped that before, so it could not find this.

--- a/src/app/lavendertallyd.cpp
+++ b/src/app/lavendertallyd.cpp
@@ -35,7 +35,7 @@
     "  --version         show the version\n"
     "\n"
     "SIGHUP reads the settings file again. SIGTERM and SIGINT finish what is under way and exit "
-    "with 0; a second one exits at once.\n"
+    "with 0; a SIGINT during that exits at once.\n"
     "Exit codes: 0 success, 64 usage, 69 unavailable, 78 bad settings.\n";
 
 constexpr const char *SettingsVariable = "LAVENDERTALLY_CONFIG";
@@ -95,7 +95,8 @@
     return host::HostModule::makeDaemon(settings, loop);
 }
 
-/// Drains on the first signal to stop and exits on the second; reloads on SIGHUP.
+/// Drains on a signal to stop and reloads on SIGHUP. Supervisors may repeat SIGTERM, so only a
+/// SIGINT cuts a drain short.
 class SignalHandler
 {
 public:
@@ -103,21 +104,28 @@
         : m_daemon(daemon), m_loop(loop)
     {
         m_handlers.push_back(loop.onSignal(SIGHUP, [this] { m_daemon.reload(); }));
-        for (const int signal : {SIGTERM, SIGINT}) {
-            m_handlers.push_back(loop.onSignal(signal, [this] { shutDown(); }));
-        }
+        m_handlers.push_back(loop.onSignal(SIGTERM, [this] { shutDown(); }));
+        m_handlers.push_back(loop.onSignal(SIGINT, [this] { interrupt(); }));
     }
 
 private:
     void shutDown()
     {
         if (m_draining) {
-            std::_Exit(EXIT_FAILURE);
+            return;
         }
         m_draining = true;
         m_daemon.drain([this] { m_loop.stop(); });
     }
 
+    void interrupt()
+    {
+        if (m_draining) {
+            std::_Exit(EXIT_FAILURE);
+        }
+        shutDown();
+    }
+
     framework::IDaemon &m_daemon;
     framework::IEventLoop &m_loop;
     std::vector<std::unique_ptr<framework::ITimer>> m_handlers;
--- a/src/soak/internal/gatewayhost.cpp
+++ b/src/soak/internal/gatewayhost.cpp
@@ -104,11 +104,13 @@
 
 void GatewayHost::stop()
 {
-    if (!m_process || m_stopping) {
+    if (!m_process) {
         return;
     }
-    m_stopping = true;
-    m_lastDisturbed = m_clock.now();
+    if (!m_stopping) {
+        m_stopping = true;
+        m_lastDisturbed = m_clock.now();
+    }
     m_process->signal(SIGTERM);
 }
 
