Signals wait while a daemon has no handlers for them

Cause: SIGHUP, SIGTERM and SIGINT have their default action, which ends the process, from the start of main until the handlers are installed and from their removal to the exit. Nothing holds off signals in these times.

Now the three are blocked from the first line of main and stay pending until the handlers are there; they are blocked again before the handlers go. Threads that are started in between inherit the mask, so the loop's thread gets the signals.

What remains is the time before main, while the program is loaded.

--- a/src/app/lavendertallyd.cpp
+++ b/src/app/lavendertallyd.cpp
@@ -95,6 +95,18 @@
     return host::HostModule::makeDaemon(settings, loop);
 }
 
+/// Keeps the signals that a daemon handles pending while it has no handlers for them, since their
+/// default action would end the process.
+void setSignalsBlocked(bool blocked)
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int signal : {SIGHUP, SIGTERM, SIGINT}) {
+        sigaddset(&handled, signal);
+    }
+    pthread_sigmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &handled, nullptr);
+}
+
 /// Drains on a signal to stop and reloads on SIGHUP. Supervisors may repeat SIGTERM, so only a
 /// SIGINT cuts a drain short.
 class SignalHandler
@@ -106,7 +118,11 @@
         m_handlers.push_back(loop.onSignal(SIGHUP, [this] { m_daemon.reload(); }));
         m_handlers.push_back(loop.onSignal(SIGTERM, [this] { shutDown(); }));
         m_handlers.push_back(loop.onSignal(SIGINT, [this] { interrupt(); }));
+        setSignalsBlocked(false);
     }
+    ~SignalHandler() { setSignalsBlocked(true); }
+    SignalHandler(const SignalHandler &) = delete;
+    SignalHandler &operator=(const SignalHandler &) = delete;
 
 private:
     void shutDown()
@@ -145,6 +161,9 @@
 
 framework::Result<int> runDaemon(const Options &options)
 {
+    if (options.check) {
+        setSignalsBlocked(false);
+    }
     BOOST_LEAF_AUTO(settings, readSettings(options.settingsFile));
     if (options.check) {
         return EXIT_SUCCESS;
@@ -191,6 +210,7 @@
 
 int main(int argc, char **argv)
 {
+    setSignalsBlocked(true);
     const Options options = parseArguments(argc, argv);
     if (options.invalid) {
         std::cerr << HelpText;
