A stream whose continuation fails is broken off

Callers saw a stream that stopped after some events and neither went on nor ended: the attempt that should have gone on with it broke before its head, or was answered with an error, and no retry was left.

Cause: ActiveRequest::responseEnded() refused or replied although the stream had begun; the exchange ignores a reply then, and nothing closed the client's connection.

One function, fail(), ends a request that cannot be answered: it breaks a stream off that has begun, and refuses the request otherwise. It alone refuses and aborts. A whole response is not passed on once the stream has begun.

Red before: ProxyStreamTest.ResumedStreamBreaksBeforeItsHead_StreamIsAborted, ResumedStreamIsAnsweredWithAnError_StreamIsAborted, GatewayFixture.BrokenStreamIsBrokenOffElsewhereBeforeItsHead_ClientSeesItsEnd (end after 5 s only).

--- a/src/app/tests/gatewaytest.cpp
+++ b/src/app/tests/gatewaytest.cpp
@@ -83,6 +83,30 @@
     EXPECT_TRUE(waitFor([this] { return m_pool.freedResults() >= 8; }));
 }
 
+TEST_F(GatewayFixture, BrokenStreamIsBrokenOffElsewhereBeforeItsHead_ClientSeesItsEnd)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    standins::Fault closes;
+    closes.mode = standins::FaultMode::Refuse;
+    for (auto *server : {&m_model, &m_otherModel}) {
+        server->setBreakAfter(2);
+        server->onRun([&](const std::string & /*request*/, const std::string & /*team*/) {
+            m_model.setFault(closes);
+            m_otherModel.setFault(closes);
+        });
+    }
+    http::HttpRequest request = ask(gateway, "/stream/x", "r1");
+    request.headers.emplace_back("X-Lavendertally-Pieces", "2");
+    request.headers.emplace_back("X-Lavendertally-Piece-Key", "in");
+    // The route allows 3 s.
+    const auto answer = call(request);
+    EXPECT_EQ(answer.end, http::HttpEnd::Broken) << answer.body;
+    EXPECT_EQ(m_model.runs("r1") + m_otherModel.runs("r1"), 1U);
+}
+
 TEST_F(GatewayFixture, RevokedKeyStopsWorkingAlsoWithoutTheStore)
 {
     publish();
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -48,11 +48,11 @@
 {
     m_configurationAge = m_started - m_context.serving.confirmedAt();
     if (m_owner.isDraining()) {
-        refuse({RefusalKind::NotRun, {}, "shutting down"});
+        fail({RefusalKind::NotRun, {}, "shutting down"}, "shutting down");
         return;
     }
     if (const auto refusal = RequestResolver(m_context).resolve(m_request, m_started, m_plan)) {
-        refuse(*refusal);
+        fail(*refusal, refusal->cause);
         return;
     }
     m_deadline = m_started
@@ -96,13 +96,9 @@
         return;
     }
     const bool overloaded = outcome.status == protocol::StageJobStatus::Overloaded;
-    if (m_streaming) {
-        m_response->abort();
-        finish("stream broke; stages could not be repeated");
-        return;
-    }
-    refuse({RefusalKind::NotRun, outcome.retryAfter,
-            overloaded ? "stages overloaded" : "stages failed"});
+    fail({RefusalKind::NotRun, outcome.retryAfter,
+          overloaded ? "stages overloaded" : "stages failed"},
+         "stream broke; stages could not be repeated");
 }
 
 routing::ServerQuery ActiveRequest::serverQuery() const
@@ -126,13 +122,9 @@
     const framework::TimePoint now = m_context.clock.now();
     const auto server = m_context.selector.select(serverQuery(), now);
     if (!server) {
-        if (m_streaming) {
-            m_response->abort();
-            finish("stream broke; no backend server left");
-            return;
-        }
-        refuse({mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun,
-                m_context.limits.retryAfter, "no backend server"});
+        fail({mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun,
+              m_context.limits.retryAfter, "no backend server"},
+             "stream broke; no backend server left");
         return;
     }
     m_server = server->id;
@@ -253,13 +245,9 @@
     } else if (scheduleRetry(false)) {
         return;
     }
-    if (m_streaming) {
-        m_response->abort();
-        finish("stream broke; refused elsewhere");
-        return;
-    }
-    refuse({RefusalKind::NotRun, m_context.limits.retryAfter,
-            unsent ? "backend servers unreachable" : "refused by backend server"});
+    fail({RefusalKind::NotRun, m_context.limits.retryAfter,
+          unsent ? "backend servers unreachable" : "refused by backend server"},
+         "stream broke; refused elsewhere");
 }
 
 void ActiveRequest::streamEnded(BackendCallEnd end)
@@ -278,12 +266,7 @@
     if (m_plan.route->resumable && scheduleRetry(true)) {
         return;
     }
-    if (m_streaming) {
-        m_response->abort();
-        finish("stream broke");
-        return;
-    }
-    refuse({RefusalKind::ResponseLost, {}, "stream broke before its first event"});
+    fail({RefusalKind::ResponseLost, {}, "stream broke before its first event"}, "stream broke");
 }
 
 void ActiveRequest::responseEnded(BackendCallEnd end)
@@ -307,8 +290,11 @@
     const bool impliesNotRun =
         complete && (m_head->status == TooManyRequests || m_head->status == Unavailable);
     const bool unsignedSuccess = complete && m_head->isSuccess() && !m_head->isSigned;
-    if (!complete || impliesNotRun || unsignedSuccess) {
-        refuse({RefusalKind::ResponseLost, {}, "answer lost"});
+    // A whole response cannot go on a stream that has begun.
+    if (m_streaming || !complete || impliesNotRun || unsignedSuccess) {
+        fail({RefusalKind::ResponseLost, {}, "answer lost"},
+             complete ? "stream broke; answered without a stream elsewhere"
+                      : "stream broke; answer lost elsewhere");
         return;
     }
     m_response->reply(*m_head, m_body);
@@ -345,16 +331,11 @@
         endAttempt(m_head ? routing::CallOutcome::Cancelled
                           : routing::CallOutcome::TransportFailed);
     }
-    if (m_streaming) {
-        m_response->abort();
-        finish(cause);
-        return;
-    }
     if (possiblyRan) {
-        refuse({RefusalKind::TimedOut, {}, cause});
+        fail({RefusalKind::TimedOut, {}, cause}, cause);
         return;
     }
-    refuse({RefusalKind::NotRun, m_context.limits.retryAfter, cause});
+    fail({RefusalKind::NotRun, m_context.limits.retryAfter, cause}, cause);
 }
 
 void ActiveRequest::abandon()
@@ -374,8 +355,13 @@
     finish("client hung up");
 }
 
-void ActiveRequest::refuse(const Refusal &refusal)
+void ActiveRequest::fail(const Refusal &refusal, const char *streamOutcome)
 {
+    if (m_streaming) {
+        m_response->abort();
+        finish(streamOutcome);
+        return;
+    }
     m_response->refuse(refusal);
     m_context.metrics.increment("lavendertally_refusals_total", {{"cause", refusal.cause}});
     finish(refusal.cause);
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -72,7 +72,10 @@
     /// \return whether a backend server may have run the request or may still run it
     bool mayHaveRun() const { return m_priorAttemptMayHaveRun || m_call != nullptr; }
 
-    void refuse(const Refusal &refusal);
+    /// Ends a request that cannot be answered: breaks its stream off if it has begun, refuses the
+    /// request otherwise.
+    /// \param streamOutcome outcome for the log and the metrics if the stream has begun
+    void fail(const Refusal &refusal, const char *streamOutcome);
     void finish(const char *outcome);
     framework::Milliseconds timeLeft() const;
     framework::Milliseconds elapsed() const;
--- a/src/proxy/tests/streamtest.cpp
+++ b/src/proxy/tests/streamtest.cpp
@@ -56,6 +56,35 @@
     EXPECT_FALSE(received->aborted);
 }
 
+TEST_F(ProxyStreamTest, ResumedStreamBreaksBeforeItsHead_StreamIsAborted)
+{
+    const auto received = start("resumable");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    sent(1).observer->onEnd(BackendCallEnd::Broken);
+    EXPECT_EQ(m_service->activeRequests(), 0U);
+    EXPECT_TRUE(received->aborted);
+    EXPECT_FALSE(received->refusal);
+}
+
+TEST_F(ProxyStreamTest, ResumedStreamIsAnsweredWithAnError_StreamIsAborted)
+{
+    const auto received = start("resumable");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    sent(1).observer->onHead(head(500, false));
+    sent(1).observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_EQ(m_service->activeRequests(), 0U);
+    EXPECT_TRUE(received->aborted);
+    EXPECT_EQ(received->body, "1;");
+}
+
 TEST_F(ProxyStreamTest, EventIdsHaveGap_StreamIsAborted)
 {
     const auto received = start("stream");
