A request that arrives as the idle time is over is answered

Callers saw a reset for a request sent on a kept connection just before its idle time was over.

Cause: the idle timer closed the connection without looking for input that had arrived and that the loop had not read yet; closeIdle() looks for it.

Time for the request then counts as for any other that has begun.

Red before: RawServerTest.RequestArrivesAsTheIdleTimeIsOver_ItIsAnswered.

--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -184,6 +184,11 @@
         refuse(HttpStatus::RequestTimeout);
         return;
     }
+    if (isIdle() && m_socket->hasUnreadInput()) {
+        // A request has arrived, and the loop reads it next.
+        startTimer(m_server.limits().requestTimeout);
+        return;
+    }
     close();
 }
 
--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -9,7 +9,9 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <functional>
+#include <thread>
 #include <vector>
 
 using namespace lavendertally;
@@ -243,6 +245,19 @@
     EXPECT_EQ(m_server->connectionsInUse(), 0U);
 }
 
+TEST_F(RawServerTest, RequestArrivesAsTheIdleTimeIsOver_ItIsAnswered)
+{
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("ok"); }));
+    // Due shortly before the idle time is over, in the same turn of the loop.
+    const auto next = m_loop->callAfter(limits().idleTimeout - framework::Milliseconds(10),
+                                        [&] { client.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(limits().idleTimeout.value() + 3));
+    ASSERT_TRUE(runUntil([&] { return m_targets.size() == 2 || client.isClosed(); }));
+    EXPECT_EQ(m_targets.size(), 2U);
+}
+
 TEST_F(RawServerTest, IdleConnectionsCanBeClosedWhileOthersAreServed)
 {
     std::shared_ptr<IHttpExchange> kept;
