Every replaced idle timeout holds until it has passed

After two configurations in quick succession callers saw connections closed on which, by an idle timeout not long replaced, they still sent requests.

Cause: the gateway kept the previous idle timeout for one change only, and had no end for it either.

serving::IdleTimeoutHistory keeps each replaced timeout until it has passed since its replacement, 16 of them at most; beyond these the newest ones count as one, which closes no connection early. The gateway asks it at each change and each tick.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -185,14 +185,18 @@
     return {};
 }
 
-/// Applies the limits of the active configuration. Requests from clients that rely on the previous
-/// idle timeout may still arrive, so connections stay open for the longer of the two timeouts.
+/// Applies the limits of the active configuration. Requests from clients that rely on an earlier
+/// idle timeout may still arrive, so connections stay open for the longest that may be relied on.
 void GatewayDaemon::applyLimits()
 {
-    const serving::RequestLimits limits = m_serving->configuration()->limits();
-    const framework::Milliseconds idle = std::max(m_previousIdleTimeout, limits.idleTimeout);
-    m_previousIdleTimeout = limits.idleTimeout;
-    m_clientServer->setLimits(httpLimits(limits, idle));
+    const auto configuration = m_serving->configuration();
+    if (configuration == nullptr) {
+        return;
+    }
+    const serving::RequestLimits limits = configuration->limits();
+    const framework::TimePoint now = m_clock->now();
+    m_idleTimeouts.set(limits.idleTimeout, now);
+    m_clientServer->setLimits(httpLimits(limits, m_idleTimeouts.longest(now)));
 }
 
 bool GatewayDaemon::hasRequiredState() const
@@ -215,6 +219,8 @@
 void GatewayDaemon::tick()
 {
     m_servers->expire(m_clock->now());
+    // Replaced idle timeouts end with time.
+    applyLimits();
     if (isReady() != m_wasReady) {
         m_wasReady = !m_wasReady;
         const framework::Milliseconds age = m_clock->now() - m_serving->confirmedAt();
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -4,6 +4,7 @@
 #include "framework/idaemon.h"
 #include "framework/istatedumper.h"
 #include "framework/types/timepoint.h"
+#include "serving/idletimeouthistory.h"
 
 #include <memory>
 #include <vector>
@@ -122,7 +123,7 @@
     std::unique_ptr<http::IHttpServer> m_metricsServer;
     std::unique_ptr<framework::ITimer> m_tickTimer;
     std::unique_ptr<framework::ITimer> m_drainTimer;
-    framework::Milliseconds m_previousIdleTimeout;
+    serving::IdleTimeoutHistory m_idleTimeouts;
     framework::TimePoint m_drainStarted;
     bool m_draining = false;
     bool m_wasReady = false;
