--- a/src/standins/internal/platformserverstandin.cpp
+++ b/src/standins/internal/platformserverstandin.cpp
@@ -18,6 +18,7 @@
 constexpr const char *NotExecutedField = "X-Lavendertally-Not-Executed";
 constexpr const char *InstanceField = "X-Lavendertally-Expect-Instance";
 constexpr const char *TeamField = "X-Lavendertally-Tenant";
+constexpr const char *PromptField = "X-Lavendertally-Prompt-Prefix";
 constexpr int HttpMisdirected = 421;
 
 std::string eventText(std::uint64_t event)
@@ -108,6 +109,11 @@
     if (m_onRun) {
         m_onRun(request, exchange->header(TeamField).value_or(""));
     }
+    const std::string prompt = exchange->header(PromptField).value_or("");
+    if (!m_deadlyPart.empty() && prompt.find(m_deadlyPart) != std::string::npos) {
+        crash(m_downTime);
+        return;
+    }
     if (m_workTime.value() == 0) {
         answer(exchange, request);
         return;
--- a/src/standins/internal/standinserver.cpp
+++ b/src/standins/internal/standinserver.cpp
@@ -23,13 +23,23 @@
 } // namespace
 
 StandInServer::StandInServer(framework::IEventLoop &loop)
-    : m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()), m_deferred(loop),
-      m_server(http::HttpModule::makeServer(loop, http::HttpLimits{}))
+    : m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()), m_deferred(loop)
 {
-    m_server->setHandler([this](const ExchangePtr &exchange) { receive(exchange); });
+    makeServer();
 }
 
 StandInServer::~StandInServer()
+{
+    abortOpenExchanges();
+}
+
+void StandInServer::makeServer()
+{
+    m_server = http::HttpModule::makeServer(m_loop, http::HttpLimits{});
+    m_server->setHandler([this](const ExchangePtr &exchange) { receive(exchange); });
+}
+
+void StandInServer::abortOpenExchanges()
 {
     for (const auto &open : m_open) {
         if (const ExchangePtr exchange = open.lock()) {
@@ -38,6 +48,17 @@
     }
 }
 
+void StandInServer::crash(framework::Milliseconds downTime)
+{
+    ++m_crashes;
+    // A connection may be in a callback now, so it is closed from the event loop.
+    m_deferred.callAfter(framework::Milliseconds(0), [this] {
+        abortOpenExchanges();
+        makeServer();
+    });
+    m_deferred.callAfter(downTime, [this] { m_server->listen(m_endpoint).value(); });
+}
+
 framework::Result<framework::Endpoint> StandInServer::listen(const framework::Endpoint &endpoint)
 {
     BOOST_LEAF_ASSIGN(m_endpoint, m_server->listen(endpoint));
--- a/src/standins/platformserverstandin.h
+++ b/src/standins/platformserverstandin.h
@@ -27,6 +27,12 @@
     void setFull(bool full) { m_full = full; }
     /// Streams break after this many events; zero lets them end.
     void setBreakAfter(std::uint64_t events) { m_breakAfter = events; }
+    /// Crashes for \p downTime on each request whose prompt has the part \p part.
+    void setDeadlyPart(std::string part, framework::Milliseconds downTime)
+    {
+        m_deadlyPart = std::move(part);
+        m_downTime = downTime;
+    }
     std::size_t freedResults() const { return m_freed; }
     /// Time from a request to its answer; zero answers at once.
     void setWorkTime(framework::Milliseconds time) { m_workTime = time; }
@@ -57,6 +63,8 @@
     std::string m_lastHeaders;
     bool m_full = false;
     std::uint64_t m_breakAfter = 0;
+    std::string m_deadlyPart;
+    framework::Milliseconds m_downTime;
     std::size_t m_freed = 0;
     std::uint64_t m_nextResult = 0;
 };
--- a/src/standins/standinserver.h
+++ b/src/standins/standinserver.h
@@ -39,6 +39,11 @@
     /// when the mode changes.
     void setFault(const Fault &fault);
 
+    /// Ends like a process that crashes: every connection breaks and nothing listens.
+    /// \param downTime time until it listens at the same endpoint again
+    void crash(framework::Milliseconds downTime);
+    std::size_t crashes() const { return m_crashes; }
+
 protected:
     using ExchangePtr = std::shared_ptr<http::IHttpExchange>;
 
@@ -62,6 +67,8 @@
     const FaultSwitch &faults() const { return m_faults; }
 
 private:
+    void makeServer();
+    void abortOpenExchanges();
     void receive(const ExchangePtr &exchange);
     void setFaultFrom(const ExchangePtr &exchange);
     void dispatch(const ExchangePtr &exchange, FaultMode mode);
@@ -77,6 +84,7 @@
     /// Exchanges that may still be open, to close with this object.
     std::vector<std::weak_ptr<http::IHttpExchange>> m_open;
     std::size_t m_pruneAt = 0;
+    std::size_t m_crashes = 0;
     std::vector<ExchangePtr> m_frozen;
     ExchangePtr m_reordered;
     DeferredCalls m_deferred;
