--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "framework/types/milliseconds.h"
 #include "http/types/httpresponse.h"
+#include "http/types/proberesult.h"
 
 #include <functional>
 #include <memory>
@@ -33,6 +35,13 @@
 
     /// Closes the idle connections to a server whose answers may be out of step with the requests.
     virtual void closeIdle(const framework::Endpoint &endpoint) = 0;
+
+    /// Finds out whether a server accepts connections, without sending anything.
+    /// \param timeout time after which the server counts as silent
+    /// \param callback called once, later, unless the handle is destroyed first
+    virtual std::unique_ptr<IHttpCall> probe(const framework::Endpoint &endpoint,
+                                             framework::Milliseconds timeout,
+                                             std::function<void(ProbeResult)> callback) = 0;
 };
 
 } // namespace lavendertally::http
--- /dev/null
+++ b/src/http/internal/endpointprobe.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "framework/types/milliseconds.h"
+#include "http/ihttpcall.h"
+#include "http/types/proberesult.h"
+#include "network/ibufferedsocketobserver.h"
+
+#include <functional>
+#include <memory>
+
+namespace lavendertally::framework {
+class IEventLoop;
+class ITimer;
+struct Endpoint;
+} // namespace lavendertally::framework
+
+namespace lavendertally::network {
+class BufferedSocket;
+}
+
+namespace lavendertally::http {
+
+/// Opens a connection to find out whether a server listens, and closes it.
+class EndpointProbe final : public IHttpCall, public network::IBufferedSocketObserver
+{
+public:
+    /// \param timeout time after which the server counts as silent
+    /// \param callback called once, later, unless the probe is destroyed first
+    EndpointProbe(framework::IEventLoop &loop, const framework::Endpoint &endpoint,
+                  framework::Milliseconds timeout, std::function<void(ProbeResult)> callback);
+    ~EndpointProbe() override;
+    EndpointProbe(const EndpointProbe &) = delete;
+    EndpointProbe &operator=(const EndpointProbe &) = delete;
+
+private:
+    void onConnected() override;
+    void onReadable() override { }
+    void onClosed(bool inOrder) override;
+    /// The callback may destroy this object.
+    void end(ProbeResult result);
+
+    std::function<void(ProbeResult)> m_callback;
+    std::unique_ptr<network::BufferedSocket> m_socket;
+    std::unique_ptr<framework::ITimer> m_timer;
+};
+
+} // namespace lavendertally::http
--- a/src/http/internal/pooledhttpclient.cpp
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -6,6 +6,7 @@
 #include "framework/itimer.h"
 #include "http/internal/clientcall.h"
 #include "http/internal/clientconnection.h"
+#include "http/internal/endpointprobe.h"
 #include "http/internal/wholeresponsecall.h"
 #include "http/types/httprequest.h"
 
@@ -52,6 +53,13 @@
     }
 }
 
+std::unique_ptr<IHttpCall> PooledHttpClient::probe(const framework::Endpoint &endpoint,
+                                                   framework::Milliseconds timeout,
+                                                   std::function<void(ProbeResult)> callback)
+{
+    return std::make_unique<EndpointProbe>(m_loop, endpoint, timeout, std::move(callback));
+}
+
 ClientConnection &PooledHttpClient::acquire(const framework::Endpoint &endpoint,
                                             framework::Milliseconds maxIdle)
 {
--- a/src/http/internal/pooledhttpclient.h
+++ b/src/http/internal/pooledhttpclient.h
@@ -34,6 +34,9 @@
     std::unique_ptr<IHttpCall> fetch(const HttpRequest &request,
                                      std::function<void(HttpResponse)> callback) override;
     void closeIdle(const framework::Endpoint &endpoint) override;
+    std::unique_ptr<IHttpCall> probe(const framework::Endpoint &endpoint,
+                                     framework::Milliseconds timeout,
+                                     std::function<void(ProbeResult)> callback) override;
 
     framework::IEventLoop &loop() { return m_loop; }
     const HttpClientOptions &options() const { return m_options; }
