Decisions on prompt parts that crash backend servers

The module quarantine finds the part that several crashes have in common. A part is suspected if an attempt with it was lost in a crash before its answer began, and blamed if that happens again to an attempt sent after the first crash. An answer that begins clears its parts; suspicion and blame end with time. Time, attempts and the evidence of other daemons are arguments; no input or output of its own.

--- a/src/framework/types/ids.h
+++ b/src/framework/types/ids.h
@@ -23,6 +23,7 @@
 struct RouteTag;
 struct ApiKeyTag;
 struct PromptPartTag;
+struct CrashTag;
 struct StageResultTag;
 struct StageInputTag;
 struct ConfigurationVersionTag;
@@ -57,8 +58,10 @@
 using RouteId = StringId<RouteTag>;
 /// Secret with which a team's clients identify themselves; never logged.
 using ApiKey = StringId<ApiKeyTag>;
-/// Part of a prompt that several requests may share.
-using PromptPartId = StringId<PromptPartTag>;
+/// Part of a prompt that several requests may share; a hash of its name, so that its size is fixed.
+using PromptPartId = Ordinal<PromptPartTag>;
+/// One crash of a backend server; a hash of its id and its incarnation.
+using CrashId = Ordinal<CrashTag>;
 /// Result of one piece of a stage, where it lies at the backend server that made it.
 using StageResultId = StringId<StageResultTag>;
 /// What the first stages of a request work on.
--- /dev/null
+++ b/src/quarantine/internal/promptquarantine.cpp
@@ -0,0 +1,344 @@
+#include "quarantine/internal/promptquarantine.h"
+
+#include "framework/hash.h"
+#include "framework/ilogger.h"
+#include "framework/imetrics.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lavendertally::quarantine {
+
+namespace {
+
+protocol::CrashEvidence describe(framework::PromptPartId part, framework::CrashId crash,
+                                 framework::Milliseconds attemptAge,
+                                 framework::Milliseconds crashAge)
+{
+    protocol::CrashEvidence evidence;
+    evidence.part = part;
+    evidence.crash = crash;
+    evidence.attemptAge = attemptAge;
+    evidence.crashAge = crashAge;
+    return evidence;
+}
+
+} // namespace
+
+PromptQuarantine::PromptQuarantine(framework::ILogger &logger, framework::IMetrics &metrics,
+                                   const QuarantineLimits &limits)
+    : m_logger(logger), m_metrics(metrics), m_limits(limits), m_goodParts(limits.maxGoodParts)
+{ }
+
+PartAssessment PromptQuarantine::assess(const Parts &parts, framework::TimePoint now) const
+{
+    PartAssessment worst;
+    if (m_observations.empty()) {
+        return worst;
+    }
+    for (const framework::PromptPartId part : parts) {
+        const PartAssessment assessment = assessPart(part, now);
+        const bool isWorse = assessment.standing > worst.standing;
+        const bool waitsLonger =
+            assessment.standing == worst.standing && assessment.retryAfter > worst.retryAfter;
+        if (isWorse || waitsLonger) {
+            worst = assessment;
+        }
+    }
+    return worst;
+}
+
+PartAssessment PromptQuarantine::assessPart(framework::PromptPartId part,
+                                            framework::TimePoint now) const
+{
+    PartAssessment assessment;
+    const Charge charge = chargeAgainst(part);
+    if (charge.crashes == 0 || now - charge.lastCrash >= lifetime(charge)) {
+        return assessment;
+    }
+    assessment.part = part;
+    const framework::Milliseconds age = now - charge.lastCrash;
+    if (charge.suffices() && age < m_limits.blameTime) {
+        assessment.standing = PartStanding::Blamed;
+        assessment.retryAfter = m_limits.blameTime - age;
+        return assessment;
+    }
+    // Of a part that was good before the crash, other requests of the crash are more suspicious.
+    const bool wasGood = charge.crashesToBlame == m_limits.crashesToBlameKnownGood;
+    if (!charge.suffices() && (wasGood || isExplained(part))) {
+        return assessment;
+    }
+    assessment.standing = PartStanding::Suspected;
+    assessment.isOnTrial = m_trials.contains(part);
+    assessment.retryAfter = m_limits.trialRetryAfter;
+    return assessment;
+}
+
+std::pair<PromptQuarantine::Observations::const_iterator,
+          PromptQuarantine::Observations::const_iterator>
+PromptQuarantine::observationsOf(framework::PromptPartId part) const
+{
+    constexpr framework::CrashId Last(std::numeric_limits<std::uint64_t>::max());
+    return {m_observations.lower_bound({part, framework::CrashId(0)}),
+            m_observations.upper_bound({part, Last})};
+}
+
+/// Counts the crashes that followed each other: a crash counts if the attempt that was lost in it
+/// was sent after the crash before, since backend servers that fail together say nothing about a
+/// prompt.
+PromptQuarantine::Charge PromptQuarantine::chargeAgainst(framework::PromptPartId part) const
+{
+    std::vector<Observation> unrefuted;
+    const auto [first, end] = observationsOf(part);
+    for (auto entry = first; entry != end; ++entry) {
+        if (!entry->second.isRefuted) {
+            unrefuted.push_back(entry->second);
+        }
+    }
+    std::sort(unrefuted.begin(), unrefuted.end(),
+              [](const Observation &left, const Observation &right) {
+                  return left.crashed < right.crashed;
+              });
+    Charge charge;
+    charge.crashesToBlame = m_limits.crashesToBlame;
+    for (const Observation &observation : unrefuted) {
+        if (charge.crashes > 0 && observation.crashed - charge.lastCrash >= lifetime(charge)) {
+            charge.crashes = 0;
+            charge.crashesToBlame = m_limits.crashesToBlame;
+        }
+        if (observation.isKnownGood) {
+            charge.crashesToBlame = m_limits.crashesToBlameKnownGood;
+        }
+        if (charge.crashes == 0 || observation.attemptSent >= charge.lastCrash) {
+            ++charge.crashes;
+            charge.lastCrash = observation.crashed;
+        }
+    }
+    return charge;
+}
+
+/// \return whether every crash that counts against \p part is one of a part that is blamed
+bool PromptQuarantine::isExplained(framework::PromptPartId part) const
+{
+    const auto hasBlamedCause = [this, part](framework::CrashId crash) {
+        return std::any_of(m_observations.begin(), m_observations.end(), [&](const auto &entry) {
+            const auto &[otherPart, otherCrash] = entry.first;
+            return otherCrash == crash && otherPart != part && !entry.second.isRefuted
+                && chargeAgainst(otherPart).suffices();
+        });
+    };
+    const auto [first, end] = observationsOf(part);
+    return std::all_of(first, end, [&hasBlamedCause](const auto &entry) {
+        return entry.second.isRefuted || hasBlamedCause(entry.first.second);
+    });
+}
+
+framework::Milliseconds PromptQuarantine::lifetime(const Charge &charge) const
+{
+    return charge.suffices() ? m_limits.blameTime * 2 : m_limits.suspicionTime;
+}
+
+bool PromptQuarantine::isExpired(const Observations::value_type &entry,
+                                 framework::TimePoint now) const
+{
+    const framework::Milliseconds age = now - entry.second.crashed;
+    if (age < m_limits.suspicionTime) {
+        return false;
+    }
+    const Charge charge = chargeAgainst(entry.first.first);
+    return entry.second.isRefuted || !charge.suffices()
+        || now - charge.lastCrash >= lifetime(charge);
+}
+
+void PromptQuarantine::beginTrial(framework::PromptPartId part)
+{
+    ++m_trials[part];
+}
+
+void PromptQuarantine::endTrial(framework::PromptPartId part)
+{
+    const auto trial = m_trials.find(part);
+    if (trial != m_trials.end() && --trial->second == 0) {
+        m_trials.erase(trial);
+    }
+}
+
+void PromptQuarantine::answerBegan(const Parts &parts, framework::TimePoint now)
+{
+    for (const framework::PromptPartId part : parts) {
+        m_goodParts.record(part, now);
+        if (m_observations.empty()) {
+            continue;
+        }
+        const auto [first, end] = observationsOf(part);
+        std::vector<Observations::value_type> doubted(first, end);
+        for (const auto &[key, observation] : doubted) {
+            store(key, observation, now);
+        }
+    }
+}
+
+void PromptQuarantine::serverCrashed(const Parts &parts, framework::CrashId crash,
+                                     framework::TimePoint attemptSent, framework::TimePoint now)
+{
+    dropExpired(now);
+    for (const framework::PromptPartId part : parts) {
+        const auto answered = m_goodParts.lastAnswer(part);
+        if (answered && *answered >= attemptSent) {
+            continue;
+        }
+        m_metrics.increment("lavendertally_crash_evidence_total", {{"source", "own"}});
+        store({part, crash}, {attemptSent, now}, now);
+    }
+}
+
+PromptQuarantine::Evidence PromptQuarantine::evidence(framework::TimePoint now) const
+{
+    Evidence all;
+    for (const auto &entry : m_observations) {
+        if (isExpired(entry, now)) {
+            continue;
+        }
+        const auto &[key, observation] = entry;
+        all.push_back(describe(key.first, key.second, now - observation.attemptSent,
+                               now - observation.crashed));
+        all.back().isKnownGood = observation.isKnownGood;
+        all.back().isRefuted = observation.isRefuted;
+    }
+    return all;
+}
+
+std::uint64_t PromptQuarantine::fingerprint(framework::TimePoint now) const
+{
+    std::uint64_t combined = 0;
+    for (const auto &entry : m_observations) {
+        if (isExpired(entry, now)) {
+            continue;
+        }
+        const auto &[key, observation] = entry;
+        const std::uint64_t flags =
+            (observation.isKnownGood ? 1U : 0U) | (observation.isRefuted ? 2U : 0U);
+        const std::array<std::uint64_t, 3> values = {key.first.value(), key.second.value(), flags};
+        combined ^=
+            framework::stableHash({reinterpret_cast<const char *>(values.data()), sizeof(values)});
+    }
+    return combined;
+}
+
+void PromptQuarantine::merge(const Evidence &evidence, framework::TimePoint now)
+{
+    dropExpired(now);
+    constexpr framework::Milliseconds None(0);
+    for (const protocol::CrashEvidence &item : evidence) {
+        const framework::Milliseconds crashAge = std::max(item.crashAge, None);
+        if (crashAge >= m_limits.blameTime * 2) {
+            continue;
+        }
+        Observation observation;
+        observation.attemptSent = now - std::max(item.attemptAge, crashAge);
+        observation.crashed = now - crashAge;
+        observation.isKnownGood = item.isKnownGood;
+        observation.isRefuted = item.isRefuted;
+        store({item.part, item.crash}, observation, now);
+    }
+}
+
+void PromptQuarantine::onChange(std::function<void(const protocol::CrashEvidence &)> listener)
+{
+    m_onChange = std::move(listener);
+}
+
+void PromptQuarantine::addOwnKnowledge(const Key &key, Observation &observation) const
+{
+    const auto answered = m_goodParts.lastAnswer(key.first);
+    if (!answered) {
+        return;
+    }
+    if (*answered >= observation.attemptSent) {
+        observation.isRefuted = true;
+    } else if (observation.crashed - *answered < m_limits.goodTime) {
+        observation.isKnownGood = true;
+    }
+}
+
+void PromptQuarantine::store(const Key &key, Observation observation, framework::TimePoint now)
+{
+    const PartStanding before = assessPart(key.first, now).standing;
+    addOwnKnowledge(key, observation);
+    const auto [entry, isNew] = m_observations.try_emplace(key, observation);
+    Observation &kept = entry->second;
+    const bool isChanged = isNew || (observation.isKnownGood && !kept.isKnownGood)
+        || (observation.isRefuted && !kept.isRefuted);
+    kept.attemptSent = std::min(kept.attemptSent, observation.attemptSent);
+    kept.crashed = std::min(kept.crashed, observation.crashed);
+    kept.isKnownGood = kept.isKnownGood || observation.isKnownGood;
+    kept.isRefuted = kept.isRefuted || observation.isRefuted;
+    if (!isChanged) {
+        return;
+    }
+    protocol::CrashEvidence change =
+        describe(key.first, key.second, now - kept.attemptSent, now - kept.crashed);
+    change.isKnownGood = kept.isKnownGood;
+    change.isRefuted = kept.isRefuted;
+    if (isNew && m_observations.size() > m_limits.maxEvidence) {
+        dropOldest();
+        if (!m_observations.contains(key)) {
+            return;
+        }
+    }
+    logStanding(key.first, before, now);
+    if (m_onChange) {
+        m_onChange(change);
+    }
+}
+
+void PromptQuarantine::dropExpired(framework::TimePoint now)
+{
+    std::vector<Key> expired;
+    for (const auto &entry : m_observations) {
+        if (isExpired(entry, now)) {
+            expired.push_back(entry.first);
+        }
+    }
+    for (const Key &key : expired) {
+        m_observations.erase(key);
+    }
+}
+
+void PromptQuarantine::dropOldest()
+{
+    const auto oldest = std::min_element(m_observations.begin(), m_observations.end(),
+                                         [](const auto &left, const auto &right) {
+                                             return left.second.crashed < right.second.crashed;
+                                         });
+    m_observations.erase(oldest);
+}
+
+void PromptQuarantine::logStanding(framework::PromptPartId part, PartStanding before,
+                                   framework::TimePoint now) const
+{
+    const PartStanding after = assessPart(part, now).standing;
+    if (after == before) {
+        return;
+    }
+    const char *event = "prompt part cleared";
+    const char *standing = "clear";
+    if (after == PartStanding::Suspected) {
+        event =
+            "prompt part suspected of crashing a backend server; tried by one request at a time";
+        standing = "suspected";
+    } else if (after == PartStanding::Blamed) {
+        event = "prompt part blamed for crashes of backend servers; requests with it are refused";
+        standing = "blamed";
+    }
+    m_logger.info(event,
+                  {{"prompt_part", std::to_string(part.value())},
+                   {"crashes", std::to_string(chargeAgainst(part).crashes)}});
+    m_metrics.increment("lavendertally_prompt_part_standings_total", {{"standing", standing}});
+}
+
+} // namespace lavendertally::quarantine
--- /dev/null
+++ b/src/quarantine/internal/promptquarantine.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "quarantine/icrashevidencestore.h"
+#include "quarantine/internal/goodparts.h"
+#include "quarantine/ipromptquarantine.h"
+#include "quarantine/types/quarantinelimits.h"
+
+#include <map>
+#include <utility>
+
+namespace lavendertally::framework {
+class ILogger;
+class IMetrics;
+} // namespace lavendertally::framework
+
+namespace lavendertally::quarantine {
+
+/// Attributes crashes of backend servers to prompt parts. A part is suspected if an attempt with it
+/// was lost in a crash before its answer began, and blamed if that happens again to an attempt that
+/// was sent after the first crash, with no answer on the part in between. An answer clears its
+/// parts. Standings depend on the shared evidence and the time alone, so all daemons agree.
+class PromptQuarantine final : public IPromptQuarantine, public ICrashEvidenceStore
+{
+public:
+    PromptQuarantine(framework::ILogger &logger, framework::IMetrics &metrics,
+                     const QuarantineLimits &limits);
+
+    PartAssessment assess(const Parts &parts, framework::TimePoint now) const override;
+    void beginTrial(framework::PromptPartId part) override;
+    void endTrial(framework::PromptPartId part) override;
+    void answerBegan(const Parts &parts, framework::TimePoint now) override;
+    void serverCrashed(const Parts &parts, framework::CrashId crash,
+                       framework::TimePoint attemptSent, framework::TimePoint now) override;
+    ICrashEvidenceStore &evidenceStore() override { return *this; }
+
+    Evidence evidence(framework::TimePoint now) const override;
+    std::uint64_t fingerprint(framework::TimePoint now) const override;
+    void merge(const Evidence &evidence, framework::TimePoint now) override;
+    void onChange(std::function<void(const protocol::CrashEvidence &)> listener) override;
+
+private:
+    using Key = std::pair<framework::PromptPartId, framework::CrashId>;
+    struct Observation
+    {
+        framework::TimePoint attemptSent;
+        framework::TimePoint crashed;
+        bool isKnownGood = false;
+        bool isRefuted = false;
+    };
+    using Observations = std::map<Key, Observation>;
+    /// Crashes that count against a part.
+    struct Charge
+    {
+        std::uint32_t crashes = 0;
+        std::uint32_t crashesToBlame = 0;
+        framework::TimePoint lastCrash;
+
+        bool suffices() const { return crashes > 0 && crashes >= crashesToBlame; }
+    };
+
+    std::pair<Observations::const_iterator, Observations::const_iterator>
+    observationsOf(framework::PromptPartId part) const;
+    Charge chargeAgainst(framework::PromptPartId part) const;
+    bool isExplained(framework::PromptPartId part) const;
+    PartAssessment assessPart(framework::PromptPartId part, framework::TimePoint now) const;
+    framework::Milliseconds lifetime(const Charge &charge) const;
+    bool isExpired(const Observations::value_type &entry, framework::TimePoint now) const;
+    /// Adds knowledge of this daemon about the part.
+    void addOwnKnowledge(const Key &key, Observation &observation) const;
+    void store(const Key &key, Observation observation, framework::TimePoint now);
+    void dropExpired(framework::TimePoint now);
+    void dropOldest();
+    void logStanding(framework::PromptPartId part, PartStanding before,
+                     framework::TimePoint now) const;
+
+    framework::ILogger &m_logger;
+    framework::IMetrics &m_metrics;
+    QuarantineLimits m_limits;
+    Observations m_observations;
+    GoodParts m_goodParts;
+    /// Attempts in flight at this daemon that try a suspected part.
+    std::map<framework::PromptPartId, std::uint32_t> m_trials;
+    std::function<void(const protocol::CrashEvidence &)> m_onChange;
+};
+
+} // namespace lavendertally::quarantine
--- /dev/null
+++ b/src/quarantine/tests/promptquarantinetest.cpp
@@ -0,0 +1,288 @@
+#include "framework/frameworkmodule.h"
+#include "framework/imetrics.h"
+#include "framework/testing/recordinglogger.h"
+#include "quarantine/icrashevidencestore.h"
+#include "quarantine/ipromptquarantine.h"
+#include "quarantine/quarantinemodule.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+using namespace lavendertally;
+using namespace lavendertally::quarantine;
+using framework::CrashId;
+using framework::Milliseconds;
+using framework::PromptPartId;
+using framework::TimePoint;
+
+namespace {
+
+class PromptQuarantineTest : public testing::Test
+{
+protected:
+    static constexpr PromptPartId Common{1};
+    static constexpr PromptPartId Deadly{2};
+    static constexpr PromptPartId Rare{3};
+    static constexpr Milliseconds AttemptTime{300};
+
+    using Quarantine = std::unique_ptr<IPromptQuarantine>;
+
+    Quarantine make(const QuarantineLimits &limits = {})
+    {
+        return QuarantineModule::makeQuarantine(m_logger, *m_metrics, limits);
+    }
+    /// An attempt with \p parts is sent now and lost in a crash.
+    void crash(const IPromptQuarantine::Parts &parts)
+    {
+        const TimePoint sent = m_now;
+        m_now = m_now + AttemptTime;
+        m_quarantine->serverCrashed(parts, CrashId(++m_lastCrash), sent, m_now);
+        m_now = m_now + Milliseconds(10);
+    }
+    PartStanding standing(PromptPartId part) { return standing(*m_quarantine, part); }
+    PartStanding standing(const IPromptQuarantine &quarantine, PromptPartId part)
+    {
+        return quarantine.assess({part}, m_now).standing;
+    }
+    ICrashEvidenceStore::Evidence evidence()
+    {
+        return m_quarantine->evidenceStore().evidence(m_now);
+    }
+    void advance(Milliseconds time) { m_now = m_now + time; }
+
+    framework::RecordingLogger m_logger;
+    std::unique_ptr<framework::IMetrics> m_metrics = framework::FrameworkModule::makeMetrics();
+    Quarantine m_quarantine = make();
+    TimePoint m_now{1000000};
+    std::uint64_t m_lastCrash = 0;
+};
+
+} // namespace
+
+TEST_F(PromptQuarantineTest, FirstCrash_PartIsSuspectedOnly)
+{
+    crash({Deadly});
+    EXPECT_EQ(standing(Deadly), PartStanding::Suspected);
+    EXPECT_EQ(standing(Common), PartStanding::Clear);
+}
+
+TEST_F(PromptQuarantineTest, SecondCrashOfAnAttemptSentAfterTheFirst_PartIsBlamed)
+{
+    crash({Deadly});
+    crash({Deadly});
+    EXPECT_EQ(standing(Deadly), PartStanding::Blamed);
+    EXPECT_GT(m_quarantine->assess({Deadly}, m_now).retryAfter, Milliseconds(0));
+}
+
+TEST_F(PromptQuarantineTest, BlamedPartIsNotTheLastOfSeveral_ItIsTheOneFound)
+{
+    m_quarantine->answerBegan({Common, Rare}, m_now);
+    crash({Common, Deadly, Rare});
+    m_quarantine->answerBegan({Common, Rare}, m_now);
+    crash({Common, Deadly, Rare});
+    const PartAssessment assessment = m_quarantine->assess({Common, Deadly, Rare}, m_now);
+    EXPECT_EQ(assessment.standing, PartStanding::Blamed);
+    EXPECT_EQ(assessment.part, Deadly);
+}
+
+TEST_F(PromptQuarantineTest, AnswersGoOnWithTheSharedParts_SharedPartsStayClear)
+{
+    for (int each = 0; each < 20; ++each) {
+        m_quarantine->answerBegan({Common}, m_now + Milliseconds(100));
+        crash({Common, Deadly});
+        EXPECT_EQ(standing(Common), PartStanding::Clear);
+    }
+    EXPECT_EQ(standing(Deadly), PartStanding::Blamed);
+}
+
+TEST_F(PromptQuarantineTest, AnswerBeginsAfterTheCrash_SuspicionIsTakenBackEverywhere)
+{
+    crash({Rare});
+    const auto other = make();
+    other->evidenceStore().merge(evidence(), m_now);
+    EXPECT_EQ(standing(*other, Rare), PartStanding::Suspected);
+    m_quarantine->answerBegan({Rare}, m_now);
+    EXPECT_EQ(standing(Rare), PartStanding::Clear);
+    other->evidenceStore().merge(evidence(), m_now);
+    EXPECT_EQ(standing(*other, Rare), PartStanding::Clear);
+}
+
+TEST_F(PromptQuarantineTest, AnswerBeginsOnBlamedPart_BlameIsTakenBack)
+{
+    crash({Rare});
+    crash({Rare});
+    m_quarantine->answerBegan({Rare}, m_now);
+    EXPECT_EQ(standing(Rare), PartStanding::Clear);
+}
+
+TEST_F(PromptQuarantineTest, ServersFailTogether_PartsInFlightAreNotBlamed)
+{
+    const TimePoint sent = m_now;
+    advance(AttemptTime);
+    for (std::uint64_t server = 1; server <= 9; ++server) {
+        m_quarantine->serverCrashed({Common, Rare}, CrashId(server), sent, m_now);
+    }
+    EXPECT_EQ(standing(Common), PartStanding::Suspected);
+    EXPECT_EQ(standing(Rare), PartStanding::Suspected);
+}
+
+TEST_F(PromptQuarantineTest, PartWasGoodBeforeTheCrash_RequestsWithItGoOn)
+{
+    m_quarantine->answerBegan({Common}, m_now);
+    advance(Milliseconds(1000));
+    crash({Common, Deadly});
+    EXPECT_EQ(standing(Common), PartStanding::Clear);
+    EXPECT_EQ(standing(Deadly), PartStanding::Suspected);
+}
+
+TEST_F(PromptQuarantineTest, PartTurnsDeadly_ItIsBlamedThoughItWasGoodBefore)
+{
+    m_quarantine->answerBegan({Common}, m_now);
+    advance(Milliseconds(1000));
+    crash({Common});
+    crash({Common});
+    EXPECT_EQ(standing(Common), PartStanding::Clear);
+    crash({Common});
+    EXPECT_EQ(standing(Common), PartStanding::Blamed);
+}
+
+TEST_F(PromptQuarantineTest, CrashIsThatOfABlamedPart_OtherPartsOfItAreClear)
+{
+    crash({Deadly});
+    crash({Deadly, Rare});
+    EXPECT_EQ(standing(Deadly), PartStanding::Blamed);
+    EXPECT_EQ(standing(Rare), PartStanding::Clear);
+}
+
+TEST_F(PromptQuarantineTest, NoFurtherEvidence_SuspicionEnds)
+{
+    const QuarantineLimits limits;
+    crash({Rare});
+    advance(limits.suspicionTime);
+    EXPECT_EQ(standing(Rare), PartStanding::Clear);
+    EXPECT_TRUE(evidence().empty());
+}
+
+TEST_F(PromptQuarantineTest, BlameEnds_PartIsTriedAgainAndOneMoreCrashBlamesIt)
+{
+    const QuarantineLimits limits;
+    crash({Deadly});
+    crash({Deadly});
+    advance(limits.blameTime);
+    EXPECT_EQ(standing(Deadly), PartStanding::Suspected);
+    crash({Deadly});
+    EXPECT_EQ(standing(Deadly), PartStanding::Blamed);
+    advance(limits.blameTime * 2);
+    EXPECT_EQ(standing(Deadly), PartStanding::Clear);
+    EXPECT_TRUE(evidence().empty());
+}
+
+TEST_F(PromptQuarantineTest, SuspectedPartIsTried_OthersSeeTheTrial)
+{
+    crash({Deadly});
+    EXPECT_FALSE(m_quarantine->assess({Deadly}, m_now).isOnTrial);
+    m_quarantine->beginTrial(Deadly);
+    EXPECT_TRUE(m_quarantine->assess({Deadly}, m_now).isOnTrial);
+    m_quarantine->endTrial(Deadly);
+    EXPECT_FALSE(m_quarantine->assess({Deadly}, m_now).isOnTrial);
+}
+
+TEST_F(PromptQuarantineTest, CrashesSeenByDifferentDaemons_AllBlameThePart)
+{
+    crash({Deadly});
+    const auto other = make();
+    other->evidenceStore().merge(evidence(), m_now + Milliseconds(20));
+    const TimePoint sent = m_now + Milliseconds(30);
+    advance(AttemptTime);
+    other->serverCrashed({Deadly}, CrashId(77), sent, m_now);
+    EXPECT_EQ(standing(*other, Deadly), PartStanding::Blamed);
+    m_quarantine->evidenceStore().merge(other->evidenceStore().evidence(m_now), m_now);
+    EXPECT_EQ(standing(Deadly), PartStanding::Blamed);
+    EXPECT_EQ(m_quarantine->evidenceStore().fingerprint(m_now),
+              other->evidenceStore().fingerprint(m_now));
+}
+
+TEST_F(PromptQuarantineTest, OneCrashIsSeenByManyDaemons_ItCountsOnce)
+{
+    const auto other = make();
+    const TimePoint sent = m_now;
+    advance(AttemptTime);
+    m_quarantine->serverCrashed({Rare}, CrashId(5), sent, m_now);
+    other->serverCrashed({Rare}, CrashId(5), sent + Milliseconds(50), m_now + Milliseconds(3));
+    m_quarantine->evidenceStore().merge(other->evidenceStore().evidence(m_now), m_now);
+    EXPECT_EQ(standing(Rare), PartStanding::Suspected);
+    EXPECT_EQ(evidence().size(), 1U);
+}
+
+TEST_F(PromptQuarantineTest, OtherDaemonHasAnsweredWithThePart_ItVouchesForIt)
+{
+    const auto other = make();
+    other->answerBegan({Common}, m_now);
+    advance(Milliseconds(500));
+    crash({Common});
+    EXPECT_EQ(standing(Common), PartStanding::Suspected);
+    other->evidenceStore().merge(evidence(), m_now);
+    m_quarantine->evidenceStore().merge(other->evidenceStore().evidence(m_now), m_now);
+    EXPECT_EQ(standing(Common), PartStanding::Clear);
+}
+
+TEST_F(PromptQuarantineTest, EvidenceIsRepeated_ListenerIsCalledForChangesOnly)
+{
+    int changes = 0;
+    m_quarantine->evidenceStore().onChange([&](const protocol::CrashEvidence &) { ++changes; });
+    crash({Rare});
+    EXPECT_EQ(changes, 1);
+    for (int each = 0; each < 5; ++each) {
+        advance(Milliseconds(40));
+        m_quarantine->evidenceStore().merge(evidence(), m_now + Milliseconds(7));
+    }
+    EXPECT_EQ(changes, 1);
+}
+
+TEST_F(PromptQuarantineTest, ManyPartsAndCrashes_MemoryIsBoundedAndTheNewestStays)
+{
+    QuarantineLimits limits;
+    limits.maxEvidence = 16;
+    limits.maxGoodParts = 16;
+    m_quarantine = make(limits);
+    for (std::uint64_t each = 0; each < 1000; ++each) {
+        m_quarantine->answerBegan({PromptPartId(5000 + each)}, m_now);
+        crash({PromptPartId(100 + each)});
+    }
+    EXPECT_EQ(evidence().size(), 16U);
+    EXPECT_EQ(standing(PromptPartId(1099)), PartStanding::Suspected);
+    EXPECT_EQ(standing(PromptPartId(100)), PartStanding::Clear);
+}
+
+TEST_F(PromptQuarantineTest, FullStoreReceivesOlderEvidence_NothingIsPassedOn)
+{
+    QuarantineLimits limits;
+    limits.maxEvidence = 2;
+    crash({PromptPartId(10)});
+    const auto old = evidence();
+    m_quarantine = make(limits);
+    crash({PromptPartId(11)});
+    crash({PromptPartId(12)});
+    int changes = 0;
+    m_quarantine->evidenceStore().onChange([&](const protocol::CrashEvidence &) { ++changes; });
+    m_quarantine->evidenceStore().merge(old, m_now);
+    EXPECT_EQ(changes, 0);
+    EXPECT_EQ(evidence().size(), 2U);
+}
+
+TEST_F(PromptQuarantineTest, EvidenceHasImpossibleAges_ItIsTakenAsOfNowOrDropped)
+{
+    protocol::CrashEvidence future;
+    future.part = Rare;
+    future.crash = CrashId(1);
+    future.attemptAge = Milliseconds(-100);
+    future.crashAge = Milliseconds(-100);
+    protocol::CrashEvidence ancient = future;
+    ancient.part = Common;
+    ancient.crashAge = Milliseconds(1000000000);
+    m_quarantine->evidenceStore().merge({future, ancient}, m_now);
+    EXPECT_EQ(standing(Rare), PartStanding::Suspected);
+    EXPECT_EQ(evidence().size(), 1U);
+}
