Gateways ask the quarantine before each attempt

A request with a blamed part is refused at once as not run; one with a suspected part is tried by one attempt at a time, and not repeated at a second server while the crash is unexplained. After a lost attempt the gateway looks whether the server's process has ended. All shared parts of a prompt are read, not the last one only.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -24,6 +24,8 @@
 #include "proxy/iproxyservice.h"
 #include "proxy/proxymodule.h"
 #include "proxy/types/proxycontext.h"
+#include "quarantine/ipromptquarantine.h"
+#include "quarantine/quarantinemodule.h"
 #include "replication/topicexchange.h"
 #include "replication/types/replicatedtopic.h"
 #include "retry/iretrypolicy.h"
@@ -119,6 +121,7 @@
         m_loop, *m_clock, *m_logger, *m_metrics);
     m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_random);
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
+    m_quarantine = quarantine::QuarantineModule::makeQuarantine(*m_logger, *m_metrics);
     m_serving->onChange([this] { applyLimits(); });
     m_platform->daemons().onChange([this] { updateRetryLimits(); });
     updateRetryLimits();
@@ -142,10 +145,10 @@
 {
     proxy::ProxyLimits limits;
     limits.maxConfigurationAge = m_settings.gateway.revocationLimit - RevocationMargin;
-    m_proxy = proxy::ProxyModule::makeService({m_settings.zone, *m_clock, m_loop, *m_logger,
-                                               *m_metrics, *m_random, *m_serving,
-                                               m_platform->daemons(), *m_selector, *m_retryPolicy,
-                                               *m_stages, m_platform->backends(), limits});
+    m_proxy = proxy::ProxyModule::makeService(
+        {m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_random, *m_serving,
+         m_platform->daemons(), *m_selector, *m_retryPolicy, *m_quarantine, *m_stages,
+         m_platform->backends(), limits});
     m_clientGateway = std::make_unique<platform::ClientGateway>(*m_proxy, *m_logger, *m_metrics);
 }
 
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -43,6 +43,10 @@
 class IProxyService;
 }
 
+namespace lavendertally::quarantine {
+class IPromptQuarantine;
+}
+
 namespace lavendertally::replication {
 class TopicExchange;
 }
@@ -114,6 +118,7 @@
     std::unique_ptr<stages::IStageService> m_stages;
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
     std::unique_ptr<retry::IRetryPolicy> m_retryPolicy;
+    std::unique_ptr<quarantine::IPromptQuarantine> m_quarantine;
     std::unique_ptr<proxy::IProxyService> m_proxy;
     std::unique_ptr<platform::ClientGateway> m_clientGateway;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
--- a/src/platform/internal/clientrequestcodec.cpp
+++ b/src/platform/internal/clientrequestcodec.cpp
@@ -8,7 +8,9 @@
 #include "platform/internal/wirenames.h"
 #include "platform/types/decodeerror.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -55,15 +57,31 @@
         DecodeError::Malformed, framework::ErrorContext{std::string(name) + " cannot be read"});
 }
 
+/// \return id of the part in \p entry, which also holds its size; spelled alike for equal ids
+std::string partId(std::string_view entry)
+{
+    std::string id(entry.substr(0, entry.find(':')));
+    id.erase(id.find_last_not_of(" \t") + 1);
+    std::transform(id.begin(), id.end(), id.begin(),
+                   [](unsigned char letter) { return std::tolower(letter); });
+    return id;
+}
+
 /// The last part of a prompt is the request's or its session's own; the parts before are shared.
-std::uint64_t sharedPromptHash(std::string_view prefix)
+void readPromptParts(std::string_view prefix, proxy::ClientRequest &request)
 {
-    const std::vector<std::string_view> parts = splitAtCommas(prefix);
+    std::vector<std::uint64_t> parts;
+    for (const std::string_view part : splitAtCommas(prefix)) {
+        parts.push_back(framework::stableHash(partId(part)));
+    }
     if (parts.empty()) {
-        return 0;
+        return;
+    }
+    request.promptPrefixHash = parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
+    parts.pop_back();
+    for (const std::uint64_t part : parts) {
+        request.sharedPromptParts.emplace_back(part);
     }
-    const std::string_view shared = parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
-    return framework::stableHash(shared.substr(0, shared.find(':')));
 }
 
 framework::Result<void> readNumbers(const http::HttpHeaders &headers, proxy::ClientRequest &request)
@@ -137,7 +155,7 @@
         request.stageInput = framework::StageInputId(std::string(*key));
     }
     if (const auto prefix = http::findHeader(head.headers, wire::PromptPrefix)) {
-        request.promptPrefixHash = sharedPromptHash(*prefix);
+        readPromptParts(*prefix, request);
     }
     BOOST_LEAF_CHECK(readNumbers(head.headers, request));
     BOOST_LEAF_CHECK(readPieces(head.headers, request));
--- a/src/platform/internal/httpbackendport.cpp
+++ b/src/platform/internal/httpbackendport.cpp
@@ -1,5 +1,6 @@
 #include "platform/internal/httpbackendport.h"
 
+#include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
 #include "http/types/httprequest.h"
 #include "platform/internal/httpbackendcall.h"
@@ -18,6 +19,19 @@
 /// once, a connection must have been used within this time.
 constexpr framework::Milliseconds MaxIdleBeforeOnce{500};
 
+/// Time in which a running process accepts a connection, with margin.
+constexpr framework::Milliseconds ProbeTimeout{300};
+
+/// Holds the probe of a backend server.
+class ProbeCall final : public proxy::IBackendCall
+{
+public:
+    explicit ProbeCall(std::unique_ptr<http::IHttpCall> probe) : m_probe(std::move(probe)) { }
+
+private:
+    std::unique_ptr<http::IHttpCall> m_probe;
+};
+
 std::string joinIds(const std::vector<framework::StageResultId> &ids)
 {
     std::string text;
@@ -77,4 +91,12 @@
     return std::make_unique<HttpBackendCall>(m_client, sent, client.id, observer);
 }
 
+std::unique_ptr<proxy::IBackendCall>
+HttpBackendPort::probe(const membership::BackendServerEntry &server,
+                       std::function<void(http::ProbeResult)> callback)
+{
+    return std::make_unique<ProbeCall>(
+        m_client.probe(server.endpoint, ProbeTimeout, std::move(callback)));
+}
+
 } // namespace lavendertally::platform
--- a/src/platform/internal/httpbackendport.h
+++ b/src/platform/internal/httpbackendport.h
@@ -16,6 +16,9 @@
 
     std::unique_ptr<proxy::IBackendCall> send(const proxy::BackendRequest &request,
                                               proxy::IBackendResponseObserver &observer) override;
+    std::unique_ptr<proxy::IBackendCall>
+    probe(const membership::BackendServerEntry &server,
+          std::function<void(http::ProbeResult)> callback) override;
 
 private:
     http::IHttpClient &m_client;
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -39,7 +39,7 @@
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
       m_response(std::move(response)), m_started(context.clock.now()),
       m_stages(context, m_request, m_plan), m_attempts(context, m_request, m_plan),
-      m_lastEventId(m_request.lastEventId)
+      m_guard(context, m_request), m_lastEventId(m_request.lastEventId)
 { }
 
 ActiveRequest::~ActiveRequest() = default;
@@ -55,6 +55,10 @@
         refuse(*refusal);
         return;
     }
+    if (const auto refusal = m_guard.check()) {
+        refuse(*refusal);
+        return;
+    }
     m_deadline = m_started
         + std::min(m_request.timeLeft.value_or(m_plan.route->timeout), m_plan.route->timeout);
     m_deadlineTimer = m_context.scheduler.callAfter(timeLeft(), [this] { end("time is up"); });
@@ -123,6 +127,10 @@
 
 void ActiveRequest::sendAttempt()
 {
+    if (const auto refusal = m_guard.check()) {
+        endUnsent(*refusal);
+        return;
+    }
     const framework::TimePoint now = m_context.clock.now();
     const auto server = m_context.selector.select(serverQuery(), now);
     if (!server) {
@@ -140,6 +148,7 @@
     m_body.clear();
     m_attemptStarted = now;
     m_attempts.begin();
+    m_guard.attemptSent(*server);
     BackendRequest attempt;
     attempt.request = &m_request;
     attempt.server = *server;
@@ -157,8 +166,24 @@
     m_call = m_context.backends.send(attempt, *this);
 }
 
+/// Ends the request because its next attempt must not be sent.
+void ActiveRequest::endUnsent(const Refusal &refusal)
+{
+    if (m_streaming) {
+        m_response->abort();
+        finish(refusal.cause);
+        return;
+    }
+    if (mayHaveRun()) {
+        refuse({RefusalKind::ResponseLost, {}, refusal.cause});
+        return;
+    }
+    refuse(refusal);
+}
+
 void ActiveRequest::endAttempt(routing::CallOutcome outcome)
 {
+    m_guard.attemptEnded();
     m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
 }
 
@@ -209,6 +234,7 @@
         m_response->startStream(*m_head);
         m_stages.release();
     }
+    m_guard.eventReceived();
     m_response->sendEvent(event.text);
 }
 
@@ -221,6 +247,16 @@
         return;
     }
     m_priorAttemptMayHaveRun = true;
+    if (end == BackendCallEnd::Complete) {
+        attemptEnded(end);
+        return;
+    }
+    endAttempt(routing::CallOutcome::TransportFailed);
+    m_guard.examineLoss([this, end] { attemptEnded(end); });
+}
+
+void ActiveRequest::attemptEnded(BackendCallEnd end)
+{
     if (isStream() && m_head && m_head->isSuccess() && m_head->isEventStream) {
         streamEnded(end);
         return;
@@ -265,8 +301,12 @@
 void ActiveRequest::streamEnded(BackendCallEnd end)
 {
     const bool complete = end == BackendCallEnd::Complete && m_head->isSigned;
-    endAttempt(complete ? routing::CallOutcome::Succeeded : routing::CallOutcome::TransportFailed);
+    if (end == BackendCallEnd::Complete) {
+        endAttempt(complete ? routing::CallOutcome::Succeeded
+                            : routing::CallOutcome::TransportFailed);
+    }
     if (complete) {
+        m_guard.answerCompleted();
         if (!m_streaming) {
             m_response->startStream(*m_head);
         }
@@ -291,9 +331,12 @@
     const bool complete = end == BackendCallEnd::Complete && m_head;
     const bool failed = !complete || m_head->status >= FirstServerError
         || (m_head->isSuccess() && !m_head->isSigned);
-    const routing::CallOutcome failureOutcome =
-        complete ? routing::CallOutcome::Failed : routing::CallOutcome::TransportFailed;
-    endAttempt(failed ? failureOutcome : routing::CallOutcome::Succeeded);
+    if (complete) {
+        endAttempt(failed ? routing::CallOutcome::Failed : routing::CallOutcome::Succeeded);
+    }
+    if (!failed) {
+        m_guard.answerCompleted();
+    }
     if (failed) {
         m_attempts.exclude(m_server);
         if (m_plan.route->isIdempotent() && scheduleRetry(true)) {
@@ -327,6 +370,21 @@
 }
 
 bool ActiveRequest::scheduleRetry(bool mayHaveRun)
+{
+    if (mayHaveRun && m_guard.isSuspected()) {
+        m_guard.awaitExplanation([this](bool isClear) {
+            if (!isClear || !scheduleBackoff(true)) {
+                endUnsent({RefusalKind::ResponseLost,
+                           {},
+                           isClear ? "answer lost" : "prompt suspected of crashing a server"});
+            }
+        });
+        return true;
+    }
+    return scheduleBackoff(mayHaveRun);
+}
+
+bool ActiveRequest::scheduleBackoff(bool mayHaveRun)
 {
     const auto backoff = m_attempts.nextBackoff(m_server, mayHaveRun, timeLeft());
     if (!backoff) {
@@ -386,6 +444,7 @@
     m_ended = true;
     m_deadlineTimer.reset();
     m_backoffTimer.reset();
+    m_guard.cancel();
     m_stages.cancel();
     m_stages.release();
     const std::string route = m_plan.route != nullptr ? m_plan.route->id.value() : std::string();
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/timepoint.h"
 #include "proxy/ibackendresponseobserver.h"
+#include "proxy/internal/promptguard.h"
 #include "proxy/internal/requestattempts.h"
 #include "proxy/internal/requestplan.h"
 #include "proxy/internal/requeststages.h"
@@ -61,12 +62,16 @@
 
     void nextAttempt();
     void sendAttempt();
+    void endUnsent(const Refusal &refusal);
+    void attemptEnded(BackendCallEnd end);
     void streamEnded(BackendCallEnd end);
     void responseEnded(BackendCallEnd end);
     void attemptNotRun(BackendCallEnd end);
     /// Schedules an attempt at another backend server if the retry policy allows one.
     /// \return whether there will be another attempt
     bool scheduleRetry(bool mayHaveRun);
+    /// The same for a prompt that is not suspected of having caused the failure.
+    bool scheduleBackoff(bool mayHaveRun);
     void endAttempt(routing::CallOutcome outcome);
     bool isStream() const;
     /// \return whether a backend server may have run the request or may still run it
@@ -97,6 +102,7 @@
     framework::BackendServerId m_server;
     framework::TimePoint m_attemptStarted;
     RequestAttempts m_attempts;
+    PromptGuard m_guard;
     bool m_priorAttemptMayHaveRun = false;
     std::optional<ResponseHead> m_head;
     std::string m_body;
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -18,6 +18,8 @@
 #include "proxy/types/refusal.h"
 #include "proxy/types/responsehead.h"
 #include "proxy/types/streamevent.h"
+#include "quarantine/ipromptquarantine.h"
+#include "quarantine/quarantinemodule.h"
 #include "retry/iretrypolicy.h"
 #include "retry/retrymodule.h"
 #include "routing/ibackendserverselector.h"
@@ -90,7 +92,22 @@
         return std::make_unique<Call>(live);
     }
 
+    std::unique_ptr<IBackendCall> probe(const membership::BackendServerEntry & /*server*/,
+                                        std::function<void(http::ProbeResult)> callback) override
+    {
+        m_probes.push_back(std::move(callback));
+        return std::make_unique<Call>(std::make_shared<bool>(true));
+    }
+    /// Ends the oldest probe.
+    void endProbe(http::ProbeResult result)
+    {
+        const auto callback = m_probes.at(0);
+        m_probes.erase(m_probes.begin());
+        callback(result);
+    }
+
     std::vector<Sent> m_sent;
+    std::vector<std::function<void(http::ProbeResult)>> m_probes;
 
 private:
     class Call final : public IBackendCall
@@ -166,7 +183,8 @@
         : m_scheduler(m_clock), m_metrics(framework::FrameworkModule::makeMetrics()),
           m_random(framework::FrameworkModule::makeRandom(Seed)),
           m_selector(routing::RoutingModule::makeBackendServerSelector(m_servers, *m_random)),
-          m_retries(retry::RetryModule::makeBudgetedRetryPolicy(*m_random))
+          m_retries(retry::RetryModule::makeBudgetedRetryPolicy(*m_random)),
+          m_quarantine(quarantine::QuarantineModule::makeQuarantine(m_logger, *m_metrics))
     {
         m_clock.set(framework::TimePoint(1000000));
         configure();
@@ -183,6 +201,7 @@
                                                           m_directory,
                                                           *m_selector,
                                                           *m_retries,
+                                                          *m_quarantine,
                                                           m_stages,
                                                           m_backends,
                                                           {}});
@@ -298,6 +317,7 @@
     EmptyDaemonDirectory m_directory;
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
     std::unique_ptr<retry::IRetryPolicy> m_retries;
+    std::unique_ptr<quarantine::IPromptQuarantine> m_quarantine;
     FakeStageService m_stages;
     FakeBackendClient m_backends;
     std::unique_ptr<IProxyService> m_service;
--- a/src/proxy/types/clientrequest.h
+++ b/src/proxy/types/clientrequest.h
@@ -36,6 +36,8 @@
     /// Hash of the prompt prefix that the request shares with others; zero if there is none. Used
     /// to route requests to a backend server that may have the prefix cached.
     std::uint64_t promptPrefixHash = 0;
+    /// Parts of the prompt that other requests may share, in their order.
+    std::vector<framework::PromptPartId> sharedPromptParts;
     /// Number of pieces of each stage, by the stage's index in the route.
     std::vector<std::uint32_t> pieces;
     /// Input of the stages that have no predecessors.
--- a/src/proxy/types/proxycontext.h
+++ b/src/proxy/types/proxycontext.h
@@ -15,6 +15,10 @@
 class IDaemonDirectory;
 }
 
+namespace lavendertally::quarantine {
+class IPromptQuarantine;
+}
+
 namespace lavendertally::retry {
 class IRetryPolicy;
 }
@@ -49,6 +53,7 @@
     const peers::IDaemonDirectory &directory;
     routing::IBackendServerSelector &selector;
     retry::IRetryPolicy &retries;
+    quarantine::IPromptQuarantine &quarantine;
     stages::IStageService &stages;
     IBackendClient &backends;
     ProxyLimits limits;
