A stand-in that is down does not crash again

A second request that was in flight when the stand-in crashed let it crash twice, and its second start found the port in use; the test ended with an exception.

--- a/src/standins/internal/standinserver.cpp
+++ b/src/standins/internal/standinserver.cpp
@@ -50,13 +50,20 @@
 
 void StandInServer::crash(framework::Milliseconds downTime)
 {
+    if (m_isDown) {
+        return;
+    }
+    m_isDown = true;
     ++m_crashes;
     // A connection may be in a callback now, so it is closed from the event loop.
     m_deferred.callAfter(framework::Milliseconds(0), [this] {
         abortOpenExchanges();
         makeServer();
     });
-    m_deferred.callAfter(downTime, [this] { m_server->listen(m_endpoint).value(); });
+    m_deferred.callAfter(downTime, [this] {
+        m_isDown = false;
+        m_server->listen(m_endpoint).value();
+    });
 }
 
 framework::Result<framework::Endpoint> StandInServer::listen(const framework::Endpoint &endpoint)
--- a/src/standins/standinserver.h
+++ b/src/standins/standinserver.h
@@ -39,7 +39,8 @@
     /// when the mode changes.
     void setFault(const Fault &fault);
 
-    /// Ends like a process that crashes: every connection breaks and nothing listens.
+    /// Ends like a process that crashes: every connection breaks and nothing listens. A server that
+    /// is down does not crash again.
     /// \param downTime time until it listens at the same endpoint again
     void crash(framework::Milliseconds downTime);
     std::size_t crashes() const { return m_crashes; }
@@ -85,6 +86,7 @@
     std::vector<std::weak_ptr<http::IHttpExchange>> m_open;
     std::size_t m_pruneAt = 0;
     std::size_t m_crashes = 0;
+    bool m_isDown = false;
     std::vector<ExchangePtr> m_frozen;
     ExchangePtr m_reordered;
     DeferredCalls m_deferred;
