Quarantine tells parts apart that share all crashes

Callers with a sound first part that was seen in deadly requests only would have been refused for two minutes: both parts were blamed by the same crashes. A request that has only some of the parts which share all crashes is now tried. A part that was good before is refused for 15 s at first, since the servers may have failed for another reason; gateways try a blamed part again one after the other; evidence of blamed parts is dropped last.

DeadlyPromptTest sends sound requests with the same first part all the while, and each has to be served.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/gatewaydaemon.h"
 
 #include "framework/frameworkmodule.h"
+#include "framework/hash.h"
 #include "framework/iclock.h"
 #include "framework/ieventloop.h"
 #include "framework/ilogger.h"
@@ -121,7 +122,8 @@
         m_loop, *m_clock, *m_logger, *m_metrics);
     m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_random);
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
-    m_quarantine = quarantine::QuarantineModule::makeQuarantine(*m_logger, *m_metrics);
+    m_quarantine = quarantine::QuarantineModule::makeQuarantine(
+        *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
     m_serving->onChange([this] { applyLimits(); });
     m_platform->daemons().onChange([this] { updateRetryLimits(); });
     updateRetryLimits();
--- a/src/quarantine/internal/promptquarantine.cpp
+++ b/src/quarantine/internal/promptquarantine.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <limits>
 #include <string>
 #include <string_view>
@@ -30,8 +31,9 @@
 } // namespace
 
 PromptQuarantine::PromptQuarantine(framework::ILogger &logger, framework::IMetrics &metrics,
-                                   const QuarantineLimits &limits)
-    : m_logger(logger), m_metrics(metrics), m_limits(limits), m_goodParts(limits.maxGoodParts)
+                                   const QuarantineLimits &limits, std::uint64_t seed)
+    : m_logger(logger), m_metrics(metrics), m_limits(limits), m_goodParts(limits.maxGoodParts),
+      m_blameSpreadPercent(static_cast<std::int64_t>(seed % 100))
 { }
 
 PartAssessment PromptQuarantine::assess(const Parts &parts, framework::TimePoint now) const
@@ -41,7 +43,7 @@
         return worst;
     }
     for (const framework::PromptPartId part : parts) {
-        const PartAssessment assessment = assessPart(part, now);
+        const PartAssessment assessment = assessPart(part, parts, now);
         const bool isWorse = assessment.standing > worst.standing;
         const bool waitsLonger =
             assessment.standing == worst.standing && assessment.retryAfter > worst.retryAfter;
@@ -52,7 +54,7 @@
     return worst;
 }
 
-PartAssessment PromptQuarantine::assessPart(framework::PromptPartId part,
+PartAssessment PromptQuarantine::assessPart(framework::PromptPartId part, const Parts &prompt,
                                             framework::TimePoint now) const
 {
     PartAssessment assessment;
@@ -62,14 +64,16 @@
     }
     assessment.part = part;
     const framework::Milliseconds age = now - charge.lastCrash;
-    if (charge.suffices() && age < m_limits.blameTime) {
+    const framework::Milliseconds refusalTime = ownBlameTime(charge);
+    const bool isRefused = charge.suffices() && age < refusalTime;
+    const bool isExplained = isExplainedWithout(prompt, part);
+    if (isRefused && !isExplained) {
         assessment.standing = PartStanding::Blamed;
-        assessment.retryAfter = m_limits.blameTime - age;
+        assessment.retryAfter = refusalTime - age;
         return assessment;
     }
     // Of a part that was good before the crash, other requests of the crash are more suspicious.
-    const bool wasGood = charge.crashesToBlame == m_limits.crashesToBlameKnownGood;
-    if (!charge.suffices() && (wasGood || isExplained(part))) {
+    if (!charge.suffices() && (charge.wasGood || isExplained)) {
         return assessment;
     }
     assessment.standing = PartStanding::Suspected;
@@ -107,10 +111,11 @@
     charge.crashesToBlame = m_limits.crashesToBlame;
     for (const Observation &observation : unrefuted) {
         if (charge.crashes > 0 && observation.crashed - charge.lastCrash >= lifetime(charge)) {
-            charge.crashes = 0;
+            charge = {};
             charge.crashesToBlame = m_limits.crashesToBlame;
         }
         if (observation.isKnownGood) {
+            charge.wasGood = true;
             charge.crashesToBlame = m_limits.crashesToBlameKnownGood;
         }
         if (charge.crashes == 0 || observation.attemptSent >= charge.lastCrash) {
@@ -121,25 +126,42 @@
     return charge;
 }
 
-/// \return whether every crash that counts against \p part is one of a part that is blamed
-bool PromptQuarantine::isExplained(framework::PromptPartId part) const
+/// \return whether a part that \p prompt lacks, and that crashed backend servers repeatedly, was in
+/// every crash that counts against \p part
+bool PromptQuarantine::isExplainedWithout(const Parts &prompt, framework::PromptPartId part) const
 {
-    const auto hasBlamedCause = [this, part](framework::CrashId crash) {
+    const auto hasOtherCause = [this, &prompt](framework::CrashId crash) {
         return std::any_of(m_observations.begin(), m_observations.end(), [&](const auto &entry) {
             const auto &[otherPart, otherCrash] = entry.first;
-            return otherCrash == crash && otherPart != part && !entry.second.isRefuted
+            return otherCrash == crash && !entry.second.isRefuted
+                && std::find(prompt.begin(), prompt.end(), otherPart) == prompt.end()
                 && chargeAgainst(otherPart).suffices();
         });
     };
     const auto [first, end] = observationsOf(part);
-    return std::all_of(first, end, [&hasBlamedCause](const auto &entry) {
-        return entry.second.isRefuted || hasBlamedCause(entry.first.second);
+    return std::all_of(first, end, [&hasOtherCause](const auto &entry) {
+        return entry.second.isRefuted || hasOtherCause(entry.first.second);
     });
 }
 
+framework::Milliseconds PromptQuarantine::blameTime(const Charge &charge) const
+{
+    return charge.wasGood ? m_limits.blameTimeKnownGood : m_limits.blameTime;
+}
+
+/// How long this daemon refuses a blamed part. Daemons refuse it for different times, so that they
+/// try it again one after the other.
+framework::Milliseconds PromptQuarantine::ownBlameTime(const Charge &charge) const
+{
+    const framework::Milliseconds time = blameTime(charge);
+    return time + framework::Milliseconds(time.value() * m_blameSpreadPercent / 100);
+}
+
 framework::Milliseconds PromptQuarantine::lifetime(const Charge &charge) const
 {
-    return charge.suffices() ? m_limits.blameTime * 2 : m_limits.suspicionTime;
+    constexpr std::int64_t LongestRefusalAndProbation = 3;
+    return charge.suffices() ? blameTime(charge) * LongestRefusalAndProbation
+                             : m_limits.suspicionTime;
 }
 
 bool PromptQuarantine::isExpired(const Observations::value_type &entry,
@@ -235,7 +257,7 @@
     constexpr framework::Milliseconds None(0);
     for (const protocol::CrashEvidence &item : evidence) {
         const framework::Milliseconds crashAge = std::max(item.crashAge, None);
-        if (crashAge >= m_limits.blameTime * 2) {
+        if (crashAge >= m_limits.maxEvidenceAge()) {
             continue;
         }
         Observation observation;
@@ -267,7 +289,7 @@
 
 void PromptQuarantine::store(const Key &key, Observation observation, framework::TimePoint now)
 {
-    const PartStanding before = assessPart(key.first, now).standing;
+    const PartStanding before = assessPart(key.first, {key.first}, now).standing;
     addOwnKnowledge(key, observation);
     const auto [entry, isNew] = m_observations.try_emplace(key, observation);
     Observation &kept = entry->second;
@@ -285,7 +307,7 @@
     change.isKnownGood = kept.isKnownGood;
     change.isRefuted = kept.isRefuted;
     if (isNew && m_observations.size() > m_limits.maxEvidence) {
-        dropOldest();
+        dropLeastUseful();
         if (!m_observations.contains(key)) {
             return;
         }
@@ -309,19 +331,32 @@
     }
 }
 
-void PromptQuarantine::dropOldest()
+/// Refuted evidence goes first, then that of parts that are not blamed, and the oldest first; all
+/// daemons choose alike.
+void PromptQuarantine::dropLeastUseful()
 {
-    const auto oldest = std::min_element(m_observations.begin(), m_observations.end(),
-                                         [](const auto &left, const auto &right) {
-                                             return left.second.crashed < right.second.crashed;
-                                         });
-    m_observations.erase(oldest);
+    const auto usefulness = [this](const Observations::value_type &entry) {
+        const int rank = entry.second.isRefuted           ? 0
+            : chargeAgainst(entry.first.first).suffices() ? 2
+                                                          : 1;
+        return std::pair(rank, entry.second.crashed);
+    };
+    auto least = m_observations.begin();
+    auto leastUsefulness = usefulness(*least);
+    for (auto entry = std::next(least); entry != m_observations.end(); ++entry) {
+        const auto entryUsefulness = usefulness(*entry);
+        if (entryUsefulness < leastUsefulness) {
+            least = entry;
+            leastUsefulness = entryUsefulness;
+        }
+    }
+    m_observations.erase(least);
 }
 
 void PromptQuarantine::logStanding(framework::PromptPartId part, PartStanding before,
                                    framework::TimePoint now) const
 {
-    const PartStanding after = assessPart(part, now).standing;
+    const PartStanding after = assessPart(part, {part}, now).standing;
     if (after == before) {
         return;
     }
--- a/src/quarantine/types/quarantinelimits.h
+++ b/src/quarantine/types/quarantinelimits.h
@@ -16,9 +16,12 @@
     std::uint32_t crashesToBlameKnownGood = 3;
     /// A suspicion without further evidence ends after this time.
     framework::Milliseconds suspicionTime{30000};
-    /// A blamed part is refused for this long after its last crash. For as long again it is only
-    /// suspected, and blamed anew by one more crash.
+    /// A blamed part is refused for this long after its last crash, at some daemons for up to as
+    /// long again. After that it is only suspected, and blamed anew by one more crash.
     framework::Milliseconds blameTime{120000};
+    /// The same for a part with which answers had begun before the first of the crashes: the
+    /// backend servers may have failed for another reason.
+    framework::Milliseconds blameTimeKnownGood{15000};
     /// An answer speaks for its parts for this long.
     framework::Milliseconds goodTime{60000};
     /// Retry-after time of a request with a suspected part that is on trial already.
@@ -28,6 +31,9 @@
     /// Most parts of which the last answer is kept; those that were used longest ago are dropped
     /// first.
     std::size_t maxGoodParts = 8192;
+
+    /// \return age at which evidence is of no use any more
+    framework::Milliseconds maxEvidenceAge() const { return blameTime * 3; }
 };
 
 } // namespace lavendertally::quarantine
