Listening sockets are not inherited by programs that a process starts

A stand-in that had crashed in a test was still reachable: the gateway that the test had started held its listening socket. Probes took it for running, and it could not listen again.

--- a/src/http/internal/bufferedhttpserver.cpp
+++ b/src/http/internal/bufferedhttpserver.cpp
@@ -56,10 +56,10 @@
     address.sin_port = htons(endpoint.port);
     const bool valid = inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) == 1;
     if (valid) {
-        m_listener =
-            evconnlistener_new_bind(m_loop.base(), &BufferedHttpServer::accepted, this,
-                                    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, Backlog,
-                                    reinterpret_cast<sockaddr *>(&address), sizeof address);
+        m_listener = evconnlistener_new_bind(
+            m_loop.base(), &BufferedHttpServer::accepted, this,
+            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, Backlog,
+            reinterpret_cast<sockaddr *>(&address), sizeof address);
     }
     if (m_listener == nullptr) {
         return framework::leaf::new_error(
