--- a/src/platform/internal/exchangereply.cpp
+++ b/src/platform/internal/exchangereply.cpp
@@ -80,7 +80,8 @@
     if (refusal.kind == proxy::RefusalKind::NotRun) {
         headers.emplace_back(std::string(wire::RetryAfter), seconds(refusal.retryAfter));
     }
-    m_exchange->reply(statusOf(refusal.kind), {}, {}, headers);
+    const char *contentType = refusal.detail.empty() ? "" : "text/plain";
+    m_exchange->reply(statusOf(refusal.kind), contentType, refusal.detail, headers);
 }
 
 } // namespace lavendertally::platform
--- a/src/proxy/internal/promptguard.cpp
+++ b/src/proxy/internal/promptguard.cpp
@@ -64,12 +64,16 @@
     const quarantine::PartAssessment assessment =
         m_context.quarantine.assess(m_request.sharedPromptParts, m_context.clock.now());
     if (assessment.standing == quarantine::PartStanding::Blamed) {
-        return Refusal{RefusalKind::NotRun, assessment.retryAfter,
-                       "prompt part crashes backend servers"};
+        return Refusal{
+            RefusalKind::NotRun, assessment.retryAfter, "prompt part crashes backend servers",
+            "A part of this prompt has crashed several servers. The request has not run; "
+            "it is refused until the time in Retry-After, also elsewhere."};
     }
     if (assessment.standing == quarantine::PartStanding::Suspected && assessment.isOnTrial) {
-        return Refusal{RefusalKind::NotRun, assessment.retryAfter,
-                       "suspected prompt part is on trial"};
+        return Refusal{
+            RefusalKind::NotRun, assessment.retryAfter, "suspected prompt part is on trial",
+            "A server crashed on a part of this prompt, and another request is finding out "
+            "whether the part is the cause. The request has not run and may be repeated."};
     }
     return std::nullopt;
 }
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -42,6 +42,7 @@
 struct ReceivedResponse
 {
     std::optional<RefusalKind> refusal;
+    framework::Milliseconds retryAfter;
     int status = 0;
     std::string body;
     bool ended = false;
@@ -66,7 +67,11 @@
     void sendEvent(std::string_view text) override { m_received->body.append(text); }
     void endStream() override { m_received->ended = true; }
     void abort() override { m_received->aborted = true; }
-    void refuse(const Refusal &refusal) override { m_received->refusal = refusal.kind; }
+    void refuse(const Refusal &refusal) override
+    {
+        m_received->refusal = refusal.kind;
+        m_received->retryAfter = refusal.retryAfter;
+    }
 
 private:
     std::shared_ptr<ReceivedResponse> m_received;
