Callers may name the shared parts of their prompts

Callers saw: the request has no field that says which parts of a prompt other requests share, so an entry cannot tell which part requests have in common that crash backend servers.

Nothing reads the parts yet.

--- a/src/pipeline/types/callerrequest.h
+++ b/src/pipeline/types/callerrequest.h
@@ -5,6 +5,7 @@
 #include "framework/types/timepoint.h"
 
 #include <string>
+#include <vector>
 
 namespace lavendertally::pipeline {
 
@@ -22,6 +23,8 @@
     framework::TimePoint issuedAt;
     /// JSON value that is passed to the stages.
     std::string input;
+    /// Parts of the prompt that other requests may share.
+    std::vector<framework::PromptPartId> promptParts;
     /// Whether the text of the last stage is streamed to the caller.
     bool stream = false;
 };
