Host processes tell whether the backend server crashed

Callers saw: a prompt that crashes the backend server is sent to a second host, since the entry sees only that the call was lost.

Cause: the result of a stage does not tell whether the backend server's process has ended.

Change: when the call of a generating stage is lost before its answer began, the host process finds out whether the backend server still listens, and adds an id of the crash to the result if not. The id is a hash of the host and the incarnation, the same for all calls lost in one crash. Results without it, from older host processes, are read as before.

--- a/src/backends/ibackendserver.h
+++ b/src/backends/ibackendserver.h
@@ -3,6 +3,7 @@
 #include "admission/types/backendhealth.h"
 #include "framework/result.h"
 #include "framework/types/milliseconds.h"
+#include "http/types/proberesult.h"
 
 #include <functional>
 #include <memory>
@@ -34,6 +35,12 @@
     virtual void
     checkHealth(framework::Milliseconds timeout,
                 std::function<void(std::optional<admission::BackendHealth>)> callback) = 0;
+
+    /// Finds out whether the process of the backend server accepts connections, without sending
+    /// anything.
+    /// \param callback called once, later, unless the returned handle is destroyed first
+    virtual std::unique_ptr<IBackendCallHandle>
+    probe(framework::Milliseconds timeout, std::function<void(http::ProbeResult)> callback) = 0;
 };
 
 } // namespace lavendertally::backends
--- a/src/backends/internal/httpbackendserver.cpp
+++ b/src/backends/internal/httpbackendserver.cpp
@@ -10,12 +10,24 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace lavendertally::backends {
 
 namespace {
 
 constexpr int HttpOk = 200;
 
+/// Probe in flight.
+class HttpProbe final : public IBackendCallHandle
+{
+public:
+    explicit HttpProbe(std::unique_ptr<http::IHttpCall> call) : m_call(std::move(call)) { }
+
+private:
+    std::unique_ptr<http::IHttpCall> m_call;
+};
+
 std::optional<admission::BackendHealth> parseHealth(const http::HttpResponse &response)
 {
     if (response.end != http::HttpEnd::Complete || response.status != HttpOk) {
@@ -72,4 +84,11 @@
         });
 }
 
+std::unique_ptr<IBackendCallHandle>
+HttpBackendServer::probe(framework::Milliseconds timeout,
+                         std::function<void(http::ProbeResult)> callback)
+{
+    return std::make_unique<HttpProbe>(m_client.probe(m_endpoint, timeout, std::move(callback)));
+}
+
 } // namespace lavendertally::backends
--- a/src/backends/internal/httpbackendserver.h
+++ b/src/backends/internal/httpbackendserver.h
@@ -27,6 +27,9 @@
     void
     checkHealth(framework::Milliseconds timeout,
                 std::function<void(std::optional<admission::BackendHealth>)> callback) override;
+    std::unique_ptr<IBackendCallHandle>
+    probe(framework::Milliseconds timeout,
+          std::function<void(http::ProbeResult)> callback) override;
 
 private:
     http::IHttpClient &m_client;
--- a/src/host/internal/hostcall.cpp
+++ b/src/host/internal/hostcall.cpp
@@ -6,6 +6,7 @@
 #include "framework/types/errorcontext.h"
 #include "host/internal/icalllistener.h"
 #include "protocol/types/stageresult.h"
+#include "quarantine/types/answerbeginning.h"
 #include "transport/istageresponder.h"
 
 namespace lavendertally::host {
@@ -16,6 +17,9 @@
 /// still tells how the call ended.
 constexpr framework::Milliseconds LateResponseGrace{500};
 
+/// A process that has ended refuses connections at once.
+constexpr framework::Milliseconds ProbeTimeout{200};
+
 } // namespace
 
 HostCall::HostCall(admission::WorkKey key, protocol::StageRequest request,
@@ -50,6 +54,17 @@
         });
 }
 
+void HostCall::probe(backends::IBackendServer &server,
+                     std::function<void(http::ProbeResult)> callback)
+{
+    m_probe = server.probe(ProbeTimeout, std::move(callback));
+}
+
+bool HostCall::answerBegan() const
+{
+    return m_textParts >= quarantine::TextPartsOfSurvivor;
+}
+
 void HostCall::reply(protocol::StageResult result)
 {
     result.attempt = m_request.attempt;
@@ -59,6 +74,7 @@
 
 void HostCall::onChunk(const std::string &text, framework::TokenCount tokens)
 {
+    ++m_textParts;
     if (!m_request.stream) {
         return;
     }
--- a/src/host/internal/hostcall.h
+++ b/src/host/internal/hostcall.h
@@ -3,9 +3,11 @@
 #include "admission/types/workkey.h"
 #include "backends/ibackendobserver.h"
 #include "framework/types/timepoint.h"
+#include "http/types/proberesult.h"
 #include "protocol/types/stagerequest.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace lavendertally::backends {
@@ -41,6 +43,10 @@
     /// function.
     void run(backends::IBackendServer &server, framework::TimePoint now);
 
+    /// Finds out whether the process of the backend server has ended.
+    /// \param callback called once, later, unless this object is destroyed first
+    void probe(backends::IBackendServer &server, std::function<void(http::ProbeResult)> callback);
+
     /// Sends the result to the entry. Call it once, last.
     /// \param result the attempt and the number of chunks are set here
     void reply(protocol::StageResult result);
@@ -50,6 +56,8 @@
     framework::TimePoint deadline() const { return m_deadline; }
     bool isRunning() const { return m_running; }
     framework::TimePoint startedAt() const { return m_startedAt; }
+    /// \return whether the backend server has survived the beginning of its answer
+    bool answerBegan() const;
 
 private:
     void onChunk(const std::string &text, framework::TokenCount tokens) override;
@@ -64,7 +72,10 @@
     bool m_running = false;
     framework::TimePoint m_startedAt;
     std::uint64_t m_chunks = 0;
+    /// Parts of the text that the backend server has sent, streamed to the entry or not.
+    std::uint32_t m_textParts = 0;
     std::unique_ptr<backends::IBackendCallHandle> m_handle;
+    std::unique_ptr<backends::IBackendCallHandle> m_probe;
 };
 
 } // namespace lavendertally::host
--- a/src/host/internal/hostdaemon.cpp
+++ b/src/host/internal/hostdaemon.cpp
@@ -78,10 +78,10 @@
 
 void HostDaemon::makeService()
 {
-    m_service = std::make_unique<HostService>(
-        HostServiceContext{m_components.settings.service, *m_components.clock, m_components.loop,
-                           *m_components.logger, *m_components.metrics, *m_components.replica,
-                           *m_costs, *m_admission, *m_gate, *m_backends, *this});
+    m_service = std::make_unique<HostService>(HostServiceContext{
+        m_components.settings.host, m_components.settings.service, *m_components.clock,
+        m_components.loop, *m_components.logger, *m_components.metrics, *m_components.replica,
+        *m_costs, *m_admission, *m_gate, *m_backends, *this});
     m_stageServer = transport::TransportModule::makeStageServer(
         *m_service, *m_components.codec, *m_components.metrics, *m_components.logger);
 }
--- a/src/host/internal/hostservice.cpp
+++ b/src/host/internal/hostservice.cpp
@@ -8,6 +8,7 @@
 #include "backends/types/backendresult.h"
 #include "configuration/iconfigurationstore.h"
 #include "configuration/types/configurationview.h"
+#include "framework/hash.h"
 #include "framework/iclock.h"
 #include "framework/ilogger.h"
 #include "framework/imetrics.h"
@@ -39,6 +40,19 @@
     return accounting::Usage::Failed;
 }
 
+const char *nameOf(http::ProbeResult result)
+{
+    switch (result) {
+    case http::ProbeResult::Listening:
+        return "still listens";
+    case http::ProbeResult::NotListening:
+        return "crashed";
+    case http::ProbeResult::Silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 HostService::HostService(const HostServiceContext &context) : m_context(context)
@@ -201,10 +215,38 @@
                              {{"request", call.request().request.value()},
                               {"stage", call.request().stage.value()},
                               {"detail", detail}});
-    finishCall(call, admission::Completion::Failed, std::move(result));
+    const bool isLostGeneration = result.status == protocol::StageStatus::Unknown
+        && call.request().maxTokens > framework::TokenCount(0) && !call.answerBegan();
+    if (isLostGeneration) {
+        finishLostCall(call, result);
+    } else {
+        finishCall(call, admission::Completion::Failed, std::move(result));
+    }
     checkHealth();
 }
 
+void HostService::finishLostCall(HostCall &call, const protocol::StageResult &result)
+{
+    const framework::CrashId crash = nextCrash();
+    call.probe(*m_backend, [this, &call, crash, result](http::ProbeResult probe) {
+        protocol::StageResult known = result;
+        if (probe == http::ProbeResult::NotListening) {
+            known.crash = crash;
+        }
+        m_context.logger.info("call lost before its answer began",
+                              {{"request", call.request().request.value()},
+                               {"stage", call.request().stage.value()},
+                               {"process", nameOf(probe)}});
+        finishCall(call, admission::Completion::Failed, std::move(known));
+    });
+}
+
+framework::CrashId HostService::nextCrash() const
+{
+    return framework::CrashId(framework::stableHash(m_context.host.value() + '/'
+                                                    + std::to_string(m_incarnation.value())));
+}
+
 void HostService::finishCall(HostCall &call, admission::Completion completion,
                              protocol::StageResult result)
 {
--- a/src/host/internal/hostservice.h
+++ b/src/host/internal/hostservice.h
@@ -59,6 +59,11 @@
     void onCallDone(HostCall &call, const backends::BackendResult &result) override;
     void onCallFailed(HostCall &call, backends::BackendError error,
                       const std::string &detail) override;
+    /// Finishes a call that was lost before its answer began, once it is known whether the backend
+    /// server has crashed.
+    void finishLostCall(HostCall &call, const protocol::StageResult &result);
+    /// \return the crash that ends the current run of the backend server
+    framework::CrashId nextCrash() const;
     /// Reports the end of a running call to the admission controller, the cost ledger, the metrics
     /// and the entry.
     void finishCall(HostCall &call, admission::Completion completion, protocol::StageResult result);
--- a/src/host/types/hostservicecontext.h
+++ b/src/host/types/hostservicecontext.h
@@ -36,6 +36,7 @@
 /// Dependencies of IHostService, which all outlive it.
 struct HostServiceContext
 {
+    framework::HostId host;
     framework::ServiceId service;
     framework::IClock &clock;
     framework::IScheduler &scheduler;
--- a/src/protocol/internal/protobufcodec.cpp
+++ b/src/protocol/internal/protobufcodec.cpp
@@ -61,6 +61,9 @@
     out.set_service_time_ms(result.serviceTime.value());
     out.set_cost(result.cost.value());
     write(result.load, *out.mutable_load());
+    if (result.crash) {
+        out.set_crash(result.crash->value());
+    }
 }
 
 void write(const RevisionQuery &query, wire::RevisionQuery &out)
@@ -179,6 +182,9 @@
     result.serviceTime = framework::Milliseconds(in.service_time_ms());
     result.cost = framework::MicroCost(in.cost());
     result.load = read(in.load());
+    if (in.has_crash()) {
+        result.crash = framework::CrashId(in.crash());
+    }
     return Message(std::move(result));
 }
 
--- a/src/protocol/tests/codectest.cpp
+++ b/src/protocol/tests/codectest.cpp
@@ -50,11 +50,21 @@
     return result;
 }
 
+StageResult sampleCrashResult()
+{
+    StageResult result;
+    result.attempt = framework::AttemptId(4);
+    result.status = StageStatus::Unknown;
+    result.crash = framework::CrashId(0xfedcba9876543210);
+    return result;
+}
+
 std::vector<Message> sampleMessages()
 {
     return {sampleRequest(),
             StageChunk{framework::AttemptId(3), 7, framework::TokenCount(1), "word "},
             sampleResult(),
+            sampleCrashResult(),
             RevisionQuery{framework::DaemonId("host-1"), framework::LogOffset(4)},
             RevisionReply{framework::DaemonId("entry-1"),
                           framework::LogOffset(9),
@@ -88,6 +98,29 @@
     }
 }
 
+TEST(Codec, ResultOfOldPeer_HasNoCrash)
+{
+    // Version 1, StageResult with attempt 3 and status 2, as daemons without the field send it.
+    const std::string bytes("\x08\x01\x22\x04\x08\x03\x18\x02", 8);
+    const auto decoded = ProtocolModule::makeCodec()->decode(bytes);
+    ASSERT_TRUE(decoded);
+    const auto *result = std::get_if<StageResult>(&*decoded);
+    ASSERT_NE(result, nullptr);
+    EXPECT_EQ(result->attempt, framework::AttemptId(3));
+    EXPECT_EQ(result->status, StageStatus::Unknown);
+    EXPECT_FALSE(result->crash.has_value());
+}
+
+TEST(Codec, CrashIdIsZero_IsStillACrash)
+{
+    StageResult result;
+    result.crash = framework::CrashId(0);
+    const auto codec = ProtocolModule::makeCodec();
+    const auto decoded = codec->decode(codec->encode(result));
+    ASSERT_TRUE(decoded);
+    EXPECT_TRUE(*decoded == Message(result));
+}
+
 TEST(Codec, BytesAreNotAMessage_DecodingFailsWithReason)
 {
     EXPECT_EQ(decodeError(""), ProtocolError::UnknownVersion);
--- a/src/protocol/types/stageresult.h
+++ b/src/protocol/types/stageresult.h
@@ -8,6 +8,7 @@
 #include "protocol/types/stagestatus.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lavendertally::protocol {
@@ -32,6 +33,9 @@
     framework::Milliseconds serviceTime;
     framework::MicroCost cost;
     LoadReport load;
+    /// Set if the backend server crashed before its answer had begun; the same for all calls that
+    /// were lost in this crash.
+    std::optional<framework::CrashId> crash;
 
     bool operator==(const StageResult &) const = default;
 };
