Entries keep prompts that crash backend servers away from them

Callers saw: a prompt that crashes its backend server is sent to a second host, and each repetition crashes two more, at every entry anew.

Cause: RequestRun takes a crash for a loss like any other and repeats the stage.

Change: requests ask the quarantine before each attempt of a generating stage, and before the first stage of a pipeline that has one. Blamed parts, and suspected ones on trial, are refused as prompt_quarantined, 503 with the time after which to ask again. What a request does for this is quarantine::IPromptWatch, which another front end can use too.

--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -38,6 +38,8 @@
 #include "pipeline/types/pipelinecontext.h"
 #include "protocol/imessagecodec.h"
 #include "protocol/protocolmodule.h"
+#include "quarantine/ipromptquarantine.h"
+#include "quarantine/quarantinemodule.h"
 #include "retry/iretrypolicy.h"
 #include "retry/istagebudget.h"
 #include "retry/retrymodule.h"
@@ -93,10 +95,13 @@
                                                  m_components.settings.id, claimSettings);
     m_stageClient = transport::TransportModule::makeStageClient(
         *m_components.client, *m_components.codec, *m_components.metrics);
+    m_quarantine =
+        quarantine::QuarantineModule::makeQuarantine(*m_components.logger, *m_components.metrics);
     m_requests = pipeline::PipelineModule::makeRequestService(
         {m_components.settings.id, m_components.settings.zone, *m_components.clock,
          m_components.loop, *m_components.logger, *m_components.metrics, *m_components.replica,
-         *m_routing.selector, *m_retryPolicy, *m_stageBudget, *m_claims, *m_stageClient, *this});
+         *m_routing.selector, *m_retryPolicy, *m_stageBudget, *m_claims, *m_stageClient,
+         *m_quarantine, *this});
     m_liveness = std::make_unique<LivenessProbe>(*m_requests, *m_control, *m_components.membership,
                                                  *m_routing.selector, m_components.loop,
                                                  *m_components.clock);
--- a/src/entry/internal/entrydaemon.h
+++ b/src/entry/internal/entrydaemon.h
@@ -40,6 +40,10 @@
 class ILogService;
 }
 
+namespace lavendertally::quarantine {
+class IPromptQuarantine;
+}
+
 namespace lavendertally::retry {
 class IRetryPolicy;
 class IStageBudget;
@@ -92,6 +96,7 @@
     std::unique_ptr<retry::IStageBudget> m_stageBudget;
     std::unique_ptr<claims::IClaimService> m_claims;
     std::unique_ptr<transport::IStageClient> m_stageClient;
+    std::unique_ptr<quarantine::IPromptQuarantine> m_quarantine;
     std::unique_ptr<pipeline::IRequestService> m_requests;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
     std::unique_ptr<http::IHttpServer> m_server;
--- a/src/frontend/internal/callerexchange.cpp
+++ b/src/frontend/internal/callerexchange.cpp
@@ -6,6 +6,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstdint>
+
 namespace lavendertally::frontend {
 
 namespace {
@@ -13,7 +16,14 @@
 constexpr int HttpOk = 200;
 constexpr int HttpUnavailable = 503;
 constexpr const char *OutcomeHeader = "Lavendertally-Outcome";
-constexpr const char *RetryAfterSeconds = "1";
+constexpr std::int64_t MsPerSecond = 1000;
+
+/// \return whole seconds, at least one
+std::string retryAfterSeconds(framework::Milliseconds retryAfter)
+{
+    const std::int64_t seconds = (retryAfter.value() + MsPerSecond - 1) / MsPerSecond;
+    return std::to_string(std::max<std::int64_t>(seconds, 1));
+}
 
 } // namespace
 
@@ -62,7 +72,7 @@
         const int status = AnswerWriter::status(answer);
         http::HttpHeaders headers = {{OutcomeHeader, AnswerWriter::outcomeName(answer)}};
         if (status == HttpUnavailable) {
-            headers.emplace_back("Retry-After", RetryAfterSeconds);
+            headers.emplace_back("Retry-After", retryAfterSeconds(answer.retryAfter));
         }
         m_exchange->reply(status, "application/json", body, headers);
     }
--- a/src/frontend/tests/callerapitest.cpp
+++ b/src/frontend/tests/callerapitest.cpp
@@ -16,6 +16,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -54,6 +55,16 @@
     pipeline::CallerAnswer m_answer;
 };
 
+std::string headerOf(const http::HttpResponse &response, const std::string &name)
+{
+    for (const auto &[field, value] : response.headers) {
+        if (field == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 class CallerApiTest : public testing::Test
@@ -150,3 +161,21 @@
     }
     EXPECT_TRUE(m_service.m_requests.empty());
 }
+
+TEST_F(CallerApiTest, PromptIsQuarantined_AnswerSaysWhenToAskAgain)
+{
+    m_service.m_answer.outcome = pipeline::RequestOutcome::NotRun;
+    m_service.m_answer.reason = protocol::RefusalReason::PromptQuarantined;
+    m_service.m_answer.retryAfter = framework::Milliseconds(90001);
+    const http::HttpResponse response = postWith();
+    EXPECT_EQ(response.status, 503);
+    EXPECT_EQ(headerOf(response, "Retry-After"), "91");
+    EXPECT_EQ(nlohmann::json::parse(response.body)["reason"], "prompt_quarantined");
+}
+
+TEST_F(CallerApiTest, RefusedWithoutKnownTime_RetryAfterIsOneSecond)
+{
+    m_service.m_answer.outcome = pipeline::RequestOutcome::NotRun;
+    m_service.m_answer.reason = protocol::RefusalReason::Full;
+    EXPECT_EQ(headerOf(postWith(), "Retry-After"), "1");
+}
--- a/src/pipeline/internal/requestrun.cpp
+++ b/src/pipeline/internal/requestrun.cpp
@@ -4,6 +4,7 @@
 #include "configuration/iconfigurationstore.h"
 #include "configuration/types/configurationview.h"
 #include "framework/iclock.h"
+#include "framework/ilogger.h"
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
@@ -13,6 +14,9 @@
 #include "pipeline/irequestobserver.h"
 #include "protocol/refusalreasonname.h"
 #include "protocol/types/stagerequest.h"
+#include "quarantine/ipromptwatch.h"
+#include "quarantine/quarantinemodule.h"
+#include "quarantine/types/partassessment.h"
 #include "retry/iretrypolicy.h"
 #include "retry/istagebudget.h"
 #include "routing/ihostselector.h"
@@ -22,11 +26,25 @@
 
 namespace lavendertally::pipeline {
 
+namespace {
+
+bool generatesAnywhere(const configuration::Pipeline &pipeline)
+{
+    return std::any_of(pipeline.stages.begin(), pipeline.stages.end(),
+                       [](const configuration::Stage &stage) {
+                           return stage.maxTokens > framework::TokenCount(0);
+                       });
+}
+
+} // namespace
+
 RequestRun::RequestRun(RequestService &service, IRequestService::Ticket ticket,
                        CallerRequest request, IRequestObserver &observer)
     : m_service(service), m_context(service.context()), m_ticket(ticket),
       m_request(std::move(request)), m_observer(&observer), m_startedAt(m_context.clock.now()),
-      m_payload(m_request.input)
+      m_payload(m_request.input),
+      m_watch(quarantine::QuarantineModule::makePromptWatch(
+          m_context.quarantine, m_context.clock, m_context.scheduler, m_request.promptParts))
 { }
 
 RequestRun::~RequestRun() = default;
@@ -51,6 +69,10 @@
         giveUp(m_plan.refusal, {});
         return;
     }
+    if (const auto obstacle = m_watch->obstacle(); obstacle && generatesAnywhere(m_plan.pipeline)) {
+        giveUpQuarantined(*obstacle);
+        return;
+    }
     m_deadlineTimer = m_context.scheduler.callAfter(remaining(), [this] {
         const auto keepAlive = shared_from_this();
         onDeadline();
@@ -65,7 +87,7 @@
 
 bool RequestRun::streamsStage() const
 {
-    return m_request.stream && isLastStage() && stage().maxTokens > framework::TokenCount(0);
+    return m_request.stream && isLastStage() && generates();
 }
 
 claims::ClaimKey RequestRun::claimKey() const
@@ -75,7 +97,7 @@
 
 std::uint64_t RequestRun::prefixHash() const
 {
-    return stage().maxTokens > framework::TokenCount(0) ? m_payload.prefixHash() : 0;
+    return generates() ? m_payload.prefixHash() : 0;
 }
 
 void RequestRun::runStage()
@@ -144,6 +166,12 @@
 
 void RequestRun::startAttempt()
 {
+    if (generates()) {
+        if (const auto obstacle = m_watch->obstacle()) {
+            giveUpQuarantined(*obstacle);
+            return;
+        }
+    }
     const framework::Milliseconds budget = m_context.budgets.budgetFor(
         m_plan.pipeline, m_stageIndex, remaining(), m_context.clock.now());
     if (budget <= framework::Milliseconds(0)) {
@@ -180,11 +208,15 @@
     request.idempotent = stage().idempotent;
     request.stream = streamsStage();
     request.payload = m_payload.build(stage());
+    if (generates()) {
+        m_watch->attemptSent();
+    }
     m_attempt = std::make_unique<StageAttempt>(m_context, *host, request, *this);
 }
 
 void RequestRun::onAttemptText(const std::string &text)
 {
+    m_watch->textReceived();
     if (m_observer != nullptr) {
         m_observer->onText(text);
     }
@@ -210,6 +242,9 @@
 {
     const framework::Milliseconds duration = m_context.clock.now() - m_attempt->startedAt();
     m_attempt.reset();
+    if (generates()) {
+        m_watch->answerCompleted();
+    }
     m_anyStageRan = true;
     m_costs.back().cost += result.cost;
     m_costs.back().duration += duration;
@@ -249,6 +284,7 @@
 {
     m_excludedHosts.insert(m_attempt->host().id);
     m_attempt.reset();
+    m_watch->attemptEnded();
     m_context.metrics.increment("lavendertally_refusals_total",
                                 {{"service", stage().service.value()},
                                  {"reason", protocol::refusalReasonName(result.reason)}});
@@ -261,6 +297,7 @@
     m_costs.back().wasted += result.cost;
     m_excludedHosts.insert(m_attempt->host().id);
     restartText(*m_attempt);
+    const bool isSuspected = isLossSuspected(result);
     m_attempt.reset();
     if (!stage().idempotent) {
         m_nonIdempotentStageRan = true;
@@ -268,9 +305,43 @@
         giveUp(protocol::RefusalReason::None, result.detail);
         return;
     }
+    if (isSuspected) {
+        awaitExplanation(result);
+        return;
+    }
     retryOrGiveUp(retry::FailureKind::Unknown, result.reason, result.detail);
 }
 
+bool RequestRun::isLossSuspected(const protocol::StageResult &result)
+{
+    if (!generates()) {
+        return false;
+    }
+    if (result.crash) {
+        m_context.logger.info("backend server crashed during a stage",
+                              {{"request", m_request.id.value()},
+                               {"stage", stage().id.value()},
+                               {"host", m_attempt->host().id.value()},
+                               {"crash", std::to_string(result.crash->value())}});
+        m_watch->serverCrashed(*result.crash);
+    }
+    m_watch->attemptEnded();
+    return m_watch->isSuspected();
+}
+
+void RequestRun::awaitExplanation(const protocol::StageResult &result)
+{
+    m_watch->awaitExplanation([this, result](bool isClear) {
+        const auto keepAlive = shared_from_this();
+        if (isClear) {
+            retryOrGiveUp(retry::FailureKind::Unknown, result.reason, result.detail);
+        } else {
+            giveUp(protocol::RefusalReason::PromptQuarantined,
+                   "prompt is suspected of crashing a backend server");
+        }
+    });
+}
+
 void RequestRun::restartText(const StageAttempt &attempt)
 {
     if (attempt.hasText() && m_observer != nullptr) {
@@ -352,7 +423,16 @@
     onAttemptResult(result);
 }
 
-void RequestRun::giveUp(protocol::RefusalReason reason, const std::string &detail)
+void RequestRun::giveUpQuarantined(const quarantine::PartAssessment &assessment)
+{
+    const bool isBlamed = assessment.standing == quarantine::PartStanding::Blamed;
+    giveUp(protocol::RefusalReason::PromptQuarantined,
+           isBlamed ? "prompt part crashes backend servers" : "suspected prompt part is on trial",
+           assessment.retryAfter);
+}
+
+void RequestRun::giveUp(protocol::RefusalReason reason, const std::string &detail,
+                        framework::Milliseconds retryAfter)
 {
     if (m_holdsClaim && m_attempt == nullptr) {
         m_context.claims.recordNotRun(claimKey());
@@ -362,6 +442,7 @@
     answer.outcome = m_anyStageRan ? RequestOutcome::Unknown : RequestOutcome::NotRun;
     answer.reason = reason;
     answer.detail = detail;
+    answer.retryAfter = retryAfter;
     answer.safeToRepeat = !m_nonIdempotentStageRan;
     finish(std::move(answer));
 }
--- a/src/pipeline/internal/requestrun.h
+++ b/src/pipeline/internal/requestrun.h
@@ -21,6 +21,11 @@
 class ITimer;
 }
 
+namespace lavendertally::quarantine {
+class IPromptWatch;
+struct PartAssessment;
+} // namespace lavendertally::quarantine
+
 namespace lavendertally::pipeline {
 
 class IRequestObserver;
@@ -69,17 +74,24 @@
     void onStageDone(const protocol::StageResult &result);
     void onNotRun(const protocol::StageResult &result);
     void onUnknown(const protocol::StageResult &result);
+    /// Reports to the quarantine that the last attempt was lost.
+    /// \return whether the prompt may be the cause
+    bool isLossSuspected(const protocol::StageResult &result);
+    void awaitExplanation(const protocol::StageResult &result);
     void advance(const std::string &result);
     void restartText(const StageAttempt &attempt);
 
     void onDeadline();
-    void giveUp(protocol::RefusalReason reason, const std::string &detail);
+    void giveUp(protocol::RefusalReason reason, const std::string &detail,
+                framework::Milliseconds retryAfter = {});
+    void giveUpQuarantined(const quarantine::PartAssessment &assessment);
     void finish(CallerAnswer answer);
     void deliver(CallerAnswer answer);
     void end();
 
     const configuration::Stage &stage() const { return m_plan.pipeline.stages[m_stageIndex]; }
     bool isLastStage() const { return m_stageIndex + 1 == m_plan.pipeline.stages.size(); }
+    bool generates() const { return stage().maxTokens > framework::TokenCount(0); }
     bool streamsStage() const;
     claims::ClaimKey claimKey() const;
     framework::Milliseconds remaining() const;
@@ -94,6 +106,7 @@
     framework::TimePoint m_startedAt;
     RequestPlan m_plan;
     PayloadBuilder m_payload;
+    std::unique_ptr<quarantine::IPromptWatch> m_watch;
 
     std::size_t m_stageIndex = 0;
     std::uint32_t m_attempts = 0;
--- a/src/pipeline/tests/fakestageclient.h
+++ b/src/pipeline/tests/fakestageclient.h
@@ -65,6 +65,15 @@
         answer(index, result);
     }
 
+    /// The call was lost before its answer began, since the backend server crashed.
+    void answerCrashed(std::size_t index, framework::CrashId crash) const
+    {
+        protocol::StageResult result;
+        result.status = protocol::StageStatus::Unknown;
+        result.crash = crash;
+        answer(index, result);
+    }
+
 private:
     class Call final : public transport::IStageCall
     {
--- a/src/pipeline/types/calleranswer.h
+++ b/src/pipeline/types/calleranswer.h
@@ -18,6 +18,8 @@
     protocol::RefusalReason reason = protocol::RefusalReason::None;
     /// Human-readable explanation of the reason.
     std::string detail;
+    /// Time after which the same request may succeed; zero if unknown.
+    framework::Milliseconds retryAfter;
     /// True if no non-idempotent stage has run or may have run, so that a new request cannot
     /// repeat a side effect.
     bool safeToRepeat = false;
--- a/src/pipeline/types/pipelinecontext.h
+++ b/src/pipeline/types/pipelinecontext.h
@@ -26,6 +26,10 @@
 class IClaimService;
 }
 
+namespace lavendertally::quarantine {
+class IPromptQuarantine;
+}
+
 namespace lavendertally::transport {
 class IStageClient;
 }
@@ -49,6 +53,7 @@
     retry::IStageBudget &budgets;
     claims::IClaimService &claims;
     transport::IStageClient &stages;
+    quarantine::IPromptQuarantine &quarantine;
     IHostListener &hosts;
 };
 
--- a/src/protocol/internal/protobufcodec.cpp
+++ b/src/protocol/internal/protobufcodec.cpp
@@ -167,7 +167,7 @@
 framework::Result<Message> read(const wire::StageResult &in)
 {
     if (!isInRange(in.status(), StageStatus::Unknown)
-        || !isInRange(in.reason(), RefusalReason::Unreachable)) {
+        || !isInRange(in.reason(), RefusalReason::PromptQuarantined)) {
         return malformedError();
     }
     StageResult result;
--- a/src/protocol/internal/refusalreasonname.cpp
+++ b/src/protocol/internal/refusalreasonname.cpp
@@ -41,6 +41,8 @@
         return "not_ready";
     case RefusalReason::Unreachable:
         return "unreachable";
+    case RefusalReason::PromptQuarantined:
+        return "prompt_quarantined";
     }
     return "none";
 }
--- a/src/protocol/types/refusalreason.h
+++ b/src/protocol/types/refusalreason.h
@@ -36,6 +36,8 @@
     NotReady,
     /// No connection could be established, so nothing was sent.
     Unreachable,
+    /// A part of the prompt crashes backend servers, or is suspected of it.
+    PromptQuarantined,
 };
 
 } // namespace lavendertally::protocol
--- a/src/quarantine/internal/quarantinemodule.cpp
+++ b/src/quarantine/internal/quarantinemodule.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/quarantinemodule.h"
 
 #include "quarantine/internal/promptquarantine.h"
+#include "quarantine/internal/promptwatch.h"
 
 namespace lavendertally::quarantine {
 
@@ -12,4 +13,12 @@
     return std::make_unique<PromptQuarantine>(logger, metrics, limits, seed);
 }
 
+std::unique_ptr<IPromptWatch>
+QuarantineModule::makePromptWatch(IPromptQuarantine &quarantine, const framework::IClock &clock,
+                                  framework::IScheduler &scheduler,
+                                  const IPromptQuarantine::Parts &parts)
+{
+    return std::make_unique<PromptWatch>(quarantine, clock, scheduler, parts);
+}
+
 } // namespace lavendertally::quarantine
--- a/src/quarantine/quarantinemodule.h
+++ b/src/quarantine/quarantinemodule.h
@@ -1,19 +1,22 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "quarantine/ipromptquarantine.h"
 #include "quarantine/types/quarantinelimits.h"
 
 #include <cstdint>
 #include <memory>
 
 namespace lavendertally::framework {
+class IClock;
 class ILogger;
 class IMetrics;
+class IScheduler;
 } // namespace lavendertally::framework
 
 namespace lavendertally::quarantine {
 
-class IPromptQuarantine;
+class IPromptWatch;
 
 /// Creates the objects of the module.
 class QuarantineModule
@@ -25,6 +28,13 @@
                                                              framework::IMetrics &metrics,
                                                              const QuarantineLimits &limits = {},
                                                              std::uint64_t seed = 0);
+
+    /// \param quarantine outlives the watch, as do the clock and the scheduler
+    /// \param parts parts that the prompt of the request shares with others
+    static std::unique_ptr<IPromptWatch> makePromptWatch(IPromptQuarantine &quarantine,
+                                                         const framework::IClock &clock,
+                                                         framework::IScheduler &scheduler,
+                                                         const IPromptQuarantine::Parts &parts);
 };
 
 } // namespace lavendertally::quarantine
