The gateway's guard uses the watch that entries use

Both front ends asked the quarantine, counted the beginning of an answer and waited for an explanation in code of their own; PromptWatch has it once.

--- a/src/proxy/internal/promptguard.h
+++ b/src/proxy/internal/promptguard.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
 #include "http/types/proberesult.h"
 #include "proxy/types/refusal.h"
@@ -10,22 +9,22 @@
 #include <memory>
 #include <optional>
 
-namespace lavendertally::framework {
-class ITimer;
-}
-
 namespace lavendertally::membership {
 struct BackendServerEntry;
 }
 
+namespace lavendertally::quarantine {
+class IPromptWatch;
+}
+
 namespace lavendertally::proxy {
 
 class IBackendCall;
 struct ClientRequest;
 struct ProxyContext;
 
-/// Keeps one request from crashing backend servers: asks the quarantine before each attempt, and
-/// reports to it whether the prompt was answered or the backend server crashed.
+/// Keeps one request from crashing backend servers: refuses what its watch objects to, and finds
+/// out after a lost attempt whether the backend server crashed.
 class PromptGuard
 {
 public:
@@ -58,24 +57,23 @@
     /// Waits for evidence that the prompt did not cause the crash.
     /// \param explained receives whether there is any; called once, later, unless this object is
     /// destroyed first
-    void awaitExplanation(std::function<void(bool)> explained);
+    void awaitExplanation(const std::function<void(bool)> &explained);
 
     /// Ends the trial and all waiting; nothing is called back any more.
     void cancel();
 
 private:
     void recordProbe(http::ProbeResult result);
-    void checkExplanation(framework::TimePoint until, const std::function<void(bool)> &explained);
 
     const ProxyContext &m_context;
     const ClientRequest &m_request;
+    std::unique_ptr<quarantine::IPromptWatch> m_watch;
     std::unique_ptr<membership::BackendServerEntry> m_server;
     framework::TimePoint m_attemptSent;
     std::uint32_t m_events = 0;
+    /// Whether an answer to this request has begun; a stream that resumes goes on then.
     bool m_answerBegan = false;
-    std::optional<framework::PromptPartId> m_trial;
     std::unique_ptr<IBackendCall> m_probe;
-    std::unique_ptr<framework::ITimer> m_timer;
 };
 
 } // namespace lavendertally::proxy
--- a/src/quarantine/internal/promptwatch.cpp
+++ b/src/quarantine/internal/promptwatch.cpp
@@ -94,6 +94,11 @@
     checkExplanation(m_clock.now() + ExplanationTime, explained);
 }
 
+void PromptWatch::cancelWaiting()
+{
+    m_timer.reset();
+}
+
 void PromptWatch::checkExplanation(framework::TimePoint until,
                                    const std::function<void(bool)> &explained)
 {
--- a/src/quarantine/internal/promptwatch.h
+++ b/src/quarantine/internal/promptwatch.h
@@ -33,6 +33,7 @@
     void attemptEnded() override;
     bool isSuspected() const override;
     void awaitExplanation(const std::function<void(bool)> &explained) override;
+    void cancelWaiting() override;
 
 private:
     void endTrial();
--- a/src/quarantine/ipromptwatch.h
+++ b/src/quarantine/ipromptwatch.h
@@ -38,6 +38,9 @@
     /// \param explained receives whether there is any; called once, later, unless this object is
     /// destroyed first
     virtual void awaitExplanation(const std::function<void(bool)> &explained) = 0;
+
+    /// Ends the waiting without a call.
+    virtual void cancelWaiting() = 0;
 };
 
 } // namespace lavendertally::quarantine
