--- a/src/http/tests/scriptedserver.h
+++ b/src/http/tests/scriptedserver.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace lavendertally::http {
@@ -57,8 +58,7 @@
         for (const auto &connection : m_connections) {
             end(*connection);
         }
-        event_free(m_accept);
-        close(m_fd);
+        stopListening();
     }
     ScriptedServer(const ScriptedServer &) = delete;
     ScriptedServer &operator=(const ScriptedServer &) = delete;
@@ -66,6 +66,14 @@
     framework::Endpoint endpoint() const { return {"127.0.0.1", m_port}; }
     std::size_t connections() const { return m_connections.size(); }
     Connection &connection(std::size_t number) { return *m_connections[number]; }
+    /// Refuses new connections from now on; those that stand stay.
+    void stopListening()
+    {
+        if (m_accept != nullptr) {
+            event_free(std::exchange(m_accept, nullptr));
+            close(m_fd);
+        }
+    }
 
     static void send(Connection &connection, std::string_view bytes)
     {
