Broken streams end with a reset if the client takes the close for their end

Callers without chunks (HTTP/1.0) saw a stream that broke as a complete answer: the response had neither a length nor chunks, and the server closed the connection in order when it gave the stream up. Such a connection is now reset, also when the server ends before the response has left; whole responses still end with an orderly close. Failed before: RawServerTest.AbortedStreamToAClientWithoutChunksEndsWithAReset, RawServerTest.ServerEndsDuringAStreamToAClientWithoutChunks_ConnectionIsReset, StreamEndTest.StreamBreaks_ClientWithoutChunksSeesReset.

--- a/src/app/tests/streamendtest.cpp
+++ b/src/app/tests/streamendtest.cpp
@@ -1,4 +1,5 @@
 #include "app/tests/gatewayfixture.h"
+#include "http/tests/rawsocket.h"
 #include "http/tests/scriptedserver.h"
 
 using namespace lavendertally;
@@ -200,6 +201,18 @@
     EXPECT_EQ(m_answers, 1);
 }
 
+TEST_F(StreamEndTest, StreamBreaks_ClientWithoutChunksSeesReset)
+{
+    m_script.body = events(1, 2);
+    m_script.ending = Ending::Reset;
+    startReadyGateway();
+    http::RawSocket client(m_gateway.clients);
+    client.send("POST /stream/x HTTP/1.0\r\nHost: h\r\nX-Lavendertally-Request-Id: r1\r\n"
+                "X-Lavendertally-Deadline-Ms: 3000\r\nApi-Key: key\r\n\r\n");
+    EXPECT_TRUE(waitFor([&] { return client.isClosed() || client.isReset(); }));
+    EXPECT_TRUE(client.isReset());
+}
+
 TEST_F(StreamEndTest, DrainingServerEndsAfterItsLastStream_IsComplete)
 {
     constexpr framework::Milliseconds RegistrationTime{1800};
--- a/src/http/ihttpexchange.h
+++ b/src/http/ihttpexchange.h
@@ -47,7 +47,8 @@
     virtual void sendPart(std::string_view data) = 0;
     virtual void endStream() = 0;
 
-    /// Breaks the connection without ending the response, so that the client sees a cut.
+    /// Breaks the connection without ending the response, so that the client sees a cut: by a reset
+    /// if the response has neither a length nor chunks.
     virtual void abort() = 0;
 
     /// Registers a function that is called once if the client hangs up before the response has
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -47,6 +47,12 @@
     return m_lastResponse || m_server.isClosing();
 }
 
+void ServerConnection::endResponseWithClose()
+{
+    m_lastResponse = true;
+    m_closeEndsResponse = true;
+}
+
 bool ServerConnection::isIdle() const
 {
     return !m_handling && !m_lingering && !m_parser->hasStarted();
@@ -199,6 +205,9 @@
     }
     m_closed = true;
     m_timer.reset();
+    if (m_closeEndsResponse && m_exchange) {
+        m_socket->resetOnClose();
+    }
     m_server.discard(*this);
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
         exchange->detach();
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -32,7 +32,8 @@
     void write(std::string_view data);
     /// Whether the response under way is the last one on this connection.
     bool closesAfterResponse() const;
-    void closeAfterResponse() { m_lastResponse = true; }
+    /// The client takes the orderly end of the connection for the end of the response under way.
+    void endResponseWithClose();
     /// \return whether no byte of a request has come since the last response
     bool isIdle() const;
     /// \return whether the last response has been sent and the client has to close
@@ -69,6 +70,7 @@
     bool m_hadRequest = false;
     bool m_awaitsFirstRequest = false;
     bool m_lastResponse = false;
+    bool m_closeEndsResponse = false;
     bool m_lingering = false;
     bool m_closed = false;
 };
--- a/src/http/internal/serverexchange.cpp
+++ b/src/http/internal/serverexchange.cpp
@@ -143,7 +143,7 @@
     const bool hasLength = findHeader(headers, "Content-Length").has_value();
     m_chunked = !hasLength && m_chunks;
     if (!hasLength && !m_chunked) {
-        m_connection->closeAfterResponse();
+        m_connection->endResponseWithClose();
     }
     std::string text = responseHead(status, contentType, headers);
     if (m_chunked) {
--- a/src/http/tests/rawsocket.h
+++ b/src/http/tests/rawsocket.h
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <string>
 #include <string_view>
 
@@ -47,6 +48,9 @@
             if (count == 0) {
                 m_closed = true;
             }
+            if (count < 0 && errno == ECONNRESET) {
+                m_reset = true;
+            }
             if (count <= 0) {
                 return m_received;
             }
@@ -58,11 +62,17 @@
         received();
         return m_closed;
     }
+    bool isReset()
+    {
+        received();
+        return m_reset;
+    }
 
 private:
     int m_fd;
     bool m_connected = false;
     bool m_closed = false;
+    bool m_reset = false;
     std::string m_received;
 };
 
--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -281,3 +281,49 @@
     ASSERT_TRUE(runUntil([&] { return client.received().ends_with("\r\n\r\nabcd"); }));
     EXPECT_EQ(client.received().find("chunked"), std::string::npos);
 }
+
+TEST_F(RawServerTest, StreamToAClientWithoutChunksEndsWithAnOrderlyClose)
+{
+    m_server->setHandler([](const std::shared_ptr<IHttpExchange> &exchange) {
+        exchange->startStream(200, {}, {});
+        exchange->sendPart("ab");
+        exchange->endStream();
+    });
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.0\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_FALSE(client.isReset());
+    EXPECT_TRUE(client.received().ends_with("\r\n\r\nab")) << client.received();
+}
+
+TEST_F(RawServerTest, AbortedStreamToAClientWithoutChunksEndsWithAReset)
+{
+    std::shared_ptr<IHttpExchange> open;
+    m_server->setHandler([&open](const std::shared_ptr<IHttpExchange> &exchange) {
+        open = exchange;
+        exchange->startStream(200, {}, {});
+        exchange->sendPart("ab");
+    });
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.0\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("\r\n\r\nab"); }));
+    open->abort();
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_TRUE(client.isReset());
+}
+
+TEST_F(RawServerTest, ServerEndsDuringAStreamToAClientWithoutChunks_ConnectionIsReset)
+{
+    std::shared_ptr<IHttpExchange> open;
+    m_server->setHandler([&open](const std::shared_ptr<IHttpExchange> &exchange) {
+        open = exchange;
+        exchange->startStream(200, {}, {});
+        exchange->sendPart("ab");
+    });
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.0\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("\r\n\r\nab"); }));
+    m_server.reset();
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_TRUE(client.isReset());
+}
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -48,6 +48,9 @@
     /// Ends all notifications, that of a pending connection attempt included. The connection is
     /// closed when this object is destroyed.
     void detach();
+    /// Makes the connection end with a reset when this object is destroyed; what the peer has not
+    /// received by then may be lost.
+    void resetOnClose();
     /// Shuts down the sending side once the output buffer is empty.
     void shutDownSending();
 
--- a/src/network/internal/bufferedsocket.cpp
+++ b/src/network/internal/bufferedsocket.cpp
@@ -123,6 +123,12 @@
     bufferevent_setcb(m_bufferEvent, nullptr, nullptr, nullptr, nullptr);
 }
 
+void BufferedSocket::resetOnClose()
+{
+    const linger atOnce{1, 0};
+    setsockopt(bufferevent_getfd(m_bufferEvent), SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+}
+
 void BufferedSocket::shutDownSending()
 {
     m_shutDownWhenFlushed = true;
