Crash of a backend server no longer completes an answer that ends with its connection

Callers saw a stream, or a body, as complete when its backend server had crashed in the middle: without a length and chunks only the end of the connection marks the end, and the system closes the connections of a process that ends in order. Nothing in the route or the request tells how many events there will be; whether the server still listens does tell the two apart. An answer framed by its connection, of a server that is registered as ready, is now complete only if the server accepts a connection afterwards; otherwise the attempt is broken: resumed or repeated where the route allows it, given up elsewhere. A server that is draining or not registered may end after its last answer, so its orderly close counts. The call is kept until this is decided, so that deadline and disconnection work as before. The tests' scripted server no longer leaves its sockets to the processes that a test starts.

--- a/src/app/tests/streamendtest.cpp
+++ b/src/app/tests/streamendtest.cpp
@@ -213,6 +213,33 @@
     EXPECT_TRUE(client.isReset());
 }
 
+TEST_F(StreamEndTest, ServerCrashesBetweenEvents_ClientSeesBrokenAnswer)
+{
+    m_script.body = events(1, 2);
+    m_script.ending = Ending::Crash;
+    startReadyGateway();
+    const auto response = stream();
+    EXPECT_EQ(response.end, http::HttpEnd::Broken);
+    EXPECT_EQ(response.body, events(1, 2));
+}
+
+TEST_F(StreamEndTest, ServerCrashesBetweenEvents_StreamGoesOnAtAnotherServer)
+{
+    m_script.body = events(1, 2);
+    m_script.ending = Ending::Crash;
+    const auto response = streamWithOtherServer();
+    EXPECT_EQ(response.end, http::HttpEnd::Complete);
+    EXPECT_EQ(response.body, events(1, 5));
+}
+
+TEST_F(StreamEndTest, ServerCrashesInsideBody_AnswerIsLost)
+{
+    m_script = {"HTTP/1.0", "text/plain", "who", Ending::Crash};
+    startReadyGateway();
+    EXPECT_EQ(call(ask(m_gateway, "/book/x", "r1")).status, 502);
+    EXPECT_EQ(m_answers, 1);
+}
+
 TEST_F(StreamEndTest, DrainingServerEndsAfterItsLastStream_IsComplete)
 {
     constexpr framework::Milliseconds RegistrationTime{1800};
--- a/src/http/tests/scriptedserver.h
+++ b/src/http/tests/scriptedserver.h
@@ -38,7 +38,8 @@
 
     /// \param handler called whenever bytes have arrived on a connection
     ScriptedServer(framework::IEventLoop &loop, Handler handler)
-        : m_loop(loop), m_handler(std::move(handler)), m_fd(socket(AF_INET, SOCK_STREAM, 0))
+        : m_loop(loop), m_handler(std::move(handler)),
+          m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -101,7 +102,7 @@
     static void accepted(int fd, short /*what*/, void *self)
     {
         auto *server = static_cast<ScriptedServer *>(self);
-        const int client = accept(fd, nullptr, nullptr);
+        const int client = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
         if (client < 0) {
             return;
         }
--- a/src/membership/ibackendservers.h
+++ b/src/membership/ibackendservers.h
@@ -27,6 +27,10 @@
     virtual const BackendServerEntry *
     findAdmitting(const framework::BackendServerId &server) const = 0;
 
+    /// \return whether \p server is registered and not draining, also if its availability zone is
+    /// out of service
+    virtual bool isReady(const framework::BackendServerId &server) const = 0;
+
     /// \return whether operators have taken the availability zone out of service
     virtual bool isZoneOut(const framework::AvailabilityZoneId &zone) const = 0;
 };
--- a/src/membership/internal/backendservertracker.cpp
+++ b/src/membership/internal/backendservertracker.cpp
@@ -51,6 +51,12 @@
     return found != m_entries.end() && admits(found->second) ? &found->second : nullptr;
 }
 
+bool BackendServerTracker::isReady(const framework::BackendServerId &server) const
+{
+    const auto found = m_entries.find(server);
+    return found != m_entries.end() && found->second.state == BackendServerState::Ready;
+}
+
 bool BackendServerTracker::isZoneOut(const framework::AvailabilityZoneId &zone) const
 {
     return m_zonesOut.contains(zone);
--- a/src/membership/internal/backendservertracker.h
+++ b/src/membership/internal/backendservertracker.h
@@ -22,6 +22,7 @@
     admitting(const framework::ServiceId &service) const override;
     const BackendServerEntry *
     findAdmitting(const framework::BackendServerId &server) const override;
+    bool isReady(const framework::BackendServerId &server) const override;
     bool isZoneOut(const framework::AvailabilityZoneId &zone) const override;
 
     bool put(const BackendServerEntry &entry) override;
--- a/src/membership/testing/fakebackendservers.h
+++ b/src/membership/testing/fakebackendservers.h
@@ -35,6 +35,10 @@
         const auto found = m_entries.find(server);
         return found == m_entries.end() ? nullptr : &found->second;
     }
+    bool isReady(const framework::BackendServerId &server) const override
+    {
+        return m_entries.contains(server);
+    }
     bool isZoneOut(const framework::AvailabilityZoneId & /*zone*/) const override { return false; }
 
 private:
--- a/src/membership/tests/backendservertrackertest.cpp
+++ b/src/membership/tests/backendservertrackertest.cpp
@@ -47,6 +47,9 @@
     m_tracker->setZonesOut({framework::AvailabilityZoneId("zb")});
     EXPECT_EQ(admitting(), 1U);
     EXPECT_EQ(m_tracker->findAdmitting(framework::BackendServerId("b")), nullptr);
+    EXPECT_TRUE(m_tracker->isReady(framework::BackendServerId("b")));
+    EXPECT_FALSE(m_tracker->isReady(framework::BackendServerId("c")));
+    EXPECT_FALSE(m_tracker->isReady(framework::BackendServerId("d")));
     m_tracker->setZonesOut({});
     EXPECT_EQ(admitting(), 2U);
 }
--- a/src/platform/internal/answercodec.cpp
+++ b/src/platform/internal/answercodec.cpp
@@ -43,6 +43,7 @@
         || head.status == MisdirectedRequest;
     answer.isSigned = http::findHeader(head.headers, wire::Signature).has_value();
     const auto type = http::findHeader(head.headers, "Content-Type");
+    answer.endsWithConnection = !head.framed;
     answer.isEventStream = type && type->starts_with(wire::EventStreamType);
     if (const auto load = http::findHeader(head.headers, wire::ServerLoad)) {
         answer.load = decodeServerLoad(*load);
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -224,9 +224,12 @@
     EXPECT_TRUE(answer.isSigned);
     EXPECT_TRUE(answer.isEventStream);
     EXPECT_FALSE(answer.notExecuted);
+    EXPECT_FALSE(answer.endsWithConnection);
     ASSERT_TRUE(answer.load);
     EXPECT_EQ(answer.load->slots, 8U);
     EXPECT_EQ(answer.headers.size(), 3U);
+    response.framed = false;
+    EXPECT_TRUE(decodeAnswerHead(response).endsWithConnection);
     response.status = 421;
     EXPECT_TRUE(decodeAnswerHead(response).notExecuted);
     EXPECT_FALSE(decodeServerLoad("3,1"));
--- a/src/proxy/ibackendclient.h
+++ b/src/proxy/ibackendclient.h
@@ -26,7 +26,8 @@
     virtual std::unique_ptr<IBackendCall> send(const BackendRequest &request,
                                                IBackendResponseObserver &observer) = 0;
 
-    /// Finds out whether the process of a backend server still runs, after an attempt was lost.
+    /// Finds out whether the process of a backend server still runs, after an attempt was lost or
+    /// its answer ended with the connection.
     /// \param callback called once, later, unless the handle is destroyed first
     virtual std::unique_ptr<IBackendCall>
     probe(const membership::BackendServerEntry &server,
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -39,7 +39,7 @@
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
       m_response(std::move(response)), m_started(context.clock.now()),
       m_stages(context, m_request, m_plan), m_attempts(context, m_request, m_plan),
-      m_guard(context, m_request), m_lastEventId(m_request.lastEventId)
+      m_guard(context, m_request), m_completion(context), m_lastEventId(m_request.lastEventId)
 { }
 
 ActiveRequest::~ActiveRequest() = default;
@@ -149,6 +149,7 @@
     m_attemptStarted = now;
     m_attempts.begin();
     m_guard.attemptSent(*server);
+    m_completion.attemptSent(*server);
     BackendRequest attempt;
     attempt.request = &m_request;
     attempt.server = *server;
@@ -239,6 +240,17 @@
 }
 
 void ActiveRequest::onEnd(BackendCallEnd end)
+{
+    if (end == BackendCallEnd::Complete && m_head && !m_head->notExecuted) {
+        m_completion.decide(*m_head, [this](bool isWhole) {
+            callEnded(isWhole ? BackendCallEnd::Complete : BackendCallEnd::Broken);
+        });
+        return;
+    }
+    callEnded(end);
+}
+
+void ActiveRequest::callEnded(BackendCallEnd end)
 {
     m_call.reset();
     const bool notExecuted = m_head && m_head->notExecuted;
@@ -445,6 +457,7 @@
     m_deadlineTimer.reset();
     m_backoffTimer.reset();
     m_guard.cancel();
+    m_completion.cancel();
     m_stages.cancel();
     m_stages.release();
     const std::string route = m_plan.route != nullptr ? m_plan.route->id.value() : std::string();
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/timepoint.h"
 #include "proxy/ibackendresponseobserver.h"
+#include "proxy/internal/completioncheck.h"
 #include "proxy/internal/promptguard.h"
 #include "proxy/internal/requestattempts.h"
 #include "proxy/internal/requestplan.h"
@@ -63,6 +64,7 @@
     void nextAttempt();
     void sendAttempt();
     void endUnsent(const Refusal &refusal);
+    void callEnded(BackendCallEnd end);
     void attemptEnded(BackendCallEnd end);
     void streamEnded(BackendCallEnd end);
     void responseEnded(BackendCallEnd end);
@@ -98,11 +100,13 @@
     RequestStages m_stages;
     bool m_stagesRerun = false;
 
+    /// Kept until it is decided whether the answer is whole.
     std::unique_ptr<IBackendCall> m_call;
     framework::BackendServerId m_server;
     framework::TimePoint m_attemptStarted;
     RequestAttempts m_attempts;
     PromptGuard m_guard;
+    CompletionCheck m_completion;
     bool m_priorAttemptMayHaveRun = false;
     std::optional<ResponseHead> m_head;
     std::string m_body;
--- a/src/proxy/tests/streamtest.cpp
+++ b/src/proxy/tests/streamtest.cpp
@@ -5,6 +5,29 @@
 
 using ProxyStreamTest = ProxyFixture;
 
+namespace {
+
+/// Answers that have neither a length nor chunks.
+class UnframedAnswerTest : public ProxyFixture
+{
+protected:
+    void endWithConnection(bool isStream)
+    {
+        ResponseHead unframed = head(200, isStream);
+        unframed.endsWithConnection = true;
+        sent().observer->onHead(unframed);
+        if (isStream) {
+            event(0, 1);
+            event(0, 2);
+        } else {
+            sent().observer->onBody("who");
+        }
+        sent().observer->onEnd(BackendCallEnd::Complete);
+    }
+};
+
+} // namespace
+
 TEST_F(ProxyStreamTest, EventsArrive_EachIsForwardedAtOnce)
 {
     const auto received = start("stream");
@@ -175,3 +198,130 @@
     EXPECT_EQ(m_stages.m_jobs.size(), 2U);
     EXPECT_EQ(received->refusal, RefusalKind::NotRun);
 }
+
+TEST_F(UnframedAnswerTest, ServerStillListens_StreamIsComplete)
+{
+    const auto received = start("resumable");
+    endWithConnection(true);
+    ASSERT_FALSE(received->ended);
+    m_backends.endProbe(http::ProbeResult::Listening);
+    EXPECT_TRUE(received->ended);
+    EXPECT_EQ(received->body, "1;2;");
+    EXPECT_EQ(m_service->activeRequests(), 0U);
+}
+
+TEST_F(UnframedAnswerTest, ServerHasCrashed_StreamIsAborted)
+{
+    const auto received = start("stream");
+    endWithConnection(true);
+    ASSERT_FALSE(received->ended);
+    m_backends.endProbe(http::ProbeResult::NotListening);
+    EXPECT_TRUE(received->aborted);
+    EXPECT_FALSE(received->ended);
+}
+
+TEST_F(UnframedAnswerTest, ServerHasCrashed_ResumableStreamContinuesElsewhere)
+{
+    const auto received = start("resumable");
+    endWithConnection(true);
+    ASSERT_FALSE(received->ended);
+    m_backends.endProbe(http::ProbeResult::NotListening);
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    EXPECT_NE(sent(1).request.server.id, sent(0).request.server.id);
+    EXPECT_EQ(sent(1).request.resumeAfter, framework::StreamEventId(2));
+    sent(1).observer->onHead(head(200, true));
+    event(1, 3);
+    sent(1).observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_EQ(received->body, "1;2;3;");
+    EXPECT_TRUE(received->ended);
+}
+
+TEST_F(UnframedAnswerTest, ServerIsSilent_StreamIsAborted)
+{
+    const auto received = start("stream");
+    endWithConnection(true);
+    ASSERT_FALSE(received->ended);
+    m_backends.endProbe(http::ProbeResult::Silent);
+    EXPECT_TRUE(received->aborted);
+}
+
+TEST_F(UnframedAnswerTest, ServerIsNoLongerRegistered_StreamIsCompleteAtOnce)
+{
+    const auto received = start("stream");
+    m_servers.remove(sent().request.server.id);
+    endWithConnection(true);
+    EXPECT_TRUE(received->ended);
+    EXPECT_TRUE(m_backends.m_probes.empty());
+}
+
+TEST_F(UnframedAnswerTest, ServerIsRemovedDuringProbe_StreamIsComplete)
+{
+    const auto received = start("stream");
+    endWithConnection(true);
+    ASSERT_FALSE(received->ended);
+    m_servers.remove(sent().request.server.id);
+    m_backends.endProbe(http::ProbeResult::NotListening);
+    EXPECT_TRUE(received->ended);
+}
+
+TEST_F(UnframedAnswerTest, TimeIsUpDuringProbe_StreamIsAborted)
+{
+    const auto received = start("stream");
+    endWithConnection(true);
+    ASSERT_FALSE(received->ended);
+    advance(801);
+    EXPECT_TRUE(received->aborted);
+    EXPECT_FALSE(received->ended);
+    EXPECT_EQ(m_service->activeRequests(), 0U);
+}
+
+TEST_F(UnframedAnswerTest, FramedStream_NeedsNoProbe)
+{
+    const auto received = start("stream");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    sent().observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_TRUE(received->ended);
+    EXPECT_TRUE(m_backends.m_probes.empty());
+}
+
+TEST_F(UnframedAnswerTest, ServerHasCrashed_BodyOfBookingIsLost)
+{
+    const auto received = start("book");
+    endWithConnection(false);
+    ASSERT_FALSE(received->ended);
+    m_backends.endProbe(http::ProbeResult::NotListening);
+    EXPECT_EQ(received->refusal, RefusalKind::ResponseLost);
+    EXPECT_EQ(m_backends.m_sent.size(), 1U);
+}
+
+TEST_F(UnframedAnswerTest, ServerHasCrashed_IdempotentRequestIsRepeatedElsewhere)
+{
+    const auto received = start("read");
+    endWithConnection(false);
+    ASSERT_FALSE(received->ended);
+    m_backends.endProbe(http::ProbeResult::NotListening);
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    respond(1, head(200), "whole");
+    EXPECT_EQ(received->body, "whole");
+}
+
+TEST_F(UnframedAnswerTest, ClientDisconnectsDuringProbe_RequestEnds)
+{
+    start("stream");
+    endWithConnection(true);
+    m_service->abandon(m_ticket);
+    EXPECT_EQ(m_service->activeRequests(), 0U);
+}
+
+TEST_F(UnframedAnswerTest, ClientDisconnectsDuringProbeOfBooking_ResultIsAwaited)
+{
+    start("book");
+    endWithConnection(false);
+    m_service->abandon(m_ticket);
+    EXPECT_EQ(m_service->activeRequests(), 1U);
+    m_backends.endProbe(http::ProbeResult::Listening);
+    EXPECT_EQ(m_service->activeRequests(), 0U);
+}
--- a/src/proxy/types/responsehead.h
+++ b/src/proxy/types/responsehead.h
@@ -19,6 +19,8 @@
     /// without them may belong to another request on the same connection.
     bool isSigned = false;
     bool isEventStream = false;
+    /// The body has neither a length nor chunks; the end of the connection marks its end.
+    bool endsWithConnection = false;
     /// Load that the backend server reports with the response.
     std::optional<routing::ServerLoad> load;
 
--- a/src/routing/ibackendserverselector.h
+++ b/src/routing/ibackendserverselector.h
@@ -21,6 +21,10 @@
     virtual framework::Result<membership::BackendServerEntry> select(const ServerQuery &query,
                                                                      framework::TimePoint now) = 0;
 
+    /// \return whether \p server is registered and not draining; one that is ready does not end on
+    /// purpose
+    virtual bool isReady(const framework::BackendServerId &server) const = 0;
+
     /// Reports that a call was sent to \p server.
     virtual void callStarted(const framework::BackendServerId &server,
                              framework::TimePoint now) = 0;
--- a/src/routing/internal/backendserverselector.cpp
+++ b/src/routing/internal/backendserverselector.cpp
@@ -141,6 +141,11 @@
     });
 }
 
+bool BackendServerSelector::isReady(const framework::BackendServerId &server) const
+{
+    return m_servers.isReady(server);
+}
+
 void BackendServerSelector::callStarted(const framework::BackendServerId &server,
                                         framework::TimePoint now)
 {
--- a/src/routing/internal/backendserverselector.h
+++ b/src/routing/internal/backendserverselector.h
@@ -25,6 +25,7 @@
 
     framework::Result<membership::BackendServerEntry> select(const ServerQuery &query,
                                                              framework::TimePoint now) override;
+    bool isReady(const framework::BackendServerId &server) const override;
     void callStarted(const framework::BackendServerId &server, framework::TimePoint now) override;
     void responseStarted(const framework::BackendServerId &server, framework::TimePoint started,
                          framework::TimePoint now) override;
