--- a/src/http/tests/scriptedserver.h
+++ b/src/http/tests/scriptedserver.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace lavendertally::http {
@@ -37,7 +38,8 @@
 
     /// \param handler called whenever bytes have arrived on a connection
     ScriptedServer(framework::IEventLoop &loop, Handler handler)
-        : m_loop(loop), m_handler(std::move(handler)), m_fd(socket(AF_INET, SOCK_STREAM, 0))
+        : m_loop(loop), m_handler(std::move(handler)),
+          m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -57,8 +59,7 @@
         for (const auto &connection : m_connections) {
             end(*connection);
         }
-        event_free(m_accept);
-        close(m_fd);
+        stopListening();
     }
     ScriptedServer(const ScriptedServer &) = delete;
     ScriptedServer &operator=(const ScriptedServer &) = delete;
@@ -66,6 +67,14 @@
     framework::Endpoint endpoint() const { return {"127.0.0.1", m_port}; }
     std::size_t connections() const { return m_connections.size(); }
     Connection &connection(std::size_t number) { return *m_connections[number]; }
+    /// Refuses new connections from now on; those that stand stay.
+    void stopListening()
+    {
+        if (m_accept != nullptr) {
+            event_free(std::exchange(m_accept, nullptr));
+            close(m_fd);
+        }
+    }
 
     static void send(Connection &connection, std::string_view bytes)
     {
@@ -93,7 +102,7 @@
     static void accepted(int fd, short /*what*/, void *self)
     {
         auto *server = static_cast<ScriptedServer *>(self);
-        const int client = accept(fd, nullptr, nullptr);
+        const int client = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
         if (client < 0) {
             return;
         }
