--- a/src/peers/internal/peerlistener.cpp
+++ b/src/peers/internal/peerlistener.cpp
@@ -37,8 +37,9 @@
     address.sin_port = htons(endpoint.port);
     if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) == 1) {
         m_listener = evconnlistener_new_bind(
-            m_base, &PeerListener::accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-            Backlog, reinterpret_cast<sockaddr *>(&address), sizeof address);
+            m_base, &PeerListener::accepted, this,
+            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, Backlog,
+            reinterpret_cast<sockaddr *>(&address), sizeof address);
     }
     if (m_listener == nullptr) {
         return framework::leaf::new_error(
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -56,7 +56,7 @@
         return;
     }
     if (const auto refusal = m_guard.check()) {
-        refuse(*refusal);
+        fail(*refusal, refusal->cause);
         return;
     }
     m_deadline = m_started
@@ -160,18 +160,12 @@
 }
 
 /// Ends the request because its next attempt must not be sent.
-void ActiveRequest::endUnsent(const Refusal &refusal)
+void ActiveRequest::endUnsent(Refusal refusal)
 {
-    if (m_streaming) {
-        m_response->abort();
-        finish(refusal.cause);
-        return;
-    }
     if (mayHaveRun()) {
-        refuse({RefusalKind::ResponseLost, {}, refusal.cause});
-        return;
+        refusal.kind = RefusalKind::ResponseLost;
     }
-    refuse(refusal);
+    fail(refusal, refusal.cause);
 }
 
 void ActiveRequest::endAttempt(routing::CallOutcome outcome)
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -63,7 +63,7 @@
 
     void nextAttempt();
     void sendAttempt();
-    void endUnsent(const Refusal &refusal);
+    void endUnsent(Refusal refusal);
     void callEnded(BackendCallEnd end);
     void attemptEnded(BackendCallEnd end);
     void streamEnded(BackendCallEnd end);
--- a/src/soak/internal/loopbackproxy.cpp
+++ b/src/soak/internal/loopbackproxy.cpp
@@ -36,9 +36,10 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    m_listener = evconnlistener_new_bind(loop.base(), &LoopbackProxy::accepted, this,
-                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, Backlog,
-                                         reinterpret_cast<sockaddr *>(&address), sizeof address);
+    m_listener =
+        evconnlistener_new_bind(loop.base(), &LoopbackProxy::accepted, this,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+                                Backlog, reinterpret_cast<sockaddr *>(&address), sizeof address);
     socklen_t length = sizeof address;
     getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address), &length);
     m_endpoint = {"127.0.0.1", ntohs(address.sin_port)};
