Links between daemons carry reports of crashes

Callers saw: nothing yet. Each gateway knows only the crashes that it has seen itself, since links had no message for them. Change: the message CrashReport, with bounds on its entries and their ages, and in a pong a fingerprint of the crashes that a daemon knows, which is not repeated on a link while it does not change. The network of the tests of TopicExchange moves to src/peers/testing, for other tests that use it.

--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -6,6 +6,7 @@
 #include "protocol/types/peermessage.h"
 
 #include <memory>
+#include <optional>
 
 struct event_base;
 
@@ -47,6 +48,15 @@
     /// \return the daemon at the other end; empty on an inbound link before its hello
     const framework::DaemonId &peer() const { return m_peer; }
     void setPeer(framework::DaemonId peer);
+    /// \return whether the daemon that opened this inbound link takes crash reports
+    bool takesCrashReports() const { return m_takesCrashReports; }
+    void setTakesCrashReports(bool takes) { m_takesCrashReports = takes; }
+    /// \return the fingerprint in the last pong that was sent on this link, if any had one
+    const std::optional<protocol::EvidenceFingerprint> &toldFingerprint() const
+    {
+        return m_toldFingerprint;
+    }
+    void setToldFingerprint(protocol::EvidenceFingerprint told) { m_toldFingerprint = told; }
     bool isConnected() const { return m_connected; }
     /// \return when the last message arrived, as set by the owner
     framework::TimePoint lastReceived() const { return m_lastReceived; }
@@ -63,6 +73,8 @@
     std::unique_ptr<protocol::IFrameReader> m_frames;
     std::unique_ptr<network::BufferedSocket> m_socket;
     bool m_connected = false;
+    bool m_takesCrashReports = false;
+    std::optional<protocol::EvidenceFingerprint> m_toldFingerprint;
     framework::TimePoint m_lastReceived;
 };
 
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -45,6 +45,11 @@
     m_digests = std::move(digests);
 }
 
+void PeerNetwork::setCrashFingerprint(std::function<protocol::EvidenceFingerprint()> fingerprint)
+{
+    m_crashFingerprint = std::move(fingerprint);
+}
+
 void PeerNetwork::setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed)
 {
     m_isInformed = std::move(isInformed);
@@ -186,6 +191,25 @@
     return peers;
 }
 
+std::vector<framework::DaemonId> PeerNetwork::crashReportTakers() const
+{
+    std::vector<framework::DaemonId> takers;
+    for (const auto &[peer, outbound] : m_outbound) {
+        if (outbound.isEstablished && outbound.crashFingerprint) {
+            takers.push_back(peer);
+        }
+    }
+    for (const auto &link : m_inbound) {
+        const auto outbound = m_outbound.find(link->peer());
+        const bool isLinkedOutbound =
+            outbound != m_outbound.end() && outbound->second.isEstablished;
+        if (link->takesCrashReports() && !link->peer().isEmpty() && !isLinkedOutbound) {
+            takers.push_back(link->peer());
+        }
+    }
+    return takers;
+}
+
 bool PeerNetwork::isSeed(const framework::DaemonId &peer) const
 {
     return std::any_of(m_seeds.begin(), m_seeds.end(),
@@ -214,16 +238,24 @@
     return known ? found->second.peerStartTime : framework::TimePoint::never();
 }
 
-protocol::PeerPong PeerNetwork::pong(std::optional<framework::TimePoint> pingSent) const
+void PeerNetwork::sendPong(PeerLink &link, std::optional<framework::TimePoint> pingSent) const
 {
-    return {pingSent, m_acceptsJobs(), m_clock.now() - m_started, m_digests()};
+    protocol::PeerPong pong{pingSent, m_acceptsJobs(), m_clock.now() - m_started, m_digests()};
+    if (m_crashFingerprint) {
+        const protocol::EvidenceFingerprint fingerprint = m_crashFingerprint();
+        if (link.toldFingerprint() != fingerprint) {
+            pong.crashFingerprint = fingerprint;
+            link.setToldFingerprint(fingerprint);
+        }
+    }
+    link.send(pong);
 }
 
 void PeerNetwork::announce()
 {
     for (const auto &link : m_inbound) {
         if (!link->peer().isEmpty()) {
-            link->send(pong(std::nullopt));
+            sendPong(*link, std::nullopt);
         }
     }
 }
@@ -320,7 +352,7 @@
     // A peer keeps one inbound link for each name, so a link to a seed needs a name of its own: the
     // same peer may also be linked through the ranking.
     const std::string name = m_self.value() + (isSeed(link.peer()) ? SeedLinkSuffix : "");
-    link.send(protocol::PeerHello{framework::DaemonId(name)});
+    link.send(protocol::PeerHello{framework::DaemonId(name), m_crashFingerprint != nullptr});
     link.send(protocol::PeerPing{m_clock.now()});
 }
 
@@ -332,7 +364,7 @@
         return;
     }
     if (const auto *ping = std::get_if<protocol::PeerPing>(&message)) {
-        link.send(pong(ping->sent));
+        sendPong(link, ping->sent);
         return;
     }
     if (const auto *pong = std::get_if<protocol::PeerPong>(&message)) {
@@ -359,6 +391,7 @@
         closeInbound(*other);
     }
     link.setPeer(hello.daemon);
+    link.setTakesCrashReports(hello.takesCrashReports);
 }
 
 void PeerNetwork::onPong(const PeerLink &link, const protocol::PeerPong &pong)
@@ -371,13 +404,21 @@
     if (!outbound.isEstablished) {
         outbound.isEstablished = true;
         outbound.establishedAt = m_clock.now();
+        outbound.crashFingerprint.reset();
         m_logger.info("link to daemon established", {{"peer", link.peer().value()}});
     }
     const bool hasStoppedTakingJobs =
         std::exchange(outbound.acceptsJobs, pong.acceptsJobs) && !pong.acceptsJobs;
+    if (pong.crashFingerprint) {
+        outbound.crashFingerprint = pong.crashFingerprint;
+    }
+    const std::optional<protocol::EvidenceFingerprint> fingerprint = outbound.crashFingerprint;
     outbound.peerStartTime = m_clock.now() - pong.uptime;
     for (IPeerObserver *observer : m_observers) {
         observer->onDigests(link.peer(), pong.digests, pong.pingSent);
+        if (fingerprint) {
+            observer->onCrashFingerprint(link.peer(), *fingerprint);
+        }
     }
     if (hasStoppedTakingJobs) {
         updateOutbound();
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -41,11 +41,13 @@
     void addObserver(IPeerObserver &observer) override { m_observers.push_back(&observer); }
     void setAcceptsJobs(std::function<bool()> accepts) override;
     void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) override;
+    void setCrashFingerprint(std::function<protocol::EvidenceFingerprint()> fingerprint) override;
     void setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed) override;
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
     void connectTo(const std::vector<DaemonAddress> &ranking) override;
     void connectToSeeds(const std::vector<framework::Endpoint> &seeds) override;
     std::vector<framework::DaemonId> linkedPeers() const override;
+    std::vector<framework::DaemonId> crashReportTakers() const override;
     bool isAccepting(const framework::DaemonId &peer) const override;
     bool isInStartupGrace(const framework::DaemonId &peer) const override;
     bool isUnreachable(const framework::DaemonId &peer) const override;
@@ -72,6 +74,9 @@
         /// Whether a pong arrived on the current connection.
         bool isEstablished = false;
         bool acceptsJobs = false;
+        /// Newest fingerprint on the current connection; nothing if the peer takes no crash
+        /// reports.
+        std::optional<protocol::EvidenceFingerprint> crashFingerprint;
         framework::TimePoint peerStartTime;
         framework::TimePoint neededAt;
     };
@@ -90,7 +95,7 @@
     void closeIdleInbound(framework::TimePoint now);
     bool isSeed(const framework::DaemonId &peer) const;
     void onHello(PeerLink &link, const protocol::PeerHello &hello);
-    protocol::PeerPong pong(std::optional<framework::TimePoint> pingSent) const;
+    void sendPong(PeerLink &link, std::optional<framework::TimePoint> pingSent) const;
     void onPong(const PeerLink &link, const protocol::PeerPong &pong);
     bool isOutbound(const PeerLink &link) const;
     void closeInbound(PeerLink &link);
@@ -106,6 +111,8 @@
     std::vector<IPeerObserver *> m_observers;
     std::function<bool()> m_acceptsJobs;
     std::function<std::vector<protocol::TopicDigest>()> m_digests;
+    /// Empty if this daemon takes no crash reports.
+    std::function<protocol::EvidenceFingerprint()> m_crashFingerprint;
     std::function<bool(const framework::DaemonId &)> m_isInformed;
     PeerListener m_listener;
     framework::Endpoint m_endpoint;
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -30,6 +30,12 @@
     /// \param digests returns how recent this daemon's topics are; sent to the peers in each pong
     virtual void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) = 0;
 
+    /// \param fingerprint returns what this daemon knows of crashes; sent to the peers in the first
+    /// pong of a link and in those after a change. Set before listen() by a daemon that takes crash
+    /// reports
+    virtual void
+    setCrashFingerprint(std::function<protocol::EvidenceFingerprint()> fingerprint) = 0;
+
     /// \param isInformed returns whether the state that a linked peer shares is recent. While no
     /// linked peer's is, links go further down the ranking
     virtual void setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed) = 0;
@@ -50,6 +56,10 @@
     /// seed is its endpoint
     virtual std::vector<framework::DaemonId> linkedPeers() const = 0;
 
+    /// \return the daemons at the other ends of outbound and inbound links that take crash reports;
+    /// one that runs an older version would close the link on a report
+    virtual std::vector<framework::DaemonId> crashReportTakers() const = 0;
+
     /// \return whether the outbound link to \p peer is established, has passed its probation if it
     /// was lost before, and the peer takes stage jobs
     virtual bool isAccepting(const framework::DaemonId &peer) const = 0;
--- a/src/peers/ipeerobserver.h
+++ b/src/peers/ipeerobserver.h
@@ -27,6 +27,11 @@
                            const std::vector<protocol::TopicDigest> &digests,
                            std::optional<framework::TimePoint> pingSent) = 0;
 
+    /// A pong arrived on the outbound link to \p peer, which takes crash reports.
+    /// \param fingerprint what the peer knows of crashes
+    virtual void onCrashFingerprint(const framework::DaemonId &peer,
+                                    protocol::EvidenceFingerprint fingerprint) = 0;
+
     /// The outbound link to \p peer was lost or given up. Messages sent on it may not have arrived.
     virtual void onOutboundLinkLost(const framework::DaemonId &peer) = 0;
 
--- a/src/peers/tests/peernetworktest.cpp
+++ b/src/peers/tests/peernetworktest.cpp
@@ -37,6 +37,11 @@
             m_digests.push_back({peer, digest, pingSent});
         }
     }
+    void onCrashFingerprint(const framework::DaemonId &peer,
+                            protocol::EvidenceFingerprint fingerprint) override
+    {
+        m_fingerprints.emplace_back(peer, fingerprint);
+    }
     void onOutboundLinkLost(const framework::DaemonId &peer) override { m_lost.push_back(peer); }
     void onInboundLinkClosed(const framework::DaemonId &peer) override
     {
@@ -51,6 +56,7 @@
         std::optional<framework::TimePoint> pingSent;
     };
     std::vector<Digest> m_digests;
+    std::vector<std::pair<framework::DaemonId, protocol::EvidenceFingerprint>> m_fingerprints;
     std::vector<framework::DaemonId> m_lost;
     std::vector<framework::DaemonId> m_inboundClosed;
 };
@@ -179,6 +185,46 @@
     EXPECT_TRUE(waitFor([this] { return !m_observerA.m_digests.back().pingSent; }));
 }
 
+TEST_F(PeerNetworkTest, DaemonsTakeCrashReports_EachKnowsThatOfTheOther)
+{
+    using protocol::EvidenceFingerprint;
+    constexpr EvidenceFingerprint Fingerprint(7);
+    constexpr EvidenceFingerprint Later(8);
+    EvidenceFingerprint current = Fingerprint;
+    m_a->setCrashFingerprint([] { return protocol::EvidenceFingerprint(); });
+    m_b->setCrashFingerprint([&current] { return current; });
+    ASSERT_TRUE(connect(m_endpointB));
+    ASSERT_FALSE(m_observerA.m_fingerprints.empty());
+    EXPECT_EQ(m_observerA.m_fingerprints[0], std::pair(B, Fingerprint));
+    EXPECT_EQ(m_a->crashReportTakers(), std::vector{B});
+    EXPECT_EQ(m_b->crashReportTakers(), std::vector{A});
+    const protocol::PeerMessage report = protocol::CrashReport{{}, true};
+    ASSERT_TRUE(m_b->send(A, report));
+    ASSERT_TRUE(waitFor([this] { return !m_observerA.m_messages.empty(); }));
+    EXPECT_EQ(m_observerA.m_messages[0], std::pair(B, report));
+
+    ASSERT_TRUE(waitFor([this] { return m_observerA.m_fingerprints.size() >= 3; }));
+    EXPECT_EQ(m_observerA.m_fingerprints[2].second, Fingerprint);
+    current = Later;
+    EXPECT_TRUE(waitFor([&] { return m_observerA.m_fingerprints.back().second == Later; }));
+    m_b.reset();
+    ASSERT_TRUE(waitFor([this] { return !m_observerA.m_lost.empty(); }));
+    EXPECT_TRUE(m_a->crashReportTakers().empty());
+    m_b = make("b", m_observerB);
+    ASSERT_TRUE(m_b->listen(m_endpointB));
+    ASSERT_TRUE(waitFor([this] { return !m_a->linkedPeers().empty(); }));
+    EXPECT_TRUE(m_a->crashReportTakers().empty()) << "an older version runs there now";
+}
+
+TEST_F(PeerNetworkTest, OneDaemonTakesNoCrashReports_NoneAreSentToIt)
+{
+    m_a->setCrashFingerprint([] { return protocol::EvidenceFingerprint(); });
+    ASSERT_TRUE(connect(m_endpointB));
+    EXPECT_TRUE(m_observerA.m_fingerprints.empty());
+    EXPECT_TRUE(m_a->crashReportTakers().empty());
+    EXPECT_EQ(m_b->crashReportTakers(), std::vector{A});
+}
+
 TEST_F(PeerNetworkTest, SeedIsAlsoInRanking_BothLinksCoexist)
 {
     ASSERT_TRUE(connect(m_endpointB));
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/internal/protobufpeercodec.h"
 
+#include "protocol/internal/crashwire.h"
 #include "protocol/internal/peer.pb.h"
 #include "protocol/types/protocolerror.h"
 
@@ -125,6 +126,10 @@
         out.set_next(message.next.value());
         out.set_age_ms(message.age.value());
     }
+    void operator()(const CrashReport & /*message*/) const
+    {
+        // Appended to the encoded envelope.
+    }
 };
 
 framework::Result<PeerMessage> read(const peerwire::StageJob &in)
@@ -196,7 +201,7 @@
     return static_cast<StateTopic>(number);
 }
 
-framework::Result<PeerMessage> read(const peerwire::Pong &in)
+framework::Result<PeerMessage> read(const peerwire::Pong &in, std::string_view envelope)
 {
     PeerPong pong;
     if (in.has_ping_sent_ms()) {
@@ -219,6 +224,7 @@
         }
         pong.digests.push_back(target);
     }
+    pong.crashFingerprint = crashwire::fingerprint(envelope);
     return PeerMessage(std::move(pong));
 }
 
@@ -254,6 +260,28 @@
     return PeerMessage(std::move(state));
 }
 
+/// Appends what the generated code has no fields for.
+void appendCrashFields(std::string &envelope, const PeerMessage &message)
+{
+    if (const auto *hello = std::get_if<PeerHello>(&message)) {
+        if (hello->takesCrashReports) {
+            crashwire::appendTakesCrashReports(envelope);
+        }
+    } else if (const auto *pong = std::get_if<PeerPong>(&message)) {
+        if (pong->crashFingerprint) {
+            crashwire::appendFingerprint(envelope, *pong->crashFingerprint);
+        }
+    } else if (const auto *report = std::get_if<CrashReport>(&message)) {
+        crashwire::appendReport(envelope, *report);
+    }
+}
+
+framework::Result<PeerMessage> readReport(std::string_view envelope)
+{
+    BOOST_LEAF_AUTO(report, crashwire::report(envelope));
+    return PeerMessage(std::move(report));
+}
+
 } // namespace
 
 std::string ProtobufPeerCodec::encode(const PeerMessage &message) const
@@ -261,7 +289,9 @@
     peerwire::Envelope envelope;
     envelope.set_version(PeerProtocolVersion);
     std::visit(EnvelopeWriter{envelope}, message);
-    return envelope.SerializeAsString();
+    std::string bytes = envelope.SerializeAsString();
+    appendCrashFields(bytes, message);
+    return bytes;
 }
 
 framework::Result<PeerMessage> ProtobufPeerCodec::decode(std::string_view bytes) const
@@ -275,11 +305,12 @@
     }
     switch (envelope.body_case()) {
     case peerwire::Envelope::kHello:
-        return PeerMessage(PeerHello{framework::DaemonId(envelope.hello().daemon())});
+        return PeerMessage(PeerHello{framework::DaemonId(envelope.hello().daemon()),
+                                     crashwire::takesCrashReports(bytes)});
     case peerwire::Envelope::kPing:
         return PeerMessage(PeerPing{framework::TimePoint(envelope.ping().sent_ms())});
     case peerwire::Envelope::kPong:
-        return read(envelope.pong());
+        return read(envelope.pong(), bytes);
     case peerwire::Envelope::kStageJob:
         return read(envelope.stage_job());
     case peerwire::Envelope::kStageJobCancel:
@@ -296,7 +327,7 @@
     case peerwire::Envelope::kTopicState:
         return read(envelope.topic_state());
     case peerwire::Envelope::BODY_NOT_SET:
-        break;
+        return readReport(bytes);
     }
     return framework::leaf::new_error(ProtocolError::Malformed);
 }
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -58,6 +58,31 @@
               framework::Milliseconds(0), std::nullopt, framework::Milliseconds(0)}}};
 }
 
+PeerPong pongWithFingerprint()
+{
+    PeerPong result = pong();
+    result.crashFingerprint = EvidenceFingerprint(0xfedcba9876543210);
+    return result;
+}
+
+CrashEvidence evidence()
+{
+    return {framework::PromptPartId(0xfedcba9876543210),
+            framework::CrashId(3),
+            framework::Milliseconds(450),
+            framework::Milliseconds(20),
+            true,
+            false};
+}
+
+CrashReport crashReport(std::size_t entries)
+{
+    CrashReport report;
+    report.isComplete = true;
+    report.evidence.assign(entries, evidence());
+    return report;
+}
+
 TopicState topicState()
 {
     return {StateTopic::BackendServers,
@@ -76,7 +101,9 @@
     testing::Values(PeerMessage(PeerHello{framework::DaemonId("d1")}),
                     PeerMessage(PeerPing{framework::TimePoint(7)}),
                     PeerMessage(PeerPong{std::nullopt, true, framework::Milliseconds(90), {}}),
-                    PeerMessage(pong()), PeerMessage(job()),
+                    PeerMessage(PeerHello{framework::DaemonId("d1"), true}), PeerMessage(pong()),
+                    PeerMessage(pongWithFingerprint()), PeerMessage(CrashReport{}),
+                    PeerMessage(crashReport(MaxReportedEvidence)), PeerMessage(job()),
                     PeerMessage(StageJobCancel{framework::RequestId("r1")}), PeerMessage(outcome()),
                     PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}}),
                     PeerMessage(StageHoldings{}),
@@ -102,3 +129,59 @@
     EXPECT_FALSE(codec->decode(codec->encode(negativeDigestAge)));
     EXPECT_FALSE(codec->decode(codec->encode(TopicQuery{static_cast<StateTopic>(9), 1, {}})));
 }
+
+TEST(PeerCodecErrors, CrashReportOutOfRange_DecodingFails)
+{
+    const auto codec = ProtocolModule::makePeerCodec();
+    EXPECT_FALSE(codec->decode(codec->encode(crashReport(MaxReportedEvidence + 1))));
+    const auto isRefused = [&codec](framework::Milliseconds attemptAge,
+                                    framework::Milliseconds crashAge) {
+        CrashReport report = crashReport(2);
+        report.evidence[1].attemptAge = attemptAge;
+        report.evidence[1].crashAge = crashAge;
+        return !codec->decode(codec->encode(report));
+    };
+    constexpr framework::Milliseconds Step(1);
+    EXPECT_FALSE(isRefused(MaxEvidenceAge, MaxEvidenceAge));
+    EXPECT_TRUE(isRefused(MaxEvidenceAge + Step, Step));
+    EXPECT_TRUE(isRefused(Step, Step + Step)) << "the crash came before the attempt";
+    EXPECT_TRUE(isRefused(Step, Step - Step - Step));
+}
+
+TEST(PeerCodecErrors, EntryOfCrashReportMalformed_DecodingFails)
+{
+    const auto codec = ProtocolModule::makePeerCodec();
+    const auto decodes = [&codec](const std::string &entry) {
+        const std::string report = '\x0a' + std::string(1, static_cast<char>(entry.size())) + entry;
+        return static_cast<bool>(codec->decode(
+            "\x08\x01\x62" + std::string(1, static_cast<char>(report.size())) + report));
+    };
+    EXPECT_TRUE(decodes("\x0a\x08"
+                        "12345678"));
+    EXPECT_TRUE(decodes("\x0a\x10"
+                        "1234567812345678"));
+    EXPECT_FALSE(decodes("\x0a\x07"
+                         "1234567"))
+        << "half a part";
+    EXPECT_FALSE(decodes("\x0a\x08"
+                         "1234567"))
+        << "the part ends early";
+    EXPECT_FALSE(decodes("")) << "no part";
+    EXPECT_FALSE(decodes("\xff"));
+}
+
+TEST(PeerCodecSize, PartsOfOneCrash_ShareItsFields)
+{
+    const auto codec = ProtocolModule::makePeerCodec();
+    const std::size_t empty = codec->encode(crashReport(0)).size();
+    constexpr std::size_t Entry = 8;
+    constexpr std::size_t Shared = 30;
+    EXPECT_LE(codec->encode(crashReport(MaxReportedEvidence)).size() - empty,
+              MaxReportedEvidence * Entry + Shared);
+    CrashReport mixed = crashReport(3);
+    mixed.evidence[1].crash = framework::CrashId(4);
+    mixed.evidence[2].isRefuted = true;
+    const auto decoded = codec->decode(codec->encode(mixed));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, PeerMessage(mixed));
+}
--- a/src/protocol/types/peerhello.h
+++ b/src/protocol/types/peerhello.h
@@ -10,6 +10,8 @@
     /// Name under which the receiver keeps the link: the sender's id, with a suffix on a link to a
     /// seed peer.
     framework::DaemonId daemon;
+    /// Whether the sender takes crash reports.
+    bool takesCrashReports = false;
 
     bool operator==(const PeerHello &) const = default;
 };
--- a/src/protocol/types/peermessage.h
+++ b/src/protocol/types/peermessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/types/crashreport.h"
 #include "protocol/types/peerhello.h"
 #include "protocol/types/peerping.h"
 #include "protocol/types/peerpong.h"
@@ -18,6 +19,6 @@
 /// Any message on a link between two daemons.
 using PeerMessage =
     std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel, StageJobOutcome,
-                 StageResultRelease, StageHoldings, TopicQuery, TopicState>;
+                 StageResultRelease, StageHoldings, TopicQuery, TopicState, CrashReport>;
 
 } // namespace lavendertally::protocol
--- a/src/protocol/types/peerpong.h
+++ b/src/protocol/types/peerpong.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
+#include "protocol/types/evidencefingerprint.h"
 #include "protocol/types/topicdigest.h"
 
 #include <optional>
@@ -20,6 +21,9 @@
     framework::Milliseconds uptime;
     /// State of each topic that the sender has loaded.
     std::vector<TopicDigest> digests;
+    /// What the sender knows of crashes; nothing if that is as in its last pong on the same link,
+    /// or if it takes no crash reports.
+    std::optional<EvidenceFingerprint> crashFingerprint = std::nullopt;
 
     bool operator==(const PeerPong &) const = default;
 };
--- a/src/replication/internal/topicexchange.cpp
+++ b/src/replication/internal/topicexchange.cpp
@@ -328,6 +328,12 @@
     }
 }
 
+void TopicExchange::onCrashFingerprint(const framework::DaemonId & /*peer*/,
+                                       protocol::EvidenceFingerprint /*fingerprint*/)
+{
+    // Evidence of crashes is no topic of the store.
+}
+
 void TopicExchange::onOutboundLinkLost(const framework::DaemonId &peer)
 {
     m_peerConfirmations.erase(peer);
--- a/src/replication/tests/topicexchangetest.cpp
+++ b/src/replication/tests/topicexchangetest.cpp
@@ -6,8 +6,8 @@
 #include "framework/testing/nulllogger.h"
 #include "framework/types/endpoint.h"
 #include "peers/idaemondirectory.h"
-#include "peers/ipeernetwork.h"
 #include "peers/leadingdaemons.h"
+#include "peers/testing/fakepeernetwork.h"
 #include "replication/itopicsource.h"
 #include "replication/tests/recordingobserver.h"
 #include "replication/topicreplica.h"
@@ -17,7 +17,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <set>
 
 using namespace lavendertally;
 using namespace lavendertally::replication;
@@ -35,80 +34,6 @@
 constexpr Milliseconds PingInterval{200};
 constexpr Milliseconds ReadInterval{1000};
 
-/// Network of one daemon; the test links it to those of the other daemons.
-class FakeNetwork final : public peers::IPeerNetwork
-{
-public:
-    FakeNetwork(DaemonId self, const framework::IClock &clock)
-        : m_self(std::move(self)), m_clock(clock)
-    { }
-
-    void addObserver(peers::IPeerObserver &observer) override { m_observer = &observer; }
-    void setAcceptsJobs(std::function<bool()> /*accepts*/) override { }
-    void setDigests(std::function<std::vector<protocol::TopicDigest>()> digests) override
-    {
-        m_digests = std::move(digests);
-    }
-    framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override
-    {
-        return endpoint;
-    }
-    void connectTo(const std::vector<peers::DaemonAddress> & /*daemons*/) override { }
-    void connectToSeeds(const std::vector<framework::Endpoint> &seeds) override
-    {
-        seedCount = seeds.size();
-    }
-    std::vector<DaemonId> linkedPeers() const override { return {}; }
-    bool isAccepting(const DaemonId & /*peer*/) const override { return true; }
-    bool isInStartupGrace(const DaemonId & /*peer*/) const override { return false; }
-    void setIsInformed(std::function<bool(const DaemonId &)> informed) override
-    {
-        isInformed = std::move(informed);
-    }
-    bool isUnreachable(const DaemonId &peer) const override { return unreachable.contains(peer); }
-    bool isSelfAccepting() const override { return true; }
-    TimePoint startTimeOf(const DaemonId & /*peer*/) const override { return {}; }
-    void announce() override { }
-    bool send(const DaemonId &peer, const protocol::PeerMessage &message) override
-    {
-        ++sentCount;
-        if (!links.contains(peer)) {
-            return false;
-        }
-        if (!dropsMessages) {
-            links.at(peer)->m_observer->onMessage(m_self, message);
-        }
-        return true;
-    }
-    /// Delivers the digests of one pong of \p peer.
-    /// \param clock advanced by the latency, if given
-    /// \param latency time from the ping to the pong
-    void ping(const DaemonId &peer, framework::FakeClock *clock = nullptr,
-              Milliseconds latency = Milliseconds(0))
-    {
-        const TimePoint sentAt = m_clock.now();
-        const auto digests = links.at(peer)->m_digests();
-        if (clock != nullptr) {
-            clock->advance(latency);
-        }
-        m_observer->onDigests(peer, digests, sentAt);
-    }
-    void loseLink(const DaemonId &peer) { m_observer->onOutboundLinkLost(peer); }
-
-    std::map<DaemonId, FakeNetwork *> links;
-    std::set<DaemonId> unreachable;
-    std::function<bool(const DaemonId &)> isInformed;
-    std::size_t seedCount = 0;
-    int sentCount = 0;
-    bool dropsMessages = false;
-
-private:
-    DaemonId m_self;
-    const framework::IClock &m_clock;
-    peers::IPeerObserver *m_observer = nullptr;
-    std::function<std::vector<protocol::TopicDigest>()> m_digests;
-};
-
 class FakeDirectory final : public peers::IDaemonDirectory
 {
 public:
@@ -171,7 +96,7 @@
 
     framework::NullLogger logger;
     FakeDirectory directory;
-    FakeNetwork network;
+    peers::FakePeerNetwork network;
     std::unique_ptr<framework::IMetrics> metrics;
     RecordingObserver observer;
     TopicReplica replica{observer};
--- a/src/stages/internal/stageservice.cpp
+++ b/src/stages/internal/stageservice.cpp
@@ -266,6 +266,12 @@
     // Stages use no shared topics.
 }
 
+void StageService::onCrashFingerprint(const framework::DaemonId & /*peer*/,
+                                      protocol::EvidenceFingerprint /*fingerprint*/)
+{
+    // Stages use no evidence of crashes.
+}
+
 void StageService::onOutboundLinkLost(const framework::DaemonId &peer)
 {
     std::size_t resubmitted = 0;
--- a/src/stages/internal/stageservice.h
+++ b/src/stages/internal/stageservice.h
@@ -44,6 +44,8 @@
     void onDigests(const framework::DaemonId &peer,
                    const std::vector<protocol::TopicDigest> &digests,
                    std::optional<framework::TimePoint> asked) override;
+    void onCrashFingerprint(const framework::DaemonId &peer,
+                            protocol::EvidenceFingerprint fingerprint) override;
     void onOutboundLinkLost(const framework::DaemonId &peer) override;
     void onInboundLinkClosed(const framework::DaemonId &peer) override;
 
--- a/src/stages/tests/stageservicetest.cpp
+++ b/src/stages/tests/stageservicetest.cpp
@@ -31,6 +31,10 @@
     void addObserver(peers::IPeerObserver &observer) override { m_observer = &observer; }
     void setAcceptsJobs(std::function<bool()> /*accepts*/) override { }
     void setDigests(std::function<std::vector<protocol::TopicDigest>()> /*digests*/) override { }
+    void
+    setCrashFingerprint(std::function<protocol::EvidenceFingerprint()> /*fingerprint*/) override
+    { }
+    std::vector<DaemonId> crashReportTakers() const override { return {}; }
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override
     {
         return endpoint;
