Gateways tell each other about crashes of backend servers

Callers saw: a prompt part that crashes backend servers did so once or twice through each gateway. Change: CrashExchange sends changes of the evidence to the leading daemons, each of which passes them on to its share of the rest. Daemons whose fingerprints keep differing send each other what the other lacks, ever more seldom while that does not help.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -17,6 +17,7 @@
 #include "membership/membershipmodule.h"
 #include "peers/idaemondirectory.h"
 #include "peers/ipeernetwork.h"
+#include "peers/ipeerobserver.h"
 #include "peers/peersmodule.h"
 #include "platform/clientgateway.h"
 #include "platform/iplatform.h"
@@ -124,6 +125,9 @@
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
+    m_crashExchange = quarantine::QuarantineModule::makeCrashExchange(
+        m_settings.id, m_quarantine->evidenceStore(), *m_peers, m_loop, *m_clock, *m_logger,
+        *m_metrics);
     m_serving->onChange([this] { applyLimits(); });
     m_platform->daemons().onChange([this] { updateRetryLimits(); });
     updateRetryLimits();
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -32,7 +32,8 @@
 
 namespace lavendertally::peers {
 class IPeerNetwork;
-}
+class IPeerObserver;
+} // namespace lavendertally::peers
 
 namespace lavendertally::platform {
 class ClientGateway;
@@ -119,6 +120,7 @@
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
     std::unique_ptr<retry::IRetryPolicy> m_retryPolicy;
     std::unique_ptr<quarantine::IPromptQuarantine> m_quarantine;
+    std::unique_ptr<peers::IPeerObserver> m_crashExchange;
     std::unique_ptr<proxy::IProxyService> m_proxy;
     std::unique_ptr<platform::ClientGateway> m_clientGateway;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
--- a/src/quarantine/internal/quarantinemodule.cpp
+++ b/src/quarantine/internal/quarantinemodule.cpp
@@ -1,5 +1,6 @@
 #include "quarantine/quarantinemodule.h"
 
+#include "quarantine/internal/crashexchange.h"
 #include "quarantine/internal/promptquarantine.h"
 
 namespace lavendertally::quarantine {
@@ -12,4 +13,14 @@
     return std::make_unique<PromptQuarantine>(logger, metrics, limits, seed);
 }
 
+std::unique_ptr<peers::IPeerObserver>
+QuarantineModule::makeCrashExchange(const framework::DaemonId &self, ICrashEvidenceStore &store,
+                                    peers::IPeerNetwork &network, framework::IScheduler &scheduler,
+                                    const framework::IClock &clock, framework::ILogger &logger,
+                                    framework::IMetrics &metrics, const CrashExchangeLimits &limits)
+{
+    return std::make_unique<CrashExchange>(self, store, network, scheduler, clock, logger, metrics,
+                                           limits);
+}
+
 } // namespace lavendertally::quarantine
--- a/src/quarantine/quarantinemodule.h
+++ b/src/quarantine/quarantinemodule.h
@@ -1,18 +1,27 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "quarantine/types/crashexchangelimits.h"
 #include "quarantine/types/quarantinelimits.h"
 
 #include <cstdint>
 #include <memory>
 
 namespace lavendertally::framework {
+class IClock;
 class ILogger;
 class IMetrics;
+class IScheduler;
 } // namespace lavendertally::framework
 
+namespace lavendertally::peers {
+class IPeerNetwork;
+class IPeerObserver;
+} // namespace lavendertally::peers
+
 namespace lavendertally::quarantine {
 
+class ICrashEvidenceStore;
 class IPromptQuarantine;
 
 /// Creates the objects of the module.
@@ -25,6 +34,15 @@
                                                              framework::IMetrics &metrics,
                                                              const QuarantineLimits &limits = {},
                                                              std::uint64_t seed = 0);
+
+    /// Makes what tells the other daemons of crashes, and learns of them; it observes \p network.
+    /// \param self id of this daemon
+    /// \param store outlives the exchange, as do the network and the services after it
+    static std::unique_ptr<peers::IPeerObserver>
+    makeCrashExchange(const framework::DaemonId &self, ICrashEvidenceStore &store,
+                      peers::IPeerNetwork &network, framework::IScheduler &scheduler,
+                      const framework::IClock &clock, framework::ILogger &logger,
+                      framework::IMetrics &metrics, const CrashExchangeLimits &limits = {});
 };
 
 } // namespace lavendertally::quarantine
