--- a/src/quarantine/internal/quarantinemodule.cpp
+++ b/src/quarantine/internal/quarantinemodule.cpp
@@ -1,5 +1,6 @@
 #include "quarantine/quarantinemodule.h"
 
+#include "quarantine/internal/crashexchange.h"
 #include "quarantine/internal/promptquarantine.h"
 #include "quarantine/internal/promptwatch.h"
 
@@ -21,4 +22,14 @@
     return std::make_unique<PromptWatch>(quarantine, clock, scheduler, parts);
 }
 
+std::unique_ptr<peers::IPeerObserver>
+QuarantineModule::makeCrashExchange(const framework::DaemonId &self, ICrashEvidenceStore &store,
+                                    peers::IPeerNetwork &network, framework::IScheduler &scheduler,
+                                    const framework::IClock &clock, framework::ILogger &logger,
+                                    framework::IMetrics &metrics, const CrashExchangeLimits &limits)
+{
+    return std::make_unique<CrashExchange>(self, store, network, scheduler, clock, logger, metrics,
+                                           limits);
+}
+
 } // namespace lavendertally::quarantine
--- a/src/quarantine/quarantinemodule.h
+++ b/src/quarantine/quarantinemodule.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/ids.h"
 #include "quarantine/ipromptquarantine.h"
+#include "quarantine/types/crashexchangelimits.h"
 #include "quarantine/types/quarantinelimits.h"
 
 #include <cstdint>
@@ -14,8 +15,14 @@
 class IScheduler;
 } // namespace lavendertally::framework
 
+namespace lavendertally::peers {
+class IPeerNetwork;
+class IPeerObserver;
+} // namespace lavendertally::peers
+
 namespace lavendertally::quarantine {
 
+class ICrashEvidenceStore;
 class IPromptWatch;
 
 /// Creates the objects of the module.
@@ -35,6 +42,15 @@
                                                          const framework::IClock &clock,
                                                          framework::IScheduler &scheduler,
                                                          const IPromptQuarantine::Parts &parts);
+
+    /// Makes what tells the other daemons of crashes, and learns of them; it observes \p network.
+    /// \param self id of this daemon
+    /// \param store outlives the exchange, as do the network and the services after it
+    static std::unique_ptr<peers::IPeerObserver>
+    makeCrashExchange(const framework::DaemonId &self, ICrashEvidenceStore &store,
+                      peers::IPeerNetwork &network, framework::IScheduler &scheduler,
+                      const framework::IClock &clock, framework::ILogger &logger,
+                      framework::IMetrics &metrics, const CrashExchangeLimits &limits = {});
 };
 
 } // namespace lavendertally::quarantine
