--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/gatewaydaemon.h"
 
 #include "framework/frameworkmodule.h"
+#include "framework/hash.h"
 #include "framework/iclock.h"
 #include "framework/ieventloop.h"
 #include "framework/ilogger.h"
@@ -16,6 +17,7 @@
 #include "membership/membershipmodule.h"
 #include "peers/idaemondirectory.h"
 #include "peers/ipeernetwork.h"
+#include "peers/ipeerobserver.h"
 #include "peers/peersmodule.h"
 #include "platform/clientgateway.h"
 #include "platform/iplatform.h"
@@ -24,6 +26,8 @@
 #include "proxy/iproxyservice.h"
 #include "proxy/proxymodule.h"
 #include "proxy/types/proxycontext.h"
+#include "quarantine/ipromptquarantine.h"
+#include "quarantine/quarantinemodule.h"
 #include "replication/topicexchange.h"
 #include "replication/types/replicatedtopic.h"
 #include "retry/iretrypolicy.h"
@@ -119,6 +123,11 @@
         m_loop, *m_clock, *m_logger, *m_metrics);
     m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_random);
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
+    m_quarantine = quarantine::QuarantineModule::makeQuarantine(
+        *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
+    m_crashExchange = quarantine::QuarantineModule::makeCrashExchange(
+        m_settings.id, m_quarantine->evidenceStore(), *m_peers, m_loop, *m_clock, *m_logger,
+        *m_metrics);
     m_serving->onChange([this] { applyLimits(); });
     m_platform->daemons().onChange([this] { updateRetryLimits(); });
     updateRetryLimits();
@@ -142,10 +151,10 @@
 {
     proxy::ProxyLimits limits;
     limits.maxConfigurationAge = m_settings.gateway.revocationLimit - RevocationMargin;
-    m_proxy = proxy::ProxyModule::makeService({m_settings.zone, *m_clock, m_loop, *m_logger,
-                                               *m_metrics, *m_random, *m_serving,
-                                               m_platform->daemons(), *m_selector, *m_retryPolicy,
-                                               *m_stages, m_platform->backends(), limits});
+    m_proxy = proxy::ProxyModule::makeService(
+        {m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_random, *m_serving,
+         m_platform->daemons(), *m_selector, *m_retryPolicy, *m_quarantine, *m_stages,
+         m_platform->backends(), limits});
     m_clientGateway = std::make_unique<platform::ClientGateway>(*m_proxy, *m_logger, *m_metrics);
 }
 
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -2,6 +2,8 @@
 
 #include "framework/types/timepoint.h"
 #include "proxy/ibackendresponseobserver.h"
+#include "proxy/internal/completioncheck.h"
+#include "proxy/internal/promptguard.h"
 #include "proxy/internal/requestattempts.h"
 #include "proxy/internal/requestplan.h"
 #include "proxy/internal/requeststages.h"
@@ -61,12 +63,17 @@
 
     void nextAttempt();
     void sendAttempt();
+    void endUnsent(Refusal refusal);
+    void callEnded(BackendCallEnd end);
+    void attemptEnded(BackendCallEnd end);
     void streamEnded(BackendCallEnd end);
     void responseEnded(BackendCallEnd end);
     void attemptNotRun(BackendCallEnd end);
     /// Schedules an attempt at another backend server if the retry policy allows one.
     /// \return whether there will be another attempt
     bool scheduleRetry(bool mayHaveRun);
+    /// The same for a prompt that is not suspected of having caused the failure.
+    bool scheduleBackoff(bool mayHaveRun);
     void endAttempt(routing::CallOutcome outcome);
     bool isStream() const;
     /// \return whether a backend server may have run the request or may still run it
@@ -96,10 +103,13 @@
     RequestStages m_stages;
     bool m_stagesRerun = false;
 
+    /// Kept until it is decided whether the answer is whole.
     std::unique_ptr<IBackendCall> m_call;
     framework::BackendServerId m_server;
     framework::TimePoint m_attemptStarted;
     RequestAttempts m_attempts;
+    PromptGuard m_guard;
+    CompletionCheck m_completion;
     bool m_priorAttemptMayHaveRun = false;
     std::optional<ResponseHead> m_head;
     std::string m_body;
--- a/src/standins/standinserver.h
+++ b/src/standins/standinserver.h
@@ -39,6 +39,12 @@
     /// when the mode changes.
     void setFault(const Fault &fault);
 
+    /// Ends like a process that crashes: every connection breaks and nothing listens. A server that
+    /// is down does not crash again.
+    /// \param downTime time until it listens at the same endpoint again
+    void crash(framework::Milliseconds downTime);
+    std::size_t crashes() const { return m_crashes; }
+
 protected:
     using ExchangePtr = std::shared_ptr<http::IHttpExchange>;
 
@@ -62,6 +68,8 @@
     const FaultSwitch &faults() const { return m_faults; }
 
 private:
+    void makeServer();
+    void abortOpenExchanges();
     void receive(const ExchangePtr &exchange);
     void setFaultFrom(const ExchangePtr &exchange);
     void dispatch(const ExchangePtr &exchange, FaultMode mode);
@@ -77,6 +85,8 @@
     /// Exchanges that may still be open, to close with this object.
     std::vector<std::weak_ptr<http::IHttpExchange>> m_open;
     std::size_t m_pruneAt = 0;
+    std::size_t m_crashes = 0;
+    bool m_isDown = false;
     std::vector<ExchangePtr> m_frozen;
     ExchangePtr m_reordered;
     DeferredCalls m_deferred;
