--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -14,6 +14,7 @@
 #include "control/types/controldependencies.h"
 #include "entry/internal/livenessprobe.h"
 #include "framework/frameworkmodule.h"
+#include "framework/hash.h"
 #include "framework/iclock.h"
 #include "framework/ieventloop.h"
 #include "framework/ilogger.h"
@@ -95,8 +96,9 @@
                                                  m_components.settings.id, claimSettings);
     m_stageClient = transport::TransportModule::makeStageClient(
         *m_components.client, *m_components.codec, *m_components.metrics);
-    m_quarantine =
-        quarantine::QuarantineModule::makeQuarantine(*m_components.logger, *m_components.metrics);
+    m_quarantine = quarantine::QuarantineModule::makeQuarantine(
+        *m_components.logger, *m_components.metrics, {},
+        framework::stableHash(m_components.settings.id.value()));
     m_requests = pipeline::PipelineModule::makeRequestService(
         {m_components.settings.id, m_components.settings.zone, *m_components.clock,
          m_components.loop, *m_components.logger, *m_components.metrics, *m_components.replica,
