Entries share the evidence of crashes

Callers saw: a prompt that one entry has found to crash backend servers goes on crashing them by way of the other entries.

Cause: each entry has evidence of its own crashes alone.

Change: the queries for revisions among entries and their answers carry the newest 32 pieces of evidence, while there is any. An entry whose evidence has changed queries some others at once, as it does for a new revision. Host processes neither send nor get it, and older entries pass over it.

Codec tests cover the fields and the limit.

--- a/src/control/idaemoncontrol.h
+++ b/src/control/idaemoncontrol.h
@@ -10,6 +10,7 @@
 
 namespace lavendertally::control {
 
+class ICrashEvidenceExchange;
 class IRevisionReports;
 
 /// Control side of one daemon: keeps its configuration and membership up to date and answers
@@ -38,6 +39,13 @@
     /// Sets the source of answers to load queries, which stay unanswered until it is set.
     virtual void setLoadSource(std::function<protocol::LoadReport()> source) = 0;
 
+    /// Sets the evidence of crashes that is exchanged with other entries; none is until then.
+    /// \param exchange outlives this object or its last call
+    virtual void setCrashEvidence(ICrashEvidenceExchange &exchange) = 0;
+
+    /// Passes evidence that has changed on to some entries at once.
+    virtual void spreadCrashEvidence() = 0;
+
     /// Asks a host process for its load.
     /// \param callback gets the report, or ControlError
     virtual void
--- a/src/control/internal/controlresponder.cpp
+++ b/src/control/internal/controlresponder.cpp
@@ -1,6 +1,7 @@
 #include "control/internal/controlresponder.h"
 
 #include "configuration/iconfigurationreplica.h"
+#include "control/icrashevidenceexchange.h"
 #include "control/internal/replicaupdater.h"
 #include "control/internal/revisionreports.h"
 
@@ -46,6 +47,12 @@
             reply.snapshot = m_updater.replica().snapshot();
         }
     }
+    if (m_evidence != nullptr && query.takesEvidence) {
+        if (!query.evidence.empty()) {
+            m_evidence->receive(query.evidence);
+        }
+        reply.evidence = m_evidence->newest();
+    }
     noteSender(query.sender, query.revision);
     return reply;
 }
--- a/src/control/internal/controlresponder.h
+++ b/src/control/internal/controlresponder.h
@@ -12,6 +12,7 @@
 
 namespace lavendertally::control {
 
+class ICrashEvidenceExchange;
 class ReplicaUpdater;
 class IIsolationPolicy;
 class RevisionReports;
@@ -28,6 +29,9 @@
     void setRevisionObserver(RevisionObserver observer);
     void setLoadSource(std::function<protocol::LoadReport()> source);
 
+    /// Sets the evidence that is taken from queries and goes along with answers.
+    void setCrashEvidence(ICrashEvidenceExchange &exchange) { m_evidence = &exchange; }
+
     /// \return the answer, or nothing when the message gets none
     std::optional<protocol::Message> answer(const protocol::Message &message);
 
@@ -41,6 +45,8 @@
     RevisionReports &m_reports;
     RevisionObserver m_observer;
     std::function<protocol::LoadReport()> m_loadSource;
+    /// Null if no evidence is exchanged.
+    ICrashEvidenceExchange *m_evidence = nullptr;
 };
 
 } // namespace lavendertally::control
--- a/src/control/internal/daemoncontrol.cpp
+++ b/src/control/internal/daemoncontrol.cpp
@@ -109,6 +109,12 @@
     m_responder.setLoadSource(std::move(source));
 }
 
+void DaemonControl::setCrashEvidence(ICrashEvidenceExchange &exchange)
+{
+    m_responder.setCrashEvidence(exchange);
+    m_sync.setCrashEvidence(exchange);
+}
+
 void DaemonControl::probeLoad(const framework::Endpoint &peer, framework::Milliseconds timeout,
                               std::function<void(framework::Result<protocol::LoadReport>)> callback)
 {
--- a/src/control/internal/daemoncontrol.h
+++ b/src/control/internal/daemoncontrol.h
@@ -37,6 +37,8 @@
     bool isIsolated() const override;
     const IRevisionReports &revisionReports() const override { return m_reports; }
     void setLoadSource(std::function<protocol::LoadReport()> source) override;
+    void setCrashEvidence(ICrashEvidenceExchange &exchange) override;
+    void spreadCrashEvidence() override { m_sync.spread(); }
     void probeLoad(const framework::Endpoint &peer, framework::Milliseconds timeout,
                    std::function<void(framework::Result<protocol::LoadReport>)> callback) override;
     void onMembershipUpdate(std::function<void()> observer) override;
--- a/src/control/internal/revisionsync.cpp
+++ b/src/control/internal/revisionsync.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/iconfigurationreplica.h"
 #include "control/icontrolclient.h"
+#include "control/icrashevidenceexchange.h"
 #include "control/iisolationpolicy.h"
 #include "control/internal/replicaupdater.h"
 #include "control/internal/revisionreports.h"
@@ -67,7 +68,11 @@
 void RevisionSync::sendQuery(const Endpoint &peer)
 {
     m_metrics.increment("lavendertally_control_asked_total", {});
-    const protocol::RevisionQuery query{m_self, m_updater.revision()};
+    protocol::RevisionQuery query{m_self, m_updater.revision()};
+    if (m_evidence != nullptr) {
+        query.evidence = m_evidence->newest();
+        query.takesEvidence = true;
+    }
     const std::weak_ptr<const bool> alive = m_alive;
     m_client.sendQuery(peer, query, m_queryTimeout,
                        [this, alive, peer](framework::Result<protocol::Message> result) {
@@ -96,6 +101,15 @@
         m_updater.applyRecords(reply.records);
     }
     m_isolation.noteContact(reply.revision, m_updater.revision(), m_clock.now());
+    if (m_evidence != nullptr && !reply.evidence.empty()) {
+        m_evidence->receive(reply.evidence);
+    }
+    rearm();
+}
+
+void RevisionSync::spread()
+{
+    m_policy.noteAdvance();
     rearm();
 }
 
--- a/src/control/internal/revisionsync.h
+++ b/src/control/internal/revisionsync.h
@@ -19,6 +19,7 @@
 
 class ReplicaUpdater;
 class IControlClient;
+class ICrashEvidenceExchange;
 class IIsolationPolicy;
 class IRevisionSyncPolicy;
 class RevisionReports;
@@ -46,6 +47,12 @@
     /// Records the revision of a peer whose control endpoint is not known.
     void noteRevisionFromUnknownPeer(framework::LogOffset revision);
 
+    /// Sets the evidence that queries and their answers carry.
+    void setCrashEvidence(ICrashEvidenceExchange &exchange) { m_evidence = &exchange; }
+
+    /// Queries some entries at once, so that they learn of changed evidence.
+    void spread();
+
 private:
     void sendQuery(const framework::Endpoint &peer);
     void handleReply(const framework::Endpoint &peer, const protocol::RevisionReply &reply);
@@ -63,6 +70,8 @@
     const framework::IClock &m_clock;
     framework::IMetrics &m_metrics;
     framework::Milliseconds m_queryTimeout;
+    /// Null if no evidence is exchanged.
+    ICrashEvidenceExchange *m_evidence = nullptr;
     std::unique_ptr<framework::ITimer> m_timer;
     /// Expires with this object, so that callbacks that outlive it do nothing.
     std::shared_ptr<const bool> m_alive = std::make_shared<bool>(true);
--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -12,6 +12,7 @@
 #include "control/ioperatorservice.h"
 #include "control/irevisionreports.h"
 #include "control/types/controldependencies.h"
+#include "entry/internal/crashevidenceexchange.h"
 #include "entry/internal/livenessprobe.h"
 #include "framework/frameworkmodule.h"
 #include "framework/hash.h"
@@ -99,6 +100,8 @@
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_components.logger, *m_components.metrics, {},
         framework::stableHash(m_components.settings.id.value()));
+    m_crashEvidence = std::make_unique<CrashEvidenceExchange>(m_quarantine->evidenceStore(),
+                                                              *m_control, *m_components.clock);
     m_requests = pipeline::PipelineModule::makeRequestService(
         {m_components.settings.id, m_components.settings.zone, *m_components.clock,
          m_components.loop, *m_components.logger, *m_components.metrics, *m_components.replica,
--- a/src/entry/internal/entrydaemon.h
+++ b/src/entry/internal/entrydaemon.h
@@ -55,6 +55,7 @@
 
 namespace lavendertally::entry {
 
+class CrashEvidenceExchange;
 class LivenessProbe;
 
 /// Daemon of an entry: serves the requests of callers and operators and runs pipelines. Constructs
@@ -97,6 +98,7 @@
     std::unique_ptr<claims::IClaimService> m_claims;
     std::unique_ptr<transport::IStageClient> m_stageClient;
     std::unique_ptr<quarantine::IPromptQuarantine> m_quarantine;
+    std::unique_ptr<CrashEvidenceExchange> m_crashEvidence;
     std::unique_ptr<pipeline::IRequestService> m_requests;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
     std::unique_ptr<http::IHttpServer> m_server;
--- a/src/protocol/internal/protobufcodec.cpp
+++ b/src/protocol/internal/protobufcodec.cpp
@@ -66,10 +66,24 @@
     }
 }
 
+void write(const CrashEvidence &evidence, wire::CrashEvidence &out)
+{
+    out.set_part(evidence.part.value());
+    out.set_crash(evidence.crash.value());
+    out.set_attempt_age_ms(evidence.attemptAge.value());
+    out.set_crash_age_ms(evidence.crashAge.value());
+    out.set_known_good(evidence.isKnownGood);
+    out.set_refuted(evidence.isRefuted);
+}
+
 void write(const RevisionQuery &query, wire::RevisionQuery &out)
 {
     out.set_sender(query.sender.value());
     out.set_revision(query.revision.value());
+    for (const CrashEvidence &evidence : query.evidence) {
+        write(evidence, *out.add_evidence());
+    }
+    out.set_takes_evidence(query.takesEvidence);
 }
 
 void write(const RevisionReply &reply, wire::RevisionReply &out)
@@ -82,6 +96,9 @@
         target.set_offset(record.offset.value());
         target.set_data(record.data);
     }
+    for (const CrashEvidence &evidence : reply.evidence) {
+        write(evidence, *out.add_evidence());
+    }
 }
 
 void write(const LoadQuery &query, wire::LoadQuery &out)
@@ -188,6 +205,44 @@
     return Message(std::move(result));
 }
 
+template <typename WireMessage>
+framework::Result<std::vector<CrashEvidence>> readEvidence(const WireMessage &in)
+{
+    if (static_cast<std::size_t>(in.evidence_size()) > CrashEvidence::MaxInControlMessage) {
+        return malformedError();
+    }
+    std::vector<CrashEvidence> all;
+    for (const wire::CrashEvidence &item : in.evidence()) {
+        CrashEvidence evidence;
+        evidence.part = framework::PromptPartId(item.part());
+        evidence.crash = framework::CrashId(item.crash());
+        evidence.attemptAge = framework::Milliseconds(item.attempt_age_ms());
+        evidence.crashAge = framework::Milliseconds(item.crash_age_ms());
+        evidence.isKnownGood = item.known_good();
+        evidence.isRefuted = item.refuted();
+        all.push_back(evidence);
+    }
+    return all;
+}
+
+framework::Result<Message> read(const wire::RevisionQuery &in)
+{
+    RevisionQuery query;
+    query.sender = framework::DaemonId(in.sender());
+    query.revision = framework::LogOffset(in.revision());
+    BOOST_LEAF_ASSIGN(query.evidence, readEvidence(in));
+    query.takesEvidence = in.takes_evidence();
+    return Message(std::move(query));
+}
+
+framework::Result<Message> read(const wire::LoadQuery &in)
+{
+    LoadQuery query;
+    query.sender = framework::DaemonId(in.sender());
+    query.revision = framework::LogOffset(in.revision());
+    return Message(std::move(query));
+}
+
 framework::Result<Message> read(const wire::RevisionReply &in)
 {
     RevisionReply reply;
@@ -197,18 +252,10 @@
     for (const wire::ControlRecord &record : in.records()) {
         reply.records.push_back({framework::LogOffset(record.offset()), record.data()});
     }
+    BOOST_LEAF_ASSIGN(reply.evidence, readEvidence(in));
     return Message(std::move(reply));
 }
 
-template <typename Query, typename WireQuery>
-Message readQuery(const WireQuery &in)
-{
-    Query query;
-    query.sender = framework::DaemonId(in.sender());
-    query.revision = framework::LogOffset(in.revision());
-    return query;
-}
-
 } // namespace
 
 std::string ProtobufCodec::encode(const Message &message) const
@@ -236,11 +283,11 @@
     case wire::Envelope::kStageResult:
         return read(envelope.stage_result());
     case wire::Envelope::kRevisionQuery:
-        return readQuery<RevisionQuery>(envelope.revision_query());
+        return read(envelope.revision_query());
     case wire::Envelope::kRevisionReply:
         return read(envelope.revision_reply());
     case wire::Envelope::kLoadQuery:
-        return readQuery<LoadQuery>(envelope.load_query());
+        return read(envelope.load_query());
     case wire::Envelope::kLoadReport:
         return Message(read(envelope.load_report()));
     case wire::Envelope::BODY_NOT_SET:
--- a/src/protocol/tests/codectest.cpp
+++ b/src/protocol/tests/codectest.cpp
@@ -59,6 +59,17 @@
     return result;
 }
 
+std::vector<CrashEvidence> sampleEvidence(std::size_t count)
+{
+    std::vector<CrashEvidence> all;
+    for (std::size_t i = 0; i < count; ++i) {
+        all.push_back({framework::PromptPartId(0xfedcba9876543210 + i), framework::CrashId(i),
+                       framework::Milliseconds(900), framework::Milliseconds(800), i % 2 == 0,
+                       i % 3 == 0});
+    }
+    return all;
+}
+
 std::vector<Message> sampleMessages()
 {
     return {sampleRequest(),
@@ -70,6 +81,13 @@
                           framework::LogOffset(9),
                           "snapshot",
                           {{framework::LogOffset(8), "record"}}},
+            RevisionQuery{framework::DaemonId("entry-2"), framework::LogOffset(4),
+                          sampleEvidence(CrashEvidence::MaxInControlMessage), true},
+            RevisionReply{framework::DaemonId("entry-1"),
+                          framework::LogOffset(9),
+                          "",
+                          {},
+                          sampleEvidence(CrashEvidence::MaxInControlMessage)},
             LoadQuery{framework::DaemonId("entry-1"), framework::LogOffset(2)},
             LoadReport{1, 2, 3, false, framework::Milliseconds(4), framework::Incarnation(5)}};
 }
@@ -111,6 +129,17 @@
     EXPECT_FALSE(result->crash.has_value());
 }
 
+TEST(Codec, TooMuchEvidence_MessageIsMalformed)
+{
+    const auto codec = ProtocolModule::makeCodec();
+    const auto evidence = sampleEvidence(CrashEvidence::MaxInControlMessage + 1);
+    const framework::DaemonId sender("entry-1");
+    EXPECT_EQ(decodeError(codec->encode(RevisionQuery{sender, {}, evidence, true})),
+              ProtocolError::Malformed);
+    EXPECT_EQ(decodeError(codec->encode(RevisionReply{sender, {}, "", {}, evidence})),
+              ProtocolError::Malformed);
+}
+
 TEST(Codec, CrashIdIsZero_IsStillACrash)
 {
     StageResult result;
--- a/src/protocol/types/crashevidence.h
+++ b/src/protocol/types/crashevidence.h
@@ -3,6 +3,8 @@
 #include "framework/types/ids.h"
 #include "framework/types/milliseconds.h"
 
+#include <cstddef>
+
 namespace lavendertally::protocol {
 
 /// An attempt with a certain prompt part was lost when its backend server crashed, before its
@@ -10,6 +12,9 @@
 /// merging keeps the greater ages and every flag that is set.
 struct CrashEvidence
 {
+    /// Most evidence that one message between entries carries.
+    static constexpr std::size_t MaxInControlMessage = 32;
+
     framework::PromptPartId part;
     framework::CrashId crash;
     /// Time since the attempt was sent.
--- a/src/protocol/types/revisionquery.h
+++ b/src/protocol/types/revisionquery.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "protocol/types/crashevidence.h"
+
+#include <vector>
 
 namespace lavendertally::protocol {
 
@@ -9,6 +12,11 @@
 {
     framework::DaemonId sender;
     framework::LogOffset revision;
+    /// Newest evidence about prompt parts that the sender knows; at most
+    /// CrashEvidence::MaxInControlMessage.
+    std::vector<CrashEvidence> evidence = {};
+    /// Whether the sender wants such evidence with the answer.
+    bool takesEvidence = false;
 
     bool operator==(const RevisionQuery &) const = default;
 };
--- a/src/protocol/types/revisionreply.h
+++ b/src/protocol/types/revisionreply.h
@@ -2,6 +2,7 @@
 
 #include "configuration/types/controlrecord.h"
 #include "framework/types/ids.h"
+#include "protocol/types/crashevidence.h"
 
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
     /// has all records since the revision in the query.
     std::string snapshot;
     std::vector<configuration::ControlRecord> records;
+    /// As in the query; empty unless the query asks for it.
+    std::vector<CrashEvidence> evidence = {};
 
     bool operator==(const RevisionReply &) const = default;
 };
