An entry or host process that stops answers what has just arrived

Callers saw a reset, or the outcome unknown of a stage that had not run, when an idle entry or host process got its stop signal as their request arrived.

Cause: checkDrained() of both ended the process as soon as nothing was under way; requests in the listener's backlog or unread on kept connections were reset.

http::ServerShutdown is this end for all three daemons: connections end after their next response, the backlog is accepted, connections with unread input stay open, and the process ends when none is left. Entry and host go on accepting and refusing until they are idle.

--- a/src/app/tests/processtest.cpp
+++ b/src/app/tests/processtest.cpp
@@ -1,5 +1,6 @@
 #include "app/tests/processfixture.h"
 
+#include "http/httpmodule.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
 #include "http/types/httprequest.h"
@@ -197,6 +198,49 @@
     }
 }
 
+TEST_F(ProcessFixture, StopSignalFindsARequestThatIsNotReadYet_EntryAnswersIt)
+{
+    localfleet::FleetHost &entry = m_fleet.entries()[0];
+    http::HttpResponse response;
+    bool ended = false;
+    // The entry is paused so that signal and request surely come together.
+    entry.daemon->signal(SIGSTOP);
+    const auto newClient = http::HttpModule::makeClient(*m_loop);
+    const auto call = newClient->fetch(callerRequest(entry.entry.http, body("crossing", "plan")),
+                                       [&](http::HttpResponse received) {
+                                           response = std::move(received);
+                                           ended = true;
+                                       });
+    pause(Milliseconds(100));
+    entry.daemon->signal(SIGTERM);
+    entry.daemon->signal(SIGCONT);
+    waitUntil("the end of the call", [&] { return ended; });
+    EXPECT_EQ(response.end, http::HttpEnd::Complete);
+    EXPECT_EQ(entry.daemon->wait(WaitLimit), 0);
+}
+
+TEST_F(ProcessFixture, StopSignalFindsAStageCallThatIsNotReadYet_OutcomeIsKnown)
+{
+    ASSERT_EQ(ask(0, "before", "book")["outcome"], "done");
+    localfleet::FleetHost &stopped = host("booking", "za");
+    nlohmann::json answer;
+    bool ended = false;
+    // The host process is paused so that signal and call surely come together.
+    stopped.daemon->signal(SIGSTOP);
+    const auto call = m_fleet.client().fetch(
+        callerRequest(m_fleet.entries()[0].entry.http, body("crossing", "book")),
+        [&](const http::HttpResponse &received) {
+            answer = nlohmann::json::parse(received.body, nullptr, false);
+            ended = true;
+        });
+    pause(Milliseconds(100));
+    stopped.daemon->signal(SIGTERM);
+    stopped.daemon->signal(SIGCONT);
+    waitUntil("the end of the call", [&] { return ended; });
+    EXPECT_EQ(answer["outcome"], "done") << answer.dump();
+    EXPECT_EQ(effects("crossing"), 1U);
+}
+
 TEST_F(ProcessFixture, InterruptWhileDraining_ExitsAtOnce)
 {
     localfleet::FleetHost &entry = m_fleet.entries()[0];
--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -29,6 +29,7 @@
 #include "http/ihttpclient.h"
 #include "http/ihttpexchange.h"
 #include "http/ihttpserver.h"
+#include "http/servershutdown.h"
 #include "infrastructure/ihostlist.h"
 #include "infrastructure/ilogservice.h"
 #include "infrastructure/infrastructuremodule.h"
@@ -124,6 +125,7 @@
     m_server->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         frontend::FrontendModule::dispatch(m_apis, exchange);
     });
+    m_shutdown = std::make_unique<http::ServerShutdown>(*m_server);
 }
 
 framework::Result<void> EntryDaemon::start()
@@ -166,6 +168,7 @@
     m_idleSince = m_components.clock->now();
     m_drainDeadline = m_idleSince + m_components.settings.drainTimeout;
     m_requests->beginDrain();
+    m_shutdown->begin();
     m_components.logger->info("shutting down; finishing requests in flight, refusing new ones",
                               {{"requests", std::to_string(m_requests->activeRequests())}});
     checkDrained();
@@ -181,7 +184,9 @@
     // The outcomes of non-idempotent stages should reach the log, but the log service may be down.
     const bool outcomesRecorded =
         m_claims->unrecordedOutcomes() == 0 || now - m_idleSince >= MaxOutcomeRecordingWait;
-    if ((idle && outcomesRecorded) || now >= m_drainDeadline) {
+    // Until then new requests are accepted and refused.
+    const bool finished = idle && outcomesRecorded && m_shutdown->finish();
+    if (finished || now >= m_drainDeadline) {
         m_onDrained();
         return;
     }
--- a/src/entry/internal/entrydaemon.h
+++ b/src/entry/internal/entrydaemon.h
@@ -30,7 +30,8 @@
 
 namespace lavendertally::http {
 class IHttpServer;
-}
+class ServerShutdown;
+} // namespace lavendertally::http
 
 namespace lavendertally::pipeline {
 class IRequestService;
@@ -83,8 +84,9 @@
     /// Requests a load report from each host that the probe policy names; repeats itself by a
     /// timer.
     void probeLoads();
-    /// Calls m_onDrained when no request is left and the claim outcomes are on the log, or the wait
-    /// for the log or the whole drain has lasted too long; otherwise repeats itself by a timer.
+    /// Calls m_onDrained when no request is left, arrived ones included, and the claim outcomes are
+    /// on the log, or the wait for the log or the whole drain has lasted too long; otherwise
+    /// repeats itself by a timer.
     void checkDrained();
 
     // Members are declared after their dependencies, so that they are destroyed before them.
@@ -102,6 +104,7 @@
     std::unique_ptr<pipeline::IRequestService> m_requests;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
     std::unique_ptr<http::IHttpServer> m_server;
+    std::unique_ptr<http::ServerShutdown> m_shutdown;
     std::unique_ptr<LivenessProbe> m_liveness;
     std::unique_ptr<framework::ITimer> m_loadProbeTimer;
     std::unique_ptr<framework::ITimer> m_drainTimer;
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -13,6 +13,7 @@
 #include "http/httpmodule.h"
 #include "http/ihttpexchange.h"
 #include "http/ihttpserver.h"
+#include "http/servershutdown.h"
 #include "membership/ibackendservertracker.h"
 #include "membership/membershipmodule.h"
 #include "peers/idaemondirectory.h"
@@ -164,6 +165,7 @@
     m_clientServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         m_clientGateway->handle(exchange);
     });
+    m_clientShutdown = std::make_unique<http::ServerShutdown>(*m_clientServer);
     m_readyServer = http::HttpModule::makeServer(m_loop, {});
     m_readyServer->setHandler(
         [this](const std::shared_ptr<http::IHttpExchange> &exchange) { replyReadiness(exchange); });
@@ -251,7 +253,7 @@
     m_onDrained = std::move(finished);
     m_draining = true;
     m_drainStarted = m_clock->now();
-    m_clientServer->closeAfterResponses();
+    m_clientShutdown->begin();
     m_platform->leave();
     m_stages->handOver();
     m_logger->info("shutting down; no longer ready, requests are still served for now",
@@ -264,19 +266,17 @@
     const framework::Milliseconds elapsed = m_clock->now() - m_drainStarted;
     const framework::Milliseconds forcedEndAfter =
         m_settings.gateway.shutdownGrace - ShutdownMargin;
+    bool serverFinished = false;
     if (elapsed >= LoadBalancerReactionTime) {
         // A request accepted from now on might not finish before the process ends.
-        m_clientServer->stopListening();
-        m_clientServer->closeIdleConnections();
+        serverFinished = m_clientShutdown->finish();
         m_proxy->beginDrain();
     }
     if (elapsed >= forcedEndAfter) {
         m_proxy->endAll();
     }
-    const bool idle = m_proxy->activeRequests() == 0 && m_clientServer->unfinishedExchanges() == 0
-        && m_clientServer->connectionsInUse() == 0;
-    const bool balancerStopped = elapsed >= LoadBalancerReactionTime;
-    if ((idle && balancerStopped) || elapsed >= forcedEndAfter + FlushTime) {
+    const bool finished = serverFinished && m_proxy->activeRequests() == 0;
+    if (finished || elapsed >= forcedEndAfter + FlushTime) {
         m_logger->info("gateway stopped",
                        {{"requests", std::to_string(m_proxy->activeRequests())}});
         m_onDrained();
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -25,6 +25,7 @@
 namespace lavendertally::http {
 class IHttpExchange;
 class IHttpServer;
+class ServerShutdown;
 } // namespace lavendertally::http
 
 namespace lavendertally::membership {
@@ -126,6 +127,7 @@
     std::unique_ptr<platform::ClientGateway> m_clientGateway;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
     std::unique_ptr<http::IHttpServer> m_clientServer;
+    std::unique_ptr<http::ServerShutdown> m_clientShutdown;
     std::unique_ptr<http::IHttpServer> m_readyServer;
     std::unique_ptr<http::IHttpServer> m_metricsServer;
     std::unique_ptr<framework::ITimer> m_tickTimer;
--- a/src/host/internal/hostdaemon.cpp
+++ b/src/host/internal/hostdaemon.cpp
@@ -29,6 +29,7 @@
 #include "http/ihttpclient.h"
 #include "http/ihttpexchange.h"
 #include "http/ihttpserver.h"
+#include "http/servershutdown.h"
 #include "infrastructure/ihostlist.h"
 #include "infrastructure/infrastructuremodule.h"
 #include "membership/iadmissiongate.h"
@@ -94,6 +95,7 @@
     m_server = http::HttpModule::makeServer(m_components.loop, limits);
     m_server->setHandler(
         [this](const std::shared_ptr<http::IHttpExchange> &exchange) { handle(exchange); });
+    m_shutdown = std::make_unique<http::ServerShutdown>(*m_server);
 }
 
 void HostDaemon::handle(const std::shared_ptr<http::IHttpExchange> &exchange)
@@ -153,6 +155,7 @@
     m_drainDeadline = m_components.clock->now() + m_components.settings.drainTimeout;
     m_gate->startDrain();
     m_service->refresh();
+    m_shutdown->begin();
     m_components.logger->info("shutting down; finishing calls in flight, refusing new ones",
                               {{"calls", std::to_string(m_service->activeCalls())}});
     checkDrained();
@@ -161,7 +164,9 @@
 void HostDaemon::checkDrained()
 {
     const bool idle = m_service->activeCalls() == 0 && m_server->unfinishedExchanges() == 0;
-    if (idle || m_components.clock->now() >= m_drainDeadline) {
+    // Until then new calls are accepted and refused.
+    const bool finished = idle && m_shutdown->finish();
+    if (finished || m_components.clock->now() >= m_drainDeadline) {
         m_onDrained();
         return;
     }
--- a/src/host/internal/hostdaemon.h
+++ b/src/host/internal/hostdaemon.h
@@ -37,6 +37,7 @@
 namespace lavendertally::http {
 class IHttpExchange;
 class IHttpServer;
+class ServerShutdown;
 } // namespace lavendertally::http
 
 namespace lavendertally::membership {
@@ -79,8 +80,8 @@
     /// Updates the load gauges and tells the admission gate whether the configuration can be
     /// trusted; repeats itself by a timer.
     void checkIsolation();
-    /// Calls m_onDrained when no call is left or the drain deadline has passed; otherwise repeats
-    /// itself by a timer.
+    /// Calls m_onDrained when no call is left, arrived ones included, or the drain deadline has
+    /// passed; otherwise repeats itself by a timer.
     void checkDrained();
 
     // Members are declared after their dependencies, so that they are destroyed before them.
@@ -94,6 +95,7 @@
     std::unique_ptr<transport::IStageServer> m_stageServer;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
     std::unique_ptr<http::IHttpServer> m_server;
+    std::unique_ptr<http::ServerShutdown> m_shutdown;
     std::unique_ptr<framework::ITimer> m_isolationTimer;
     std::unique_ptr<framework::ITimer> m_drainTimer;
     framework::TimePoint m_drainDeadline;
