A request behind the last answer before a stop is answered

Callers that pipeline, or whose answer had begun before the server was told to close, saw their next request dropped: the connection ended without an answer to it.

Cause: a connection ended after the response under way as soon as the server closed after responses, whether or not its header fields had told the client, and also with a further request already read.

The response that begins last says `Connection: close`, and only then does the connection end after it; a response says so unless a further request has arrived. A connection that ends a response without having said so is idle, and closeIdleConnections() ends it.

Red before: RawServerTest.NextRequestHasBeenReadAsServerBeginsToClose_ItIsAnswered, ServerBeginsToCloseDuringAnAnswer_NextRequestIsAnswered.

--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -35,8 +35,9 @@
     /// exchanges under way go on.
     virtual void stopListening() = 0;
 
-    /// Ends each connection after the next response on it. Idle connections stay open, so that a
-    /// request on its way is still answered.
+    /// Ends each connection after the next response that begins on it, unless a further request has
+    /// arrived on it by then. Idle connections stay open, so that a request on its way is still
+    /// answered.
     virtual void closeAfterResponses() = 0;
 
     /// Closes the connections on which no request is under way. One whose request has arrived and
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -44,7 +44,7 @@
 
 bool ServerConnection::closesAfterResponse() const
 {
-    return m_lastResponse || m_server.isClosing();
+    return m_lastResponse || (m_server.isClosing() && !m_socket->hasUnreadInput());
 }
 
 void ServerConnection::endResponseWithClose()
@@ -148,7 +148,7 @@
         m_exchange.reset();
     }
     m_handling = false;
-    if (closesAfterResponse()) {
+    if (m_lastResponse) {
         linger();
         return;
     }
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -30,10 +30,13 @@
     ServerConnection &operator=(const ServerConnection &) = delete;
 
     void write(std::string_view data);
-    /// Whether the response under way is the last one on this connection.
+    /// \return whether the response that begins now should be the last one on this connection; not
+    /// while the client's next request has arrived
     bool closesAfterResponse() const;
     /// The client takes the orderly end of the connection for the end of the response under way.
     void endResponseWithClose();
+    /// Makes the response under way the last one; the client has to be told by its header fields.
+    void closeAfterResponse() { m_lastResponse = true; }
     /// \return whether no byte of a request has come since the last response
     bool isIdle() const;
     /// \return whether the last response has been sent and the client has to close
--- a/src/http/internal/serverexchange.cpp
+++ b/src/http/internal/serverexchange.cpp
@@ -102,6 +102,7 @@
         appendField(text, name, value);
     }
     if (m_connection->closesAfterResponse()) {
+        m_connection->closeAfterResponse();
         appendField(text, "Connection", "close");
     }
     return text;
--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -245,6 +245,50 @@
     EXPECT_EQ(m_server->connectionsInUse(), 0U);
 }
 
+TEST_F(RawServerTest, NextRequestHasBeenReadAsServerBeginsToClose_ItIsAnswered)
+{
+    std::shared_ptr<IHttpExchange> first;
+    m_server->setHandler([&](const std::shared_ptr<IHttpExchange> &exchange) {
+        m_targets.push_back(exchange->head().target);
+        if (!first) {
+            first = exchange;
+            return;
+        }
+        exchange->reply(200, "text/plain", "ok");
+    });
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return first != nullptr; }));
+    m_server->closeAfterResponses();
+    first->reply(200, "text/plain", "ok");
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_EQ(m_targets.size(), 2U);
+    EXPECT_GT(client.received().rfind("ok"), client.received().find("ok")) << client.received();
+}
+
+TEST_F(RawServerTest, ServerBeginsToCloseDuringAnAnswer_NextRequestIsAnswered)
+{
+    std::shared_ptr<IHttpExchange> first;
+    m_server->setHandler([&](const std::shared_ptr<IHttpExchange> &exchange) {
+        m_targets.push_back(exchange->head().target);
+        if (!first) {
+            first = exchange;
+            exchange->startStream(200, "text/plain", {});
+            return;
+        }
+        exchange->reply(200, "text/plain", "ok");
+    });
+    RawSocket client(m_endpoint);
+    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return first != nullptr; }));
+    m_server->closeAfterResponses();
+    first->endStream();
+    client.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
+    EXPECT_EQ(m_targets.size(), 2U);
+    EXPECT_TRUE(client.received().ends_with("ok")) << client.received();
+}
+
 TEST_F(RawServerTest, RequestArrivesAsTheIdleTimeIsOver_ItIsAnswered)
 {
     RawSocket client(m_endpoint);
