--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -1,6 +1,5 @@
 #include "protocol/internal/protobufpeercodec.h"
 
-#include "protocol/internal/crashwire.h"
 #include "protocol/internal/peer.pb.h"
 #include "protocol/types/protocolerror.h"
 
@@ -13,6 +12,12 @@
 
 constexpr std::uint32_t PeerProtocolVersion = 1;
 
+bool differInPartOnly(const CrashEvidence &left, CrashEvidence right)
+{
+    right.part = left.part;
+    return left == right;
+}
+
 /// Writes each type of message to its field of the envelope.
 struct EnvelopeWriter
 {
@@ -21,6 +26,7 @@
     void operator()(const PeerHello &message) const
     {
         envelope.mutable_hello()->set_daemon(message.daemon.value());
+        envelope.mutable_hello()->set_takes_crash_reports(message.takesCrashReports);
     }
     void operator()(const PeerPing &message) const
     {
@@ -34,6 +40,9 @@
         }
         out.set_accepts_jobs(message.acceptsJobs);
         out.set_uptime_ms(message.uptime.value());
+        if (message.crashFingerprint) {
+            out.set_crash_fingerprint(message.crashFingerprint->value());
+        }
         for (const TopicDigest &digest : message.digests) {
             peerwire::TopicDigest &target = *out.add_digests();
             target.set_topic(static_cast<std::uint32_t>(digest.topic));
@@ -126,9 +135,23 @@
         out.set_next(message.next.value());
         out.set_age_ms(message.age.value());
     }
-    void operator()(const CrashReport & /*message*/) const
+    void operator()(const CrashReport &message) const
     {
-        // Appended to the encoded envelope.
+        peerwire::CrashReport &out = *envelope.mutable_crash_report();
+        const CrashEvidence *previous = nullptr;
+        for (const CrashEvidence &evidence : message.evidence) {
+            if (previous == nullptr || !differInPartOnly(*previous, evidence)) {
+                peerwire::CrashEvidence &target = *out.add_evidence();
+                target.set_crash(evidence.crash.value());
+                target.set_attempt_age_ms(evidence.attemptAge.value());
+                target.set_crash_age_ms(evidence.crashAge.value());
+                target.set_is_known_good(evidence.isKnownGood);
+                target.set_is_refuted(evidence.isRefuted);
+            }
+            out.mutable_evidence(out.evidence_size() - 1)->add_parts(evidence.part.value());
+            previous = &evidence;
+        }
+        out.set_is_complete(message.isComplete);
     }
 };
 
@@ -201,7 +224,7 @@
     return static_cast<StateTopic>(number);
 }
 
-framework::Result<PeerMessage> read(const peerwire::Pong &in, std::string_view envelope)
+framework::Result<PeerMessage> read(const peerwire::Pong &in)
 {
     PeerPong pong;
     if (in.has_ping_sent_ms()) {
@@ -224,7 +247,9 @@
         }
         pong.digests.push_back(target);
     }
-    pong.crashFingerprint = crashwire::fingerprint(envelope);
+    if (in.has_crash_fingerprint()) {
+        pong.crashFingerprint = EvidenceFingerprint(in.crash_fingerprint());
+    }
     return PeerMessage(std::move(pong));
 }
 
@@ -260,25 +285,35 @@
     return PeerMessage(std::move(state));
 }
 
-/// Appends what the generated code has no fields for.
-void appendCrashFields(std::string &envelope, const PeerMessage &message)
+/// Adds the entries of one message of the wire, which are alike but for the part, to the report.
+framework::Result<void> read(const peerwire::CrashEvidence &in, CrashReport &report)
 {
-    if (const auto *hello = std::get_if<PeerHello>(&message)) {
-        if (hello->takesCrashReports) {
-            crashwire::appendTakesCrashReports(envelope);
-        }
-    } else if (const auto *pong = std::get_if<PeerPong>(&message)) {
-        if (pong->crashFingerprint) {
-            crashwire::appendFingerprint(envelope, *pong->crashFingerprint);
-        }
-    } else if (const auto *report = std::get_if<CrashReport>(&message)) {
-        crashwire::appendReport(envelope, *report);
+    CrashEvidence evidence;
+    evidence.crash = framework::CrashId(in.crash());
+    evidence.attemptAge = framework::Milliseconds(in.attempt_age_ms());
+    evidence.crashAge = framework::Milliseconds(in.crash_age_ms());
+    evidence.isKnownGood = in.is_known_good();
+    evidence.isRefuted = in.is_refuted();
+    const auto count = static_cast<std::size_t>(in.parts_size());
+    const bool isInRange = evidence.crashAge >= framework::Milliseconds(0)
+        && evidence.crashAge <= evidence.attemptAge && evidence.attemptAge <= MaxEvidenceAge;
+    if (!isInRange || count == 0 || count > MaxReportedEvidence - report.evidence.size()) {
+        return framework::leaf::new_error(ProtocolError::Malformed);
+    }
+    for (const std::uint64_t part : in.parts()) {
+        evidence.part = framework::PromptPartId(part);
+        report.evidence.push_back(evidence);
     }
+    return {};
 }
 
-framework::Result<PeerMessage> readReport(std::string_view envelope)
+framework::Result<PeerMessage> read(const peerwire::CrashReport &in)
 {
-    BOOST_LEAF_AUTO(report, crashwire::report(envelope));
+    CrashReport report;
+    for (const peerwire::CrashEvidence &evidence : in.evidence()) {
+        BOOST_LEAF_CHECK(read(evidence, report));
+    }
+    report.isComplete = in.is_complete();
     return PeerMessage(std::move(report));
 }
 
@@ -289,9 +324,7 @@
     peerwire::Envelope envelope;
     envelope.set_version(PeerProtocolVersion);
     std::visit(EnvelopeWriter{envelope}, message);
-    std::string bytes = envelope.SerializeAsString();
-    appendCrashFields(bytes, message);
-    return bytes;
+    return envelope.SerializeAsString();
 }
 
 framework::Result<PeerMessage> ProtobufPeerCodec::decode(std::string_view bytes) const
@@ -306,11 +339,11 @@
     switch (envelope.body_case()) {
     case peerwire::Envelope::kHello:
         return PeerMessage(PeerHello{framework::DaemonId(envelope.hello().daemon()),
-                                     crashwire::takesCrashReports(bytes)});
+                                     envelope.hello().takes_crash_reports()});
     case peerwire::Envelope::kPing:
         return PeerMessage(PeerPing{framework::TimePoint(envelope.ping().sent_ms())});
     case peerwire::Envelope::kPong:
-        return read(envelope.pong(), bytes);
+        return read(envelope.pong());
     case peerwire::Envelope::kStageJob:
         return read(envelope.stage_job());
     case peerwire::Envelope::kStageJobCancel:
@@ -326,8 +359,10 @@
         return read(envelope.topic_query());
     case peerwire::Envelope::kTopicState:
         return read(envelope.topic_state());
+    case peerwire::Envelope::kCrashReport:
+        return read(envelope.crash_report());
     case peerwire::Envelope::BODY_NOT_SET:
-        return readReport(bytes);
+        break;
     }
     return framework::leaf::new_error(ProtocolError::Malformed);
 }
