Quarantine: what counts as evidence, how long blame lasts

Only a signed success vouches, and a stream only once an event has come. - Blame lasted 120 s from the first time, so that two failures for another reason refused a new shared part for minutes; and it never grew, so that a deadly part was tried every 15 or 120 s for ever. It lasts 8 s the first time, then 120 s and twice as long each time a trial fails. One time for parts that were good before and others. - Crashes more than 30 s apart did not add up; they do for ten minutes. Suspicion still ends after 30 s. - A trial was seen only if its part came first among the suspected ones of a prompt. - Many sound requests lost in other crashes pushed out the evidence of a part with one crash. What is dropped first is from the crash of which most is known. - Of several attempts lost in one crash, the earliest counted, so that the crash did not. - A server that is leaving ends on purpose and is no evidence.

--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -300,8 +300,9 @@
                             : routing::CallOutcome::TransportFailed);
     }
     if (complete) {
-        m_guard.answerCompleted();
-        if (!m_streaming) {
+        if (m_streaming) {
+            m_guard.answerCompleted();
+        } else {
             m_response->startStream(*m_head);
         }
         m_response->endStream();
@@ -323,7 +324,8 @@
     if (complete) {
         endAttempt(failed ? routing::CallOutcome::Failed : routing::CallOutcome::Succeeded);
     }
-    if (!failed) {
+    // A rejection says nothing about what the prompt does to a backend server.
+    if (!failed && m_head->isSuccess()) {
         m_guard.answerCompleted();
     }
     if (failed) {
--- a/src/proxy/internal/promptguard.cpp
+++ b/src/proxy/internal/promptguard.cpp
@@ -11,6 +11,7 @@
 #include "quarantine/ipromptwatch.h"
 #include "quarantine/quarantinemodule.h"
 #include "quarantine/types/answerbeginning.h"
+#include "routing/ibackendserverselector.h"
 
 #include <string>
 #include <utility>
@@ -61,7 +62,7 @@
         return Refusal{
             RefusalKind::NotRun, obstacle->retryAfter, "prompt part crashes backend servers",
             "A part of this prompt has crashed several servers. The request has not run; "
-            "it is refused until the time in Retry-After, also elsewhere."};
+            "repeating it will not help before the time in Retry-After."};
     }
     return Refusal{RefusalKind::NotRun, obstacle->retryAfter, "suspected prompt part is on trial",
                    "A server crashed on a part of this prompt, and another request is finding out "
@@ -120,7 +121,8 @@
                            {"process", nameOf(result)},
                            {"prompt_parts", parts},
                            {"attempt_ms", std::to_string((now - m_attemptSent).value())}});
-    if (result == http::ProbeResult::NotListening) {
+    // A server that is leaving ends on purpose.
+    if (result == http::ProbeResult::NotListening && m_context.selector.isReady(m_server->id)) {
         m_watch->serverCrashed(nextCrashOf(*m_server));
     }
 }
--- a/src/quarantine/internal/promptquarantine.cpp
+++ b/src/quarantine/internal/promptquarantine.cpp
@@ -10,12 +10,16 @@
 #include <limits>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace lavendertally::quarantine {
 
 namespace {
 
+/// Different times that daemons may add to a blame; a power of two.
+constexpr std::int64_t BlameSpreadSteps = 1024;
+
 protocol::CrashEvidence describe(framework::PromptPartId part, framework::CrashId crash,
                                  framework::Milliseconds attemptAge,
                                  framework::Milliseconds crashAge)
@@ -33,7 +37,7 @@
 PromptQuarantine::PromptQuarantine(framework::ILogger &logger, framework::IMetrics &metrics,
                                    const QuarantineLimits &limits, std::uint64_t seed)
     : m_logger(logger), m_metrics(metrics), m_limits(limits), m_goodParts(limits.maxGoodParts),
-      m_blameSpreadPercent(static_cast<std::int64_t>(seed % 100))
+      m_blameSpread(static_cast<std::int64_t>(seed) & (BlameSpreadSteps - 1))
 { }
 
 PartAssessment PromptQuarantine::assess(const Parts &parts, framework::TimePoint now) const
@@ -44,10 +48,10 @@
     }
     for (const framework::PromptPartId part : parts) {
         const PartAssessment assessment = assessPart(part, parts, now);
-        const bool isWorse = assessment.standing > worst.standing;
-        const bool waitsLonger =
-            assessment.standing == worst.standing && assessment.retryAfter > worst.retryAfter;
-        if (isWorse || waitsLonger) {
+        const auto gravity = [](const PartAssessment &each) {
+            return std::tuple(each.standing, each.isOnTrial, each.retryAfter);
+        };
+        if (gravity(assessment) > gravity(worst)) {
             worst = assessment;
         }
     }
@@ -73,7 +77,8 @@
         return assessment;
     }
     // Of a part that was good before the crash, other requests of the crash are more suspicious.
-    if (!charge.suffices() && (charge.wasGood || isExplained)) {
+    const bool isCleared = charge.wasGood || isExplained || age >= m_limits.suspicionTime;
+    if (!charge.suffices() && isCleared) {
         return assessment;
     }
     assessment.standing = PartStanding::Suspected;
@@ -146,7 +151,12 @@
 
 framework::Milliseconds PromptQuarantine::blameTime(const Charge &charge) const
 {
-    return charge.wasGood ? m_limits.blameTimeKnownGood : m_limits.blameTime;
+    if (charge.crashes <= charge.crashesToBlame) {
+        return m_limits.firstBlameTime;
+    }
+    const std::uint32_t doublings =
+        std::min(charge.crashes - charge.crashesToBlame - 1, m_limits.maxBlameDoublings);
+    return m_limits.blameTime * (std::int64_t{1} << doublings);
 }
 
 /// How long this daemon refuses a blamed part. Daemons refuse it for different times, so that they
@@ -154,38 +164,41 @@
 framework::Milliseconds PromptQuarantine::ownBlameTime(const Charge &charge) const
 {
     const framework::Milliseconds time = blameTime(charge);
-    return time + framework::Milliseconds(time.value() * m_blameSpreadPercent / 100);
+    return time + framework::Milliseconds(time.value() * m_blameSpread / BlameSpreadSteps);
 }
 
 framework::Milliseconds PromptQuarantine::lifetime(const Charge &charge) const
 {
-    constexpr std::int64_t LongestRefusalAndProbation = 3;
-    return charge.suffices() ? blameTime(charge) * LongestRefusalAndProbation
-                             : m_limits.suspicionTime;
+    constexpr std::int64_t RefusalAndProbation = 3;
+    return charge.suffices()
+        ? std::max(blameTime(charge) * RefusalAndProbation, m_limits.evidenceTime)
+        : m_limits.evidenceTime;
 }
 
 bool PromptQuarantine::isExpired(const Observations::value_type &entry,
                                  framework::TimePoint now) const
 {
-    const framework::Milliseconds age = now - entry.second.crashed;
-    if (age < m_limits.suspicionTime) {
-        return false;
+    if (entry.second.isRefuted) {
+        return now - entry.second.crashed >= m_limits.suspicionTime;
     }
     const Charge charge = chargeAgainst(entry.first.first);
-    return entry.second.isRefuted || !charge.suffices()
-        || now - charge.lastCrash >= lifetime(charge);
+    return now - charge.lastCrash >= lifetime(charge);
 }
 
-void PromptQuarantine::beginTrial(framework::PromptPartId part)
+void PromptQuarantine::beginTrial(const Parts &parts)
 {
-    ++m_trials[part];
+    for (const framework::PromptPartId part : parts) {
+        ++m_trials[part];
+    }
 }
 
-void PromptQuarantine::endTrial(framework::PromptPartId part)
+void PromptQuarantine::endTrial(const Parts &parts)
 {
-    const auto trial = m_trials.find(part);
-    if (trial != m_trials.end() && --trial->second == 0) {
-        m_trials.erase(trial);
+    for (const framework::PromptPartId part : parts) {
+        const auto trial = m_trials.find(part);
+        if (trial != m_trials.end() && --trial->second == 0) {
+            m_trials.erase(trial);
+        }
     }
 }
 
@@ -197,7 +210,9 @@
             continue;
         }
         const auto [first, end] = observationsOf(part);
-        std::vector<Observations::value_type> doubted(first, end);
+        std::vector<Observations::value_type> doubted;
+        std::copy_if(first, end, std::back_inserter(doubted),
+                     [](const auto &entry) { return !entry.second.isRefuted; });
         for (const auto &[key, observation] : doubted) {
             store(key, observation, now);
         }
@@ -214,7 +229,17 @@
             continue;
         }
         m_metrics.increment("lavendertally_crash_evidence_total", {{"source", "own"}});
-        store({part, crash}, {attemptSent, now}, now);
+        Observation observation;
+        // Of attempts that were lost in one crash, the one that was sent last counts.
+        const auto known = m_observations.find({part, crash});
+        observation.attemptSent = known == m_observations.end()
+            ? attemptSent
+            : std::max(attemptSent, known->second.attemptSent);
+        observation.crashed = now;
+        if (known != m_observations.end()) {
+            known->second.attemptSent = observation.attemptSent;
+        }
+        store({part, crash}, observation, now);
     }
 }
 
@@ -295,7 +320,6 @@
     Observation &kept = entry->second;
     const bool isChanged = isNew || (observation.isKnownGood && !kept.isKnownGood)
         || (observation.isRefuted && !kept.isRefuted);
-    kept.attemptSent = std::min(kept.attemptSent, observation.attemptSent);
     kept.crashed = std::min(kept.crashed, observation.crashed);
     kept.isKnownGood = kept.isKnownGood || observation.isKnownGood;
     kept.isRefuted = kept.isRefuted || observation.isRefuted;
@@ -331,15 +355,18 @@
     }
 }
 
-/// Refuted evidence goes first, then that of parts that are not blamed, and the oldest first; all
-/// daemons choose alike.
+/// Refuted evidence goes first, then that of parts that are not blamed, from the crash of which
+/// most is known, and the oldest first; all daemons choose alike.
 void PromptQuarantine::dropLeastUseful()
 {
-    const auto usefulness = [this](const Observations::value_type &entry) {
-        const int rank = entry.second.isRefuted           ? 0
-            : chargeAgainst(entry.first.first).suffices() ? 2
-                                                          : 1;
-        return std::pair(rank, entry.second.crashed);
+    std::map<framework::CrashId, std::int64_t> entriesOfCrash;
+    for (const auto &entry : m_observations) {
+        ++entriesOfCrash[entry.first.second];
+    }
+    const auto usefulness = [this, &entriesOfCrash](const Observations::value_type &entry) {
+        const bool isBlamed = chargeAgainst(entry.first.first).suffices();
+        return std::tuple(!entry.second.isRefuted, isBlamed, -entriesOfCrash.at(entry.first.second),
+                          entry.second.crashed);
     };
     auto least = m_observations.begin();
     auto leastUsefulness = usefulness(*least);
--- a/src/quarantine/internal/promptquarantine.h
+++ b/src/quarantine/internal/promptquarantine.h
@@ -29,8 +29,8 @@
                      const QuarantineLimits &limits, std::uint64_t seed);
 
     PartAssessment assess(const Parts &parts, framework::TimePoint now) const override;
-    void beginTrial(framework::PromptPartId part) override;
-    void endTrial(framework::PromptPartId part) override;
+    void beginTrial(const Parts &parts) override;
+    void endTrial(const Parts &parts) override;
     void answerBegan(const Parts &parts, framework::TimePoint now) override;
     void serverCrashed(const Parts &parts, framework::CrashId crash,
                        framework::TimePoint attemptSent, framework::TimePoint now) override;
@@ -86,8 +86,9 @@
     QuarantineLimits m_limits;
     Observations m_observations;
     GoodParts m_goodParts;
-    std::int64_t m_blameSpreadPercent;
-    /// Attempts in flight at this daemon that try a suspected part.
+    /// Part of the blame time, in steps of BlameSpreadSteps, that this daemon adds.
+    std::int64_t m_blameSpread;
+    /// Attempts in flight at this daemon that try a suspected part, by each part of their prompts.
     std::map<framework::PromptPartId, std::uint32_t> m_trials;
     std::function<void(const protocol::CrashEvidence &)> m_onChange;
 };
--- a/src/quarantine/internal/promptwatch.cpp
+++ b/src/quarantine/internal/promptwatch.cpp
@@ -43,8 +43,8 @@
     m_answerBegan = false;
     const PartAssessment assessment = m_quarantine.assess(m_parts, m_attemptSent);
     if (assessment.standing == PartStanding::Suspected) {
-        m_trial = assessment.part;
-        m_quarantine.beginTrial(assessment.part);
+        m_isTrial = true;
+        m_quarantine.beginTrial(m_parts);
     }
 }
 
@@ -78,8 +78,8 @@
 
 void PromptWatch::endTrial()
 {
-    if (const auto part = std::exchange(m_trial, std::nullopt)) {
-        m_quarantine.endTrial(*part);
+    if (std::exchange(m_isTrial, false)) {
+        m_quarantine.endTrial(m_parts);
     }
 }
 
--- a/src/quarantine/internal/promptwatch.h
+++ b/src/quarantine/internal/promptwatch.h
@@ -46,7 +46,7 @@
     framework::TimePoint m_attemptSent;
     std::uint32_t m_textParts = 0;
     bool m_answerBegan = false;
-    std::optional<framework::PromptPartId> m_trial;
+    bool m_isTrial = false;
     std::unique_ptr<framework::ITimer> m_timer;
 };
 
--- a/src/quarantine/ipromptquarantine.h
+++ b/src/quarantine/ipromptquarantine.h
@@ -23,9 +23,9 @@
     /// \return the worst standing among \p parts
     virtual PartAssessment assess(const Parts &parts, framework::TimePoint now) const = 0;
 
-    /// An attempt that tries the suspected \p part is sent; until endTrial() others should wait.
-    virtual void beginTrial(framework::PromptPartId part) = 0;
-    virtual void endTrial(framework::PromptPartId part) = 0;
+    /// An attempt with the suspected prompt \p parts is sent; until endTrial() others should wait.
+    virtual void beginTrial(const Parts &parts) = 0;
+    virtual void endTrial(const Parts &parts) = 0;
 
     /// A backend server writes an answer on a prompt with \p parts, and has survived its beginning.
     virtual void answerBegan(const Parts &parts, framework::TimePoint now) = 0;
--- a/src/quarantine/types/quarantinelimits.h
+++ b/src/quarantine/types/quarantinelimits.h
@@ -16,12 +16,15 @@
     std::uint32_t crashesToBlameKnownGood = 3;
     /// A suspicion without further evidence ends after this time.
     framework::Milliseconds suspicionTime{30000};
-    /// A blamed part is refused for this long after its last crash, at some daemons for up to as
-    /// long again. After that it is only suspected, and blamed anew by one more crash.
+    /// Crashes with this time between them do not add up.
+    framework::Milliseconds evidenceTime{600000};
+    /// A part that was blamed for the first time is refused for this long after its last crash, at
+    /// some daemons for up to as long again. After that it is only suspected, and blamed anew by
+    /// one more crash.
+    framework::Milliseconds firstBlameTime{8000};
+    /// The same for a part that was blamed anew; doubles each time.
     framework::Milliseconds blameTime{120000};
-    /// The same for a part with which answers had begun before the first of the crashes: the
-    /// backend servers may have failed for another reason.
-    framework::Milliseconds blameTimeKnownGood{15000};
+    std::uint32_t maxBlameDoublings = 4;
     /// An answer speaks for its parts for this long.
     framework::Milliseconds goodTime{60000};
     /// Retry-after time of a request with a suspected part that is on trial already.
@@ -33,7 +36,11 @@
     std::size_t maxGoodParts = 8192;
 
     /// \return age at which evidence is of no use any more
-    framework::Milliseconds maxEvidenceAge() const { return blameTime * 3; }
+    framework::Milliseconds maxEvidenceAge() const
+    {
+        constexpr std::int64_t RefusalAndProbation = 3;
+        return blameTime * (std::int64_t{1} << maxBlameDoublings) * RefusalAndProbation;
+    }
 };
 
 } // namespace lavendertally::quarantine
