--- a/src/app/tests/processfixture.h
+++ b/src/app/tests/processfixture.h
@@ -24,6 +24,8 @@
 protected:
     static constexpr framework::Milliseconds WaitLimit{20000};
     static constexpr framework::Milliseconds PollInterval{20};
+    /// Text engines crash on prompts that contain it.
+    static constexpr const char *DeadlyWord = "deadly";
 
     ProcessFixture()
         : m_clock(framework::FrameworkModule::makeSystemClock()),
@@ -50,7 +52,7 @@
             {framework::ServiceId("encoder"), "standinpool", {"--kind", "encode"}, 1},
             {framework::ServiceId("writer"),
              "standinengine",
-             {"--model", "m", "--token-interval-ms", "5"},
+             {"--model", "m", "--token-interval-ms", "5", "--deadly-word", DeadlyWord},
              1},
             {framework::ServiceId("booking"), "standinaction", {}, 1}};
         return result;
--- a/src/standins/internal/modelenginestandin.cpp
+++ b/src/standins/internal/modelenginestandin.cpp
@@ -96,6 +96,11 @@
     if (!call || refuses(exchange)) {
         return;
     }
+    if (isDeadly(*call)) {
+        crash(m_options.downTime);
+        restart();
+        return;
+    }
     if (!m_coldStart.beginCall()) {
         deferred().callAfter(framework::Milliseconds(0), [exchange] { exchange->abort(); });
         loseCalls();
@@ -111,6 +116,12 @@
     scheduleStep();
 }
 
+bool ModelEngineStandIn::isDeadly(const nlohmann::json &call) const
+{
+    return !m_options.deadlyWord.empty()
+        && textMember(call, "prompt").find(m_options.deadlyWord) != std::string::npos;
+}
+
 bool ModelEngineStandIn::refuses(const ExchangePtr &exchange)
 {
     if (!m_coldStart.isReady()) {
--- a/src/standins/modelenginestandin.h
+++ b/src/standins/modelenginestandin.h
@@ -60,6 +60,7 @@
     void onFaultSet(const Fault &fault) override;
 
     void complete(const ExchangePtr &exchange);
+    bool isDeadly(const nlohmann::json &call) const;
     bool refuses(const ExchangePtr &exchange);
     Sequence makeSequence(const ExchangePtr &exchange, const nlohmann::json &call) const;
     void fillBatch();
--- a/src/standins/standinengine.cpp
+++ b/src/standins/standinengine.cpp
@@ -31,6 +31,9 @@
     program.addSwitch("check-fencing", "on or off: refuse orders with an old fencing number",
                       options.checksFencing);
     program.addDuration("report-lag", "age of the load figures", options.reportLag);
+    program.addText("deadly-word", "crashes on prompts that contain it; empty: on none",
+                    options.deadlyWord);
+    program.addDuration("down-ms", "time after a crash until it listens again", options.downTime);
     CommonArguments::addColdStart(program, options.coldStart);
     return program.run(argc, argv, [&](framework::IEventLoop &loop) {
         return std::make_unique<ModelEngineStandIn>(loop, options);
--- a/src/standins/types/engineoptions.h
+++ b/src/standins/types/engineoptions.h
@@ -37,6 +37,10 @@
     bool checksFencing = true;
     /// Age of the load figures in its state.
     framework::Milliseconds reportLag;
+    /// The engine crashes on prompts that contain this; empty: on none.
+    std::string deadlyWord;
+    /// Time after a crash until it listens again.
+    framework::Milliseconds downTime{300};
     ColdStartOptions coldStart;
 };
 
