Test: a server's shutdown waits for what has arrived

RawServerTest.ServerIsShutDownBeforeRequestIsRead_ShutdownWaitsForItsAnswer covers http::ServerShutdown with a request unread on a kept connection, one in the backlog and an idle connection. Red with finish() not looking at the connections in use.

--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -4,6 +4,7 @@
 #include "http/httpmodule.h"
 #include "http/ihttpexchange.h"
 #include "http/ihttpserver.h"
+#include "http/servershutdown.h"
 #include "http/tests/rawsocket.h"
 #include "http/types/httprequesthead.h"
 
@@ -289,6 +290,27 @@
     EXPECT_TRUE(client.received().ends_with("ok")) << client.received();
 }
 
+TEST_F(RawServerTest, ServerIsShutDownBeforeRequestIsRead_ShutdownWaitsForItsAnswer)
+{
+    RawSocket kept(m_endpoint);
+    kept.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return kept.received().ends_with("ok"); }));
+    RawSocket idle(m_endpoint);
+    idle.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return idle.received().ends_with("ok"); }));
+    kept.send("GET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+    RawSocket waiting(m_endpoint);
+    waiting.send("GET /d HTTP/1.1\r\nHost: h\r\n\r\n");
+    ServerShutdown shutdown(*m_server);
+    shutdown.begin();
+    EXPECT_FALSE(shutdown.finish());
+    ASSERT_TRUE(runUntil([&] { return shutdown.finish(); }));
+    EXPECT_EQ(m_targets.size(), 4U);
+    EXPECT_TRUE(runUntil([&] { return kept.isClosed() && idle.isClosed() && waiting.isClosed(); }));
+    EXPECT_TRUE(waiting.received().ends_with("ok")) << waiting.received();
+    EXPECT_GT(kept.received().rfind("ok"), kept.received().find("ok")) << kept.received();
+}
+
 TEST_F(RawServerTest, RequestArrivesAsTheIdleTimeIsOver_ItIsAnswered)
 {
     RawSocket client(m_endpoint);
