Drain test waits until the answer is under way at a writer

Trace: the test waited until the entry counted the request, so that the stop signal could reach both writers before the stage call did; they refuse it rightly.

--- a/src/app/tests/processtest.cpp
+++ b/src/app/tests/processtest.cpp
@@ -182,8 +182,11 @@
             response = std::move(received);
             answered = true;
         });
-    waitUntil("the letter to be under way",
-              [&] { return dump(entry).value("active_requests", 0) == 1; });
+    waitUntil("the letter to be under way at a writer", [&] {
+        return dump(host("writer", "za")).value("running", 0)
+            + dump(host("writer", "zb")).value("running", 0)
+            == 1;
+    });
     fault(m_fleet.logService(), "down");
     entry.daemon->signal(SIGTERM);
     for (const char *zone : {"za", "zb"}) {
