Test of a request at the end of the idle time does not depend on the machine's speed

Trace: its timer was set once the client had the first answer, the server's idle timer when it sent it; more than 10 ms between them, and the connection was closed before the second request was sent, which is allowed. The timer is set before the server's now, and a try in which the connection was closed first is repeated.

--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -313,15 +313,31 @@
 
 TEST_F(RawServerTest, RequestArrivesAsTheIdleTimeIsOver_ItIsAnswered)
 {
-    RawSocket client(m_endpoint);
-    client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
-    ASSERT_TRUE(runUntil([&] { return client.received().ends_with("ok"); }));
-    // Due shortly before the idle time is over, in the same turn of the loop.
-    const auto next = m_loop->callAfter(limits().idleTimeout - framework::Milliseconds(10),
-                                        [&] { client.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n"); });
-    std::this_thread::sleep_for(std::chrono::milliseconds(limits().idleTimeout.value() + 3));
-    ASSERT_TRUE(runUntil([&] { return m_targets.size() == 2 || client.isClosed(); }));
-    EXPECT_EQ(m_targets.size(), 2U);
+    constexpr int MaxTries = 20;
+    bool isSentInTime = false;
+    for (int each = 0; each < MaxTries && !isSentInTime; ++each) {
+        m_targets.clear();
+        RawSocket client(m_endpoint);
+        std::unique_ptr<framework::ITimer> next;
+        m_server->setHandler([&](const std::shared_ptr<IHttpExchange> &exchange) {
+            m_targets.push_back(exchange->head().target);
+            // Due shortly before the idle time is over, in the same turn of the loop. A connection
+            // that is closed by then, as the machine was late, shows nothing.
+            next = m_loop->callAfter(limits().idleTimeout - framework::Milliseconds(1), [&] {
+                isSentInTime = m_server->connectionsInUse() == 1;
+                client.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+            });
+            exchange->reply(200, "text/plain", "ok");
+        });
+        client.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE(runUntil([&] { return client.received().ends_with("ok"); }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(limits().idleTimeout.value() + 3));
+        ASSERT_TRUE(runUntil([&] { return m_targets.size() == 2 || client.isClosed(); }));
+        if (isSentInTime) {
+            EXPECT_EQ(m_targets.size(), 2U);
+        }
+    }
+    EXPECT_TRUE(isSentInTime);
 }
 
 TEST_F(RawServerTest, IdleConnectionsCanBeClosedWhileOthersAreServed)
