Protocol: rate limits of backend servers, requests for permits and grants

A daemon says in its hello and its pongs that it takes them, since one that runs an older version would close the link. Entries, ages and counts are bounded; a message out of range is refused (tests RateLimitsOutOfRange_DecodingFails and the round trips).

--- a/src/framework/types/units.h
+++ b/src/framework/types/units.h
@@ -9,6 +9,7 @@
 struct CostTag;
 struct MicrosecondsTag;
 struct MillicoresTag;
+struct RequestRateTag;
 
 using Bytes = Quantity<BytesTag>;
 using TokenCount = Quantity<TokenTag>;
@@ -21,4 +22,7 @@
 /// Processor capacity in thousandths of a core.
 using Millicores = Quantity<MillicoresTag>;
 
+/// Requests per thousand seconds.
+using RequestRate = Quantity<RequestRateTag>;
+
 } // namespace lavendertally::framework
--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -51,6 +51,9 @@
     /// \return whether the daemon that opened this inbound link takes crash reports
     bool takesCrashReports() const { return m_takesCrashReports; }
     void setTakesCrashReports(bool takes) { m_takesCrashReports = takes; }
+    /// \return whether the daemon that opened this inbound link takes rate limits
+    bool takesRateLimits() const { return m_takesRateLimits; }
+    void setTakesRateLimits(bool takes) { m_takesRateLimits = takes; }
     /// \return the fingerprint in the last pong that was sent on this link, if any had one
     const std::optional<protocol::EvidenceFingerprint> &toldFingerprint() const
     {
@@ -74,6 +77,7 @@
     std::unique_ptr<network::BufferedSocket> m_socket;
     bool m_connected = false;
     bool m_takesCrashReports = false;
+    bool m_takesRateLimits = false;
     std::optional<protocol::EvidenceFingerprint> m_toldFingerprint;
     framework::TimePoint m_lastReceived;
 };
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -50,6 +50,11 @@
     m_crashFingerprint = std::move(fingerprint);
 }
 
+void PeerNetwork::setTakesRateLimits()
+{
+    m_takesRateLimits = true;
+}
+
 void PeerNetwork::setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed)
 {
     m_isInformed = std::move(isInformed);
@@ -192,10 +197,25 @@
 }
 
 std::vector<framework::DaemonId> PeerNetwork::crashReportTakers() const
+{
+    return takers([](const OutboundLink &link) { return link.crashFingerprint.has_value(); },
+                  [](const PeerLink &link) { return link.takesCrashReports(); });
+}
+
+std::vector<framework::DaemonId> PeerNetwork::rateLimitTakers() const
+{
+    return takers([](const OutboundLink &link) { return link.takesRateLimits; },
+                  [](const PeerLink &link) { return link.takesRateLimits(); });
+}
+
+/// \return peers whose established links fulfil the condition
+std::vector<framework::DaemonId>
+PeerNetwork::takers(const std::function<bool(const OutboundLink &)> &isOutboundTaker,
+                    const std::function<bool(const PeerLink &)> &isInboundTaker) const
 {
     std::vector<framework::DaemonId> takers;
     for (const auto &[peer, outbound] : m_outbound) {
-        if (outbound.isEstablished && outbound.crashFingerprint) {
+        if (outbound.isEstablished && isOutboundTaker(outbound)) {
             takers.push_back(peer);
         }
     }
@@ -203,7 +223,7 @@
         const auto outbound = m_outbound.find(link->peer());
         const bool isLinkedOutbound =
             outbound != m_outbound.end() && outbound->second.isEstablished;
-        if (link->takesCrashReports() && !link->peer().isEmpty() && !isLinkedOutbound) {
+        if (isInboundTaker(*link) && !link->peer().isEmpty() && !isLinkedOutbound) {
             takers.push_back(link->peer());
         }
     }
@@ -241,6 +261,7 @@
 void PeerNetwork::sendPong(PeerLink &link, std::optional<framework::TimePoint> pingSent) const
 {
     protocol::PeerPong pong{pingSent, m_acceptsJobs(), m_clock.now() - m_started, m_digests()};
+    pong.takesRateLimits = m_takesRateLimits;
     if (m_crashFingerprint) {
         const protocol::EvidenceFingerprint fingerprint = m_crashFingerprint();
         if (link.toldFingerprint() != fingerprint) {
@@ -352,7 +373,8 @@
     // A peer keeps one inbound link for each name, so a link to a seed needs a name of its own: the
     // same peer may also be linked through the ranking.
     const std::string name = m_self.value() + (isSeed(link.peer()) ? SeedLinkSuffix : "");
-    link.send(protocol::PeerHello{framework::DaemonId(name), m_crashFingerprint != nullptr});
+    link.send(protocol::PeerHello{framework::DaemonId(name), m_crashFingerprint != nullptr,
+                                  m_takesRateLimits});
     link.send(protocol::PeerPing{m_clock.now()});
 }
 
@@ -392,6 +414,7 @@
     }
     link.setPeer(hello.daemon);
     link.setTakesCrashReports(hello.takesCrashReports);
+    link.setTakesRateLimits(hello.takesRateLimits);
 }
 
 void PeerNetwork::onPong(const PeerLink &link, const protocol::PeerPong &pong)
@@ -413,6 +436,7 @@
         outbound.crashFingerprint = pong.crashFingerprint;
     }
     const std::optional<protocol::EvidenceFingerprint> fingerprint = outbound.crashFingerprint;
+    outbound.takesRateLimits = pong.takesRateLimits;
     outbound.peerStartTime = m_clock.now() - pong.uptime;
     for (IPeerObserver *observer : m_observers) {
         observer->onDigests(link.peer(), pong.digests, pong.pingSent);
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -48,6 +48,8 @@
     void connectToSeeds(const std::vector<framework::Endpoint> &seeds) override;
     std::vector<framework::DaemonId> linkedPeers() const override;
     std::vector<framework::DaemonId> crashReportTakers() const override;
+    void setTakesRateLimits() override;
+    std::vector<framework::DaemonId> rateLimitTakers() const override;
     bool isAccepting(const framework::DaemonId &peer) const override;
     bool isInStartupGrace(const framework::DaemonId &peer) const override;
     bool isUnreachable(const framework::DaemonId &peer) const override;
@@ -77,10 +79,14 @@
         /// Newest fingerprint on the current connection; nothing if the peer takes no crash
         /// reports.
         std::optional<protocol::EvidenceFingerprint> crashFingerprint;
+        bool takesRateLimits = false;
         framework::TimePoint peerStartTime;
         framework::TimePoint neededAt;
     };
 
+    std::vector<framework::DaemonId>
+    takers(const std::function<bool(const OutboundLink &)> &isOutboundTaker,
+           const std::function<bool(const PeerLink &)> &isInboundTaker) const;
     void onAccepted(int fd);
     void updateOutbound();
     std::vector<DaemonAddress> wantedPeers() const;
@@ -113,6 +119,7 @@
     std::function<std::vector<protocol::TopicDigest>()> m_digests;
     /// Empty if this daemon takes no crash reports.
     std::function<protocol::EvidenceFingerprint()> m_crashFingerprint;
+    bool m_takesRateLimits = false;
     std::function<bool(const framework::DaemonId &)> m_isInformed;
     PeerListener m_listener;
     framework::Endpoint m_endpoint;
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -36,6 +36,9 @@
     virtual void
     setCrashFingerprint(std::function<protocol::EvidenceFingerprint()> fingerprint) = 0;
 
+    /// Makes this daemon announce that it takes rate limits and permits. Called before listen().
+    virtual void setTakesRateLimits() = 0;
+
     /// \param isInformed returns whether the state that a linked peer shares is recent. While no
     /// linked peer's is, links go further down the ranking
     virtual void setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed) = 0;
@@ -60,6 +63,10 @@
     /// one that runs an older version would close the link on a report
     virtual std::vector<framework::DaemonId> crashReportTakers() const = 0;
 
+    /// \return the daemons at the other ends of outbound and inbound links that take rate limits
+    /// and permits; one that runs an older version would close the link on such a message
+    virtual std::vector<framework::DaemonId> rateLimitTakers() const = 0;
+
     /// \return whether the outbound link to \p peer is established, has passed its probation if it
     /// was lost before, and the peer takes stage jobs
     virtual bool isAccepting(const framework::DaemonId &peer) const = 0;
--- a/src/peers/testing/fakepeernetwork.h
+++ b/src/peers/testing/fakepeernetwork.h
@@ -41,6 +41,11 @@
         }
         return takers;
     }
+    void setTakesRateLimits() override { }
+    std::vector<framework::DaemonId> rateLimitTakers() const override
+    {
+        return crashReportTakers();
+    }
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override
     {
         return endpoint;
@@ -51,7 +56,10 @@
         seedCount = seeds.size();
     }
     std::vector<framework::DaemonId> linkedPeers() const override { return outbound; }
-    bool isAccepting(const framework::DaemonId & /*peer*/) const override { return true; }
+    bool isAccepting(const framework::DaemonId &peer) const override
+    {
+        return !unreachable.contains(peer);
+    }
     bool isInStartupGrace(const framework::DaemonId & /*peer*/) const override { return false; }
     void setIsInformed(std::function<bool(const framework::DaemonId &)> informed) override
     {
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -19,27 +19,30 @@
 }
 
 /// Writes each type of message to its field of the envelope.
-struct EnvelopeWriter
+class EnvelopeWriter
 {
-    peerwire::Envelope &envelope;
+public:
+    explicit EnvelopeWriter(peerwire::Envelope &target) : m_envelope(target) { }
 
     void operator()(const PeerHello &message) const
     {
-        envelope.mutable_hello()->set_daemon(message.daemon.value());
-        envelope.mutable_hello()->set_takes_crash_reports(message.takesCrashReports);
+        m_envelope.mutable_hello()->set_daemon(message.daemon.value());
+        m_envelope.mutable_hello()->set_takes_crash_reports(message.takesCrashReports);
+        m_envelope.mutable_hello()->set_takes_rate_limits(message.takesRateLimits);
     }
     void operator()(const PeerPing &message) const
     {
-        envelope.mutable_ping()->set_sent_ms(message.sent.sinceEpoch());
+        m_envelope.mutable_ping()->set_sent_ms(message.sent.sinceEpoch());
     }
     void operator()(const PeerPong &message) const
     {
-        peerwire::Pong &out = *envelope.mutable_pong();
+        peerwire::Pong &out = *m_envelope.mutable_pong();
         if (message.pingSent) {
             out.set_ping_sent_ms(message.pingSent->sinceEpoch());
         }
         out.set_accepts_jobs(message.acceptsJobs);
         out.set_uptime_ms(message.uptime.value());
+        out.set_takes_rate_limits(message.takesRateLimits);
         if (message.crashFingerprint) {
             out.set_crash_fingerprint(message.crashFingerprint->value());
         }
@@ -57,7 +60,7 @@
     }
     void operator()(const StageJob &message) const
     {
-        peerwire::StageJob &out = *envelope.mutable_stage_job();
+        peerwire::StageJob &out = *m_envelope.mutable_stage_job();
         out.set_request(message.request.value());
         out.set_route(message.route.value());
         for (const JobStage &stage : message.stages) {
@@ -77,11 +80,11 @@
     }
     void operator()(const StageJobCancel &message) const
     {
-        envelope.mutable_stage_job_cancel()->set_request(message.request.value());
+        m_envelope.mutable_stage_job_cancel()->set_request(message.request.value());
     }
     void operator()(const StageJobOutcome &message) const
     {
-        peerwire::StageJobOutcome &out = *envelope.mutable_stage_job_outcome();
+        peerwire::StageJobOutcome &out = *m_envelope.mutable_stage_job_outcome();
         out.set_request(message.request.value());
         out.set_status(static_cast<std::uint32_t>(message.status));
         for (const StageResultPlace &place : message.results) {
@@ -93,7 +96,7 @@
     }
     void operator()(const StageResultRelease &message) const
     {
-        peerwire::StageResultRelease &out = *envelope.mutable_stage_result_release();
+        peerwire::StageResultRelease &out = *m_envelope.mutable_stage_result_release();
         for (const framework::StageResultId &result : message.results) {
             out.add_results(result.value());
         }
@@ -101,9 +104,9 @@
     void operator()(const StageHoldings &message) const
     {
         // Selects the field also if there are no holdings.
-        envelope.mutable_stage_holdings();
+        m_envelope.mutable_stage_holdings();
         for (const StageHolding &holding : message.holdings) {
-            peerwire::StageHolding &target = *envelope.mutable_stage_holdings()->add_holdings();
+            peerwire::StageHolding &target = *m_envelope.mutable_stage_holdings()->add_holdings();
             target.set_server(holding.server.value());
             target.set_held_bytes(holding.held.value());
             target.set_calls(holding.calls);
@@ -111,7 +114,7 @@
     }
     void operator()(const TopicQuery &message) const
     {
-        peerwire::TopicQuery &out = *envelope.mutable_topic_query();
+        peerwire::TopicQuery &out = *m_envelope.mutable_topic_query();
         out.set_topic(static_cast<std::uint32_t>(message.topic));
         out.set_sequence(message.sequence);
         if (message.from) {
@@ -120,7 +123,7 @@
     }
     void operator()(const TopicState &message) const
     {
-        peerwire::TopicState &out = *envelope.mutable_topic_state();
+        peerwire::TopicState &out = *m_envelope.mutable_topic_state();
         out.set_topic(static_cast<std::uint32_t>(message.topic));
         out.set_sequence(message.sequence);
         out.set_is_complete(message.isComplete);
@@ -137,7 +140,7 @@
     }
     void operator()(const CrashReport &message) const
     {
-        peerwire::CrashReport &out = *envelope.mutable_crash_report();
+        peerwire::CrashReport &out = *m_envelope.mutable_crash_report();
         const CrashEvidence *previous = nullptr;
         for (const CrashEvidence &evidence : message.evidence) {
             if (previous == nullptr || !differInPartOnly(*previous, evidence)) {
@@ -153,6 +156,46 @@
         }
         out.set_is_complete(message.isComplete);
     }
+    void operator()(const PermitRequest &message) const
+    {
+        peerwire::PermitRequest &out = *m_envelope.mutable_permit_request();
+        out.set_sequence(message.sequence);
+        out.set_wants_all_limits(message.wantsAllLimits);
+        write(message.limits, *out.mutable_limits());
+        write(message.wanted, *out.mutable_wanted());
+    }
+    void operator()(const PermitGrant &message) const
+    {
+        peerwire::PermitGrant &out = *m_envelope.mutable_permit_grant();
+        out.set_sequence(message.sequence);
+        write(message.limits, *out.mutable_limits());
+        write(message.permits, *out.mutable_permits());
+    }
+
+private:
+    peerwire::Envelope &m_envelope;
+
+    template <typename Repeated>
+    static void write(const std::vector<ServerRateLimit> &limits, Repeated &out)
+    {
+        for (const ServerRateLimit &limit : limits) {
+            peerwire::ServerRateLimit &target = *out.Add();
+            target.set_server(limit.server.value());
+            if (limit.rate) {
+                target.set_rate(limit.rate->value());
+            }
+            target.set_age_ms(limit.age.value());
+        }
+    }
+    template <typename Repeated>
+    static void write(const std::vector<PermitCount> &permits, Repeated &out)
+    {
+        for (const PermitCount &permit : permits) {
+            peerwire::PermitCount &target = *out.Add();
+            target.set_server(permit.server.value());
+            target.set_count(permit.count);
+        }
+    }
 };
 
 framework::Result<PeerMessage> read(const peerwire::StageJob &in)
@@ -247,6 +290,7 @@
         }
         pong.digests.push_back(target);
     }
+    pong.takesRateLimits = in.takes_rate_limits();
     if (in.has_crash_fingerprint()) {
         pong.crashFingerprint = EvidenceFingerprint(in.crash_fingerprint());
     }
@@ -317,13 +361,67 @@
     return PeerMessage(std::move(report));
 }
 
+template <typename Repeated>
+framework::Result<std::vector<ServerRateLimit>> readLimits(const Repeated &in)
+{
+    std::vector<ServerRateLimit> limits;
+    for (const peerwire::ServerRateLimit &each : in) {
+        ServerRateLimit limit;
+        limit.server = framework::BackendServerId(each.server());
+        if (each.has_rate()) {
+            limit.rate = framework::RequestRate(each.rate());
+        }
+        limit.age = framework::Milliseconds(each.age_ms());
+        const bool isInRange = limit.age >= framework::Milliseconds(0)
+            && limit.age <= MaxRateLimitAge && each.rate() >= 0;
+        if (!isInRange || limit.server.isEmpty() || limits.size() == MaxRateLimitEntries) {
+            return framework::leaf::new_error(ProtocolError::Malformed);
+        }
+        limits.push_back(std::move(limit));
+    }
+    return limits;
+}
+
+template <typename Repeated>
+framework::Result<std::vector<PermitCount>> readPermits(const Repeated &in)
+{
+    std::vector<PermitCount> permits;
+    for (const peerwire::PermitCount &each : in) {
+        if (each.server().empty() || each.count() > MaxPermits
+            || permits.size() == MaxRateLimitEntries) {
+            return framework::leaf::new_error(ProtocolError::Malformed);
+        }
+        permits.push_back({framework::BackendServerId(each.server()), each.count()});
+    }
+    return permits;
+}
+
+framework::Result<PeerMessage> read(const peerwire::PermitRequest &in)
+{
+    PermitRequest request;
+    request.sequence = in.sequence();
+    request.wantsAllLimits = in.wants_all_limits();
+    BOOST_LEAF_ASSIGN(request.limits, readLimits(in.limits()));
+    BOOST_LEAF_ASSIGN(request.wanted, readPermits(in.wanted()));
+    return PeerMessage(std::move(request));
+}
+
+framework::Result<PeerMessage> read(const peerwire::PermitGrant &in)
+{
+    PermitGrant grant;
+    grant.sequence = in.sequence();
+    BOOST_LEAF_ASSIGN(grant.limits, readLimits(in.limits()));
+    BOOST_LEAF_ASSIGN(grant.permits, readPermits(in.permits()));
+    return PeerMessage(std::move(grant));
+}
+
 } // namespace
 
 std::string ProtobufPeerCodec::encode(const PeerMessage &message) const
 {
     peerwire::Envelope envelope;
     envelope.set_version(PeerProtocolVersion);
-    std::visit(EnvelopeWriter{envelope}, message);
+    std::visit(EnvelopeWriter(envelope), message);
     return envelope.SerializeAsString();
 }
 
@@ -339,7 +437,8 @@
     switch (envelope.body_case()) {
     case peerwire::Envelope::kHello:
         return PeerMessage(PeerHello{framework::DaemonId(envelope.hello().daemon()),
-                                     envelope.hello().takes_crash_reports()});
+                                     envelope.hello().takes_crash_reports(),
+                                     envelope.hello().takes_rate_limits()});
     case peerwire::Envelope::kPing:
         return PeerMessage(PeerPing{framework::TimePoint(envelope.ping().sent_ms())});
     case peerwire::Envelope::kPong:
@@ -361,6 +460,10 @@
         return read(envelope.topic_state());
     case peerwire::Envelope::kCrashReport:
         return read(envelope.crash_report());
+    case peerwire::Envelope::kPermitRequest:
+        return read(envelope.permit_request());
+    case peerwire::Envelope::kPermitGrant:
+        return read(envelope.permit_grant());
     case peerwire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -83,6 +83,26 @@
     return report;
 }
 
+std::vector<ServerRateLimit> rateLimits(std::size_t entries)
+{
+    std::vector<ServerRateLimit> limits(entries,
+                                        {framework::BackendServerId("i-1"),
+                                         framework::RequestRate(1400),
+                                         framework::Milliseconds(20)});
+    limits.front().rate.reset();
+    return limits;
+}
+
+PermitRequest permitRequest(std::size_t entries)
+{
+    return {5, rateLimits(entries), {{framework::BackendServerId("i-1"), 3}}, true};
+}
+
+PermitGrant permitGrant(std::size_t entries)
+{
+    return {5, rateLimits(entries), {{framework::BackendServerId("i-1"), 1}}};
+}
+
 TopicState topicState()
 {
     return {StateTopic::BackendServers,
@@ -98,20 +118,39 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Protocol, PeerCodecTest,
-    testing::Values(PeerMessage(PeerHello{framework::DaemonId("d1")}),
-                    PeerMessage(PeerPing{framework::TimePoint(7)}),
-                    PeerMessage(PeerPong{std::nullopt, true, framework::Milliseconds(90), {}}),
-                    PeerMessage(PeerHello{framework::DaemonId("d1"), true}), PeerMessage(pong()),
-                    PeerMessage(pongWithFingerprint()), PeerMessage(CrashReport{}),
-                    PeerMessage(crashReport(MaxReportedEvidence)), PeerMessage(job()),
-                    PeerMessage(StageJobCancel{framework::RequestId("r1")}), PeerMessage(outcome()),
-                    PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}}),
-                    PeerMessage(StageHoldings{}),
-                    PeerMessage(StageHoldings{
-                        {{framework::BackendServerId("i-1"), framework::Bytes(5), 1}}}),
-                    PeerMessage(TopicQuery{StateTopic::Operators, 3, std::nullopt}),
-                    PeerMessage(TopicQuery{StateTopic::Daemons, 4, framework::LogOffset(5)}),
-                    PeerMessage(topicState())));
+    testing::Values(
+        PeerMessage(PeerHello{framework::DaemonId("d1")}),
+        PeerMessage(PeerPing{framework::TimePoint(7)}),
+        PeerMessage(PeerPong{std::nullopt, true, framework::Milliseconds(90), {}}),
+        PeerMessage(PeerHello{framework::DaemonId("d1"), true}), PeerMessage(pong()),
+        PeerMessage(pongWithFingerprint()), PeerMessage(CrashReport{}),
+        PeerMessage(crashReport(MaxReportedEvidence)), PeerMessage(job()),
+        PeerMessage(StageJobCancel{framework::RequestId("r1")}), PeerMessage(outcome()),
+        PeerMessage(StageResultRelease{{framework::StageResultId("1.2.3.4:5/x")}}),
+        PeerMessage(StageHoldings{}),
+        PeerMessage(StageHoldings{{{framework::BackendServerId("i-1"), framework::Bytes(5), 1}}}),
+        PeerMessage(TopicQuery{StateTopic::Operators, 3, std::nullopt}),
+        PeerMessage(TopicQuery{StateTopic::Daemons, 4, framework::LogOffset(5)}),
+        PeerMessage(topicState()), PeerMessage(permitRequest(2)), PeerMessage(PermitRequest{}),
+        PeerMessage(permitGrant(MaxRateLimitEntries)), PeerMessage(PermitGrant{}),
+        PeerMessage(PeerHello{framework::DaemonId("d1"), false, true})));
+
+TEST(PeerCodecErrors, RateLimitsOutOfRange_DecodingFails)
+{
+    const auto codec = ProtocolModule::makePeerCodec();
+    EXPECT_FALSE(codec->decode(codec->encode(permitRequest(MaxRateLimitEntries + 1))));
+    EXPECT_FALSE(codec->decode(codec->encode(permitGrant(MaxRateLimitEntries + 1))));
+    const auto isRefused = [&codec](const ServerRateLimit &limit) {
+        return !codec->decode(codec->encode(PermitGrant{1, {limit}, {}}));
+    };
+    const framework::BackendServerId server("i-1");
+    EXPECT_FALSE(isRefused({server, framework::RequestRate(0), MaxRateLimitAge}));
+    EXPECT_TRUE(isRefused({server, framework::RequestRate(-1), {}}));
+    EXPECT_TRUE(isRefused({server, {}, framework::Milliseconds(-1)}));
+    EXPECT_TRUE(isRefused({server, {}, MaxRateLimitAge + framework::Milliseconds(1)}));
+    EXPECT_TRUE(isRefused({{}, {}, {}}));
+    EXPECT_FALSE(codec->decode(codec->encode(PermitGrant{1, {}, {{server, MaxPermits + 1}}})));
+}
 
 TEST(PeerCodecErrors, MessageInvalid_DecodingFails)
 {
--- a/src/protocol/types/peerhello.h
+++ b/src/protocol/types/peerhello.h
@@ -12,6 +12,8 @@
     framework::DaemonId daemon;
     /// Whether the sender takes crash reports.
     bool takesCrashReports = false;
+    /// Whether the sender takes rate limits and permits.
+    bool takesRateLimits = false;
 
     bool operator==(const PeerHello &) const = default;
 };
--- a/src/protocol/types/peermessage.h
+++ b/src/protocol/types/peermessage.h
@@ -4,6 +4,8 @@
 #include "protocol/types/peerhello.h"
 #include "protocol/types/peerping.h"
 #include "protocol/types/peerpong.h"
+#include "protocol/types/permitgrant.h"
+#include "protocol/types/permitrequest.h"
 #include "protocol/types/stageholdings.h"
 #include "protocol/types/stagejob.h"
 #include "protocol/types/stagejobcancel.h"
@@ -17,8 +19,8 @@
 namespace lavendertally::protocol {
 
 /// Any message on a link between two daemons.
-using PeerMessage =
-    std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel, StageJobOutcome,
-                 StageResultRelease, StageHoldings, TopicQuery, TopicState, CrashReport>;
+using PeerMessage = std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel,
+                                 StageJobOutcome, StageResultRelease, StageHoldings, TopicQuery,
+                                 TopicState, CrashReport, PermitRequest, PermitGrant>;
 
 } // namespace lavendertally::protocol
--- a/src/protocol/types/peerpong.h
+++ b/src/protocol/types/peerpong.h
@@ -24,6 +24,8 @@
     /// What the sender knows of crashes; nothing if that is as in its last pong on the same link,
     /// or if it takes no crash reports.
     std::optional<EvidenceFingerprint> crashFingerprint = std::nullopt;
+    /// Whether the sender takes rate limits and issues permits.
+    bool takesRateLimits = false;
 
     bool operator==(const PeerPong &) const = default;
 };
--- a/src/stages/tests/stageservicetest.cpp
+++ b/src/stages/tests/stageservicetest.cpp
@@ -35,6 +35,8 @@
     setCrashFingerprint(std::function<protocol::EvidenceFingerprint()> /*fingerprint*/) override
     { }
     std::vector<DaemonId> crashReportTakers() const override { return {}; }
+    void setTakesRateLimits() override { }
+    std::vector<DaemonId> rateLimitTakers() const override { return {}; }
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override
     {
         return endpoint;
