Gateways keep the rate limits that backend servers name

Cause: nothing read the header, and no gateway knew what the others send. Class: a limit that holds for the sum, known to nobody who decides.

Now the adapter decodes it, and the selector sends a request to such a server only with a permit: first attempts, retries and resumed streams alike, since all pass select(). Stage calls need permits too, results are freed in calls that are worth one, and nothing asks for free storage. A request that finds only limited servers waits up to 0.3 s for a permit, then is refused with the time between two permits as Retry-After. While a server is busy, idle ones that limit their requests are preferred, since a permit that lapses is lost for all.

The new tests of routing, proxy and stages fail with mayCall() always true.

--- a/src/bench/stagebench.cpp
+++ b/src/bench/stagebench.cpp
@@ -1,5 +1,6 @@
 #include "framework/frameworkmodule.h"
 #include "framework/irandom.h"
+#include "ratelimit/testing/testratelimits.h"
 #include "stages/stagesmodule.h"
 #include "stages/testing/largepools.h"
 #include "stages/testing/stageloadsimulation.h"
@@ -22,8 +23,9 @@
     stages::LargePools pools;
     const auto random = framework::FrameworkModule::makeRandom(Seed);
     const auto arrivals = stages::LargePools::arrivals(*random, load, Duration);
-    const auto coordinator =
-        stages::StagesModule::makeCoordinator(pools.serving(), pools.servers());
+    ratelimit::TestRateLimits rateLimits;
+    const auto coordinator = stages::StagesModule::makeCoordinator(pools.serving(), pools.servers(),
+                                                                   rateLimits.limits());
     stages::StageLoadSimulation simulation(pools.serving(), *coordinator);
     const Clock::time_point start = Clock::now();
     simulation.run(arrivals);
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -29,6 +29,8 @@
 #include "proxy/types/proxycontext.h"
 #include "quarantine/ipromptquarantine.h"
 #include "quarantine/quarantinemodule.h"
+#include "ratelimit/iserverratelimits.h"
+#include "ratelimit/ratelimitmodule.h"
 #include "replication/topicexchange.h"
 #include "replication/types/replicatedtopic.h"
 #include "retry/iretrypolicy.h"
@@ -118,11 +120,16 @@
     for (const auto &[topic, maxAge] : MaxPeerStateAges) {
         m_topicExchange->add(topic, m_platform->topic(topic), maxAge);
     }
-    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers);
+    m_rateLimits = ratelimit::RateLimitModule::makeServerRateLimits(*m_logger, *m_metrics);
+    m_permitExchange = ratelimit::RateLimitModule::makePermitExchange(
+        m_settings.id, m_rateLimits->store(), *m_peers, m_platform->daemons(), m_loop, *m_clock,
+        *m_logger, *m_metrics);
+    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers, *m_rateLimits);
     m_stages = stages::StagesModule::makeService(
         m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
         m_loop, *m_clock, *m_logger, *m_metrics);
-    m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_random);
+    m_selector =
+        routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits, *m_random);
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -50,6 +50,10 @@
 class IPromptQuarantine;
 }
 
+namespace lavendertally::ratelimit {
+class IServerRateLimits;
+}
+
 namespace lavendertally::replication {
 class TopicExchange;
 }
@@ -117,6 +121,8 @@
     std::unique_ptr<platform::IPlatform> m_platform;
     std::unique_ptr<peers::IPeerNetwork> m_peers;
     std::unique_ptr<replication::TopicExchange> m_topicExchange;
+    std::unique_ptr<ratelimit::IServerRateLimits> m_rateLimits;
+    std::unique_ptr<peers::IPeerObserver> m_permitExchange;
     std::unique_ptr<stages::IStageCoordinator> m_coordinator;
     std::unique_ptr<stages::IStageService> m_stages;
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
--- a/src/platform/internal/answercodec.cpp
+++ b/src/platform/internal/answercodec.cpp
@@ -1,6 +1,7 @@
 #include "platform/internal/answercodec.h"
 
 #include "http/headerlookup.h"
+#include "http/requestratefield.h"
 #include "http/types/httpresponsehead.h"
 #include "platform/internal/headerrules.h"
 #include "platform/internal/wirenames.h"
@@ -34,6 +35,12 @@
     return routing::ServerLoad{numbers[0], numbers[1], numbers[2]};
 }
 
+std::optional<framework::RequestRate> decodeRateLimit(const http::HttpHeaders &headers)
+{
+    const auto text = http::findHeader(headers, wire::ServerLimit);
+    return text ? http::parseRequestRate(*text) : std::nullopt;
+}
+
 proxy::ResponseHead decodeAnswerHead(const http::HttpResponseHead &head)
 {
     proxy::ResponseHead answer;
@@ -48,6 +55,7 @@
     if (const auto load = http::findHeader(head.headers, wire::ServerLoad)) {
         answer.load = decodeServerLoad(*load);
     }
+    answer.rateLimit = decodeRateLimit(head.headers);
     return answer;
 }
 
--- a/src/platform/internal/answercodec.h
+++ b/src/platform/internal/answercodec.h
@@ -8,6 +8,9 @@
 
 namespace lavendertally::platform {
 
+/// \return the rate limit that a worker names; nothing if it names none or one that makes no sense
+std::optional<framework::RequestRate> decodeRateLimit(const http::HttpHeaders &headers);
+
 /// \return what a backend server says with the head of its answer
 proxy::ResponseHead decodeAnswerHead(const http::HttpResponseHead &head);
 
--- a/src/platform/internal/stagecodec.cpp
+++ b/src/platform/internal/stagecodec.cpp
@@ -2,6 +2,7 @@
 
 #include "http/headerlookup.h"
 #include "http/types/httpresponse.h"
+#include "platform/internal/answercodec.h"
 #include "platform/internal/wirenames.h"
 
 #include <nlohmann/json.hpp>
@@ -82,6 +83,7 @@
     const bool complete = response.end == http::HttpEnd::Complete;
     const bool notExecuted = http::findHeader(response.headers, wire::NotExecuted).has_value()
         || response.status == MisdirectedRequest;
+    outcome.rateLimit = decodeRateLimit(response.headers);
     if (complete && notExecuted) {
         outcome.status = stages::StageCallStatus::NotRun;
         return outcome;
--- a/src/platform/internal/wirenames.h
+++ b/src/platform/internal/wirenames.h
@@ -30,6 +30,8 @@
 inline constexpr std::string_view NotExecuted = "X-Lavendertally-Not-Executed";
 /// Running, waiting and places, separated by commas.
 inline constexpr std::string_view ServerLoad = "X-Lavendertally-Server-Load";
+/// Requests a second that a worker takes from all machines together.
+inline constexpr std::string_view ServerLimit = "Server-Limit";
 inline constexpr std::string_view RetryAfter = "Retry-After";
 
 // Topics of the store, and keys in them.
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -237,6 +237,22 @@
     EXPECT_FALSE(decodeServerLoad("3;1;8"));
 }
 
+TEST(AnswerHeadTest, WorkerNamesRateLimit_IsReadAndPassedOn)
+{
+    const auto rateIn = [](const char *text) {
+        const http::HttpResponseHead head{200, {{"Server-Limit", text}}, true};
+        EXPECT_EQ(decodeAnswerHead(head).headers.size(), 1U);
+        return decodeAnswerHead(head).rateLimit;
+    };
+    EXPECT_EQ(rateIn("1.4"), framework::RequestRate(1400));
+    EXPECT_EQ(rateIn("22"), framework::RequestRate(22000));
+    EXPECT_EQ(rateIn("0"), framework::RequestRate(0));
+    EXPECT_EQ(rateIn("1e300"), framework::RequestRate(1000000000));
+    for (const char *text : {"", "-1", "nan", "inf more", "1.4/s", "many"}) {
+        EXPECT_FALSE(rateIn(text)) << text;
+    }
+}
+
 TEST(StageReportTest, FreeStorageIsReadAndBadReportsAreNot)
 {
     http::HttpResponse response;
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -31,6 +31,11 @@
 /// Generating an output token takes about ten times as long as processing a prompt token.
 constexpr std::int64_t OutputTokenCost = 10;
 
+/// How long a request waits for a permit before it asks again, and how often: a little longer than
+/// a daemon waits between two requests for permits.
+constexpr framework::Milliseconds PermitWait{50};
+constexpr std::uint32_t MaxPermitWaits = 6;
+
 } // namespace
 
 ActiveRequest::ActiveRequest(const ProxyContext &context, IActiveRequestOwner &owner,
@@ -130,11 +135,10 @@
     const framework::TimePoint now = m_context.clock.now();
     const auto server = m_context.selector.select(serverQuery(), now);
     if (!server) {
-        fail({mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun,
-              m_context.limits.retryAfter, "no backend server"},
-             "stream broke; no backend server left");
+        noServer();
         return;
     }
+    m_permitWaits = 0;
     m_server = server->id;
     m_head.reset();
     m_body.clear();
@@ -159,6 +163,23 @@
     m_call = m_context.backends.send(attempt, *this);
 }
 
+/// Waits briefly if backend servers name rate limits, since permits are on their way; refuses the
+/// request otherwise.
+void ActiveRequest::noServer()
+{
+    const auto interval = m_context.selector.rateLimitedInterval(m_plan.service);
+    if (interval && m_permitWaits < MaxPermitWaits && timeLeft() > PermitWait) {
+        ++m_permitWaits;
+        m_backoffTimer = m_context.scheduler.callAfter(PermitWait, [this] { sendAttempt(); });
+        return;
+    }
+    const framework::Milliseconds retryAfter =
+        std::max(m_context.limits.retryAfter, interval.value_or(framework::Milliseconds(0)));
+    fail({mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun, retryAfter,
+          interval ? "backend servers limit their requests" : "no backend server"},
+         "stream broke; no backend server left");
+}
+
 /// Ends the request because its next attempt must not be sent.
 void ActiveRequest::endUnsent(Refusal refusal)
 {
@@ -181,6 +202,9 @@
     if (head.load) {
         m_context.selector.observeLoad(m_server, *head.load, now);
     }
+    if (head.isSigned || head.notExecuted || head.rateLimit) {
+        m_context.selector.observeRateLimit(m_server, head.rateLimit, m_attemptStarted, now);
+    }
     m_head = head;
 }
 
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -63,6 +63,7 @@
 
     void nextAttempt();
     void sendAttempt();
+    void noServer();
     void endUnsent(Refusal refusal);
     void callEnded(BackendCallEnd end);
     void attemptEnded(BackendCallEnd end);
@@ -108,6 +109,8 @@
     framework::BackendServerId m_server;
     framework::TimePoint m_attemptStarted;
     RequestAttempts m_attempts;
+    /// How often the next attempt has waited for a permit.
+    std::uint32_t m_permitWaits = 0;
     PromptGuard m_guard;
     CompletionCheck m_completion;
     bool m_priorAttemptMayHaveRun = false;
--- a/src/proxy/tests/attempttest.cpp
+++ b/src/proxy/tests/attempttest.cpp
@@ -166,3 +166,52 @@
     respond(0, head(200));
     EXPECT_EQ(m_service->activeRequests(), 0U);
 }
+
+TEST_F(ProxyAttemptTest, AllServersLimitTheirRequests_RequestWaitsForPermitThenIsRefused)
+{
+    for (const char *server : {"w1", "w2"}) {
+        m_selector->observeRateLimit(framework::BackendServerId(server),
+                                     framework::RequestRate(500), m_clock.now(), m_clock.now());
+    }
+    const auto received = start("book");
+    advance(250);
+    EXPECT_FALSE(received->refusal);
+    EXPECT_TRUE(m_backends.m_sent.empty());
+    advance(100);
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+    EXPECT_EQ(received->retryAfter, framework::Milliseconds(1000));
+}
+
+TEST_F(ProxyAttemptTest, PermitArrivesWhileRequestWaits_RequestIsSent)
+{
+    ResponseHead limited = head(200);
+    limited.rateLimit = framework::RequestRate(500);
+    for (const char *server : {"w1", "w2"}) {
+        m_selector->observeRateLimit(framework::BackendServerId(server), limited.rateLimit,
+                                     m_clock.now(), m_clock.now());
+    }
+    const auto received = start("book");
+    advance(100);
+    m_rateLimits.store().addPermits({{framework::BackendServerId("w2"), 1}}, m_clock.now());
+    advance(60);
+    ASSERT_EQ(m_backends.m_sent.size(), 1U);
+    EXPECT_EQ(sent().request.server.id.value(), "w2");
+    respond(0, limited, "booked");
+    EXPECT_EQ(received->body, "booked");
+}
+
+TEST_F(ProxyAttemptTest, ServerNamesRateLimit_RetryNeedsPermitToo)
+{
+    ResponseHead refused = notExecuted();
+    refused.rateLimit = framework::RequestRate(500);
+    const auto received = start("read");
+    respond(0, refused);
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    respond(1, refused);
+    advance(50);
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+    const auto second = start("read");
+    advance(200);
+    EXPECT_EQ(m_backends.m_sent.size(), 2U);
+}
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -20,6 +20,7 @@
 #include "proxy/types/streamevent.h"
 #include "quarantine/ipromptquarantine.h"
 #include "quarantine/quarantinemodule.h"
+#include "ratelimit/testing/testratelimits.h"
 #include "retry/iretrypolicy.h"
 #include "retry/retrymodule.h"
 #include "routing/ibackendserverselector.h"
@@ -187,7 +188,8 @@
     ProxyFixture()
         : m_scheduler(m_clock), m_metrics(framework::FrameworkModule::makeMetrics()),
           m_random(framework::FrameworkModule::makeRandom(Seed)),
-          m_selector(routing::RoutingModule::makeBackendServerSelector(m_servers, *m_random)),
+          m_selector(routing::RoutingModule::makeBackendServerSelector(
+              m_servers, m_rateLimits.limits(), *m_random)),
           m_retries(retry::RetryModule::makeBudgetedRetryPolicy(*m_random)),
           m_quarantine(quarantine::QuarantineModule::makeQuarantine(m_logger, *m_metrics))
     {
@@ -320,6 +322,7 @@
     serving::FakeServingState m_serving;
     membership::FakeBackendServers m_servers;
     EmptyDaemonDirectory m_directory;
+    ratelimit::TestRateLimits m_rateLimits;
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
     std::unique_ptr<retry::IRetryPolicy> m_retries;
     std::unique_ptr<quarantine::IPromptQuarantine> m_quarantine;
--- a/src/proxy/types/responsehead.h
+++ b/src/proxy/types/responsehead.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/units.h"
 #include "http/types/httpheaders.h"
 #include "routing/types/serverload.h"
 
@@ -23,6 +24,8 @@
     bool endsWithConnection = false;
     /// Load that the backend server reports with the response.
     std::optional<routing::ServerLoad> load;
+    /// Requests per second that the backend server takes from all daemons together.
+    std::optional<framework::RequestRate> rateLimit;
 
     bool isSuccess() const
     {
--- a/src/routing/ibackendserverselector.h
+++ b/src/routing/ibackendserverselector.h
@@ -2,12 +2,16 @@
 
 #include "framework/result.h"
 #include "framework/types/ids.h"
+#include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
+#include "framework/types/units.h"
 #include "membership/types/backendserverentry.h"
 #include "routing/types/calloutcome.h"
 #include "routing/types/serverload.h"
 #include "routing/types/serverquery.h"
 
+#include <optional>
+
 namespace lavendertally::routing {
 
 /// Selects the backend server for a call that is sent to it directly, without a host process in
@@ -17,10 +21,16 @@
 public:
     virtual ~IBackendServerSelector() = default;
 
-    /// \return the backend server to call, or RoutingError::NoAdmittingBackend
+    /// \return the backend server to call, or RoutingError::NoAdmittingBackend. It is called at
+    /// once, or not at all; see callStarted()
     virtual framework::Result<membership::BackendServerEntry> select(const ServerQuery &query,
                                                                      framework::TimePoint now) = 0;
 
+    /// \return mean time between two requests that the backend servers of \p service that name
+    /// rate limits take together; nothing if none of them names one
+    virtual std::optional<framework::Milliseconds>
+    rateLimitedInterval(const framework::ServiceId &service) const = 0;
+
     /// \return whether \p server is registered and not draining; one that is ready does not end on
     /// purpose
     virtual bool isReady(const framework::BackendServerId &server) const = 0;
@@ -41,6 +51,12 @@
     /// \param load load that \p server reported in the header of a response
     virtual void observeLoad(const framework::BackendServerId &server, const ServerLoad &load,
                              framework::TimePoint now) = 0;
+
+    /// \param rateLimit requests per second that \p server names in an answer, if it does
+    /// \param started the time that was passed to callStarted() for this call
+    virtual void observeRateLimit(const framework::BackendServerId &server,
+                                  std::optional<framework::RequestRate> rateLimit,
+                                  framework::TimePoint started, framework::TimePoint now) = 0;
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/internal/backendserverselector.cpp
+++ b/src/routing/internal/backendserverselector.cpp
@@ -2,10 +2,12 @@
 
 #include "framework/irandom.h"
 #include "membership/ibackendservers.h"
+#include "ratelimit/iserverratelimits.h"
 #include "routing/internal/rendezvous.h"
 #include "routing/types/routingerror.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lavendertally::routing {
 
@@ -22,6 +24,8 @@
 constexpr double AffinityLoadBound = 1.5;
 /// Utilisation up to which affinity is followed even above that bound.
 constexpr double AffinityUnboundedUtilisation = 0.5;
+/// Utilisation from which a server is relieved by others that limit their requests.
+constexpr double BusyUtilisation = 0.2;
 /// Number of distinct random values that break ties between candidates.
 constexpr std::uint64_t TieBreakSteps = 1024;
 /// Upper bound of the random value that breaks ties: less than the utilisation that one call adds
@@ -34,25 +38,73 @@
 } // namespace
 
 BackendServerSelector::BackendServerSelector(const membership::IBackendServers &servers,
+                                             ratelimit::IServerRateLimits &rateLimits,
                                              framework::IRandom &random)
-    : m_servers(servers), m_random(random)
+    : m_servers(servers), m_rateLimits(rateLimits), m_random(random)
 { }
 
 framework::Result<membership::BackendServerEntry>
 BackendServerSelector::select(const ServerQuery &query, framework::TimePoint now)
 {
-    const Candidates candidates = usable(query, now);
-    if (candidates.empty()) {
-        return framework::leaf::new_error(RoutingError::NoAdmittingBackend);
+    Candidates candidates = usable(query, now);
+    while (!candidates.empty()) {
+        const Candidate chosen = relieved(choose(candidates, query), candidates, query);
+        // Asked only of the preferred one, so that permits go to where they are used.
+        if (m_rateLimits.mayCall(chosen.entry->id, now)) {
+            if (query.coldStartRate > 0.0 && now < chosen.entry->coldUntil) {
+                chosen.state->takeColdStartToken(query.coldStartRate, now);
+            }
+            return *chosen.entry;
+        }
+        std::erase_if(candidates, [&chosen](const Candidate &candidate) {
+            return candidate.entry == chosen.entry;
+        });
+    }
+    return framework::leaf::new_error(RoutingError::NoAdmittingBackend);
+}
+
+const BackendServerSelector::Candidate &BackendServerSelector::choose(const Candidates &candidates,
+                                                                      const ServerQuery &query)
+{
+    const Candidate *preferred = query.prefixHash != 0 ? byAffinity(candidates, query) : nullptr;
+    return preferred != nullptr ? *preferred : lowestCost(candidates, query);
+}
+
+/// Permits that are not used are lost for all daemons, and servers that limit their requests have
+/// little to do; so these are preferred while \p chosen is busy.
+const BackendServerSelector::Candidate &
+BackendServerSelector::relieved(const Candidate &chosen, const Candidates &candidates,
+                                const ServerQuery &query)
+{
+    if (chosen.utilisation < BusyUtilisation || m_rateLimits.rateOf(chosen.entry->id)) {
+        return chosen;
+    }
+    Candidates idle;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(idle),
+                 [&](const Candidate &candidate) {
+                     return m_rateLimits.rateOf(candidate.entry->id)
+                         && candidate.utilisation < chosen.utilisation / 2.0;
+                 });
+    if (idle.empty()) {
+        return chosen;
     }
-    const Candidate *chosen = query.prefixHash != 0 ? byAffinity(candidates, query) : nullptr;
-    if (chosen == nullptr) {
-        chosen = &lowestCost(candidates, query);
+    const membership::BackendServerEntry *best = lowestCost(idle, query).entry;
+    return *std::find_if(candidates.begin(), candidates.end(),
+                         [best](const Candidate &candidate) { return candidate.entry == best; });
+}
+
+std::optional<framework::Milliseconds>
+BackendServerSelector::rateLimitedInterval(const framework::ServiceId &service) const
+{
+    constexpr std::int64_t UnitMilliseconds = 1000000;
+    framework::RequestRate total;
+    for (const membership::BackendServerEntry *entry : m_servers.admitting(service)) {
+        total += m_rateLimits.rateOf(entry->id).value_or(framework::RequestRate());
     }
-    if (query.coldStartRate > 0.0 && now < chosen->entry->coldUntil) {
-        chosen->state->takeColdStartToken(query.coldStartRate, now);
+    if (total.value() <= 0) {
+        return std::nullopt;
     }
-    return *chosen->entry;
+    return framework::Milliseconds(UnitMilliseconds / total.value());
 }
 
 /// \return backend servers that may be called now; if all of them are ejected, the one whose
@@ -150,6 +202,7 @@
                                         framework::TimePoint now)
 {
     m_states[server].callStarted(now);
+    m_rateLimits.callSent(server, now);
 }
 
 void BackendServerSelector::responseStarted(const framework::BackendServerId &server,
@@ -170,4 +223,11 @@
     m_states[server].observeLoad(load, now);
 }
 
+void BackendServerSelector::observeRateLimit(const framework::BackendServerId &server,
+                                             std::optional<framework::RequestRate> rateLimit,
+                                             framework::TimePoint started, framework::TimePoint now)
+{
+    m_rateLimits.observeAnswer(server, rateLimit, started, now);
+}
+
 } // namespace lavendertally::routing
--- a/src/routing/internal/backendserverselector.h
+++ b/src/routing/internal/backendserverselector.h
@@ -14,6 +14,10 @@
 class IBackendServers;
 }
 
+namespace lavendertally::ratelimit {
+class IServerRateLimits;
+}
+
 namespace lavendertally::routing {
 
 /// Selects by estimated load, recent failures and availability zone. Prompts with a shared prefix
@@ -21,10 +25,13 @@
 class BackendServerSelector final : public IBackendServerSelector
 {
 public:
-    BackendServerSelector(const membership::IBackendServers &servers, framework::IRandom &random);
+    BackendServerSelector(const membership::IBackendServers &servers,
+                          ratelimit::IServerRateLimits &rateLimits, framework::IRandom &random);
 
     framework::Result<membership::BackendServerEntry> select(const ServerQuery &query,
                                                              framework::TimePoint now) override;
+    std::optional<framework::Milliseconds>
+    rateLimitedInterval(const framework::ServiceId &service) const override;
     bool isReady(const framework::BackendServerId &server) const override;
     void callStarted(const framework::BackendServerId &server, framework::TimePoint now) override;
     void responseStarted(const framework::BackendServerId &server, framework::TimePoint started,
@@ -33,6 +40,9 @@
                    framework::TimePoint now) override;
     void observeLoad(const framework::BackendServerId &server, const ServerLoad &load,
                      framework::TimePoint now) override;
+    void observeRateLimit(const framework::BackendServerId &server,
+                          std::optional<framework::RequestRate> rateLimit,
+                          framework::TimePoint started, framework::TimePoint now) override;
 
 private:
     struct Candidate
@@ -43,12 +53,16 @@
     };
     using Candidates = std::vector<Candidate>;
 
+    const Candidate &choose(const Candidates &candidates, const ServerQuery &query);
+    const Candidate &relieved(const Candidate &chosen, const Candidates &candidates,
+                              const ServerQuery &query);
     Candidates usable(const ServerQuery &query, framework::TimePoint now);
     const Candidate &lowestCost(const Candidates &candidates, const ServerQuery &query);
     static const Candidate *byAffinity(const Candidates &candidates, const ServerQuery &query);
     void eraseStatesOfNonAdmitting();
 
     const membership::IBackendServers &m_servers;
+    ratelimit::IServerRateLimits &m_rateLimits;
     framework::IRandom &m_random;
     std::unordered_map<framework::BackendServerId, ServerState> m_states;
 };
--- a/src/routing/internal/routingmodule.cpp
+++ b/src/routing/internal/routingmodule.cpp
@@ -30,9 +30,10 @@
 
 std::unique_ptr<IBackendServerSelector>
 RoutingModule::makeBackendServerSelector(const membership::IBackendServers &servers,
+                                         ratelimit::IServerRateLimits &rateLimits,
                                          framework::IRandom &random)
 {
-    return std::make_unique<BackendServerSelector>(servers, random);
+    return std::make_unique<BackendServerSelector>(servers, rateLimits, random);
 }
 
 } // namespace lavendertally::routing
--- a/src/routing/routingmodule.h
+++ b/src/routing/routingmodule.h
@@ -14,6 +14,10 @@
 class IMembership;
 } // namespace lavendertally::membership
 
+namespace lavendertally::ratelimit {
+class IServerRateLimits;
+}
+
 namespace lavendertally::routing {
 
 class IBackendServerSelector;
@@ -39,7 +43,7 @@
     /// \return a selector of backend servers that are called without a host process in between
     static std::unique_ptr<IBackendServerSelector>
     makeBackendServerSelector(const membership::IBackendServers &servers,
-                              framework::IRandom &random);
+                              ratelimit::IServerRateLimits &rateLimits, framework::IRandom &random);
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/tests/backendserverselectortest.cpp
+++ b/src/routing/tests/backendserverselectortest.cpp
@@ -1,6 +1,7 @@
 #include "framework/frameworkmodule.h"
 #include "framework/irandom.h"
 #include "membership/testing/fakebackendservers.h"
+#include "ratelimit/testing/testratelimits.h"
 #include "routing/ibackendserverselector.h"
 #include "routing/routingmodule.h"
 
@@ -25,7 +26,8 @@
 protected:
     BackendServerSelectorTest()
         : m_random(framework::FrameworkModule::makeRandom(Seed)),
-          m_selector(RoutingModule::makeBackendServerSelector(m_servers, *m_random))
+          m_selector(
+              RoutingModule::makeBackendServerSelector(m_servers, m_rateLimits.limits(), *m_random))
     { }
 
     void add(const char *id, const char *zone, std::uint32_t slots = 10)
@@ -54,7 +56,17 @@
         return framework::BackendServerId(name);
     }
 
+    void nameLimit(const char *server)
+    {
+        m_selector->observeRateLimit(id(server), framework::RequestRate(1000), Start, Start);
+    }
+    void givePermit(const char *server)
+    {
+        m_rateLimits.store().addPermits({{id(server), 1}}, Start);
+    }
+
     membership::FakeBackendServers m_servers;
+    ratelimit::TestRateLimits m_rateLimits;
     std::unique_ptr<framework::IRandom> m_random;
     std::unique_ptr<IBackendServerSelector> m_selector;
 };
@@ -184,3 +196,48 @@
     EXPECT_GE(sent, 4);
     EXPECT_EQ(select(limited, cold.coldUntil), "cold");
 }
+
+TEST_F(BackendServerSelectorTest, ServerLimitsItsRequests_GetsOneForEachPermit)
+{
+    add("limited", "za");
+    add("free", "zb");
+    nameLimit("limited");
+    EXPECT_EQ(select(query()), "free");
+    givePermit("limited");
+    EXPECT_EQ(select(query()), "limited");
+    m_selector->callStarted(id("limited"), Start);
+    EXPECT_EQ(select(query()), "free");
+}
+
+TEST_F(BackendServerSelectorTest, SelectionWithoutCall_UsesNoPermit)
+{
+    add("limited", "za");
+    nameLimit("limited");
+    givePermit("limited");
+    EXPECT_EQ(select(query()), "limited");
+    EXPECT_EQ(select(query()), "limited");
+}
+
+TEST_F(BackendServerSelectorTest, AllServersLimitTheirRequests_NoneIsSelectedAndIntervalIsKnown)
+{
+    add("a", "za");
+    add("b", "za");
+    EXPECT_FALSE(m_selector->rateLimitedInterval(Service));
+    nameLimit("a");
+    nameLimit("b");
+    EXPECT_EQ(select(query()), "none");
+    EXPECT_EQ(m_selector->rateLimitedInterval(Service), framework::Milliseconds(500));
+}
+
+TEST_F(BackendServerSelectorTest, PreferredServerIsBusy_PermitOfIdleOneIsUsed)
+{
+    add("busy", "za");
+    add("limited", "zb");
+    nameLimit("limited");
+    givePermit("limited");
+    EXPECT_EQ(select(query()), "busy");
+    for (int call = 0; call < 3; ++call) {
+        m_selector->callStarted(id("busy"), Start);
+    }
+    EXPECT_EQ(select(query()), "limited");
+}
--- a/src/routing/types/routingerror.h
+++ b/src/routing/types/routingerror.h
@@ -6,7 +6,7 @@
 enum class RoutingError
 {
     /// None of the service's backends may be called: none admits work, or those that do are
-    /// excluded or have used up their cold start rate.
+    /// excluded, have used up their cold start rate, or name a rate limit and there is no permit.
     NoAdmittingBackend,
 };
 
--- a/src/stages/internal/batchdispatcher.cpp
+++ b/src/stages/internal/batchdispatcher.cpp
@@ -1,6 +1,7 @@
 #include "stages/internal/batchdispatcher.h"
 
 #include "membership/ibackendservers.h"
+#include "ratelimit/iserverratelimits.h"
 #include "serving/types/stagepool.h"
 #include "stages/internal/resulttracker.h"
 #include "stages/internal/stageestimator.h"
@@ -14,9 +15,11 @@
 namespace lavendertally::stages {
 
 BatchDispatcher::BatchDispatcher(const membership::IBackendServers &servers,
+                                 ratelimit::IServerRateLimits &rateLimits,
                                  const StageEstimator &estimator, ResultTracker &resultTracker,
                                  const StageCoordinatorOptions &options)
-    : m_servers(servers), m_estimator(estimator), m_resultTracker(resultTracker), m_options(options)
+    : m_servers(servers), m_rateLimits(rateLimits), m_estimator(estimator),
+      m_resultTracker(resultTracker), m_options(options)
 { }
 
 std::optional<RunningCall> BatchDispatcher::removeCall(StageCallId call)
@@ -74,7 +77,7 @@
     for (const membership::BackendServerEntry *server : m_servers.admitting(service)) {
         const StageServerState &state = m_resultTracker.server(server->id);
         if (state.calls() < pool.slots && !state.isPaused(now)
-            && state.storedBytes() < pool.resultCapacity) {
+            && state.storedBytes() < pool.resultCapacity && m_rateLimits.mayCall(server->id, now)) {
             // Whole multiples of the call overhead: sorting by smaller differences would cause
             // transfers between zones that cost more than the gain.
             const std::int64_t overheadMs = std::max<std::int64_t>(pool.callOverhead.value(), 1);
@@ -162,6 +165,7 @@
         + framework::Milliseconds(static_cast<std::int64_t>(predictedMs * m_options.timeoutFactor));
     call.mayFreeInputsEarly = state.isHealthy();
     state.callStarted();
+    m_rateLimits.callSent(target.server.id, now);
     state.addStored(call.reservedStorage);
     m_expectedEnds[target.server.service].emplace(m_nextCall, now + call.expected);
     m_calls.emplace(m_nextCall, std::move(call));
--- a/src/stages/internal/batchdispatcher.h
+++ b/src/stages/internal/batchdispatcher.h
@@ -16,6 +16,10 @@
 class IBackendServers;
 }
 
+namespace lavendertally::ratelimit {
+class IServerRateLimits;
+}
+
 namespace lavendertally::serving {
 struct StagePool;
 }
@@ -33,7 +37,8 @@
 class BatchDispatcher
 {
 public:
-    BatchDispatcher(const membership::IBackendServers &servers, const StageEstimator &estimator,
+    BatchDispatcher(const membership::IBackendServers &servers,
+                    ratelimit::IServerRateLimits &rateLimits, const StageEstimator &estimator,
                     ResultTracker &resultTracker, const StageCoordinatorOptions &options);
 
     /// Fills calls to the available backend servers of a service from its queue.
@@ -75,6 +80,7 @@
                                            const StageQueue &queue, framework::TimePoint now);
 
     const membership::IBackendServers &m_servers;
+    ratelimit::IServerRateLimits &m_rateLimits;
     const StageEstimator &m_estimator;
     ResultTracker &m_resultTracker;
     const StageCoordinatorOptions &m_options;
--- a/src/stages/internal/resulttracker.cpp
+++ b/src/stages/internal/resulttracker.cpp
@@ -45,6 +45,16 @@
     m_results.erase(found);
 }
 
+std::optional<framework::BackendServerId>
+ResultTracker::holderOf(const framework::StageResultId &result) const
+{
+    const auto found = m_results.find(result);
+    if (found == m_results.end()) {
+        return std::nullopt;
+    }
+    return found->second.server;
+}
+
 framework::Bytes ResultTracker::usedStorageAtHolder(const framework::StageResultId &result) const
 {
     const auto found = m_results.find(result);
--- a/src/stages/internal/resulttracker.h
+++ b/src/stages/internal/resulttracker.h
@@ -7,6 +7,7 @@
 #include "stages/internal/stageserverstate.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -31,6 +32,9 @@
     framework::Bytes setReported(const framework::BackendServerId &server, framework::Bytes used,
                                  framework::TimePoint expires);
     void remove(const framework::StageResultId &result);
+    /// \return the backend server that stores \p result; nothing if it is unknown
+    std::optional<framework::BackendServerId>
+    holderOf(const framework::StageResultId &result) const;
     /// \return storage in use at the backend server that stores \p result; zero if it is unknown
     framework::Bytes usedStorageAtHolder(const framework::StageResultId &result) const;
     /// Replaces the calls and storage that another coordinator uses at backend servers.
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -1,5 +1,6 @@
 #include "stages/internal/stagecoordinator.h"
 
+#include "ratelimit/iserverratelimits.h"
 #include "serving/types/stagepool.h"
 
 #include <algorithm>
@@ -13,15 +14,19 @@
 /// Interval of the checks for late jobs and expired results.
 constexpr framework::Milliseconds WakeInterval{50};
 
+/// Results that are freed together at a backend server that limits its requests.
+constexpr std::size_t MinResultsPerLimitedCall = 8;
+
 } // namespace
 
 StageCoordinator::StageCoordinator(const serving::IServingState &serving,
                                    const membership::IBackendServers &servers,
+                                   ratelimit::IServerRateLimits &rateLimits,
                                    const StageCoordinatorOptions &options)
-    : m_options(options), m_jobs(m_options),
-      m_estimator(serving, servers, m_resultTracker, m_options),
+    : m_options(options), m_rateLimits(rateLimits), m_jobs(m_options),
+      m_estimator(serving, servers, rateLimits, m_resultTracker, m_options),
       m_storageQueries(servers, m_estimator, m_resultTracker),
-      m_dispatcher(servers, m_estimator, m_resultTracker, m_options),
+      m_dispatcher(servers, rateLimits, m_estimator, m_resultTracker, m_options),
       m_admission(m_jobs, m_dispatcher, servers, m_estimator, m_attainment, m_options)
 { }
 
@@ -139,6 +144,25 @@
     m_resultsToFree.insert(m_resultsToFree.end(), results.begin(), results.end());
 }
 
+void StageCoordinator::freeHeldResults(framework::TimePoint now)
+{
+    for (auto &[server, results] : m_heldResults) {
+        std::erase_if(results, [this](const framework::StageResultId &result) {
+            return !m_resultTracker.holderOf(result);
+        });
+        const bool isLimited = m_rateLimits.rateOf(server).has_value();
+        const bool isWorthACall =
+            results.size() >= MinResultsPerLimitedCall && m_rateLimits.mayCall(server, now);
+        if (!isLimited) {
+            freeResults(std::exchange(results, {}));
+        } else if (isWorthACall) {
+            m_rateLimits.callSent(server, now);
+            m_commands.emplace_back(FreeStageResults{std::exchange(results, {})});
+        }
+    }
+    std::erase_if(m_heldResults, [](const auto &entry) { return entry.second.empty(); });
+}
+
 void StageCoordinator::resultsFreed(const std::vector<framework::StageResultId> &results,
                                     framework::TimePoint now)
 {
@@ -151,6 +175,7 @@
 void StageCoordinator::wake(framework::TimePoint now)
 {
     m_resultTracker.expire(now);
+    freeHeldResults(now);
     queryStorage(m_storageQueries.due(now));
     freeFetchedInputs(now);
     endLateJobs(now);
@@ -208,7 +233,10 @@
 void StageCoordinator::queryStorage(const std::vector<membership::BackendServerEntry> &servers)
 {
     for (const membership::BackendServerEntry &server : servers) {
-        m_commands.emplace_back(QueryFreeStorage{server});
+        // A backend server that limits its requests has none to spare for this.
+        if (!m_rateLimits.rateOf(server.id)) {
+            m_commands.emplace_back(QueryFreeStorage{server});
+        }
     }
 }
 
@@ -226,6 +254,9 @@
         return;
     }
     const RunningCall &call = *ended;
+    if (outcome.status != StageCallStatus::Unknown) {
+        m_rateLimits.observeAnswer(call.server.id, outcome.rateLimit, call.started, now);
+    }
     StageServerState &state = m_resultTracker.server(call.server.id);
     state.removeStored(call.reservedStorage);
     const bool complete = outcome.pieces.size() == call.pieces.size();
@@ -424,6 +455,14 @@
 
 std::vector<StageCommand> StageCoordinator::takeCommands()
 {
+    std::erase_if(m_resultsToFree, [this](const framework::StageResultId &result) {
+        const auto holder = m_resultTracker.holderOf(result);
+        const bool isHeld = holder && m_rateLimits.rateOf(*holder);
+        if (isHeld) {
+            m_heldResults[*holder].push_back(result);
+        }
+        return isHeld;
+    });
     if (!m_resultsToFree.empty()) {
         m_commands.emplace_back(FreeStageResults{std::exchange(m_resultsToFree, {})});
     }
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -18,6 +18,10 @@
 class IBackendServers;
 }
 
+namespace lavendertally::ratelimit {
+class IServerRateLimits;
+}
+
 namespace lavendertally::serving {
 class IServingState;
 }
@@ -31,6 +35,7 @@
 public:
     StageCoordinator(const serving::IServingState &serving,
                      const membership::IBackendServers &servers,
+                     ratelimit::IServerRateLimits &rateLimits,
                      const StageCoordinatorOptions &options);
     ~StageCoordinator() override;
 
@@ -69,6 +74,8 @@
     void endLateJobs(framework::TimePoint now);
     void dispatchAll(framework::TimePoint now);
     void queryStorage(const std::vector<membership::BackendServerEntry> &servers);
+    /// Frees results that were held back at backend servers that limit their requests.
+    void freeHeldResults(framework::TimePoint now);
 
     void onPieceEnded(const RunningCall &call, const RunningPiece &piece,
                       const PieceOutcome &outcome, framework::TimePoint now);
@@ -90,6 +97,7 @@
 
     // Declaration order matters: each member is destroyed before those that it refers to.
     StageCoordinatorOptions m_options;
+    ratelimit::IServerRateLimits &m_rateLimits;
     JobTable m_jobs;
     std::map<framework::ServiceId, StageQueue> m_queues;
     ResultTracker m_resultTracker;
@@ -99,6 +107,8 @@
     BatchDispatcher m_dispatcher;
     JobAdmission m_admission;
     std::vector<framework::StageResultId> m_resultsToFree;
+    /// Results to free at backend servers that limit their requests, until a call is worth it.
+    std::map<framework::BackendServerId, std::vector<framework::StageResultId>> m_heldResults;
     std::vector<StageCommand> m_commands;
     framework::TimePoint m_nextWake = framework::TimePoint::never();
 };
--- a/src/stages/internal/stageestimator.cpp
+++ b/src/stages/internal/stageestimator.cpp
@@ -1,6 +1,7 @@
 #include "stages/internal/stageestimator.h"
 
 #include "membership/ibackendservers.h"
+#include "ratelimit/iserverratelimits.h"
 #include "serving/iservingstate.h"
 #include "serving/types/servingconfiguration.h"
 #include "stages/internal/resulttracker.h"
@@ -19,8 +20,10 @@
 
 StageEstimator::StageEstimator(const serving::IServingState &serving,
                                const membership::IBackendServers &servers,
+                               const ratelimit::IServerRateLimits &rateLimits,
                                ResultTracker &resultTracker, const StageCoordinatorOptions &options)
-    : m_serving(serving), m_servers(servers), m_resultTracker(resultTracker), m_options(options)
+    : m_serving(serving), m_servers(servers), m_rateLimits(rateLimits),
+      m_resultTracker(resultTracker), m_options(options)
 { }
 
 const serving::StagePool *StageEstimator::findPool(const framework::ServiceId &service) const
@@ -70,13 +73,29 @@
     double servers = 0.0;
     for (const membership::BackendServerEntry *server : m_servers.admitting(service)) {
         const StageServerState &state = m_resultTracker.server(server->id);
-        if (!state.isPaused(now)) {
-            servers += 1.0 / std::max(state.slowdown(now), 1.0);
+        if (state.isPaused(now)) {
+            continue;
         }
+        const double speed = 1.0 / std::max(state.slowdown(now), 1.0);
+        const auto limit = m_rateLimits.rateOf(server->id);
+        servers += limit ? std::min(speed, callsInBatchTime(service, *limit)) : speed;
     }
     return servers;
 }
 
+/// \return calls that \p limit allows during a call with a full batch
+double StageEstimator::callsInBatchTime(const framework::ServiceId &service,
+                                        framework::RequestRate limit) const
+{
+    constexpr double UnitMilliseconds = 1e6;
+    const serving::StagePool *pool = findPool(service);
+    if (pool == nullptr) {
+        return 0.0;
+    }
+    return static_cast<double>(limit.value())
+        * static_cast<double>(pool->batchTime(pool->batchSize).value()) / UnitMilliseconds;
+}
+
 framework::TimePoint StageEstimator::expectedCompletion(const StageJobState &job,
                                                         framework::TimePoint now) const
 {
--- a/src/stages/internal/stageestimator.h
+++ b/src/stages/internal/stageestimator.h
@@ -12,6 +12,10 @@
 class IBackendServers;
 }
 
+namespace lavendertally::ratelimit {
+class IServerRateLimits;
+}
+
 namespace lavendertally::serving {
 class IServingState;
 struct StagePool;
@@ -27,7 +31,8 @@
 {
 public:
     StageEstimator(const serving::IServingState &serving,
-                   const membership::IBackendServers &servers, ResultTracker &resultTracker,
+                   const membership::IBackendServers &servers,
+                   const ratelimit::IServerRateLimits &rateLimits, ResultTracker &resultTracker,
                    const StageCoordinatorOptions &options);
 
     /// \return configuration of the pool that runs the stages of a service, or null if it has none
@@ -55,9 +60,12 @@
 private:
     framework::Milliseconds waitFor(const framework::ServiceId &service) const;
     double effectiveServerCount(const framework::ServiceId &service, framework::TimePoint now);
+    double callsInBatchTime(const framework::ServiceId &service,
+                            framework::RequestRate limit) const;
 
     const serving::IServingState &m_serving;
     const membership::IBackendServers &m_servers;
+    const ratelimit::IServerRateLimits &m_rateLimits;
     ResultTracker &m_resultTracker;
     const StageCoordinatorOptions &m_options;
     std::map<framework::ServiceId, framework::Milliseconds> m_waits;
--- a/src/stages/internal/stagesmodule.cpp
+++ b/src/stages/internal/stagesmodule.cpp
@@ -5,12 +5,11 @@
 
 namespace lavendertally::stages {
 
-std::unique_ptr<IStageCoordinator>
-StagesModule::makeCoordinator(const serving::IServingState &serving,
-                              const membership::IBackendServers &servers,
-                              const StageCoordinatorOptions &options)
+std::unique_ptr<IStageCoordinator> StagesModule::makeCoordinator(
+    const serving::IServingState &serving, const membership::IBackendServers &servers,
+    ratelimit::IServerRateLimits &rateLimits, const StageCoordinatorOptions &options)
 {
-    return std::make_unique<StageCoordinator>(serving, servers, options);
+    return std::make_unique<StageCoordinator>(serving, servers, rateLimits, options);
 }
 
 std::unique_ptr<IStageService>
--- a/src/stages/stagesmodule.h
+++ b/src/stages/stagesmodule.h
@@ -21,6 +21,10 @@
 class IPeerNetwork;
 } // namespace lavendertally::peers
 
+namespace lavendertally::ratelimit {
+class IServerRateLimits;
+}
+
 namespace lavendertally::serving {
 class IServingState;
 }
@@ -37,10 +41,10 @@
 public:
     /// \param serving configuration of the services; must outlive the coordinator
     /// \param servers backend servers of all services; must outlive the coordinator
-    static std::unique_ptr<IStageCoordinator>
-    makeCoordinator(const serving::IServingState &serving,
-                    const membership::IBackendServers &servers,
-                    const StageCoordinatorOptions &options = {});
+    /// \param rateLimits rates that backend servers allow; must outlive the coordinator
+    static std::unique_ptr<IStageCoordinator> makeCoordinator(
+        const serving::IServingState &serving, const membership::IBackendServers &servers,
+        ratelimit::IServerRateLimits &rateLimits, const StageCoordinatorOptions &options = {});
 
     /// Creates a service that submits jobs to the coordinating daemon, which may be this one. All
     /// references must outlive the service.
--- a/src/stages/tests/largepoolstest.cpp
+++ b/src/stages/tests/largepoolstest.cpp
@@ -1,6 +1,7 @@
 #include "stages/testing/largepools.h"
 #include "framework/frameworkmodule.h"
 #include "framework/irandom.h"
+#include "ratelimit/testing/testratelimits.h"
 #include "stages/stagesmodule.h"
 #include "stages/testing/stageloadsimulation.h"
 
@@ -19,8 +20,8 @@
     std::map<std::string, StageLoadResult> play(double load)
     {
         const auto random = framework::FrameworkModule::makeRandom(Seed);
-        const auto coordinator =
-            StagesModule::makeCoordinator(m_pools.serving(), m_pools.servers());
+        const auto coordinator = StagesModule::makeCoordinator(m_pools.serving(), m_pools.servers(),
+                                                               m_rateLimits.limits());
         StageLoadSimulation simulation(m_pools.serving(), *coordinator);
         simulation.run(LargePools::arrivals(*random, load, Duration));
         return simulation.byRoute();
@@ -31,6 +32,7 @@
     }
 
     LargePools m_pools;
+    ratelimit::TestRateLimits m_rateLimits;
 };
 
 TEST_F(LargePoolsTest, UsualLoad_AllJobsAreServedInTime)
--- a/src/stages/tests/stagecoordinatortest.cpp
+++ b/src/stages/tests/stagecoordinatortest.cpp
@@ -357,3 +357,43 @@
     collectCommands();
     EXPECT_EQ(m_calls.size(), 1U);
 }
+
+TEST_F(StageCoordinatorTest, ServerLimitsItsCalls_CallFreeingAndQueryNeedPermits)
+{
+    addServer("a", "first");
+    const framework::BackendServerId server("a");
+    m_rateLimits.limits().observeAnswer(server, framework::RequestRate(4000), m_now, m_now);
+    submit(job("r1", 2));
+    EXPECT_TRUE(m_calls.empty());
+    EXPECT_TRUE(m_queries.empty());
+    m_rateLimits.store().addPermits({{server, 1}}, m_now);
+    wake();
+    ASSERT_EQ(m_calls.size(), 1U);
+    advance(300);
+    answerCall(m_calls[0]);
+    m_coordinator->release({framework::StageResultId("r1/0/0")}, m_now);
+    wake();
+    EXPECT_TRUE(m_freedResults.empty()) << "one result is not worth a call";
+}
+
+TEST_F(StageCoordinatorTest, LimitEnds_HeldResultsAreFreed)
+{
+    addServer("a", "first");
+    const framework::BackendServerId server("a");
+    submit(job("r1", 1));
+    StageCallOutcome outcome;
+    outcome.status = StageCallStatus::Answered;
+    outcome.rateLimit = framework::RequestRate(1000);
+    outcome.pieces = {{PieceStatus::Done, framework::StageResultId("x")}};
+    advance(250);
+    endCall(m_calls.at(0), outcome);
+    submit(job("r2", 1));
+    m_coordinator->release({framework::StageResultId("x")}, m_now);
+    wake();
+    EXPECT_TRUE(m_freedResults.empty());
+    advance(10);
+    m_rateLimits.limits().observeAnswer(server, std::nullopt, m_now, m_now);
+    wake();
+    collectCommands();
+    EXPECT_EQ(m_freedResults, std::vector{framework::StageResultId("x")});
+}
--- a/src/stages/tests/stagefixture.h
+++ b/src/stages/tests/stagefixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/testing/fakebackendservers.h"
+#include "ratelimit/testing/testratelimits.h"
 #include "serving/testing/fakeservingstate.h"
 #include "stages/istagecoordinator.h"
 #include "stages/stagesmodule.h"
@@ -24,7 +25,7 @@
     StageFixture()
     {
         m_serving.set({}, {pool("first", 4, 1000000), pool("second", 4, 1000000)});
-        m_coordinator = StagesModule::makeCoordinator(m_serving, m_servers);
+        m_coordinator = StagesModule::makeCoordinator(m_serving, m_servers, m_rateLimits.limits());
     }
 
     /// \param batchSize pieces per call at most
@@ -137,6 +138,7 @@
     const framework::DaemonId Owner{"d1"};
     serving::FakeServingState m_serving;
     membership::FakeBackendServers m_servers;
+    ratelimit::TestRateLimits m_rateLimits;
     std::unique_ptr<IStageCoordinator> m_coordinator;
     framework::TimePoint m_now = Start;
     std::vector<StartStageCall> m_calls;
