Host process keeps the rate limit that its backend server names

Its host process sends all requests to it, so a token bucket in the admission controller is enough; items that cannot be in time behind it are refused at once. The health checks of the host process do not count. Tests fail without it.

--- a/src/admission/iadmissioncontroller.h
+++ b/src/admission/iadmissioncontroller.h
@@ -6,9 +6,11 @@
 #include "admission/types/completion.h"
 #include "admission/types/workitem.h"
 #include "framework/types/timepoint.h"
+#include "framework/types/units.h"
 #include "protocol/types/loadreport.h"
 #include "protocol/types/refusalreason.h"
 
+#include <optional>
 #include <vector>
 
 namespace lavendertally::admission {
@@ -52,6 +54,12 @@
     /// Takes a health report of the backend server into account.
     virtual void observeHealth(const BackendHealth &health, framework::TimePoint now) = 0;
 
+    /// Reports an answer of the backend server.
+    /// \param named requests per second that the answer names, if it does
+    /// \param callSent when the request was sent; a limit ends with an answer to a later request
+    virtual void observeRateLimit(std::optional<framework::RequestRate> named,
+                                  framework::TimePoint callSent, framework::TimePoint now) = 0;
+
     /// Replaces the limits; takeDecisions() refuses waiting items beyond the new queue length.
     virtual void setLimits(const AdmissionLimits &limits, framework::TimePoint now) = 0;
 
--- a/src/admission/internal/admissioncontroller.cpp
+++ b/src/admission/internal/admissioncontroller.cpp
@@ -32,7 +32,7 @@
     const Milliseconds serviceTime = m_serviceTimes.expected(item.pipeline, now);
     m_queue.add({item, item.deadline - serviceTime, serviceTime});
     if (nextToStart(now) == item.key) {
-        start(item.key);
+        start(item.key, now);
         return {item.key, AdmissionVerdict::Run, RefusalReason::None};
     }
     if (m_queue.size() > queueCapacity()) {
@@ -73,7 +73,7 @@
     refuseExpired(now);
     std::vector<AdmissionDecision> decisions = std::exchange(m_deferredRefusals, {});
     while (const auto key = nextToStart(now)) {
-        start(*key);
+        start(*key, now);
         decisions.push_back({*key, AdmissionVerdict::Run, RefusalReason::None});
     }
     shedExcess();
@@ -99,9 +99,29 @@
         wake = std::min(
             wake, *m_lastInteractiveArrival + m_policy.interactiveReserveTimeout + Milliseconds(1));
     }
+    if (m_rateLimit && m_running.size() < m_limit.limit()) {
+        wake = std::min(wake, m_rateLimit->availableAt(1));
+    }
     return wake;
 }
 
+void AdmissionController::observeRateLimit(std::optional<framework::RequestRate> named,
+                                           TimePoint callSent, TimePoint now)
+{
+    if (!named) {
+        if (m_rateLimit && callSent > m_rateLimitTold) {
+            m_rateLimit.reset();
+        }
+        return;
+    }
+    m_rateLimitTold = now;
+    if (!m_rateLimit) {
+        m_rateLimit.emplace(*named, now);
+    } else if (m_rateLimit->rate() != *named) {
+        m_rateLimit->setRate(*named, now);
+    }
+}
+
 void AdmissionController::observeHealth(const BackendHealth &health, TimePoint /*now*/)
 {
     m_limit.observeHealth(health);
@@ -121,14 +141,14 @@
     }
 }
 
-protocol::LoadReport AdmissionController::load(TimePoint /*now*/) const
+protocol::LoadReport AdmissionController::load(TimePoint now) const
 {
     protocol::LoadReport report;
     report.running = static_cast<std::uint32_t>(m_running.size());
     report.queued = static_cast<std::uint32_t>(m_queue.size());
     report.limit = m_closeReason == RefusalReason::None ? m_limit.limit() : 0;
     report.cold = m_limit.isCold();
-    report.expectedWait = expectedWait(m_queue.size());
+    report.expectedWait = expectedWait(m_queue.size(), now);
     report.incarnation = m_limit.incarnation();
     return report;
 }
@@ -140,26 +160,30 @@
         return m_closeReason;
     }
     const Milliseconds needed =
-        expectedWait(m_queue.itemsAhead(item)) + m_serviceTimes.expected(item.pipeline, now);
+        expectedWait(m_queue.itemsAhead(item), now) + m_serviceTimes.expected(item.pipeline, now);
     if (now + needed > item.deadline) {
         return RefusalReason::DeadlineUnreachable;
     }
     return std::nullopt;
 }
 
-Milliseconds AdmissionController::expectedWait(std::size_t ahead) const
+Milliseconds AdmissionController::expectedWait(std::size_t ahead, TimePoint now) const
 {
     const std::int64_t limit = std::max<std::uint32_t>(1, m_limit.limit());
     const auto busy = static_cast<std::int64_t>(m_running.size() + ahead);
     // Slots become free at the rate of limit completions per mean service time.
     const std::int64_t completionsNeeded = std::max<std::int64_t>(0, busy - limit + 1);
-    return Milliseconds(m_serviceTimes.overall().value() * completionsNeeded / limit);
+    const Milliseconds forSlot(m_serviceTimes.overall().value() * completionsNeeded / limit);
+    if (!m_rateLimit) {
+        return forSlot;
+    }
+    return std::max(forSlot, m_rateLimit->timeUntil(static_cast<std::uint32_t>(ahead) + 1, now));
 }
 
 std::optional<WorkKey> AdmissionController::nextToStart(TimePoint now) const
 {
     const std::size_t limit = m_limit.limit();
-    if (m_running.size() >= limit) {
+    if (m_running.size() >= limit || (m_rateLimit && m_rateLimit->available(now) == 0)) {
         return std::nullopt;
     }
     const std::size_t free = limit - m_running.size();
@@ -173,8 +197,11 @@
         && now - *m_lastInteractiveArrival <= m_policy.interactiveReserveTimeout;
 }
 
-void AdmissionController::start(const WorkKey &key)
+void AdmissionController::start(const WorkKey &key, TimePoint now)
 {
+    if (m_rateLimit) {
+        m_rateLimit->take(1, now);
+    }
     const WaitingItem item = m_queue.start(key);
     m_running.emplace(key, RunningItem{item.work.pipeline, m_limit.epoch()});
 }
--- a/src/admission/internal/admissioncontroller.h
+++ b/src/admission/internal/admissioncontroller.h
@@ -4,6 +4,7 @@
 #include "admission/internal/coldstartlimit.h"
 #include "admission/internal/fairqueue.h"
 #include "admission/internal/servicetimeestimator.h"
+#include "ratelimit/tokenbucket.h"
 
 #include <map>
 #include <optional>
@@ -26,6 +27,8 @@
     std::vector<AdmissionDecision> takeDecisions(framework::TimePoint now) override;
     framework::TimePoint nextWake() const override;
     void observeHealth(const BackendHealth &health, framework::TimePoint now) override;
+    void observeRateLimit(std::optional<framework::RequestRate> named,
+                          framework::TimePoint callSent, framework::TimePoint now) override;
     void setLimits(const AdmissionLimits &limits, framework::TimePoint now) override;
     void close(protocol::RefusalReason reason, framework::TimePoint now) override;
     protocol::LoadReport load(framework::TimePoint now) const override;
@@ -41,11 +44,11 @@
     std::optional<protocol::RefusalReason> refusalReasonFor(const WorkItem &item,
                                                             framework::TimePoint now) const;
     /// \return expected time until a slot is free for an item with \p ahead items before it
-    framework::Milliseconds expectedWait(std::size_t ahead) const;
+    framework::Milliseconds expectedWait(std::size_t ahead, framework::TimePoint now) const;
     /// \return next item to start, if a slot is free for it
     std::optional<WorkKey> nextToStart(framework::TimePoint now) const;
     bool isReserveActive(framework::TimePoint now) const;
-    void start(const WorkKey &key);
+    void start(const WorkKey &key, framework::TimePoint now);
     /// \return items that may wait, scaled from AdmissionLimits::queueLength to the present limit
     std::size_t queueCapacity() const;
     /// \return reason for refusing an item because the queue is full
@@ -59,6 +62,10 @@
     AdmissionLimits m_limits;
     AdmissionPolicy m_policy;
     ColdStartLimit m_limit;
+    /// Requests per second that the backend server takes; nothing if it names no limit.
+    std::optional<ratelimit::TokenBucket> m_rateLimit;
+    /// When the backend server last named the limit.
+    framework::TimePoint m_rateLimitTold;
     ServiceTimeEstimator m_serviceTimes;
     FairQueue m_queue;
     protocol::RefusalReason m_closeReason = protocol::RefusalReason::None;
--- a/src/admission/internal/naivecontroller.h
+++ b/src/admission/internal/naivecontroller.h
@@ -21,6 +21,11 @@
     std::vector<AdmissionDecision> takeDecisions(framework::TimePoint now) override;
     framework::TimePoint nextWake() const override;
     void observeHealth(const BackendHealth &health, framework::TimePoint now) override;
+    void observeRateLimit(std::optional<framework::RequestRate> /*named*/,
+                          framework::TimePoint /*callSent*/, framework::TimePoint /*now*/) override
+    {
+        // The baseline keeps its concurrency only.
+    }
     void setLimits(const AdmissionLimits &limits, framework::TimePoint now) override;
     void close(protocol::RefusalReason reason, framework::TimePoint now) override;
     protocol::LoadReport load(framework::TimePoint now) const override;
--- a/src/admission/tests/admissiontest.cpp
+++ b/src/admission/tests/admissiontest.cpp
@@ -414,3 +414,45 @@
     complete(1);
     EXPECT_THAT(takeStartedItems(), testing::IsEmpty());
 }
+
+TEST_F(Admission, ServerNamesRateLimit_StartsKeepToItAndWakeInTime)
+{
+    warmUp();
+    m_controller->observeRateLimit(RequestRate(2000), m_now, m_now);
+    std::size_t started = 0;
+    for (std::uint64_t number = 1; number <= 12; ++number) {
+        started += offer(number) == AdmissionVerdict::Run ? 1 : 0;
+    }
+    EXPECT_EQ(started, 1U);
+    const TimePoint end = m_now + Milliseconds(4000);
+    while (m_controller->nextWake() <= end) {
+        ASSERT_GT(m_controller->nextWake(), m_now) << "would wake without a pause";
+        m_now = m_controller->nextWake();
+        started += takeStartedItems().size();
+    }
+    EXPECT_EQ(started, 9U);
+}
+
+TEST_F(Admission, RateLimitMakesDeadlineUnreachable_ItemIsRefusedAtOnce)
+{
+    warmUp();
+    m_controller->observeRateLimit(RequestRate(500), m_now, m_now);
+    EXPECT_EQ(offer(1), AdmissionVerdict::Run);
+    WorkItem item = makeItem(2);
+    item.deadline = m_now + Milliseconds(1500);
+    EXPECT_EQ(offer(item), AdmissionVerdict::Refuse);
+    EXPECT_EQ(reasonOf(2), RefusalReason::DeadlineUnreachable);
+}
+
+TEST_F(Admission, RateLimitEnds_WaitingItemsStart)
+{
+    warmUp();
+    m_controller->observeRateLimit(RequestRate(500), m_now, m_now);
+    startMany(1, 1);
+    EXPECT_EQ(offer(2), AdmissionVerdict::Wait);
+    m_controller->observeRateLimit(std::nullopt, m_now, m_now + Milliseconds(10));
+    EXPECT_THAT(takeStartedItems(), testing::IsEmpty()) << "answer to an earlier request";
+    m_now = m_now + Milliseconds(20);
+    m_controller->observeRateLimit(std::nullopt, m_now, m_now);
+    EXPECT_THAT(takeStartedItems(), testing::ElementsAre(2U));
+}
--- a/src/backends/ibackendobserver.h
+++ b/src/backends/ibackendobserver.h
@@ -4,6 +4,7 @@
 #include "backends/types/backendresult.h"
 #include "framework/types/units.h"
 
+#include <optional>
 #include <string>
 
 namespace lavendertally::backends {
@@ -15,6 +16,10 @@
 public:
     virtual ~IBackendObserver() = default;
 
+    /// The head of the answer has arrived; called before all other functions, if it arrives at all.
+    /// \param rateLimit requests per second that the backend server takes, if it names them
+    virtual void onAnswerHead(std::optional<framework::RequestRate> rateLimit) = 0;
+
     /// Delivers the next part of a generated text, in order. The call handle must not be destroyed
     /// from within this callback.
     /// \param tokens number of tokens in \p text
--- a/src/backends/internal/httpbackendcall.cpp
+++ b/src/backends/internal/httpbackendcall.cpp
@@ -3,8 +3,10 @@
 #include "backends/ibackendobserver.h"
 #include "backends/internal/iresponsereader.h"
 #include "framework/types/errorcontext.h"
+#include "http/headerlookup.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
+#include "http/requestratefield.h"
 #include "http/types/httprequest.h"
 
 namespace lavendertally::backends {
@@ -15,6 +17,9 @@
 constexpr int HttpServiceUnavailable = 503;
 constexpr std::size_t MaxErrorDetailBytes = 200;
 
+/// Requests per second that a backend server takes.
+constexpr std::string_view RateLimitField = "Server-Limit";
+
 } // namespace
 
 HttpBackendCall::HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
@@ -25,6 +30,13 @@
 
 HttpBackendCall::~HttpBackendCall() = default;
 
+bool HttpBackendCall::onHead(const http::HttpResponseHead &head)
+{
+    const auto rate = http::findHeader(head.headers, RateLimitField);
+    m_observer.onAnswerHead(rate ? http::parseRequestRate(*rate) : std::nullopt);
+    return true;
+}
+
 void HttpBackendCall::onData(int status, std::string_view data)
 {
     if (status != HttpOk) {
--- a/src/backends/internal/httpbackendcall.h
+++ b/src/backends/internal/httpbackendcall.h
@@ -26,6 +26,7 @@
     ~HttpBackendCall() override;
 
 private:
+    bool onHead(const http::HttpResponseHead &head) override;
     void onData(int status, std::string_view data) override;
     void onEnd(http::HttpEnd end, int status) override;
     void finishResponse();
--- a/src/host/internal/hostcall.cpp
+++ b/src/host/internal/hostcall.cpp
@@ -72,6 +72,11 @@
     m_responder->sendResult(result);
 }
 
+void HostCall::onAnswerHead(std::optional<framework::RequestRate> rateLimit)
+{
+    m_listener.onRateLimit(*this, rateLimit);
+}
+
 void HostCall::onChunk(const std::string &text, framework::TokenCount tokens)
 {
     ++m_textParts;
--- a/src/host/internal/hostcall.h
+++ b/src/host/internal/hostcall.h
@@ -3,6 +3,7 @@
 #include "admission/types/workkey.h"
 #include "backends/ibackendobserver.h"
 #include "framework/types/timepoint.h"
+#include "framework/types/units.h"
 #include "http/types/proberesult.h"
 #include "protocol/types/stagerequest.h"
 
@@ -60,6 +61,7 @@
     bool answerBegan() const;
 
 private:
+    void onAnswerHead(std::optional<framework::RequestRate> rateLimit) override;
     void onChunk(const std::string &text, framework::TokenCount tokens) override;
     void onDone(const backends::BackendResult &result) override;
     void onFailed(backends::BackendError error, const std::string &detail) override;
--- a/src/host/internal/hostservice.cpp
+++ b/src/host/internal/hostservice.cpp
@@ -191,6 +191,11 @@
     applyDueDecisions();
 }
 
+void HostService::onRateLimit(const HostCall &call, std::optional<framework::RequestRate> rateLimit)
+{
+    m_context.admission.observeRateLimit(rateLimit, call.startedAt(), m_context.clock.now());
+}
+
 void HostService::onCallDone(HostCall &call, const backends::BackendResult &backendResult)
 {
     protocol::StageResult result;
--- a/src/host/internal/hostservice.h
+++ b/src/host/internal/hostservice.h
@@ -56,6 +56,8 @@
     /// The entry hung up: cancels the call, unless it is running and not idempotent.
     void cancel(const admission::WorkKey &key);
 
+    void onRateLimit(const HostCall &call,
+                     std::optional<framework::RequestRate> rateLimit) override;
     void onCallDone(HostCall &call, const backends::BackendResult &result) override;
     void onCallFailed(HostCall &call, backends::BackendError error,
                       const std::string &detail) override;
--- a/src/host/internal/icalllistener.h
+++ b/src/host/internal/icalllistener.h
@@ -2,6 +2,9 @@
 
 #include "backends/types/backenderror.h"
 
+#include "framework/types/units.h"
+
+#include <optional>
 #include <string>
 
 namespace lavendertally::backends {
@@ -12,13 +15,19 @@
 
 class HostCall;
 
-/// Notified when a call to the backend server ends. At most one function is called, once; none if
-/// the call is destroyed before its end.
+/// Notified of the answers to calls of the backend server and of their ends. At most one of the
+/// functions for the end is called, once; none if the call is destroyed before its end.
 class ICallListener
 {
 public:
     virtual ~ICallListener() = default;
 
+    /// The head of the answer has arrived.
+    /// \param call must not be destroyed by the listener
+    /// \param rateLimit requests per second that the backend server takes, if it names them
+    virtual void onRateLimit(const HostCall &call,
+                             std::optional<framework::RequestRate> rateLimit) = 0;
+
     /// The call succeeded.
     /// \param call may be destroyed by the listener
     /// \param result output of the backend server
--- a/src/host/tests/hostservicetest.cpp
+++ b/src/host/tests/hostservicetest.cpp
@@ -215,3 +215,22 @@
     m_backend.answerProbes(http::ProbeResult::NotListening);
     EXPECT_EQ(m_service->activeCalls(), 0U);
 }
+
+TEST_F(HostServiceTest, BackendNamesRateLimit_NextCallsKeepToIt)
+{
+    send(1);
+    ASSERT_EQ(m_backend.m_calls.size(), 1U);
+    m_backend.m_calls[0]->onAnswerHead(framework::RequestRate(4000));
+    for (std::uint64_t number = 2; number <= 9; ++number) {
+        send(number);
+    }
+    EXPECT_EQ(m_backend.m_calls.size(), 2U);
+    for (std::size_t call = 0; call < 2; ++call) {
+        m_backend.m_calls[call]->onDone({});
+    }
+    ASSERT_EQ(m_backend.m_calls.size(), 2U) << "slots are free, the limit is not";
+    m_scheduler.advance(Milliseconds(250));
+    EXPECT_EQ(m_backend.m_calls.size(), 3U);
+    m_scheduler.advance(Milliseconds(250));
+    EXPECT_EQ(m_backend.m_calls.size(), 4U);
+}
