Backend servers that have left do not come back with an old registry

One cause of the incident of the restored store, told apart from the others: a registry that comes back from a copy some seconds old lists servers that have drained or left since, as ready.

--- a/src/framework/types/ids.h
+++ b/src/framework/types/ids.h
@@ -18,6 +18,8 @@
 struct OperationTag;
 struct AttemptTag;
 struct LogOffsetTag;
+struct StoreEraTag;
+struct ReportTag;
 struct FencingTag;
 struct IncarnationTag;
 struct RouteTag;
@@ -50,10 +52,15 @@
 using AttemptId = Ordinal<AttemptTag>;
 /// Position of a record in one stream of the log service.
 using LogOffset = Ordinal<LogOffsetTag>;
+/// Rises each time that the store comes back from a copy; offsets of two eras do not compare.
+using StoreEra = Ordinal<StoreEraTag>;
 using FencingNumber = Ordinal<FencingTag>;
 /// Counts the starts of a backend server; a greater one means that it lost its state.
 using Incarnation = Ordinal<IncarnationTag>;
 
+/// Counts what a backend server has said of itself since its start.
+using ReportNumber = Ordinal<ReportTag>;
+
 /// Where requests of one kind enter, and what becomes of them.
 using RouteId = StringId<RouteTag>;
 /// Secret with which a team's clients identify themselves; never logged.
--- a/src/membership/internal/backendservertracker.h
+++ b/src/membership/internal/backendservertracker.h
@@ -35,14 +35,25 @@
     bool hasSynced() const override { return m_hasSynced; }
 
 private:
+    /// What a backend server last said of itself before it was removed.
+    struct Departed
+    {
+        framework::Incarnation incarnation;
+        framework::ReportNumber reports;
+        framework::TimePoint at;
+    };
+
     void changed();
-    void drop(const framework::BackendServerId &server, const char *reason);
+    void drop(const framework::BackendServerId &server, const char *reason,
+              framework::TimePoint now);
+    bool isOutdated(const BackendServerEntry &entry) const;
     bool admits(const BackendServerEntry &entry) const;
 
     framework::ILogger &m_logger;
     bool m_hasSynced = false;
     MembershipGeneration m_generation;
     std::map<framework::BackendServerId, BackendServerEntry> m_entries;
+    std::unordered_map<framework::BackendServerId, Departed> m_departed;
     std::set<framework::AvailabilityZoneId> m_zonesOut;
     /// End of the grace period in which removed entries are kept.
     framework::TimePoint m_graceEnd;
--- a/src/membership/types/backendserverentry.h
+++ b/src/membership/types/backendserverentry.h
@@ -24,6 +24,8 @@
     framework::TimePoint coldUntil;
     /// Differs after each restart.
     framework::Incarnation incarnation;
+    /// Rises with each report of one incarnation; zero if it is not known.
+    framework::ReportNumber reports;
 };
 
 } // namespace lavendertally::membership
--- a/src/platform/internal/backendservercodec.cpp
+++ b/src/platform/internal/backendservercodec.cpp
@@ -42,6 +42,8 @@
     }
     entry.incarnation =
         framework::Incarnation(static_cast<std::uint64_t>(fields.integerOr("born", 0)));
+    entry.reports = framework::ReportNumber(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(fields.integerOr("sequence", 0), 0)));
     const auto endpoint = parseEndpoint(fields.text("address"));
     if (!fields.isGood()) {
         return framework::leaf::new_error(DecodeError::Malformed,
