Ranking of daemons does not depend on the order of the listing

Offsets of first registrations are given out twice when the store comes back from a copy; the order among daemons with the same one followed the listing, which differs among daemons.

--- a/src/peers/internal/daemonranking.cpp
+++ b/src/peers/internal/daemonranking.cpp
@@ -1,6 +1,7 @@
 #include "peers/internal/daemonranking.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lavendertally::peers {
@@ -9,8 +10,9 @@
 {
     std::sort(registrations.begin(), registrations.end(),
               [](const DaemonRegistration &one, const DaemonRegistration &other) {
-                  return one.capacity != other.capacity ? one.capacity > other.capacity
-                                                        : one.joined < other.joined;
+                  // Offsets may be given out twice when the store comes back from a copy.
+                  return std::tie(other.capacity, one.joined, one.address.daemon)
+                      < std::tie(one.capacity, other.joined, other.address.daemon);
               });
     std::vector<DaemonAddress> ranking;
     ranking.reserve(registrations.size());
--- a/src/peers/tests/daemonrankingtest.cpp
+++ b/src/peers/tests/daemonrankingtest.cpp
@@ -51,3 +51,9 @@
 {
     EXPECT_EQ(ranking({daemon("older", 0, 0), daemon("small", 90, 7)}), "small older ");
 }
+
+TEST(DaemonRankingTest, TwoDaemonsWithSameOffset_OrderDoesNotDependOnListing)
+{
+    EXPECT_EQ(ranking({daemon("b", 190, 3), daemon("a", 190, 3)}), "a b ");
+    EXPECT_EQ(ranking({daemon("a", 190, 3), daemon("b", 190, 3)}), "a b ");
+}
