Eras order what is replicated from the store

Cause: a copy of a topic compared offsets of two histories of the store. What was written at offsets that were given out twice was skipped. Class: an order that holds within one history, used across two; and a loop without a pause on an answer that changes nothing.

Now the era goes before the offset, in the reader, in digests, queries and states between gateways, and at a start from a peer. A new era means: the newest records are read, registrations have their grace, this gateway registers again, evacuations that the copy lacks stay for 10 s, and a configuration or report that is newer by its content than the restored one stays.

Tests with the era not read: 4 of the new ones of the adapter fail (versions after the restore never come; calls in a loop).

UsersPlatformTest.EntryThatIsRemovedWhilePeersReadTheStore... plays a peer of the same store and now names its era; it is as strict as before.

--- a/src/platform/internal/backendserverfeed.cpp
+++ b/src/platform/internal/backendserverfeed.cpp
@@ -10,6 +10,7 @@
 #include "platform/types/decodeerror.h"
 
 #include <set>
+#include <utility>
 
 namespace lavendertally::platform {
 
@@ -45,6 +46,23 @@
     m_servers.registryRecovered(m_clock.now());
 }
 
+bool BackendServerFeed::isNewer(const protocol::TopicRecord &known,
+                                const protocol::TopicRecord &restored) const
+{
+    if (!known.value || !restored.value) {
+        return false;
+    }
+    return framework::leaf::try_handle_all(
+        [&]() -> framework::Result<bool> {
+            const framework::TimePoint now = m_clock.now();
+            BOOST_LEAF_AUTO(one, decodeBackendServer(known.key, *known.value, now));
+            BOOST_LEAF_AUTO(other, decodeBackendServer(restored.key, *restored.value, now));
+            return std::pair(one.incarnation, one.reports)
+                > std::pair(other.incarnation, other.reports);
+        },
+        [] { return false; });
+}
+
 bool BackendServerFeed::onRecord(const protocol::TopicRecord &record)
 {
     const framework::BackendServerId id(record.key);
--- a/src/platform/internal/backendserverfeed.h
+++ b/src/platform/internal/backendserverfeed.h
@@ -26,6 +26,9 @@
     bool onRecord(const protocol::TopicRecord &record) override;
     void onConfirmed(framework::TimePoint /*instant*/) override { }
     void onSourceRecovered() override;
+    void onStoreRestored() override { }
+    bool isNewer(const protocol::TopicRecord &known,
+                 const protocol::TopicRecord &restored) const override;
 
 private:
     const framework::IClock &m_clock;
--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -31,6 +31,8 @@
 constexpr framework::Milliseconds RegisterPatience{500};
 /// A failed registration is repeated after this part of the interval.
 constexpr std::int64_t RetriesPerInterval = 8;
+/// After the store was restored, daemons register again one after the other.
+constexpr framework::Milliseconds RestoreSpread{20};
 /// A daemon that misses this number of registrations is gone.
 constexpr std::int64_t RegistrationsPerLifetime = 3;
 constexpr framework::Milliseconds LifetimeMargin{1000};
@@ -215,6 +217,19 @@
     }
 }
 
+/// The store may have lost this daemon's registration.
+void DaemonFeed::onStoreRestored()
+{
+    if (!m_isRegistered || m_leaving) {
+        return;
+    }
+    const auto self = std::find_if(m_ranking.begin(), m_ranking.end(),
+                                   [this](const auto &daemon) { return daemon.daemon == m_self; });
+    m_registerTimer =
+        m_scheduler.callAfter(RestoreSpread * static_cast<std::int64_t>(self - m_ranking.begin()),
+                              [this] { registerSelf(); });
+}
+
 void DaemonFeed::expireSilent()
 {
     const framework::TimePoint now = m_clock.now();
--- a/src/platform/internal/daemonfeed.h
+++ b/src/platform/internal/daemonfeed.h
@@ -39,6 +39,13 @@
     bool onRecord(const protocol::TopicRecord &record) override;
     void onConfirmed(framework::TimePoint instant) override;
     void onSourceRecovered() override;
+    void onStoreRestored() override;
+    bool isNewer(const protocol::TopicRecord & /*known*/,
+                 const protocol::TopicRecord & /*restored*/) const override
+    {
+        // Registrations are renewed all the time.
+        return false;
+    }
 
 private:
     struct Known
--- a/src/platform/internal/operatorfeed.cpp
+++ b/src/platform/internal/operatorfeed.cpp
@@ -1,6 +1,8 @@
 #include "platform/internal/operatorfeed.h"
 
 #include "framework/ilogger.h"
+#include "framework/ischeduler.h"
+#include "framework/itimer.h"
 #include "framework/types/errorcontext.h"
 #include "membership/ibackendserverupdates.h"
 #include "platform/internal/configurationcodec.h"
@@ -17,29 +19,68 @@
 /// that there is none, which must stay well under the time in which a revoked key may still work.
 constexpr TopicPace Pace{framework::Milliseconds(750), framework::Milliseconds(0)};
 
+/// Within this time after the store was restored, operators have written again what it lost.
+constexpr framework::Milliseconds RewriteTime{10000};
+
 } // namespace
 
 OperatorFeed::OperatorFeed(StoreClient &store, framework::IScheduler &scheduler,
                            const framework::IClock &clock, framework::ILogger &logger,
                            serving::IServingUpdates &serving,
                            membership::IBackendServerUpdates &servers)
-    : m_logger(logger), m_serving(serving), m_servers(servers),
+    : m_logger(logger), m_serving(serving), m_servers(servers), m_scheduler(scheduler),
       m_reader(store, scheduler, clock, logger, std::string(wire::OperatorTopic), Pace, m_replica)
 { }
 
+OperatorFeed::~OperatorFeed() = default;
+
 void OperatorFeed::onSnapshot(const std::vector<protocol::TopicRecord> &records)
 {
     m_zonesOut.clear();
     for (const protocol::TopicRecord &record : records) {
         apply(record);
     }
-    m_servers.setZonesOut(m_zonesOut);
+    publishZones();
+}
+
+void OperatorFeed::publishZones()
+{
+    std::set<framework::AvailabilityZoneId> zones = m_zonesOut;
+    zones.insert(m_keptZones.begin(), m_keptZones.end());
+    m_servers.setZonesOut(std::move(zones));
+}
+
+void OperatorFeed::onStoreRestored()
+{
+    m_keptZones.insert(m_zonesOut.begin(), m_zonesOut.end());
+    m_keptZonesTimer = m_scheduler.callAfter(RewriteTime, [this] {
+        m_keptZones.clear();
+        publishZones();
+    });
+}
+
+/// Versions of the configuration only rise.
+bool OperatorFeed::isNewer(const protocol::TopicRecord &known,
+                           const protocol::TopicRecord &restored) const
+{
+    if (known.key != wire::ConfigurationKey || !known.value || !restored.value) {
+        return false;
+    }
+    const auto versionIn = [](const std::string &text) {
+        return framework::leaf::try_handle_all(
+            [&]() -> framework::Result<std::uint64_t> {
+                BOOST_LEAF_AUTO(configuration, decodeConfiguration(text));
+                return configuration->version().value();
+            },
+            [] { return std::uint64_t{0}; });
+    };
+    return versionIn(*known.value) > versionIn(*restored.value);
 }
 
 bool OperatorFeed::onRecord(const protocol::TopicRecord &record)
 {
     apply(record);
-    m_servers.setZonesOut(m_zonesOut);
+    publishZones();
     return true;
 }
 
@@ -58,6 +99,7 @@
         return;
     }
     const framework::AvailabilityZoneId zone(record.key.substr(wire::EvacuateKeyPrefix.size()));
+    m_keptZones.erase(zone);
     if (record.value) {
         m_zonesOut.insert(zone);
     } else {
--- a/src/platform/internal/storechanges.h
+++ b/src/platform/internal/storechanges.h
@@ -13,6 +13,8 @@
     std::vector<protocol::TopicRecord> records;
     /// Where to read on.
     framework::LogOffset next;
+    /// Era of the store to which the offsets belong.
+    framework::StoreEra era;
 };
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -2,7 +2,9 @@
 
 #include "framework/asyncerror.h"
 #include "framework/iclock.h"
+#include "framework/ilogger.h"
 #include "framework/imetrics.h"
+#include "http/headerlookup.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
 #include "http/types/httprequest.h"
@@ -12,6 +14,7 @@
 #include "platform/types/storeerror.h"
 
 #include <cctype>
+#include <charconv>
 #include <utility>
 
 namespace lavendertally::platform {
@@ -61,6 +64,15 @@
     return response.status == HttpGone ? StoreError::HistoryDropped : StoreError::NotDone;
 }
 
+template <typename Content>
+framework::Result<Content> inEra(framework::Result<Content> content, framework::StoreEra era)
+{
+    if (content) {
+        content->era = era;
+    }
+    return content;
+}
+
 bool isSuccess(const http::HttpResponse &response)
 {
     return response.end == http::HttpEnd::Complete && response.status == HttpOk;
@@ -69,8 +81,10 @@
 } // namespace
 
 StoreClient::StoreClient(http::IHttpClient &client, framework::Endpoint store,
-                         const framework::IClock &clock, framework::IMetrics &metrics)
-    : m_client(client), m_store(std::move(store)), m_clock(clock), m_metrics(metrics)
+                         const framework::IClock &clock, framework::ILogger &logger,
+                         framework::IMetrics &metrics)
+    : m_client(client), m_store(std::move(store)), m_clock(clock), m_logger(logger),
+      m_metrics(metrics)
 { }
 
 StoreClient::Call
@@ -87,9 +101,9 @@
     return m_client.fetch(request,
                           [this, due = m_clock.now() + LateAnswer,
                            callback = std::move(callback)](const http::HttpResponse &response) {
-                              note("newest", response, due);
+                              const framework::StoreEra era = note("newest", response, due);
                               callback(isSuccess(response)
-                                           ? decodePage(response.body)
+                                           ? inEra(decodePage(response.body), era)
                                            : framework::asyncError<StorePage>(errorIn(response)));
                           });
 }
@@ -110,8 +124,8 @@
         request,
         [this, from, due = m_clock.now() + wait + LateAnswer,
          callback = std::move(callback)](const http::HttpResponse &response) {
-            note("read", response, due);
-            callback(isSuccess(response) ? decodeChanges(response.body, from)
+            const framework::StoreEra era = note("read", response, due);
+            callback(isSuccess(response) ? inEra(decodeChanges(response.body, from), era)
                                          : framework::asyncError<StoreChanges>(errorIn(response)));
         });
 }
@@ -135,8 +149,8 @@
                           });
 }
 
-void StoreClient::note(const char *call, const http::HttpResponse &response,
-                       framework::TimePoint due)
+framework::StoreEra StoreClient::note(const char *call, const http::HttpResponse &response,
+                                      framework::TimePoint due)
 {
     const framework::TimePoint now = m_clock.now();
     const bool isAnswered = isSuccess(response) || response.status == HttpGone;
@@ -145,6 +159,24 @@
     }
     m_metrics.increment("lavendertally_store_calls_total",
                         {{"call", call}, {"status", std::to_string(response.status)}});
+    const auto text = http::findHeader(response.headers, wire::StoreEra);
+    std::uint64_t number = 0;
+    const char *end = text ? text->data() + text->size() : nullptr;
+    const bool isNamed =
+        text && std::from_chars(text->data(), end, number).ptr == end && !text->empty();
+    if (!isNamed) {
+        return m_era;
+    }
+    const framework::StoreEra era(number);
+    if (m_era < era) {
+        m_logger.info("store names a new era",
+                      {{"era", std::to_string(number)},
+                       {"before", std::to_string(m_era.value())},
+                       {"call", call}});
+        m_metrics.increment("lavendertally_store_eras_total", {});
+        m_era = era;
+    }
+    return era;
 }
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/storeclient.h
+++ b/src/platform/internal/storeclient.h
@@ -15,6 +15,7 @@
 
 namespace lavendertally::framework {
 class IClock;
+class ILogger;
 class IMetrics;
 } // namespace lavendertally::framework
 
@@ -33,7 +34,8 @@
     using Call = std::unique_ptr<http::IHttpCall>;
 
     StoreClient(http::IHttpClient &client, framework::Endpoint store,
-                const framework::IClock &clock, framework::IMetrics &metrics);
+                const framework::IClock &clock, framework::ILogger &logger,
+                framework::IMetrics &metrics);
 
     /// Reads the newest record of each key of a topic.
     /// \param after key after which to go on; empty for the first page
@@ -53,16 +55,23 @@
     Call append(std::string_view topic, const protocol::TopicRecord &record,
                 std::function<void(framework::Result<void>)> callback);
 
+    /// \return greatest era that an answer has named
+    framework::StoreEra era() const { return m_era; }
+
     /// \return when a call failed last or its answer was late: registrations may have lapsed then
     framework::TimePoint lastTrouble() const { return m_lastTrouble; }
 
 private:
-    void note(const char *call, const http::HttpResponse &response, framework::TimePoint due);
+    /// \return era that the answer names, or the greatest one before if it names none
+    framework::StoreEra note(const char *call, const http::HttpResponse &response,
+                             framework::TimePoint due);
 
     http::IHttpClient &m_client;
     framework::Endpoint m_store;
     const framework::IClock &m_clock;
+    framework::ILogger &m_logger;
     framework::TimePoint m_lastTrouble;
+    framework::StoreEra m_era;
     framework::IMetrics &m_metrics;
 };
 
--- a/src/platform/internal/storepage.h
+++ b/src/platform/internal/storepage.h
@@ -14,6 +14,8 @@
     /// End of the topic when the page was made.
     framework::LogOffset end;
     bool hasMore = false;
+    /// Era of the store in which the page was made.
+    framework::StoreEra era;
 };
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -80,14 +80,28 @@
     if (m_snapshot.empty()) {
         // Later pages may be newer; reading on from the first page's end repeats those changes.
         m_snapshotEnd = page->end;
+        m_snapshotEra = page->era;
+    } else if (page->era != m_snapshotEra) {
+        later(nextRetryDelay(), [this] { readNewest({}); });
+        return;
     }
     m_snapshot.insert(m_snapshot.end(), page->records.begin(), page->records.end());
     if (page->hasMore && !page->records.empty()) {
         readNewest(m_snapshot.back().key);
         return;
     }
+    if (!m_replica.replace(std::exchange(m_snapshot, {}), m_snapshotEnd, m_snapshotAsked,
+                           m_snapshotEra)) {
+        m_logger.warning("newest records of a topic are older than what is known",
+                         {{"topic", m_topic},
+                          {"era", std::to_string(m_snapshotEra.value())},
+                          {"known_era", std::to_string(m_replica.era().value())},
+                          {"end", std::to_string(m_snapshotEnd.value())},
+                          {"offset", std::to_string(m_replica.next().value())}});
+        later(nextRetryDelay(), [this] { readChanges(); });
+        return;
+    }
     succeeded();
-    m_replica.replace(std::exchange(m_snapshot, {}), m_snapshotEnd, m_snapshotAsked);
     later(m_pace.pause, [this] { readChanges(); });
 }
 
@@ -113,8 +127,17 @@
         failed(error, [this] { readChanges(); });
         return;
     }
+    if (changes->era < m_replica.era()) {
+        // Answered before the store was restored.
+        later(nextRetryDelay(), [this] { readChanges(); });
+        return;
+    }
+    if (changes->era != m_replica.era()) {
+        later(framework::Milliseconds(0), [this] { readNewest({}); });
+        return;
+    }
     succeeded();
-    m_replica.append(changes->records, m_from, changes->next, m_asked);
+    m_replica.append(changes->records, m_from, changes->next, m_asked, changes->era);
     later(m_pace.pause, [this] { readChanges(); });
 }
 
@@ -147,11 +170,16 @@
         m_logger.warning("store lost; goes on with what is known",
                          {{"topic", m_topic}, {"error", errorName(error)}});
     }
+    later(nextRetryDelay(), std::move(retry));
+}
+
+framework::Milliseconds TopicReader::nextRetryDelay()
+{
     const bool isLeading = m_mode == replication::SourceMode::Leading;
     m_retryDelay = isLeading
         ? std::clamp(m_retryDelay * 2, MinLeadingRetryDelay, MaxLeadingRetryDelay)
         : std::clamp(m_retryDelay * 2, MinRetryDelay, MaxRetryDelay);
-    later(m_retryDelay, std::move(retry));
+    return m_retryDelay;
 }
 
 void TopicReader::later(framework::Milliseconds delay, std::function<void()> step)
--- a/src/platform/internal/topicreader.h
+++ b/src/platform/internal/topicreader.h
@@ -29,7 +29,8 @@
 enum class StoreError;
 
 /// Keeps the copy of one keyed topic fresh from the store: its newest records first, then every
-/// change. Starts over with the newest records when the history it needs has been dropped.
+/// change. Starts over with the newest records when the history it needs has been dropped, or when
+/// the store was restored from a copy.
 class TopicReader final : public replication::ITopicSource
 {
 public:
@@ -52,6 +53,8 @@
     void onChanges(framework::Result<StoreChanges> changes);
     void succeeded();
     void failed(StoreError error, std::function<void()> retry);
+    /// \return pause before a call is repeated; grows until one succeeds
+    framework::Milliseconds nextRetryDelay();
     void later(framework::Milliseconds delay, std::function<void()> step);
     void runStep();
 
@@ -71,6 +74,7 @@
     bool m_isStepDue = false;
     std::vector<protocol::TopicRecord> m_snapshot;
     framework::LogOffset m_snapshotEnd;
+    framework::StoreEra m_snapshotEra;
     framework::LogOffset m_from;
     framework::TimePoint m_asked;
     framework::TimePoint m_snapshotAsked;
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -31,7 +31,7 @@
 UsersPlatform::UsersPlatform(const PlatformParts &parts)
     : m_storeClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
       m_backendClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
-      m_store(*m_storeClient, parts.store, parts.clock, parts.metrics),
+      m_store(*m_storeClient, parts.store, parts.clock, parts.logger, parts.metrics),
       m_operators(m_store, parts.loop, parts.clock, parts.logger, parts.serving, parts.servers),
       m_servers(m_store, parts.loop, parts.clock, parts.logger, parts.servers),
       m_daemons(m_store, parts.loop, parts.clock, parts.logger, parts.self, parts.capacity),
--- a/src/platform/tests/usersplatformtest.cpp
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -276,7 +276,8 @@
     while (m_clock->now() < end) {
         const auto timer = m_loop->callAfter(PollInterval, [this] { m_loop->stop(); });
         m_loop->run();
-        topic.replica.append({}, topic.replica.next(), topic.replica.next(), m_clock->now());
+        topic.replica.append({}, topic.replica.next(), topic.replica.next(), m_clock->now(),
+                             topic.replica.era());
     }
     m_store.remove("keyed.servers", "i-1");
     setFault(standins::FaultMode::None);
@@ -287,3 +288,84 @@
     }));
     EXPECT_LT(m_clock->now() - healed, framework::Milliseconds(1500));
 }
+
+TEST_F(UsersPlatformTest, StoreRestoredFromCopy_ChangesAfterItAreAppliedAndStoreIsNotCalledInALoop)
+{
+    m_store.put("keyed.op", "config", configuration(3));
+    m_store.put("keyed.servers", "i-1", server());
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 3 && admitting() == 1; }));
+    for (int number = 4; number <= 9; ++number) {
+        m_store.put("keyed.op", "config", configuration(number));
+    }
+    ASSERT_TRUE(waitFor([this] { return version() == 9; }));
+    m_store.restore({{"keyed.op", 1}, {"keyed.servers", 1}});
+    const std::uint64_t calls = m_store.calls();
+    const framework::TimePoint restored = m_clock->now();
+    ASSERT_TRUE(waitFor([&] { return m_serving->confirmedAt() > restored; }));
+    EXPECT_EQ(version(), 9U) << "a confirmed change stays in force";
+    EXPECT_LT(m_store.calls() - calls, 20U);
+    m_store.put("keyed.op", "config", configuration(12));
+    ASSERT_TRUE(waitFor([this] { return version() == 12; }));
+}
+
+TEST_F(UsersPlatformTest, StoreRestoredBeforeItIsRead_RecordsAtKnownOffsetsAreApplied)
+{
+    m_store.put("keyed.op", "config", configuration(3));
+    m_store.put("keyed.op", "config", configuration(4));
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 4; }));
+    m_store.restore({{"keyed.op", 1}});
+    m_store.put("keyed.op", "config", configuration(6));
+    m_store.put("keyed.op", "evacuate/za", "{}");
+    ASSERT_TRUE(waitFor([this] { return version() == 6; }));
+    ASSERT_TRUE(
+        waitFor([this] { return m_servers->isZoneOut(framework::AvailabilityZoneId("za")); }));
+}
+
+TEST_F(UsersPlatformTest, EvacuationIsLostWithCopy_StaysInForceUntilWrittenAgain)
+{
+    const framework::AvailabilityZoneId zone("za");
+    m_store.put("keyed.op", "config", configuration(3));
+    m_store.put("keyed.op", "evacuate/za", "{}");
+    start();
+    ASSERT_TRUE(waitFor([&] { return m_servers->isZoneOut(zone); }));
+    m_store.restore({{"keyed.op", 1}});
+    const framework::TimePoint restored = m_clock->now();
+    ASSERT_TRUE(waitFor([&] { return m_serving->confirmedAt() > restored; }));
+    EXPECT_TRUE(m_servers->isZoneOut(zone));
+    m_store.put("keyed.op", "evacuate/za", "{}");
+    m_store.remove("keyed.op", "evacuate/za");
+    ASSERT_TRUE(waitFor([&] { return !m_servers->isZoneOut(zone); }));
+}
+
+TEST_F(UsersPlatformTest, StoreRestoredFromCopy_ServerThatHasLeftDoesNotComeBack)
+{
+    const auto report = [](int number, const char *state) {
+        return std::string(R"({"service":"m","address":"127.0.0.1:9","zone":"za","slots":4,)")
+            + R"("born":1700000000000,"sequence":)" + std::to_string(number) + R"(,"state":")"
+            + state + R"("})";
+    };
+    m_store.put("keyed.servers", "gone", report(5, "ready"));
+    m_store.put("keyed.servers", "drains", report(5, "ready"));
+    start();
+    ASSERT_TRUE(waitFor([this] { return admitting() == 2; }));
+    m_store.put("keyed.servers", "drains", report(6, "draining"));
+    m_store.remove("keyed.servers", "gone");
+    ASSERT_TRUE(waitFor([this] { return admitting() == 0; }));
+    m_store.restore({{"keyed.servers", 2}});
+    m_store.put("keyed.servers", "new", report(1, "ready"));
+    ASSERT_TRUE(waitFor([this] { return admitting() > 0; }));
+    EXPECT_EQ(admitting(), 1U);
+    m_store.put("keyed.servers", "gone", report(7, "ready"));
+    ASSERT_TRUE(waitFor([this] { return admitting() == 2; }));
+}
+
+TEST_F(UsersPlatformTest, StoreRestoredFromCopy_DaemonRegistersAgain)
+{
+    start();
+    ASSERT_TRUE(waitFor([this] { return m_store.newest("keyed.daemons", "self").has_value(); }));
+    m_store.restore({});
+    m_store.put("keyed.op", "config", configuration(3));
+    ASSERT_TRUE(waitFor([this] { return m_store.newest("keyed.daemons", "self").has_value(); }));
+}
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -49,6 +49,7 @@
         for (const TopicDigest &digest : message.digests) {
             peerwire::TopicDigest &target = *out.add_digests();
             target.set_topic(static_cast<std::uint32_t>(digest.topic));
+            target.set_era(digest.era.value());
             target.set_changed(digest.lastChangeEnd.value());
             target.set_next(digest.next.value());
             target.set_age_ms(digest.age.value());
@@ -120,6 +121,7 @@
         if (message.from) {
             out.set_from(message.from->value());
         }
+        out.set_era(message.era.value());
     }
     void operator()(const TopicState &message) const
     {
@@ -136,6 +138,7 @@
             }
         }
         out.set_next(message.next.value());
+        out.set_era(message.era.value());
         out.set_age_ms(message.age.value());
     }
     void operator()(const CrashReport &message) const
@@ -278,6 +281,7 @@
     for (const peerwire::TopicDigest &digest : in.digests()) {
         TopicDigest target;
         BOOST_LEAF_ASSIGN(target.topic, readTopic(digest.topic()));
+        target.era = framework::StoreEra(digest.era());
         target.lastChangeEnd = framework::LogOffset(digest.changed());
         target.next = framework::LogOffset(digest.next());
         target.age = framework::Milliseconds(digest.age_ms());
@@ -305,6 +309,7 @@
     if (in.has_from()) {
         query.from = framework::LogOffset(in.from());
     }
+    query.era = framework::StoreEra(in.era());
     return PeerMessage(query);
 }
 
@@ -322,6 +327,7 @@
         state.records.push_back(std::move(target));
     }
     state.next = framework::LogOffset(in.next());
+    state.era = framework::StoreEra(in.era());
     state.age = framework::Milliseconds(in.age_ms());
     if (state.age < framework::Milliseconds(0)) {
         return framework::leaf::new_error(ProtocolError::Malformed);
--- a/src/protocol/types/topicdigest.h
+++ b/src/protocol/types/topicdigest.h
@@ -22,6 +22,8 @@
     std::optional<framework::Milliseconds> sinceRecovery;
     /// Duration of that outage, from the last confirmation before it.
     framework::Milliseconds outage;
+    /// Era of the store to which the offsets belong.
+    framework::StoreEra era = framework::StoreEra(0);
 
     bool operator==(const TopicDigest &) const = default;
 };
--- a/src/protocol/types/topicquery.h
+++ b/src/protocol/types/topicquery.h
@@ -16,6 +16,8 @@
     std::uint64_t sequence = 0;
     /// First offset that the sender has not applied; nothing if it has no state of the topic.
     std::optional<framework::LogOffset> from;
+    /// Era of the store to which the offset belongs.
+    framework::StoreEra era = framework::StoreEra(0);
 
     bool operator==(const TopicQuery &) const = default;
 };
--- a/src/protocol/types/topicstate.h
+++ b/src/protocol/types/topicstate.h
@@ -24,6 +24,8 @@
     framework::LogOffset next;
     /// Time since the sender's replica was last confirmed to be complete.
     framework::Milliseconds age;
+    /// Era of the store to which the offsets belong.
+    framework::StoreEra era = framework::StoreEra(0);
 
     bool operator==(const TopicState &) const = default;
 };
--- a/src/replication/internal/topicexchange.cpp
+++ b/src/replication/internal/topicexchange.cpp
@@ -181,7 +181,8 @@
         }
         protocol::TopicDigest digest{name,           replica.lastChangeEnd(),
                                      replica.next(), now - replica.confirmedAt(),
-                                     std::nullopt,   {}};
+                                     std::nullopt,   {},
+                                     replica.era()};
         if (now - replica.recoveredAt() < m_limits.recoveryNoticeTime) {
             digest.sinceRecovery = now - replica.recoveredAt();
             digest.outage = replica.recoveredAt() - replica.unavailableSince();
@@ -202,7 +203,7 @@
         const auto found = m_topics.find(digest.topic);
         if (found != m_topics.end()) {
             applyDigest(peer, found->second, digest, pingSent);
-            if (pingSent) {
+            if (pingSent && digest.era >= found->second.replica.era()) {
                 m_peerConfirmations[peer][digest.topic] = *pingSent - digest.age;
             }
         }
@@ -216,11 +217,17 @@
                                 std::optional<framework::TimePoint> pingSent)
 {
     TopicReplica &replica = topic.replica;
+    if (replica.isLoaded() && digest.era < replica.era()) {
+        // The peer has not noticed yet that the store was restored.
+        return;
+    }
     if (pingSent && digest.sinceRecovery && !topic.readsStore) {
         const framework::TimePoint recovered = *pingSent - *digest.sinceRecovery;
         noteRecovery(topic, recovered, recovered - digest.outage);
     }
-    if (!replica.isLoaded() || replica.next() < digest.lastChangeEnd) {
+    const bool isOutdated =
+        std::pair(replica.era(), replica.next()) < std::pair(digest.era, digest.lastChangeEnd);
+    if (!replica.isLoaded() || isOutdated) {
         sendQuery(peer, digest.topic, topic);
         return;
     }
@@ -230,7 +237,7 @@
     const framework::TimePoint confirmed = *pingSent - digest.age;
     topic.peerConfirmedAt = std::max(topic.peerConfirmedAt, confirmed);
     if (confirmed > replica.confirmedAt()) {
-        replica.append({}, replica.next(), digest.next, confirmed);
+        replica.append({}, replica.next(), digest.next, confirmed, digest.era);
     }
 }
 
@@ -261,6 +268,7 @@
     query.sequence = ++m_lastSequence;
     if (topic.replica.isLoaded()) {
         query.from = topic.replica.next();
+        query.era = topic.replica.era();
     }
     topic.queriedPeer = peer;
     topic.pendingQuery = query.sequence;
@@ -287,13 +295,15 @@
         return;
     }
     const TopicReplica &replica = found->second.replica;
-    TopicChanges changes = replica.changesSince(query.from);
+    const bool isSameEra = query.era == replica.era();
+    TopicChanges changes = replica.changesSince(isSameEra ? query.from : std::nullopt);
     protocol::TopicState state;
     state.topic = query.topic;
     state.sequence = query.sequence;
     state.isComplete = changes.isComplete;
     state.records = std::move(changes.records);
     state.next = changes.next;
+    state.era = replica.era();
     state.age = m_clock.now() - replica.confirmedAt();
     m_network.send(peer, state);
     m_metrics.increment("lavendertally_peer_states_given_total",
@@ -310,10 +320,13 @@
     TopicReplica &replica = topic.replica;
     topic.pendingQuery.reset();
     const framework::TimePoint confirmed = topic.queriedAt - state.age;
+    if (state.era < replica.era()) {
+        return;
+    }
     if (state.isComplete) {
-        replica.replace(state.records, state.next, confirmed);
+        replica.replace(state.records, state.next, confirmed, state.era);
     } else {
-        replica.append(state.records, topic.queriedFrom, state.next, confirmed);
+        replica.append(state.records, topic.queriedFrom, state.next, confirmed, state.era);
     }
     topic.peerConfirmedAt = std::max(topic.peerConfirmedAt, confirmed);
     m_metrics.increment("lavendertally_peer_states_taken_total",
@@ -324,6 +337,7 @@
                        {"peer", peer.value()},
                        {"age_ms", std::to_string(state.age.value())},
                        {"records", std::to_string(state.records.size())},
+                       {"era", std::to_string(state.era.value())},
                        {"offset", std::to_string(replica.next().value())}});
     }
 }
--- a/src/replication/internal/topicreplica.cpp
+++ b/src/replication/internal/topicreplica.cpp
@@ -20,12 +20,16 @@
 
 } // namespace
 
-void TopicReplica::replace(std::vector<protocol::TopicRecord> records, framework::LogOffset end,
-                           framework::TimePoint confirmed)
+bool TopicReplica::replace(std::vector<protocol::TopicRecord> records, framework::LogOffset end,
+                           framework::TimePoint confirmed, framework::StoreEra era)
 {
-    if (m_isLoaded && end < m_next) {
-        return;
+    if (m_isLoaded && std::pair(era, end) < std::pair(m_era, m_next)) {
+        return false;
+    }
+    if (m_isLoaded && era != m_era) {
+        restore(records, confirmed);
     }
+    m_era = era;
     std::sort(records.begin(), records.end(), hasLowerOffset);
     m_latest.clear();
     m_tombstoneCount = 0;
@@ -38,13 +42,27 @@
     m_historyStart = end;
     m_observer.onSnapshot(records);
     confirm(confirmed);
+    return true;
+}
+
+void TopicReplica::restore(std::vector<protocol::TopicRecord> &records,
+                           framework::TimePoint confirmed)
+{
+    markSourceRecovered(confirmed);
+    m_observer.onStoreRestored();
+    for (protocol::TopicRecord &record : records) {
+        const auto known = m_latest.find(record.key);
+        if (known != m_latest.end() && m_observer.isNewer(known->second, record)) {
+            record.value = known->second.value;
+        }
+    }
 }
 
 void TopicReplica::append(const std::vector<protocol::TopicRecord> &records,
                           framework::LogOffset from, framework::LogOffset next,
-                          framework::TimePoint confirmed)
+                          framework::TimePoint confirmed, framework::StoreEra era)
 {
-    if (!m_isLoaded || m_next < from) {
+    if (!m_isLoaded || m_next < from || era != m_era) {
         return;
     }
     for (const protocol::TopicRecord &record : records) {
--- a/src/replication/itopicobserver.h
+++ b/src/replication/itopicobserver.h
@@ -25,6 +25,15 @@
     /// All records written to the store before \p instant have been delivered.
     virtual void onConfirmed(framework::TimePoint instant) = 0;
 
+    /// The store was restored from a copy; called before the snapshot of the new era. Changes that
+    /// the copy lacks are written again after a while.
+    virtual void onStoreRestored() = 0;
+
+    /// Compares records of one key, of which one was known before the store was restored.
+    /// \return whether \p known is newer than \p restored by its content
+    virtual bool isNewer(const protocol::TopicRecord &known,
+                         const protocol::TopicRecord &restored) const = 0;
+
     /// The topic can be read again after an outage of the store; called before the records that
     /// were missed are delivered.
     virtual void onSourceRecovered() = 0;
--- a/src/replication/tests/recordingobserver.h
+++ b/src/replication/tests/recordingobserver.h
@@ -30,12 +30,20 @@
     }
     void onConfirmed(framework::TimePoint instant) override { confirmed = instant; }
     void onSourceRecovered() override { ++recoveryCount; }
+    void onStoreRestored() override { ++restoreCount; }
+    /// Greater values are newer.
+    bool isNewer(const protocol::TopicRecord &known,
+                 const protocol::TopicRecord &restored) const override
+    {
+        return known.value > restored.value;
+    }
 
     std::map<std::string, std::string> state;
     framework::TimePoint confirmed;
     int recordCount = 0;
     int snapshotCount = 0;
     int recoveryCount = 0;
+    int restoreCount = 0;
 };
 
 } // namespace lavendertally::replication
--- a/src/replication/tests/topicexchangetest.cpp
+++ b/src/replication/tests/topicexchangetest.cpp
@@ -68,6 +68,14 @@
     {
         records.push_back({LogOffset(records.size()), key, value});
     }
+    /// Comes back from a copy that holds the first \p count records.
+    void restore(std::size_t count)
+    {
+        records.resize(count);
+        era = era.next();
+    }
+
+    framework::StoreEra era{1};
 };
 
 struct Daemon
@@ -85,13 +93,13 @@
         }
         ++readCount;
         const LogOffset end(store.records.size());
-        if (!replica.isLoaded()) {
-            replica.replace(store.records, end, now);
+        if (!replica.isLoaded() || replica.era() != store.era) {
+            replica.replace(store.records, end, now, store.era);
             return;
         }
         replica.append({store.records.begin() + static_cast<std::ptrdiff_t>(replica.next().value()),
                         store.records.end()},
-                       replica.next(), end, now);
+                       replica.next(), end, now, store.era);
     }
 
     framework::NullLogger logger;
@@ -407,3 +415,29 @@
     advance(Milliseconds(2000));
     EXPECT_EQ(last().observer.recoveryCount, 0);
 }
+
+TEST_F(TopicExchangeTest, StoreRestoredFromCopy_FollowersTakeNewEraAndIgnorePeerOfOldOne)
+{
+    m_store.put("k", "2");
+    m_store.put("k", "3");
+    startAll();
+    advance(Milliseconds(2000));
+    EXPECT_EQ(last().observer.state, (State{{"k", "3"}}));
+    // The third daemon hears nothing of the restored store, but others hear from it.
+    m_daemons[2]->isCutOff = true;
+    m_daemons[2]->network.dropsMessages = true;
+    m_store.restore(1);
+    m_store.put("k", "4");
+    advance(Milliseconds(2000));
+    EXPECT_EQ(last().observer.state, (State{{"k", "4"}}));
+    EXPECT_EQ(last().replica.era(), m_store.era);
+    EXPECT_LE(age(last()), MaxStaleness);
+    m_daemons[2]->network.dropsMessages = false;
+    advance(Milliseconds(2000));
+    EXPECT_EQ(m_daemons[2]->observer.state, (State{{"k", "4"}}));
+    m_store.put("k", "5");
+    advance(Milliseconds(2000));
+    for (const auto &daemon : m_daemons) {
+        EXPECT_EQ(daemon->observer.state, (State{{"k", "5"}}));
+    }
+}
--- a/src/replication/tests/topicreplicatest.cpp
+++ b/src/replication/tests/topicreplicatest.cpp
@@ -145,6 +145,12 @@
         }
         void onConfirmed(TimePoint /*instant*/) override { }
         void onSourceRecovered() override { }
+        void onStoreRestored() override { }
+        bool isNewer(const protocol::TopicRecord & /*known*/,
+                     const protocol::TopicRecord & /*restored*/) const override
+        {
+            return false;
+        }
     };
     RetainingObserver observer;
     TopicReplica source(observer);
@@ -160,3 +166,37 @@
     synchronize(source, follower, TimePoint(31));
     EXPECT_EQ(followerObserver.state, (State{{"a", "1"}}));
 }
+
+TEST_F(TopicReplicaTest, StoreRestored_SnapshotOfNewEraReplacesStateWithHigherOffsets)
+{
+    m_replica.replace({put(8, "a", "1"), put(9, "b", "1")}, LogOffset(10), TimePoint(10),
+                      framework::StoreEra(1));
+    EXPECT_TRUE(
+        m_replica.replace({put(2, "a", "2")}, LogOffset(3), TimePoint(20), framework::StoreEra(2)));
+    EXPECT_EQ(m_observer.state, (State{{"a", "2"}}));
+    EXPECT_EQ(m_observer.restoreCount, 1);
+    EXPECT_EQ(m_observer.recoveryCount, 1);
+    m_replica.append({put(3, "b", "3")}, LogOffset(3), LogOffset(4), TimePoint(30),
+                     framework::StoreEra(2));
+    EXPECT_EQ(m_observer.state, (State{{"a", "2"}, {"b", "3"}}));
+}
+
+TEST_F(TopicReplicaTest, EarlierEraHasHigherOffsets_IsIgnored)
+{
+    m_replica.replace({put(2, "a", "2")}, LogOffset(3), TimePoint(20), framework::StoreEra(2));
+    EXPECT_FALSE(
+        m_replica.replace({put(8, "a", "1")}, LogOffset(9), TimePoint(30), framework::StoreEra(1)));
+    m_replica.append({put(3, "a", "1")}, LogOffset(3), LogOffset(9), TimePoint(30),
+                     framework::StoreEra(1));
+    EXPECT_EQ(m_observer.state, (State{{"a", "2"}}));
+    EXPECT_EQ(m_replica.next(), LogOffset(3));
+    EXPECT_EQ(m_replica.confirmedAt(), TimePoint(20));
+}
+
+TEST_F(TopicReplicaTest, RestoredRecordIsOlderByContent_KnownOneStaysAndIsPassedOn)
+{
+    m_replica.replace({put(8, "a", "5")}, LogOffset(9), TimePoint(10), framework::StoreEra(1));
+    m_replica.replace({put(2, "a", "3")}, LogOffset(3), TimePoint(20), framework::StoreEra(2));
+    EXPECT_EQ(m_observer.state, (State{{"a", "5"}}));
+    EXPECT_EQ(m_replica.changesSince(std::nullopt).records.at(0).value, "5");
+}
--- a/src/replication/topicreplica.h
+++ b/src/replication/topicreplica.h
@@ -16,7 +16,9 @@
 struct TopicChanges;
 
 /// In-memory copy of one keyed topic of the store. Records come from the store or from the replica
-/// of another daemon; their offsets make applying them idempotent, whichever the source.
+/// of another daemon; their offsets make applying them idempotent, whichever the source. Offsets
+/// compare within one era of the store only: a later era replaces the state, an earlier one is
+/// ignored.
 class TopicReplica
 {
 public:
@@ -25,6 +27,9 @@
     /// \return whether a snapshot of the topic has been applied
     bool isLoaded() const { return m_isLoaded; }
 
+    /// \return era of the store to which the offsets belong
+    framework::StoreEra era() const { return m_era; }
+
     /// \return first offset that has not been applied
     framework::LogOffset next() const { return m_next; }
 
@@ -32,21 +37,27 @@
     /// meaningful if isLoaded()
     framework::TimePoint confirmedAt() const { return m_confirmedAt; }
 
-    /// Replaces the state by a snapshot. Ignored if the snapshot is older than the state.
+    /// Replaces the state by a snapshot. Ignored if the snapshot is older than the state. In a new
+    /// era, records that are newer by their content than those of the snapshot stay.
     /// \param records latest record of each key, in any order
     /// \param end first offset after the snapshot
     /// \param confirmed instant before which no record written to the store is missing
-    void replace(std::vector<protocol::TopicRecord> records, framework::LogOffset end,
-                 framework::TimePoint confirmed);
-
-    /// Applies the changes between two offsets. Ignored before the first snapshot, and if there is
-    /// a gap between the state and \p from. Records that were applied before are skipped.
+    /// \param era era of the store in which the snapshot was made
+    /// \return whether the state was replaced
+    bool replace(std::vector<protocol::TopicRecord> records, framework::LogOffset end,
+                 framework::TimePoint confirmed, framework::StoreEra era = framework::StoreEra(0));
+
+    /// Applies the changes between two offsets. Ignored before the first snapshot, if there is a
+    /// gap between the state and \p from, and if the changes are of another era. Records that were
+    /// applied before are skipped.
     /// \param records in order of offset
     /// \param from first offset that the changes cover
     /// \param next first offset after the changes
     /// \param confirmed instant before which no record written to the store is missing
+    /// \param era era of the store to which the offsets belong
     void append(const std::vector<protocol::TopicRecord> &records, framework::LogOffset from,
-                framework::LogOffset next, framework::TimePoint confirmed);
+                framework::LogOffset next, framework::TimePoint confirmed,
+                framework::StoreEra era = framework::StoreEra(0));
 
     /// Records that the topic can be read again after an outage of the store, and notifies the
     /// observer.
@@ -68,12 +79,15 @@
     TopicChanges changesSince(std::optional<framework::LogOffset> from) const;
 
 private:
+    /// Begins a new era: tells the observer, and keeps what is newer than the snapshot.
+    void restore(std::vector<protocol::TopicRecord> &records, framework::TimePoint confirmed);
     void upsert(const protocol::TopicRecord &record, bool isChange);
     void purgeTombstones();
     void confirm(framework::TimePoint confirmed);
 
     ITopicObserver &m_observer;
     bool m_isLoaded = false;
+    framework::StoreEra m_era;
     framework::LogOffset m_next;
     framework::TimePoint m_confirmedAt;
     /// Latest value of each key, with the offset of its last change that was not a heartbeat.
--- a/src/standins/internal/platformstorestandin.cpp
+++ b/src/standins/internal/platformstorestandin.cpp
@@ -73,6 +73,32 @@
     m_topics[topic].first = m_topics[topic].records.size();
 }
 
+void PlatformStoreStandIn::restore(const std::map<std::string, std::uint64_t> &ends)
+{
+    ++m_era;
+    m_waiting.clear();
+    std::map<std::string, Topic> restored;
+    for (const auto &[name, end] : ends) {
+        Topic &target = restored[name];
+        const std::vector<Record> &records = m_topics[name].records;
+        target.first = std::min(m_topics[name].first, end);
+        for (std::uint64_t offset = 0; offset < end && offset < records.size(); ++offset) {
+            if (records[offset].value.empty()) {
+                target.newest.erase(records[offset].key);
+            } else {
+                target.newest[records[offset].key] = offset;
+            }
+            target.records.push_back(records[offset]);
+        }
+    }
+    m_topics = std::move(restored);
+}
+
+http::HttpHeaders PlatformStoreStandIn::eraHeader() const
+{
+    return {{"Store-Era", std::to_string(m_era)}};
+}
+
 std::optional<std::string> PlatformStoreStandIn::newest(const std::string &topic,
                                                         const std::string &key) const
 {
@@ -135,8 +161,10 @@
 {
     const std::uint64_t from = numberIn(*exchange, "from");
     const framework::Milliseconds wait(static_cast<std::int64_t>(numberIn(*exchange, "waitMs")));
-    if (from < m_topics[topic].first) {
-        replyJson(*exchange, HttpGone, {{"firstOffset", m_topics[topic].first}});
+    const Topic &source = m_topics[topic];
+    if (from < source.first || from > source.records.size()) {
+        exchange->reply(HttpGone, "application/json",
+                        nlohmann::json({{"firstOffset", source.first}}).dump(), eraHeader());
         return;
     }
     if (from < m_topics[topic].records.size() || wait.value() == 0) {
@@ -180,7 +208,7 @@
             static_cast<char>(record.key.size()) + record.key + record.value;
         body += bigEndian(content.size(), LengthSize) + content;
     }
-    exchange->reply(HttpStatus::Ok, "application/octet-stream", body);
+    exchange->reply(HttpStatus::Ok, "application/octet-stream", body, eraHeader());
 }
 
 void PlatformStoreStandIn::replyNewest(const ExchangePtr &exchange, const std::string &topic) const
@@ -195,8 +223,10 @@
                              {"offset", index}});
         }
     }
-    replyJson(*exchange, HttpStatus::Ok,
-              {{"items", items}, {"hasMore", false}, {"endOffset", end}});
+    exchange->reply(
+        HttpStatus::Ok, "application/json",
+        nlohmann::json({{"items", items}, {"hasMore", false}, {"endOffset", end}}).dump(),
+        eraHeader());
 }
 
 } // namespace lavendertally::standins
--- a/src/standins/platformstorestandin.h
+++ b/src/standins/platformstorestandin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/milliseconds.h"
+#include "http/types/httpheaders.h"
 #include "standins/standinserver.h"
 
 #include <cstdint>
@@ -22,6 +23,9 @@
     void put(const std::string &topic, const std::string &key, const std::string &value);
     /// Drops a key.
     void remove(const std::string &topic, const std::string &key);
+    /// Comes back from a copy in which the topics end at these offsets; others are empty. Calls
+    /// that wait are dropped.
+    void restore(const std::map<std::string, std::uint64_t> &ends);
     /// Forgets all records but the newest of each key.
     void dropHistory(const std::string &topic);
     /// \return the newest value of a key
@@ -64,6 +68,7 @@
     void replyNewest(const ExchangePtr &exchange, const std::string &topic) const;
     void replyRecords(const ExchangePtr &exchange, const std::string &topic,
                       std::uint64_t from) const;
+    http::HttpHeaders eraHeader() const;
     void add(const std::string &topic, const std::string &key, const std::string &value);
     void answerWaiting(const std::string &topic);
 
@@ -72,6 +77,7 @@
     std::function<std::string(const std::string &, const std::string &, const std::string &)>
         m_appendFilter;
     std::uint64_t m_calls = 0;
+    std::uint64_t m_era = 1;
 };
 
 } // namespace lavendertally::standins
