Store is not called without a pause when its newest records do not help

Found while looking for the class of the restored store: a read that finds its history dropped right after the newest records were read was repeated at once.

Codec tests carry eras.

--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -121,7 +121,11 @@
         if (error == StoreError::HistoryDropped) {
             m_logger.info("history of a topic dropped; reads its newest records",
                           {{"topic", m_topic}, {"offset", std::to_string(m_from.value())}});
-            later(framework::Milliseconds(0), [this] { readNewest({}); });
+            // The newest records may not help; then the store is not called without a pause.
+            const bool isRepeated = m_droppedAt == m_from;
+            m_droppedAt = m_from;
+            later(isRepeated ? nextRetryDelay() : framework::Milliseconds(0),
+                  [this] { readNewest({}); });
             return;
         }
         failed(error, [this] { readChanges(); });
@@ -137,6 +141,7 @@
         return;
     }
     succeeded();
+    m_droppedAt.reset();
     m_replica.append(changes->records, m_from, changes->next, m_asked, changes->era);
     later(m_pace.pause, [this] { readChanges(); });
 }
--- a/src/platform/internal/topicreader.h
+++ b/src/platform/internal/topicreader.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,9 @@
     framework::LogOffset m_snapshotEnd;
     framework::StoreEra m_snapshotEra;
     framework::LogOffset m_from;
+    /// Offset at which the last read found its history dropped; nothing after a read that
+    /// succeeded.
+    std::optional<framework::LogOffset> m_droppedAt;
     framework::TimePoint m_asked;
     framework::TimePoint m_snapshotAsked;
     framework::TimePoint m_lastSuccess;
--- a/src/platform/tests/usersplatformtest.cpp
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -369,3 +369,18 @@
     m_store.put("keyed.op", "config", configuration(3));
     ASSERT_TRUE(waitFor([this] { return m_store.newest("keyed.daemons", "self").has_value(); }));
 }
+
+TEST_F(UsersPlatformTest, HistoryStaysDroppedAtTheNewestOffset_StoreIsNotCalledWithoutPause)
+{
+    m_store.put("keyed.op", "config", configuration(3));
+    m_store.setAlwaysGone(true);
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 3; }));
+    const std::uint64_t calls = m_store.calls();
+    const framework::TimePoint end = m_clock->now() + framework::Milliseconds(1500);
+    waitFor([&] { return m_clock->now() >= end; });
+    EXPECT_LT(m_store.calls() - calls, 60U);
+    m_store.setAlwaysGone(false);
+    m_store.put("keyed.op", "config", configuration(4));
+    EXPECT_TRUE(waitFor([this] { return version() == 4; }));
+}
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -53,7 +53,8 @@
             false,
             framework::Milliseconds(90),
             {{StateTopic::Daemons, framework::LogOffset(3), framework::LogOffset(5),
-              framework::Milliseconds(70), framework::Milliseconds(20), framework::Milliseconds(9)},
+              framework::Milliseconds(70), framework::Milliseconds(20), framework::Milliseconds(9),
+              framework::StoreEra(2)},
              {StateTopic::Operators, framework::LogOffset(1), framework::LogOffset(1),
               framework::Milliseconds(0), std::nullopt, framework::Milliseconds(0)}}};
 }
@@ -111,7 +112,8 @@
             {{framework::LogOffset(7), std::string("k\0\xff", 3), "value"},
              {framework::LogOffset(9), "gone", std::nullopt}},
             framework::LogOffset(11),
-            framework::Milliseconds(350)};
+            framework::Milliseconds(350),
+            framework::StoreEra(3)};
 }
 
 } // namespace
@@ -130,7 +132,8 @@
         PeerMessage(StageHoldings{}),
         PeerMessage(StageHoldings{{{framework::BackendServerId("i-1"), framework::Bytes(5), 1}}}),
         PeerMessage(TopicQuery{StateTopic::Operators, 3, std::nullopt}),
-        PeerMessage(TopicQuery{StateTopic::Daemons, 4, framework::LogOffset(5)}),
+        PeerMessage(TopicQuery{StateTopic::Daemons, 4, framework::LogOffset(5),
+                               framework::StoreEra(2)}),
         PeerMessage(topicState()), PeerMessage(permitRequest(2)), PeerMessage(PermitRequest{}),
         PeerMessage(permitGrant(MaxRateLimitEntries)), PeerMessage(PermitGrant{}),
         PeerMessage(PeerHello{framework::DaemonId("d1"), false, true})));
--- a/src/standins/internal/platformstorestandin.cpp
+++ b/src/standins/internal/platformstorestandin.cpp
@@ -162,7 +162,7 @@
     const std::uint64_t from = numberIn(*exchange, "from");
     const framework::Milliseconds wait(static_cast<std::int64_t>(numberIn(*exchange, "waitMs")));
     const Topic &source = m_topics[topic];
-    if (from < source.first || from > source.records.size()) {
+    if (m_isAlwaysGone || from < source.first || from > source.records.size()) {
         exchange->reply(HttpGone, "application/json",
                         nlohmann::json({{"firstOffset", source.first}}).dump(), eraHeader());
         return;
--- a/src/standins/platformstorestandin.h
+++ b/src/standins/platformstorestandin.h
@@ -28,6 +28,8 @@
     void restore(const std::map<std::string, std::uint64_t> &ends);
     /// Forgets all records but the newest of each key.
     void dropHistory(const std::string &topic);
+    /// Makes all reads of changes find their history dropped, whatever they ask for.
+    void setAlwaysGone(bool isGone) { m_isAlwaysGone = isGone; }
     /// \return the newest value of a key
     std::optional<std::string> newest(const std::string &topic, const std::string &key) const;
     std::uint64_t calls() const { return m_calls; }
@@ -78,6 +80,7 @@
         m_appendFilter;
     std::uint64_t m_calls = 0;
     std::uint64_t m_era = 1;
+    bool m_isAlwaysGone = false;
 };
 
 } // namespace lavendertally::standins
