Odd entries among those of backend servers name no server

Reported by an operator of a similar system; here such entries did not end the process or stop it from following (deep nesting, numbers too large, ports out of range: the test saw neither), but four kinds were taken for servers: a cold start of 2^63 ms (an overflow of the clock), slots that do not fit, an address that is none, and an id with line breaks, which goes into a header field of each request. The test fails without the bounds.

--- a/src/platform/internal/backendservercodec.cpp
+++ b/src/platform/internal/backendservercodec.cpp
@@ -9,6 +9,23 @@
 
 namespace lavendertally::platform {
 
+namespace {
+
+/// Bounds beyond which a number of a registration makes no sense.
+constexpr std::int64_t MaxSlots = 1000000;
+constexpr std::int64_t MaxColdMs = 86400000;
+
+/// \return whether the id can stand in a header field
+bool isHeaderValue(std::string_view id)
+{
+    constexpr std::size_t MaxLength = 200;
+    return !id.empty() && id.size() <= MaxLength
+        && std::all_of(id.begin(), id.end(),
+                       [](char character) { return character > ' ' && character <= '~'; });
+}
+
+} // namespace
+
 std::optional<framework::Endpoint> parseEndpoint(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
@@ -34,21 +51,27 @@
     entry.id = framework::BackendServerId(id);
     entry.service = framework::ServiceId(fields.text("service"));
     entry.zone = framework::AvailabilityZoneId(fields.text("zone"));
-    entry.slots = static_cast<std::uint32_t>(std::max<std::int64_t>(fields.integer("slots"), 1));
+    const std::int64_t slots = std::max<std::int64_t>(fields.integer("slots"), 1);
     const std::string state = fields.text("state");
     const std::int64_t cold = fields.integerOr("coldRemainingMs", 0);
-    if (cold > 0) {
-        entry.coldUntil = now + framework::Milliseconds(cold);
-    }
     entry.incarnation =
         framework::Incarnation(static_cast<std::uint64_t>(fields.integerOr("born", 0)));
     entry.reports = framework::ReportNumber(
         static_cast<std::uint64_t>(std::max<std::int64_t>(fields.integerOr("sequence", 0), 0)));
-    const auto endpoint = parseEndpoint(fields.text("address"));
+    const std::string address = fields.text("address");
+    const auto endpoint = parseEndpoint(address);
     if (!fields.isGood()) {
         return framework::leaf::new_error(DecodeError::Malformed,
                                           framework::ErrorContext{fields.problem()});
     }
+    if (!isHeaderValue(id) || !isHeaderValue(address) || slots > MaxSlots || cold > MaxColdMs) {
+        return framework::leaf::new_error(DecodeError::Malformed,
+                                          framework::ErrorContext{"id or a number out of range"});
+    }
+    entry.slots = static_cast<std::uint32_t>(slots);
+    if (cold > 0) {
+        entry.coldUntil = now + framework::Milliseconds(cold);
+    }
     if (!endpoint || (state != "ready" && state != "draining")) {
         return framework::leaf::new_error(DecodeError::Malformed,
                                           framework::ErrorContext{"address or state is not known"});
--- a/src/platform/tests/usersplatformtest.cpp
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -384,3 +384,54 @@
     m_store.put("keyed.op", "config", configuration(4));
     EXPECT_TRUE(waitFor([this] { return version() == 4; }));
 }
+
+TEST_F(UsersPlatformTest, OddEntriesAmongThoseOfServers_NameNoServerAndOthersAreFollowed)
+{
+    constexpr std::size_t Depth = 300000;
+    const std::string deep = std::string(Depth, '[') + std::string(Depth, ']');
+    const auto with = [](const std::string &member) {
+        return std::string(R"({"service":"m","address":"127.0.0.1:9","zone":"za","slots":4,)")
+            + R"("state":"ready",)" + member + "}";
+    };
+    const auto at = [](const std::string &address) {
+        return R"({"service":"m","address":")" + address
+            + R"(","zone":"za","slots":4,"state":"ready"})";
+    };
+    const std::vector<std::pair<std::string, std::string>> odd = {
+        {"deep", deep},
+        {"open", std::string(Depth, '[')},
+        {"objects", std::string(Depth, '{')},
+        {"port", at("127.0.0.1:99999")},
+        {"port0", at("127.0.0.1:0")},
+        {"negative", at("127.0.0.1:-1")},
+        {"huge", with(R"("coldRemainingMs":9223372036854775807)")},
+        {"overflow", with(R"("coldRemainingMs":1e999)")},
+        {"unsigned", with(R"("sequence":18446744073709551616)")},
+        {"slots",
+         R"({"service":"m","address":"127.0.0.1:9","zone":"za","slots":4294967296,)"
+         R"("state":"ready"})"},
+        {"fraction", with(R"("born":1.5)")},
+        {"line\r\nInjected: 1", at("127.0.0.1:9")},
+        {"bytes", "\xff\xfe\x01"},
+        {"member",
+         R"({"service":"m","address":"127.0.0.1:9","zone":"za","slots":4,)"
+         R"("state":"draining","more":)"
+             + deep + "}"},
+        {"spaces", at("no address:80")},
+    };
+    m_store.put("keyed.servers", "i-1", server());
+    for (const auto &[key, value] : odd) {
+        m_store.put("keyed.servers", key, value);
+    }
+    start();
+    ASSERT_TRUE(waitFor([this] { return admitting() == 1; }));
+    for (const auto &[key, value] : odd) {
+        m_store.put("keyed.servers", key + "2", value);
+        m_store.put("keyed.daemons", key, value);
+    }
+    m_store.put("keyed.servers", "i-2", server());
+    ASSERT_TRUE(waitFor([this] { return admitting() == 2; }));
+    m_store.put("keyed.servers", "i-1", server("draining"));
+    ASSERT_TRUE(waitFor([this] { return admitting() == 1; }));
+    EXPECT_EQ(m_platform->daemons().ranking().size(), 1U);
+}
