A refusal that does not name its request does not count as not run

Reported by an operator of a similar system: a faulty server writes an earlier refusal once more on a kept connection. A copy that names the earlier request was passed over before; one without an id was believed, so a client could be told 'not run' of a request that runs, or it ran at a second server. Now it counts as lost. A request that is sent to a server for the second time (its stage results were gone) takes a new connection, since a copy of the first answer would name it rightly. RefusalWithoutIdArrives_ and SameRequestIsSentAgain_ fail without it.

--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -33,8 +33,10 @@
     }
     proxy::ResponseHead answer = decodeAnswerHead(head);
     if (!echoed) {
-        // Without the id nothing shows whose answer this is.
+        // Without the id nothing shows whose answer this is; it may be a copy of an earlier
+        // refusal.
         answer.isSigned = false;
+        answer.notExecuted = false;
     }
     m_isStream = answer.isEventStream;
     m_observer.onHead(answer);
--- a/src/platform/internal/httpbackendport.cpp
+++ b/src/platform/internal/httpbackendport.cpp
@@ -19,6 +19,9 @@
 /// once, a connection must have been used within this time.
 constexpr framework::Milliseconds MaxIdleBeforeOnce{500};
 
+/// No connection has been idle for so short a time.
+constexpr framework::Milliseconds NeverIdle{-1};
+
 /// Time in which a running process accepts a connection, with margin.
 constexpr framework::Milliseconds ProbeTimeout{300};
 
@@ -85,7 +88,9 @@
     addOwnHeaders(request, sent.headers);
     sent.body = client.body;
     sent.timeout = request.timeLeft;
-    if (request.atMostOnce) {
+    if (request.needsNewConnection) {
+        sent.maxIdleBefore = NeverIdle;
+    } else if (request.atMostOnce) {
         sent.maxIdleBefore = MaxIdleBeforeOnce;
     }
     return std::make_unique<HttpBackendCall>(m_client, sent, client.id, observer);
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -159,6 +159,7 @@
     }
     attempt.resumeAfter = m_lastEventId;
     attempt.atMostOnce = !m_plan.route->isIdempotent();
+    attempt.needsNewConnection = m_stagesRerun;
     m_context.selector.callStarted(m_server, now);
     m_call = m_context.backends.send(attempt, *this);
 }
--- a/src/proxy/tests/streamtest.cpp
+++ b/src/proxy/tests/streamtest.cpp
@@ -223,6 +223,8 @@
     ASSERT_EQ(m_stages.m_jobs.size(), 2U);
     m_stages.end("r1", protocol::StageJobStatus::Done);
     ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    EXPECT_FALSE(sent(0).request.needsNewConnection);
+    EXPECT_TRUE(sent(1).request.needsNewConnection) << "a copy of the first answer has the same id";
     respond(1, gone);
     EXPECT_EQ(m_stages.m_jobs.size(), 2U);
     EXPECT_EQ(received->refusal, RefusalKind::NotRun);
--- a/src/proxy/types/backendrequest.h
+++ b/src/proxy/types/backendrequest.h
@@ -28,6 +28,9 @@
     /// Whether the request must not run twice. If so, it is not sent on a connection that has been
     /// idle for long: the backend server may be closing it, and the outcome would be unknown.
     bool atMostOnce = true;
+    /// The backend server has answered an attempt of this request before; a copy of that answer on
+    /// a connection that is kept could be taken for the new one.
+    bool needsNewConnection = false;
 };
 
 } // namespace lavendertally::proxy
