Connection of a refused stage call is not used again

The same fault in stage calls, whose answers name no call: a refusal that is sent once more was taken for that of the next call, whose pieces then ran twice. The test fails without it.

--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -64,11 +64,14 @@
 }
 
 /// Without results nothing shows that an answer is no copy of an earlier one; its connection is not
-/// used again either.
+/// used again either. The same holds for refusals, which may be sent once more.
 stages::StageCallOutcome HttpStageCallPort::decodeAnswer(const framework::Endpoint &server,
                                                          const http::HttpResponse &response)
 {
     stages::StageCallOutcome outcome = decodeStageAnswer(response);
+    if (outcome.status == stages::StageCallStatus::NotRun) {
+        m_client.closeIdle(server);
+    }
     if (outcome.status != stages::StageCallStatus::Answered
         || !m_recentAnswers.record(server, outcome)) {
         return outcome;
--- a/src/platform/tests/stagecallporttest.cpp
+++ b/src/platform/tests/stagecallporttest.cpp
@@ -95,3 +95,13 @@
     EXPECT_EQ(call().pieces.at(0).result.value(), "1.2.3.4:5/b");
     EXPECT_EQ(m_server.connections(), 2U);
 }
+
+TEST_F(StageCallPortTest, RefusalIsSentOnceMore_NextCallIsNotTakenForRefused)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                                "X-Lavendertally-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    m_answers = {refusal, answer("1.2.3.4:5/b")};
+    EXPECT_EQ(call().status, stages::StageCallStatus::NotRun);
+    EXPECT_EQ(call().pieces.at(0).result.value(), "1.2.3.4:5/b");
+    EXPECT_EQ(m_server.connections(), 2U);
+}
