Host process does not use a connection again on which its backend server has refused

The same fault on the product's own interface: answers of engines name no call, so a refusal that is sent once more made the next call 'not run' while it ran.

--- a/src/backends/internal/httpbackendcall.cpp
+++ b/src/backends/internal/httpbackendcall.cpp
@@ -25,7 +25,8 @@
 HttpBackendCall::HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
                                  std::unique_ptr<IResponseReader> reader,
                                  IBackendObserver &observer)
-    : m_reader(std::move(reader)), m_observer(observer), m_call(client.send(request, *this))
+    : m_client(client), m_endpoint(request.endpoint), m_reader(std::move(reader)),
+      m_observer(observer), m_call(client.send(request, *this))
 { }
 
 HttpBackendCall::~HttpBackendCall() = default;
@@ -65,6 +66,10 @@
         finishResponse();
         return;
     }
+    if (status == HttpServiceUnavailable) {
+        // A refusal that is sent once more must not be taken for the answer to the next call.
+        m_client.closeIdle(m_endpoint);
+    }
     const BackendError error =
         status == HttpServiceUnavailable ? BackendError::NotRun : BackendError::Unknown;
     m_observer.onFailed(error,
--- a/src/backends/internal/httpbackendcall.h
+++ b/src/backends/internal/httpbackendcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backends/ibackendcallhandle.h"
+#include "framework/types/endpoint.h"
 #include "http/ihttpresponseobserver.h"
 
 #include <memory>
@@ -31,6 +32,8 @@
     void onEnd(http::HttpEnd end, int status) override;
     void finishResponse();
 
+    http::IHttpClient &m_client;
+    framework::Endpoint m_endpoint;
     std::unique_ptr<IResponseReader> m_reader;
     IBackendObserver &m_observer;
     std::string m_errorBody;
