Test: nothing of an answer that does not go on with a stream reaches its client

Reported by an operator of a similar system. It cannot happen here: a stream that has begun is broken off unless the next answer is a signed stream whose events go on. Seven kinds of answers.

--- a/src/proxy/tests/streamtest.cpp
+++ b/src/proxy/tests/streamtest.cpp
@@ -356,3 +356,70 @@
     m_backends.endProbe(http::ProbeResult::Listening);
     EXPECT_EQ(m_service->activeRequests(), 0U);
 }
+
+/// What answers a stream that goes on at a second server: an error, or no part of this stream.
+class ContinuationTest : public ProxyFixture, public testing::WithParamInterface<int>
+{
+protected:
+    void answerContinuation()
+    {
+        ResponseHead answer = head(GetParam() == 0 ? 500 : 200, true);
+        switch (GetParam()) {
+        case 1:
+            answer = head(500);
+            break;
+        case 2:
+            answer = head(200);
+            break;
+        case 3:
+            answer.isSigned = false;
+            break;
+        case 4:
+            answer = notExecuted();
+            break;
+        case 5:
+            answer = head(429);
+            break;
+        case 6:
+            answer = head(502, true);
+            answer.endsWithConnection = true;
+            break;
+        default:
+            break;
+        }
+        IBackendResponseObserver &observer = *sent(1).observer;
+        observer.onHead(answer);
+        if (answer.isEventStream) {
+            StreamEvent error;
+            error.id = framework::StreamEventId(2);
+            error.text = "error";
+            observer.onEvent(error);
+            error.id.reset();
+            observer.onEvent(error);
+        } else {
+            observer.onBody("error");
+        }
+        observer.onEnd(BackendCallEnd::Complete);
+        if (!m_backends.m_probes.empty()) {
+            m_backends.endProbe(http::ProbeResult::Listening);
+        }
+    }
+};
+
+INSTANTIATE_TEST_SUITE_P(Answers, ContinuationTest, testing::Range(0, 7));
+
+TEST_P(ContinuationTest, StreamThatHasBegunIsAnsweredOtherwiseElsewhere_ClientSeesNoneOfItAndNoEnd)
+{
+    const auto received = start("resumable");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    answerContinuation();
+    advance(800);
+    EXPECT_EQ(received->body, "1;");
+    EXPECT_FALSE(received->ended);
+    EXPECT_TRUE(received->aborted);
+    EXPECT_FALSE(received->refusal);
+}
