A backend server that says that it leaves gets no more work

Nothing read it, so a gateway that could not read the store went on sending to it. The adapter reports it to the tracker of registrations, which lets the server admit nothing until it has started again; model and stage servers alike. An answer that names no request does not count. Not done: backend servers of the product's own interface say nothing of the kind; their hosts leave by the host list.

--- a/src/membership/ibackendserverupdates.h
+++ b/src/membership/ibackendserverupdates.h
@@ -35,6 +35,10 @@
 
     /// \param zones availability zones that operators have taken out of service
     virtual void setZonesOut(std::set<framework::AvailabilityZoneId> zones) = 0;
+
+    /// The backend server says in an answer that it leaves; it admits no new work, whatever its
+    /// registration says, until it has started again.
+    virtual void noteLeaving(const framework::BackendServerId &server) = 0;
 };
 
 } // namespace lavendertally::membership
--- a/src/membership/internal/backendservertracker.cpp
+++ b/src/membership/internal/backendservertracker.cpp
@@ -32,7 +32,8 @@
 
 bool BackendServerTracker::admits(const BackendServerEntry &entry) const
 {
-    return entry.state == BackendServerState::Ready && !m_zonesOut.contains(entry.zone);
+    return entry.state == BackendServerState::Ready && !m_leaving.contains(entry.id)
+        && !m_zonesOut.contains(entry.zone);
 }
 
 const std::vector<const BackendServerEntry *> &
@@ -59,7 +60,8 @@
 bool BackendServerTracker::isReady(const framework::BackendServerId &server) const
 {
     const auto found = m_entries.find(server);
-    return found != m_entries.end() && found->second.state == BackendServerState::Ready;
+    return found != m_entries.end() && found->second.state == BackendServerState::Ready
+        && !m_leaving.contains(server);
 }
 
 bool BackendServerTracker::isZoneOut(const framework::AvailabilityZoneId &zone) const
@@ -112,6 +114,9 @@
         found->second = entry;
         return isChange;
     }
+    if (!isNew && found->second.incarnation != entry.incarnation) {
+        m_leaving.erase(entry.id);
+    }
     m_entries[entry.id] = entry;
     changed();
     m_logger.info("backend server registered or updated",
@@ -157,6 +162,16 @@
     }
 }
 
+void BackendServerTracker::noteLeaving(const framework::BackendServerId &server)
+{
+    if (!m_entries.contains(server) || !m_leaving.insert(server).second) {
+        return;
+    }
+    changed();
+    m_logger.info("backend server says that it leaves; it gets no more work",
+                  {{"backend_server", server.value()}});
+}
+
 void BackendServerTracker::setZonesOut(std::set<framework::AvailabilityZoneId> zones)
 {
     if (zones == m_zonesOut) {
@@ -190,6 +205,7 @@
     if (node.empty()) {
         return;
     }
+    m_leaving.erase(server);
     if (m_departed.size() < MaxDeparted) {
         m_departed[server] = {node.mapped().incarnation, node.mapped().reports, now};
     }
--- a/src/membership/internal/backendservertracker.h
+++ b/src/membership/internal/backendservertracker.h
@@ -30,6 +30,7 @@
     void registryRecovered(framework::TimePoint now) override;
     void retainOnly(const std::set<framework::BackendServerId> &servers,
                     framework::TimePoint now) override;
+    void noteLeaving(const framework::BackendServerId &server) override;
     void setZonesOut(std::set<framework::AvailabilityZoneId> zones) override;
     void expire(framework::TimePoint now) override;
     bool hasSynced() const override { return m_hasSynced; }
@@ -54,6 +55,8 @@
     MembershipGeneration m_generation;
     std::map<framework::BackendServerId, BackendServerEntry> m_entries;
     std::unordered_map<framework::BackendServerId, Departed> m_departed;
+    /// Registered backend servers that have said that they leave.
+    std::set<framework::BackendServerId> m_leaving;
     std::set<framework::AvailabilityZoneId> m_zonesOut;
     /// End of the grace period in which removed entries are kept.
     framework::TimePoint m_graceEnd;
--- a/src/membership/tests/backendservertrackertest.cpp
+++ b/src/membership/tests/backendservertrackertest.cpp
@@ -152,3 +152,23 @@
     EXPECT_TRUE(m_tracker->put(report(BackendServerState::Ready, 1, 8)));
     EXPECT_EQ(admitting(), 1U) << "it has started again";
 }
+
+TEST_F(BackendServerTrackerTest,
+       ServerSaysThatItLeaves_RegistrationDoesNotBringItBackButRestartDoes)
+{
+    BackendServerEntry server = entry("a");
+    server.incarnation = framework::Incarnation(1);
+    m_tracker->put(server);
+    const MembershipGeneration before = m_tracker->generation();
+    m_tracker->noteLeaving(server.id);
+    EXPECT_GT(m_tracker->generation(), before);
+    EXPECT_EQ(admitting(), 0U);
+    server.slots = 9;
+    m_tracker->put(server);
+    EXPECT_EQ(admitting(), 0U);
+    server.incarnation = framework::Incarnation(2);
+    m_tracker->put(server);
+    EXPECT_EQ(admitting(), 1U);
+    m_tracker->noteLeaving(framework::BackendServerId("unknown"));
+    EXPECT_EQ(admitting(), 1U);
+}
--- a/src/platform/internal/answercodec.cpp
+++ b/src/platform/internal/answercodec.cpp
@@ -35,6 +35,11 @@
     return routing::ServerLoad{numbers[0], numbers[1], numbers[2]};
 }
 
+bool saysItLeaves(const http::HttpHeaders &headers)
+{
+    return http::findHeader(headers, wire::ServerLeaving) == "1";
+}
+
 std::optional<framework::RequestRate> decodeRateLimit(const http::HttpHeaders &headers)
 {
     const auto text = http::findHeader(headers, wire::ServerLimit);
--- a/src/platform/internal/answercodec.h
+++ b/src/platform/internal/answercodec.h
@@ -8,6 +8,9 @@
 
 namespace lavendertally::platform {
 
+/// \return whether a worker says that it leaves
+bool saysItLeaves(const http::HttpHeaders &headers);
+
 /// \return the rate limit that a worker names; nothing if it names none or one that makes no sense
 std::optional<framework::RequestRate> decodeRateLimit(const http::HttpHeaders &headers);
 
--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -4,6 +4,7 @@
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
 #include "http/types/httprequest.h"
+#include "membership/ibackendserverupdates.h"
 #include "platform/internal/answercodec.h"
 #include "platform/internal/wirenames.h"
 #include "proxy/ibackendresponseobserver.h"
@@ -13,8 +14,11 @@
 namespace lavendertally::platform {
 
 HttpBackendCall::HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
-                                 framework::RequestId id, proxy::IBackendResponseObserver &observer)
-    : m_id(std::move(id)), m_observer(observer), m_call(client.send(request, *this))
+                                 framework::RequestId id, framework::BackendServerId server,
+                                 membership::IBackendServerUpdates &servers,
+                                 proxy::IBackendResponseObserver &observer)
+    : m_id(std::move(id)), m_server(std::move(server)), m_servers(servers), m_observer(observer),
+      m_call(client.send(request, *this))
 { }
 
 HttpBackendCall::~HttpBackendCall()
@@ -38,6 +42,9 @@
         answer.isSigned = false;
         answer.notExecuted = false;
     }
+    if (echoed && saysItLeaves(head.headers)) {
+        m_servers.noteLeaving(m_server);
+    }
     m_isStream = answer.isEventStream;
     m_observer.onHead(answer);
     return true;
--- a/src/platform/internal/httpbackendcall.h
+++ b/src/platform/internal/httpbackendcall.h
@@ -13,6 +13,10 @@
 struct HttpRequest;
 } // namespace lavendertally::http
 
+namespace lavendertally::membership {
+class IBackendServerUpdates;
+}
+
 namespace lavendertally::proxy {
 class IBackendResponseObserver;
 }
@@ -24,7 +28,9 @@
 {
 public:
     HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
-                    framework::RequestId id, proxy::IBackendResponseObserver &observer);
+                    framework::RequestId id, framework::BackendServerId server,
+                    membership::IBackendServerUpdates &servers,
+                    proxy::IBackendResponseObserver &observer);
     ~HttpBackendCall() override;
     HttpBackendCall(const HttpBackendCall &) = delete;
     HttpBackendCall &operator=(const HttpBackendCall &) = delete;
@@ -35,6 +41,8 @@
 
 private:
     framework::RequestId m_id;
+    framework::BackendServerId m_server;
+    membership::IBackendServerUpdates &m_servers;
     proxy::IBackendResponseObserver &m_observer;
     EventStreamReader m_events;
     bool m_isStream = false;
--- a/src/platform/internal/httpbackendport.cpp
+++ b/src/platform/internal/httpbackendport.cpp
@@ -72,7 +72,10 @@
 
 } // namespace
 
-HttpBackendPort::HttpBackendPort(http::IHttpClient &client) : m_client(client) { }
+HttpBackendPort::HttpBackendPort(http::IHttpClient &client,
+                                 membership::IBackendServerUpdates &servers)
+    : m_client(client), m_servers(servers)
+{ }
 
 std::unique_ptr<proxy::IBackendCall>
 HttpBackendPort::send(const proxy::BackendRequest &request,
@@ -93,7 +96,8 @@
     } else if (request.atMostOnce) {
         sent.maxIdleBefore = MaxIdleBeforeOnce;
     }
-    return std::make_unique<HttpBackendCall>(m_client, sent, client.id, observer);
+    return std::make_unique<HttpBackendCall>(m_client, sent, client.id, request.server.id,
+                                             m_servers, observer);
 }
 
 std::unique_ptr<proxy::IBackendCall>
--- a/src/platform/internal/httpbackendport.h
+++ b/src/platform/internal/httpbackendport.h
@@ -6,13 +6,17 @@
 class IHttpClient;
 }
 
+namespace lavendertally::membership {
+class IBackendServerUpdates;
+}
+
 namespace lavendertally::platform {
 
 /// Sends requests to the platform's backend servers.
 class HttpBackendPort final : public proxy::IBackendClient
 {
 public:
-    explicit HttpBackendPort(http::IHttpClient &client);
+    HttpBackendPort(http::IHttpClient &client, membership::IBackendServerUpdates &servers);
 
     std::unique_ptr<proxy::IBackendCall> send(const proxy::BackendRequest &request,
                                               proxy::IBackendResponseObserver &observer) override;
@@ -22,6 +26,7 @@
 
 private:
     http::IHttpClient &m_client;
+    membership::IBackendServerUpdates &m_servers;
 };
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -5,6 +5,8 @@
 #include "http/ihttpclient.h"
 #include "http/types/httprequest.h"
 #include "http/types/httpresponse.h"
+#include "membership/ibackendserverupdates.h"
+#include "platform/internal/answercodec.h"
 #include "platform/internal/backendservercodec.h"
 #include "platform/internal/stagecodec.h"
 #include "platform/internal/wirenames.h"
@@ -40,8 +42,10 @@
 
 } // namespace
 
-HttpStageCallPort::HttpStageCallPort(http::IHttpClient &client, framework::ILogger &logger)
-    : m_client(client), m_logger(logger)
+HttpStageCallPort::HttpStageCallPort(http::IHttpClient &client,
+                                     membership::IBackendServerUpdates &servers,
+                                     framework::ILogger &logger)
+    : m_client(client), m_servers(servers), m_logger(logger)
 { }
 
 HttpStageCallPort::~HttpStageCallPort() = default;
@@ -54,13 +58,17 @@
     request.headers.emplace_back(std::string(wire::ExpectInstance), call.server.id.value());
     request.timeout = call.timeout;
     const std::uint64_t number = m_next++;
-    m_calls[number] = m_client.fetch(request,
-                                     [this, number, server = call.server.endpoint,
-                                      done = std::move(done)](const http::HttpResponse &response) {
-                                         // Keeps the call until its callback has returned.
-                                         const auto node = m_calls.extract(number);
-                                         done(decodeAnswer(server, response));
-                                     });
+    m_calls[number] =
+        m_client.fetch(request,
+                       [this, number, server = call.server.endpoint, id = call.server.id,
+                        done = std::move(done)](const http::HttpResponse &response) {
+                           // Keeps the call until its callback has returned.
+                           const auto node = m_calls.extract(number);
+                           if (saysItLeaves(response.headers)) {
+                               m_servers.noteLeaving(id);
+                           }
+                           done(decodeAnswer(server, response));
+                       });
 }
 
 /// Without results nothing shows that an answer is no copy of an earlier one; its connection is not
--- a/src/platform/internal/httpstagecallport.h
+++ b/src/platform/internal/httpstagecallport.h
@@ -17,13 +17,18 @@
 struct HttpResponse;
 } // namespace lavendertally::http
 
+namespace lavendertally::membership {
+class IBackendServerUpdates;
+}
+
 namespace lavendertally::platform {
 
 /// Calls the platform's backend servers that work on stages.
 class HttpStageCallPort final : public stages::IStageCallPort
 {
 public:
-    HttpStageCallPort(http::IHttpClient &client, framework::ILogger &logger);
+    HttpStageCallPort(http::IHttpClient &client, membership::IBackendServerUpdates &servers,
+                      framework::ILogger &logger);
     ~HttpStageCallPort() override;
 
     void startCall(const stages::StartStageCall &call,
@@ -39,6 +44,7 @@
                                           const http::HttpResponse &response);
 
     http::IHttpClient &m_client;
+    membership::IBackendServerUpdates &m_servers;
     framework::ILogger &m_logger;
     RecentStageAnswers m_recentAnswers;
     std::uint64_t m_next = 0;
--- a/src/platform/internal/wirenames.h
+++ b/src/platform/internal/wirenames.h
@@ -32,6 +32,8 @@
 inline constexpr std::string_view ServerLoad = "X-Lavendertally-Server-Load";
 /// Requests a second that a worker takes from all machines together.
 inline constexpr std::string_view ServerLimit = "Server-Limit";
+/// In all answers of a worker that leaves.
+inline constexpr std::string_view ServerLeaving = "Server-Leaving";
 /// In all answers of the store; rises by one each time that it comes back from a copy.
 inline constexpr std::string_view StoreEra = "Store-Era";
 inline constexpr std::string_view RetryAfter = "Retry-After";
--- a/src/platform/tests/backendporttest.cpp
+++ b/src/platform/tests/backendporttest.cpp
@@ -1,9 +1,12 @@
 #include "framework/frameworkmodule.h"
 #include "framework/ieventloop.h"
 #include "framework/itimer.h"
+#include "framework/testing/nulllogger.h"
 #include "http/httpmodule.h"
 #include "http/ihttpclient.h"
 #include "http/tests/scriptedserver.h"
+#include "membership/ibackendservertracker.h"
+#include "membership/membershipmodule.h"
 #include "platform/internal/httpbackendport.h"
 #include "proxy/ibackendcall.h"
 #include "proxy/ibackendresponseobserver.h"
@@ -47,7 +50,9 @@
                        http::ScriptedServer::send(connection, m_answers.at(m_requests));
                        ++m_requests;
                    }),
-          m_client(http::HttpModule::makeClient(*m_loop)), m_port(*m_client),
+          m_client(http::HttpModule::makeClient(*m_loop)),
+          m_servers(membership::MembershipModule::makeBackendServerTracker(m_logger)),
+          m_port(*m_client, *m_servers),
           m_guard(m_loop->callAfter(GenerousTimeout, [this] { m_loop->stop(); }))
     { }
 
@@ -81,6 +86,8 @@
     std::size_t m_requests = 0;
     http::ScriptedServer m_server;
     std::unique_ptr<http::IHttpClient> m_client;
+    framework::NullLogger m_logger;
+    std::unique_ptr<membership::IBackendServerTracker> m_servers;
     HttpBackendPort m_port;
     std::unique_ptr<framework::ITimer> m_guard;
     std::optional<proxy::ResponseHead> m_head;
@@ -112,3 +119,19 @@
     EXPECT_EQ(request("r1", true)->status, 200);
     EXPECT_EQ(m_server.connections(), 2U);
 }
+
+TEST_F(BackendPortTest, ServerSaysThatItLeaves_AdmitsNoMore)
+{
+    membership::BackendServerEntry entry;
+    entry.id = framework::BackendServerId("i-1");
+    m_servers->put(entry);
+    m_answers = {answer("200 OK", "Server-Leaving: 1\r\n"), answer("200 OK", withId("r2")),
+                 answer("200 OK", "Server-Leaving: 1\r\n" + withId("r3"))};
+    request("r1");
+    EXPECT_TRUE(m_servers->isReady(entry.id)) << "the answer names no request";
+    request("r2");
+    EXPECT_TRUE(m_servers->isReady(entry.id));
+    request("r3");
+    EXPECT_FALSE(m_servers->isReady(entry.id));
+    EXPECT_EQ(m_servers->findAdmitting(entry.id), nullptr);
+}
--- a/src/platform/tests/stagecallporttest.cpp
+++ b/src/platform/tests/stagecallporttest.cpp
@@ -5,6 +5,8 @@
 #include "http/httpmodule.h"
 #include "http/ihttpclient.h"
 #include "http/tests/scriptedserver.h"
+#include "membership/ibackendservertracker.h"
+#include "membership/membershipmodule.h"
 #include "platform/internal/httpstagecallport.h"
 #include "stages/types/stagecalloutcome.h"
 #include "stages/types/startstagecall.h"
@@ -38,7 +40,9 @@
                        http::ScriptedServer::send(connection, m_answers.at(m_calls));
                        ++m_calls;
                    }),
-          m_client(http::HttpModule::makeClient(*m_loop)), m_port(*m_client, m_logger),
+          m_client(http::HttpModule::makeClient(*m_loop)),
+          m_servers(membership::MembershipModule::makeBackendServerTracker(m_logger)),
+          m_port(*m_client, *m_servers, m_logger),
           m_guard(m_loop->callAfter(GenerousTimeout, [this] { m_loop->stop(); }))
     { }
 
@@ -65,6 +69,7 @@
     std::size_t m_calls = 0;
     http::ScriptedServer m_server;
     std::unique_ptr<http::IHttpClient> m_client;
+    std::unique_ptr<membership::IBackendServerTracker> m_servers;
     HttpStageCallPort m_port;
     std::unique_ptr<framework::ITimer> m_guard;
 };
@@ -105,3 +110,13 @@
     EXPECT_EQ(call().pieces.at(0).result.value(), "1.2.3.4:5/b");
     EXPECT_EQ(m_server.connections(), 2U);
 }
+
+TEST_F(StageCallPortTest, ServerSaysThatItLeaves_AdmitsNoMore)
+{
+    membership::BackendServerEntry entry;
+    entry.id = framework::BackendServerId("i-1");
+    m_servers->put(entry);
+    m_answers = {"HTTP/1.1 503 Busy\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"};
+    call();
+    EXPECT_EQ(m_servers->findAdmitting(entry.id), nullptr);
+}
