Servers that turn requests away with Retry-After get none until then

Nothing read it: after a refusal a server got requests again 100 ms later, and at once if there was no other one. Now it is left alone until then, by requests, calls of stages, queries of storage and calls that free results. If all servers of a service want none, requests are refused at once with the time until the first one does as Retry-After. At most an hour is believed.

--- a/src/platform/internal/answercodec.cpp
+++ b/src/platform/internal/answercodec.cpp
@@ -6,8 +6,10 @@
 #include "platform/internal/headerrules.h"
 #include "platform/internal/wirenames.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace lavendertally::platform {
 
@@ -40,6 +42,27 @@
     return http::findHeader(headers, wire::ServerLeaving) == "1";
 }
 
+std::optional<framework::Milliseconds> decodeRetryAfter(int status,
+                                                        const http::HttpHeaders &headers)
+{
+    constexpr int Unavailable = 503;
+    constexpr double MaxSeconds = 3600.0;
+    constexpr double MillisecondsPerSecond = 1000.0;
+    const auto text = http::findHeader(headers, wire::RetryAfter);
+    if (status != Unavailable || !text) {
+        return std::nullopt;
+    }
+    double seconds = 0.0;
+    const char *end = text->data() + text->size();
+    const auto parsed = std::from_chars(text->data(), end, seconds);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == end && seconds >= 0.0;
+    if (!isNumber) {
+        return std::nullopt;
+    }
+    return framework::Milliseconds(static_cast<std::int64_t>(
+        std::ceil(std::min(seconds, MaxSeconds) * MillisecondsPerSecond)));
+}
+
 std::optional<framework::RequestRate> decodeRateLimit(const http::HttpHeaders &headers)
 {
     const auto text = http::findHeader(headers, wire::ServerLimit);
@@ -61,6 +84,7 @@
         answer.load = decodeServerLoad(*load);
     }
     answer.rateLimit = decodeRateLimit(head.headers);
+    answer.retryAfter = decodeRetryAfter(head.status, head.headers);
     return answer;
 }
 
--- a/src/platform/internal/answercodec.h
+++ b/src/platform/internal/answercodec.h
@@ -11,6 +11,10 @@
 /// \return whether a worker says that it leaves
 bool saysItLeaves(const http::HttpHeaders &headers);
 
+/// \return time for which a worker that answers 503 wants nothing more; nothing if it does not say
+std::optional<framework::Milliseconds> decodeRetryAfter(int status,
+                                                        const http::HttpHeaders &headers);
+
 /// \return the rate limit that a worker names; nothing if it names none or one that makes no sense
 std::optional<framework::RequestRate> decodeRateLimit(const http::HttpHeaders &headers);
 
--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -41,6 +41,7 @@
         // refusal.
         answer.isSigned = false;
         answer.notExecuted = false;
+        answer.retryAfter.reset();
     }
     if (echoed && saysItLeaves(head.headers)) {
         m_servers.noteLeaving(m_server);
--- a/src/platform/internal/stagecodec.cpp
+++ b/src/platform/internal/stagecodec.cpp
@@ -84,6 +84,7 @@
     const bool notExecuted = http::findHeader(response.headers, wire::NotExecuted).has_value()
         || response.status == MisdirectedRequest;
     outcome.rateLimit = decodeRateLimit(response.headers);
+    outcome.retryAfter = decodeRetryAfter(response.status, response.headers);
     if (complete && notExecuted) {
         outcome.status = stages::StageCallStatus::NotRun;
         return outcome;
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -237,6 +237,20 @@
     EXPECT_FALSE(decodeServerLoad("3;1;8"));
 }
 
+TEST(AnswerHeadTest, WorkerTurnsAwayWithRetryAfter_IsRead)
+{
+    const auto timeIn = [](int status, const char *text) {
+        return decodeAnswerHead({status, {{"Retry-After", text}}, true}).retryAfter;
+    };
+    EXPECT_EQ(timeIn(503, "2"), framework::Milliseconds(2000));
+    EXPECT_EQ(timeIn(503, "0.25"), framework::Milliseconds(250));
+    EXPECT_EQ(timeIn(503, "1e300"), framework::Milliseconds(3600000));
+    EXPECT_FALSE(timeIn(200, "2"));
+    for (const char *text : {"", "-1", "nan", "soon", "2 s"}) {
+        EXPECT_FALSE(timeIn(503, text)) << text;
+    }
+}
+
 TEST(AnswerHeadTest, WorkerNamesRateLimit_IsReadAndPassedOn)
 {
     const auto rateIn = [](const char *text) {
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -174,10 +174,15 @@
         m_backoffTimer = m_context.scheduler.callAfter(PermitWait, [this] { sendAttempt(); });
         return;
     }
-    const framework::Milliseconds retryAfter =
-        std::max(m_context.limits.retryAfter, interval.value_or(framework::Milliseconds(0)));
-    fail({mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun, retryAfter,
-          interval ? "backend servers limit their requests" : "no backend server"},
+    const framework::Milliseconds pause =
+        m_context.selector.pauseOf(m_plan.service, m_context.clock.now());
+    const char *cause = interval ? "backend servers limit their requests" : "no backend server";
+    if (pause > framework::Milliseconds(0)) {
+        cause = "backend servers want no requests for now";
+    }
+    const framework::Milliseconds retryAfter = std::max(
+        {m_context.limits.retryAfter, interval.value_or(framework::Milliseconds(0)), pause});
+    fail({mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun, retryAfter, cause},
          "stream broke; no backend server left");
 }
 
@@ -203,6 +208,9 @@
     if (head.load) {
         m_context.selector.observeLoad(m_server, *head.load, now);
     }
+    if (head.retryAfter) {
+        m_context.selector.observePause(m_server, now + *head.retryAfter);
+    }
     if (head.isSigned || head.notExecuted || head.rateLimit) {
         m_context.selector.observeRateLimit(m_server, head.rateLimit, m_attemptStarted, now);
     }
--- a/src/proxy/tests/attempttest.cpp
+++ b/src/proxy/tests/attempttest.cpp
@@ -215,3 +215,27 @@
     advance(200);
     EXPECT_EQ(m_backends.m_sent.size(), 2U);
 }
+
+TEST_F(ProxyAttemptTest, ServersTurnAwayWithRetryAfter_NothingIsSentUntilThen)
+{
+    ResponseHead refused = notExecuted();
+    refused.retryAfter = framework::Milliseconds(3000);
+    start("read");
+    respond(0, refused);
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 2U);
+    refused.retryAfter = framework::Milliseconds(2000);
+    respond(1, refused);
+    advance(500);
+    for (int request = 0; request < 3; ++request) {
+        const auto received = start("read");
+        EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+        EXPECT_EQ(received->retryAfter, framework::Milliseconds(1500));
+    }
+    EXPECT_EQ(m_backends.m_sent.size(), 2U);
+    advance(1500);
+    m_serving.confirm(m_clock.now());
+    start("read");
+    ASSERT_EQ(m_backends.m_sent.size(), 3U);
+    EXPECT_EQ(sent(2).request.server.id, sent(1).request.server.id);
+}
--- a/src/proxy/types/responsehead.h
+++ b/src/proxy/types/responsehead.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/milliseconds.h"
 #include "framework/types/units.h"
 #include "http/types/httpheaders.h"
 #include "routing/types/serverload.h"
@@ -26,6 +27,8 @@
     std::optional<routing::ServerLoad> load;
     /// Requests per second that the backend server takes from all daemons together.
     std::optional<framework::RequestRate> rateLimit;
+    /// Time for which the backend server, which has turned the request away, wants no further one.
+    std::optional<framework::Milliseconds> retryAfter;
 
     bool isSuccess() const
     {
--- a/src/routing/ibackendserverselector.h
+++ b/src/routing/ibackendserverselector.h
@@ -35,6 +35,11 @@
     /// purpose
     virtual bool isReady(const framework::BackendServerId &server) const = 0;
 
+    /// \return time until the first backend server of \p service wants requests again, if all of
+    /// them have said for how long they want none; zero otherwise
+    virtual framework::Milliseconds pauseOf(const framework::ServiceId &service,
+                                            framework::TimePoint now) const = 0;
+
     /// Reports that a call was sent to \p server.
     virtual void callStarted(const framework::BackendServerId &server,
                              framework::TimePoint now) = 0;
@@ -52,6 +57,10 @@
     virtual void observeLoad(const framework::BackendServerId &server, const ServerLoad &load,
                              framework::TimePoint now) = 0;
 
+    /// Reports that \p server wants no requests before \p until.
+    virtual void observePause(const framework::BackendServerId &server,
+                              framework::TimePoint until) = 0;
+
     /// \param rateLimit requests per second that \p server names in an answer, if it does
     /// \param started the time that was passed to callStarted() for this call
     virtual void observeRateLimit(const framework::BackendServerId &server,
--- a/src/routing/internal/backendserverselector.cpp
+++ b/src/routing/internal/backendserverselector.cpp
@@ -120,6 +120,9 @@
             continue;
         }
         ServerState &state = m_states[entry->id];
+        if (now < state.pausedUntil()) {
+            continue;
+        }
         const bool cold = query.coldStartRate > 0.0 && now < entry->coldUntil;
         if (cold && !state.hasColdStartToken(query.coldStartRate, now)) {
             continue;
@@ -183,6 +186,24 @@
     return best;
 }
 
+framework::Milliseconds BackendServerSelector::pauseOf(const framework::ServiceId &service,
+                                                       framework::TimePoint now) const
+{
+    framework::TimePoint first = framework::TimePoint::never();
+    for (const membership::BackendServerEntry *entry : m_servers.admitting(service)) {
+        const auto state = m_states.find(entry->id);
+        first = std::min(first, state != m_states.end() ? state->second.pausedUntil() : now);
+    }
+    const bool areAllPaused = first > now && first != framework::TimePoint::never();
+    return areAllPaused ? first - now : framework::Milliseconds(0);
+}
+
+void BackendServerSelector::observePause(const framework::BackendServerId &server,
+                                         framework::TimePoint until)
+{
+    m_states[server].pause(until);
+}
+
 void BackendServerSelector::eraseStatesOfNonAdmitting()
 {
     if (m_states.size() <= MaxTrackedServers) {
--- a/src/routing/internal/backendserverselector.h
+++ b/src/routing/internal/backendserverselector.h
@@ -32,6 +32,10 @@
                                                              framework::TimePoint now) override;
     std::optional<framework::Milliseconds>
     rateLimitedInterval(const framework::ServiceId &service) const override;
+    framework::Milliseconds pauseOf(const framework::ServiceId &service,
+                                    framework::TimePoint now) const override;
+    void observePause(const framework::BackendServerId &server,
+                      framework::TimePoint until) override;
     bool isReady(const framework::BackendServerId &server) const override;
     void callStarted(const framework::BackendServerId &server, framework::TimePoint now) override;
     void responseStarted(const framework::BackendServerId &server, framework::TimePoint started,
--- a/src/routing/internal/serverstate.h
+++ b/src/routing/internal/serverstate.h
@@ -4,6 +4,7 @@
 #include "routing/types/calloutcome.h"
 #include "routing/types/serverload.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 
@@ -29,6 +30,11 @@
     bool isEjected(framework::TimePoint now) const;
     framework::TimePoint ejectedUntil() const { return m_ejectedUntil; }
 
+    /// The backend server has said that it wants no requests before \p until. Unlike an ejection,
+    /// this holds also if there is no other backend server.
+    void pause(framework::TimePoint until) { m_pausedUntil = std::max(m_pausedUntil, until); }
+    framework::TimePoint pausedUntil() const { return m_pausedUntil; }
+
     /// \param rate tokens per second that are added to the token bucket for requests during a cold
     /// start
     /// \return whether the bucket holds a token for one request
@@ -51,6 +57,7 @@
     double m_failureRate = 0.0;
     std::uint32_t m_consecutiveTransportFailures = 0;
     framework::TimePoint m_ejectedUntil;
+    framework::TimePoint m_pausedUntil;
     double m_coldStartTokens = 1.0;
     framework::TimePoint m_coldStartTokensAt;
 };
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -144,16 +144,24 @@
     m_resultsToFree.insert(m_resultsToFree.end(), results.begin(), results.end());
 }
 
+/// \return whether calls that do no work may be sent to the backend server: it neither limits its
+/// calls nor wants none for now
+bool StageCoordinator::takesExtraCalls(const framework::BackendServerId &server)
+{
+    return !m_rateLimits.rateOf(server)
+        && m_lastDispatch >= m_resultTracker.server(server).wantsNoneUntil();
+}
+
 void StageCoordinator::freeHeldResults(framework::TimePoint now)
 {
     for (auto &[server, results] : m_heldResults) {
         std::erase_if(results, [this](const framework::StageResultId &result) {
             return !m_resultTracker.holderOf(result);
         });
-        const bool isLimited = m_rateLimits.rateOf(server).has_value();
-        const bool isWorthACall =
-            results.size() >= MinResultsPerLimitedCall && m_rateLimits.mayCall(server, now);
-        if (!isLimited) {
+        const bool wantsNone = now < m_resultTracker.server(server).wantsNoneUntil();
+        const bool isWorthACall = !wantsNone && results.size() >= MinResultsPerLimitedCall
+            && m_rateLimits.mayCall(server, now);
+        if (takesExtraCalls(server)) {
             freeResults(std::exchange(results, {}));
         } else if (isWorthACall) {
             m_rateLimits.callSent(server, now);
@@ -219,6 +227,7 @@
 
 void StageCoordinator::dispatchAll(framework::TimePoint now)
 {
+    m_lastDispatch = now;
     for (auto &[service, queue] : m_queues) {
         queryStorage(m_storageQueries.newServers(service));
         for (StartStageCall &call : m_dispatcher.dispatch(service, queue, now)) {
@@ -233,8 +242,7 @@
 void StageCoordinator::queryStorage(const std::vector<membership::BackendServerEntry> &servers)
 {
     for (const membership::BackendServerEntry &server : servers) {
-        // A backend server that limits its requests has none to spare for this.
-        if (!m_rateLimits.rateOf(server.id)) {
+        if (takesExtraCalls(server.id)) {
             m_commands.emplace_back(QueryFreeStorage{server});
         }
     }
@@ -263,7 +271,7 @@
     if (outcome.status == StageCallStatus::Answered && complete) {
         state.callAnswered(call.expected, now - call.started, now);
     } else if (outcome.status == StageCallStatus::NotRun) {
-        state.callRefused(m_options, now);
+        state.callRefused(m_options, outcome.retryAfter, now);
     } else {
         state.callFailed(m_options, call.expected, now - call.started, now);
         // The pieces may have run; their results then occupy storage under unknown ids.
@@ -457,7 +465,7 @@
 {
     std::erase_if(m_resultsToFree, [this](const framework::StageResultId &result) {
         const auto holder = m_resultTracker.holderOf(result);
-        const bool isHeld = holder && m_rateLimits.rateOf(*holder);
+        const bool isHeld = holder && !takesExtraCalls(*holder);
         if (isHeld) {
             m_heldResults[*holder].push_back(result);
         }
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -76,6 +76,7 @@
     void queryStorage(const std::vector<membership::BackendServerEntry> &servers);
     /// Frees results that were held back at backend servers that limit their requests.
     void freeHeldResults(framework::TimePoint now);
+    bool takesExtraCalls(const framework::BackendServerId &server);
 
     void onPieceEnded(const RunningCall &call, const RunningPiece &piece,
                       const PieceOutcome &outcome, framework::TimePoint now);
@@ -110,6 +111,7 @@
     /// Results to free at backend servers that limit their requests, until a call is worth it.
     std::map<framework::BackendServerId, std::vector<framework::StageResultId>> m_heldResults;
     std::vector<StageCommand> m_commands;
+    framework::TimePoint m_lastDispatch;
     framework::TimePoint m_nextWake = framework::TimePoint::never();
 };
 
--- a/src/stages/internal/stageserverstate.cpp
+++ b/src/stages/internal/stageserverstate.cpp
@@ -31,10 +31,15 @@
     m_slowdownUpdated = now;
 }
 
-void StageServerState::callRefused(const StageCoordinatorOptions &options, framework::TimePoint now)
+void StageServerState::callRefused(const StageCoordinatorOptions &options,
+                                   std::optional<framework::Milliseconds> retryAfter,
+                                   framework::TimePoint now)
 {
     --m_calls;
-    m_pausedUntil = std::max(m_pausedUntil, now + options.refusalBackoff);
+    if (retryAfter) {
+        m_wantsNoneUntil = std::max(m_wantsNoneUntil, now + *retryAfter);
+    }
+    m_pausedUntil = std::max({m_pausedUntil, m_wantsNoneUntil, now + options.refusalBackoff});
 }
 
 void StageServerState::callFailed(const StageCoordinatorOptions &options,
@@ -48,7 +53,9 @@
     m_slowdownUpdated = now;
     constexpr std::uint32_t MaxDoublings = 8;
     const std::int64_t factor = std::int64_t{1} << std::min(m_failures, MaxDoublings);
-    m_pausedUntil = now + std::min(options.minEjectionTime * factor, options.maxEjectionTime);
+    m_pausedUntil =
+        std::max(m_wantsNoneUntil,
+                 now + std::min(options.minEjectionTime * factor, options.maxEjectionTime));
     ++m_failures;
 }
 
--- a/src/stages/internal/stageserverstate.h
+++ b/src/stages/internal/stageserverstate.h
@@ -7,6 +7,7 @@
 #include "stages/types/stagecoordinatoroptions.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace lavendertally::stages {
 
@@ -20,7 +21,9 @@
     void callAnswered(framework::Milliseconds expected, framework::Milliseconds elapsed,
                       framework::TimePoint now);
     /// Pauses calls briefly; a refusal does not count as a failure.
-    void callRefused(const StageCoordinatorOptions &options, framework::TimePoint now);
+    /// \param retryAfter time for which the backend server wants no calls, if it says so
+    void callRefused(const StageCoordinatorOptions &options,
+                     std::optional<framework::Milliseconds> retryAfter, framework::TimePoint now);
     /// Ejects the backend server for a time that doubles with each consecutive failure.
     /// \param expected duration that the configuration of the pool gives for such a call
     /// \param elapsed time until the timeout or the failure
@@ -55,6 +58,8 @@
     /// \return whether it gets no calls because of a refusal or failures
     bool isPaused(framework::TimePoint now) const { return now < m_pausedUntil; }
     framework::TimePoint pausedUntil() const { return m_pausedUntil; }
+    /// \return until when the backend server wants no calls of any kind, by its own word
+    framework::TimePoint wantsNoneUntil() const { return m_wantsNoneUntil; }
     /// \param expected duration that the configuration of the pool gives for a call
     /// \return duration that such a call is predicted to take at this backend server
     framework::Milliseconds predictedTime(framework::Milliseconds expected,
@@ -70,6 +75,7 @@
     std::uint32_t m_failures = 0;
     framework::Bytes m_storedBytes;
     framework::TimePoint m_pausedUntil;
+    framework::TimePoint m_wantsNoneUntil;
     /// Exponential moving average of the ratio of actual to expected duration at m_slowdownUpdated;
     /// slowdown() applies the decay since then.
     double m_slowdown = 1.0;
--- a/src/stages/tests/stagecoordinatortest.cpp
+++ b/src/stages/tests/stagecoordinatortest.cpp
@@ -397,3 +397,26 @@
     collectCommands();
     EXPECT_EQ(m_freedResults, std::vector{framework::StageResultId("x")});
 }
+
+TEST_F(StageCoordinatorTest, ServerTurnsAwayWithRetryAfter_GetsNothingUntilThen)
+{
+    addServer("a", "first");
+    submit(job("r0", 1));
+    answerCall(m_calls.at(0));
+    submit(job("r1", 1, 0, 6000));
+    StageCallOutcome refused;
+    refused.status = StageCallStatus::NotRun;
+    refused.retryAfter = framework::Milliseconds(1000);
+    endCall(m_calls.at(1), refused);
+    advance(900);
+    wake();
+    m_coordinator->release({framework::StageResultId("r0/0/0")}, m_now);
+    wake();
+    EXPECT_EQ(m_calls.size(), 2U);
+    EXPECT_TRUE(m_freedResults.empty());
+    advance(200);
+    wake();
+    EXPECT_EQ(m_calls.size(), 3U);
+    wake();
+    EXPECT_EQ(m_freedResults.size(), 1U);
+}
--- a/src/stages/types/stagecalloutcome.h
+++ b/src/stages/types/stagecalloutcome.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/milliseconds.h"
 #include "framework/types/units.h"
 #include "stages/types/pieceoutcome.h"
 #include "stages/types/stagecallstatus.h"
@@ -18,6 +19,8 @@
     /// Calls per second that the backend server takes from all daemons together, if it says so;
     /// meaningful unless the status is Unknown.
     std::optional<framework::RequestRate> rateLimit = std::nullopt;
+    /// Time for which the backend server, which has turned the call away, wants no further one.
+    std::optional<framework::Milliseconds> retryAfter = std::nullopt;
 };
 
 } // namespace lavendertally::stages
