--- a/src/ratelimit/tests/ratelimitfleettest.cpp
+++ b/src/ratelimit/tests/ratelimitfleettest.cpp
@@ -27,7 +27,12 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, RateLimitFleetTest,
                          testing::Values(FleetCase{1, 1.4}, FleetCase{5, 1.4}, FleetCase{5, 2.2},
                                          FleetCase{10, 1.0}, FleetCase{27, 0.3},
-                                         FleetCase{27, 40.0}, FleetCase{103, 2.0}));
+                                         FleetCase{27, 40.0}, FleetCase{103, 2.0}),
+                         [](const testing::TestParamInfo<FleetCase> &info) {
+                             const auto rate = static_cast<int>(info.param.perSecond * 1000.0);
+                             return std::to_string(info.param.daemons) + "Daemons"
+                                 + std::to_string(rate) + "PerThousandSeconds";
+                         });
 
 TEST_P(RateLimitFleetTest, ServerNamesLimit_SumOfAllDaemonsStaysWithinItAndUsesIt)
 {
