Refusal at once while all servers want no requests; one reader of decimal fields

Review of the diff: a request waited 0.3 s for a permit although every server of its service had said that it wants none for longer. The test fails without the check. Retry-After and Server-Limit are read by the same function; an accessor that nothing used is gone.

--- a/src/backends/internal/httpbackendcall.cpp
+++ b/src/backends/internal/httpbackendcall.cpp
@@ -3,10 +3,10 @@
 #include "backends/ibackendobserver.h"
 #include "backends/internal/iresponsereader.h"
 #include "framework/types/errorcontext.h"
+#include "http/decimalfield.h"
 #include "http/headerlookup.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
-#include "http/requestratefield.h"
 #include "http/types/httprequest.h"
 
 namespace lavendertally::backends {
--- a/src/platform/internal/answercodec.cpp
+++ b/src/platform/internal/answercodec.cpp
@@ -1,7 +1,7 @@
 #include "platform/internal/answercodec.h"
 
+#include "http/decimalfield.h"
 #include "http/headerlookup.h"
-#include "http/requestratefield.h"
 #include "http/types/httpresponsehead.h"
 #include "platform/internal/headerrules.h"
 #include "platform/internal/wirenames.h"
@@ -49,18 +49,12 @@
     constexpr double MaxSeconds = 3600.0;
     constexpr double MillisecondsPerSecond = 1000.0;
     const auto text = http::findHeader(headers, wire::RetryAfter);
-    if (status != Unavailable || !text) {
-        return std::nullopt;
-    }
-    double seconds = 0.0;
-    const char *end = text->data() + text->size();
-    const auto parsed = std::from_chars(text->data(), end, seconds);
-    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == end && seconds >= 0.0;
-    if (!isNumber) {
+    const auto seconds = text ? http::parseDecimal(*text) : std::nullopt;
+    if (status != Unavailable || !seconds) {
         return std::nullopt;
     }
     return framework::Milliseconds(static_cast<std::int64_t>(
-        std::ceil(std::min(seconds, MaxSeconds) * MillisecondsPerSecond)));
+        std::ceil(std::min(*seconds, MaxSeconds) * MillisecondsPerSecond)));
 }
 
 std::optional<framework::RequestRate> decodeRateLimit(const http::HttpHeaders &headers)
--- a/src/platform/internal/backendservercodec.cpp
+++ b/src/platform/internal/backendservercodec.cpp
@@ -15,12 +15,12 @@
 constexpr std::int64_t MaxSlots = 1000000;
 constexpr std::int64_t MaxColdMs = 86400000;
 
-/// \return whether the id can stand in a header field
-bool isHeaderValue(std::string_view id)
+/// \return whether the text can stand in a header field
+bool isHeaderValue(std::string_view text)
 {
     constexpr std::size_t MaxLength = 200;
-    return !id.empty() && id.size() <= MaxLength
-        && std::all_of(id.begin(), id.end(),
+    return !text.empty() && text.size() <= MaxLength
+        && std::all_of(text.begin(), text.end(),
                        [](char character) { return character > ' ' && character <= '~'; });
 }
 
@@ -65,8 +65,9 @@
                                           framework::ErrorContext{fields.problem()});
     }
     if (!isHeaderValue(id) || !isHeaderValue(address) || slots > MaxSlots || cold > MaxColdMs) {
-        return framework::leaf::new_error(DecodeError::Malformed,
-                                          framework::ErrorContext{"id or a number out of range"});
+        return framework::leaf::new_error(
+            DecodeError::Malformed,
+            framework::ErrorContext{"id, address or a number out of range"});
     }
     entry.slots = static_cast<std::uint32_t>(slots);
     if (cold > 0) {
--- a/src/platform/internal/storeclient.h
+++ b/src/platform/internal/storeclient.h
@@ -55,9 +55,6 @@
     Call append(std::string_view topic, const protocol::TopicRecord &record,
                 std::function<void(framework::Result<void>)> callback);
 
-    /// \return greatest era that an answer has named
-    framework::StoreEra era() const { return m_era; }
-
     /// \return when a call failed last or its answer was late: registrations may have lapsed then
     framework::TimePoint lastTrouble() const { return m_lastTrouble; }
 
@@ -71,6 +68,7 @@
     const framework::IClock &m_clock;
     framework::ILogger &m_logger;
     framework::TimePoint m_lastTrouble;
+    /// Greatest era that an answer has named.
     framework::StoreEra m_era;
     framework::IMetrics &m_metrics;
 };
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -169,15 +169,16 @@
 void ActiveRequest::noServer()
 {
     const auto interval = m_context.selector.rateLimitedInterval(m_plan.service);
-    if (interval && m_permitWaits < MaxPermitWaits && timeLeft() > PermitWait) {
+    const framework::Milliseconds pause =
+        m_context.selector.pauseOf(m_plan.service, m_context.clock.now());
+    const bool areAllPaused = pause > framework::Milliseconds(0);
+    if (interval && !areAllPaused && m_permitWaits < MaxPermitWaits && timeLeft() > PermitWait) {
         ++m_permitWaits;
         m_backoffTimer = m_context.scheduler.callAfter(PermitWait, [this] { sendAttempt(); });
         return;
     }
-    const framework::Milliseconds pause =
-        m_context.selector.pauseOf(m_plan.service, m_context.clock.now());
     const char *cause = interval ? "backend servers limit their requests" : "no backend server";
-    if (pause > framework::Milliseconds(0)) {
+    if (areAllPaused) {
         cause = "backend servers want no requests for now";
     }
     const framework::Milliseconds retryAfter = std::max(
--- a/src/proxy/tests/attempttest.cpp
+++ b/src/proxy/tests/attempttest.cpp
@@ -239,3 +239,15 @@
     ASSERT_EQ(m_backends.m_sent.size(), 3U);
     EXPECT_EQ(sent(2).request.server.id, sent(1).request.server.id);
 }
+
+TEST_F(ProxyAttemptTest, ServersThatLimitTheirRequestsWantNoneForNow_RequestIsRefusedAtOnce)
+{
+    for (const char *server : {"w1", "w2"}) {
+        const framework::BackendServerId id(server);
+        m_selector->observeRateLimit(id, framework::RequestRate(500), m_clock.now(), m_clock.now());
+        m_selector->observePause(id, m_clock.now() + framework::Milliseconds(4000));
+    }
+    const auto received = start("read");
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+    EXPECT_EQ(received->retryAfter, framework::Milliseconds(4000));
+}
