--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,7 +17,7 @@
 STAGES += [{"service": branch, "after": [0], "bytes": 6000} for branch in BRANCHES]
 WORKERS = {"share-ledger": 4, **{branch: 2 for branch in BRANCHES}}
 BATCH, CALL_MS, ITEM_MS = 8, 240, 26
-PLAY_S = 46.0
+PLAY_S = 82.0
 CRASH_EVERY_S = 5.0
 CRASH_FOR_S = 4.5
 
@@ -121,7 +121,7 @@
         """One worker of four crashes at a time, for the time that the site files name."""
         ledger = [worker for worker in self.workers if worker.service == "share-ledger"]
         await asyncio.sleep(4)
-        for worker in ledger * 2:
+        for worker in ledger * 4:
             self.spawn(worker.crash_for(CRASH_FOR_S))
             await asyncio.sleep(CRASH_EVERY_S)
 
