A source is held back while the other side of a relay reads more slowly

Cause: BufferedSocket bounds what is unread, but nothing bounded what is unsent, and nothing joined the two. A relay took in whatever a source sent and kept what the other side had not read. Text without event ids was one way to it; sound events before a slow client did the same.

Change: a call can be paused. ClientConnection then hands nothing on, in parts of 16 KB at most, the input fills to its bound (80 KB, was 256 KB), and the network holds the server back; ends that come meanwhile are kept in their order. ServerExchange tells when its client is behind by 64 KB and when it has caught up. SourcePacer in proxy joins the two.

- Bodies over 64 KB are passed on as they arrive; up to 8 MB were collected for each request.
Those of failures count as lost.
- Text without an event is refused after 64 KB, an event without an end after 64 KB (was 256), both as no answer in the protocol.
- A call whose time runs out while it is held back is no failure of its server.
- An answer that ends with its connection and was held back counts as whole only if its server is registered and listens when the end is read; the probe begins when the end of the server is first seen.
- Answers of stage servers are bounded at 256 KB (were 16 MB).
- Log fields passed_on_bytes and held_back_ms, metrics of held sources.

Why it works: a relay holds a bounded part on each side, and whoever takes the last byte sets the pace, up to the request's deadline.

--- a/src/http/ihttpexchange.h
+++ b/src/http/ihttpexchange.h
@@ -47,6 +47,13 @@
     virtual void sendPart(std::string_view data) = 0;
     virtual void endStream() = 0;
 
+    /// \return whether the client has not taken a bounded part of what was sent; whoever can wait
+    /// sends no more until the function given to onCaughtUp() is called
+    virtual bool isBehind() const = 0;
+    /// Registers a function that is called each time the network has taken all that was sent of a
+    /// response that goes on. It replaces the one registered before.
+    virtual void onCaughtUp(std::function<void()> callback) = 0;
+
     /// Breaks the connection without ending the response, so that the client sees a cut: by a reset
     /// if the response has neither a length nor chunks.
     virtual void abort() = 0;
--- a/src/http/ihttpresponseobserver.h
+++ b/src/http/ihttpresponseobserver.h
@@ -22,6 +22,10 @@
     /// \param status status code of the response
     virtual void onData(int status, std::string_view data) = 0;
 
+    /// The server has closed its sending side while the call was paused. What it had sent is handed
+    /// on after IHttpCall::resumeReading().
+    virtual void onServerClosing() { }
+
     /// The call ended; nothing follows.
     /// \param status status code, zero unless \p end is Complete
     virtual void onEnd(HttpEnd end, int status) = 0;
--- a/src/http/internal/clientcall.cpp
+++ b/src/http/internal/clientcall.cpp
@@ -62,6 +62,20 @@
     }
 }
 
+void ClientCall::pauseReading()
+{
+    if (m_connection != nullptr) {
+        m_connection->pause();
+    }
+}
+
+void ClientCall::resumeReading()
+{
+    if (m_connection != nullptr) {
+        m_connection->resume();
+    }
+}
+
 void ClientCall::head(const HttpResponseHead &head)
 {
     m_status = head.status;
@@ -77,6 +91,11 @@
     }
 }
 
+void ClientCall::serverClosing()
+{
+    m_observer.onServerClosing();
+}
+
 void ClientCall::end(bool complete, bool sent)
 {
     m_connection = nullptr;
--- a/src/http/internal/clientcall.h
+++ b/src/http/internal/clientcall.h
@@ -28,8 +28,12 @@
     ClientCall(const ClientCall &) = delete;
     ClientCall &operator=(const ClientCall &) = delete;
 
+    void pauseReading() override;
+    void resumeReading() override;
+
     void head(const HttpResponseHead &head);
     void data(std::string_view data);
+    void serverClosing();
     /// \param sent whether the server may have seen a byte of the request
     void end(bool complete, bool sent);
     /// \return whether the response under way belongs to another request
--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -18,6 +18,9 @@
 
 constexpr std::int64_t MillisecondsPerSecond = 1000;
 
+/// A call that pauses is handed at most this much more of the body.
+constexpr std::size_t MaxPartBytes = 16 * 1024;
+
 /// \return the time that the server states in `Keep-Alive: timeout=SECONDS`
 std::optional<framework::Milliseconds> statedKeepAlive(const HttpHeaders &headers)
 {
@@ -52,6 +55,8 @@
     m_requestSize = m_request.size();
     m_parser = std::make_unique<ResponseParser>(bodiless);
     m_headDelivered = false;
+    m_partSize = MaxPartBytes;
+    m_flow = Flow::Running;
     m_timer.reset();
     if (m_connected) {
         sendRequest();
@@ -95,23 +100,82 @@
         finish(false);
         return;
     }
-    while (!m_closed && m_call != nullptr) {
-        const std::string_view input = m_socket->input();
-        if (input.empty()) {
-            return;
-        }
-        std::size_t taken = 0;
-        const ResponseParser::State state = m_parser->feed(input, taken);
-        m_socket->consume(taken);
-        if (!deliver()) {
-            return;
-        }
-        if (state == ResponseParser::State::NeedMore) {
-            return;
+    readResponse();
+}
+
+void ClientConnection::readResponse()
+{
+    while (!m_closed && m_call != nullptr && m_flow == Flow::Running && readPart()) { }
+}
+
+bool ClientConnection::readPart()
+{
+    const std::string_view input = m_socket->input();
+    if (input.empty()) {
+        return false;
+    }
+    const std::string_view part = input.substr(0, m_partSize);
+    const bool isAll = part.size() == input.size();
+    std::size_t taken = 0;
+    const ResponseParser::State state = m_parser->feed(part, taken);
+    const bool isStuck = taken == 0 && isAll && m_socket->isInputFull();
+    m_socket->consume(taken);
+    if (!deliver()) {
+        return false;
+    }
+    if (state == ResponseParser::State::NeedMore && !isStuck) {
+        if (taken > 0) {
+            m_partSize = MaxPartBytes;
+        } else if (!isAll) {
+            m_partSize *= 2;
         }
-        finish(state == ResponseParser::State::Complete);
+        return !isAll;
+    }
+    const bool complete = state == ResponseParser::State::Complete;
+    if (m_flow != Flow::Running) {
+        m_completeAfterPause = complete;
+        return false;
+    }
+    finish(complete);
+    return false;
+}
+
+void ClientConnection::pause()
+{
+    m_flow = Flow::Paused;
+    m_resumeTimer.reset();
+    if (m_connected) {
+        m_socket->watchPeerClose();
+    }
+}
+
+void ClientConnection::resume()
+{
+    if (m_flow != Flow::Paused) {
+        return;
+    }
+    m_flow = Flow::Resuming;
+    m_resumeTimer = m_client.loop().callAfter(framework::Milliseconds(0), [this] { afterPause(); });
+}
+
+void ClientConnection::afterPause()
+{
+    m_flow = Flow::Running;
+    if (const auto complete = std::exchange(m_completeAfterPause, std::nullopt)) {
+        finish(*complete);
         return;
     }
+    readResponse();
+    if (m_closedInOrder && !m_closed && m_call != nullptr && m_flow == Flow::Running) {
+        onClosed(*m_closedInOrder);
+    }
+}
+
+void ClientConnection::onPeerClosing()
+{
+    if (m_call != nullptr && m_flow != Flow::Running) {
+        m_call->serverClosing();
+    }
 }
 
 /// \return whether the call is still there
@@ -133,6 +197,12 @@
 
 void ClientConnection::onClosed(bool inOrder)
 {
+    if (m_call != nullptr && m_flow != Flow::Running) {
+        // The end comes after what is still to be handed on.
+        m_closedInOrder = inOrder;
+        m_call->serverClosing();
+        return;
+    }
     if (m_call != nullptr && m_connected && inOrder && m_parser->hasHead()) {
         const bool complete = m_parser->feedEnd() == ResponseParser::State::Complete;
         if (deliver()) {
@@ -157,7 +227,7 @@
     }
     const bool sent = hasSent();
     const bool reusable = complete && !skipped && m_parser->keepAlive() && m_parser->head().framed
-        && m_socket->unsent() == 0 && m_socket->input().empty();
+        && m_socket->unsent() == 0 && m_socket->input().empty() && !m_closedInOrder;
     if (reusable) {
         const auto stated = statedKeepAlive(m_parser->head().headers);
         m_client.release(*this, stated);
@@ -187,6 +257,7 @@
 void ClientConnection::close()
 {
     m_closed = true;
+    m_resumeTimer.reset();
     m_socket->detach();
     m_client.discard(*this);
 }
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lavendertally::framework {
@@ -43,6 +44,10 @@
     void begin(ClientCall &call, std::string request, bool bodiless);
     /// The call is not wanted any more; closes the connection.
     void cancel();
+    /// Hands nothing on to the call until resume(); what the server sends meanwhile fills the input
+    /// of the socket and then holds the server back.
+    void pause();
+    void resume();
     /// Ends all callbacks and has the connection destroyed.
     void close();
     /// \return whether the server may have seen a byte of the request
@@ -51,12 +56,26 @@
     void becomeIdle(framework::TimePoint now, framework::Milliseconds keepFor);
 
 private:
+    enum class Flow
+    {
+        Running,
+        Paused,
+        /// The pause is over and what has arrived is handed on soon.
+        Resuming,
+    };
+
     void onConnected() override;
     void onReadable() override;
+    void onPeerClosing() override;
     void onClosed(bool inOrder) override;
 
     void connect();
     void sendRequest();
+    void readResponse();
+    /// Reads the next part of the input.
+    /// \return whether more can be done now
+    bool readPart();
+    void afterPause();
     bool deliver();
     void finish(bool complete);
 
@@ -65,7 +84,15 @@
     std::unique_ptr<network::BufferedSocket> m_socket;
     std::unique_ptr<ResponseParser> m_parser;
     std::unique_ptr<framework::ITimer> m_timer;
+    std::unique_ptr<framework::ITimer> m_resumeTimer;
     ClientCall *m_call = nullptr;
+    /// Largest part of the input that is read at once; raised for what cannot be taken in parts.
+    std::size_t m_partSize = 0;
+    Flow m_flow = Flow::Running;
+    /// Set if the response has been read to its end and only its end waits: whether it is complete.
+    std::optional<bool> m_completeAfterPause;
+    /// Set if the connection has ended during the pause: whether in order.
+    std::optional<bool> m_closedInOrder;
     std::string m_request;
     std::size_t m_requestSize = 0;
     framework::TimePoint m_idleSince;
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -42,6 +42,11 @@
     }
 }
 
+std::size_t ServerConnection::unsent() const
+{
+    return m_socket->unsent();
+}
+
 bool ServerConnection::closesAfterResponse() const
 {
     return m_lastResponse || (m_server.isClosing() && !m_socket->hasUnreadInput());
@@ -90,7 +95,12 @@
         }
         std::size_t taken = 0;
         const RequestParser::State state = m_parser->feed(input, taken);
+        const bool isStuck = taken == 0 && m_socket->isInputFull();
         m_socket->consume(taken);
+        if (state == RequestParser::State::NeedMore && isStuck) {
+            refuse(HttpStatus::HeaderFieldsTooLarge);
+            return;
+        }
         if (state == RequestParser::State::Refused) {
             refuse(m_parser->refusalStatus());
             return;
@@ -136,9 +146,15 @@
 
 void ServerConnection::onFlushed()
 {
-    if (!m_closed && m_exchange && m_exchange->hasEnded()) {
+    if (m_closed || !m_exchange) {
+        return;
+    }
+    if (m_exchange->hasEnded()) {
         nextRequest();
+        return;
     }
+    const auto exchange = m_exchange;
+    exchange->flushed();
 }
 
 void ServerConnection::nextRequest()
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -3,6 +3,7 @@
 #include "framework/types/milliseconds.h"
 #include "network/ibufferedsocketobserver.h"
 
+#include <cstddef>
 #include <memory>
 #include <string_view>
 
@@ -30,6 +31,8 @@
     ServerConnection &operator=(const ServerConnection &) = delete;
 
     void write(std::string_view data);
+    /// \return bytes that the network has not taken yet
+    std::size_t unsent() const;
     /// \return whether the response that begins now should be the last one on this connection; not
     /// while the client's next request has arrived
     bool closesAfterResponse() const;
--- a/src/http/internal/serverexchange.cpp
+++ b/src/http/internal/serverexchange.cpp
@@ -22,6 +22,9 @@
     text.append(name).append(": ").append(value).append("\r\n");
 }
 
+/// What may wait for a client to read it before the sender is told to wait.
+constexpr std::size_t MaxUnsentBytes = 64 * 1024;
+
 bool hasNoBody(int status)
 {
     return status == HttpStatus::NoContent || status == HttpStatus::NotModified;
@@ -186,6 +189,26 @@
     std::exchange(m_connection, nullptr)->responseEnded();
 }
 
+bool ServerExchange::isBehind() const
+{
+    return m_connection != nullptr && m_connection->unsent() >= MaxUnsentBytes;
+}
+
+void ServerExchange::onCaughtUp(std::function<void()> callback)
+{
+    m_caughtUp = std::move(callback);
+}
+
+void ServerExchange::flushed()
+{
+    if (m_progress != Progress::Streaming || !m_caughtUp) {
+        return;
+    }
+    // The function may end the response and be replaced.
+    const std::function<void()> caughtUp = m_caughtUp;
+    caughtUp();
+}
+
 void ServerExchange::abort()
 {
     if (m_progress == Progress::Ended) {
--- a/src/http/internal/serverexchange.h
+++ b/src/http/internal/serverexchange.h
@@ -35,10 +35,14 @@
                      const HttpHeaders &headers) override;
     void sendPart(std::string_view data) override;
     void endStream() override;
+    bool isBehind() const override;
+    void onCaughtUp(std::function<void()> callback) override;
     void abort() override;
     void onHangUp(std::function<void()> callback) override;
 
     bool hasEnded() const { return m_progress == Progress::Ended; }
+    /// The network has taken all that was sent so far.
+    void flushed();
     /// The connection is gone.
     void detach();
     /// The response has left, or never will.
@@ -62,6 +66,7 @@
     std::string m_query;
     std::string m_body;
     std::function<void()> m_hangUp;
+    std::function<void()> m_caughtUp;
     Progress m_progress = Progress::Open;
     /// Whether the client understands chunks.
     bool m_chunks;
--- a/src/http/internal/wholeresponsecall.cpp
+++ b/src/http/internal/wholeresponsecall.cpp
@@ -1,25 +1,22 @@
 #include "http/internal/wholeresponsecall.h"
 
 #include "http/ihttpclient.h"
+#include "http/types/httprequest.h"
 
-namespace lavendertally::http {
-
-namespace {
+#include <iterator>
 
-/// Several times the largest response of the services that are fetched whole.
-constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
-
-} // namespace
+namespace lavendertally::http {
 
 WholeResponseCall::WholeResponseCall(IHttpClient &client, const HttpRequest &request,
                                      std::function<void(HttpResponse)> callback)
-    : m_callback(std::move(callback)), m_call(client.send(request, *this))
+    : m_maxBody(request.maxResponseBody), m_callback(std::move(callback)),
+      m_call(client.send(request, *this))
 { }
 
 void WholeResponseCall::onData(int /*status*/, std::string_view data)
 {
     m_response.body.append(data);
-    if (m_response.body.size() > MaxBodyBytes) {
+    if (std::ssize(m_response.body) > m_maxBody.value()) {
         m_response.body.clear();
         m_call.reset();
         onEnd(HttpEnd::Broken, 0);
--- a/src/http/internal/wholeresponsecall.h
+++ b/src/http/internal/wholeresponsecall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/units.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpresponseobserver.h"
 #include "http/types/httpresponse.h"
@@ -24,6 +25,7 @@
     bool onHead(const HttpResponseHead &head) override;
     void onEnd(HttpEnd end, int status) override;
 
+    framework::Bytes m_maxBody;
     HttpResponse m_response;
     std::function<void(HttpResponse)> m_callback;
     std::unique_ptr<IHttpCall> m_call;
--- a/src/http/types/httprequest.h
+++ b/src/http/types/httprequest.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/endpoint.h"
 #include "framework/types/milliseconds.h"
+#include "framework/types/units.h"
 #include "http/types/httpheaders.h"
 #include "http/types/httpmethod.h"
 
@@ -24,6 +25,8 @@
     std::string body;
     /// Longest time for the whole call.
     framework::Milliseconds timeout;
+    /// Size from which the response to IHttpClient::fetch() counts as broken; it may never end.
+    framework::Bytes maxResponseBody{16 * 1024 * 1024};
     /// Connections that were idle for longer are not reused for this call. A server may have closed
     /// them already, and then nobody knows whether it acted.
     framework::Milliseconds maxIdleBefore{std::numeric_limits<std::int64_t>::max()};
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 struct bufferevent;
+struct event;
 struct event_base;
 
 namespace lavendertally::network {
@@ -38,6 +39,11 @@
     /// \return whether input has arrived that was not consumed, also if the loop has not read it
     /// yet
     bool hasUnreadInput() const;
+    /// \return whether no further input is read until some is consumed
+    bool isInputFull() const;
+    /// Has the observer told once when the peer closes its sending side, even while the input is
+    /// full and is not read.
+    void watchPeerClose();
     /// Removes \p count bytes from the front of the input.
     void consume(std::size_t count);
 
@@ -58,9 +64,11 @@
     static void handleReadable(bufferevent *bufferEvent, void *self);
     static void handleFlushed(bufferevent *bufferEvent, void *self);
     static void handleEvent(bufferevent *bufferEvent, short flags, void *self);
+    static void handlePeerClose(int fd, short flags, void *self);
 
     IBufferedSocketObserver &m_observer;
     bufferevent *m_bufferEvent;
+    event *m_peerCloseEvent = nullptr;
     bool m_connected = false;
     bool m_shutDownWhenFlushed = false;
 };
--- a/src/network/ibufferedsocketobserver.h
+++ b/src/network/ibufferedsocketobserver.h
@@ -15,6 +15,9 @@
     /// The output buffer has been passed to the kernel completely. Not called if
     /// BufferedSocket::write() passed everything to the kernel at once.
     virtual void onFlushed() { }
+    /// The peer has closed its sending side; see BufferedSocket::watchPeerClose(). Input may still
+    /// be unread, and onClosed() follows once it has been read.
+    virtual void onPeerClosing() { }
     /// The connection has ended or could not be established.
     /// \param inOrder true if the peer closed its sending side, false after a connection error
     virtual void onClosed(bool inOrder) = 0;
--- a/src/network/internal/bufferedsocket.cpp
+++ b/src/network/internal/bufferedsocket.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-/// Reading from the socket pauses while this much input is unread. A few times the size of a usual
-/// request.
-constexpr std::size_t MaxUnreadInputBytes = 256 * 1024;
+/// Reading from the socket pauses while this much input is unread. Holds the largest head of a
+/// response, which cannot be taken in parts.
+constexpr std::size_t MaxUnreadInputBytes = 80 * 1024;
 
 void setTcpOption(int fd, int option, int value)
 {
@@ -50,6 +50,9 @@
 
 BufferedSocket::~BufferedSocket()
 {
+    if (m_peerCloseEvent != nullptr) {
+        event_free(m_peerCloseEvent);
+    }
     bufferevent_free(m_bufferEvent);
 }
 
@@ -93,6 +96,22 @@
         || recv(bufferevent_getfd(m_bufferEvent), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool BufferedSocket::isInputFull() const
+{
+    return evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) >= MaxUnreadInputBytes;
+}
+
+void BufferedSocket::watchPeerClose()
+{
+    if (m_peerCloseEvent != nullptr) {
+        return;
+    }
+    m_peerCloseEvent =
+        event_new(bufferevent_get_base(m_bufferEvent), bufferevent_getfd(m_bufferEvent), EV_CLOSED,
+                  &BufferedSocket::handlePeerClose, this);
+    event_add(m_peerCloseEvent, nullptr);
+}
+
 void BufferedSocket::consume(std::size_t count)
 {
     evbuffer_drain(bufferevent_get_input(m_bufferEvent), count);
@@ -119,6 +138,9 @@
 
 void BufferedSocket::detach()
 {
+    if (m_peerCloseEvent != nullptr) {
+        event_del(m_peerCloseEvent);
+    }
     bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
     bufferevent_setcb(m_bufferEvent, nullptr, nullptr, nullptr, nullptr);
 }
@@ -151,6 +173,11 @@
     socket->m_observer.onFlushed();
 }
 
+void BufferedSocket::handlePeerClose(int /*fd*/, short /*flags*/, void *self)
+{
+    static_cast<BufferedSocket *>(self)->m_observer.onPeerClosing();
+}
+
 void BufferedSocket::handleEvent(bufferevent * /*bufferEvent*/, short flags, void *self)
 {
     auto *socket = static_cast<BufferedSocket *>(self);
--- a/src/platform/internal/eventstreamreader.cpp
+++ b/src/platform/internal/eventstreamreader.cpp
@@ -7,7 +7,24 @@
 namespace {
 
 /// An event holds the text of some tokens.
-constexpr std::size_t MaxEventBytes = 256 * 1024;
+constexpr std::size_t MaxEventBytes = 64 * 1024;
+
+/// Comments that keep a connection open have a few bytes each.
+constexpr std::size_t MaxBytesWithoutEvent = 64 * 1024;
+
+/// \return whether the block has a field that makes it an event: an id or data
+bool isEvent(std::string_view block)
+{
+    std::size_t position = 0;
+    while (position < block.size()) {
+        const std::string_view line = block.substr(position);
+        if (line.starts_with("data:") || line.starts_with("id:")) {
+            return true;
+        }
+        position = std::min(block.find('\n', position), block.size() - 1) + 1;
+    }
+    return false;
+}
 
 std::optional<framework::StreamEventId> readId(std::string_view event)
 {
@@ -56,6 +73,11 @@
     return m_buffer.size() - m_position > MaxEventBytes;
 }
 
+bool EventStreamReader::isWithoutEvents() const
+{
+    return m_bytesWithoutEvent > MaxBytesWithoutEvent;
+}
+
 std::optional<proxy::StreamEvent> EventStreamReader::next()
 {
     const std::size_t end = endOfEvent(m_buffer, m_position);
@@ -68,6 +90,7 @@
     event.text = m_buffer.substr(m_position, end - m_position);
     event.id = readId(event.text);
     m_position = end;
+    m_bytesWithoutEvent = isEvent(event.text) ? 0 : m_bytesWithoutEvent + event.text.size();
     return event;
 }
 
--- a/src/platform/internal/exchangereply.cpp
+++ b/src/platform/internal/exchangereply.cpp
@@ -59,11 +59,21 @@
     m_exchange->startStream(head.status, {}, head.headers);
 }
 
-void ExchangeReply::sendEvent(std::string_view text)
+void ExchangeReply::sendPart(std::string_view text)
 {
     m_exchange->sendPart(text);
 }
 
+bool ExchangeReply::isBehind() const
+{
+    return m_exchange->isBehind();
+}
+
+void ExchangeReply::onCaughtUp(std::function<void()> callback)
+{
+    m_exchange->onCaughtUp(std::move(callback));
+}
+
 void ExchangeReply::endStream()
 {
     m_exchange->endStream();
--- a/src/platform/internal/exchangereply.h
+++ b/src/platform/internal/exchangereply.h
@@ -20,7 +20,9 @@
 
     void reply(const proxy::ResponseHead &head, std::string_view body) override;
     void startStream(const proxy::ResponseHead &head) override;
-    void sendEvent(std::string_view text) override;
+    void sendPart(std::string_view text) override;
+    bool isBehind() const override;
+    void onCaughtUp(std::function<void()> callback) override;
     void endStream() override;
     void abort() override;
     void refuse(const proxy::Refusal &refusal) override;
--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -61,18 +61,36 @@
     m_destroyed = &destroyed;
     m_events.append(data);
     while (const auto event = m_events.next()) {
+        if (m_events.isWithoutEvents()) {
+            break;
+        }
         m_observer.onEvent(*event);
         if (destroyed) {
             return;
         }
     }
     m_destroyed = nullptr;
-    if (m_events.isEventTooLong()) {
+    if (m_events.isWithoutEvents() || m_events.isEventTooLong()) {
         // The observer destroys this call, which closes the connection.
-        m_observer.onEnd(proxy::BackendCallEnd::Broken);
+        m_observer.onEnd(proxy::BackendCallEnd::Malformed);
     }
 }
 
+void HttpBackendCall::pauseReading()
+{
+    m_call->pauseReading();
+}
+
+void HttpBackendCall::resumeReading()
+{
+    m_call->resumeReading();
+}
+
+void HttpBackendCall::onServerClosing()
+{
+    m_observer.onServerClosing();
+}
+
 void HttpBackendCall::onEnd(http::HttpEnd end, int /*status*/)
 {
     if (end == http::HttpEnd::NotSent) {
--- a/src/platform/internal/httpbackendcall.h
+++ b/src/platform/internal/httpbackendcall.h
@@ -35,8 +35,12 @@
     HttpBackendCall(const HttpBackendCall &) = delete;
     HttpBackendCall &operator=(const HttpBackendCall &) = delete;
 
+    void pauseReading() override;
+    void resumeReading() override;
+
     bool onHead(const http::HttpResponseHead &head) override;
     void onData(int status, std::string_view data) override;
+    void onServerClosing() override;
     void onEnd(http::HttpEnd end, int status) override;
 
 private:
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -28,6 +28,9 @@
 /// A later report would be of no use: the server has calls by then.
 constexpr framework::Milliseconds ReportTimeout{500};
 
+/// An answer has some hundred bytes for each piece of a batch.
+constexpr framework::Bytes MaxStageAnswer{256 * 1024};
+
 http::HttpRequest jsonRequest(const framework::Endpoint &endpoint, std::string_view target,
                               std::string body)
 {
@@ -57,6 +60,7 @@
         jsonRequest(call.server.endpoint, wire::StageRun, encodePieceOrders(call.pieces));
     request.headers.emplace_back(std::string(wire::ExpectInstance), call.server.id.value());
     request.timeout = call.timeout;
+    request.maxResponseBody = MaxStageAnswer;
     const std::uint64_t number = m_next++;
     m_calls[number] =
         m_client.fetch(request,
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -297,6 +297,37 @@
     EXPECT_TRUE(reader.isEventTooLong());
 }
 
+// Guards against text that is no event and is passed on without end.
+TEST(EventStreamReaderTest, TextWithoutEvents_IsFoundWithinABound)
+{
+    EventStreamReader reader;
+    reader.append("id: 1\ndata: a\n\n");
+    EXPECT_TRUE(reader.next());
+    constexpr std::size_t Limit = 256 * 1024;
+    std::size_t size = 0;
+    while (!reader.isWithoutEvents() && size < Limit) {
+        reader.append(std::string(1000, 'z') + "\n\n");
+        size += 1002;
+        reader.next();
+    }
+    EXPECT_LT(size, Limit);
+}
+
+TEST(EventStreamReaderTest, CommentsBetweenEvents_AreAllowedForEver)
+{
+    EventStreamReader reader;
+    constexpr int Rounds = 100;
+    for (int round = 0; round < Rounds; ++round) {
+        for (int comment = 0; comment < Rounds; ++comment) {
+            reader.append(": still here\n\n");
+        }
+        reader.append("data: a\n\n");
+        while (reader.next()) {
+            EXPECT_FALSE(reader.isWithoutEvents());
+        }
+    }
+}
+
 TEST(EventStreamReaderTest, ManyWholeEvents_AreNotTooLong)
 {
     EventStreamReader reader;
--- a/src/proxy/ibackendcall.h
+++ b/src/proxy/ibackendcall.h
@@ -8,6 +8,12 @@
 {
 public:
     virtual ~IBackendCall() = default;
+
+    /// Holds the backend server back: the observer gets no further part of the response, and no
+    /// more than a bounded part is received. Does nothing for a call without a response.
+    virtual void pauseReading() { }
+    /// Hands on, later, what has arrived since pauseReading() and what follows, the end included.
+    virtual void resumeReading() { }
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/ibackendresponseobserver.h
+++ b/src/proxy/ibackendresponseobserver.h
@@ -23,6 +23,9 @@
     virtual void onEvent(const StreamEvent &event) = 0;
     /// A part of the body of a response that is not streamed has arrived.
     virtual void onBody(std::string_view data) = 0;
+    /// The backend server has closed its side of the connection while reading was paused. What it
+    /// had sent is handed on after IBackendCall::resumeReading().
+    virtual void onServerClosing() { }
     /// The call has ended. Called once, after all other functions.
     virtual void onEnd(BackendCallEnd end) = 0;
 };
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -36,6 +36,15 @@
 constexpr framework::Milliseconds PermitWait{50};
 constexpr std::uint32_t MaxPermitWaits = 6;
 
+/// \return whether clients take the status to mean that the request did not run, which a backend
+/// server does not state by it
+bool impliesNotRun(const ResponseHead &head)
+{
+    constexpr int TooManyRequests = 429;
+    constexpr int Unavailable = 503;
+    return head.status == TooManyRequests || head.status == Unavailable;
+}
+
 } // namespace
 
 ActiveRequest::ActiveRequest(const ProxyContext &context, IActiveRequestOwner &owner,
@@ -44,7 +53,8 @@
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
       m_response(std::move(response)), m_started(context.clock.now()),
       m_stages(context, m_request, m_plan), m_attempts(context, m_request, m_plan),
-      m_guard(context, m_request), m_completion(context), m_lastEventId(m_request.lastEventId)
+      m_guard(context, m_request), m_completion(context),
+      m_pacer(context.clock, owner.heldSources(), *m_response), m_lastEventId(m_request.lastEventId)
 { }
 
 ActiveRequest::~ActiveRequest() = default;
@@ -162,6 +172,7 @@
     attempt.needsNewConnection = m_stagesRerun;
     m_context.selector.callStarted(m_server, now);
     m_call = m_context.backends.send(attempt, *this);
+    m_pacer.sourceStarted(*m_call);
 }
 
 /// Waits briefly if backend servers name rate limits, since permits are on their way; refuses the
@@ -196,6 +207,12 @@
     fail(refusal, refusal.cause);
 }
 
+void ActiveRequest::dropCall()
+{
+    m_pacer.sourceEnded();
+    m_call.reset();
+}
+
 void ActiveRequest::endAttempt(routing::CallOutcome outcome)
 {
     m_guard.attemptEnded();
@@ -220,11 +237,44 @@
 
 void ActiveRequest::onBody(std::string_view data)
 {
+    if (m_passesBodyOn) {
+        passOn(data);
+        if (m_pacer.written() > m_context.limits.maxResponseBody) {
+            dropCall();
+            onEnd(BackendCallEnd::Broken);
+        }
+        return;
+    }
     m_body.append(data);
-    if (m_body.size() > static_cast<std::size_t>(m_context.limits.maxResponseBody.value())) {
+    if (std::ssize(m_body) <= m_context.limits.maxKeptBody.value()) {
+        return;
+    }
+    if (m_streaming || !isFinalByHead()) {
         m_body.clear();
-        m_call.reset();
+        dropCall();
         onEnd(BackendCallEnd::Broken);
+        return;
+    }
+    m_passesBodyOn = true;
+    m_streaming = true;
+    m_response->startStream(*m_head);
+    passOn(std::exchange(m_body, {}));
+}
+
+bool ActiveRequest::isFinalByHead() const
+{
+    if (m_head->isSuccess()) {
+        return m_head->isSigned && !m_head->notExecuted;
+    }
+    return m_head->status < FirstServerError && !m_head->notExecuted && !impliesNotRun(*m_head);
+}
+
+void ActiveRequest::passOn(std::string_view part)
+{
+    m_response->sendPart(part);
+    m_pacer.partWritten(framework::Bytes(std::ssize(part)));
+    if (m_pacer.isHolding()) {
+        m_completion.answerHeldBack();
     }
 }
 
@@ -240,7 +290,7 @@
         }
         if (m_lastEventId && *event.id != m_lastEventId->next()) {
             // Events were lost. The client must not see a gap, so the attempt counts as broken.
-            m_call.reset();
+            dropCall();
             onEnd(BackendCallEnd::Broken);
             return;
         }
@@ -256,7 +306,14 @@
         m_stages.release();
     }
     m_guard.eventReceived();
-    m_response->sendEvent(event.text);
+    passOn(event.text);
+}
+
+void ActiveRequest::onServerClosing()
+{
+    if (m_head && !m_head->notExecuted) {
+        m_completion.serverClosing(*m_head);
+    }
 }
 
 void ActiveRequest::onEnd(BackendCallEnd end)
@@ -272,18 +329,29 @@
 
 void ActiveRequest::callEnded(BackendCallEnd end)
 {
-    m_call.reset();
+    const bool wasHeldBack = m_pacer.isHolding();
+    dropCall();
     const bool notExecuted = m_head && m_head->notExecuted;
     if (end == BackendCallEnd::NotSent || notExecuted) {
         attemptNotRun(end);
         return;
     }
     m_priorAttemptMayHaveRun = true;
+    if (end == BackendCallEnd::Malformed) {
+        m_context.logger.warning("backend server sent no answer in the protocol; attempt ended",
+                                 {{"request", m_request.id.value()},
+                                  {"backend_server", m_server.value()},
+                                  {"passed_on_bytes", std::to_string(m_pacer.written().value())}});
+        m_context.metrics.increment("lavendertally_malformed_answers_total", {});
+    }
     if (end == BackendCallEnd::Complete) {
         attemptEnded(end);
         return;
     }
-    endAttempt(routing::CallOutcome::TransportFailed);
+    // A call that is held back ends only because its time is up.
+    const bool hasRunOutOfTime = wasHeldBack && end == BackendCallEnd::Broken;
+    endAttempt(hasRunOutOfTime ? routing::CallOutcome::Cancelled
+                               : routing::CallOutcome::TransportFailed);
     m_guard.examineLoss([this, end] { attemptEnded(end); });
 }
 
@@ -353,6 +421,10 @@
 void ActiveRequest::responseEnded(BackendCallEnd end)
 {
     const bool complete = end == BackendCallEnd::Complete && m_head;
+    if (m_passesBodyOn) {
+        passedOnBodyEnded(complete);
+        return;
+    }
     const bool failed = !complete || m_head->status >= FirstServerError
         || (m_head->isSuccess() && !m_head->isSigned);
     if (complete) {
@@ -368,15 +440,9 @@
             return;
         }
     }
-    // Clients take these statuses to mean that the request did not run, which the backend server
-    // has not stated.
-    constexpr int TooManyRequests = 429;
-    constexpr int Unavailable = 503;
-    const bool impliesNotRun =
-        complete && (m_head->status == TooManyRequests || m_head->status == Unavailable);
     const bool unsignedSuccess = complete && m_head->isSuccess() && !m_head->isSigned;
     // A whole response cannot go on a stream that has begun.
-    if (m_streaming || !complete || impliesNotRun || unsignedSuccess) {
+    if (m_streaming || !complete || impliesNotRun(*m_head) || unsignedSuccess) {
         fail({RefusalKind::ResponseLost, {}, "answer lost"},
              complete ? "stream broke; answered without a stream elsewhere"
                       : "stream broke; answer lost elsewhere");
@@ -386,6 +452,20 @@
     finish(failed ? "backend server failed" : "done");
 }
 
+void ActiveRequest::passedOnBodyEnded(bool complete)
+{
+    if (complete) {
+        endAttempt(routing::CallOutcome::Succeeded);
+        if (m_head->isSuccess()) {
+            m_guard.answerCompleted();
+        }
+        m_response->endStream();
+        finish("done");
+        return;
+    }
+    fail({RefusalKind::ResponseLost, {}, "answer lost"}, "answer broke off");
+}
+
 /// Stage results are released when a stream begins, so a stream that resumes at another backend
 /// server runs its stages again.
 void ActiveRequest::nextAttempt()
@@ -426,7 +506,7 @@
 {
     const bool possiblyRan = mayHaveRun();
     if (m_call) {
-        m_call.reset();
+        dropCall();
         // A backend server that has not begun to respond by now counts as a transport failure.
         endAttempt(m_head ? routing::CallOutcome::Cancelled
                           : routing::CallOutcome::TransportFailed);
@@ -446,10 +526,11 @@
     // A non-idempotent call may have had effects already; cancelling it would not undo them.
     const bool mustFinish = m_call && m_plan.route->kind == serving::RouteKind::NonIdempotent;
     if (mustFinish) {
+        m_pacer.clientLeft();
         return;
     }
     if (m_call) {
-        m_call.reset();
+        dropCall();
         endAttempt(routing::CallOutcome::Cancelled);
     }
     finish("client hung up");
@@ -488,6 +569,8 @@
                            {"backend_server", m_server.value()},
                            {"attempts", std::to_string(m_attempts.count())},
                            {"stages_ms", std::to_string(m_stages.timeTaken().value())},
+                           {"passed_on_bytes", std::to_string(m_pacer.written().value())},
+                           {"held_back_ms", std::to_string(m_pacer.heldTime().value())},
                            {"elapsed_ms", std::to_string(elapsed().value())}});
     m_context.metrics.increment("lavendertally_requests_total",
                                 {{"route", route}, {"outcome", outcome}});
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -7,6 +7,7 @@
 #include "proxy/internal/requestattempts.h"
 #include "proxy/internal/requestplan.h"
 #include "proxy/internal/requeststages.h"
+#include "proxy/internal/sourcepacer.h"
 #include "proxy/iproxyservice.h"
 #include "proxy/types/clientrequest.h"
 #include "proxy/types/proxycontext.h"
@@ -53,6 +54,7 @@
     void onHead(const ResponseHead &head) override;
     void onEvent(const StreamEvent &event) override;
     void onBody(std::string_view data) override;
+    void onServerClosing() override;
     void onEnd(BackendCallEnd end) override;
 
 private:
@@ -69,6 +71,11 @@
     void attemptEnded(BackendCallEnd end);
     void streamEnded(BackendCallEnd end);
     void responseEnded(BackendCallEnd end);
+    /// \return whether the response is final by its head, so that its body need not be whole to be
+    /// passed on
+    bool isFinalByHead() const;
+    void passOn(std::string_view part);
+    void passedOnBodyEnded(bool complete);
     void attemptNotRun(BackendCallEnd end);
     /// Schedules an attempt at another backend server if the retry policy allows one.
     /// \return whether there will be another attempt
@@ -76,6 +83,7 @@
     /// The same for a prompt that is not suspected of having caused the failure.
     bool scheduleBackoff(bool mayHaveRun);
     void endAttempt(routing::CallOutcome outcome);
+    void dropCall();
     bool isStream() const;
     /// \return whether a backend server may have run the request or may still run it
     bool mayHaveRun() const { return m_priorAttemptMayHaveRun || m_call != nullptr; }
@@ -113,9 +121,12 @@
     std::uint32_t m_permitWaits = 0;
     PromptGuard m_guard;
     CompletionCheck m_completion;
+    SourcePacer m_pacer;
     bool m_priorAttemptMayHaveRun = false;
     std::optional<ResponseHead> m_head;
     std::string m_body;
+    /// Whether the body was too large to be kept and is passed on in parts.
+    bool m_passesBodyOn = false;
     bool m_streaming = false;
     std::optional<framework::StreamEventId> m_lastEventId;
     bool m_ended = false;
--- a/src/proxy/internal/completioncheck.cpp
+++ b/src/proxy/internal/completioncheck.cpp
@@ -19,28 +19,55 @@
 
 void CompletionCheck::attemptSent(const membership::BackendServerEntry &server)
 {
+    cancel();
+    m_isHeldBack = false;
     m_server = std::make_unique<membership::BackendServerEntry>(server);
 }
 
+void CompletionCheck::serverClosing(const ResponseHead &head)
+{
+    if (head.endsWithConnection && !m_isWhole && !m_probe) {
+        startProbe();
+    }
+}
+
 void CompletionCheck::decide(const ResponseHead &head, std::function<void(bool)> decided)
 {
-    if (!head.endsWithConnection || !m_context.selector.isReady(m_server->id)) {
+    if (!head.endsWithConnection) {
         decided(true);
         return;
     }
-    m_probe = m_context.backends.probe(
-        *m_server, [this, decided = std::move(decided)](http::ProbeResult result) {
-            // Resetting the probe may destroy this function.
-            const auto next = decided;
-            CompletionCheck &self = *this;
-            self.m_probe.reset();
-            next(self.isWhole(result));
-        });
+    m_decided = std::move(decided);
+    if (!m_isWhole && !m_probe) {
+        startProbe();
+    }
+    if (m_isWhole) {
+        const auto next = std::exchange(m_decided, nullptr);
+        next(*m_isWhole);
+    }
+}
+
+void CompletionCheck::startProbe()
+{
+    if (!m_context.selector.isReady(m_server->id)) {
+        m_isWhole = !m_isHeldBack;
+        return;
+    }
+    m_probe = m_context.backends.probe(*m_server, [this](http::ProbeResult result) {
+        m_isWhole = isWhole(result);
+        // Resetting the probe destroys this function.
+        CompletionCheck &self = *this;
+        self.m_probe.reset();
+        if (const auto next = std::exchange(self.m_decided, nullptr)) {
+            next(*self.m_isWhole);
+        }
+    });
 }
 
 bool CompletionCheck::isWhole(http::ProbeResult result) const
 {
-    if (result == http::ProbeResult::Listening || !m_context.selector.isReady(m_server->id)) {
+    const bool hasStopped = !m_isHeldBack && !m_context.selector.isReady(m_server->id);
+    if (result == http::ProbeResult::Listening || hasStopped) {
         return true;
     }
     m_context.logger.info("answer ended together with its backend server",
@@ -51,6 +78,8 @@
 void CompletionCheck::cancel()
 {
     m_probe.reset();
+    m_decided = nullptr;
+    m_isWhole.reset();
 }
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/iactiverequestowner.h
+++ b/src/proxy/internal/iactiverequestowner.h
@@ -9,6 +9,7 @@
 
 class ActiveRequest;
 class FirstEventEstimator;
+class HeldSources;
 
 /// What a request in flight needs from the service that owns it.
 class IActiveRequestOwner
@@ -31,6 +32,7 @@
 
     /// \return estimates of the time to the first event, shared by all requests
     virtual FirstEventEstimator &firstEvents() = 0;
+    virtual HeldSources &heldSources() = 0;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/proxyservice.cpp
+++ b/src/proxy/internal/proxyservice.cpp
@@ -25,7 +25,9 @@
 
 } // namespace
 
-ProxyService::ProxyService(const ProxyContext &context) : m_context(context) { }
+ProxyService::ProxyService(const ProxyContext &context)
+    : m_context(context), m_heldSources(m_context.metrics)
+{ }
 
 ProxyService::~ProxyService() = default;
 
--- a/src/proxy/internal/proxyservice.h
+++ b/src/proxy/internal/proxyservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/internal/firsteventestimator.h"
+#include "proxy/internal/heldsources.h"
 #include "proxy/internal/iactiverequestowner.h"
 #include "proxy/iproxyservice.h"
 #include "proxy/types/proxycontext.h"
@@ -32,9 +33,11 @@
     std::uint32_t relativeWorth(const framework::RouteId &route,
                                 framework::TokenCount size) override;
     FirstEventEstimator &firstEvents() override { return m_firstEvents; }
+    HeldSources &heldSources() override { return m_heldSources; }
 
 private:
     ProxyContext m_context;
+    HeldSources m_heldSources;
     Ticket m_nextTicket = 1;
     bool m_draining = false;
     std::unordered_map<Ticket, std::unique_ptr<ActiveRequest>> m_requests;
--- a/src/proxy/iresponsewriter.h
+++ b/src/proxy/iresponsewriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string_view>
 
 namespace lavendertally::proxy {
@@ -7,7 +8,7 @@
 struct ResponseHead;
 struct Refusal;
 
-/// Writes the response to one client request: reply() or refuse(), or startStream() and sendEvent()
+/// Writes the response to one client request: reply() or refuse(), or startStream() and sendPart()
 /// followed by endStream() or abort(). Nothing may be written after that.
 class IResponseWriter
 {
@@ -17,10 +18,15 @@
     /// Sends a complete response.
     virtual void reply(const ResponseHead &head, std::string_view body) = 0;
 
-    /// Begins a streamed response.
+    /// Begins a response that is sent in parts.
     virtual void startStream(const ResponseHead &head) = 0;
-    /// \param text one complete event, with the empty line that ends it
-    virtual void sendEvent(std::string_view text) = 0;
+    /// \param text complete events, or the next part of a body that is no stream of events
+    virtual void sendPart(std::string_view text) = 0;
+    /// \return whether the client has not taken a bounded part of the stream yet; no more should
+    /// be sent until the function given to onCaughtUp() is called
+    virtual bool isBehind() const = 0;
+    /// \param callback called each time the client has been sent all of a stream that goes on
+    virtual void onCaughtUp(std::function<void()> callback) = 0;
     /// Ends the stream as complete.
     virtual void endStream() = 0;
 
--- a/src/proxy/tests/streamtest.cpp
+++ b/src/proxy/tests/streamtest.cpp
@@ -423,3 +423,63 @@
     EXPECT_TRUE(received->aborted);
     EXPECT_FALSE(received->refusal);
 }
+
+// Guards against a source that goes on sending while the client does not read.
+TEST_F(ProxyStreamTest, ClientIsBehind_ServerIsHeldBackUntilItHasCaughtUp)
+{
+    const auto received = start("stream");
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    EXPECT_FALSE(*sent().paused);
+    received->isBehind = true;
+    event(0, 2);
+    EXPECT_TRUE(*sent().paused);
+    received->isBehind = false;
+    received->caughtUp();
+    EXPECT_FALSE(*sent().paused);
+    event(0, 3);
+    sent().observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_EQ(received->body, "1;2;3;");
+    EXPECT_TRUE(received->ended);
+}
+
+// Guards against blame for a server whose time has run out while it was held back.
+TEST_F(ProxyStreamTest, TimeRunsOutWhileServerIsHeldBack_ServerIsNotBlamed)
+{
+    const auto received = start("stream");
+    const auto server = sent().request.server.id;
+    sent().observer->onHead(head(200, true));
+    event(0, 1);
+    received->isBehind = true;
+    event(0, 2);
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    EXPECT_TRUE(received->aborted);
+    EXPECT_TRUE(m_selector->isReady(server));
+    bool isUsed = false;
+    constexpr int Requests = 20;
+    for (int each = 0; each < Requests; ++each) {
+        start("open");
+        isUsed = isUsed || m_backends.m_sent.back().request.server.id == server;
+    }
+    EXPECT_TRUE(isUsed);
+}
+
+// Guards against an answer without a length that is taken for whole although its server crashed
+// while it was held back.
+TEST_F(ProxyStreamTest, ServerClosesWhileHeldBack_ItIsProbedAtOnce)
+{
+    const auto received = start("stream");
+    ResponseHead unframed = head(200, true);
+    unframed.endsWithConnection = true;
+    sent().observer->onHead(unframed);
+    received->isBehind = true;
+    event(0, 1);
+    sent().observer->onServerClosing();
+    ASSERT_EQ(m_backends.m_probes.size(), 1U);
+    m_backends.endProbe(http::ProbeResult::NotListening);
+    received->caughtUp();
+    event(0, 2);
+    sent().observer->onEnd(BackendCallEnd::Complete);
+    EXPECT_TRUE(received->aborted);
+    EXPECT_FALSE(received->ended);
+}
--- a/src/proxy/types/backendcallend.h
+++ b/src/proxy/types/backendcallend.h
@@ -11,6 +11,8 @@
     NotSent,
     /// The response is incomplete or missing; the request may have run.
     Broken,
+    /// What has arrived is no response in the protocol; the request may have run.
+    Malformed,
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/types/proxylimits.h
+++ b/src/proxy/types/proxylimits.h
@@ -15,8 +15,10 @@
     framework::Milliseconds maxConfigurationAge{4000};
     /// Retry-after time given to a client whose request no backend server could take.
     framework::Milliseconds retryAfter{200};
-    /// Size from which the body of a response that is not streamed counts as broken; it may never
-    /// end.
+    /// Size up to which the body of a response that is not streamed is kept until it is whole, so
+    /// that the attempt can be repeated. A larger one is passed on as it arrives.
+    framework::Bytes maxKeptBody{64 * 1024};
+    /// Size from which such a body counts as broken; it may never end.
     framework::Bytes maxResponseBody{8 * 1024 * 1024};
     /// Failed connections after which one request may still try another backend server; each costs
     /// a round trip.
--- a/src/standins/internal/discardedexchange.h
+++ b/src/standins/internal/discardedexchange.h
@@ -36,6 +36,8 @@
     { }
     void sendPart(std::string_view /*data*/) override { }
     void endStream() override { }
+    bool isBehind() const override { return false; }
+    void onCaughtUp(std::function<void()> /*callback*/) override { }
     void abort() override { }
     void onHangUp(std::function<void()> /*callback*/) override { }
 
--- a/src/standins/internal/faultyexchange.h
+++ b/src/standins/internal/faultyexchange.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace lavendertally::standins {
 
@@ -35,6 +36,11 @@
                      const http::HttpHeaders &headers) override;
     void sendPart(std::string_view data) override;
     void endStream() override;
+    bool isBehind() const override { return m_exchange->isBehind(); }
+    void onCaughtUp(std::function<void()> callback) override
+    {
+        m_exchange->onCaughtUp(std::move(callback));
+    }
     void abort() override;
     void onHangUp(std::function<void()> callback) override;
 
