Own interface: entry and host process hold their sources back too

The fault of the gateway's relay stood here as well: what a caller had not read piled up in the entry, what an entry had not read in the host process. Answers of backend servers were collected without any bound.

An entry pauses its stage call while its caller is behind, a host process its backend call while its entry is; both go on when they are told that the other side has caught up, or when it has left and the call has to finish. A call whose time runs out while held back is neither a failure nor a crash of its backend server. An answer that is collected may have 1 MB, the text of an error 200 bytes in all (was: of each part).

--- a/src/backends/ibackendcallhandle.h
+++ b/src/backends/ibackendcallhandle.h
@@ -7,6 +7,12 @@
 {
 public:
     virtual ~IBackendCallHandle() = default;
+
+    /// Holds the backend server back: the observer gets no further part of the answer, and no more
+    /// than a bounded part is received. Does nothing for a handle of a probe.
+    virtual void pauseReading() { }
+    /// Hands on, later, what has arrived since pauseReading() and what follows, the end included.
+    virtual void resumeReading() { }
 };
 
 } // namespace lavendertally::backends
--- a/src/backends/internal/completionreader.h
+++ b/src/backends/internal/completionreader.h
@@ -3,6 +3,7 @@
 #include "backends/internal/iresponsereader.h"
 #include "framework/types/units.h"
 
+#include <cstddef>
 #include <string>
 
 namespace lavendertally::backends {
@@ -13,6 +14,7 @@
 {
 public:
     void append(std::string_view data, IBackendObserver &observer) override;
+    std::size_t heldBytes() const override { return m_buffer.size() + m_text.size(); }
     framework::Result<BackendResult> finish() override;
 
 private:
--- a/src/backends/internal/httpbackendcall.cpp
+++ b/src/backends/internal/httpbackendcall.cpp
@@ -17,6 +17,9 @@
 constexpr int HttpServiceUnavailable = 503;
 constexpr std::size_t MaxErrorDetailBytes = 200;
 
+/// Several times the largest answer of an engine.
+constexpr std::size_t MaxAnswerBytes = 1024 * 1024;
+
 /// Requests per second that a backend server takes.
 constexpr std::string_view RateLimitField = "Server-Limit";
 
@@ -31,6 +34,16 @@
 
 HttpBackendCall::~HttpBackendCall() = default;
 
+void HttpBackendCall::pauseReading()
+{
+    m_call->pauseReading();
+}
+
+void HttpBackendCall::resumeReading()
+{
+    m_call->resumeReading();
+}
+
 bool HttpBackendCall::onHead(const http::HttpResponseHead &head)
 {
     const auto rate = http::findHeader(head.headers, RateLimitField);
@@ -41,10 +54,15 @@
 void HttpBackendCall::onData(int status, std::string_view data)
 {
     if (status != HttpOk) {
-        m_errorBody.append(data.substr(0, MaxErrorDetailBytes));
+        m_errorBody.append(data.substr(0, MaxErrorDetailBytes - m_errorBody.size()));
         return;
     }
     m_reader->append(data, m_observer);
+    if (m_reader->heldBytes() > MaxAnswerBytes) {
+        // Closes the connection; such an answer may never end.
+        m_call.reset();
+        m_observer.onFailed(BackendError::Unknown, "backend server's answer is too large");
+    }
 }
 
 void HttpBackendCall::onEnd(http::HttpEnd end, int status)
--- a/src/backends/internal/httpbackendcall.h
+++ b/src/backends/internal/httpbackendcall.h
@@ -26,6 +26,9 @@
                     std::unique_ptr<IResponseReader> reader, IBackendObserver &observer);
     ~HttpBackendCall() override;
 
+    void pauseReading() override;
+    void resumeReading() override;
+
 private:
     bool onHead(const http::HttpResponseHead &head) override;
     void onData(int status, std::string_view data) override;
--- a/src/backends/internal/iresponsereader.h
+++ b/src/backends/internal/iresponsereader.h
@@ -3,6 +3,7 @@
 #include "backends/types/backendresult.h"
 #include "framework/result.h"
 
+#include <cstddef>
 #include <string_view>
 
 namespace lavendertally::backends {
@@ -19,6 +20,9 @@
     /// \param observer receives the chunks that are complete after \p data
     virtual void append(std::string_view data, IBackendObserver &observer) = 0;
 
+    /// \return bytes of the response that are kept until its end
+    virtual std::size_t heldBytes() const = 0;
+
     /// Ends the response; called once, after the last append().
     /// \return the complete result, or BackendError::Unknown if the response is truncated or
     /// malformed
--- a/src/backends/internal/jsonresponsereader.h
+++ b/src/backends/internal/jsonresponsereader.h
@@ -2,6 +2,7 @@
 
 #include "backends/internal/iresponsereader.h"
 
+#include <cstddef>
 #include <string>
 
 namespace lavendertally::backends {
@@ -11,6 +12,7 @@
 {
 public:
     void append(std::string_view data, IBackendObserver &observer) override;
+    std::size_t heldBytes() const override { return m_body.size(); }
     framework::Result<BackendResult> finish() override;
 
 private:
--- a/src/backends/tests/httpbackendservertest.cpp
+++ b/src/backends/tests/httpbackendservertest.cpp
@@ -12,6 +12,7 @@
 #include "framework/itimer.h"
 #include "http/httpmodule.h"
 #include "http/ihttpclient.h"
+#include "http/tests/floodingserver.h"
 #include "http/tests/scriptedserver.h"
 
 #include <gtest/gtest.h>
@@ -95,3 +96,22 @@
     call();
     EXPECT_FALSE(m_rateLimit);
 }
+
+// Guards against an answer without end that is kept until the time of the call is up.
+TEST_F(HttpBackendServerTest, AnswerNeverEnds_CallFailsWithinABound)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n";
+    http::FloodingServer endless(*m_loop, [&head](const std::string & /*request*/) {
+        return http::FloodingServer::Answer{head + std::string(1000, ' '), true, head.size(), {}};
+    });
+    HttpBackendServer server(*m_client, endless.endpoint(), std::make_unique<EncodeFormat>());
+    BackendCall call;
+    call.payload = R"({"input":{"text":"a"}})";
+    call.budget = GenerousTimeout;
+    const auto handle = server.call(call, *this);
+    ASSERT_TRUE(handle);
+    m_loop->run();
+    EXPECT_EQ(m_error, BackendError::Unknown);
+    constexpr std::size_t Bound = 64 * 1024 * 1024;
+    EXPECT_LT(endless.taken(), Bound);
+}
--- a/src/frontend/internal/callerexchange.cpp
+++ b/src/frontend/internal/callerexchange.cpp
@@ -55,6 +55,16 @@
                                                   nlohmann::json::error_handler_t::replace));
 }
 
+bool CallerExchange::isBehind() const
+{
+    return m_exchange->isBehind();
+}
+
+void CallerExchange::onCaughtUp(std::function<void()> callback)
+{
+    m_exchange->onCaughtUp(std::move(callback));
+}
+
 void CallerExchange::onRestart()
 {
     sendEvent("restart", "{}");
--- a/src/frontend/internal/callerexchange.h
+++ b/src/frontend/internal/callerexchange.h
@@ -23,6 +23,8 @@
                    bool stream, std::function<void()> finished);
 
     void onText(const std::string &text) override;
+    bool isBehind() const override;
+    void onCaughtUp(std::function<void()> callback) override;
     void onRestart() override;
     void onAnswer(const pipeline::CallerAnswer &answer) override;
 
--- a/src/host/internal/hostcall.cpp
+++ b/src/host/internal/hostcall.cpp
@@ -9,6 +9,8 @@
 #include "quarantine/types/answerbeginning.h"
 #include "transport/istageresponder.h"
 
+#include <utility>
+
 namespace lavendertally::host {
 
 namespace {
@@ -27,9 +29,16 @@
                    std::shared_ptr<transport::IStageResponder> responder, ICallListener &listener)
     : m_key(std::move(key)), m_request(std::move(request)), m_deadline(deadline),
       m_responder(std::move(responder)), m_listener(listener)
-{ }
+{
+    m_responder->onCaughtUp([this] { resume(); });
+}
 
-HostCall::~HostCall() = default;
+HostCall::~HostCall()
+{
+    if (m_responder) {
+        m_responder->onCaughtUp(nullptr);
+    }
+}
 
 void HostCall::run(backends::IBackendServer &server, framework::TimePoint now)
 {
@@ -69,7 +78,21 @@
 {
     result.attempt = m_request.attempt;
     result.chunks = m_chunks;
-    m_responder->sendResult(result);
+    const auto responder = std::exchange(m_responder, nullptr);
+    responder->onCaughtUp(nullptr);
+    responder->sendResult(result);
+}
+
+void HostCall::entryLeft()
+{
+    resume();
+}
+
+void HostCall::resume()
+{
+    if (std::exchange(m_heldBack, false)) {
+        m_handle->resumeReading();
+    }
 }
 
 void HostCall::onAnswerHead(std::optional<framework::RequestRate> rateLimit)
@@ -85,6 +108,10 @@
     }
     m_responder->sendChunk({m_request.attempt, m_chunks, tokens, text});
     ++m_chunks;
+    if (!m_heldBack && m_responder->isBehind()) {
+        m_heldBack = true;
+        m_handle->pauseReading();
+    }
 }
 
 void HostCall::onDone(const backends::BackendResult &result)
--- a/src/host/internal/hostcall.h
+++ b/src/host/internal/hostcall.h
@@ -48,6 +48,9 @@
     /// \param callback called once, later, unless this object is destroyed first
     void probe(backends::IBackendServer &server, std::function<void(http::ProbeResult)> callback);
 
+    /// The entry has gone, and the call is left to run to its end.
+    void entryLeft();
+
     /// Sends the result to the entry. Call it once, last.
     /// \param result the attempt and the number of chunks are set here
     void reply(protocol::StageResult result);
@@ -56,11 +59,15 @@
     const protocol::StageRequest &request() const { return m_request; }
     framework::TimePoint deadline() const { return m_deadline; }
     bool isRunning() const { return m_running; }
+    /// \return whether the backend server is held back for the entry now
+    bool isHeldBack() const { return m_heldBack; }
     framework::TimePoint startedAt() const { return m_startedAt; }
     /// \return whether the backend server has survived the beginning of its answer
     bool answerBegan() const;
 
 private:
+    void resume();
+
     void onAnswerHead(std::optional<framework::RequestRate> rateLimit) override;
     void onChunk(const std::string &text, framework::TokenCount tokens) override;
     void onDone(const backends::BackendResult &result) override;
@@ -72,6 +79,7 @@
     std::shared_ptr<transport::IStageResponder> m_responder;
     ICallListener &m_listener;
     bool m_running = false;
+    bool m_heldBack = false;
     framework::TimePoint m_startedAt;
     std::uint64_t m_chunks = 0;
     /// Parts of the text that the backend server has sent, streamed to the entry or not.
--- a/src/host/internal/hostservice.cpp
+++ b/src/host/internal/hostservice.cpp
@@ -174,6 +174,7 @@
     HostCall &call = *found->second;
     if (call.isRunning() && !call.request().idempotent) {
         // It may already have taken effect, so it is left to run to its end.
+        call.entryLeft();
         return;
     }
     if (call.isRunning()) {
@@ -220,6 +221,11 @@
                              {{"request", call.request().request.value()},
                               {"stage", call.request().stage.value()},
                               {"detail", detail}});
+    if (call.isHeldBack()) {
+        // Its time has run out while the entry did not read; that says nothing of the server.
+        finishCall(call, admission::Completion::Cancelled, std::move(result));
+        return;
+    }
     const bool isLostGeneration = result.status == protocol::StageStatus::Unknown
         && call.request().maxTokens > framework::TokenCount(0) && !call.answerBegan();
     if (isLostGeneration) {
--- a/src/host/tests/fakebackend.h
+++ b/src/host/tests/fakebackend.h
@@ -43,13 +43,23 @@
     }
 
     std::vector<backends::IBackendObserver *> m_calls;
+    /// Calls that are held back.
+    int m_paused = 0;
     /// A probe that has ended or was given up is empty.
     std::vector<std::shared_ptr<std::function<void(http::ProbeResult)>>> m_probes;
     std::function<void(std::optional<admission::BackendHealth>)> m_health;
 
 private:
     class CallHandle final : public backends::IBackendCallHandle
-    { };
+    {
+    public:
+        explicit CallHandle(FakeBackend &owner) : m_owner(owner) { }
+        void pauseReading() override { ++m_owner.m_paused; }
+        void resumeReading() override { --m_owner.m_paused; }
+
+    private:
+        FakeBackend &m_owner;
+    };
 
     class ProbeHandle final : public backends::IBackendCallHandle
     {
@@ -72,7 +82,8 @@
         call(const backends::BackendCall & /*call*/, backends::IBackendObserver &observer) override
         {
             m_owner.m_calls.push_back(&observer);
-            return std::unique_ptr<backends::IBackendCallHandle>(std::make_unique<CallHandle>());
+            return std::unique_ptr<backends::IBackendCallHandle>(
+                std::make_unique<CallHandle>(m_owner));
         }
         void
         checkHealth(framework::Milliseconds /*timeout*/,
--- a/src/host/tests/hostservicetest.cpp
+++ b/src/host/tests/hostservicetest.cpp
@@ -58,9 +58,13 @@
 class RecordingResponder final : public transport::IStageResponder
 {
 public:
-    explicit RecordingResponder(Results &results) : m_results(results) { }
+    RecordingResponder(Results &results, const bool &isBehind, std::function<void()> &caughtUp)
+        : m_results(results), m_isBehind(isBehind), m_caughtUp(caughtUp)
+    { }
 
     void sendChunk(const protocol::StageChunk & /*chunk*/) override { }
+    bool isBehind() const override { return m_isBehind; }
+    void onCaughtUp(std::function<void()> callback) override { m_caughtUp = std::move(callback); }
     void sendResult(const protocol::StageResult &result) override
     {
         EXPECT_TRUE(m_results.emplace(result.attempt, result).second) << "answered twice";
@@ -68,6 +72,8 @@
 
 private:
     Results &m_results;
+    const bool &m_isBehind;
+    std::function<void()> &m_caughtUp;
 };
 
 } // namespace
@@ -103,7 +109,10 @@
         request.budget = Milliseconds(1000);
         request.maxTokens = framework::TokenCount(maxTokens);
         request.idempotent = true;
-        return m_service->handle(request, std::make_shared<RecordingResponder>(m_results));
+        request.stream = true;
+        return m_service->handle(
+            request,
+            std::make_shared<RecordingResponder>(m_results, m_isEntryBehind, m_entryCaughtUp));
     }
 
     const protocol::StageResult &result(std::uint64_t attempt)
@@ -139,6 +148,9 @@
     FakeBackend m_backend;
     NullEntryListener m_entries;
     Results m_results;
+    /// Whether the entry reads too slowly.
+    bool m_isEntryBehind = false;
+    std::function<void()> m_entryCaughtUp;
     std::unique_ptr<HostService> m_service;
 };
 
@@ -234,3 +246,30 @@
     m_scheduler.advance(Milliseconds(250));
     EXPECT_EQ(m_backend.m_calls.size(), 4U);
 }
+
+// Guards against a host process that keeps in memory what its entry does not read.
+TEST_F(HostServiceTest, EntryReadsTooSlowly_BackendServerIsHeldBackUntilItHasCaughtUp)
+{
+    send(1);
+    text(0);
+    EXPECT_EQ(m_backend.m_paused, 0);
+    m_isEntryBehind = true;
+    text(0);
+    text(0);
+    EXPECT_EQ(m_backend.m_paused, 1);
+    m_isEntryBehind = false;
+    m_entryCaughtUp();
+    EXPECT_EQ(m_backend.m_paused, 0);
+}
+
+// Guards against blame for a backend server whose time has run out while it was held back.
+TEST_F(HostServiceTest, TimeRunsOutWhileHeldBack_BackendServerIsNotProbed)
+{
+    send(1);
+    m_isEntryBehind = true;
+    text(0);
+    lose(0);
+    ASSERT_TRUE(isAnswered(1));
+    EXPECT_EQ(result(1).status, protocol::StageStatus::Unknown);
+    EXPECT_TRUE(m_backend.m_probes.empty());
+}
--- a/src/pipeline/internal/requestrun.cpp
+++ b/src/pipeline/internal/requestrun.cpp
@@ -51,6 +51,12 @@
 
 void RequestRun::schedule()
 {
+    m_observer->onCaughtUp([run = weak_from_this()] {
+        const auto self = run.lock();
+        if (self && self->m_attempt) {
+            self->m_attempt->resumeReading();
+        }
+    });
     m_timer = m_context.scheduler.callAfter(framework::Milliseconds(0), [this] {
         const auto keepAlive = shared_from_this();
         begin();
@@ -219,6 +225,9 @@
     m_watch->textReceived();
     if (m_observer != nullptr) {
         m_observer->onText(text);
+        if (m_observer->isBehind()) {
+            m_attempt->pauseReading();
+        }
     }
 }
 
@@ -400,6 +409,7 @@
     m_observer = nullptr;
     const bool isNonIdempotentInFlight = m_attempt != nullptr && !stage().idempotent;
     if (isNonIdempotentInFlight) {
+        m_attempt->resumeReading();
         return;
     }
     m_context.metrics.increment("lavendertally_abandoned_requests_total", {});
--- a/src/pipeline/internal/stageattempt.cpp
+++ b/src/pipeline/internal/stageattempt.cpp
@@ -36,6 +36,16 @@
     }
 }
 
+void StageAttempt::pauseReading()
+{
+    m_call->pauseReading();
+}
+
+void StageAttempt::resumeReading()
+{
+    m_call->resumeReading();
+}
+
 void StageAttempt::onChunk(const protocol::StageChunk &chunk)
 {
     const std::uint64_t droppedBefore = m_assembler.droppedChunks();
--- a/src/pipeline/internal/stageattempt.h
+++ b/src/pipeline/internal/stageattempt.h
@@ -36,6 +36,10 @@
     /// \return whether any text was passed to the observer
     bool hasText() const { return !m_assembler.text().empty(); }
 
+    /// Holds the host process back while the caller reads more slowly; see IStageCall.
+    void pauseReading();
+    void resumeReading();
+
 private:
     void onChunk(const protocol::StageChunk &chunk) override;
     void onResult(const protocol::StageResult &result) override;
--- a/src/pipeline/tests/fakestageclient.h
+++ b/src/pipeline/tests/fakestageclient.h
@@ -20,6 +20,7 @@
         protocol::StageRequest request;
         /// Null once the call was destroyed.
         transport::IStageCallObserver *observer;
+        bool isPaused = false;
     };
 
     std::unique_ptr<transport::IStageCall> send(const framework::Endpoint &endpoint,
@@ -83,6 +84,9 @@
         Call(const Call &) = delete;
         Call &operator=(const Call &) = delete;
 
+        void pauseReading() override { m_sent->isPaused = true; }
+        void resumeReading() override { m_sent->isPaused = false; }
+
     private:
         std::shared_ptr<Sent> m_sent;
     };
--- a/src/pipeline/tests/requestrunfixture.h
+++ b/src/pipeline/tests/requestrunfixture.h
@@ -51,6 +51,8 @@
 {
 public:
     void onText(const std::string &text) override { m_text += text; }
+    bool isBehind() const override { return m_isBehind; }
+    void onCaughtUp(std::function<void()> callback) override { m_caughtUp = std::move(callback); }
     void onRestart() override { m_text.clear(); }
     void onAnswer(const CallerAnswer &answer) override
     {
@@ -60,6 +62,9 @@
 
     std::string m_text;
     std::optional<CallerAnswer> m_answer;
+    /// Whether the caller reads too slowly.
+    bool m_isBehind = false;
+    std::function<void()> m_caughtUp;
 };
 
 /// Ignores what hosts report.
--- a/src/pipeline/tests/requestruntest.cpp
+++ b/src/pipeline/tests/requestruntest.cpp
@@ -75,6 +75,20 @@
     EXPECT_EQ(m_caller.m_answer->outcome, RequestOutcome::Done);
 }
 
+// Guards against an entry that keeps in memory what its caller does not read.
+TEST_F(RequestRunTest, CallerReadsTooSlowly_HostIsHeldBackUntilItHasCaughtUp)
+{
+    start("answer", true);
+    m_stages.answerDone(0, "{}");
+    m_stages.chunk(1, 0, "a");
+    EXPECT_FALSE(m_stages.sent(1).isPaused);
+    m_caller.m_isBehind = true;
+    m_stages.chunk(1, 1, "b");
+    EXPECT_TRUE(m_stages.sent(1).isPaused);
+    m_caller.m_caughtUp();
+    EXPECT_FALSE(m_stages.sent(1).isPaused);
+}
+
 TEST_F(RequestRunTest, StreamedAnswerMissesChunk_StageIsRetriedAndTextRestarts)
 {
     start("answer", true);
--- a/src/transport/internal/httpstagecall.cpp
+++ b/src/transport/internal/httpstagecall.cpp
@@ -34,6 +34,16 @@
     }
 }
 
+void HttpStageCall::pauseReading()
+{
+    m_call->pauseReading();
+}
+
+void HttpStageCall::resumeReading()
+{
+    m_call->resumeReading();
+}
+
 void HttpStageCall::onData(int status, std::string_view data)
 {
     if (status != HttpOk || m_observer == nullptr) {
--- a/src/transport/internal/httpstagecall.h
+++ b/src/transport/internal/httpstagecall.h
@@ -36,6 +36,9 @@
                   framework::AttemptId attempt, IStageCallObserver &observer);
     ~HttpStageCall() override;
 
+    void pauseReading() override;
+    void resumeReading() override;
+
 private:
     void onData(int status, std::string_view data) override;
     void onEnd(http::HttpEnd end, int status) override;
--- a/src/transport/internal/httpstageresponder.cpp
+++ b/src/transport/internal/httpstageresponder.cpp
@@ -5,6 +5,8 @@
 #include "protocol/imessagecodec.h"
 #include "transport/internal/stagepath.h"
 
+#include <utility>
+
 namespace lavendertally::transport {
 
 namespace {
@@ -32,6 +34,16 @@
     m_exchange->sendPart(protocol::IFrameReader::frame(m_codec.encode(chunk)));
 }
 
+bool HttpStageResponder::isBehind() const
+{
+    return m_exchange->isBehind();
+}
+
+void HttpStageResponder::onCaughtUp(std::function<void()> callback)
+{
+    m_exchange->onCaughtUp(std::move(callback));
+}
+
 void HttpStageResponder::sendResult(const protocol::StageResult &result)
 {
     const std::string frame = protocol::IFrameReader::frame(m_codec.encode(result));
--- a/src/transport/internal/httpstageresponder.h
+++ b/src/transport/internal/httpstageresponder.h
@@ -23,6 +23,8 @@
                        const protocol::IMessageCodec &codec);
 
     void sendChunk(const protocol::StageChunk &chunk) override;
+    bool isBehind() const override;
+    void onCaughtUp(std::function<void()> callback) override;
     void sendResult(const protocol::StageResult &result) override;
 
 private:
