Test: an answer that is cut in its head is a broken one

An operator of a similar system reported clients that got a 200 with an empty or short body after a server had stopped in the middle of its head. Here that cannot happen: a connection that ends before the head is complete ends the call as broken, also behind an interim answer.

--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -329,3 +329,41 @@
     settle();
     EXPECT_EQ(m_server.connection(0).fd, -1);
 }
+
+// Guards against an answer that is cut in its head, also behind an interim answer, and is taken for
+// a whole one with an empty or short body.
+TEST_F(ClientFaultTest, AnswerIsCutAtAnyByte_CallIsBroken)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::vector<std::string> answers = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nX-Empty: 1\r\n\r\n",
+    };
+    for (const std::string &complete : answers) {
+        for (const std::string &whole : {complete, interim + complete}) {
+            for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+                m_script = [&](auto &connection) {
+                    ScriptedServer::send(connection, whole.substr(0, cut));
+                    ScriptedServer::end(connection);
+                };
+                const HttpResponse response = fetch();
+                EXPECT_EQ(response.end, HttpEnd::Broken) << whole.substr(0, cut);
+                EXPECT_EQ(response.status, 0);
+            }
+        }
+    }
+}
+
+// Guards against the same where only the end of the connection marks the end of the body.
+TEST_F(ClientFaultTest, HeadWithoutLengthIsCutAtAnyByte_CallIsBroken)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Number: 1\r\n\r\n";
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+        m_script = [&](auto &connection) {
+            ScriptedServer::send(connection, head.substr(0, cut));
+            ScriptedServer::end(connection);
+        };
+        EXPECT_EQ(fetch().end, HttpEnd::Broken) << head.substr(0, cut);
+    }
+}
