No stage piece is sent unless each result that it needs exists

Cause: a decision outlived what it was made from. When a server reported that an input was gone, the job left the queue of that stage's service only; its pieces in the queues of other services stayed and were sent while the stage before ran again. A second report of the same loss, from a call that was under way, discarded the result that had been made anew. Whether a stage before has to run again was decided by its first input alone. Nothing between queue and wire asked whether the inputs exist.

Change: BatchDispatcher sends a stage only if the job has all its inputs. A piece with an empty input cannot be encoded; an answer with an empty handle is no result. After each event, requeue() brings the queues in line with the job and runs stages again whose results are needed and gone, back to the first one. A report of missing inputs is judged by the inputs that the piece was sent with; its attempt does not count, and pieces that run again start without attempts. The inputs of a stage may be lost four times, then its job is given up. Jobs past their deadline end also if no stage of theirs waits.

Why it works: inputs are checked where a call is made, against the state at that moment, so no queue has to be trusted.

--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -1,6 +1,7 @@
 #include "platform/internal/httpstagecallport.h"
 
 #include "framework/ilogger.h"
+#include "framework/types/errorcontext.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
 #include "http/types/httprequest.h"
@@ -10,6 +11,7 @@
 #include "platform/internal/backendservercodec.h"
 #include "platform/internal/stagecodec.h"
 #include "platform/internal/wirenames.h"
+#include "platform/types/encodeerror.h"
 #include "stages/types/pieceoutcome.h"
 #include "stages/types/stagecalloutcome.h"
 #include "stages/types/startstagecall.h"
@@ -56,8 +58,25 @@
 void HttpStageCallPort::startCall(const stages::StartStageCall &call,
                                   std::function<void(stages::StageCallOutcome)> done)
 {
-    http::HttpRequest request =
-        jsonRequest(call.server.endpoint, wire::StageRun, encodePieceOrders(call.pieces));
+    framework::leaf::try_handle_all(
+        [&]() -> framework::Result<void> {
+            BOOST_LEAF_AUTO(body, encodePieceOrders(call.pieces));
+            sendCall(call, std::move(body), std::move(done));
+            return {};
+        },
+        [&](EncodeError /*error*/, const framework::ErrorContext &context) {
+            m_logger.error("stage call lacks an input; not sent", {{"piece", context.message}});
+            done({stages::StageCallStatus::NotRun, {}});
+        },
+        [&] {
+            done({stages::StageCallStatus::NotRun, {}});
+        });
+}
+
+void HttpStageCallPort::sendCall(const stages::StartStageCall &call, std::string body,
+                                 std::function<void(stages::StageCallOutcome)> done)
+{
+    http::HttpRequest request = jsonRequest(call.server.endpoint, wire::StageRun, std::move(body));
     request.headers.emplace_back(std::string(wire::ExpectInstance), call.server.id.value());
     request.timeout = call.timeout;
     request.maxResponseBody = MaxStageAnswer;
--- a/src/platform/internal/httpstagecallport.h
+++ b/src/platform/internal/httpstagecallport.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
 
 namespace lavendertally::framework {
 class ILogger;
@@ -40,6 +41,8 @@
                           std::function<void(framework::Bytes)> done) override;
 
 private:
+    void sendCall(const stages::StartStageCall &call, std::string body,
+                  std::function<void(stages::StageCallOutcome)> done);
     stages::StageCallOutcome decodeAnswer(const framework::Endpoint &server,
                                           const http::HttpResponse &response);
 
--- a/src/platform/internal/stagecodec.cpp
+++ b/src/platform/internal/stagecodec.cpp
@@ -1,9 +1,11 @@
 #include "platform/internal/stagecodec.h"
 
+#include "framework/types/errorcontext.h"
 #include "http/headerlookup.h"
 #include "http/types/httpresponse.h"
 #include "platform/internal/answercodec.h"
 #include "platform/internal/wirenames.h"
+#include "platform/types/encodeerror.h"
 
 #include <nlohmann/json.hpp>
 
@@ -22,7 +24,9 @@
 {
     stages::PieceOutcome outcome;
     const auto handle = json.is_object() ? json.find("handleId") : json.end();
-    if (handle != json.end() && handle->is_string()) {
+    const bool hasResult = handle != json.end() && handle->is_string()
+        && !handle->get_ref<const std::string &>().empty();
+    if (hasResult) {
         outcome.status = stages::PieceStatus::Done;
         outcome.result = framework::StageResultId(handle->get<std::string>());
         return outcome;
@@ -42,10 +46,20 @@
 
 } // namespace
 
-std::string encodePieceOrders(const std::vector<stages::PieceRequest> &pieces)
+framework::Result<std::string> encodePieceOrders(const std::vector<stages::PieceRequest> &pieces)
 {
     nlohmann::json items = nlohmann::json::array();
     for (const stages::PieceRequest &piece : pieces) {
+        const bool isInputMissing =
+            std::any_of(piece.inputs.begin(), piece.inputs.end(),
+                        [](const framework::StageResultId &input) { return input.isEmpty(); });
+        if (isInputMissing) {
+            return framework::leaf::new_error(
+                EncodeError::InputMissing,
+                framework::ErrorContext{"piece " + std::to_string(piece.piece) + " of stage "
+                                        + std::to_string(piece.stage) + " of request "
+                                        + piece.request.value()});
+        }
         nlohmann::json item = {{"id", piece.request.value()},
                                {"stage", piece.stage},
                                {"piece", piece.piece},
--- a/src/platform/internal/stagecodec.h
+++ b/src/platform/internal/stagecodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/result.h"
 #include "framework/types/units.h"
 #include "stages/types/piecerequest.h"
 #include "stages/types/stagecalloutcome.h"
@@ -14,7 +15,8 @@
 
 namespace lavendertally::platform {
 
-std::string encodePieceOrders(const std::vector<stages::PieceRequest> &pieces);
+/// \return the body of a call, or EncodeError
+framework::Result<std::string> encodePieceOrders(const std::vector<stages::PieceRequest> &pieces);
 
 std::string encodeResultIds(const std::vector<framework::StageResultId> &results);
 
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -367,7 +367,7 @@
     stages::PieceRequest second = first;
     second.stage = 1;
     second.inputs = {framework::StageResultId("1.1.1.1:1/x")};
-    const auto json = nlohmann::json::parse(encodePieceOrders({first, second}));
+    const auto json = nlohmann::json::parse(encodePieceOrders({first, second}).value());
     EXPECT_EQ(json["items"][0]["key"], "key");
     EXPECT_FALSE(json["items"][0].contains("inputs"));
     EXPECT_EQ(json["items"][1]["inputs"][0], "1.1.1.1:1/x");
@@ -375,6 +375,27 @@
     EXPECT_EQ(json["items"][1]["remainingMs"], 900);
 }
 
+// Guards against a piece that is sent with an empty handle in place of an input.
+TEST(StageCodecTest, InputIsMissing_OrdersAreNotEncoded)
+{
+    stages::PieceRequest piece;
+    piece.request = framework::RequestId("r");
+    piece.stage = 1;
+    piece.inputs = {framework::StageResultId("1.1.1.1:1/x"), framework::StageResultId()};
+    EXPECT_FALSE(encodePieceOrders({piece}));
+}
+
+TEST(StageCodecTest, HandleIsEmpty_PieceHasFailed)
+{
+    http::HttpResponse response;
+    response.end = http::HttpEnd::Complete;
+    response.status = 200;
+    response.body = R"({"items":[{"handleId":""}]})";
+    const auto outcome = decodeStageAnswer(response);
+    ASSERT_EQ(outcome.pieces.size(), 1U);
+    EXPECT_EQ(outcome.pieces[0].status, stages::PieceStatus::Error);
+}
+
 TEST(StageCodecTest, AnswersAreReadPieceByPiece)
 {
     http::HttpResponse response;
--- a/src/stages/internal/batchdispatcher.cpp
+++ b/src/stages/internal/batchdispatcher.cpp
@@ -141,17 +141,18 @@
         if (queued.notBefore > now || command.pieces.size() == pool.batchSize) {
             break;
         }
-        if (!isSuitable(target, queued, pool, now)) {
+        StageJobState &job = *queued.job;
+        if (!job.hasInputs(queued.stage) || !isSuitable(target, queued, pool, now)) {
             continue;
         }
-        StageJobState &job = *queued.job;
         const protocol::JobStage &stage = job.stage(queued.stage);
         while (command.pieces.size() < pool.batchSize && job.waitingPieces(queued.stage) > 0
                && stage.resultSize <= freeStorage) {
             const std::uint32_t piece = job.startPiece(queued.stage);
             command.pieces.push_back({job.key().request, stage.index, piece, job.deadline() - now,
                                       job.job().input, job.inputs(queued.stage)});
-            call.pieces.push_back({job.number(), queued.stage, piece, stage.resultSize});
+            call.pieces.push_back({job.number(), queued.stage, piece, stage.resultSize,
+                                   command.pieces.back().inputs});
             call.reservedStorage += stage.resultSize;
             freeStorage -= stage.resultSize;
         }
--- a/src/stages/internal/runningpiece.h
+++ b/src/stages/internal/runningpiece.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "framework/types/ids.h"
 #include "framework/types/units.h"
 #include "stages/internal/jobnumber.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace lavendertally::stages {
 
@@ -18,6 +20,8 @@
     std::uint32_t piece = 0;
     /// Storage that its result is expected to take.
     framework::Bytes resultSize;
+    /// Results that it was given.
+    std::vector<framework::StageResultId> inputs;
 };
 
 } // namespace lavendertally::stages
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -46,7 +46,7 @@
                 canRun ? "would be late" : "no backend server", excess);
         return;
     }
-    enqueueReady(added, now);
+    requeue(added, now);
     dispatchAll(now);
 }
 
@@ -83,10 +83,21 @@
     m_queues[job.stage(stage).service].add(queued);
 }
 
-void StageCoordinator::enqueueReady(StageJobState &job, framework::TimePoint now)
+void StageCoordinator::requeue(StageJobState &job, framework::TimePoint now)
 {
+    // Predecessors come before their dependents, so one pass from the end reaches all of them.
+    for (std::size_t stage = job.stageCount(); stage-- > 0;) {
+        if (job.waitingPieces(stage) == 0) {
+            continue;
+        }
+        for (const std::size_t predecessor : job.predecessors(stage)) {
+            job.discardResults(predecessor, {});
+        }
+    }
     for (std::size_t stage = 0; stage < job.stageCount(); ++stage) {
-        if (job.waitingPieces(stage) > 0 && job.isReady(stage)) {
+        if (job.waitingPieces(stage) == 0 || !job.hasInputs(stage)) {
+            m_queues[job.stage(stage).service].removeStage(job, stage);
+        } else {
             enqueue(job, stage, now);
         }
     }
@@ -198,7 +209,7 @@
 
 /// Ends queued jobs: unstarted ones that would miss their objective, since they have consumed no
 /// capacity yet, started ones that are later than maxLateness, and all that are past their
-/// deadline.
+/// deadline, queued or not.
 void StageCoordinator::endLateJobs(framework::TimePoint now)
 {
     std::vector<StageJobState *> late;
@@ -210,11 +221,17 @@
                 && (queued.job->hasStarted() ? lateness > m_options.maxLateness
                                              : lateness > framework::Milliseconds(0));
             const bool isListed = std::find(late.begin(), late.end(), queued.job) != late.end();
-            if ((isTooLate || now > queued.job->deadline()) && !isListed) {
+            if (isTooLate && !isListed) {
                 late.push_back(queued.job);
             }
         }
     }
+    for (const auto &[number, job] : m_jobs.all()) {
+        const bool isListed = std::find(late.begin(), late.end(), job.get()) != late.end();
+        if (now > job->deadline() && !isListed) {
+            late.push_back(job.get());
+        }
+    }
     for (StageJobState *job : late) {
         const framework::Milliseconds lateness = now - job->objective();
         if (job->hasStarted()) {
@@ -288,7 +305,7 @@
 void StageCoordinator::onPieceEnded(const RunningCall &call, const RunningPiece &piece,
                                     const PieceOutcome &outcome, framework::TimePoint now)
 {
-    const bool succeeded = outcome.status == PieceStatus::Done;
+    const bool succeeded = outcome.status == PieceStatus::Done && !outcome.result.isEmpty();
     if (succeeded) {
         m_resultTracker.add(outcome.result, call.server.id, piece.resultSize,
                             now + call.resultLifetime);
@@ -312,11 +329,9 @@
                 now - job->objective());
         return;
     }
-    const auto inputs = job->inputs(piece.stage);
-    const bool hasFreedInput = std::any_of(inputs.begin(), inputs.end(),
-                                           [](const auto &input) { return input.isEmpty(); });
-    if (outcome.status == PieceStatus::InputMissing || hasFreedInput) {
-        rerunInputStages(*job, piece.stage);
+    if (outcome.status == PieceStatus::InputMissing) {
+        onInputsLost(*job, piece, now);
+        return;
     }
     if (outcome.status == PieceStatus::StorageFull) {
         m_resultTracker.addUntracked(call.server.id, piece.resultSize,
@@ -334,30 +349,28 @@
                 now - job.objective());
         return;
     }
-    enqueueReady(job, now);
+    requeue(job, now);
 }
 
-/// Runs the predecessors of a stage again because some of their results no longer exist.
-void StageCoordinator::rerunInputStages(StageJobState &job, std::size_t stage)
+/// Takes back what was decided from inputs that no longer exist. Those of them that have been
+/// replaced since the piece was sent are not missing any more.
+void StageCoordinator::onInputsLost(StageJobState &job, const RunningPiece &piece,
+                                    framework::TimePoint now)
 {
-    for (std::size_t predecessor = 0; predecessor < stage; ++predecessor) {
-        const auto dependents = job.dependents(predecessor);
-        if (std::find(dependents.begin(), dependents.end(), stage) == dependents.end()) {
-            continue;
-        }
-        std::vector<framework::StageResultId> remaining;
-        for (const protocol::StageResultPlace &place : job.results(predecessor)) {
-            remaining.push_back(place.id);
-        }
-        freeResults(remaining);
-        job.restartStage(predecessor);
-        // The inputs of the predecessor itself may have been freed already.
-        if (job.isReady(predecessor) && !job.inputs(predecessor).empty()
-            && job.inputs(predecessor).front().isEmpty()) {
-            rerunInputStages(job, predecessor);
-        }
+    job.returnPiece(piece.stage, piece.piece);
+    bool isNews = false;
+    for (const std::size_t predecessor : job.predecessors(piece.stage)) {
+        // Which of them is missing is not known.
+        const auto discarded = job.discardResults(predecessor, piece.inputs);
+        isNews = isNews || !discarded.empty();
+        freeResults(discarded);
+    }
+    if (isNews && job.countInputLoss(piece.stage) >= m_options.maxInputLosses) {
+        failJob(job, protocol::StageJobStatus::Failed, "its inputs kept getting lost",
+                now - job.objective());
+        return;
     }
-    m_queues[job.stage(stage).service].removeJob(job);
+    requeue(job, now);
 }
 
 void StageCoordinator::onStageDone(StageJobState &job, std::size_t stage, framework::TimePoint now)
@@ -367,7 +380,7 @@
         completeJob(job, now);
         return;
     }
-    enqueueReady(job, now);
+    requeue(job, now);
 }
 
 /// Frees the inputs of a stage that no waiting piece and no other unfinished stage needs.
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -69,7 +69,9 @@
     /// \return time by which it would still miss its objective; zero or less if it is admitted
     framework::Milliseconds evictUntilInTime(const StageJobState &job, framework::TimePoint now);
     void enqueue(StageJobState &job, std::size_t stage, framework::TimePoint now);
-    void enqueueReady(StageJobState &job, framework::TimePoint now);
+    /// Brings the queues in line with the job: just those stages wait in them that have pieces to
+    /// send and all their inputs. Stages whose results are needed and no longer there run again.
+    void requeue(StageJobState &job, framework::TimePoint now);
 
     void endLateJobs(framework::TimePoint now);
     void dispatchAll(framework::TimePoint now);
@@ -82,7 +84,7 @@
                       const PieceOutcome &outcome, framework::TimePoint now);
     void retryOrFail(StageJobState &job, const RunningPiece &piece, PieceStatus status,
                      framework::TimePoint now);
-    void rerunInputStages(StageJobState &job, std::size_t stage);
+    void onInputsLost(StageJobState &job, const RunningPiece &piece, framework::TimePoint now);
     void onStageDone(StageJobState &job, std::size_t stage, framework::TimePoint now);
     void freeFetchedInputs(framework::TimePoint now);
     void freeInputs(StageJobState &job, std::size_t stage);
--- a/src/stages/internal/stagejobstate.cpp
+++ b/src/stages/internal/stagejobstate.cpp
@@ -46,6 +46,18 @@
                        [this](std::size_t predecessor) { return isStageDone(predecessor); });
 }
 
+bool StageJobState::hasInputs(std::size_t position) const
+{
+    const auto isAvailable = [](const Piece &piece) {
+        return piece.state == PieceState::Done && !piece.result.id.isEmpty();
+    };
+    const auto &inputStages = m_stages[position].predecessors;
+    return std::all_of(inputStages.begin(), inputStages.end(), [&](std::size_t predecessor) {
+        const auto &pieces = m_stages[predecessor].pieces;
+        return std::all_of(pieces.begin(), pieces.end(), isAvailable);
+    });
+}
+
 bool StageJobState::isStageDone(std::size_t position) const
 {
     const Stage &stage = m_stages[position];
@@ -118,19 +130,40 @@
     return stage.pieces[piece].attempts;
 }
 
-void StageJobState::restartStage(std::size_t position)
+void StageJobState::returnPiece(std::size_t position, std::uint32_t piece)
+{
+    --m_stages[position].pieces[piece].attempts;
+    retryPiece(position, piece);
+}
+
+std::vector<framework::StageResultId>
+StageJobState::discardResults(std::size_t position,
+                              const std::vector<framework::StageResultId> &lost)
 {
     Stage &stage = m_stages[position];
-    const std::uint32_t restarted = stage.done;
+    std::vector<framework::StageResultId> discarded;
+    std::uint32_t restarted = 0;
     for (Piece &piece : stage.pieces) {
-        if (piece.state == PieceState::Done) {
-            piece.state = PieceState::Waiting;
-            piece.result = {};
+        const framework::StageResultId &id = piece.result.id;
+        const bool isLost = id.isEmpty() || std::find(lost.begin(), lost.end(), id) != lost.end();
+        if (piece.state != PieceState::Done || !isLost) {
+            continue;
+        }
+        if (!id.isEmpty()) {
+            discarded.push_back(id);
         }
+        piece = Piece();
+        ++restarted;
     }
     stage.waiting += restarted;
-    stage.done = 0;
+    stage.done -= restarted;
     m_observer.onWaitingChanged(*this, position, restarted);
+    return discarded;
+}
+
+std::uint32_t StageJobState::countInputLoss(std::size_t position)
+{
+    return ++m_stages[position].inputLosses;
 }
 
 std::vector<framework::StageResultId> StageJobState::inputs(std::size_t position) const
--- a/src/stages/internal/stagejobstate.h
+++ b/src/stages/internal/stagejobstate.h
@@ -38,6 +38,8 @@
     bool hasWaitingPieces(const framework::ServiceId &service) const;
     /// \return whether all preceding stages are done
     bool isReady(std::size_t position) const;
+    /// \return whether all preceding stages are done and none of their results was lost or freed
+    bool hasInputs(std::size_t position) const;
     bool isStageDone(std::size_t position) const;
     bool isDone() const;
     /// \return positions of the stages whose results the stage needs
@@ -55,8 +57,16 @@
     /// Marks a failed piece as waiting again.
     /// \return attempts so far
     std::uint32_t retryPiece(std::size_t position, std::uint32_t piece);
-    /// Discards the results of the stage; all its finished pieces wait again.
-    void restartStage(std::size_t position);
+    /// Marks a piece that could not be run as waiting again, as if it had not been sent.
+    void returnPiece(std::size_t position, std::uint32_t piece);
+    /// Discards those results of the stage that are in \p lost or were taken before; their pieces
+    /// wait again, with no attempts.
+    /// \return the discarded results that had not been taken
+    std::vector<framework::StageResultId>
+    discardResults(std::size_t position, const std::vector<framework::StageResultId> &lost);
+    /// Notes that inputs of the stage were lost.
+    /// \return how often that has happened
+    std::uint32_t countInputLoss(std::size_t position);
 
     /// \return results of the preceding stages in order; the id of a result that was taken is empty
     std::vector<framework::StageResultId> inputs(std::size_t position) const;
@@ -93,6 +103,7 @@
         std::vector<Piece> pieces;
         std::uint32_t waiting = 0;
         std::uint32_t done = 0;
+        std::uint32_t inputLosses = 0;
         std::vector<std::size_t> predecessors;
     };
 
--- a/src/stages/internal/stagequeue.cpp
+++ b/src/stages/internal/stagequeue.cpp
@@ -23,6 +23,13 @@
     std::erase_if(m_stages, [&job](const QueuedStage &queued) { return queued.job == &job; });
 }
 
+void StageQueue::removeStage(const StageJobState &job, std::size_t stage)
+{
+    std::erase_if(m_stages, [&job, stage](const QueuedStage &queued) {
+        return queued.job == &job && queued.stage == stage;
+    });
+}
+
 void StageQueue::removeFullySent()
 {
     std::erase_if(m_stages, [](const QueuedStage &queued) {
--- a/src/stages/internal/stagequeue.h
+++ b/src/stages/internal/stagequeue.h
@@ -16,6 +16,7 @@
     /// Adds a stage unless it is queued already.
     void add(const QueuedStage &queued);
     void removeJob(const StageJobState &job);
+    void removeStage(const StageJobState &job, std::size_t stage);
     /// Removes the stages of which no piece waits to be sent.
     void removeFullySent();
 
--- a/src/stages/istagecallport.h
+++ b/src/stages/istagecallport.h
@@ -17,7 +17,7 @@
     virtual ~IStageCallPort() = default;
 
     /// Sends a batch of pieces to a backend server.
-    /// \param done called once, never from within this function
+    /// \param done called once; from within this function only if the call cannot be sent
     virtual void startCall(const StartStageCall &call,
                            std::function<void(StageCallOutcome)> done) = 0;
 
--- a/src/stages/types/stagecoordinatoroptions.h
+++ b/src/stages/types/stagecoordinatoroptions.h
@@ -12,6 +12,8 @@
 {
     /// Attempts per piece including the first; more would outlast most deadlines.
     std::uint32_t maxPieceAttempts = 4;
+    /// How often the inputs of one stage may be lost before its job is given up.
+    std::uint32_t maxInputLosses = 4;
     /// Timeout of a call as a multiple of its expected duration.
     double timeoutFactor = 1.6;
     /// Added to the timeout of each call to cover a few network round trips.
