A request that would outlast the shutdown is refused before it is sent

An operator of a similar system reported that requests which came late in the grace of a planned stop were passed on and cut at its end. Here requests are refused from 2.5 s after SIGTERM on; before that, all were taken, also those whose answers last longer than the 5 s that are left then. They were cut at the forced end.

The proxy now knows when the process ends, and refuses a request as not run if those of its route take longer than is left: smoothed time plus twice its smoothed deviation, as TCP estimates round trips. A route without measurements is served as before.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -261,6 +261,7 @@
     m_draining = true;
     m_drainStarted = m_clock->now();
     m_clientShutdown->begin();
+    m_proxy->endBy(m_drainStarted + forcedEndAfter());
     m_platform->leave();
     m_stages->handOver();
     m_logger->info("shutting down; no longer ready, requests are still served for now",
@@ -268,22 +269,25 @@
     checkDrained();
 }
 
+framework::Milliseconds GatewayDaemon::forcedEndAfter() const
+{
+    return m_settings.gateway.shutdownGrace - ShutdownMargin;
+}
+
 void GatewayDaemon::checkDrained()
 {
     const framework::Milliseconds elapsed = m_clock->now() - m_drainStarted;
-    const framework::Milliseconds forcedEndAfter =
-        m_settings.gateway.shutdownGrace - ShutdownMargin;
     bool serverFinished = false;
     if (elapsed >= LoadBalancerReactionTime) {
         // A request accepted from now on might not finish before the process ends.
         serverFinished = m_clientShutdown->finish();
         m_proxy->beginDrain();
     }
-    if (elapsed >= forcedEndAfter) {
+    if (elapsed >= forcedEndAfter()) {
         m_proxy->endAll();
     }
     const bool finished = serverFinished && m_proxy->activeRequests() == 0;
-    if (finished || elapsed >= forcedEndAfter + FlushTime) {
+    if (finished || elapsed >= forcedEndAfter() + FlushTime) {
         m_logger->info("gateway stopped",
                        {{"requests", std::to_string(m_proxy->activeRequests())}});
         m_onDrained();
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -108,6 +108,8 @@
     void replyReadiness(const std::shared_ptr<http::IHttpExchange> &exchange);
     void tick();
     void checkDrained();
+    /// \return time from the start of a shutdown to the end of all requests
+    framework::Milliseconds forcedEndAfter() const;
 
     configuration::DaemonSettings m_settings;
     framework::IEventLoop &m_loop;
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -8,6 +8,7 @@
 #include "peers/idaemondirectory.h"
 #include "proxy/ibackendcall.h"
 #include "proxy/ibackendclient.h"
+#include "proxy/internal/answertimeestimator.h"
 #include "proxy/internal/firsteventestimator.h"
 #include "proxy/internal/iactiverequestowner.h"
 #include "proxy/internal/requestresolver.h"
@@ -70,6 +71,12 @@
         fail(*refusal, refusal->cause);
         return;
     }
+    const framework::Milliseconds expected = m_owner.answerTimes().estimate(m_plan.route->id);
+    if (m_owner.end() - m_started < expected) {
+        fail({RefusalKind::NotRun, {}, "would not end before the shutdown"},
+             "would not end before the shutdown");
+        return;
+    }
     if (const auto refusal = m_guard.check()) {
         fail(*refusal, refusal->cause);
         return;
@@ -408,7 +415,7 @@
             m_response->startStream(*m_head);
         }
         m_response->endStream();
-        finish("done");
+        finishAnswered();
         return;
     }
     m_attempts.exclude(m_server);
@@ -449,7 +456,11 @@
         return;
     }
     m_response->reply(*m_head, m_body);
-    finish(failed ? "backend server failed" : "done");
+    if (failed) {
+        finish("backend server failed");
+        return;
+    }
+    finishAnswered();
 }
 
 void ActiveRequest::passedOnBodyEnded(bool complete)
@@ -460,7 +471,7 @@
             m_guard.answerCompleted();
         }
         m_response->endStream();
-        finish("done");
+        finishAnswered();
         return;
     }
     fail({RefusalKind::ResponseLost, {}, "answer lost"}, "answer broke off");
@@ -548,6 +559,13 @@
     finish(refusal.cause);
 }
 
+void ActiveRequest::finishAnswered()
+{
+    // What a slow client adds says nothing of the next request.
+    m_owner.answerTimes().observe(m_plan.route->id, elapsed() - m_pacer.heldTime());
+    finish("done");
+}
+
 void ActiveRequest::finish(const char *outcome)
 {
     m_ended = true;
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -92,6 +92,8 @@
     /// request otherwise.
     /// \param streamOutcome outcome for the log and the metrics if the stream has begun
     void fail(const Refusal &refusal, const char *streamOutcome);
+    /// Ends a request whose whole answer has been written.
+    void finishAnswered();
     void finish(const char *outcome);
     framework::Milliseconds timeLeft() const;
     framework::Milliseconds elapsed() const;
--- a/src/proxy/internal/iactiverequestowner.h
+++ b/src/proxy/internal/iactiverequestowner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "framework/types/timepoint.h"
 #include "framework/types/units.h"
 
 #include <cstdint>
@@ -8,6 +9,7 @@
 namespace lavendertally::proxy {
 
 class ActiveRequest;
+class AnswerTimeEstimator;
 class FirstEventEstimator;
 class HeldSources;
 
@@ -32,6 +34,10 @@
 
     /// \return estimates of the time to the first event, shared by all requests
     virtual FirstEventEstimator &firstEvents() = 0;
+    /// \return estimates of the time to the whole answer, shared by all requests
+    virtual AnswerTimeEstimator &answerTimes() = 0;
+    /// \return when the process ends; never() unless it is shutting down
+    virtual framework::TimePoint end() const = 0;
     virtual HeldSources &heldSources() = 0;
 };
 
--- a/src/proxy/internal/proxyservice.h
+++ b/src/proxy/internal/proxyservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/internal/answertimeestimator.h"
 #include "proxy/internal/firsteventestimator.h"
 #include "proxy/internal/heldsources.h"
 #include "proxy/internal/iactiverequestowner.h"
@@ -24,6 +25,7 @@
 
     Ticket start(ClientRequest request, std::unique_ptr<IResponseWriter> response) override;
     void abandon(Ticket ticket) override;
+    void endBy(framework::TimePoint end) override { m_end = end; }
     void beginDrain() override { m_draining = true; }
     void endAll() override;
     std::size_t activeRequests() const override { return m_requests.size(); }
@@ -33,6 +35,8 @@
     std::uint32_t relativeWorth(const framework::RouteId &route,
                                 framework::TokenCount size) override;
     FirstEventEstimator &firstEvents() override { return m_firstEvents; }
+    AnswerTimeEstimator &answerTimes() override { return m_answerTimes; }
+    framework::TimePoint end() const override { return m_end; }
     HeldSources &heldSources() override { return m_heldSources; }
 
 private:
@@ -47,6 +51,8 @@
     /// Moving average of the request size of each route, in weighted tokens.
     std::unordered_map<framework::RouteId, double> m_averageSizes;
     FirstEventEstimator m_firstEvents;
+    AnswerTimeEstimator m_answerTimes;
+    framework::TimePoint m_end = framework::TimePoint::never();
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/iproxyservice.h
+++ b/src/proxy/iproxyservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/timepoint.h"
 #include "proxy/types/clientrequest.h"
 
 #include <cstddef>
@@ -30,6 +31,10 @@
     /// ended.
     virtual void abandon(Ticket ticket) = 0;
 
+    /// The process ends at \p end. New requests that may not be answered by then are refused, those
+    /// in flight continue.
+    virtual void endBy(framework::TimePoint end) = 0;
+
     /// Refuses new requests from now on; requests in flight continue.
     virtual void beginDrain() = 0;
 
--- a/src/proxy/tests/admissiontest.cpp
+++ b/src/proxy/tests/admissiontest.cpp
@@ -81,6 +81,37 @@
     EXPECT_EQ(m_service->activeRequests(), 0U);
 }
 
+// Guards against requests that are taken late in a shutdown, passed on, and cut at its end.
+TEST_F(ProxyAdmissionTest, RequestWouldOutlastTheShutdown_IsRefusedBeforeItIsSent)
+{
+    constexpr int Measurements = 8;
+    for (int each = 0; each < Measurements; ++each) {
+        start("book");
+        advance(500);
+        respond(m_backends.m_sent.size() - 1, head(200));
+        start("open");
+        respond(m_backends.m_sent.size() - 1, head(200));
+    }
+    m_serving.confirm(m_clock.now());
+    const std::size_t sentBefore = m_backends.m_sent.size();
+    m_service->endBy(m_clock.now() + framework::Milliseconds(300));
+    EXPECT_EQ(start("book")->refusal, RefusalKind::NotRun);
+    EXPECT_EQ(m_backends.m_sent.size(), sentBefore);
+    EXPECT_FALSE(start("open")->refusal);
+    EXPECT_EQ(m_backends.m_sent.size(), sentBefore + 1);
+}
+
+TEST_F(ProxyAdmissionTest, RequestEndsWellBeforeTheShutdownDoes_IsServed)
+{
+    start("book");
+    advance(500);
+    respond(0, head(200));
+    m_serving.confirm(m_clock.now());
+    m_service->endBy(m_clock.now() + framework::Milliseconds(5000));
+    EXPECT_FALSE(start("book")->refusal);
+    EXPECT_EQ(m_backends.m_sent.size(), 2U);
+}
+
 TEST_F(ProxyAdmissionTest, NoBackendServer_RequestIsRefusedAsNotRun)
 {
     m_servers.remove(framework::BackendServerId("w1"));
