A link is closed when its peer has not read 1 MB

Now nothing is sent to a peer that has not taken 1 MB, and the next tick closes the link; its jobs are submitted again as after any loss.

--- a/src/peers/internal/peerlink.cpp
+++ b/src/peers/internal/peerlink.cpp
@@ -18,6 +18,9 @@
 /// answering is found sooner by the ping timeout.
 constexpr framework::Milliseconds AcknowledgeTimeout{2000};
 
+/// What may wait for a peer that reads slowly, besides one message.
+constexpr std::size_t MaxUnsentBytes = 1024 * 1024;
+
 } // namespace
 
 PeerLink::PeerLink(event_base *base, int fd, const protocol::IPeerMessageCodec &codec,
@@ -42,6 +45,10 @@
 
 void PeerLink::send(const protocol::PeerMessage &message)
 {
+    m_isBehind = m_isBehind || m_socket->unsent() > MaxUnsentBytes;
+    if (m_isBehind) {
+        return;
+    }
     m_socket->write(protocol::IFrameReader::frame(m_codec.encode(message)));
 }
 
--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -41,7 +41,11 @@
     /// Starts to connect; the owner is notified of the result.
     /// \return false if that fails at once
     bool connect(const char *address, unsigned short port);
+    /// Sends a message, unless the peer is behind.
     void send(const protocol::PeerMessage &message);
+    /// \return whether the peer did not take what was sent before within a bound. A message has
+    /// been dropped then, so the link has to be closed
+    bool isBehind() const { return m_isBehind; }
     /// Ends all notifications to the owner; what has arrived and was not handled yet is dropped.
     void detach();
 
@@ -76,6 +80,7 @@
     std::unique_ptr<protocol::IFrameReader> m_frames;
     std::unique_ptr<network::BufferedSocket> m_socket;
     bool m_connected = false;
+    bool m_isBehind = false;
     bool m_takesCrashReports = false;
     bool m_takesRateLimits = false;
     std::optional<protocol::EvidenceFingerprint> m_toldFingerprint;
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -335,6 +335,10 @@
         handleOutboundFailure(peer, outbound, "ping timeout");
         return;
     }
+    if (outbound.link->isBehind()) {
+        handleOutboundFailure(peer, outbound, "peer reads too slowly");
+        return;
+    }
     outbound.link->send(protocol::PeerPing{now});
 }
 
@@ -358,7 +362,7 @@
 {
     std::vector<PeerLink *> idle;
     for (const auto &link : m_inbound) {
-        if (now - link->lastReceived() > m_limits.inboundIdleTimeout) {
+        if (link->isBehind() || now - link->lastReceived() > m_limits.inboundIdleTimeout) {
             idle.push_back(link.get());
         }
     }
--- a/src/peers/tests/peernetworktest.cpp
+++ b/src/peers/tests/peernetworktest.cpp
@@ -3,10 +3,14 @@
 #include "framework/ieventloop.h"
 #include "framework/itimer.h"
 #include "framework/testing/nulllogger.h"
+#include "http/tests/rawsocket.h"
 #include "http/tests/scriptedserver.h"
 #include "peers/ipeernetwork.h"
 #include "peers/ipeerobserver.h"
 #include "peers/peersmodule.h"
+#include "protocol/iframereader.h"
+#include "protocol/ipeermessagecodec.h"
+#include "protocol/protocolmodule.h"
 
 #include <gtest/gtest.h>
 
@@ -310,3 +314,25 @@
     EXPECT_TRUE(waitFor([this] { return m_a->isAccepting(B); }));
     EXPECT_FALSE(m_a->isInStartupGrace(framework::DaemonId("x")));
 }
+
+// Guards against messages that pile up in memory for a peer that does not read them.
+TEST_F(PeerNetworkTest, PeerDoesNotRead_LinkIsClosedWithinABoundOfBytes)
+{
+    const framework::DaemonId slow("slow");
+    const auto codec = protocol::ProtocolModule::makePeerCodec();
+    http::RawSocket peer(m_endpointB);
+    peer.send(
+        protocol::IFrameReader::frame(codec->encode(protocol::PeerHello{slow, false, false})));
+    ASSERT_TRUE(waitFor(
+        [&] { return m_b->send(slow, protocol::StageJobCancel{framework::RequestId("r")}); }));
+    const protocol::StageJobCancel large{framework::RequestId(std::string(100 * 1024, 'r'))};
+    constexpr int Messages = 200;
+    for (int each = 0; each < Messages; ++each) {
+        m_b->send(slow, large);
+    }
+    constexpr framework::Milliseconds SoonerThanIdle{2000};
+    const framework::TimePoint begin = m_clock->now();
+    ASSERT_TRUE(waitFor([&] { return !m_observerB.m_inboundClosed.empty(); }));
+    EXPECT_EQ(m_observerB.m_inboundClosed.front(), slow);
+    EXPECT_LT(m_clock->now() - begin, SoonerThanIdle);
+}
