Bodies of all requests under way are bounded together

The server counts the bodies that it reads and that its exchanges hold, by their announced length. The platform's adapter takes the body out of the exchange instead of copying it. Requests that the server refuses by itself are counted by their status; until now nothing told of them.

RawServerTest.BodiesTogetherExceedTheLimit_NewOneIsRefusedAsNotRun fails with the check disabled.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -172,6 +172,10 @@
     m_clientServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         m_clientGateway->handle(exchange);
     });
+    m_clientServer->onRefused([this](int status) {
+        m_metrics->increment("lavendertally_unhandled_requests_total",
+                             {{"status", std::to_string(status)}});
+    });
     m_clientShutdown = std::make_unique<http::ServerShutdown>(*m_clientServer);
     m_readyServer = http::HttpModule::makeServer(m_loop, {});
     m_readyServer->setHandler(
--- a/src/http/ihttpexchange.h
+++ b/src/http/ihttpexchange.h
@@ -28,6 +28,8 @@
     /// \return value of a header field
     virtual std::optional<std::string> header(const std::string &name) const = 0;
     virtual const std::string &body() const = 0;
+    /// \return the body, which is empty afterwards
+    virtual std::string takeBody() = 0;
 
     /// Sends the whole response.
     /// \param contentType empty if \p headers have it or there is none
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -23,6 +23,10 @@
     /// \param handler called for each request; it may keep the exchange and reply later
     virtual void setHandler(Handler handler) = 0;
 
+    /// \param refused called with the status of each request that is refused before it is handled:
+    /// it cannot be read, or exceeds a limit
+    virtual void onRefused(std::function<void(int)> refused) = 0;
+
     /// Applies to requests that begin from now on.
     virtual void setLimits(const HttpLimits &limits) = 0;
 
--- a/src/http/internal/bufferedhttpserver.cpp
+++ b/src/http/internal/bufferedhttpserver.cpp
@@ -121,6 +121,13 @@
     m_handler(exchange);
 }
 
+void BufferedHttpServer::noteRefusal(int status) const
+{
+    if (m_refused) {
+        m_refused(status);
+    }
+}
+
 void BufferedHttpServer::discard(ServerConnection &connection)
 {
     auto node = m_connections.extract(&connection);
--- a/src/http/internal/bufferedhttpserver.h
+++ b/src/http/internal/bufferedhttpserver.h
@@ -3,6 +3,7 @@
 #include "http/ihttpserver.h"
 
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 struct evconnlistener;
@@ -27,6 +28,7 @@
     BufferedHttpServer &operator=(const BufferedHttpServer &) = delete;
 
     void setHandler(Handler handler) override;
+    void onRefused(std::function<void(int)> refused) override { m_refused = std::move(refused); }
     void setLimits(const HttpLimits &limits) override { m_limits = limits; }
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override;
     void stopListening() override;
@@ -39,7 +41,9 @@
     const HttpLimits &limits() const { return m_limits; }
     bool isClosing() const { return m_closing; }
     std::shared_ptr<std::size_t> unfinished() const { return m_unfinished; }
+    std::shared_ptr<std::size_t> heldBodies() const { return m_heldBodies; }
     void handle(const std::shared_ptr<IHttpExchange> &exchange);
+    void noteRefusal(int status) const;
     /// Destroys \p connection once the callbacks under way have returned.
     void discard(ServerConnection &connection);
 
@@ -50,6 +54,8 @@
     framework::IEventLoop &m_loop;
     HttpLimits m_limits;
     Handler m_handler;
+    std::function<void(int)> m_refused;
+    std::shared_ptr<std::size_t> m_heldBodies = std::make_shared<std::size_t>(0);
     evconnlistener *m_listener = nullptr;
     bool m_closing = false;
     std::shared_ptr<std::size_t> m_unfinished = std::make_shared<std::size_t>(0);
--- a/src/http/internal/httpstatus.h
+++ b/src/http/internal/httpstatus.h
@@ -13,6 +13,7 @@
     static constexpr int RequestTimeout = 408;
     static constexpr int PayloadTooLarge = 413;
     static constexpr int HeaderFieldsTooLarge = 431;
+    static constexpr int ServiceUnavailable = 503;
 };
 
 } // namespace lavendertally::http
--- a/src/http/internal/requestparser.cpp
+++ b/src/http/internal/requestparser.cpp
@@ -178,6 +178,16 @@
     return m_message->m_version == Http11;
 }
 
+std::size_t RequestParser::bodySize() const
+{
+    const std::size_t arrived = m_message->m_body.size();
+    if (!m_message->is_header_done()) {
+        return arrived;
+    }
+    const auto announced = m_message->content_length();
+    return announced ? std::max(arrived, static_cast<std::size_t>(*announced)) : arrived;
+}
+
 HttpRequestHead RequestParser::takeHead()
 {
     return std::move(m_message->m_head);
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -3,6 +3,7 @@
 #include "framework/ieventloop.h"
 #include "framework/itimer.h"
 #include "http/internal/bufferedhttpserver.h"
+#include "http/internal/heldbody.h"
 #include "http/internal/httpstatus.h"
 #include "http/internal/requestparser.h"
 #include "http/internal/serverexchange.h"
@@ -28,7 +29,8 @@
 ServerConnection::ServerConnection(BufferedHttpServer &server, int fd)
     : m_server(server),
       m_socket(std::make_unique<network::BufferedSocket>(server.loop().base(), fd, *this)),
-      m_parser(std::make_unique<RequestParser>(server.limits()))
+      m_parser(std::make_unique<RequestParser>(server.limits())),
+      m_body(std::make_unique<HeldBody>(server.heldBodies()))
 {
     startTimer(server.limits().idleTimeout);
 }
@@ -105,6 +107,12 @@
             refuse(m_parser->refusalStatus());
             return;
         }
+        m_body->resize(m_parser->bodySize());
+        if (std::cmp_greater(m_body->total(), m_server.limits().maxHeldBodies.value())) {
+            m_body->resize(0);
+            refuse(HttpStatus::ServiceUnavailable);
+            return;
+        }
         if (m_parser->takeExpectsContinue()) {
             m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -126,9 +134,9 @@
     m_hadRequest = true;
     m_handling = true;
     m_lastResponse = !m_parser->keepAlive();
-    m_exchange =
-        std::make_shared<ServerExchange>(*this, m_parser->takeHead(), m_parser->takeBody(),
-                                         m_parser->understandsChunks(), m_server.unfinished());
+    m_exchange = std::make_shared<ServerExchange>(*this, m_parser->takeHead(), m_parser->takeBody(),
+                                                  std::move(m_body), m_parser->understandsChunks(),
+                                                  m_server.unfinished());
     // The handler may end the exchange, and with it this connection's hold on it.
     const auto exchange = m_exchange;
     m_server.handle(exchange);
@@ -169,6 +177,7 @@
         return;
     }
     m_parser = std::make_unique<RequestParser>(m_server.limits());
+    m_body = std::make_unique<HeldBody>(m_server.heldBodies());
     startTimer(m_server.limits().idleTimeout);
     if (!m_socket->input().empty()) {
         // A client that pipelines would otherwise deepen the stack with each request.
@@ -182,8 +191,11 @@
 void ServerConnection::refuse(int status)
 {
     m_lastResponse = true;
-    m_socket->write("HTTP/1.1 " + std::to_string(status)
-                    + " Refused\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    const bool mayRepeat = status == HttpStatus::ServiceUnavailable;
+    m_server.noteRefusal(status);
+    m_socket->write("HTTP/1.1 " + std::to_string(status) + " Refused\r\n"
+                    + (mayRepeat ? "Retry-After: 1\r\n" : "")
+                    + "Connection: close\r\nContent-Length: 0\r\n\r\n");
     linger();
 }
 
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -18,6 +18,7 @@
 namespace lavendertally::http {
 
 class BufferedHttpServer;
+class HeldBody;
 class RequestParser;
 class ServerExchange;
 
@@ -68,6 +69,7 @@
     BufferedHttpServer &m_server;
     std::unique_ptr<network::BufferedSocket> m_socket;
     std::unique_ptr<RequestParser> m_parser;
+    std::unique_ptr<HeldBody> m_body;
     std::shared_ptr<ServerExchange> m_exchange;
     std::unique_ptr<framework::ITimer> m_timer;
     /// Whether the time limit of the current request's head runs.
--- a/src/http/internal/serverexchange.cpp
+++ b/src/http/internal/serverexchange.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/serverexchange.h"
 
 #include "http/headerlookup.h"
+#include "http/internal/heldbody.h"
 #include "http/internal/httpstatus.h"
 #include "http/internal/serverconnection.h"
 
@@ -33,9 +34,10 @@
 } // namespace
 
 ServerExchange::ServerExchange(ServerConnection &connection, HttpRequestHead head, std::string body,
-                               bool chunks, std::shared_ptr<std::size_t> unfinished)
-    : m_connection(&connection), m_head(std::move(head)), m_body(std::move(body)), m_chunks(chunks),
-      m_unfinished(std::move(unfinished))
+                               std::unique_ptr<HeldBody> heldBody, bool chunks,
+                               std::shared_ptr<std::size_t> unfinished)
+    : m_connection(&connection), m_head(std::move(head)), m_body(std::move(body)),
+      m_heldBody(std::move(heldBody)), m_chunks(chunks), m_unfinished(std::move(unfinished))
 {
     ++*m_unfinished;
     readTarget();
@@ -91,6 +93,11 @@
     return std::nullopt;
 }
 
+std::string ServerExchange::takeBody()
+{
+    return std::exchange(m_body, {});
+}
+
 std::string ServerExchange::responseHead(int status, const std::string &contentType,
                                          const HttpHeaders &headers) const
 {
--- a/src/http/internal/serverexchange.h
+++ b/src/http/internal/serverexchange.h
@@ -8,15 +8,18 @@
 
 namespace lavendertally::http {
 
+class HeldBody;
 class ServerConnection;
 
 /// One request on a ServerConnection, and the response to it.
 class ServerExchange final : public IHttpExchange
 {
 public:
+    /// \param heldBody share of \p body in what the server holds
     /// \param unfinished number that is raised until the response is on its way as a whole
     ServerExchange(ServerConnection &connection, HttpRequestHead head, std::string body,
-                   bool chunks, std::shared_ptr<std::size_t> unfinished);
+                   std::unique_ptr<HeldBody> heldBody, bool chunks,
+                   std::shared_ptr<std::size_t> unfinished);
     ~ServerExchange() override;
     ServerExchange(const ServerExchange &) = delete;
     ServerExchange &operator=(const ServerExchange &) = delete;
@@ -27,6 +30,7 @@
     std::optional<std::string> query(const std::string &name) const override;
     std::optional<std::string> header(const std::string &name) const override;
     const std::string &body() const override { return m_body; }
+    std::string takeBody() override;
 
     using IHttpExchange::reply;
     void reply(int status, const std::string &contentType, std::string_view body,
@@ -65,6 +69,7 @@
     std::string m_path;
     std::string m_query;
     std::string m_body;
+    std::unique_ptr<HeldBody> m_heldBody;
     std::function<void()> m_hangUp;
     std::function<void()> m_caughtUp;
     Progress m_progress = Progress::Open;
--- a/src/http/tests/strictrequesttest.cpp
+++ b/src/http/tests/strictrequesttest.cpp
@@ -424,3 +424,36 @@
     ASSERT_TRUE(runUntil([&] { return client.isClosed(); }));
     EXPECT_TRUE(client.isReset());
 }
+
+// Guards against request bodies that together fill the memory although each is within its limit.
+TEST_F(RawServerTest, BodiesTogetherExceedTheLimit_NewOneIsRefusedAsNotRun)
+{
+    HttpLimits limits = RawServerTest::limits();
+    limits.maxBody = framework::Bytes(1000);
+    limits.maxHeldBodies = framework::Bytes(1500);
+    limits.requestTimeout = GenerousTimeout;
+    limits.idleTimeout = GenerousTimeout;
+    m_server->setLimits(limits);
+    const auto post = [](std::size_t length) {
+        return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length)
+            + "\r\n\r\n";
+    };
+    std::vector<int> refused;
+    m_server->onRefused([&refused](int status) { refused.push_back(status); });
+    RawSocket slow(m_endpoint);
+    slow.send(post(900) + std::string(400, 'a'));
+    RawSocket second(m_endpoint);
+    second.send(post(500) + std::string(500, 'b'));
+    EXPECT_TRUE(runUntil([&] { return second.received().starts_with("HTTP/1.1 200 "); }));
+    RawSocket third(m_endpoint);
+    third.send(post(800));
+    EXPECT_TRUE(runUntil([&] { return third.received().starts_with("HTTP/1.1 503 "); }));
+    EXPECT_NE(third.received().find("Retry-After: 1\r\n"), std::string::npos);
+    slow.send(std::string(500, 'a'));
+    EXPECT_TRUE(runUntil([&] { return slow.received().starts_with("HTTP/1.1 200 "); }));
+    RawSocket fourth(m_endpoint);
+    fourth.send(post(1000) + std::string(1000, 'c'));
+    EXPECT_TRUE(runUntil([&] { return fourth.received().starts_with("HTTP/1.1 200 "); }));
+    EXPECT_EQ(refused, std::vector<int>{503});
+    EXPECT_EQ(m_bodies.size(), 3U);
+}
--- a/src/platform/internal/clientgateway.cpp
+++ b/src/platform/internal/clientgateway.cpp
@@ -23,7 +23,7 @@
     constexpr int BadRequest = 400;
     framework::leaf::try_handle_all(
         [&]() -> framework::Result<void> {
-            BOOST_LEAF_AUTO(request, decodeClientRequest(exchange->head(), exchange->body()));
+            BOOST_LEAF_AUTO(request, decodeClientRequest(exchange->head(), exchange->takeBody()));
             auto reply = std::make_unique<ExchangeReply>(exchange, request.id);
             const auto ticket = m_service.start(std::move(request), std::move(reply));
             exchange->onHangUp([this, ticket] { m_service.abandon(ticket); });
--- a/src/standins/internal/faultyexchange.h
+++ b/src/standins/internal/faultyexchange.h
@@ -30,6 +30,7 @@
         return m_exchange->header(name);
     }
     const std::string &body() const override { return m_exchange->body(); }
+    std::string takeBody() override { return m_exchange->takeBody(); }
     void reply(int status, const std::string &contentType, std::string_view body,
                const http::HttpHeaders &headers) override;
     void startStream(int status, const std::string &contentType,
