--- a/src/framework/types/ids.h
+++ b/src/framework/types/ids.h
@@ -13,6 +13,7 @@
 struct PipelineTag;
 struct StageTag;
 struct ServiceTag;
+struct SoftwareVersionTag;
 struct ModelTag;
 struct RequestTag;
 struct OperationTag;
@@ -43,6 +44,8 @@
 using StageId = StringId<StageTag>;
 /// Pool of backend servers that answer the same kind of call.
 using ServiceId = StringId<ServiceTag>;
+/// Version of the software that a backend server runs; empty if it names none.
+using SoftwareVersion = StringId<SoftwareVersionTag>;
 using ModelId = StringId<ModelTag>;
 /// Chosen by the caller; unique within its team.
 using RequestId = StringId<RequestTag>;
--- a/src/membership/types/backendserverentry.h
+++ b/src/membership/types/backendserverentry.h
@@ -17,6 +17,7 @@
     framework::ServiceId service;
     framework::Endpoint endpoint;
     framework::AvailabilityZoneId zone;
+    framework::SoftwareVersion version;
     BackendServerState state = BackendServerState::Ready;
     /// Requests that it processes concurrently.
     std::uint32_t slots = 1;
--- a/src/routing/internal/backendserverselector.cpp
+++ b/src/routing/internal/backendserverselector.cpp
@@ -4,10 +4,12 @@
 #include "membership/ibackendservers.h"
 #include "ratelimit/iserverratelimits.h"
 #include "routing/internal/rendezvous.h"
+#include "routing/iserverfilter.h"
 #include "routing/types/routingerror.h"
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace lavendertally::routing {
 
@@ -39,8 +41,9 @@
 
 BackendServerSelector::BackendServerSelector(const membership::IBackendServers &servers,
                                              ratelimit::IServerRateLimits &rateLimits,
-                                             framework::IRandom &random)
-    : m_servers(servers), m_rateLimits(rateLimits), m_random(random)
+                                             framework::IRandom &random,
+                                             std::vector<IServerFilter *> filters)
+    : m_servers(servers), m_rateLimits(rateLimits), m_random(random), m_filters(std::move(filters))
 { }
 
 framework::Result<membership::BackendServerEntry>
@@ -115,10 +118,7 @@
     eraseStatesOfNonAdmitting();
     Candidates available;
     Candidates ejected;
-    for (const membership::BackendServerEntry *entry : m_servers.admitting(query.service)) {
-        if (query.excluded.contains(entry->id)) {
-            continue;
-        }
+    for (const membership::BackendServerEntry *entry : permitted(query, now)) {
         ServerState &state = m_states[entry->id];
         if (now < state.pausedUntil()) {
             continue;
@@ -142,6 +142,21 @@
     return ejected;
 }
 
+/// \return backend servers that admit work, are not excluded and pass the filters
+std::vector<const membership::BackendServerEntry *>
+BackendServerSelector::permitted(const ServerQuery &query, framework::TimePoint now) const
+{
+    std::vector<const membership::BackendServerEntry *> servers =
+        m_servers.admitting(query.service);
+    std::erase_if(servers, [&query](const membership::BackendServerEntry *entry) {
+        return query.excluded.contains(entry->id);
+    });
+    for (IServerFilter *filter : m_filters) {
+        filter->restrict(query, servers, now);
+    }
+    return servers;
+}
+
 const BackendServerSelector::Candidate &
 BackendServerSelector::lowestCost(const Candidates &candidates, const ServerQuery &query)
 {
@@ -224,6 +239,12 @@
 {
     m_states[server].callStarted(now);
     m_rateLimits.callSent(server, now);
+    const membership::BackendServerEntry *entry = m_servers.findAdmitting(server);
+    for (IServerFilter *filter : m_filters) {
+        if (entry != nullptr) {
+            filter->callStarted(*entry, now);
+        }
+    }
 }
 
 void BackendServerSelector::responseStarted(const framework::BackendServerId &server,
--- a/src/routing/internal/backendserverselector.h
+++ b/src/routing/internal/backendserverselector.h
@@ -20,13 +20,16 @@
 
 namespace lavendertally::routing {
 
+class IServerFilter;
+
 /// Selects by estimated load, recent failures and availability zone. Prompts with a shared prefix
 /// go to the same backend server while its load stays within a bound above the average.
 class BackendServerSelector final : public IBackendServerSelector
 {
 public:
     BackendServerSelector(const membership::IBackendServers &servers,
-                          ratelimit::IServerRateLimits &rateLimits, framework::IRandom &random);
+                          ratelimit::IServerRateLimits &rateLimits, framework::IRandom &random,
+                          std::vector<IServerFilter *> filters);
 
     framework::Result<membership::BackendServerEntry> select(const ServerQuery &query,
                                                              framework::TimePoint now) override;
@@ -61,6 +64,8 @@
     const Candidate &relieved(const Candidate &chosen, const Candidates &candidates,
                               const ServerQuery &query);
     Candidates usable(const ServerQuery &query, framework::TimePoint now);
+    std::vector<const membership::BackendServerEntry *> permitted(const ServerQuery &query,
+                                                                  framework::TimePoint now) const;
     const Candidate &lowestCost(const Candidates &candidates, const ServerQuery &query);
     static const Candidate *byAffinity(const Candidates &candidates, const ServerQuery &query);
     void eraseStatesOfNonAdmitting();
@@ -68,6 +73,7 @@
     const membership::IBackendServers &m_servers;
     ratelimit::IServerRateLimits &m_rateLimits;
     framework::IRandom &m_random;
+    std::vector<IServerFilter *> m_filters;
     std::unordered_map<framework::BackendServerId, ServerState> m_states;
 };
 
--- a/src/routing/internal/routingmodule.cpp
+++ b/src/routing/internal/routingmodule.cpp
@@ -28,12 +28,11 @@
     return {.selector = std::move(selector), .probes = std::move(probes)};
 }
 
-std::unique_ptr<IBackendServerSelector>
-RoutingModule::makeBackendServerSelector(const membership::IBackendServers &servers,
-                                         ratelimit::IServerRateLimits &rateLimits,
-                                         framework::IRandom &random)
+std::unique_ptr<IBackendServerSelector> RoutingModule::makeBackendServerSelector(
+    const membership::IBackendServers &servers, ratelimit::IServerRateLimits &rateLimits,
+    framework::IRandom &random, std::vector<IServerFilter *> filters)
 {
-    return std::make_unique<BackendServerSelector>(servers, rateLimits, random);
+    return std::make_unique<BackendServerSelector>(servers, rateLimits, random, std::move(filters));
 }
 
 } // namespace lavendertally::routing
--- a/src/routing/routingmodule.h
+++ b/src/routing/routingmodule.h
@@ -4,6 +4,7 @@
 #include "routing/types/hostselectorsettings.h"
 
 #include <memory>
+#include <vector>
 
 namespace lavendertally::framework {
 class IRandom;
@@ -22,6 +23,7 @@
 
 class IBackendServerSelector;
 class IHostSelector;
+class IServerFilter;
 struct Routing;
 
 /// Factory of selectors of backend hosts and backend servers.
@@ -40,10 +42,13 @@
                                framework::IRandom &random, const framework::HostId &self,
                                const HostSelectorSettings &settings = {});
 
+    /// \param filters applied one after the other to the candidates of each call; they outlive the
+    /// selector
     /// \return a selector of backend servers that are called without a host process in between
     static std::unique_ptr<IBackendServerSelector>
     makeBackendServerSelector(const membership::IBackendServers &servers,
-                              ratelimit::IServerRateLimits &rateLimits, framework::IRandom &random);
+                              ratelimit::IServerRateLimits &rateLimits, framework::IRandom &random,
+                              std::vector<IServerFilter *> filters = {});
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/tests/backendserverselectortest.cpp
+++ b/src/routing/tests/backendserverselectortest.cpp
@@ -3,7 +3,9 @@
 #include "membership/testing/fakebackendservers.h"
 #include "ratelimit/testing/testratelimits.h"
 #include "routing/ibackendserverselector.h"
+#include "routing/iserverfilter.h"
 #include "routing/routingmodule.h"
+#include "routing/types/serverquery.h"
 
 #include <gtest/gtest.h>
 
@@ -19,6 +21,26 @@
 constexpr std::uint64_t Seed = 7;
 const framework::ServiceId Service("models");
 
+/// Rejects one backend server and records the calls.
+class RejectingFilter final : public IServerFilter
+{
+public:
+    void restrict(const ServerQuery & /*query*/,
+                  std::vector<const membership::BackendServerEntry *> &candidates,
+                  framework::TimePoint /*now*/) override
+    {
+        std::erase_if(candidates,
+                      [](const auto *entry) { return entry->id.value() == "rejected"; });
+    }
+    void callStarted(const membership::BackendServerEntry &server,
+                     framework::TimePoint /*now*/) override
+    {
+        m_called.push_back(server.id.value());
+    }
+
+    std::vector<std::string> m_called;
+};
+
 } // namespace
 
 class BackendServerSelectorTest : public testing::Test
@@ -241,3 +263,18 @@
     }
     EXPECT_EQ(select(query()), "limited");
 }
+
+/// A filter that is not consulted would let calls reach backend servers that it forbids.
+TEST_F(BackendServerSelectorTest, FilterRejectsServer_ItIsNeverSelected)
+{
+    RejectingFilter filter;
+    m_selector = RoutingModule::makeBackendServerSelector(m_servers, m_rateLimits.limits(),
+                                                          *m_random, {&filter});
+    add("rejected", "za");
+    add("other", "zb");
+    EXPECT_EQ(select(query()), "other");
+    m_selector->callStarted(id("other"), Start);
+    EXPECT_EQ(filter.m_called, std::vector<std::string>{"other"});
+    m_servers.remove(id("other"));
+    EXPECT_EQ(select(query()), "none");
+}
