Proxy: split the request in flight by job

ActiveRequest had grown to 608 lines that mixed the life of a request with the reading of answers, retries and waits. It keeps the life of the request; BackendAttempt sends a call and reads its answer, RequestRetries schedules further attempts, CapacityWait holds the waiting for capacity, RequestReport writes the line that ends a request. No change of behaviour.

--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -1,20 +1,18 @@
 #include "proxy/internal/activerequest.h"
 
 #include "framework/iclock.h"
-#include "framework/ilogger.h"
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "peers/idaemondirectory.h"
-#include "proxy/ibackendcall.h"
-#include "proxy/ibackendclient.h"
 #include "proxy/internal/answertimeestimator.h"
+#include "proxy/internal/attemptresult.h"
 #include "proxy/internal/firsteventestimator.h"
 #include "proxy/internal/iactiverequestowner.h"
+#include "proxy/internal/requestreport.h"
 #include "proxy/internal/requestresolver.h"
 #include "proxy/iresponsewriter.h"
 #include "proxy/types/backendrequest.h"
-#include "proxy/types/streamevent.h"
 #include "retry/iretrypolicy.h"
 #include "routing/ibackendserverselector.h"
 #include "serving/iservingstate.h"
@@ -27,25 +25,9 @@
 
 namespace {
 
-constexpr int FirstServerError = 500;
-
 /// Generating an output token takes about ten times as long as processing a prompt token.
 constexpr std::int64_t OutputTokenCost = 10;
 
-/// How long a request waits for a permit before it asks again, and how often: a little longer than
-/// a daemon waits between two requests for permits.
-constexpr framework::Milliseconds PermitWait{50};
-constexpr std::uint32_t MaxPermitWaits = 6;
-
-/// \return whether clients take the status to mean that the request did not run, which a backend
-/// server does not state by it
-bool impliesNotRun(const ResponseHead &head)
-{
-    constexpr int TooManyRequests = 429;
-    constexpr int Unavailable = 503;
-    return head.status == TooManyRequests || head.status == Unavailable;
-}
-
 } // namespace
 
 ActiveRequest::ActiveRequest(const ProxyContext &context, IActiveRequestOwner &owner,
@@ -53,9 +35,9 @@
                              std::unique_ptr<IResponseWriter> response)
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
       m_response(std::move(response)), m_started(context.clock.now()),
-      m_stages(context, m_request, m_plan), m_attempts(context, m_request, m_plan),
-      m_guard(context, m_request), m_completion(context),
-      m_pacer(context.clock, owner.heldSources(), *m_response), m_lastEventId(m_request.lastEventId)
+      m_stages(context, m_request, m_plan), m_guard(context, m_request),
+      m_retries(context, m_request, m_plan, m_guard), m_capacity(context.scheduler),
+      m_attempt(context, m_request, m_plan, m_guard, owner.heldSources(), *m_response, *this)
 { }
 
 ActiveRequest::~ActiveRequest() = default;
@@ -88,11 +70,6 @@
     nextAttempt();
 }
 
-bool ActiveRequest::isStream() const
-{
-    return m_plan.route->kind == serving::RouteKind::Streaming;
-}
-
 void ActiveRequest::startStages()
 {
     const framework::TokenCount size =
@@ -131,7 +108,7 @@
 {
     routing::ServerQuery query;
     query.service = m_plan.service;
-    query.excluded = m_attempts.excluded();
+    query.excluded = m_retries.attempts().excluded();
     query.zone = m_stages.zone().value_or(m_context.zone);
     if (m_plan.route->promptAffinity) {
         query.prefixHash = m_request.promptPrefixHash;
@@ -143,26 +120,30 @@
     return query;
 }
 
+/// Stage results are released when a stream begins, so a stream that resumes at another backend
+/// server runs its stages again.
+void ActiveRequest::nextAttempt()
+{
+    if (m_stages.areNeeded()) {
+        startStages();
+        return;
+    }
+    sendAttempt();
+}
+
 void ActiveRequest::sendAttempt()
 {
     if (const auto refusal = m_guard.check()) {
         endUnsent(*refusal);
         return;
     }
-    const framework::TimePoint now = m_context.clock.now();
-    const auto server = m_context.selector.select(serverQuery(), now);
+    const auto server = m_context.selector.select(serverQuery(), m_context.clock.now());
     if (!server) {
         noServer();
         return;
     }
-    m_permitWaits = 0;
-    m_server = server->id;
-    m_head.reset();
-    m_body.clear();
-    m_attemptStarted = now;
-    m_attempts.begin();
-    m_guard.attemptSent(*server);
-    m_completion.attemptSent(*server);
+    m_capacity.reset();
+    m_retries.attempts().begin();
     BackendRequest attempt;
     attempt.request = &m_request;
     attempt.server = *server;
@@ -174,12 +155,9 @@
             attempt.inputs->push_back(place.id);
         }
     }
-    attempt.resumeAfter = m_lastEventId;
     attempt.atMostOnce = !m_plan.route->isIdempotent();
     attempt.needsNewConnection = m_stagesRerun;
-    m_context.selector.callStarted(m_server, now);
-    m_call = m_context.backends.send(attempt, *this);
-    m_pacer.sourceStarted(*m_call);
+    m_attempt.send(std::move(attempt));
 }
 
 /// Waits briefly if backend servers name rate limits, since permits are on their way; refuses the
@@ -190,9 +168,8 @@
     const framework::Milliseconds pause =
         m_context.selector.pauseOf(m_plan.service, m_context.clock.now());
     const bool areAllPaused = pause > framework::Milliseconds(0);
-    if (interval && !areAllPaused && m_permitWaits < MaxPermitWaits && timeLeft() > PermitWait) {
-        ++m_permitWaits;
-        m_backoffTimer = m_context.scheduler.callAfter(PermitWait, [this] { sendAttempt(); });
+    if (interval && !areAllPaused
+        && m_capacity.waitForPermit(timeLeft(), [this] { sendAttempt(); })) {
         return;
     }
     const char *cause = interval ? "backend servers limit their requests" : "no backend server";
@@ -201,327 +178,136 @@
     }
     const framework::Milliseconds retryAfter = std::max(
         {m_context.limits.retryAfter, interval.value_or(framework::Milliseconds(0)), pause});
-    fail({mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun, retryAfter, cause},
+    fail({m_attempt.mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun, retryAfter,
+          cause},
          "stream broke; no backend server left");
 }
 
 /// Ends the request because its next attempt must not be sent.
 void ActiveRequest::endUnsent(Refusal refusal)
 {
-    if (mayHaveRun()) {
+    if (m_attempt.mayHaveRun()) {
         refusal.kind = RefusalKind::ResponseLost;
     }
     fail(refusal, refusal.cause);
 }
 
-void ActiveRequest::dropCall()
+void ActiveRequest::onStreamStarted()
 {
-    m_pacer.sourceEnded();
-    m_call.reset();
-}
-
-void ActiveRequest::endAttempt(routing::CallOutcome outcome)
-{
-    m_guard.attemptEnded();
-    m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
-}
-
-void ActiveRequest::onHead(const ResponseHead &head)
-{
-    const framework::TimePoint now = m_context.clock.now();
-    m_context.selector.responseStarted(m_server, m_attemptStarted, now);
-    if (head.load) {
-        m_context.selector.observeLoad(m_server, *head.load, now);
-    }
-    if (head.retryAfter) {
-        m_context.selector.observePause(m_server, now + *head.retryAfter);
-    }
-    if (head.isSigned || head.notExecuted || head.rateLimit) {
-        m_context.selector.observeRateLimit(m_server, head.rateLimit, m_attemptStarted, now);
-    }
-    m_head = head;
+    m_context.metrics.observe("lavendertally_first_event_ms", {{"route", m_plan.route->id.value()}},
+                              elapsed());
+    m_owner.firstEvents().observe(m_plan.service, m_request.promptTokens,
+                                  m_context.clock.now() - m_attempt.started());
+    m_stages.release();
 }
 
-void ActiveRequest::onBody(std::string_view data)
+void ActiveRequest::onAttemptEnded(AttemptResult result)
 {
-    if (m_passesBodyOn) {
-        passOn(data);
-        if (m_pacer.written() > m_context.limits.maxResponseBody) {
-            dropCall();
-            onEnd(BackendCallEnd::Broken);
-        }
+    switch (result) {
+    case AttemptResult::NotSent:
+        attemptNotSent();
         return;
-    }
-    m_body.append(data);
-    if (std::ssize(m_body) <= m_context.limits.maxKeptBody.value()) {
+    case AttemptResult::Refused:
+        attemptRefused();
         return;
-    }
-    if (m_streaming || !isFinalByHead()) {
-        m_body.clear();
-        dropCall();
-        onEnd(BackendCallEnd::Broken);
+    case AttemptResult::Answered:
+        finishAnswered();
         return;
-    }
-    m_passesBodyOn = true;
-    m_streaming = true;
-    m_response->startStream(*m_head);
-    passOn(std::exchange(m_body, {}));
-}
-
-bool ActiveRequest::isFinalByHead() const
-{
-    if (m_head->isSuccess()) {
-        return m_head->isSigned && !m_head->notExecuted;
-    }
-    return m_head->status < FirstServerError && !m_head->notExecuted && !impliesNotRun(*m_head);
-}
-
-void ActiveRequest::passOn(std::string_view part)
-{
-    m_response->sendPart(part);
-    m_pacer.partWritten(framework::Bytes(std::ssize(part)));
-    if (m_pacer.isHolding()) {
-        m_completion.answerHeldBack();
-    }
-}
-
-void ActiveRequest::onEvent(const StreamEvent &event)
-{
-    if (!m_head->isSuccess() || m_head->notExecuted || !m_head->isSigned) {
+    case AttemptResult::Received:
+        forwardResponse();
         return;
-    }
-    if (event.id) {
-        if (m_lastEventId && *event.id <= *m_lastEventId) {
-            // The client already has this event; a resumed stream may repeat it.
-            return;
-        }
-        if (m_lastEventId && *event.id != m_lastEventId->next()) {
-            // Events were lost. The client must not see a gap, so the attempt counts as broken.
-            dropCall();
-            onEnd(BackendCallEnd::Broken);
-            return;
-        }
-        m_lastEventId = event.id;
-    }
-    if (!m_streaming) {
-        m_streaming = true;
-        m_context.metrics.observe("lavendertally_first_event_ms",
-                                  {{"route", m_plan.route->id.value()}}, elapsed());
-        m_owner.firstEvents().observe(m_plan.service, m_request.promptTokens,
-                                      m_context.clock.now() - m_attemptStarted);
-        m_response->startStream(*m_head);
-        m_stages.release();
-    }
-    m_guard.eventReceived();
-    passOn(event.text);
-}
-
-void ActiveRequest::onServerClosing()
-{
-    if (m_head && !m_head->notExecuted) {
-        m_completion.serverClosing(*m_head);
-    }
-}
-
-void ActiveRequest::onEnd(BackendCallEnd end)
-{
-    if (end == BackendCallEnd::Complete && m_head && !m_head->notExecuted) {
-        m_completion.decide(*m_head, [this](bool isWhole) {
-            callEnded(isWhole ? BackendCallEnd::Complete : BackendCallEnd::Broken);
-        });
+    case AttemptResult::Failed:
+        attemptFailed();
         return;
-    }
-    callEnded(end);
-}
-
-void ActiveRequest::callEnded(BackendCallEnd end)
-{
-    const bool wasHeldBack = m_pacer.isHolding();
-    dropCall();
-    const bool notExecuted = m_head && m_head->notExecuted;
-    if (end == BackendCallEnd::NotSent || notExecuted) {
-        attemptNotRun(end);
+    case AttemptResult::StreamBroken:
+        streamBroken();
         return;
-    }
-    m_priorAttemptMayHaveRun = true;
-    if (end == BackendCallEnd::Malformed) {
-        m_context.logger.warning("backend server sent no answer in the protocol; attempt ended",
-                                 {{"request", m_request.id.value()},
-                                  {"backend_server", m_server.value()},
-                                  {"passed_on_bytes", std::to_string(m_pacer.written().value())}});
-        m_context.metrics.increment("lavendertally_malformed_answers_total", {});
-    }
-    if (end == BackendCallEnd::Complete) {
-        attemptEnded(end);
+    case AttemptResult::PassedOnBodyBroken:
+        fail({RefusalKind::ResponseLost, {}, "answer lost"}, "answer broke off");
         return;
     }
-    // A call that is held back ends only because its time is up.
-    const bool hasRunOutOfTime = wasHeldBack && end == BackendCallEnd::Broken;
-    endAttempt(hasRunOutOfTime ? routing::CallOutcome::Cancelled
-                               : routing::CallOutcome::TransportFailed);
-    m_guard.examineLoss([this, end] { attemptEnded(end); });
 }
 
-void ActiveRequest::attemptEnded(BackendCallEnd end)
+void ActiveRequest::attemptNotSent()
 {
-    if (isStream() && m_head && m_head->isSuccess() && m_head->isEventStream) {
-        streamEnded(end);
+    m_retries.attempts().exclude(m_attempt.server());
+    m_retries.attempts().discardLast();
+    if (m_retries.attempts().recordConnectFailure()) {
+        sendAttempt();
         return;
     }
-    responseEnded(end);
+    fail({RefusalKind::NotRun, m_context.limits.retryAfter, "backend servers unreachable"},
+         "stream broke; refused elsewhere");
 }
 
-void ActiveRequest::attemptNotRun(BackendCallEnd end)
+void ActiveRequest::attemptRefused()
 {
-    const bool unsent = end == BackendCallEnd::NotSent;
-    endAttempt(unsent ? routing::CallOutcome::TransportFailed : routing::CallOutcome::Refused);
-    m_attempts.exclude(m_server);
+    RequestAttempts &attempts = m_retries.attempts();
+    attempts.exclude(m_attempt.server());
     // The backend server reports that stage results of the request no longer exist. The stages are
     // run again once; this does not use up an attempt.
     constexpr int InputsGone = 409;
-    if (!unsent && m_head->status == InputsGone && !m_stagesRerun) {
+    if (m_attempt.head()->status == InputsGone && !m_stagesRerun) {
         m_stagesRerun = true;
-        m_attempts.readmit(m_server);
-        m_attempts.discardLast();
+        attempts.readmit(m_attempt.server());
+        attempts.discardLast();
         m_stages.release();
         startStages();
         return;
     }
-    if (unsent) {
-        m_attempts.discardLast();
-        if (m_attempts.recordConnectFailure()) {
-            sendAttempt();
-            return;
-        }
-    } else if (scheduleRetry(false)) {
+    if (scheduleRetry(false)) {
         return;
     }
-    fail({RefusalKind::NotRun, m_context.limits.retryAfter,
-          unsent ? "backend servers unreachable" : "refused by backend server"},
+    fail({RefusalKind::NotRun, m_context.limits.retryAfter, "refused by backend server"},
          "stream broke; refused elsewhere");
 }
 
-void ActiveRequest::streamEnded(BackendCallEnd end)
+void ActiveRequest::attemptFailed()
 {
-    const bool complete = end == BackendCallEnd::Complete && m_head->isSigned;
-    if (end == BackendCallEnd::Complete) {
-        endAttempt(complete ? routing::CallOutcome::Succeeded
-                            : routing::CallOutcome::TransportFailed);
-    }
-    if (complete) {
-        if (m_streaming) {
-            m_guard.answerCompleted();
-        } else {
-            m_response->startStream(*m_head);
-        }
-        m_response->endStream();
-        finishAnswered();
+    m_retries.attempts().exclude(m_attempt.server());
+    if (m_plan.route->isIdempotent() && scheduleRetry(true)) {
         return;
     }
-    m_attempts.exclude(m_server);
+    forwardResponse();
+}
+
+void ActiveRequest::streamBroken()
+{
+    m_retries.attempts().exclude(m_attempt.server());
     if (m_plan.route->resumable && scheduleRetry(true)) {
         return;
     }
     fail({RefusalKind::ResponseLost, {}, "stream broke before its first event"}, "stream broke");
 }
 
-void ActiveRequest::responseEnded(BackendCallEnd end)
+void ActiveRequest::forwardResponse()
 {
-    const bool complete = end == BackendCallEnd::Complete && m_head;
-    if (m_passesBodyOn) {
-        passedOnBodyEnded(complete);
-        return;
-    }
-    const bool failed = !complete || m_head->status >= FirstServerError
-        || (m_head->isSuccess() && !m_head->isSigned);
-    if (complete) {
-        endAttempt(failed ? routing::CallOutcome::Failed : routing::CallOutcome::Succeeded);
-    }
-    // A rejection says nothing about what the prompt does to a backend server.
-    if (!failed && m_head->isSuccess()) {
-        m_guard.answerCompleted();
-    }
-    if (failed) {
-        m_attempts.exclude(m_server);
-        if (m_plan.route->isIdempotent() && scheduleRetry(true)) {
-            return;
-        }
-    }
-    const bool unsignedSuccess = complete && m_head->isSuccess() && !m_head->isSigned;
-    // A whole response cannot go on a stream that has begun.
-    if (m_streaming || !complete || impliesNotRun(*m_head) || unsignedSuccess) {
+    if (!m_attempt.forwardResponse()) {
         fail({RefusalKind::ResponseLost, {}, "answer lost"},
-             complete ? "stream broke; answered without a stream elsewhere"
-                      : "stream broke; answer lost elsewhere");
+             m_attempt.isComplete() ? "stream broke; answered without a stream elsewhere"
+                                    : "stream broke; answer lost elsewhere");
         return;
     }
-    m_response->reply(*m_head, m_body);
-    if (failed) {
+    if (m_attempt.hasFailed()) {
         finish("backend server failed");
         return;
     }
     finishAnswered();
 }
 
-void ActiveRequest::passedOnBodyEnded(bool complete)
-{
-    if (complete) {
-        endAttempt(routing::CallOutcome::Succeeded);
-        if (m_head->isSuccess()) {
-            m_guard.answerCompleted();
-        }
-        m_response->endStream();
-        finishAnswered();
-        return;
-    }
-    fail({RefusalKind::ResponseLost, {}, "answer lost"}, "answer broke off");
-}
-
-/// Stage results are released when a stream begins, so a stream that resumes at another backend
-/// server runs its stages again.
-void ActiveRequest::nextAttempt()
-{
-    if (m_stages.areNeeded()) {
-        startStages();
-        return;
-    }
-    sendAttempt();
-}
-
 bool ActiveRequest::scheduleRetry(bool mayHaveRun)
 {
-    if (mayHaveRun && m_guard.isSuspected()) {
-        m_guard.awaitExplanation([this](bool isClear) {
-            if (!isClear || !scheduleBackoff(true)) {
-                endUnsent({RefusalKind::ResponseLost,
-                           {},
-                           isClear ? "answer lost" : "prompt suspected of crashing a server"});
-            }
+    return m_retries.schedule(
+        m_attempt.server(), mayHaveRun, [this] { return timeLeft(); }, [this] { nextAttempt(); },
+        [this](const char *cause) {
+            endUnsent({RefusalKind::ResponseLost, {}, cause});
         });
-        return true;
-    }
-    return scheduleBackoff(mayHaveRun);
-}
-
-bool ActiveRequest::scheduleBackoff(bool mayHaveRun)
-{
-    const auto backoff = m_attempts.nextBackoff(m_server, mayHaveRun, timeLeft());
-    if (!backoff) {
-        return false;
-    }
-    m_backoffTimer = m_context.scheduler.callAfter(*backoff, [this] { nextAttempt(); });
-    return true;
 }
 
 void ActiveRequest::end(const char *cause)
 {
-    const bool possiblyRan = mayHaveRun();
-    if (m_call) {
-        dropCall();
-        // A backend server that has not begun to respond by now counts as a transport failure.
-        endAttempt(m_head ? routing::CallOutcome::Cancelled
-                          : routing::CallOutcome::TransportFailed);
-    }
+    const bool possiblyRan = m_attempt.mayHaveRun();
+    m_attempt.cancel(true);
     if (possiblyRan) {
         fail({RefusalKind::TimedOut, {}, cause}, cause);
         return;
@@ -535,21 +321,19 @@
         return;
     }
     // A non-idempotent call may have had effects already; cancelling it would not undo them.
-    const bool mustFinish = m_call && m_plan.route->kind == serving::RouteKind::NonIdempotent;
+    const bool mustFinish =
+        m_attempt.isInFlight() && m_plan.route->kind == serving::RouteKind::NonIdempotent;
     if (mustFinish) {
-        m_pacer.clientLeft();
+        m_attempt.clientLeft();
         return;
     }
-    if (m_call) {
-        dropCall();
-        endAttempt(routing::CallOutcome::Cancelled);
-    }
+    m_attempt.cancel(false);
     finish("client hung up");
 }
 
 void ActiveRequest::fail(const Refusal &refusal, const char *streamOutcome)
 {
-    if (m_streaming) {
+    if (m_attempt.isStreaming()) {
         m_response->abort();
         finish(streamOutcome);
         return;
@@ -562,7 +346,7 @@
 void ActiveRequest::finishAnswered()
 {
     // What a slow client adds says nothing of the next request.
-    m_owner.answerTimes().observe(m_plan.route->id, elapsed() - m_pacer.heldTime());
+    m_owner.answerTimes().observe(m_plan.route->id, elapsed() - m_attempt.pacer().heldTime());
     finish("done");
 }
 
@@ -570,28 +354,21 @@
 {
     m_ended = true;
     m_deadlineTimer.reset();
-    m_backoffTimer.reset();
+    m_retries.cancel();
+    m_capacity.cancel();
     m_guard.cancel();
-    m_completion.cancel();
+    m_attempt.stop();
     m_stages.cancel();
     m_stages.release();
-    const std::string route = m_plan.route != nullptr ? m_plan.route->id.value() : std::string();
-    const std::string version =
-        m_plan.configuration ? std::to_string(m_plan.configuration->version().value()) : "none";
-    m_context.logger.info("request ended",
-                          {{"request", m_request.id.value()},
-                           {"route", route},
-                           {"configuration", version},
-                           {"configuration_age_ms", std::to_string(m_configurationAge.value())},
-                           {"outcome", outcome},
-                           {"backend_server", m_server.value()},
-                           {"attempts", std::to_string(m_attempts.count())},
-                           {"stages_ms", std::to_string(m_stages.timeTaken().value())},
-                           {"passed_on_bytes", std::to_string(m_pacer.written().value())},
-                           {"held_back_ms", std::to_string(m_pacer.heldTime().value())},
-                           {"elapsed_ms", std::to_string(elapsed().value())}});
-    m_context.metrics.increment("lavendertally_requests_total",
-                                {{"route", route}, {"outcome", outcome}});
+    RequestReport{.request = m_request,
+                  .plan = m_plan,
+                  .attempt = m_attempt,
+                  .outcome = outcome,
+                  .configurationAge = m_configurationAge,
+                  .attempts = m_retries.attempts().count(),
+                  .stagesTime = m_stages.timeTaken(),
+                  .elapsed = elapsed()}
+        .write(m_context);
     m_owner.onRequestEnded(*this);
 }
 
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -1,25 +1,20 @@
 #pragma once
 
 #include "framework/types/timepoint.h"
-#include "proxy/ibackendresponseobserver.h"
-#include "proxy/internal/completioncheck.h"
+#include "proxy/internal/backendattempt.h"
+#include "proxy/internal/capacitywait.h"
+#include "proxy/internal/iattemptobserver.h"
 #include "proxy/internal/promptguard.h"
-#include "proxy/internal/requestattempts.h"
 #include "proxy/internal/requestplan.h"
+#include "proxy/internal/requestretries.h"
 #include "proxy/internal/requeststages.h"
-#include "proxy/internal/sourcepacer.h"
 #include "proxy/iproxyservice.h"
 #include "proxy/types/clientrequest.h"
 #include "proxy/types/proxycontext.h"
 #include "proxy/types/refusal.h"
-#include "proxy/types/responsehead.h"
-#include "routing/types/calloutcome.h"
 #include "routing/types/serverquery.h"
 
 #include <memory>
-#include <optional>
-#include <string>
-#include <vector>
 
 namespace lavendertally::framework {
 class ITimer;
@@ -27,13 +22,12 @@
 
 namespace lavendertally::proxy {
 
-class IBackendCall;
 class IResponseWriter;
 class IActiveRequestOwner;
 
-/// One request in flight: resolves its route, runs its stages, sends attempts to backend servers,
-/// and writes exactly one response unless the client disconnects.
-class ActiveRequest final : public IBackendResponseObserver
+/// The life of one request: resolves its route, runs its stages, decides on its attempts at backend
+/// servers, and sees to it that it gets exactly one response unless the client disconnects.
+class ActiveRequest final : public IAttemptObserver
 {
 public:
     ActiveRequest(const ProxyContext &context, IActiveRequestOwner &owner,
@@ -51,11 +45,8 @@
     /// \param cause for the log and the metrics
     void end(const char *cause);
 
-    void onHead(const ResponseHead &head) override;
-    void onEvent(const StreamEvent &event) override;
-    void onBody(std::string_view data) override;
-    void onServerClosing() override;
-    void onEnd(BackendCallEnd end) override;
+    void onStreamStarted() override;
+    void onAttemptEnded(AttemptResult result) override;
 
 private:
     void startStages();
@@ -67,26 +58,15 @@
     void sendAttempt();
     void noServer();
     void endUnsent(Refusal refusal);
-    void callEnded(BackendCallEnd end);
-    void attemptEnded(BackendCallEnd end);
-    void streamEnded(BackendCallEnd end);
-    void responseEnded(BackendCallEnd end);
-    /// \return whether the response is final by its head, so that its body need not be whole to be
-    /// passed on
-    bool isFinalByHead() const;
-    void passOn(std::string_view part);
-    void passedOnBodyEnded(bool complete);
-    void attemptNotRun(BackendCallEnd end);
+    void attemptNotSent();
+    void attemptRefused();
+    void attemptFailed();
+    void streamBroken();
+    /// Ends the request with the response that has been received.
+    void forwardResponse();
     /// Schedules an attempt at another backend server if the retry policy allows one.
-    /// \return whether there will be another attempt
+    /// \return whether there will be another attempt, or a refusal later
     bool scheduleRetry(bool mayHaveRun);
-    /// The same for a prompt that is not suspected of having caused the failure.
-    bool scheduleBackoff(bool mayHaveRun);
-    void endAttempt(routing::CallOutcome outcome);
-    void dropCall();
-    bool isStream() const;
-    /// \return whether a backend server may have run the request or may still run it
-    bool mayHaveRun() const { return m_priorAttemptMayHaveRun || m_call != nullptr; }
 
     /// Ends a request that cannot be answered: breaks its stream off if it has begun, refuses the
     /// request otherwise.
@@ -108,29 +88,14 @@
     /// Age of the last confirmation of the configuration when the request arrived.
     framework::Milliseconds m_configurationAge;
     std::unique_ptr<framework::ITimer> m_deadlineTimer;
-    std::unique_ptr<framework::ITimer> m_backoffTimer;
     RequestPlan m_plan;
 
     RequestStages m_stages;
     bool m_stagesRerun = false;
-
-    /// Kept until it is decided whether the answer is whole.
-    std::unique_ptr<IBackendCall> m_call;
-    framework::BackendServerId m_server;
-    framework::TimePoint m_attemptStarted;
-    RequestAttempts m_attempts;
-    /// How often the next attempt has waited for a permit.
-    std::uint32_t m_permitWaits = 0;
     PromptGuard m_guard;
-    CompletionCheck m_completion;
-    SourcePacer m_pacer;
-    bool m_priorAttemptMayHaveRun = false;
-    std::optional<ResponseHead> m_head;
-    std::string m_body;
-    /// Whether the body was too large to be kept and is passed on in parts.
-    bool m_passesBodyOn = false;
-    bool m_streaming = false;
-    std::optional<framework::StreamEventId> m_lastEventId;
+    RequestRetries m_retries;
+    CapacityWait m_capacity;
+    BackendAttempt m_attempt;
     bool m_ended = false;
 };
 
