Proxy: a request that reached no backend server is refused as not run

A call now tells whether a byte has left, and such a request is refused with 503.

The reverse also held: a request whose first attempt may have run was refused as not run if a later attempt was refused or could not connect, or if its stages could not be repeated. It is answered as unknown now.

The line that ends a request and lavendertally_requests_total name the team and the kind of route; teams beyond 32 share a metric label.

--- a/src/app/tests/gatewaytest.cpp
+++ b/src/app/tests/gatewaytest.cpp
@@ -219,7 +219,8 @@
     ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
     call(ask(gateway, "/book/x", "r1"));
     const auto metrics = call(get(gateway.metrics, "/metrics"));
-    EXPECT_NE(metrics.body.find("lavendertally_requests_total{route=\"book\",outcome=\"done\"} 1"),
+    EXPECT_NE(metrics.body.find("lavendertally_requests_total{route=\"book\",route_kind=\"non_"
+                                "idempotent\",team=\"members\",outcome=\"done\"} 1"),
               std::string::npos)
         << metrics.body;
     const auto state = nlohmann::json::parse(call(get(gateway.metrics, "/dump")).body);
--- a/src/http/internal/clientcall.cpp
+++ b/src/http/internal/clientcall.cpp
@@ -62,6 +62,12 @@
     }
 }
 
+bool ClientCall::hasSent() const
+{
+    // Without a connection the end has been reported, and the caller goes by that.
+    return m_connection == nullptr || m_connection->hasSent();
+}
+
 void ClientCall::pauseReading()
 {
     if (m_connection != nullptr) {
--- a/src/http/internal/clientcall.h
+++ b/src/http/internal/clientcall.h
@@ -28,6 +28,7 @@
     ClientCall(const ClientCall &) = delete;
     ClientCall &operator=(const ClientCall &) = delete;
 
+    bool hasSent() const override;
     void pauseReading() override;
     void resumeReading() override;
 
--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -116,6 +116,23 @@
     EXPECT_EQ(observer.m_body, "ab");
 }
 
+// Guards against a request that is given up before its connection stands being taken for one that
+// may have run.
+TEST_F(HttpTest, CallHasSentNothingUntilItsConnectionStands)
+{
+    std::unique_ptr<IHttpCall> call;
+    bool hasSentAtServer = false;
+    m_server->setHandler([&](const std::shared_ptr<IHttpExchange> &exchange) {
+        hasSentAtServer = call->hasSent();
+        exchange->reply(200, "text/plain", "");
+    });
+    RecordingObserver observer(*m_loop);
+    call = m_client->send(request(), observer);
+    EXPECT_FALSE(call->hasSent());
+    m_loop->run();
+    EXPECT_TRUE(hasSentAtServer);
+}
+
 TEST_F(HttpTest, CutStreamEndsAsBroken)
 {
     m_server->setHandler([this](const std::shared_ptr<IHttpExchange> &exchange) {
--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -76,6 +76,11 @@
     }
 }
 
+bool HttpBackendCall::hasSent() const
+{
+    return m_call->hasSent();
+}
+
 void HttpBackendCall::pauseReading()
 {
     m_call->pauseReading();
--- a/src/proxy/ibackendcall.h
+++ b/src/proxy/ibackendcall.h
@@ -9,6 +9,10 @@
 public:
     virtual ~IBackendCall() = default;
 
+    /// \return whether the backend server may have seen a part of the request, which may thus have
+    /// run
+    virtual bool hasSent() const { return true; }
+
     /// Holds the backend server back: the observer gets no further part of the response, and no
     /// more than a bounded part is received. Does nothing for a call without a response.
     virtual void pauseReading() { }
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -99,9 +99,9 @@
         return;
     }
     const bool overloaded = outcome.status == protocol::StageJobStatus::Overloaded;
-    fail({RefusalKind::NotRun, outcome.retryAfter,
-          overloaded ? "stages overloaded" : "stages failed"},
-         "stream broke; stages could not be repeated");
+    endUnsent({RefusalKind::NotRun, outcome.retryAfter,
+               overloaded ? "stages overloaded" : "stages failed"},
+              "stream broke; stages could not be repeated");
 }
 
 routing::ServerQuery ActiveRequest::serverQuery() const
@@ -134,7 +134,7 @@
 void ActiveRequest::sendAttempt()
 {
     if (const auto refusal = m_guard.check()) {
-        endUnsent(*refusal);
+        endUnsent(*refusal, refusal->cause);
         return;
     }
     const auto server = m_context.selector.select(serverQuery(), m_context.clock.now());
@@ -148,7 +148,7 @@
     attempt.request = &m_request;
     attempt.server = *server;
     attempt.timeLeft = timeLeft();
-    attempt.team = m_plan.team != nullptr ? m_plan.team->id : framework::TeamId();
+    attempt.team = m_plan.teamId();
     if (!m_stages.results().empty()) {
         attempt.inputs.emplace();
         for (const protocol::StageResultPlace &place : m_stages.results()) {
@@ -178,18 +178,16 @@
     }
     const framework::Milliseconds retryAfter = std::max(
         {m_context.limits.retryAfter, interval.value_or(framework::Milliseconds(0)), pause});
-    fail({m_attempt.mayHaveRun() ? RefusalKind::ResponseLost : RefusalKind::NotRun, retryAfter,
-          cause},
-         "stream broke; no backend server left");
+    endUnsent({RefusalKind::NotRun, retryAfter, cause}, "stream broke; no backend server left");
 }
 
 /// Ends the request because its next attempt must not be sent.
-void ActiveRequest::endUnsent(Refusal refusal)
+void ActiveRequest::endUnsent(Refusal refusal, const char *streamOutcome)
 {
     if (m_attempt.mayHaveRun()) {
         refusal.kind = RefusalKind::ResponseLost;
     }
-    fail(refusal, refusal.cause);
+    fail(refusal, streamOutcome);
 }
 
 void ActiveRequest::onStreamStarted()
@@ -236,8 +234,8 @@
         sendAttempt();
         return;
     }
-    fail({RefusalKind::NotRun, m_context.limits.retryAfter, "backend servers unreachable"},
-         "stream broke; refused elsewhere");
+    endUnsent({RefusalKind::NotRun, m_context.limits.retryAfter, "backend servers unreachable"},
+              "stream broke; refused elsewhere");
 }
 
 void ActiveRequest::attemptRefused()
@@ -258,8 +256,8 @@
     if (scheduleRetry(false)) {
         return;
     }
-    fail({RefusalKind::NotRun, m_context.limits.retryAfter, "refused by backend server"},
-         "stream broke; refused elsewhere");
+    endUnsent({RefusalKind::NotRun, m_context.limits.retryAfter, "refused by backend server"},
+              "stream broke; refused elsewhere");
 }
 
 void ActiveRequest::attemptFailed()
@@ -300,7 +298,7 @@
     return m_retries.schedule(
         m_attempt.server(), mayHaveRun, [this] { return timeLeft(); }, [this] { nextAttempt(); },
         [this](const char *cause) {
-            endUnsent({RefusalKind::ResponseLost, {}, cause});
+            endUnsent({RefusalKind::ResponseLost, {}, cause}, cause);
         });
 }
 
@@ -368,7 +366,7 @@
                   .attempts = m_retries.attempts().count(),
                   .stagesTime = m_stages.timeTaken(),
                   .elapsed = elapsed()}
-        .write(m_context);
+        .write(m_context, m_owner.teamLabels());
     m_owner.onRequestEnded(*this);
 }
 
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -57,7 +57,9 @@
     void nextAttempt();
     void sendAttempt();
     void noServer();
-    void endUnsent(Refusal refusal);
+    /// Refuses the request because no further attempt is sent. The refusal says that the request
+    /// did not run only if no earlier attempt may have run.
+    void endUnsent(Refusal refusal, const char *streamOutcome);
     void attemptNotSent();
     void attemptRefused();
     void attemptFailed();
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -78,6 +78,11 @@
                                          : routing::CallOutcome::Cancelled);
 }
 
+bool BackendAttempt::mayHaveRun() const
+{
+    return m_priorAttemptMayHaveRun || (m_call != nullptr && m_call->hasSent());
+}
+
 void BackendAttempt::dropCall()
 {
     m_pacer.sourceEnded();
--- a/src/proxy/internal/backendattempt.h
+++ b/src/proxy/internal/backendattempt.h
@@ -53,7 +53,7 @@
 
     bool isInFlight() const { return m_call != nullptr; }
     /// \return whether a backend server may have run the request or may still run it
-    bool mayHaveRun() const { return m_priorAttemptMayHaveRun || isInFlight(); }
+    bool mayHaveRun() const;
     /// \return whether a part of the response has been written to the client
     bool isStreaming() const { return m_streaming; }
     /// \return whether the last response has arrived whole
--- a/src/proxy/internal/iactiverequestowner.h
+++ b/src/proxy/internal/iactiverequestowner.h
@@ -12,6 +12,7 @@
 class AnswerTimeEstimator;
 class FirstEventEstimator;
 class HeldSources;
+class TeamLabels;
 
 /// What a request in flight needs from the service that owns it.
 class IActiveRequestOwner
@@ -39,6 +40,7 @@
     /// \return when the process ends; never() unless it is shutting down
     virtual framework::TimePoint end() const = 0;
     virtual HeldSources &heldSources() = 0;
+    virtual TeamLabels &teamLabels() = 0;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/proxyservice.cpp
+++ b/src/proxy/internal/proxyservice.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 ProxyService::ProxyService(const ProxyContext &context)
-    : m_context(context), m_heldSources(m_context.metrics)
+    : m_context(context), m_heldSources(m_context.metrics),
+      m_teamLabels(m_context.limits.maxTeamLabels)
 { }
 
 ProxyService::~ProxyService() = default;
--- a/src/proxy/internal/proxyservice.h
+++ b/src/proxy/internal/proxyservice.h
@@ -4,6 +4,7 @@
 #include "proxy/internal/firsteventestimator.h"
 #include "proxy/internal/heldsources.h"
 #include "proxy/internal/iactiverequestowner.h"
+#include "proxy/internal/teamlabels.h"
 #include "proxy/iproxyservice.h"
 #include "proxy/types/proxycontext.h"
 
@@ -38,10 +39,12 @@
     AnswerTimeEstimator &answerTimes() override { return m_answerTimes; }
     framework::TimePoint end() const override { return m_end; }
     HeldSources &heldSources() override { return m_heldSources; }
+    TeamLabels &teamLabels() override { return m_teamLabels; }
 
 private:
     ProxyContext m_context;
     HeldSources m_heldSources;
+    TeamLabels m_teamLabels;
     Ticket m_nextTicket = 1;
     bool m_draining = false;
     std::unordered_map<Ticket, std::unique_ptr<ActiveRequest>> m_requests;
--- a/src/proxy/internal/requestplan.h
+++ b/src/proxy/internal/requestplan.h
@@ -25,6 +25,10 @@
 
     /// \return priority of the team if it has one, otherwise that of the route
     framework::PriorityRank priority() const;
+    /// \return id of the team; empty if there is none
+    framework::TeamId teamId() const;
+    /// \return kind of the route for logs and metrics; `none` without a route
+    const char *routeKind() const;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/requestreport.cpp
+++ b/src/proxy/internal/requestreport.cpp
@@ -4,6 +4,7 @@
 #include "framework/imetrics.h"
 #include "proxy/internal/backendattempt.h"
 #include "proxy/internal/requestplan.h"
+#include "proxy/internal/teamlabels.h"
 #include "proxy/types/clientrequest.h"
 #include "serving/types/servingconfiguration.h"
 
@@ -11,7 +12,7 @@
 
 namespace lavendertally::proxy {
 
-void RequestReport::write(const ProxyContext &context) const
+void RequestReport::write(const ProxyContext &context, TeamLabels &teams) const
 {
     const std::string route = plan.route != nullptr ? plan.route->id.value() : std::string();
     const std::string version =
@@ -20,6 +21,8 @@
     context.logger.info("request ended",
                         {{"request", request.id.value()},
                          {"route", route},
+                         {"route_kind", plan.routeKind()},
+                         {"team", plan.teamId().value()},
                          {"configuration", version},
                          {"configuration_age_ms", std::to_string(configurationAge.value())},
                          {"outcome", outcome},
@@ -30,7 +33,10 @@
                          {"held_back_ms", std::to_string(pacer.heldTime().value())},
                          {"elapsed_ms", std::to_string(elapsed.value())}});
     context.metrics.increment("lavendertally_requests_total",
-                              {{"route", route}, {"outcome", outcome}});
+                              {{"route", route},
+                               {"route_kind", plan.routeKind()},
+                               {"team", teams.of(plan.teamId())},
+                               {"outcome", outcome}});
 }
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/requestreport.h
+++ b/src/proxy/internal/requestreport.h
@@ -8,6 +8,7 @@
 namespace lavendertally::proxy {
 
 class BackendAttempt;
+class TeamLabels;
 struct ClientRequest;
 struct RequestPlan;
 
@@ -25,7 +26,7 @@
     framework::Milliseconds elapsed;
 
     /// Writes the log line that ends a request, and counts the request.
-    void write(const ProxyContext &context) const;
+    void write(const ProxyContext &context, TeamLabels &teams) const;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/requestresolver.cpp
+++ b/src/proxy/internal/requestresolver.cpp
@@ -12,6 +12,27 @@
     return team != nullptr ? team->priority.value_or(route->priority) : route->priority;
 }
 
+framework::TeamId RequestPlan::teamId() const
+{
+    return team != nullptr ? team->id : framework::TeamId();
+}
+
+const char *RequestPlan::routeKind() const
+{
+    if (route == nullptr) {
+        return "none";
+    }
+    switch (route->kind) {
+    case serving::RouteKind::Idempotent:
+        return "idempotent";
+    case serving::RouteKind::NonIdempotent:
+        return "non_idempotent";
+    case serving::RouteKind::Streaming:
+        break;
+    }
+    return "streaming";
+}
+
 RequestResolver::RequestResolver(const ProxyContext &context) : m_context(context) { }
 
 std::optional<Refusal> RequestResolver::resolve(const ClientRequest &request,
--- a/src/proxy/tests/admissiontest.cpp
+++ b/src/proxy/tests/admissiontest.cpp
@@ -1,3 +1,4 @@
+#include "proxy/internal/teamlabels.h"
 #include "proxy/tests/proxyfixture.h"
 
 using namespace lavendertally;
@@ -17,6 +18,28 @@
     EXPECT_EQ(m_logger.m_lines.back().fields.at("configuration_age_ms"), "300");
 }
 
+// Guards against refused or failed requests whose caller cannot be found out.
+TEST_F(ProxyAdmissionTest, RequestEnds_LogAndMetricsNameItsTeamAndKindOfRoute)
+{
+    start("stream");
+    m_service->endAll();
+    const auto &fields = m_logger.m_lines.back().fields;
+    EXPECT_EQ(fields.at("team"), "members");
+    EXPECT_EQ(fields.at("route_kind"), "streaming");
+    EXPECT_NE(m_metrics->prometheusText().find("team=\"members\""), std::string::npos);
+}
+
+// Guards against a time series for each of the 8,100 teams that a configuration may have.
+TEST(TeamLabelsTest, MoreTeamsThanValues_FurtherOnesShareOne)
+{
+    TeamLabels labels(2);
+    EXPECT_EQ(labels.of(framework::TeamId()), "none");
+    EXPECT_EQ(labels.of(framework::TeamId("a")), "a");
+    EXPECT_EQ(labels.of(framework::TeamId("b")), "b");
+    EXPECT_EQ(labels.of(framework::TeamId("c")), "other");
+    EXPECT_EQ(labels.of(framework::TeamId("a")), "a");
+}
+
 TEST_F(ProxyAdmissionTest, NoConfigurationYet_RequestIsRefusedAsNotRun)
 {
     m_serving.clear();
--- a/src/proxy/tests/attempttest.cpp
+++ b/src/proxy/tests/attempttest.cpp
@@ -196,6 +196,65 @@
     EXPECT_EQ(received->refusal, RefusalKind::NotRun);
 }
 
+// Guards against requests that reached no backend server being answered as unknown (504), so that
+// clients could not repeat those that must not run twice.
+TEST_F(ProxyAttemptTest, NothingWrittenByDeadline_RequestIsRefusedAsNotRun)
+{
+    const auto received = start("book");
+    *sent().hasSent = false;
+    advance(801);
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+    EXPECT_FALSE(*sent().live);
+}
+
+// Guards against the same at the end of the process.
+TEST_F(ProxyAttemptTest, NothingWrittenByShutdown_RequestIsRefusedAsNotRun)
+{
+    const auto received = start("book");
+    *sent().hasSent = false;
+    m_service->endAll();
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+}
+
+// Guards against the same for a request that waits between two attempts that were not run.
+TEST_F(ProxyAttemptTest, ShutdownBetweenAttemptsThatWereNotRun_RequestIsRefusedAsNotRun)
+{
+    const auto received = start("book");
+    respond(0, notExecuted());
+    m_service->endAll();
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+}
+
+// Guards against the same for a request that waits for its stages.
+TEST_F(ProxyAttemptTest, TimeEndsInStages_RequestIsRefusedAsNotRun)
+{
+    ClientRequest staged = request("staged");
+    staged.pieces = {1};
+    const auto received = start(staged);
+    advance(801);
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+}
+
+// Guards against a promise that is not kept: the first attempt may have run.
+TEST_F(ProxyAttemptTest, AttemptThatMayHaveRunIsFollowedByRefusal_RequestIsNotRefusedAsNotRun)
+{
+    const auto received = start("read");
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    advance(50);
+    respond(1, notExecuted());
+    EXPECT_EQ(received->refusal, RefusalKind::ResponseLost);
+}
+
+// Guards against the same if no other backend server can be reached.
+TEST_F(ProxyAttemptTest, AttemptThatMayHaveRunIsFollowedByFailedConnection_IsNotRefusedAsNotRun)
+{
+    const auto received = start("read");
+    sent().observer->onEnd(BackendCallEnd::Broken);
+    advance(50);
+    sent(1).observer->onEnd(BackendCallEnd::NotSent);
+    EXPECT_EQ(received->refusal, RefusalKind::ResponseLost);
+}
+
 TEST_F(ProxyAttemptTest, ClientDisconnects_IdempotentCallIsCancelled)
 {
     start("read");
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -98,6 +98,8 @@
         std::shared_ptr<bool> live;
         /// Whether the call is paused.
         std::shared_ptr<bool> paused;
+        /// Whether the backend server may have seen a part of the request.
+        std::shared_ptr<bool> hasSent;
     };
 
     std::unique_ptr<IBackendCall> send(const BackendRequest &request,
@@ -105,15 +107,17 @@
     {
         auto live = std::make_shared<bool>(true);
         auto paused = std::make_shared<bool>(false);
-        m_sent.push_back({request, &observer, live, paused});
-        return std::make_unique<Call>(live, paused);
+        auto hasSent = std::make_shared<bool>(true);
+        m_sent.push_back({request, &observer, live, paused, hasSent});
+        return std::make_unique<Call>(live, paused, hasSent);
     }
 
     std::unique_ptr<IBackendCall> probe(const membership::BackendServerEntry & /*server*/,
                                         std::function<void(http::ProbeResult)> callback) override
     {
         m_probes.push_back(std::move(callback));
-        return std::make_unique<Call>(std::make_shared<bool>(true), std::make_shared<bool>(false));
+        return std::make_unique<Call>(std::make_shared<bool>(true), std::make_shared<bool>(false),
+                                      std::make_shared<bool>(true));
     }
     /// Ends the oldest probe.
     void endProbe(http::ProbeResult result)
@@ -130,19 +134,22 @@
     class Call final : public IBackendCall
     {
     public:
-        Call(std::shared_ptr<bool> live, std::shared_ptr<bool> paused)
-            : m_live(std::move(live)), m_paused(std::move(paused))
+        Call(std::shared_ptr<bool> live, std::shared_ptr<bool> paused,
+             std::shared_ptr<bool> hasSent)
+            : m_live(std::move(live)), m_paused(std::move(paused)), m_hasSent(std::move(hasSent))
         { }
         ~Call() override { *m_live = false; }
         Call(const Call &) = delete;
         Call &operator=(const Call &) = delete;
 
+        bool hasSent() const override { return *m_hasSent; }
         void pauseReading() override { *m_paused = true; }
         void resumeReading() override { *m_paused = false; }
 
     private:
         std::shared_ptr<bool> m_live;
         std::shared_ptr<bool> m_paused;
+        std::shared_ptr<bool> m_hasSent;
     };
 };
 
--- a/src/proxy/types/proxylimits.h
+++ b/src/proxy/types/proxylimits.h
@@ -3,6 +3,7 @@
 #include "framework/types/milliseconds.h"
 #include "framework/types/units.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace lavendertally::proxy {
@@ -23,6 +24,8 @@
     /// Failed connections after which one request may still try another backend server; each costs
     /// a round trip.
     std::uint32_t maxConnectFailures = 3;
+    /// Teams with a value of their own in metrics.
+    std::size_t maxTeamLabels = 32;
 };
 
 } // namespace lavendertally::proxy
