lavendertallyctl check: the platform's configuration, judged by the daemon's own rules

A fault in a configuration was seen only when a gateway refused it, with its first problem and no place. The decoder of the platform collects all its problems and applies the error rules, so the daemon refuses what the tool calls an error and nothing else. New refusals: equal names of routes, services or teams, unknown services, stages without a pool, a key of two teams, values that do not fit their type, and tenants that are no list (the daemon took these for none, and asked nobody for a key). A gateway answers /configuration on its metrics address, with hashes for API keys.

--- /dev/null
+++ b/src/configurationcheck/internal/errorrules.cpp
@@ -0,0 +1,151 @@
+#include "configurationcheck/internal/findinglist.h"
+#include "configurationcheck/internal/iconfigurationrule.h"
+#include "configurationcheck/internal/rules.h"
+#include "configurationcheck/internal/serviceindex.h"
+#include "configurationcheck/keyhash.h"
+
+#include <unordered_map>
+
+namespace lavendertally::configurationcheck {
+
+namespace {
+
+class DuplicateNameRule final : public IConfigurationRule
+{
+public:
+    void check(const ConfigurationDraft &draft, const CheckContext & /*context*/,
+               FindingList &findings) const override
+    {
+        checkList(EntrySection::Routes, draft.routes, findings);
+        checkList(EntrySection::Services, draft.services, findings);
+        checkList(EntrySection::Teams, draft.teams, findings);
+    }
+
+private:
+    template <typename Entry>
+    static void checkList(EntrySection section, const std::vector<Entry> &entries,
+                          FindingList &findings)
+    {
+        std::unordered_map<decltype(Entry::id), std::size_t> first;
+        for (std::size_t index = 0; index < entries.size(); ++index) {
+            const auto [known, isNew] = first.emplace(entries[index].id, index);
+            // An entry whose name cannot be read is reported where it is read.
+            if (!isNew && !entries[index].id.isEmpty()) {
+                findings.add(Rule::DuplicateName, {section, index, EntryField::Name, {}, {}},
+                             "entry " + std::to_string(known->second) + " is named "
+                                 + entries[index].id.value() + " too");
+            }
+        }
+    }
+};
+
+class UnknownServiceRule final : public IConfigurationRule
+{
+public:
+    void check(const ConfigurationDraft &draft, const CheckContext & /*context*/,
+               FindingList &findings) const override
+    {
+        const ServiceIndex services(draft);
+        for (std::size_t index = 0; index < draft.routes.size(); ++index) {
+            const auto &split = draft.routes[index].split;
+            for (std::size_t share = 0; share < split.size(); ++share) {
+                if (services.find(split[share].service) == nullptr) {
+                    findings.add(Rule::UnknownService,
+                                 {EntrySection::Routes, index, EntryField::Split, share,
+                                  EntryField::Service},
+                                 "there is no service " + split[share].service.value());
+                }
+            }
+        }
+    }
+};
+
+class StageRule final : public IConfigurationRule
+{
+public:
+    void check(const ConfigurationDraft &draft, const CheckContext & /*context*/,
+               FindingList &findings) const override
+    {
+        const ServiceIndex services(draft);
+        for (std::size_t index = 0; index < draft.routes.size(); ++index) {
+            const auto &stages = draft.routes[index].stages;
+            for (std::size_t stage = 0; stage < stages.size(); ++stage) {
+                checkOrder(
+                    stages[stage],
+                    {EntrySection::Routes, index, EntryField::Stages, stage, EntryField::After},
+                    stages.size(), findings);
+                checkPool(
+                    services, stages[stage],
+                    {EntrySection::Routes, index, EntryField::Stages, stage, EntryField::Service},
+                    findings);
+            }
+        }
+    }
+
+private:
+    /// Stages may only wait for earlier ones, so a cycle always breaks the order somewhere.
+    static void checkOrder(const serving::StagePlan &plan, const EntryPath &path, std::size_t count,
+                           FindingList &findings)
+    {
+        for (const std::size_t other : plan.after) {
+            if (other >= count) {
+                findings.add(Rule::UnknownName, path, "there is no stage " + std::to_string(other));
+            } else if (other >= *path.item) {
+                findings.add(Rule::StageOrder, path,
+                             "waits for stage " + std::to_string(other)
+                                 + ", which is not before it: a cycle or a wrong order");
+            }
+        }
+    }
+
+    static void checkPool(const ServiceIndex &services, const serving::StagePlan &plan,
+                          const EntryPath &path, FindingList &findings)
+    {
+        const serving::ServiceSpec *service = services.find(plan.service);
+        if (service == nullptr) {
+            findings.add(Rule::UnknownService, path, "there is no service " + plan.service.value());
+        } else if (!service->stagePool) {
+            findings.add(Rule::StageWithoutPool, path,
+                         "service " + plan.service.value() + " has no pool for stages");
+        }
+    }
+};
+
+class DuplicateKeyRule final : public IConfigurationRule
+{
+public:
+    void check(const ConfigurationDraft &draft, const CheckContext & /*context*/,
+               FindingList &findings) const override
+    {
+        std::unordered_map<framework::ApiKey, std::size_t> owners;
+        for (std::size_t team = 0; team < draft.teams.size(); ++team) {
+            const auto &keys = draft.teams[team].keys;
+            for (std::size_t key = 0; key < keys.size(); ++key) {
+                const auto [owner, isNew] = owners.emplace(keys[key], team);
+                // A key that one team lists twice has one meaning.
+                if (!isNew && owner->second != team) {
+                    findings.add(
+                        Rule::DuplicateKey,
+                        {EntrySection::Teams, team, EntryField::Keys, key, EntryField::None},
+                        "teams " + draft.teams[owner->second].id.value() + " and "
+                            + draft.teams[team].id.value() + " have the same key "
+                            + shortHash(keyHash(keys[key])));
+                }
+            }
+        }
+    }
+};
+
+} // namespace
+
+ConfigurationRules makeErrorRules()
+{
+    ConfigurationRules rules;
+    rules.push_back(std::make_unique<DuplicateNameRule>());
+    rules.push_back(std::make_unique<UnknownServiceRule>());
+    rules.push_back(std::make_unique<StageRule>());
+    rules.push_back(std::make_unique<DuplicateKeyRule>());
+    return rules;
+}
+
+} // namespace lavendertally::configurationcheck
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -10,6 +10,7 @@
 #include "framework/itimer.h"
 #include "frontend/frontendmodule.h"
 #include "frontend/ihttpapi.h"
+#include "gateway/internal/configurationapi.h"
 #include "http/httpmodule.h"
 #include "http/ihttpexchange.h"
 #include "http/ihttpserver.h"
@@ -181,6 +182,7 @@
     m_readyServer->setHandler(
         [this](const std::shared_ptr<http::IHttpExchange> &exchange) { replyReadiness(exchange); });
     m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_metrics, *this));
+    m_apis.push_back(std::make_unique<ConfigurationApi>(*m_serving));
     m_metricsServer = http::HttpModule::makeServer(m_loop, {});
     m_metricsServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         frontend::FrontendModule::dispatch(m_apis, exchange);
--- a/src/operatortool/internal/commandline.cpp
+++ b/src/operatortool/internal/commandline.cpp
@@ -16,6 +16,15 @@
 
 constexpr std::uint16_t MinimumPort = 1;
 
+/// Options without a letter.
+enum LongOnlyOption
+{
+    OutputOption = 256,
+    AgainstOption,
+    AgainstActiveOption,
+    GatewaysOption,
+};
+
 constexpr option LongOptions[] = {
     {"help", no_argument, nullptr, 'h'},
     {"version", no_argument, nullptr, 'V'},
@@ -25,6 +34,10 @@
     {"operation", required_argument, nullptr, 'o'},
     {"base", required_argument, nullptr, 'b'},
     {"remove", required_argument, nullptr, 'r'},
+    {"output", required_argument, nullptr, OutputOption},
+    {"against", required_argument, nullptr, AgainstOption},
+    {"against-active", no_argument, nullptr, AgainstActiveOption},
+    {"gateways", required_argument, nullptr, GatewaysOption},
     {nullptr, 0, nullptr, 0},
 };
 
@@ -70,6 +83,25 @@
     return *duration;
 }
 
+framework::Result<bool> readOutput(const std::string &text)
+{
+    if (text != "json" && text != "text") {
+        return usageError("'" + text + "' is not an output; expected: text or json");
+    }
+    return text == "json";
+}
+
+framework::Result<std::uint32_t> readGateways(const std::string &text)
+{
+    std::uint32_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc{} || rest != end || value == 0) {
+        return usageError("'" + text + "' is not a number of gateways");
+    }
+    return value;
+}
+
 framework::Result<void> readOption(int option, const std::string &value, ToolOptions &options)
 {
     switch (option) {
@@ -99,6 +131,20 @@
         BOOST_LEAF_ASSIGN(options.base, readRevision(value));
         break;
     }
+    case OutputOption: {
+        BOOST_LEAF_ASSIGN(options.json, readOutput(value));
+        break;
+    }
+    case AgainstOption:
+        options.against = value;
+        break;
+    case AgainstActiveOption:
+        options.againstActive = true;
+        break;
+    case GatewaysOption: {
+        BOOST_LEAF_ASSIGN(options.gateways, readGateways(value));
+        break;
+    }
     default: {
         BOOST_LEAF_AUTO(name, readName(value));
         options.removals.push_back(name);
@@ -115,6 +161,12 @@
     if (options.paths.empty() && (!isApply || options.removals.empty())) {
         return usageError(words[0] + " needs at least one file");
     }
+    if ((options.against || options.againstActive) && isApply) {
+        return usageError("--against and --against-active belong to check");
+    }
+    if (options.against && options.againstActive) {
+        return usageError("--against and --against-active exclude each other");
+    }
     return {};
 }
 
@@ -207,7 +259,8 @@
 
 Commands:
   apply FILE...           publish configuration files, all or none
-  check FILE...           check files that together make up a configuration; needs no daemon
+  check FILE...           check a configuration: YAML files that together make up one, or JSON files
+                          of the users' platform, of which each is a whole one
   zone out|in ZONE        take an availability zone out of service or bring it back
   host out|in HOST        take a host out of service or bring it back
   status                  show what is out, and the revision in force in each daemon
@@ -215,15 +268,19 @@
 
 Options:
   -e, --entry ADDRESS:PORT  daemon of role entry to talk to (default 127.0.0.1:8080)
-  -j, --json                print JSON
+  -j, --json                print JSON; also --output json
   -t, --timeout DURATION    time limit, retries included (default 10s)
   -o, --operation ID        repeat an earlier change whose outcome is unknown
   -b, --base REVISION       revision that the change is based on (default: the entry's)
   -r, --remove NAME         apply: also remove the file of this name; may be repeated
+      --against FILE        check: also show differences from this file (JSON)
+      --against-active      check: also show differences from the configuration in force at
+                            --entry, the metrics address of a gateway
+      --gateways N          check: gateways that share the limits of services (default 1)
   -h, --help                show this text
   -V, --version             show the version
 
-Exit status: 0 done; 64 wrong usage; 65 invalid file or void change; 69 not applied because a
+Exit status: 0 done; 2 check found warnings only; 64 wrong usage; 65 invalid file or void change; 69 not applied because a
 service does not answer, or outcome unknown.
 )";
 }
--- a/src/operatortool/internal/httpoperatorclient.cpp
+++ b/src/operatortool/internal/httpoperatorclient.cpp
@@ -84,6 +84,16 @@
         });
 }
 
+void HttpOperatorClient::readConfiguration(
+    const framework::Endpoint &gateway, framework::Milliseconds timeout,
+    std::function<void(framework::Result<std::string>)> callback)
+{
+    get(gateway, "/configuration", timeout,
+        [callback = std::move(callback)](const http::HttpResponse &response) {
+            callback(readJsonBody(response));
+        });
+}
+
 void HttpOperatorClient::get(const framework::Endpoint &endpoint, const std::string &target,
                              framework::Milliseconds timeout,
                              std::function<void(http::HttpResponse)> callback)
--- a/src/operatortool/internal/httpoperatorclient.h
+++ b/src/operatortool/internal/httpoperatorclient.h
@@ -34,6 +34,8 @@
                     std::function<void(framework::Result<std::string>)> callback) override;
     void readDump(const framework::Endpoint &daemon, framework::Milliseconds timeout,
                   std::function<void(framework::Result<std::string>)> callback) override;
+    void readConfiguration(const framework::Endpoint &gateway, framework::Milliseconds timeout,
+                           std::function<void(framework::Result<std::string>)> callback) override;
 
 private:
     void get(const framework::Endpoint &endpoint, const std::string &target,
--- a/src/operatortool/internal/operatortool.cpp
+++ b/src/operatortool/internal/operatortool.cpp
@@ -3,12 +3,16 @@
 #include "configuration/configurationmodule.h"
 #include "configuration/iconfigurationparser.h"
 #include "configuration/types/operatorchange.h"
+#include "configurationcheck/types/comparedconfiguration.h"
 #include "framework/types/errorcontext.h"
 #include "operatortool/internal/changesubmission.h"
+#include "operatortool/internal/checkreport.h"
+#include "operatortool/internal/filecheck.h"
 #include "operatortool/internal/filereader.h"
 #include "operatortool/internal/report.h"
 #include "operatortool/ioperatorclient.h"
 #include "operatortool/types/toolerror.h"
+#include "platform/activeconfigurationcodec.h"
 
 #include <optional>
 #include <ostream>
@@ -117,13 +121,67 @@
 
 void OperatorTool::check(const Files &files)
 {
-    const auto parser = configuration::ConfigurationModule::makeParser();
-    const auto refused = refusal([&] { return parser->parse(files); });
-    if (refused) {
-        finishChange(*refused);
+    m_check = std::make_unique<FileCheck>(m_options.gateways);
+    m_check->check(files);
+    const bool compares = m_options.against || m_options.againstActive;
+    if (compares && m_check->jsonFiles() != 1) {
+        fail(ExitCode::Usage, {"differences are shown for exactly one JSON file"});
+    } else if (compares && m_check->isComparable()) {
+        m_options.againstActive ? compareWithActive() : compareWithFile();
+    } else {
+        finishCheck(m_check->entries());
+    }
+}
+
+void OperatorTool::compareWithFile()
+{
+    framework::leaf::try_handle_all(
+        [&]() -> framework::Result<void> {
+            BOOST_LEAF_AUTO(files, readFiles({*m_options.against}));
+            FileCheck before(m_options.gateways);
+            before.check(files);
+            if (!before.isComparable()) {
+                finishCheck(before.entries());
+                return {};
+            }
+            m_check->compareWith(before.comparable());
+            finishCheck(m_check->entries());
+            return {};
+        },
+        [&](ToolError error, const framework::ErrorContext &context) {
+            fail(exitCodeOf(error), context);
+        },
+        [&] { fail(ExitCode::BadData, {"cannot read " + *m_options.against}); });
+}
+
+void OperatorTool::compareWithActive()
+{
+    m_client.readConfiguration(
+        m_options.entry, m_options.timeLimit, [this](framework::Result<std::string> text) {
+            framework::leaf::try_handle_all(
+                [&]() -> framework::Result<void> {
+                    BOOST_LEAF_AUTO(json, std::move(text));
+                    BOOST_LEAF_AUTO(before, platform::decodeActiveConfiguration(json));
+                    m_check->compareWith(before);
+                    finishCheck(m_check->entries());
+                    return {};
+                },
+                [&](const framework::ErrorContext &context) {
+                    fail(ExitCode::Unavailable, context);
+                },
+                [&] { fail(ExitCode::Unavailable, {"the gateway does not answer"}); });
+        });
+}
+
+void OperatorTool::finishCheck(const std::vector<CheckEntry> &entries)
+{
+    m_output << (m_options.json ? checkJson(entries) : checkText(entries));
+    if (countOf(entries, configurationcheck::Severity::Error) > 0) {
+        m_finished(ExitCode::BadData);
         return;
     }
-    finishDocument(R"({"status":"valid"})", "valid\n");
+    const bool hasWarnings = countOf(entries, configurationcheck::Severity::Warning) > 0;
+    m_finished(hasWarnings ? ExitCode::Warnings : ExitCode::Success);
 }
 
 void OperatorTool::apply(const Files &files)
--- a/src/operatortool/ioperatorclient.h
+++ b/src/operatortool/ioperatorclient.h
@@ -38,6 +38,12 @@
     /// \param callback gets the state of a daemon as JSON, or ToolError::Unavailable
     virtual void readDump(const framework::Endpoint &daemon, framework::Milliseconds timeout,
                           std::function<void(framework::Result<std::string>)> callback) = 0;
+
+    /// \param callback gets the configuration in force in a gateway as JSON, or
+    /// ToolError::Unavailable
+    virtual void
+    readConfiguration(const framework::Endpoint &gateway, framework::Milliseconds timeout,
+                      std::function<void(framework::Result<std::string>)> callback) = 0;
 };
 
 } // namespace lavendertally::operatortool
--- a/src/operatortool/operatortool.h
+++ b/src/operatortool/operatortool.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lavendertally::configuration {
 struct OperatorChange;
@@ -25,6 +26,8 @@
 namespace lavendertally::operatortool {
 
 class ChangeSubmission;
+class FileCheck;
+struct CheckEntry;
 class IOperatorClient;
 
 /// Carries out one command of the tool.
@@ -46,6 +49,9 @@
 
     void runFileCommand();
     void check(const Files &files);
+    void compareWithFile();
+    void compareWithActive();
+    void finishCheck(const std::vector<CheckEntry> &entries);
     void apply(const Files &files);
     void applyAt(framework::LogOffset base, const Files &files);
     void setOut();
@@ -71,6 +77,7 @@
     std::optional<framework::LogOffset> m_base;
     std::function<void(ExitCode)> m_finished;
     std::unique_ptr<ChangeSubmission> m_submission;
+    std::unique_ptr<FileCheck> m_check;
 };
 
 } // namespace lavendertally::operatortool
--- a/src/operatortool/tests/commandlinetest.cpp
+++ b/src/operatortool/tests/commandlinetest.cpp
@@ -82,6 +82,10 @@
         {{"--operation", "", "status"}, "not a valid name"},
         {{"--entry"}, "missing value of --entry"},
         {{"--bad", "status"}, "unknown option --bad"},
+        {{"check", "a", "--output", "xml"}, "not an output"},
+        {{"check", "a", "--gateways", "0"}, "not a number of gateways"},
+        {{"check", "a", "--against", "b", "--against-active"}, "exclude each other"},
+        {{"apply", "a", "--against", "b"}, "belong to check"},
     };
     for (const auto &[words, expected] : cases) {
         EXPECT_NE(usageError(words).find(expected), std::string::npos)
--- a/src/operatortool/tests/fakeoperatorclient.h
+++ b/src/operatortool/tests/fakeoperatorclient.h
@@ -57,6 +57,12 @@
         callback(m_document);
     }
 
+    void readConfiguration(const framework::Endpoint &gateway, framework::Milliseconds timeout,
+                           std::function<void(framework::Result<std::string>)> callback) override
+    {
+        readDump(gateway, timeout, std::move(callback));
+    }
+
     bool m_reachable = true;
     framework::LogOffset m_revision{7};
     std::deque<ChangeStatus> m_outcomes;
--- a/src/operatortool/types/exitcode.h
+++ b/src/operatortool/types/exitcode.h
@@ -2,10 +2,13 @@
 
 namespace lavendertally::operatortool {
 
-/// Exit status of the command-line tool, with the meanings of sysexits.h.
+/// Exit status of the command-line tool, with the meanings of sysexits.h, which leaves the
+/// numbers below 64 to the program.
 enum class ExitCode
 {
     Success = 0,
+    /// A check found warnings but no errors.
+    Warnings = 2,
     /// The command line is wrong.
     Usage = 64,
     /// A file is invalid, or the change is void.
--- a/src/operatortool/types/tooloptions.h
+++ b/src/operatortool/types/tooloptions.h
@@ -5,6 +5,7 @@
 #include "framework/types/milliseconds.h"
 #include "operatortool/types/toolcommand.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,12 @@
     std::optional<framework::LogOffset> base;
     /// Paths of files to apply or check.
     std::vector<std::string> paths;
+    /// File with the configuration that the checked one is compared with.
+    std::optional<std::string> against;
+    /// Whether the checked configuration is compared with that in force at #entry.
+    bool againstActive = false;
+    /// Gateways that share the limits of services.
+    std::uint32_t gateways = 1;
     /// Names of files to remove.
     std::vector<std::string> removals;
     /// Zone or host to take out or bring back.
--- a/src/serving/types/servingconfiguration.h
+++ b/src/serving/types/servingconfiguration.h
@@ -24,6 +24,8 @@
     framework::ConfigurationVersion version() const { return m_version; }
     const RequestLimits &limits() const { return m_limits; }
     const std::vector<Route> &routes() const { return m_routes; }
+    const std::map<framework::ServiceId, ServiceSpec> &services() const { return m_services; }
+    const std::vector<TeamEntry> &teams() const { return m_teams; }
 
     /// \param path without the query
     /// \return the route with the longest prefix of \p path among those of \p hostName, or null
