--- a/src/configurationcheck/internal/rule.cpp
+++ b/src/configurationcheck/internal/rule.cpp
@@ -39,6 +39,8 @@
         return "batch-never-fills";
     case Rule::DuplicateMember:
         return "duplicate-member";
+    case Rule::MisspeltMember:
+        return "misspelt-member";
     case Rule::VersionNotNewer:
         return "version-not-newer";
     case Rule::TimeoutBelowObjective:
--- a/src/configurationcheck/types/rule.h
+++ b/src/configurationcheck/types/rule.h
@@ -30,6 +30,7 @@
     AttemptsNeverMade,
     BatchNeverFills,
     DuplicateMember,
+    MisspeltMember,
     VersionNotNewer,
     // Contradictory limits.
     TimeoutBelowObjective,
--- a/src/operatortool/internal/checkreport.cpp
+++ b/src/operatortool/internal/checkreport.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace lavendertally::operatortool {
@@ -64,6 +65,16 @@
         + std::to_string(entry.position.column) + ": ";
 }
 
+/// \return \p text with a question mark for each control character, so that it fits in one line
+std::string oneLine(std::string text)
+{
+    std::replace_if(
+        text.begin(), text.end(),
+        [](char character) { return std::iscntrl(static_cast<unsigned char>(character)) != 0; },
+        '?');
+    return text;
+}
+
 std::string counted(std::size_t count, const char *word)
 {
     return std::to_string(count) + " " + word + (count == 1 ? "" : "s");
@@ -103,7 +114,7 @@
     for (const CheckEntry &entry : entries) {
         const Finding &finding = entry.finding;
         text += place(entry) + severityWord(finding.severity()) + ": "
-            + (finding.path.empty() ? "" : finding.path + ": ") + finding.reason;
+            + oneLine((finding.path.empty() ? "" : finding.path + ": ") + finding.reason);
         if (finding.effect != Effect::None) {
             text += std::string(" (") + effectWord(finding.effect) + ")";
         }
--- a/src/operatortool/tests/checkcommandtest.cpp
+++ b/src/operatortool/tests/checkcommandtest.cpp
@@ -67,7 +67,7 @@
  "services": [
   {"name": "plain", "priority": 1, "priority": 2},
   {"name": "capped", "maxConnections": 2},
-  {"name": "cold", "coldPerS": 0.25},
+  {"name": "cold", "coldPerS": 0.25, "maxConnectons": 9},
   {"name": "pool", "pieces": {"slots": 1, "batchSize": 4, "callMs": 20, "itemMs": 1.0,
    "headroomMb": 1.0, "handleS": 4.0}}],
  "limits": {"maxBodyBytes": 33554433},
@@ -149,6 +149,7 @@
         {"duplicate-member", "services[0].priority"},
         {"connection-cap-too-low", "services[1].maxConnections"},
         {"cold-limit-too-low", "services[2].coldPerS"},
+        {"misspelt-member", "services[2].maxConnectons"},
         {"body-limit-above-budget", "limits.maxBodyBytes"},
     };
     EXPECT_EQ(findings(), expected);
--- a/src/platform/internal/configurationdecoder.cpp
+++ b/src/platform/internal/configurationdecoder.cpp
@@ -73,6 +73,7 @@
     if (const nlohmann::json *limits = fields.find("limits")) {
         readLimits(*limits);
     }
+    fields.reportMisspelt();
 }
 
 void ConfigurationDecoder::readRoute(const nlohmann::json &json, const std::string &path)
@@ -96,6 +97,7 @@
     // The wire calls it affinity of sessions; a session is the last shared part of a prompt.
     route.promptAffinity = fields.flagOr("sessionAffinity", false);
     route.resumable = fields.flagOr("streamResume", false);
+    fields.reportMisspelt();
     m_draft.routes.push_back(std::move(route));
 }
 
@@ -157,6 +159,7 @@
         plan.service = framework::ServiceId(stage.text("service"));
         plan.resultSize = framework::Bytes(stage.amountOr("bytes", 0));
         plan.after = readAfter(stage);
+        stage.reportMisspelt();
         stages.push_back(std::move(plan));
     }
     return stages;
@@ -199,6 +202,7 @@
     // Room for results, not memory left over.
     pool.resultCapacity = framework::Bytes(fields.amount("headroomMb", BytesPerMegabyte));
     pool.resultLifetime = framework::Milliseconds(fields.amount("handleS", MillisecondsPerSecond));
+    fields.reportMisspelt();
     return pool;
 }
 
@@ -213,6 +217,7 @@
         service.stagePool = readPool(*pieces, fields.pathOf("pieces"));
     }
     service.isModelEngine = fields.find("engineKind") != nullptr;
+    fields.reportMisspelt();
     m_draft.services.push_back(std::move(service));
 }
 
@@ -227,6 +232,7 @@
         framework::Milliseconds(fields.integerOr("headerTimeoutMs", limits.headerTimeout.value()));
     limits.idleTimeout =
         framework::Milliseconds(fields.integerOr("idleTimeoutMs", limits.idleTimeout.value()));
+    fields.reportMisspelt();
 }
 
 void ConfigurationDecoder::readTeam(const nlohmann::json &json, const std::string &path)
@@ -247,6 +253,7 @@
         }
         ++index;
     }
+    fields.reportMisspelt();
     m_draft.teams.push_back(std::move(team));
 }
 
--- a/src/platform/internal/entryreader.cpp
+++ b/src/platform/internal/entryreader.cpp
@@ -1,5 +1,7 @@
 #include "platform/internal/entryreader.h"
 
+#include <algorithm>
+#include <cctype>
 #include <cmath>
 #include <limits>
 #include <utility>
@@ -13,6 +15,46 @@
 /// Whole numbers up to this size are exact in JSON's floating point numbers.
 constexpr double MaxAmount = 9007199254740992.0;
 
+/// \return \p name in lower case, without characters that are often put in or left out
+std::string simplified(std::string_view name)
+{
+    std::string result;
+    for (const char character : name) {
+        if (character != '_' && character != '-') {
+            result.push_back(
+                static_cast<char>(std::tolower(static_cast<unsigned char>(character))));
+        }
+    }
+    return result;
+}
+
+/// \return whether one character more, less or another one makes \p a into \p b
+bool differByOneCharacter(std::string_view a, std::string_view b)
+{
+    if (a.size() > b.size()) {
+        std::swap(a, b);
+    }
+    if (b.size() - a.size() > 1) {
+        return false;
+    }
+    const auto begin = static_cast<std::size_t>(
+        std::mismatch(a.begin(), a.end(), b.begin(), b.end()).first - a.begin());
+    const std::size_t skipped = a.size() == b.size() ? 1 : 0;
+    return a.size() == begin || a.substr(begin + skipped) == b.substr(begin + 1);
+}
+
+/// Shorter names resemble each other by chance.
+constexpr std::size_t MinComparedName = 4;
+
+bool resemble(std::string_view a, std::string_view b)
+{
+    const std::string first = simplified(a);
+    const std::string second = simplified(b);
+    return first == second
+        || (std::min(first.size(), second.size()) >= MinComparedName
+            && differByOneCharacter(first, second));
+}
+
 } // namespace
 
 EntryReader::EntryReader(const nlohmann::json &json, std::string path,
@@ -29,13 +71,32 @@
     return m_path.empty() ? name : m_path + "." + name;
 }
 
+void EntryReader::reportMisspelt()
+{
+    if (!m_json.is_object()) {
+        return;
+    }
+    for (const auto &[name, value] : m_json.items()) {
+        if (std::find(m_asked.begin(), m_asked.end(), name) != m_asked.end()) {
+            continue;
+        }
+        const auto meant =
+            std::find_if(m_asked.begin(), m_asked.end(),
+                         [&name = name](std::string_view asked) { return resemble(name, asked); });
+        if (meant != m_asked.end()) {
+            report(Rule::MisspeltMember, name, "is not read; the name is " + std::string(*meant));
+        }
+    }
+}
+
 void EntryReader::report(Rule rule, const std::string &name, std::string reason)
 {
     m_findings.push_back({rule, pathOf(name), std::move(reason), {}});
 }
 
-const nlohmann::json *EntryReader::find(const char *name) const
+const nlohmann::json *EntryReader::find(const char *name)
 {
+    m_asked.push_back(name);
     if (!m_json.is_object()) {
         return nullptr;
     }
--- a/src/platform/internal/entryreader.h
+++ b/src/platform/internal/entryreader.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lavendertally::platform {
@@ -41,7 +42,11 @@
     const nlohmann::json &listOrEmpty(const char *name);
 
     /// \return the member, or null if it is missing or null
-    const nlohmann::json *find(const char *name) const;
+    const nlohmann::json *find(const char *name);
+
+    /// Warns of members that nobody has asked for and that look like one that was: the platform may
+    /// add members at any time, but those with nearly the name of a known one are misspelt.
+    void reportMisspelt();
 
     std::string pathOf(const std::string &name) const;
     void report(configurationcheck::Rule rule, const std::string &name, std::string reason);
@@ -52,6 +57,7 @@
 
     const nlohmann::json &m_json;
     std::string m_path;
+    std::vector<std::string_view> m_asked;
     std::vector<configurationcheck::Finding> &m_findings;
 };
 
