--- a/src/app/tests/configurationchecktest.cpp
+++ b/src/app/tests/configurationchecktest.cpp
@@ -40,9 +40,12 @@
     /// Waits until the gateway has logged a line that has \p text, and serves the store meanwhile.
     bool waitForLog(const GatewayProcess &gateway, const std::string &text)
     {
+        bool isFound = false;
         return waitFor([&] {
-            const auto line = gateway.process->waitForLine("{", PollInterval);
-            return line && line->find(text) != std::string::npos;
+            const auto line =
+                isFound ? std::nullopt : gateway.process->waitForLine("{", PollInterval);
+            isFound = isFound || (line && line->find(text) != std::string::npos);
+            return isFound;
         });
     }
 
