--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -91,7 +91,7 @@
             {"version", version},
             {"routes", {book, stream}},
             {"services",
-             {{{"name", "desk"}},
+             {{{"name", "desk"}, {"maxConnections", m_deskConnections}},
               {{"name", "models"}, {"engineKind", nlohmann::json::object()}},
               {{"name", "pool"},
                {"pieces",
@@ -228,6 +228,8 @@
     standins::PlatformServerStandIn m_pool;
     framework::Endpoint m_storeEndpoint;
     std::string m_folder;
+    /// Connections that a server of the desk accepts from all gateways together; zero: any number.
+    int m_deskConnections = 0;
 };
 
 } // namespace lavendertally::app
--- a/src/backends/internal/httpbackendcall.cpp
+++ b/src/backends/internal/httpbackendcall.cpp
@@ -69,8 +69,11 @@
 {
     switch (end) {
     case http::HttpEnd::NotSent:
+    case http::HttpEnd::NoConnection:
+    case http::HttpEnd::Rejected:
         m_observer.onFailed(BackendError::NotRun, "no connection to the backend server");
         return;
+    case http::HttpEnd::RejectedAfterSend:
     case http::HttpEnd::Broken:
         m_observer.onFailed(BackendError::Unknown, "connection to the backend server broke");
         return;
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/gatewaydaemon.h"
 
+#include "connections/connectionsmodule.h"
+#include "connections/iconnectionshares.h"
 #include "framework/frameworkmodule.h"
 #include "framework/hash.h"
 #include "framework/iclock.h"
@@ -20,6 +22,7 @@
 #include "peers/ipeernetwork.h"
 #include "peers/ipeerobserver.h"
 #include "peers/peersmodule.h"
+#include "peers/types/daemonaddress.h"
 #include "platform/clientgateway.h"
 #include "platform/iplatform.h"
 #include "platform/platformmodule.h"
@@ -110,9 +113,11 @@
 {
     m_serving = serving::ServingModule::makeTracker(*m_logger);
     m_servers = membership::MembershipModule::makeBackendServerTracker(*m_logger);
+    m_connections = connections::ConnectionsModule::makeShares(*m_servers, *m_serving, m_loop,
+                                                               *m_clock, *m_logger, *m_metrics);
     m_platform = platform::PlatformModule::makePlatform(
         {m_settings.id, m_settings.gateway.processorShare, m_settings.gateway.store, m_loop,
-         *m_clock, *m_logger, *m_metrics, *m_serving, *m_servers});
+         *m_clock, *m_logger, *m_metrics, *m_serving, *m_servers, *m_connections});
     m_peers = peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id);
     m_peers->setAcceptsJobs([this] { return hasRequiredState() && !m_draining; });
     m_topicExchange = std::make_unique<replication::TopicExchange>(
@@ -124,12 +129,15 @@
     m_permitExchange = ratelimit::RateLimitModule::makePermitExchange(
         m_settings.id, m_rateLimits->store(), *m_peers, m_platform->daemons(), m_loop, *m_clock,
         *m_logger, *m_metrics);
+    m_leaseExchange = connections::ConnectionsModule::makeLeaseExchange(
+        m_settings.id, m_connections->leases(), *m_peers, m_platform->daemons(), m_loop, *m_clock,
+        *m_logger, *m_metrics);
     m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers, *m_rateLimits);
     m_stages = stages::StagesModule::makeService(
         m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
         m_loop, *m_clock, *m_logger, *m_metrics);
-    m_selector =
-        routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits, *m_random);
+    m_selector = routing::RoutingModule::makeBackendServerSelector(
+        *m_servers, *m_rateLimits, *m_random, {&m_connections->filter()});
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
@@ -137,7 +145,10 @@
         m_settings.id, m_quarantine->evidenceStore(), *m_peers, m_loop, *m_clock, *m_logger,
         *m_metrics);
     m_serving->onChange([this] { applyLimits(); });
-    m_platform->daemons().onChange([this] { updateRetryLimits(); });
+    m_platform->daemons().onChange([this] {
+        updateRetryLimits();
+        updateFleet();
+    });
     updateRetryLimits();
 }
 
@@ -155,6 +166,19 @@
     m_retryPolicy->setLimits(limits);
 }
 
+void GatewayDaemon::updateFleet()
+{
+    const std::vector<peers::DaemonAddress> &ranking = m_platform->daemons().ranking();
+    if (ranking.size() < m_platform->daemons().limitSharerCount()) {
+        // The registrations have not been read yet.
+        return;
+    }
+    const auto self = std::find_if(ranking.begin(), ranking.end(), [this](const auto &each) {
+        return each.daemon == m_settings.id;
+    });
+    m_connections->setFleet({ranking.size(), static_cast<std::size_t>(self - ranking.begin())});
+}
+
 void GatewayDaemon::createProxy()
 {
     proxy::ProxyLimits limits;
@@ -241,6 +265,8 @@
 void GatewayDaemon::tick()
 {
     m_servers->expire(m_clock->now());
+    updateFleet();
+    m_connections->tick();
     // Replaced idle timeouts end with time.
     applyLimits();
     if (isReady() != m_wasReady) {
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -18,6 +18,10 @@
 class ITimer;
 } // namespace lavendertally::framework
 
+namespace lavendertally::connections {
+class IConnectionShares;
+}
+
 namespace lavendertally::frontend {
 class IHttpApi;
 }
@@ -101,6 +105,8 @@
     void createHttpServers();
     void applyLimits();
     void updateRetryLimits();
+    /// Tells the shares of connections which gateways there are.
+    void updateFleet();
     /// \return whether the configuration and the list of backend servers are known
     bool hasRequiredState() const;
     /// \return whether the load balancer may send requests to this gateway
@@ -120,11 +126,13 @@
     std::unique_ptr<framework::IRandom> m_random;
     std::unique_ptr<serving::IServingTracker> m_serving;
     std::unique_ptr<membership::IBackendServerTracker> m_servers;
+    std::unique_ptr<connections::IConnectionShares> m_connections;
     std::unique_ptr<platform::IPlatform> m_platform;
     std::unique_ptr<peers::IPeerNetwork> m_peers;
     std::unique_ptr<replication::TopicExchange> m_topicExchange;
     std::unique_ptr<ratelimit::IServerRateLimits> m_rateLimits;
     std::unique_ptr<peers::IPeerObserver> m_permitExchange;
+    std::unique_ptr<peers::IPeerObserver> m_leaseExchange;
     std::unique_ptr<stages::IStageCoordinator> m_coordinator;
     std::unique_ptr<stages::IStageService> m_stages;
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
--- a/src/http/internal/clientcall.cpp
+++ b/src/http/internal/clientcall.cpp
@@ -8,7 +8,9 @@
 #include "http/internal/pooledhttpclient.h"
 #include "http/types/httprequest.h"
 
+#include <algorithm>
 #include <string>
+#include <utility>
 
 namespace lavendertally::http {
 
@@ -48,22 +50,57 @@
 
 ClientCall::ClientCall(PooledHttpClient &client, const HttpRequest &request,
                        IHttpResponseObserver &observer)
-    : m_observer(observer), m_connection(&client.acquire(request.endpoint, request.maxIdleBefore)),
+    : m_client(client), m_observer(observer), m_endpoint(request.endpoint),
+      m_maxIdleBefore(request.maxIdleBefore), m_acceptanceWait(request.acceptanceWait),
+      m_isBodiless(methodName(request) == "HEAD"),
+      m_request(serialize(request, methodName(request))),
       m_timeout(client.loop().callAfter(request.timeout, [this] { timeOut(); }))
 {
-    const std::string method = methodName(request);
-    m_connection->begin(*this, serialize(request, method), method == "HEAD");
+    const bool isAccepted = client.acquire(*this);
+    if (m_connection == nullptr) {
+        // The observer is never called from within the constructor.
+        // Half of the time is left for a call to another server.
+        const framework::Milliseconds longest =
+            std::min(client.options().maxConnectionWait,
+                     framework::Milliseconds(request.timeout.value() / 2));
+        const framework::Milliseconds wait = isAccepted ? longest : framework::Milliseconds(0);
+        m_waitTimer = client.loop().callAfter(wait, [this] { endWithoutConnection(); });
+    }
 }
 
 ClientCall::~ClientCall()
 {
+    m_client.stopWaiting(*this);
     if (m_connection != nullptr) {
         m_connection->cancel();
     }
 }
 
+void ClientCall::begin(ClientConnection &connection)
+{
+    m_waitTimer.reset();
+    m_connection = &connection;
+    connection.begin(*this, std::move(m_request), m_isBodiless, m_acceptanceWait);
+    if (m_isPaused) {
+        connection.pause();
+    }
+}
+
+void ClientCall::endWithoutConnection()
+{
+    m_client.stopWaiting(*this);
+    report(HttpEnd::NoConnection);
+}
+
+bool ClientCall::hasSent() const
+{
+    // After the end that was reported, the caller goes by that.
+    return m_hasEnded || (m_connection != nullptr && m_connection->hasSent());
+}
+
 void ClientCall::pauseReading()
 {
+    m_isPaused = true;
     if (m_connection != nullptr) {
         m_connection->pause();
     }
@@ -71,6 +108,7 @@
 
 void ClientCall::resumeReading()
 {
+    m_isPaused = false;
     if (m_connection != nullptr) {
         m_connection->resume();
     }
@@ -96,18 +134,18 @@
     m_observer.onServerClosing();
 }
 
-void ClientCall::end(bool complete, bool sent)
+void ClientCall::end(HttpEnd end)
 {
     m_connection = nullptr;
-    if (complete) {
-        report(HttpEnd::Complete);
-        return;
-    }
-    report(sent ? HttpEnd::Broken : HttpEnd::NotSent);
+    report(end);
 }
 
 void ClientCall::timeOut()
 {
+    if (m_connection == nullptr) {
+        endWithoutConnection();
+        return;
+    }
     const bool sent = m_connection->hasSent();
     m_connection->cancel();
     m_connection = nullptr;
@@ -116,7 +154,9 @@
 
 void ClientCall::report(HttpEnd end)
 {
+    m_hasEnded = true;
     m_timeout.reset();
+    m_waitTimer.reset();
     m_observer.onEnd(end, end == HttpEnd::Complete ? m_status : 0);
 }
 
--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -21,6 +21,10 @@
 /// A call that pauses is handed at most this much more of the body.
 constexpr std::size_t MaxPartBytes = 16 * 1024;
 
+/// A server that accepts and resets connections over its limit does so within its next turn; one
+/// that is busy takes a few tens of milliseconds for that.
+constexpr framework::Milliseconds RejectionWindow{100};
+
 /// \return the time that the server states in `Keep-Alive: timeout=SECONDS`
 std::optional<framework::Milliseconds> statedKeepAlive(const HttpHeaders &headers)
 {
@@ -47,9 +51,13 @@
 
 ClientConnection::~ClientConnection() = default;
 
-void ClientConnection::begin(ClientCall &call, std::string request, bool bodiless)
+void ClientConnection::begin(ClientCall &call, std::string request, bool bodiless,
+                             framework::Milliseconds acceptanceWait)
 {
     m_call = &call;
+    m_isIdle = false;
+    m_isWritten = false;
+    m_acceptanceWait = acceptanceWait;
     m_bodiless = bodiless;
     m_request = std::move(request);
     m_requestSize = m_request.size();
@@ -79,23 +87,33 @@
 void ClientConnection::onConnected()
 {
     m_connected = true;
+    m_connectedAt = m_client.now();
     m_timer.reset();
-    sendRequest();
+    if (m_acceptanceWait <= framework::Milliseconds(0)) {
+        sendRequest();
+        return;
+    }
+    m_timer = m_client.loop().callAfter(m_acceptanceWait, [this] {
+        m_timer.reset();
+        sendRequest();
+    });
 }
 
 void ClientConnection::sendRequest()
 {
+    m_isWritten = true;
     m_socket->write(std::exchange(m_request, {}));
 }
 
 bool ClientConnection::hasSent() const
 {
-    return m_connected && m_socket->unsent() < m_requestSize;
+    return m_isWritten && m_socket->unsent() < m_requestSize;
 }
 
 void ClientConnection::onReadable()
 {
-    if (m_call == nullptr) {
+    m_hasReceived = true;
+    if (m_call == nullptr || !m_isWritten) {
         // Bytes that no request asked for make whatever follows on this connection doubtful.
         finish(false);
         return;
@@ -197,6 +215,8 @@
 
 void ClientConnection::onClosed(bool inOrder)
 {
+    m_isReset = m_socket->wasReset();
+    m_isEndedByServer = m_connected || m_isReset;
     if (m_call != nullptr && m_flow != Flow::Running) {
         // The end comes after what is still to be handed on.
         m_closedInOrder = inOrder;
@@ -225,7 +245,7 @@
         onReadable();
         return;
     }
-    const bool sent = hasSent();
+    const HttpEnd incomplete = incompleteEnd();
     const bool reusable = complete && !skipped && m_parser->keepAlive() && m_parser->head().framed
         && m_socket->unsent() == 0 && m_socket->input().empty() && !m_closedInOrder;
     if (reusable) {
@@ -235,13 +255,42 @@
         close();
     }
     if (call != nullptr) {
-        call->end(complete && !skipped, sent);
+        call->end(complete && !skipped ? HttpEnd::Complete : incomplete);
+    }
+}
+
+/// A connection that was idle and is found closed has not failed either: the server may close it
+/// at any time.
+bool ClientConnection::isRejected() const
+{
+    if (!m_isEndedByServer) {
+        return false;
+    }
+    const bool isNew = m_client.now() - m_connectedAt <= RejectionWindow;
+    return !hasSent() || (m_isReset && isNew && !m_hasReceived);
+}
+
+HttpEnd ClientConnection::incompleteEnd() const
+{
+    const bool sent = hasSent();
+    if (isRejected()) {
+        return sent ? HttpEnd::RejectedAfterSend : HttpEnd::Rejected;
+    }
+    return sent ? HttpEnd::Broken : HttpEnd::NotSent;
+}
+
+ConnectionClose ClientConnection::closeState() const
+{
+    if (m_isIdle) {
+        return ConnectionClose::Idle;
     }
+    return isRejected() && !m_hasReceived ? ConnectionClose::Rejected : ConnectionClose::InUse;
 }
 
 void ClientConnection::becomeIdle(framework::TimePoint now, framework::Milliseconds keepFor)
 {
     m_idleSince = now;
+    m_isIdle = true;
     m_timer = m_client.loop().callAfter(keepFor, [this] { finish(false); });
 }
 
@@ -258,8 +307,9 @@
 {
     m_closed = true;
     m_resumeTimer.reset();
+    const ConnectionClose state = closeState();
     m_socket->detach();
-    m_client.discard(*this);
+    m_client.discard(*this, state);
 }
 
 } // namespace lavendertally::http
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -3,7 +3,9 @@
 #include "framework/types/endpoint.h"
 #include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
+#include "http/types/connectionclose.h"
 #include "http/types/httpclientoptions.h"
+#include "http/types/httpend.h"
 #include "network/ibufferedsocketobserver.h"
 
 #include <cstddef>
@@ -41,7 +43,9 @@
     /// Begins \p call; its outcome is reported later.
     /// \param request bytes of the whole request
     /// \param bodiless whether the response never has a body
-    void begin(ClientCall &call, std::string request, bool bodiless);
+    /// \param acceptanceWait time for which a new connection is watched before it is written to
+    void begin(ClientCall &call, std::string request, bool bodiless,
+               framework::Milliseconds acceptanceWait);
     /// The call is not wanted any more; closes the connection.
     void cancel();
     /// Hands nothing on to the call until resume(); what the server sends meanwhile fills the input
@@ -78,6 +82,11 @@
     void afterPause();
     bool deliver();
     void finish(bool complete);
+    /// \return whether the server has ended the connection without failing, as far as can be told:
+    /// because it has too many, or because it was idle
+    bool isRejected() const;
+    HttpEnd incompleteEnd() const;
+    ConnectionClose closeState() const;
 
     PooledHttpClient &m_client;
     framework::Endpoint m_endpoint;
@@ -95,7 +104,17 @@
     std::optional<bool> m_closedInOrder;
     std::string m_request;
     std::size_t m_requestSize = 0;
+    framework::Milliseconds m_acceptanceWait;
+    framework::TimePoint m_connectedAt;
     framework::TimePoint m_idleSince;
+    bool m_isIdle = false;
+    /// Whether the request under way has been handed to the socket.
+    bool m_isWritten = false;
+    /// Whether any byte has arrived on this connection.
+    bool m_hasReceived = false;
+    /// Whether the server has ended the connection, and whether with a reset.
+    bool m_isEndedByServer = false;
+    bool m_isReset = false;
     bool m_bodiless = false;
     bool m_connected = false;
     bool m_headDelivered = false;
--- a/src/http/internal/wholeresponsecall.h
+++ b/src/http/internal/wholeresponsecall.h
@@ -20,6 +20,8 @@
     WholeResponseCall(IHttpClient &client, const HttpRequest &request,
                       std::function<void(HttpResponse)> callback);
 
+    bool hasSent() const override { return m_call == nullptr || m_call->hasSent(); }
+
 private:
     void onData(int status, std::string_view data) override;
     bool onHead(const HttpResponseHead &head) override;
--- a/src/http/tests/scriptedserver.h
+++ b/src/http/tests/scriptedserver.h
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <memory>
@@ -76,6 +77,15 @@
         }
     }
 
+    /// \param handler called for each connection that is accepted; may end it
+    void onAccept(Handler handler) { m_acceptHandler = std::move(handler); }
+    std::size_t openConnections() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_connections.begin(), m_connections.end(),
+                          [](const auto &connection) { return connection->fd >= 0; }));
+    }
+
     static void send(Connection &connection, std::string_view bytes)
     {
         [[maybe_unused]] const auto sent =
@@ -115,6 +125,9 @@
                                          &ScriptedServer::readable, connection.get());
         event_add(connection->readable, nullptr);
         server->m_connections.push_back(std::move(connection));
+        if (server->m_acceptHandler) {
+            server->m_acceptHandler(*server->m_connections.back());
+        }
     }
     static void readable(int fd, short /*what*/, void *argument)
     {
@@ -131,6 +144,7 @@
 
     framework::IEventLoop &m_loop;
     Handler m_handler;
+    Handler m_acceptHandler;
     int m_fd;
     std::uint16_t m_port = 0;
     event *m_accept = nullptr;
--- a/src/http/types/httpclientoptions.h
+++ b/src/http/types/httpclientoptions.h
@@ -6,6 +6,8 @@
 
 namespace lavendertally::http {
 
+class IConnectionGate;
+
 /// How a client treats its connections.
 struct HttpClientOptions
 {
@@ -17,6 +19,11 @@
     /// How long a connection without a stated keep-alive time is kept for reuse.
     framework::Milliseconds maxIdle{60000};
     std::size_t maxIdlePerEndpoint = 64;
+    /// Limits the connections; outlives the client. Null if there is no limit.
+    IConnectionGate *gate = nullptr;
+    /// Longest time for which a call waits for a connection that the gate allows: a few calls of a
+    /// plain service (15 to 30 ms each), after which another server is the better choice.
+    framework::Milliseconds maxConnectionWait{250};
 };
 
 } // namespace lavendertally::http
--- a/src/http/types/httprequest.h
+++ b/src/http/types/httprequest.h
@@ -30,6 +30,10 @@
     /// Connections that were idle for longer are not reused for this call. A server may have closed
     /// them already, and then nobody knows whether it acted.
     framework::Milliseconds maxIdleBefore{std::numeric_limits<std::int64_t>::max()};
+    /// Time for which a new connection is watched for a reset before the request is written. A
+    /// server over its limit of connections accepts and resets; what was written by then may have
+    /// run for all that the client knows.
+    framework::Milliseconds acceptanceWait{0};
 };
 
 } // namespace lavendertally::http
--- a/src/infrastructure/internal/responseerrors.cpp
+++ b/src/infrastructure/internal/responseerrors.cpp
@@ -36,7 +36,7 @@
 
 std::optional<InfrastructureError> effectError(const http::HttpResponse &response)
 {
-    if (response.end == http::HttpEnd::NotSent) {
+    if (http::isUnsent(response.end)) {
         return InfrastructureError::Unavailable;
     }
     if (response.end != http::HttpEnd::Complete) {
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -51,6 +51,9 @@
     void write(std::string_view data);
     /// \return number of buffered bytes not yet passed to the kernel
     std::size_t unsent() const;
+    /// \return whether the connection has ended with a reset by the peer, which may come before the
+    /// observer is told that it is established
+    bool wasReset() const { return m_wasReset; }
     /// Ends all notifications, that of a pending connection attempt included. The connection is
     /// closed when this object is destroyed.
     void detach();
@@ -70,6 +73,7 @@
     bufferevent *m_bufferEvent;
     event *m_peerCloseEvent = nullptr;
     bool m_connected = false;
+    bool m_wasReset = false;
     bool m_shutDownWhenFlushed = false;
 };
 
--- a/src/network/internal/bufferedsocket.cpp
+++ b/src/network/internal/bufferedsocket.cpp
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -188,6 +189,8 @@
     }
     constexpr short EndedFlags = BEV_EVENT_EOF | BEV_EVENT_ERROR;
     if ((flags & EndedFlags) != 0) {
+        const int error = (flags & BEV_EVENT_ERROR) != 0 ? EVUTIL_SOCKET_ERROR() : 0;
+        socket->m_wasReset = error == ECONNRESET || error == EPIPE;
         socket->m_observer.onClosed((flags & BEV_EVENT_ERROR) == 0);
     }
 }
--- a/src/operatortool/internal/operatorresponses.cpp
+++ b/src/operatortool/internal/operatorresponses.cpp
@@ -28,7 +28,10 @@
 {
     switch (response.end) {
     case http::HttpEnd::NotSent:
+    case http::HttpEnd::NoConnection:
+    case http::HttpEnd::Rejected:
         return "the daemon cannot be reached";
+    case http::HttpEnd::RejectedAfterSend:
     case http::HttpEnd::Broken:
         return "the connection broke";
     case http::HttpEnd::TimedOut:
@@ -89,7 +92,7 @@
 {
     ChangeOutcome outcome;
     outcome.explanation = describe(response);
-    if (response.end == http::HttpEnd::NotSent) {
+    if (http::isUnsent(response.end)) {
         outcome.status = ChangeStatus::NotApplied;
         return outcome;
     }
--- a/src/peers/testing/fakepeernetwork.h
+++ b/src/peers/testing/fakepeernetwork.h
@@ -42,6 +42,11 @@
         return takers;
     }
     void setTakesRateLimits() override { }
+    void setTakesConnectionLeases() override { }
+    std::vector<framework::DaemonId> connectionLeaseTakers() const override
+    {
+        return crashReportTakers();
+    }
     std::vector<framework::DaemonId> rateLimitTakers() const override
     {
         return crashReportTakers();
--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -13,6 +13,29 @@
 
 namespace lavendertally::platform {
 
+namespace {
+
+proxy::BackendCallEnd incompleteEnd(http::HttpEnd end)
+{
+    switch (end) {
+    case http::HttpEnd::NotSent:
+        return proxy::BackendCallEnd::NotSent;
+    case http::HttpEnd::NoConnection:
+        return proxy::BackendCallEnd::NoConnection;
+    case http::HttpEnd::Rejected:
+        return proxy::BackendCallEnd::Rejected;
+    case http::HttpEnd::RejectedAfterSend:
+        return proxy::BackendCallEnd::RejectedAfterSend;
+    case http::HttpEnd::Complete:
+    case http::HttpEnd::Broken:
+    case http::HttpEnd::TimedOut:
+        break;
+    }
+    return proxy::BackendCallEnd::Broken;
+}
+
+} // namespace
+
 HttpBackendCall::HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
                                  framework::RequestId id, framework::BackendServerId server,
                                  membership::IBackendServerUpdates &servers,
@@ -76,6 +99,11 @@
     }
 }
 
+bool HttpBackendCall::hasSent() const
+{
+    return m_call->hasSent();
+}
+
 void HttpBackendCall::pauseReading()
 {
     m_call->pauseReading();
@@ -93,12 +121,8 @@
 
 void HttpBackendCall::onEnd(http::HttpEnd end, int /*status*/)
 {
-    if (end == http::HttpEnd::NotSent) {
-        m_observer.onEnd(proxy::BackendCallEnd::NotSent);
-        return;
-    }
     const bool whole = end == http::HttpEnd::Complete && !m_events.hasPartialEvent();
-    m_observer.onEnd(whole ? proxy::BackendCallEnd::Complete : proxy::BackendCallEnd::Broken);
+    m_observer.onEnd(whole ? proxy::BackendCallEnd::Complete : incompleteEnd(end));
 }
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/httpbackendcall.h
+++ b/src/platform/internal/httpbackendcall.h
@@ -35,6 +35,7 @@
     HttpBackendCall(const HttpBackendCall &) = delete;
     HttpBackendCall &operator=(const HttpBackendCall &) = delete;
 
+    bool hasSent() const override;
     void pauseReading() override;
     void resumeReading() override;
 
--- a/src/platform/internal/httpbackendport.cpp
+++ b/src/platform/internal/httpbackendport.cpp
@@ -1,5 +1,6 @@
 #include "platform/internal/httpbackendport.h"
 
+#include "connections/iconnectionshares.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
 #include "http/types/httprequest.h"
@@ -22,6 +23,10 @@
 /// No connection has been idle for so short a time.
 constexpr framework::Milliseconds NeverIdle{-1};
 
+/// A server that limits its connections accepts one over the limit and resets it at its next turn.
+/// A request that may run once is written after that, so that a reset leaves no doubt.
+constexpr framework::Milliseconds AcceptanceWait{5};
+
 /// Time in which a running process accepts a connection, with margin.
 constexpr framework::Milliseconds ProbeTimeout{300};
 
@@ -73,8 +78,9 @@
 } // namespace
 
 HttpBackendPort::HttpBackendPort(http::IHttpClient &client,
-                                 membership::IBackendServerUpdates &servers)
-    : m_client(client), m_servers(servers)
+                                 membership::IBackendServerUpdates &servers,
+                                 connections::IConnectionShares &connections)
+    : m_client(client), m_servers(servers), m_connections(connections)
 { }
 
 std::unique_ptr<proxy::IBackendCall>
@@ -82,6 +88,7 @@
                       proxy::IBackendResponseObserver &observer)
 {
     const proxy::ClientRequest &client = *request.request;
+    m_connections.noteServer(request.server);
     http::HttpRequest sent;
     sent.endpoint = request.server.endpoint;
     sent.method = methodOf(client.method);
@@ -96,6 +103,9 @@
     } else if (request.atMostOnce) {
         sent.maxIdleBefore = MaxIdleBeforeOnce;
     }
+    if (request.atMostOnce && m_connections.isLimited(request.server)) {
+        sent.acceptanceWait = AcceptanceWait;
+    }
     return std::make_unique<HttpBackendCall>(m_client, sent, client.id, request.server.id,
                                              m_servers, observer);
 }
@@ -104,6 +114,7 @@
 HttpBackendPort::probe(const membership::BackendServerEntry &server,
                        std::function<void(http::ProbeResult)> callback)
 {
+    m_connections.noteServer(server);
     return std::make_unique<ProbeCall>(
         m_client.probe(server.endpoint, ProbeTimeout, std::move(callback)));
 }
--- a/src/platform/internal/httpbackendport.h
+++ b/src/platform/internal/httpbackendport.h
@@ -2,6 +2,10 @@
 
 #include "proxy/ibackendclient.h"
 
+namespace lavendertally::connections {
+class IConnectionShares;
+}
+
 namespace lavendertally::http {
 class IHttpClient;
 }
@@ -16,7 +20,9 @@
 class HttpBackendPort final : public proxy::IBackendClient
 {
 public:
-    HttpBackendPort(http::IHttpClient &client, membership::IBackendServerUpdates &servers);
+    /// \param connections shares of connections that limit \p client
+    HttpBackendPort(http::IHttpClient &client, membership::IBackendServerUpdates &servers,
+                    connections::IConnectionShares &connections);
 
     std::unique_ptr<proxy::IBackendCall> send(const proxy::BackendRequest &request,
                                               proxy::IBackendResponseObserver &observer) override;
@@ -27,6 +33,7 @@
 private:
     http::IHttpClient &m_client;
     membership::IBackendServerUpdates &m_servers;
+    connections::IConnectionShares &m_connections;
 };
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -1,5 +1,6 @@
 #include "platform/internal/httpstagecallport.h"
 
+#include "connections/iconnectionshares.h"
 #include "framework/ilogger.h"
 #include "framework/types/errorcontext.h"
 #include "http/ihttpcall.h"
@@ -49,8 +50,9 @@
 
 HttpStageCallPort::HttpStageCallPort(http::IHttpClient &client,
                                      membership::IBackendServerUpdates &servers,
+                                     connections::IConnectionShares &connections,
                                      framework::ILogger &logger)
-    : m_client(client), m_servers(servers), m_logger(logger)
+    : m_client(client), m_servers(servers), m_connections(connections), m_logger(logger)
 { }
 
 HttpStageCallPort::~HttpStageCallPort() = default;
@@ -76,6 +78,7 @@
 void HttpStageCallPort::sendCall(const stages::StartStageCall &call, std::string body,
                                  std::function<void(stages::StageCallOutcome)> done)
 {
+    m_connections.noteServer(call.server);
     http::HttpRequest request = jsonRequest(call.server.endpoint, wire::StageRun, std::move(body));
     request.headers.emplace_back(std::string(wire::ExpectInstance), call.server.id.value());
     request.timeout = call.timeout;
@@ -100,7 +103,8 @@
                                                          const http::HttpResponse &response)
 {
     stages::StageCallOutcome outcome = decodeStageAnswer(response);
-    if (outcome.status == stages::StageCallStatus::NotRun) {
+    if (outcome.status == stages::StageCallStatus::NotRun
+        && response.end == http::HttpEnd::Complete) {
         m_client.closeIdle(server);
     }
     if (outcome.status != stages::StageCallStatus::Answered
@@ -122,6 +126,7 @@
 void HttpStageCallPort::queryFreeStorage(const membership::BackendServerEntry &server,
                                          std::function<void(framework::Bytes)> done)
 {
+    m_connections.noteServer(server);
     http::HttpRequest request;
     request.endpoint = server.endpoint;
     request.target = std::string(wire::Report);
--- a/src/platform/internal/httpstagecallport.h
+++ b/src/platform/internal/httpstagecallport.h
@@ -8,6 +8,10 @@
 #include <memory>
 #include <string>
 
+namespace lavendertally::connections {
+class IConnectionShares;
+}
+
 namespace lavendertally::framework {
 class ILogger;
 }
@@ -29,7 +33,7 @@
 {
 public:
     HttpStageCallPort(http::IHttpClient &client, membership::IBackendServerUpdates &servers,
-                      framework::ILogger &logger);
+                      connections::IConnectionShares &connections, framework::ILogger &logger);
     ~HttpStageCallPort() override;
 
     void startCall(const stages::StartStageCall &call,
@@ -48,6 +52,7 @@
 
     http::IHttpClient &m_client;
     membership::IBackendServerUpdates &m_servers;
+    connections::IConnectionShares &m_connections;
     framework::ILogger &m_logger;
     RecentStageAnswers m_recentAnswers;
     std::uint64_t m_next = 0;
--- a/src/platform/internal/stagecodec.cpp
+++ b/src/platform/internal/stagecodec.cpp
@@ -94,6 +94,11 @@
         outcome.status = stages::StageCallStatus::Unknown;
         return outcome;
     }
+    if (http::isUnsent(response.end)) {
+        // The server has not failed: it, or this gateway's share of it, is full.
+        outcome.status = stages::StageCallStatus::NotRun;
+        return outcome;
+    }
     const bool complete = response.end == http::HttpEnd::Complete;
     const bool notExecuted = http::findHeader(response.headers, wire::NotExecuted).has_value()
         || response.status == MisdirectedRequest;
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -55,7 +55,7 @@
 
 StoreError errorIn(const http::HttpResponse &response)
 {
-    if (response.end == http::HttpEnd::NotSent) {
+    if (http::isUnsent(response.end)) {
         return StoreError::NotDone;
     }
     if (response.end != http::HttpEnd::Complete) {
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -1,5 +1,6 @@
 #include "platform/internal/usersplatform.h"
 
+#include "connections/iconnectionshares.h"
 #include "framework/ieventloop.h"
 #include "http/httpmodule.h"
 #include "http/ihttpclient.h"
@@ -26,17 +27,24 @@
     return options;
 }
 
+http::HttpClientOptions backendOptions(const PlatformParts &parts)
+{
+    http::HttpClientOptions options = clientOptions();
+    options.gate = &parts.connections.gate();
+    return options;
+}
+
 } // namespace
 
 UsersPlatform::UsersPlatform(const PlatformParts &parts)
     : m_storeClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
-      m_backendClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
+      m_backendClient(http::HttpModule::makeClient(parts.loop, backendOptions(parts))),
       m_store(*m_storeClient, parts.store, parts.clock, parts.logger, parts.metrics),
       m_operators(m_store, parts.loop, parts.clock, parts.logger, parts.serving, parts.servers),
       m_servers(m_store, parts.loop, parts.clock, parts.logger, parts.servers),
       m_daemons(m_store, parts.loop, parts.clock, parts.logger, parts.self, parts.capacity),
-      m_backends(*m_backendClient, parts.servers),
-      m_stageCalls(*m_backendClient, parts.servers, parts.logger)
+      m_backends(*m_backendClient, parts.servers, parts.connections),
+      m_stageCalls(*m_backendClient, parts.servers, parts.connections, parts.logger)
 { }
 
 UsersPlatform::~UsersPlatform() = default;
--- a/src/platform/tests/backendporttest.cpp
+++ b/src/platform/tests/backendporttest.cpp
@@ -1,5 +1,9 @@
+#include "connections/connectionsmodule.h"
+#include "connections/iconnectionshares.h"
 #include "framework/frameworkmodule.h"
+#include "framework/iclock.h"
 #include "framework/ieventloop.h"
+#include "framework/imetrics.h"
 #include "framework/itimer.h"
 #include "framework/testing/nulllogger.h"
 #include "http/httpmodule.h"
@@ -13,6 +17,7 @@
 #include "proxy/types/backendrequest.h"
 #include "proxy/types/clientrequest.h"
 #include "proxy/types/responsehead.h"
+#include "serving/testing/fakeservingstate.h"
 
 #include <gtest/gtest.h>
 
@@ -50,9 +55,13 @@
                        http::ScriptedServer::send(connection, m_answers.at(m_requests));
                        ++m_requests;
                    }),
-          m_client(http::HttpModule::makeClient(*m_loop)),
           m_servers(membership::MembershipModule::makeBackendServerTracker(m_logger)),
-          m_port(*m_client, *m_servers),
+          m_metrics(framework::FrameworkModule::makeMetrics()),
+          m_clock(framework::FrameworkModule::makeSystemClock()),
+          m_shares(connections::ConnectionsModule::makeShares(*m_servers, m_serving, *m_loop,
+                                                              *m_clock, m_logger, *m_metrics)),
+          m_client(http::HttpModule::makeClient(*m_loop, options())),
+          m_port(*m_client, *m_servers, *m_shares),
           m_guard(m_loop->callAfter(GenerousTimeout, [this] { m_loop->stop(); }))
     { }
 
@@ -67,6 +76,8 @@
         request.request = &client;
         request.server.endpoint = m_server.endpoint();
         request.server.id = framework::BackendServerId("i-1");
+        request.server.service = m_service;
+        request.atMostOnce = m_atMostOnce;
         request.timeLeft = GenerousTimeout;
         request.needsNewConnection = needsNewConnection;
         m_head.reset();
@@ -78,19 +89,44 @@
     void onHead(const proxy::ResponseHead &head) override { m_head = head; }
     void onEvent(const proxy::StreamEvent & /*event*/) override { }
     void onBody(std::string_view /*data*/) override { }
-    void onEnd(proxy::BackendCallEnd /*end*/) override { m_loop->stop(); }
+    void onEnd(proxy::BackendCallEnd end) override
+    {
+        m_end = end;
+        m_loop->stop();
+    }
+    http::HttpClientOptions options()
+    {
+        http::HttpClientOptions result;
+        result.gate = &m_shares->gate();
+        return result;
+    }
+    /// Makes the server one of a service that accepts a number of connections for each server.
+    void setCap(std::uint32_t connections)
+    {
+        serving::ServiceSpec spec;
+        spec.id = m_service;
+        spec.maxConnections = connections;
+        m_serving.set({}, {spec});
+    }
 
     std::unique_ptr<framework::IEventLoop> m_loop;
     /// What the server sends for each request, in order.
     std::vector<std::string> m_answers;
     std::size_t m_requests = 0;
+    bool m_atMostOnce = true;
     http::ScriptedServer m_server;
-    std::unique_ptr<http::IHttpClient> m_client;
     framework::NullLogger m_logger;
     std::unique_ptr<membership::IBackendServerTracker> m_servers;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<framework::IClock> m_clock;
+    serving::FakeServingState m_serving;
+    std::unique_ptr<connections::IConnectionShares> m_shares;
+    std::unique_ptr<http::IHttpClient> m_client;
     HttpBackendPort m_port;
     std::unique_ptr<framework::ITimer> m_guard;
     std::optional<proxy::ResponseHead> m_head;
+    std::optional<proxy::BackendCallEnd> m_end;
+    const framework::ServiceId m_service{"plain"};
 };
 
 TEST_F(BackendPortTest, RefusalIsSentOnceMoreDuringNextRequest_ItsOwnAnswerCounts)
@@ -135,3 +171,31 @@
     EXPECT_FALSE(m_servers->isReady(entry.id));
     EXPECT_EQ(m_servers->findAdmitting(entry.id), nullptr);
 }
+
+/// A server over its cap accepts and resets. A request that may run once must not be answered as
+/// unknown for that, so nothing of it is written by then.
+TEST_F(BackendPortTest, ServerResetsConnectionOverItsCap_RequestThatMayRunOnceIsNotSent)
+{
+    setCap(78);
+    m_server.onAccept([](auto &connection) { http::ScriptedServer::reset(connection); });
+    request("r1");
+    EXPECT_EQ(m_end, proxy::BackendCallEnd::Rejected);
+    EXPECT_EQ(m_server.connection(0).received, "");
+}
+
+TEST_F(BackendPortTest, ServerResetsConnectionOverItsCap_RepeatableRequestIsToldApartFromAFailure)
+{
+    setCap(78);
+    m_atMostOnce = false;
+    m_server.onAccept([](auto &connection) { http::ScriptedServer::reset(connection); });
+    const auto wasRejected = [this] {
+        return m_end == proxy::BackendCallEnd::RejectedAfterSend
+            || m_end == proxy::BackendCallEnd::Rejected;
+    };
+    request("r1");
+    EXPECT_TRUE(wasRejected());
+    // No further connection is opened for a moment.
+    request("r2");
+    EXPECT_TRUE(wasRejected()) << "it waits, and is rejected again";
+    EXPECT_EQ(m_server.connections(), 2U);
+}
--- a/src/platform/tests/stagecallporttest.cpp
+++ b/src/platform/tests/stagecallporttest.cpp
@@ -1,5 +1,9 @@
+#include "connections/connectionsmodule.h"
+#include "connections/iconnectionshares.h"
 #include "framework/frameworkmodule.h"
+#include "framework/iclock.h"
 #include "framework/ieventloop.h"
+#include "framework/imetrics.h"
 #include "framework/itimer.h"
 #include "framework/testing/nulllogger.h"
 #include "http/httpmodule.h"
@@ -8,6 +12,7 @@
 #include "membership/ibackendservertracker.h"
 #include "membership/membershipmodule.h"
 #include "platform/internal/httpstagecallport.h"
+#include "serving/testing/fakeservingstate.h"
 #include "stages/types/stagecalloutcome.h"
 #include "stages/types/startstagecall.h"
 
@@ -40,12 +45,22 @@
                        http::ScriptedServer::send(connection, m_answers.at(m_calls));
                        ++m_calls;
                    }),
-          m_client(http::HttpModule::makeClient(*m_loop)),
           m_servers(membership::MembershipModule::makeBackendServerTracker(m_logger)),
-          m_port(*m_client, *m_servers, m_logger),
+          m_metrics(framework::FrameworkModule::makeMetrics()),
+          m_clock(framework::FrameworkModule::makeSystemClock()),
+          m_shares(connections::ConnectionsModule::makeShares(*m_servers, m_serving, *m_loop,
+                                                              *m_clock, m_logger, *m_metrics)),
+          m_client(http::HttpModule::makeClient(*m_loop, options())),
+          m_port(*m_client, *m_servers, *m_shares, m_logger),
           m_guard(m_loop->callAfter(GenerousTimeout, [this] { m_loop->stop(); }))
     { }
 
+    http::HttpClientOptions options()
+    {
+        http::HttpClientOptions result;
+        result.gate = &m_shares->gate();
+        return result;
+    }
     stages::StageCallOutcome call()
     {
         stages::StartStageCall start;
@@ -68,8 +83,12 @@
     std::vector<std::string> m_answers;
     std::size_t m_calls = 0;
     http::ScriptedServer m_server;
-    std::unique_ptr<http::IHttpClient> m_client;
     std::unique_ptr<membership::IBackendServerTracker> m_servers;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<framework::IClock> m_clock;
+    serving::FakeServingState m_serving;
+    std::unique_ptr<connections::IConnectionShares> m_shares;
+    std::unique_ptr<http::IHttpClient> m_client;
     HttpStageCallPort m_port;
     std::unique_ptr<framework::ITimer> m_guard;
 };
--- a/src/platform/tests/usersplatformtest.cpp
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -1,3 +1,5 @@
+#include "connections/connectionsmodule.h"
+#include "connections/iconnectionshares.h"
 #include "framework/frameworkmodule.h"
 #include "framework/iclock.h"
 #include "framework/ieventloop.h"
@@ -58,9 +60,11 @@
           m_store(*m_loop)
     {
         const auto endpoint = m_store.listen({"127.0.0.1", 0}).value();
-        m_platform =
-            PlatformModule::makePlatform({framework::DaemonId("self"), Capacity, endpoint, *m_loop,
-                                          *m_clock, m_logger, *m_metrics, *m_serving, *m_servers});
+        m_shares = connections::ConnectionsModule::makeShares(*m_servers, *m_serving, *m_loop,
+                                                              *m_clock, m_logger, *m_metrics);
+        m_platform = PlatformModule::makePlatform({framework::DaemonId("self"), Capacity, endpoint,
+                                                   *m_loop, *m_clock, m_logger, *m_metrics,
+                                                   *m_serving, *m_servers, *m_shares});
     }
 
     void start() { m_platform->start({"127.0.0.1", 7}); }
@@ -93,6 +97,7 @@
     std::unique_ptr<serving::IServingTracker> m_serving;
     std::unique_ptr<membership::IBackendServerTracker> m_servers;
     standins::PlatformStoreStandIn m_store;
+    std::unique_ptr<connections::IConnectionShares> m_shares;
     std::unique_ptr<IPlatform> m_platform;
 };
 
--- a/src/platform/types/platformparts.h
+++ b/src/platform/types/platformparts.h
@@ -4,6 +4,10 @@
 #include "framework/types/ids.h"
 #include "framework/types/units.h"
 
+namespace lavendertally::connections {
+class IConnectionShares;
+}
+
 namespace lavendertally::framework {
 class IClock;
 class IEventLoop;
@@ -34,6 +38,7 @@
     framework::IMetrics &metrics;
     serving::IServingUpdates &serving;
     membership::IBackendServerUpdates &servers;
+    connections::IConnectionShares &connections;
 };
 
 } // namespace lavendertally::platform
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -4,6 +4,7 @@
 #include "protocol/types/protocolerror.h"
 
 #include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace lavendertally::protocol {
@@ -29,6 +30,7 @@
         m_envelope.mutable_hello()->set_daemon(message.daemon.value());
         m_envelope.mutable_hello()->set_takes_crash_reports(message.takesCrashReports);
         m_envelope.mutable_hello()->set_takes_rate_limits(message.takesRateLimits);
+        m_envelope.mutable_hello()->set_takes_connection_leases(message.takesConnectionLeases);
     }
     void operator()(const PeerPing &message) const
     {
@@ -43,6 +45,7 @@
         out.set_accepts_jobs(message.acceptsJobs);
         out.set_uptime_ms(message.uptime.value());
         out.set_takes_rate_limits(message.takesRateLimits);
+        out.set_takes_connection_leases(message.takesConnectionLeases);
         if (message.crashFingerprint) {
             out.set_crash_fingerprint(message.crashFingerprint->value());
         }
@@ -167,6 +170,20 @@
         write(message.limits, *out.mutable_limits());
         write(message.wanted, *out.mutable_wanted());
     }
+    void operator()(const ConnectionLeases &message) const
+    {
+        peerwire::ConnectionLeases &out = *m_envelope.mutable_connection_leases();
+        out.set_sequence(message.sequence);
+        out.set_is_grant(message.isGrant);
+        for (const ConnectionLease &lease : message.leases) {
+            peerwire::ConnectionLease &target = *out.add_leases();
+            target.set_address(lease.server.address);
+            target.set_port(lease.server.port);
+            target.set_service(lease.service.value());
+            target.set_held(lease.held);
+            target.set_count(lease.count);
+        }
+    }
     void operator()(const PermitGrant &message) const
     {
         peerwire::PermitGrant &out = *m_envelope.mutable_permit_grant();
@@ -295,6 +312,7 @@
         pong.digests.push_back(target);
     }
     pong.takesRateLimits = in.takes_rate_limits();
+    pong.takesConnectionLeases = in.takes_connection_leases();
     if (in.has_crash_fingerprint()) {
         pong.crashFingerprint = EvidenceFingerprint(in.crash_fingerprint());
     }
@@ -421,6 +439,25 @@
     return PeerMessage(std::move(grant));
 }
 
+framework::Result<PeerMessage> read(const peerwire::ConnectionLeases &in)
+{
+    ConnectionLeases leases{in.sequence(), in.is_grant(), {}};
+    if (static_cast<std::size_t>(in.leases_size()) > MaxConnectionLeases) {
+        return framework::leaf::new_error(ProtocolError::Malformed);
+    }
+    for (const peerwire::ConnectionLease &lease : in.leases()) {
+        if (lease.port() > std::numeric_limits<std::uint16_t>::max()
+            || lease.held() > MaxLeasedConnections || lease.count() > MaxLeasedConnections) {
+            return framework::leaf::new_error(ProtocolError::Malformed);
+        }
+        leases.leases.push_back({{lease.address(), static_cast<std::uint16_t>(lease.port())},
+                                 framework::ServiceId(lease.service()),
+                                 lease.held(),
+                                 lease.count()});
+    }
+    return PeerMessage(std::move(leases));
+}
+
 } // namespace
 
 std::string ProtobufPeerCodec::encode(const PeerMessage &message) const
@@ -442,9 +479,9 @@
     }
     switch (envelope.body_case()) {
     case peerwire::Envelope::kHello:
-        return PeerMessage(PeerHello{framework::DaemonId(envelope.hello().daemon()),
-                                     envelope.hello().takes_crash_reports(),
-                                     envelope.hello().takes_rate_limits()});
+        return PeerMessage(PeerHello{
+            framework::DaemonId(envelope.hello().daemon()), envelope.hello().takes_crash_reports(),
+            envelope.hello().takes_rate_limits(), envelope.hello().takes_connection_leases()});
     case peerwire::Envelope::kPing:
         return PeerMessage(PeerPing{framework::TimePoint(envelope.ping().sent_ms())});
     case peerwire::Envelope::kPong:
@@ -470,6 +507,8 @@
         return read(envelope.permit_request());
     case peerwire::Envelope::kPermitGrant:
         return read(envelope.permit_grant());
+    case peerwire::Envelope::kConnectionLeases:
+        return read(envelope.connection_leases());
     case peerwire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -99,6 +99,15 @@
     return {5, rateLimits(entries), {{framework::BackendServerId("i-1"), 3}}, true};
 }
 
+ConnectionLeases connectionLeases(std::size_t entries)
+{
+    ConnectionLeases leases{7, true, {}};
+    const ConnectionLease lease{
+        {"10.0.0.1", 65535}, framework::ServiceId("plain"), 3, MaxLeasedConnections};
+    leases.leases.assign(entries, lease);
+    return leases;
+}
+
 PermitGrant permitGrant(std::size_t entries)
 {
     return {5, rateLimits(entries), {{framework::BackendServerId("i-1"), 1}}};
@@ -136,6 +145,7 @@
                                framework::StoreEra(2)}),
         PeerMessage(topicState()), PeerMessage(permitRequest(2)), PeerMessage(PermitRequest{}),
         PeerMessage(permitGrant(MaxRateLimitEntries)), PeerMessage(PermitGrant{}),
+        PeerMessage(connectionLeases(MaxConnectionLeases)), PeerMessage(ConnectionLeases{}),
         PeerMessage(PeerHello{framework::DaemonId("d1"), false, true})));
 
 TEST(PeerCodecErrors, RateLimitsOutOfRange_DecodingFails)
--- a/src/protocol/types/peerhello.h
+++ b/src/protocol/types/peerhello.h
@@ -14,6 +14,8 @@
     bool takesCrashReports = false;
     /// Whether the sender takes rate limits and permits.
     bool takesRateLimits = false;
+    /// Whether the sender takes requests for connection leases, and their grants.
+    bool takesConnectionLeases = false;
 
     bool operator==(const PeerHello &) const = default;
 };
--- a/src/protocol/types/peermessage.h
+++ b/src/protocol/types/peermessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/types/connectionleases.h"
 #include "protocol/types/crashreport.h"
 #include "protocol/types/peerhello.h"
 #include "protocol/types/peerping.h"
@@ -19,8 +20,9 @@
 namespace lavendertally::protocol {
 
 /// Any message on a link between two daemons.
-using PeerMessage = std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel,
-                                 StageJobOutcome, StageResultRelease, StageHoldings, TopicQuery,
-                                 TopicState, CrashReport, PermitRequest, PermitGrant>;
+using PeerMessage =
+    std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel, StageJobOutcome,
+                 StageResultRelease, StageHoldings, TopicQuery, TopicState, CrashReport,
+                 PermitRequest, PermitGrant, ConnectionLeases>;
 
 } // namespace lavendertally::protocol
--- a/src/proxy/ibackendcall.h
+++ b/src/proxy/ibackendcall.h
@@ -9,6 +9,9 @@
 public:
     virtual ~IBackendCall() = default;
 
+    /// \return whether the backend server may have seen a byte of the request
+    virtual bool hasSent() const { return true; }
+
     /// Holds the backend server back: the observer gets no further part of the response, and no
     /// more than a bounded part is received. Does nothing for a call without a response.
     virtual void pauseReading() { }
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -265,6 +265,10 @@
 void ActiveRequest::attemptFailed()
 {
     m_retries.attempts().exclude(m_attempt.server());
+    if (m_attempt.wasRejected() && m_retries.attempts().recordConnectFailure()) {
+        // A full backend server does not use up one of the route's attempts.
+        m_retries.attempts().discardLast();
+    }
     if (m_plan.route->isIdempotent() && scheduleRetry(true)) {
         return;
     }
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -33,6 +33,25 @@
     return head.status == TooManyRequests || head.status == Unavailable;
 }
 
+/// \return what an attempt without a whole answer says of the backend server's health; one that has
+/// as many connections as it accepts has not failed
+routing::CallOutcome lossOutcome(BackendCallEnd end)
+{
+    switch (end) {
+    case BackendCallEnd::NoConnection:
+        return routing::CallOutcome::Cancelled;
+    case BackendCallEnd::Rejected:
+    case BackendCallEnd::RejectedAfterSend:
+        return routing::CallOutcome::Refused;
+    case BackendCallEnd::Complete:
+    case BackendCallEnd::NotSent:
+    case BackendCallEnd::Broken:
+    case BackendCallEnd::Malformed:
+        break;
+    }
+    return routing::CallOutcome::TransportFailed;
+}
+
 } // namespace
 
 BackendAttempt::BackendAttempt(const ProxyContext &context, const ClientRequest &request,
@@ -45,6 +64,11 @@
 
 BackendAttempt::~BackendAttempt() = default;
 
+bool BackendAttempt::mayHaveRun() const
+{
+    return m_priorAttemptMayHaveRun || (m_call && m_call->hasSent());
+}
+
 bool BackendAttempt::isStream() const
 {
     return m_plan.route->kind == serving::RouteKind::Streaming;
@@ -58,6 +82,7 @@
     m_body.clear();
     m_isComplete = false;
     m_failed = false;
+    m_wasRejected = false;
     m_started = now;
     m_guard.attemptSent(request.server);
     m_completion.attemptSent(request.server);
@@ -202,11 +227,9 @@
     const bool wasHeldBack = m_pacer.isHolding();
     dropCall();
     const bool isRefused = m_head && m_head->notExecuted;
-    if (end == BackendCallEnd::NotSent || isRefused) {
-        const bool unsent = end == BackendCallEnd::NotSent;
-        recordOutcome(unsent ? routing::CallOutcome::TransportFailed
-                             : routing::CallOutcome::Refused);
-        m_observer.onAttemptEnded(unsent ? AttemptResult::NotSent : AttemptResult::Refused);
+    if (isUnsent(end) || isRefused) {
+        recordOutcome(isRefused ? routing::CallOutcome::Refused : lossOutcome(end));
+        m_observer.onAttemptEnded(isRefused ? AttemptResult::Refused : AttemptResult::NotSent);
         return;
     }
     m_priorAttemptMayHaveRun = true;
@@ -219,8 +242,8 @@
     }
     // A call that is held back ends only because its time is up.
     const bool hasRunOutOfTime = wasHeldBack && end == BackendCallEnd::Broken;
-    recordOutcome(hasRunOutOfTime ? routing::CallOutcome::Cancelled
-                                  : routing::CallOutcome::TransportFailed);
+    recordOutcome(hasRunOutOfTime ? routing::CallOutcome::Cancelled : lossOutcome(end));
+    m_wasRejected = end == BackendCallEnd::RejectedAfterSend;
     m_guard.examineLoss([this, end] { answerEnded(end); });
 }
 
--- a/src/proxy/internal/backendattempt.h
+++ b/src/proxy/internal/backendattempt.h
@@ -53,13 +53,16 @@
 
     bool isInFlight() const { return m_call != nullptr; }
     /// \return whether a backend server may have run the request or may still run it
-    bool mayHaveRun() const { return m_priorAttemptMayHaveRun || isInFlight(); }
+    bool mayHaveRun() const;
     /// \return whether a part of the response has been written to the client
     bool isStreaming() const { return m_streaming; }
     /// \return whether the last response has arrived whole
     bool isComplete() const { return m_isComplete; }
     /// \return whether the last response is incomplete or a failure
     bool hasFailed() const { return m_failed; }
+    /// \return whether the last response is missing because the backend server probably had as many
+    /// connections as it accepts
+    bool wasRejected() const { return m_wasRejected; }
     /// \return backend server of the last attempt
     const framework::BackendServerId &server() const { return m_server; }
     /// \return when the last attempt was sent
@@ -107,6 +110,7 @@
     std::string m_body;
     bool m_isComplete = false;
     bool m_failed = false;
+    bool m_wasRejected = false;
     /// Whether the body was too large to be kept and is passed on in parts.
     bool m_passesBodyOn = false;
     bool m_streaming = false;
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -106,14 +106,15 @@
         auto live = std::make_shared<bool>(true);
         auto paused = std::make_shared<bool>(false);
         m_sent.push_back({request, &observer, live, paused});
-        return std::make_unique<Call>(live, paused);
+        return std::make_unique<Call>(live, paused, m_sendsAtOnce);
     }
 
     std::unique_ptr<IBackendCall> probe(const membership::BackendServerEntry & /*server*/,
                                         std::function<void(http::ProbeResult)> callback) override
     {
         m_probes.push_back(std::move(callback));
-        return std::make_unique<Call>(std::make_shared<bool>(true), std::make_shared<bool>(false));
+        return std::make_unique<Call>(std::make_shared<bool>(true), std::make_shared<bool>(false),
+                                      false);
     }
     /// Ends the oldest probe.
     void endProbe(http::ProbeResult result)
@@ -123,6 +124,8 @@
         callback(result);
     }
 
+    /// False while calls find no connection: no byte is written.
+    bool m_sendsAtOnce = true;
     std::vector<Sent> m_sent;
     std::vector<std::function<void(http::ProbeResult)>> m_probes;
 
@@ -130,19 +133,21 @@
     class Call final : public IBackendCall
     {
     public:
-        Call(std::shared_ptr<bool> live, std::shared_ptr<bool> paused)
-            : m_live(std::move(live)), m_paused(std::move(paused))
+        Call(std::shared_ptr<bool> live, std::shared_ptr<bool> paused, bool hasSent)
+            : m_live(std::move(live)), m_paused(std::move(paused)), m_hasSent(hasSent)
         { }
         ~Call() override { *m_live = false; }
         Call(const Call &) = delete;
         Call &operator=(const Call &) = delete;
 
+        bool hasSent() const override { return m_hasSent; }
         void pauseReading() override { *m_paused = true; }
         void resumeReading() override { *m_paused = false; }
 
     private:
         std::shared_ptr<bool> m_live;
         std::shared_ptr<bool> m_paused;
+        bool m_hasSent;
     };
 };
 
--- a/src/soak/internal/promises.cpp
+++ b/src/soak/internal/promises.cpp
@@ -99,7 +99,7 @@
         checkLost(id, request, response, now);
     }
     const framework::Milliseconds took = now - request.sent;
-    if (took > RequestTimeout + AnswerTolerance && response.end != http::HttpEnd::NotSent
+    if (took > RequestTimeout + AnswerTolerance && !http::isUnsent(response.end)
         && !wasBroken(request)) {
         violated(id + ": no end after " + std::to_string(took.value()) + " ms");
     }
@@ -138,7 +138,8 @@
 void Promises::checkLost(const std::string &id, const SentRequest &request,
                          const http::HttpResponse &response, framework::TimePoint now)
 {
-    const bool cut = response.end == http::HttpEnd::Broken;
+    const bool cut =
+        (response.end == http::HttpEnd::Broken || response.end == http::HttpEnd::RejectedAfterSend);
     const bool serverMayHaveBroken =
         request.kind == RequestKind::Stream && m_serversDisturbed + CalmAfter >= request.sent;
     // A request may cross the close of an idle connection.
--- a/src/stages/tests/stageservicetest.cpp
+++ b/src/stages/tests/stageservicetest.cpp
@@ -36,6 +36,8 @@
     { }
     std::vector<DaemonId> crashReportTakers() const override { return {}; }
     void setTakesRateLimits() override { }
+    void setTakesConnectionLeases() override { }
+    std::vector<framework::DaemonId> connectionLeaseTakers() const override { return {}; }
     std::vector<DaemonId> rateLimitTakers() const override { return {}; }
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override
     {
--- a/src/transport/internal/httpstagecall.cpp
+++ b/src/transport/internal/httpstagecall.cpp
@@ -96,6 +96,8 @@
     }
     switch (end) {
     case http::HttpEnd::NotSent:
+    case http::HttpEnd::NoConnection:
+    case http::HttpEnd::Rejected:
         finish(protocol::StageStatus::NotRun, protocol::RefusalReason::Unreachable,
                "no connection to the host process");
         return;
@@ -108,6 +110,7 @@
         finish(protocol::StageStatus::Unknown, protocol::RefusalReason::None,
                "answer ended without a result");
         return;
+    case http::HttpEnd::RejectedAfterSend:
     case http::HttpEnd::Broken:
         finish(protocol::StageStatus::Unknown, protocol::RefusalReason::None,
                "connection to the host process broke");
