--- a/src/proxy/ibackendcall.h
+++ b/src/proxy/ibackendcall.h
@@ -9,7 +9,8 @@
 public:
     virtual ~IBackendCall() = default;
 
-    /// \return whether the backend server may have seen a byte of the request
+    /// \return whether the backend server may have seen a part of the request, which may thus have
+    /// run
     virtual bool hasSent() const { return true; }
 
     /// Holds the backend server back: the observer gets no further part of the response, and no
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -64,11 +64,6 @@
 
 BackendAttempt::~BackendAttempt() = default;
 
-bool BackendAttempt::mayHaveRun() const
-{
-    return m_priorAttemptMayHaveRun || (m_call && m_call->hasSent());
-}
-
 bool BackendAttempt::isStream() const
 {
     return m_plan.route->kind == serving::RouteKind::Streaming;
@@ -103,6 +98,11 @@
                                          : routing::CallOutcome::Cancelled);
 }
 
+bool BackendAttempt::mayHaveRun() const
+{
+    return m_priorAttemptMayHaveRun || (m_call != nullptr && m_call->hasSent());
+}
+
 void BackendAttempt::dropCall()
 {
     m_pacer.sourceEnded();
