--- a/src/app/tests/connectioncaptest.cpp
+++ b/src/app/tests/connectioncaptest.cpp
@@ -58,7 +58,8 @@
             if (connection.fd >= 0) {
                 http::ScriptedServer::send(connection,
                                            "HTTP/1.1 200 OK\r\nX-Lavendertally-Request-Id: " + id
-                                               + "\r\nContent-Length: 2\r\n\r\nok");
+                                               + "\r\nX-Lavendertally-Response-Signature: "
+                                                 "s\r\nContent-Length: 2\r\n\r\nok");
             }
         }));
     }
