Admission: places at services, decided at each gateway

IPlaceAdmission decides for the requests of one gateway: they go on, wait in a bounded queue or are refused at once, by what the servers report, the calls in flight, refusals, and the number of gateways.

FairQueue and ClassQueue serve both users: ranks are numbers, of which the host process uses three, items have a precedence within their rank, and pipelines a weight. The tests of the host process are unchanged.

--- a/src/admission/admissionmodule.h
+++ b/src/admission/admissionmodule.h
@@ -2,11 +2,18 @@
 
 #include <memory>
 
+namespace lavendertally::framework {
+class IRandom;
+}
+
 namespace lavendertally::admission {
 
 class IAdmissionController;
+class IPlaceAdmission;
+class IServiceCapacity;
 struct AdmissionLimits;
 struct AdmissionPolicy;
+struct PlaceLimits;
 
 /// Factory of admission controllers.
 class AdmissionModule
@@ -20,6 +27,11 @@
     /// \return first-come-first-served controller with a fixed concurrency and an unbounded queue.
     /// It ignores cold start, deadlines, priority classes and teams; a baseline for comparison.
     static std::unique_ptr<IAdmissionController> makeNaiveController(const AdmissionLimits &limits);
+
+    /// \return place admission of a gateway for all services; the references must outlive it
+    static std::unique_ptr<IPlaceAdmission> makePlaceAdmission(const IServiceCapacity &capacity,
+                                                               framework::IRandom &random,
+                                                               const PlaceLimits &limits);
 };
 
 } // namespace lavendertally::admission
--- a/src/admission/internal/admissioncontroller.cpp
+++ b/src/admission/internal/admissioncontroller.cpp
@@ -10,10 +10,30 @@
 using framework::TimePoint;
 using protocol::RefusalReason;
 
+namespace {
+
+/// Classes are ranks in their order.
+framework::PriorityRank rankOf(PriorityClass priority)
+{
+    return framework::PriorityRank(static_cast<std::uint64_t>(priority));
+}
+
+QueuePolicy queuePolicy(const AdmissionPolicy &policy)
+{
+    QueuePolicy result;
+    result.protectedRank = rankOf(PriorityClass::Background);
+    result.protectedStartInterval = policy.backgroundStartInterval;
+    result.protectedQueueDivisor = policy.backgroundQueueDivisor;
+    result.reservedRank = rankOf(PriorityClass::Interactive);
+    return result;
+}
+
+} // namespace
+
 AdmissionController::AdmissionController(const AdmissionLimits &limits,
                                          const AdmissionPolicy &policy)
     : m_limits(limits), m_policy(policy), m_limit(limits, policy),
-      m_serviceTimes(policy.estimateLifetime), m_queue(policy)
+      m_serviceTimes(policy.estimateLifetime), m_queue(queuePolicy(policy))
 { }
 
 AdmissionDecision AdmissionController::offer(const WorkItem &item, TimePoint now)
@@ -30,7 +50,7 @@
         return {item.key, AdmissionVerdict::Refuse, *reason};
     }
     const Milliseconds serviceTime = m_serviceTimes.expected(item.pipeline, now);
-    m_queue.add({item, item.deadline - serviceTime, serviceTime});
+    m_queue.add({item, rankOf(item.priority), item.deadline - serviceTime, serviceTime});
     if (nextToStart(now) == item.key) {
         start(item.key, now);
         return {item.key, AdmissionVerdict::Run, RefusalReason::None};
@@ -159,8 +179,9 @@
     if (m_closeReason != RefusalReason::None) {
         return m_closeReason;
     }
-    const Milliseconds needed =
-        expectedWait(m_queue.itemsAhead(item), now) + m_serviceTimes.expected(item.pipeline, now);
+    const WaitingItem waiting{item, rankOf(item.priority), item.deadline, {}};
+    const Milliseconds needed = expectedWait(m_queue.itemsAhead(waiting), now)
+        + m_serviceTimes.expected(item.pipeline, now);
     if (now + needed > item.deadline) {
         return RefusalReason::DeadlineUnreachable;
     }
--- a/src/admission/internal/admissionmodule.cpp
+++ b/src/admission/internal/admissionmodule.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/internal/admissioncontroller.h"
 #include "admission/internal/naivecontroller.h"
+#include "admission/internal/placeadmission.h"
 #include "admission/types/admissionpolicy.h"
 
 namespace lavendertally::admission {
@@ -18,4 +19,11 @@
     return std::make_unique<NaiveController>(limits);
 }
 
+std::unique_ptr<IPlaceAdmission>
+AdmissionModule::makePlaceAdmission(const IServiceCapacity &capacity, framework::IRandom &random,
+                                    const PlaceLimits &limits)
+{
+    return std::make_unique<PlaceAdmission>(capacity, random, limits);
+}
+
 } // namespace lavendertally::admission
--- a/src/admission/internal/classqueue.h
+++ b/src/admission/internal/classqueue.h
@@ -8,12 +8,13 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <utility>
+#include <tuple>
 
 namespace lavendertally::admission {
 
-/// Waiting items of one priority class. Weighted fair queueing between teams, equal shares between
-/// the pipelines of a team, earliest deadline first within a pipeline.
+/// Waiting items of one rank. QueuePrecedence::Invested goes first. Else weighted fair queueing
+/// between teams, weighted shares between the pipelines of a team; within a pipeline the rest of
+/// QueuePrecedence, then the earliest deadline first.
 class ClassQueue
 {
 public:
@@ -33,11 +34,13 @@
     /// pipeline of the team with most waiting items per unit of share. The queue must not be empty.
     const WorkKey &shedCandidate() const;
 
-    /// \return estimated number of waiting items of this class that start before \p item
-    std::size_t itemsAhead(const WorkItem &item) const;
+    /// \return estimated number of waiting items of this rank that start before \p item
+    std::size_t itemsAhead(const WaitingItem &item) const;
+    /// \return number of those that are of the same team and pipeline
+    std::size_t itemsAheadInPipeline(const WaitingItem &item) const;
 
 private:
-    using DeadlineOrder = std::set<std::pair<framework::TimePoint, WorkKey>>;
+    using DeadlineOrder = std::set<std::tuple<QueuePrecedence, framework::TimePoint, WorkKey>>;
 
     struct TeamQueue
     {
@@ -48,6 +51,9 @@
     };
     using Teams = std::map<framework::TeamId, TeamQueue>;
 
+    static DeadlineOrder::value_type positionOf(const WaitingItem &item);
+    static bool isInvested(const DeadlineOrder &items);
+    static const WorkKey &keyOf(const DeadlineOrder::value_type &position);
     static const DeadlineOrder &nextPipeline(const TeamQueue &team);
     static const DeadlineOrder &longestPipeline(const TeamQueue &team);
 
--- a/src/admission/internal/fairqueue.cpp
+++ b/src/admission/internal/fairqueue.cpp
@@ -4,14 +4,13 @@
 
 namespace lavendertally::admission {
 
-using configuration::PriorityClass;
 using framework::TimePoint;
 
-FairQueue::FairQueue(const AdmissionPolicy &policy) : m_policy(policy) { }
+FairQueue::FairQueue(const QueuePolicy &policy) : m_policy(policy) { }
 
 void FairQueue::add(const WaitingItem &item)
 {
-    classOf(item).add(item);
+    m_ranks[item.rank].add(item);
     m_byLatestStart.emplace(item.latestStart, item.work.key);
     m_items.emplace(item.work.key, item);
 }
@@ -23,7 +22,7 @@
         return false;
     }
     const WaitingItem item = found->second;
-    classOf(item).remove(item);
+    m_ranks[item.rank].remove(item);
     eraseFromIndexes(item);
     return true;
 }
@@ -50,15 +49,12 @@
 
 std::optional<WorkKey> FairQueue::front(SlotKind slot) const
 {
-    if (isBackgroundDue()) {
-        return queueOf(PriorityClass::Background).front();
+    if (isProtectedRankDue()) {
+        return protectedItems()->front();
     }
-    if (slot == SlotKind::Reserved) {
-        const ClassQueue &interactive = queueOf(PriorityClass::Interactive);
-        return interactive.isEmpty() ? std::nullopt : std::optional(interactive.front());
-    }
-    for (const ClassQueue &queue : m_classes) {
-        if (!queue.isEmpty()) {
+    for (const auto &[rank, queue] : m_ranks) {
+        const bool mayStart = slot == SlotKind::Any || rank == m_policy.reservedRank;
+        if (mayStart && !queue.isEmpty()) {
             return queue.front();
         }
     }
@@ -68,62 +64,69 @@
 WaitingItem FairQueue::start(const WorkKey &key)
 {
     WaitingItem item = m_items.at(key);
-    classOf(item).start(item);
+    m_ranks[item.rank].start(item);
     eraseFromIndexes(item);
-    const bool delaysBackground = item.work.priority != PriorityClass::Background
-        && !queueOf(PriorityClass::Background).isEmpty();
-    m_startsSinceBackground = delaysBackground ? m_startsSinceBackground + 1 : 0;
+    const bool delaysProtected = item.rank != m_policy.protectedRank && protectedItems() != nullptr;
+    m_startsSinceProtected = delaysProtected ? m_startsSinceProtected + 1 : 0;
     return item;
 }
 
 const WorkKey &FairQueue::shedCandidate(std::size_t capacity) const
 {
-    const ClassQueue &background = queueOf(PriorityClass::Background);
-    const std::size_t kept = capacity / std::max<std::uint32_t>(1, m_policy.backgroundQueueDivisor);
-    if (background.size() > kept) {
-        return background.shedCandidate();
-    }
-    for (const PriorityClass priority : {PriorityClass::Standard, PriorityClass::Interactive}) {
-        if (!queueOf(priority).isEmpty()) {
-            return queueOf(priority).shedCandidate();
-        }
+    const ClassQueue *kept = protectedItems();
+    const std::size_t keptSize =
+        capacity / std::max<std::uint32_t>(1, m_policy.protectedQueueDivisor);
+    if (kept != nullptr && kept->size() > keptSize) {
+        return kept->shedCandidate();
     }
-    return background.shedCandidate();
+    const auto found = std::find_if(m_ranks.rbegin(), m_ranks.rend(), [this](const auto &entry) {
+        return entry.first != m_policy.protectedRank && !entry.second.isEmpty();
+    });
+    return found != m_ranks.rend() ? found->second.shedCandidate() : kept->shedCandidate();
 }
 
-std::size_t FairQueue::itemsAhead(const WorkItem &item) const
+std::size_t FairQueue::itemsAhead(const WaitingItem &item) const
 {
-    const auto index = static_cast<std::size_t>(item.priority);
-    const std::size_t inClass = m_classes[index].itemsAhead(item);
-    std::size_t ahead = inClass;
-    for (std::size_t higher = 0; higher < index; ++higher) {
-        ahead += m_classes[higher].size();
+    std::size_t inRank = 0;
+    std::size_t ahead = 0;
+    for (const auto &[rank, queue] : m_ranks) {
+        if (rank < item.rank) {
+            ahead += queue.size();
+        } else if (rank == item.rank) {
+            inRank = queue.itemsAhead(item);
+            ahead += inRank;
+        }
     }
-    if (item.priority != PriorityClass::Background) {
+    if (item.rank != m_policy.protectedRank) {
         return ahead;
     }
-    return std::min<std::size_t>(ahead, (inClass + 1) * m_policy.backgroundStartInterval);
+    return std::min<std::size_t>(ahead, (inRank + 1) * m_policy.protectedStartInterval);
 }
 
-TimePoint FairQueue::nextExpiry() const
+std::size_t FairQueue::itemsAheadInPipeline(const WaitingItem &item) const
 {
-    return m_byLatestStart.empty() ? TimePoint::never() : m_byLatestStart.begin()->first;
+    const auto found = m_ranks.find(item.rank);
+    return found == m_ranks.end() ? 0 : found->second.itemsAheadInPipeline(item);
 }
 
-ClassQueue &FairQueue::classOf(const WaitingItem &item)
+TimePoint FairQueue::nextExpiry() const
 {
-    return m_classes[static_cast<std::size_t>(item.work.priority)];
+    return m_byLatestStart.empty() ? TimePoint::never() : m_byLatestStart.begin()->first;
 }
 
-const ClassQueue &FairQueue::queueOf(PriorityClass priority) const
+const ClassQueue *FairQueue::protectedItems() const
 {
-    return m_classes[static_cast<std::size_t>(priority)];
+    if (!m_policy.protectedRank) {
+        return nullptr;
+    }
+    const auto found = m_ranks.find(*m_policy.protectedRank);
+    return found != m_ranks.end() && !found->second.isEmpty() ? &found->second : nullptr;
 }
 
-bool FairQueue::isBackgroundDue() const
+bool FairQueue::isProtectedRankDue() const
 {
-    return !queueOf(PriorityClass::Background).isEmpty()
-        && m_startsSinceBackground + 1 >= m_policy.backgroundStartInterval;
+    return protectedItems() != nullptr
+        && m_startsSinceProtected + 1 >= m_policy.protectedStartInterval;
 }
 
 void FairQueue::eraseFromIndexes(const WaitingItem &item)
