Proxy: requests ask for a place at their service

CapacityWait asks for a place before each attempt and holds the request while it waits; GatewayPlaces passes on calls, loads and answers to the decision, tells the waiting requests from the event loop, and reports metrics and bounded log lines. ProxyContext gets the registrations, and an optional limit of calls for the connections to a service.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -161,7 +161,7 @@
     limits.maxConfigurationAge = m_settings.gateway.revocationLimit - RevocationMargin;
     m_proxy = proxy::ProxyModule::makeService(
         {m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_random, *m_serving,
-         m_platform->daemons(), *m_selector, *m_retryPolicy, *m_quarantine, *m_stages,
+         *m_servers, m_platform->daemons(), *m_selector, *m_retryPolicy, *m_quarantine, *m_stages,
          m_platform->backends(), limits});
     m_clientGateway = std::make_unique<platform::ClientGateway>(*m_proxy, *m_logger, *m_metrics);
 }
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -1,5 +1,6 @@
 #include "proxy/internal/activerequest.h"
 
+#include "admission/types/placedecision.h"
 #include "framework/iclock.h"
 #include "framework/imetrics.h"
 #include "framework/ischeduler.h"
@@ -8,7 +9,9 @@
 #include "proxy/internal/answertimeestimator.h"
 #include "proxy/internal/attemptresult.h"
 #include "proxy/internal/firsteventestimator.h"
+#include "proxy/internal/gatewayplaces.h"
 #include "proxy/internal/iactiverequestowner.h"
+#include "proxy/internal/placerefusaltext.h"
 #include "proxy/internal/requestreport.h"
 #include "proxy/internal/requestresolver.h"
 #include "proxy/iresponsewriter.h"
@@ -23,21 +26,15 @@
 
 namespace lavendertally::proxy {
 
-namespace {
-
-/// Generating an output token takes about ten times as long as processing a prompt token.
-constexpr std::int64_t OutputTokenCost = 10;
-
-} // namespace
-
 ActiveRequest::ActiveRequest(const ProxyContext &context, IActiveRequestOwner &owner,
                              IProxyService::Ticket ticket, ClientRequest request,
                              std::unique_ptr<IResponseWriter> response)
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
       m_response(std::move(response)), m_started(context.clock.now()),
-      m_stages(context, m_request, m_plan), m_guard(context, m_request),
-      m_retries(context, m_request, m_plan, m_guard), m_capacity(context.scheduler),
-      m_attempt(context, m_request, m_plan, m_guard, owner.heldSources(), *m_response, *this)
+      m_place(ticket, m_request, m_plan), m_stages(context, m_request, m_plan, owner.places()),
+      m_guard(context, m_request), m_retries(context, m_request, m_plan, m_guard),
+      m_capacity(context.scheduler, owner.places()),
+      m_attempt(context, m_request, m_plan, m_guard, owner, *m_response, *this)
 { }
 
 ActiveRequest::~ActiveRequest() = default;
@@ -66,21 +63,20 @@
     m_deadline = m_started
         + std::min(m_request.timeLeft.value_or(m_plan.route->timeout), m_plan.route->timeout);
     m_deadlineTimer = m_context.scheduler.callAfter(timeLeft(), [this] { end("time is up"); });
+    m_place.begin(m_started, m_deadline);
     m_context.retries.recordFirstAttempt(m_plan.service, m_started);
     nextAttempt();
 }
 
 void ActiveRequest::startStages()
 {
-    const framework::TokenCount size =
-        m_request.promptTokens + m_request.maxOutputTokens * OutputTokenCost;
     protocol::StageJob job;
     job.objectiveLeft = m_plan.route->latencyObjective - elapsed()
         - m_owner.firstEvents().estimate(m_plan.service, m_request.promptTokens);
     job.timeLeft = timeLeft();
-    job.worth = m_owner.relativeWorth(m_plan.route->id, size);
+    job.worth = m_owner.relativeWorth(m_plan.route->id, m_request.weightedSize());
     job.zone = preferredZone();
-    m_stages.start(std::move(job),
+    m_stages.start(std::move(job), placeRequest(),
                    [this](const protocol::StageJobOutcome &outcome) { stagesEnded(outcome); });
 }
 
@@ -94,16 +90,25 @@
 
 void ActiveRequest::stagesEnded(const protocol::StageJobOutcome &outcome)
 {
-    if (outcome.status == protocol::StageJobStatus::Done) {
+    const bool isDone = outcome.status == protocol::StageJobStatus::Done;
+    if (isDone) {
         sendAttempt();
         return;
     }
     const bool overloaded = outcome.status == protocol::StageJobStatus::Overloaded;
-    endUnsent({RefusalKind::NotRun, outcome.retryAfter,
-               overloaded ? "stages overloaded" : "stages failed"},
+    const framework::Milliseconds retryAfter = overloaded
+        ? m_owner.places().stagesRetryAfter(placeRequest(), outcome.retryAfter)
+        : outcome.retryAfter;
+    endUnsent({RefusalKind::NotRun, retryAfter, overloaded ? "stages overloaded" : "stages failed"},
               "stream broke; stages could not be repeated");
 }
 
+admission::PlaceRequest ActiveRequest::placeRequest() const
+{
+    // Attempts that were not run have cost the request its time.
+    return m_place.make(!m_stages.results().empty() || m_retries.attempts().count() > 0);
+}
+
 routing::ServerQuery ActiveRequest::serverQuery() const
 {
     routing::ServerQuery query;
@@ -133,6 +138,21 @@
 
 void ActiveRequest::sendAttempt()
 {
+    if (const auto refusal = m_guard.check()) {
+        endUnsent(*refusal, refusal->cause);
+        return;
+    }
+    m_capacity.requestPlace(
+        placeRequest(), [this] { sendAdmitted(); },
+        [this](const admission::PlaceDecision &decision) {
+            const char *cause = textOf(decision.refusal);
+            endUnsent({RefusalKind::NotRun, decision.retryAfter, cause}, cause);
+        });
+}
+
+void ActiveRequest::sendAdmitted()
+{
+    // A prompt may have come under suspicion while the request waited.
     if (const auto refusal = m_guard.check()) {
         endUnsent(*refusal, refusal->cause);
         return;
@@ -169,7 +189,7 @@
         m_context.selector.pauseOf(m_plan.service, m_context.clock.now());
     const bool areAllPaused = pause > framework::Milliseconds(0);
     if (interval && !areAllPaused
-        && m_capacity.waitForPermit(timeLeft(), [this] { sendAttempt(); })) {
+        && m_capacity.waitForPermit(timeLeft(), [this] { sendAdmitted(); })) {
         return;
     }
     const char *cause = interval ? "backend servers limit their requests" : "no backend server";
@@ -256,7 +276,8 @@
     if (scheduleRetry(false)) {
         return;
     }
-    endUnsent({RefusalKind::NotRun, m_context.limits.retryAfter, "refused by backend server"},
+    endUnsent({RefusalKind::NotRun, m_owner.places().retryAfter(placeRequest()),
+               "refused by backend server"},
               "stream broke; refused elsewhere");
 }
 
@@ -344,7 +365,10 @@
 void ActiveRequest::finishAnswered()
 {
     // What a slow client adds says nothing of the next request.
-    m_owner.answerTimes().observe(m_plan.route->id, elapsed() - m_attempt.pacer().heldTime());
+    const framework::Milliseconds heldTime = m_attempt.pacer().heldTime();
+    m_owner.answerTimes().observe(m_plan.route->id, elapsed() - heldTime);
+    m_owner.places().answered(placeRequest(),
+                              m_context.clock.now() - m_attempt.started() - heldTime);
     finish("done");
 }
 
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "admission/types/placerequest.h"
 #include "framework/types/timepoint.h"
 #include "proxy/internal/backendattempt.h"
 #include "proxy/internal/capacitywait.h"
 #include "proxy/internal/iattemptobserver.h"
 #include "proxy/internal/promptguard.h"
+#include "proxy/internal/requestplace.h"
 #include "proxy/internal/requestplan.h"
 #include "proxy/internal/requestretries.h"
 #include "proxy/internal/requeststages.h"
@@ -51,11 +53,14 @@
 private:
     void startStages();
     void stagesEnded(const protocol::StageJobOutcome &outcome);
+    admission::PlaceRequest placeRequest() const;
     framework::AvailabilityZoneId preferredZone();
     routing::ServerQuery serverQuery() const;
 
     void nextAttempt();
+    /// Sends the next attempt once there is a place for it.
     void sendAttempt();
+    void sendAdmitted();
     void noServer();
     /// Refuses the request because no further attempt is sent. The refusal says that the request
     /// did not run only if no earlier attempt may have run.
@@ -91,6 +96,7 @@
     framework::Milliseconds m_configurationAge;
     std::unique_ptr<framework::ITimer> m_deadlineTimer;
     RequestPlan m_plan;
+    RequestPlace m_place;
 
     RequestStages m_stages;
     bool m_stagesRerun = false;
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -1,11 +1,14 @@
 #include "proxy/internal/backendattempt.h"
 
+#include "admission/types/reportedload.h"
 #include "framework/iclock.h"
 #include "framework/ilogger.h"
 #include "framework/imetrics.h"
 #include "proxy/ibackendcall.h"
 #include "proxy/ibackendclient.h"
 #include "proxy/internal/attemptresult.h"
+#include "proxy/internal/gatewayplaces.h"
+#include "proxy/internal/iactiverequestowner.h"
 #include "proxy/internal/iattemptobserver.h"
 #include "proxy/internal/promptguard.h"
 #include "proxy/internal/requestplan.h"
@@ -22,25 +25,26 @@
 
 namespace {
 
+constexpr int TooManyRequests = 429;
 constexpr int FirstServerError = 500;
+constexpr int Unavailable = 503;
 
 /// \return whether clients take the status to mean that the request did not run, which a backend
 /// server does not state by it
 bool impliesNotRun(const ResponseHead &head)
 {
-    constexpr int TooManyRequests = 429;
-    constexpr int Unavailable = 503;
     return head.status == TooManyRequests || head.status == Unavailable;
 }
 
 } // namespace
 
 BackendAttempt::BackendAttempt(const ProxyContext &context, const ClientRequest &request,
-                               const RequestPlan &plan, PromptGuard &guard, HeldSources &held,
-                               IResponseWriter &response, IAttemptObserver &observer)
+                               const RequestPlan &plan, PromptGuard &guard,
+                               IActiveRequestOwner &owner, IResponseWriter &response,
+                               IAttemptObserver &observer)
     : m_context(context), m_request(request), m_plan(plan), m_guard(guard), m_response(response),
-      m_observer(observer), m_completion(context), m_pacer(context.clock, held, response),
-      m_lastEventId(request.lastEventId)
+      m_observer(observer), m_places(owner.places()), m_completion(context),
+      m_pacer(context.clock, owner.heldSources(), response), m_lastEventId(request.lastEventId)
 { }
 
 BackendAttempt::~BackendAttempt() = default;
@@ -63,6 +67,7 @@
     m_completion.attemptSent(request.server);
     request.resumeAfter = m_lastEventId;
     m_context.selector.callStarted(m_server, now);
+    m_places.callStarted(m_plan.service, m_server);
     m_call = m_context.backends.send(request, *this);
     m_pacer.sourceStarted(*m_call);
 }
@@ -93,6 +98,9 @@
 {
     m_guard.attemptEnded();
     m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
+    // Other refusals, for instance for inputs that are gone, say nothing of the capacity.
+    const bool isFull = outcome == routing::CallOutcome::Refused && impliesNotRun(*m_head);
+    m_places.callEnded(m_plan.service, m_server, isFull);
 }
 
 void BackendAttempt::onHead(const ResponseHead &head)
@@ -101,6 +109,10 @@
     m_context.selector.responseStarted(m_server, m_started, now);
     if (head.load) {
         m_context.selector.observeLoad(m_server, *head.load, now);
+        m_places.observeLoad(m_plan.service, m_server,
+                             {head.load->running, head.load->waiting, head.load->slots});
+    } else if (head.isSigned) {
+        m_places.observeNoLoad(m_plan.service);
     }
     if (head.retryAfter) {
         m_context.selector.observePause(m_server, now + *head.retryAfter);
--- a/src/proxy/internal/backendattempt.h
+++ b/src/proxy/internal/backendattempt.h
@@ -14,6 +14,8 @@
 
 namespace lavendertally::proxy {
 
+class GatewayPlaces;
+class IActiveRequestOwner;
 class IAttemptObserver;
 class IBackendCall;
 class IResponseWriter;
@@ -30,7 +32,7 @@
 public:
     /// All arguments must outlive this object.
     BackendAttempt(const ProxyContext &context, const ClientRequest &request,
-                   const RequestPlan &plan, PromptGuard &guard, HeldSources &held,
+                   const RequestPlan &plan, PromptGuard &guard, IActiveRequestOwner &owner,
                    IResponseWriter &response, IAttemptObserver &observer);
     ~BackendAttempt() override;
     BackendAttempt(const BackendAttempt &) = delete;
@@ -96,6 +98,7 @@
     PromptGuard &m_guard;
     IResponseWriter &m_response;
     IAttemptObserver &m_observer;
+    GatewayPlaces &m_places;
     /// Kept until it is decided whether the answer is whole.
     std::unique_ptr<IBackendCall> m_call;
     CompletionCheck m_completion;
--- a/src/proxy/internal/capacitywait.cpp
+++ b/src/proxy/internal/capacitywait.cpp
@@ -1,7 +1,9 @@
 #include "proxy/internal/capacitywait.h"
 
+#include "admission/types/placedecision.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
+#include "proxy/internal/gatewayplaces.h"
 
 #include <utility>
 
@@ -16,9 +18,38 @@
 
 } // namespace
 
-CapacityWait::CapacityWait(framework::IScheduler &scheduler) : m_scheduler(scheduler) { }
+CapacityWait::CapacityWait(framework::IScheduler &scheduler, GatewayPlaces &places)
+    : m_scheduler(scheduler), m_places(places)
+{ }
 
-CapacityWait::~CapacityWait() = default;
+CapacityWait::~CapacityWait()
+{
+    cancel();
+}
+
+void CapacityWait::requestPlace(const admission::PlaceRequest &request,
+                                std::function<void()> admitted,
+                                std::function<void(const admission::PlaceDecision &)> refused)
+{
+    m_request = request;
+    m_admitted = std::move(admitted);
+    m_refused = std::move(refused);
+    const admission::PlaceDecision decision = m_places.offer(request, *this);
+    if (decision.verdict != admission::AdmissionVerdict::Wait) {
+        onPlaceDecided(decision);
+    }
+}
+
+void CapacityWait::onPlaceDecided(const admission::PlaceDecision &decision)
+{
+    const auto admitted = std::exchange(m_admitted, nullptr);
+    const auto refused = std::exchange(m_refused, nullptr);
+    if (decision.verdict == admission::AdmissionVerdict::Run) {
+        admitted();
+    } else {
+        refused(decision);
+    }
+}
 
 bool CapacityWait::waitForPermit(framework::Milliseconds timeLeft, std::function<void()> next)
 {
@@ -33,6 +64,10 @@
 void CapacityWait::cancel()
 {
     m_timer.reset();
+    if (std::exchange(m_admitted, nullptr)) {
+        m_refused = nullptr;
+        m_places.cancelWaiting(m_request);
+    }
 }
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/iactiverequestowner.h
+++ b/src/proxy/internal/iactiverequestowner.h
@@ -11,6 +11,7 @@
 class ActiveRequest;
 class AnswerTimeEstimator;
 class FirstEventEstimator;
+class GatewayPlaces;
 class HeldSources;
 class TeamLabels;
 
@@ -41,6 +42,7 @@
     virtual framework::TimePoint end() const = 0;
     virtual HeldSources &heldSources() = 0;
     virtual TeamLabels &teamLabels() = 0;
+    virtual GatewayPlaces &places() = 0;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/proxyservice.cpp
+++ b/src/proxy/internal/proxyservice.cpp
@@ -27,7 +27,7 @@
 
 ProxyService::ProxyService(const ProxyContext &context)
     : m_context(context), m_heldSources(m_context.metrics),
-      m_teamLabels(m_context.limits.maxTeamLabels)
+      m_teamLabels(m_context.limits.maxTeamLabels), m_places(m_context, m_teamLabels)
 { }
 
 ProxyService::~ProxyService() = default;
--- a/src/proxy/internal/proxyservice.h
+++ b/src/proxy/internal/proxyservice.h
@@ -2,6 +2,7 @@
 
 #include "proxy/internal/answertimeestimator.h"
 #include "proxy/internal/firsteventestimator.h"
+#include "proxy/internal/gatewayplaces.h"
 #include "proxy/internal/heldsources.h"
 #include "proxy/internal/iactiverequestowner.h"
 #include "proxy/internal/teamlabels.h"
@@ -40,11 +41,13 @@
     framework::TimePoint end() const override { return m_end; }
     HeldSources &heldSources() override { return m_heldSources; }
     TeamLabels &teamLabels() override { return m_teamLabels; }
+    GatewayPlaces &places() override { return m_places; }
 
 private:
     ProxyContext m_context;
     HeldSources m_heldSources;
     TeamLabels m_teamLabels;
+    GatewayPlaces m_places;
     Ticket m_nextTicket = 1;
     bool m_draining = false;
     std::unordered_map<Ticket, std::unique_ptr<ActiveRequest>> m_requests;
--- a/src/proxy/internal/requestplan.h
+++ b/src/proxy/internal/requestplan.h
@@ -28,7 +28,7 @@
     /// \return id of the team; empty if there is none
     framework::TeamId teamId() const;
     /// \return kind of the route for logs and metrics; `none` without a route
-    const char *routeKind() const;
+    const char *kindName() const;
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/internal/requestreport.cpp
+++ b/src/proxy/internal/requestreport.cpp
@@ -21,7 +21,7 @@
     context.logger.info("request ended",
                         {{"request", request.id.value()},
                          {"route", route},
-                         {"route_kind", plan.routeKind()},
+                         {"route_kind", plan.kindName()},
                          {"team", plan.teamId().value()},
                          {"configuration", version},
                          {"configuration_age_ms", std::to_string(configurationAge.value())},
@@ -34,7 +34,7 @@
                          {"elapsed_ms", std::to_string(elapsed.value())}});
     context.metrics.increment("lavendertally_requests_total",
                               {{"route", route},
-                               {"route_kind", plan.routeKind()},
+                               {"route_kind", plan.kindName()},
                                {"team", teams.of(plan.teamId())},
                                {"outcome", outcome}});
 }
--- a/src/proxy/internal/requestresolver.cpp
+++ b/src/proxy/internal/requestresolver.cpp
@@ -17,7 +17,7 @@
     return team != nullptr ? team->id : framework::TeamId();
 }
 
-const char *RequestPlan::routeKind() const
+const char *RequestPlan::kindName() const
 {
     if (route == nullptr) {
         return "none";
--- a/src/proxy/internal/requeststages.cpp
+++ b/src/proxy/internal/requeststages.cpp
@@ -1,6 +1,7 @@
 #include "proxy/internal/requeststages.h"
 
 #include "framework/iclock.h"
+#include "proxy/internal/gatewayplaces.h"
 #include "proxy/internal/requestplan.h"
 #include "proxy/types/clientrequest.h"
 #include "proxy/types/proxycontext.h"
@@ -13,8 +14,8 @@
 namespace lavendertally::proxy {
 
 RequestStages::RequestStages(const ProxyContext &context, const ClientRequest &request,
-                             const RequestPlan &plan)
-    : m_context(context), m_request(request), m_plan(plan)
+                             const RequestPlan &plan, GatewayPlaces &places)
+    : m_context(context), m_request(request), m_plan(plan), m_places(places)
 { }
 
 std::uint32_t RequestStages::pieceCount(std::size_t stage) const
@@ -32,7 +33,7 @@
     return false;
 }
 
-void RequestStages::start(protocol::StageJob job,
+void RequestStages::start(protocol::StageJob job, const admission::PlaceRequest &place,
                           std::function<void(protocol::StageJobOutcome)> done)
 {
     job.request = m_request.id;
@@ -51,10 +52,14 @@
     }
     m_running = true;
     m_started = m_context.clock.now();
+    m_place = place;
+    m_places.stagesStarted(place);
     m_context.stages.start(
         job, [this, done = std::move(done)](const protocol::StageJobOutcome &outcome) {
             m_running = false;
-            m_timeTaken += m_context.clock.now() - m_started;
+            const framework::Milliseconds took = m_context.clock.now() - m_started;
+            m_timeTaken += took;
+            m_places.stagesEnded(m_place, outcome.status == protocol::StageJobStatus::Done, took);
             m_results = outcome.results;
             done(outcome);
         });
@@ -64,6 +69,7 @@
 {
     if (std::exchange(m_running, false)) {
         m_context.stages.cancel(m_request.id);
+        m_places.stagesEnded(m_place, false, framework::Milliseconds(0));
     }
 }
 
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -173,11 +173,13 @@
         m_released.insert(m_released.end(), results.begin(), results.end());
     }
     void handOver() override { }
-    void end(const char *request, protocol::StageJobStatus status)
+    void end(const char *request, protocol::StageJobStatus status,
+             framework::Milliseconds retryAfter = {})
     {
         protocol::StageJobOutcome outcome;
         outcome.request = framework::RequestId(request);
         outcome.status = status;
+        outcome.retryAfter = retryAfter;
         outcome.results = {
             {framework::StageResultId("1.2.3.4:5/x"), framework::AvailabilityZoneId("zb")}};
         const auto done = m_done.at(outcome.request);
@@ -229,6 +231,7 @@
                                                           *m_metrics,
                                                           *m_random,
                                                           m_serving,
+                                                          m_servers,
                                                           m_directory,
                                                           *m_selector,
                                                           *m_retries,
--- a/src/proxy/types/clientrequest.h
+++ b/src/proxy/types/clientrequest.h
@@ -42,6 +42,14 @@
     std::vector<std::uint32_t> pieces;
     /// Input of the stages that have no predecessors.
     framework::StageInputId stageInput;
+
+    /// \return expected work, in tokens of the prompt
+    framework::TokenCount weightedSize() const
+    {
+        /// Generating an output token takes about ten times as long as processing a prompt token.
+        constexpr std::int64_t OutputTokenCost = 10;
+        return promptTokens + maxOutputTokens * OutputTokenCost;
+    }
 };
 
 } // namespace lavendertally::proxy
--- a/src/proxy/types/proxycontext.h
+++ b/src/proxy/types/proxycontext.h
@@ -11,6 +11,14 @@
 class IScheduler;
 } // namespace lavendertally::framework
 
+namespace lavendertally::admission {
+class ICallLimits;
+}
+
+namespace lavendertally::membership {
+class IBackendServers;
+}
+
 namespace lavendertally::peers {
 class IDaemonDirectory;
 }
@@ -50,6 +58,7 @@
     framework::IMetrics &metrics;
     framework::IRandom &random;
     const serving::IServingState &serving;
+    const membership::IBackendServers &servers;
     const peers::IDaemonDirectory &directory;
     routing::IBackendServerSelector &selector;
     retry::IRetryPolicy &retries;
@@ -57,6 +66,8 @@
     stages::IStageService &stages;
     IBackendClient &backends;
     ProxyLimits limits;
+    /// Null if nothing but the slots of the backend servers limits the calls.
+    const admission::ICallLimits *callLimits = nullptr;
 };
 
 } // namespace lavendertally::proxy
