--- a/src/admission/internal/serviceplaces.cpp
+++ b/src/admission/internal/serviceplaces.cpp
@@ -14,6 +14,9 @@
 
 /// An estimate of service time is outdated after its own length plus this without a sample.
 constexpr Milliseconds EstimateLifetime{2000};
+/// Part of the expected wait that is certain: a request that waits already is refused by this only,
+/// as the estimate varies and its time would be lost.
+constexpr std::int64_t CertainPart = 2;
 /// One of this many places is held for callers that return: they have waited as well as the queue,
 /// but those that never come must not hold up the service.
 constexpr std::uint32_t ReturnPart = 2;
@@ -170,6 +173,22 @@
         m_waiting.erase(*key);
         decisions.push_back(makeDecision(*key, AdmissionVerdict::Run));
     }
+    refuseHopeless(now, decisions);
+}
+
+void ServicePlaces::refuseHopeless(TimePoint now, std::vector<PlaceDecision> &decisions)
+{
+    while (!m_queue.isEmpty()) {
+        const WorkKey key = m_queue.shedCandidate(queueCapacity());
+        const WaitingItem &item = m_queue.find(key);
+        const Milliseconds wait = expectedWaitOf(item);
+        if (now + Milliseconds(wait.value() / CertainPart) <= item.latestStart) {
+            return;
+        }
+        m_queue.remove(key);
+        const PlaceRequest request = std::move(m_waiting.extract(key).mapped());
+        decisions.push_back(refuse(request, PlaceRefusal::WouldBeLate, now));
+    }
 }
 
 ReturnTiming ServicePlaces::noteArrival(const PlaceRequest &request, TimePoint now)
--- a/src/admission/internal/serviceplaces.h
+++ b/src/admission/internal/serviceplaces.h
@@ -45,6 +45,8 @@
     /// \param given places that have been given, but are not taken yet
     bool hasPlace(framework::PriorityRank rank, QueuePrecedence precedence, std::uint32_t given,
                   framework::TimePoint now);
+    /// Refuses waiting requests that more urgent arrivals have left no time.
+    void refuseHopeless(framework::TimePoint now, std::vector<PlaceDecision> &decisions);
     std::size_t queueCapacity() const;
     framework::Milliseconds expectedWait(std::size_t ahead) const;
     framework::Milliseconds expectedWaitOf(const WaitingItem &item) const;
--- a/src/proxy/internal/gatewayplaces.cpp
+++ b/src/proxy/internal/gatewayplaces.cpp
@@ -177,8 +177,9 @@
     const std::string rank = std::to_string(request.rank.value());
     const std::string team = m_teams.of(request.team);
     if (waited.value() > 0) {
-        m_context.metrics.observe("lavendertally_place_wait_ms",
-                                  {{"service", request.service.value()}, {"rank", rank}}, waited);
+        m_context.metrics.observe(
+            "lavendertally_place_wait_ms",
+            {{"service", request.service.value()}, {"rank", rank}, {"team", team}}, waited);
     }
     if (decision.verdict == admission::AdmissionVerdict::Run) {
         m_context.metrics.increment(
