--- a/src/admission/tests/placefleet.h
+++ b/src/admission/tests/placefleet.h
@@ -117,9 +117,9 @@
             for (std::uint32_t index = 0; index < m_gateways.size(); ++index) {
                 pump(index);
             }
+            std::erase_if(m_requests,
+                          [](const auto &entry) { return entry.second.phase == Phase::Done; });
         }
-        std::erase_if(m_requests,
-                      [](const auto &entry) { return entry.second.phase == Phase::Done; });
     }
 
 private:
@@ -229,6 +229,7 @@
             if (isOver) {
                 if (request.phase == Phase::Waiting) {
                     m_gateways[request.gateway]->places->cancelWaiting(request.place);
+                    m_byAttempt.erase(request.place.key);
                     noteHeld(request);
                 }
                 request.phase = Phase::Done;
@@ -251,7 +252,9 @@
         } while (!m_gateways[request.gateway]->isAlive);
         PlaceRequest &place = request.place;
         place.key = {{}, framework::AttemptId(m_nextAttempt++)};
-        m_byAttempt[place.key] = id;
+        if (m_options.isOn) {
+            m_byAttempt[place.key] = id;
+        }
         place.service = service();
         place.route = framework::RouteId(kind.route);
         place.team = framework::TeamId(kind.team);
@@ -268,6 +271,9 @@
         const PlaceDecision decision = m_gateways[request.gateway]->places->offer(place, now());
         m_results[request.kind].returnsOnTime += decision.timing == ReturnTiming::OnTime ? 1 : 0;
         m_notRunAtOnce += decision.verdict == AdmissionVerdict::Run ? 0 : 1;
+        if (decision.verdict != AdmissionVerdict::Wait) {
+            m_byAttempt.erase(place.key);
+        }
         decide(id, request, decision);
     }
     void decide(std::uint64_t id, Request &request, const PlaceDecision &decision)
@@ -368,7 +374,8 @@
             return;
         }
         for (const PlaceDecision &decision : m_gateways[index]->places->takeDecisions(now())) {
-            const std::uint64_t id = m_byAttempt.at(decision.key);
+            const auto node = m_byAttempt.extract(decision.key);
+            const std::uint64_t id = node.empty() ? 0 : node.mapped();
             const auto found = m_requests.find(id);
             if (found != m_requests.end() && found->second.phase == Phase::Waiting) {
                 decide(id, found->second, decision);
--- a/src/admission/tests/placeordertest.cpp
+++ b/src/admission/tests/placeordertest.cpp
@@ -71,7 +71,7 @@
     PlaceRequest fillQueue(PlaceDecision &refusal)
     {
         while (true) {
-            const PlaceRequest next = request(m_next++);
+            PlaceRequest next = request(m_next++);
             refusal = offer(next);
             if (refusal.verdict == AdmissionVerdict::Refuse) {
                 return next;
--- a/src/proxy/tests/placetest.cpp
+++ b/src/proxy/tests/placetest.cpp
@@ -86,6 +86,7 @@
         start(numbered("read"));
     }
     std::vector<std::shared_ptr<ReceivedResponse>> received;
+    received.reserve(32);
     for (int index = 0; index < 32; ++index) {
         received.push_back(start(numbered("read")));
     }
@@ -119,6 +120,7 @@
 TEST_F(ProxyPlaceTest, StagesOverloaded_RetryAfterIsSpreadWithinAThirdOfTheTimeLeft)
 {
     std::vector<std::shared_ptr<ReceivedResponse>> received;
+    received.reserve(10);
     for (int index = 0; index < 10; ++index) {
         ClientRequest staged = numbered("staged");
         staged.pieces = {1};
