Rollouts: decisions, steps and evidence between gateways

A service's traffic could not be moved from one software version to another in a controlled way, since nothing knew the versions or judged them.

The selector's filters may also prefer servers, and hear of the end of calls.

--- a/src/membership/internal/backendservertracker.cpp
+++ b/src/membership/internal/backendservertracker.cpp
@@ -107,7 +107,8 @@
     const bool isNew = found == m_entries.end();
     const bool differs = isNew || found->second.state != entry.state
         || found->second.endpoint != entry.endpoint || found->second.service != entry.service
-        || found->second.zone != entry.zone || found->second.incarnation != entry.incarnation;
+        || found->second.zone != entry.zone || found->second.version != entry.version
+        || found->second.incarnation != entry.incarnation;
     if (!differs) {
         const bool isChange = found->second.slots != entry.slots
             || entry.coldUntil > found->second.coldUntil + ColdStartTolerance;
--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -58,6 +58,8 @@
     /// \return whether the daemon that opened this inbound link takes rate limits
     bool takesRateLimits() const { return m_takesRateLimits; }
     void setTakesRateLimits(bool takes) { m_takesRateLimits = takes; }
+    bool takesRollouts() const { return m_takesRollouts; }
+    void setTakesRollouts(bool takes) { m_takesRollouts = takes; }
     /// \return the fingerprint in the last pong that was sent on this link, if any had one
     const std::optional<protocol::EvidenceFingerprint> &toldFingerprint() const
     {
@@ -83,6 +85,7 @@
     bool m_isBehind = false;
     bool m_takesCrashReports = false;
     bool m_takesRateLimits = false;
+    bool m_takesRollouts = false;
     std::optional<protocol::EvidenceFingerprint> m_toldFingerprint;
     framework::TimePoint m_lastReceived;
 };
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -208,6 +208,12 @@
                   [](const PeerLink &link) { return link.takesRateLimits(); });
 }
 
+std::vector<framework::DaemonId> PeerNetwork::rolloutTakers() const
+{
+    return takers([](const OutboundLink &link) { return link.takesRollouts; },
+                  [](const PeerLink &link) { return link.takesRollouts(); });
+}
+
 /// \return peers whose established links fulfil the condition
 std::vector<framework::DaemonId>
 PeerNetwork::takers(const std::function<bool(const OutboundLink &)> &isOutboundTaker,
@@ -262,6 +268,7 @@
 {
     protocol::PeerPong pong{pingSent, m_acceptsJobs(), m_clock.now() - m_started, m_digests()};
     pong.takesRateLimits = m_takesRateLimits;
+    pong.takesRollouts = m_takesRollouts;
     if (m_crashFingerprint) {
         const protocol::EvidenceFingerprint fingerprint = m_crashFingerprint();
         if (link.toldFingerprint() != fingerprint) {
@@ -378,7 +385,7 @@
     // same peer may also be linked through the ranking.
     const std::string name = m_self.value() + (isSeed(link.peer()) ? SeedLinkSuffix : "");
     link.send(protocol::PeerHello{framework::DaemonId(name), m_crashFingerprint != nullptr,
-                                  m_takesRateLimits});
+                                  m_takesRateLimits, m_takesRollouts});
     link.send(protocol::PeerPing{m_clock.now()});
 }
 
@@ -419,6 +426,7 @@
     link.setPeer(hello.daemon);
     link.setTakesCrashReports(hello.takesCrashReports);
     link.setTakesRateLimits(hello.takesRateLimits);
+    link.setTakesRollouts(hello.takesRollouts);
 }
 
 void PeerNetwork::onPong(const PeerLink &link, const protocol::PeerPong &pong)
@@ -441,6 +449,7 @@
     }
     const std::optional<protocol::EvidenceFingerprint> fingerprint = outbound.crashFingerprint;
     outbound.takesRateLimits = pong.takesRateLimits;
+    outbound.takesRollouts = pong.takesRollouts;
     outbound.peerStartTime = m_clock.now() - pong.uptime;
     for (IPeerObserver *observer : m_observers) {
         observer->onDigests(link.peer(), pong.digests, pong.pingSent);
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -49,7 +49,9 @@
     std::vector<framework::DaemonId> linkedPeers() const override;
     std::vector<framework::DaemonId> crashReportTakers() const override;
     void setTakesRateLimits() override;
+    void setTakesRollouts() override { m_takesRollouts = true; }
     std::vector<framework::DaemonId> rateLimitTakers() const override;
+    std::vector<framework::DaemonId> rolloutTakers() const override;
     bool isAccepting(const framework::DaemonId &peer) const override;
     bool isInStartupGrace(const framework::DaemonId &peer) const override;
     bool isUnreachable(const framework::DaemonId &peer) const override;
@@ -80,6 +82,7 @@
         /// reports.
         std::optional<protocol::EvidenceFingerprint> crashFingerprint;
         bool takesRateLimits = false;
+        bool takesRollouts = false;
         framework::TimePoint peerStartTime;
         framework::TimePoint neededAt;
     };
@@ -120,6 +123,7 @@
     /// Empty if this daemon takes no crash reports.
     std::function<protocol::EvidenceFingerprint()> m_crashFingerprint;
     bool m_takesRateLimits = false;
+    bool m_takesRollouts = false;
     std::function<bool(const framework::DaemonId &)> m_isInformed;
     PeerListener m_listener;
     framework::Endpoint m_endpoint;
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -39,6 +39,10 @@
     /// Makes this daemon announce that it takes rate limits and permits. Called before listen().
     virtual void setTakesRateLimits() = 0;
 
+    /// Makes this daemon announce that it takes reports and steps of rollouts. Called before
+    /// listen().
+    virtual void setTakesRollouts() = 0;
+
     /// \param isInformed returns whether the state that a linked peer shares is recent. While no
     /// linked peer's is, links go further down the ranking
     virtual void setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed) = 0;
@@ -67,6 +71,10 @@
     /// and permits; one that runs an older version would close the link on such a message
     virtual std::vector<framework::DaemonId> rateLimitTakers() const = 0;
 
+    /// \return the daemons at the other ends of outbound and inbound links that take reports and
+    /// steps of rollouts; one that runs an older version would close the link on such a message
+    virtual std::vector<framework::DaemonId> rolloutTakers() const = 0;
+
     /// \return whether the outbound link to \p peer is established, has passed its probation if it
     /// was lost before, and the peer takes stage jobs
     virtual bool isAccepting(const framework::DaemonId &peer) const = 0;
--- a/src/peers/testing/fakepeernetwork.h
+++ b/src/peers/testing/fakepeernetwork.h
@@ -42,6 +42,8 @@
         return takers;
     }
     void setTakesRateLimits() override { }
+    void setTakesRollouts() override { }
+    std::vector<framework::DaemonId> rolloutTakers() const override { return crashReportTakers(); }
     std::vector<framework::DaemonId> rateLimitTakers() const override
     {
         return crashReportTakers();
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/internal/protobufpeercodec.h"
 
 #include "protocol/internal/peer.pb.h"
+#include "protocol/internal/rolloutwire.h"
 #include "protocol/types/protocolerror.h"
 
 #include <cstdint>
@@ -174,6 +175,8 @@
         write(message.limits, *out.mutable_limits());
         write(message.permits, *out.mutable_permits());
     }
+    void operator()(const RolloutReport & /*message*/) const { }
+    void operator()(const RolloutSteps & /*message*/) const { }
 
 private:
     peerwire::Envelope &m_envelope;
@@ -270,9 +273,10 @@
     return static_cast<StateTopic>(number);
 }
 
-framework::Result<PeerMessage> read(const peerwire::Pong &in)
+framework::Result<PeerMessage> read(const peerwire::Pong &in, bool takesRollouts)
 {
     PeerPong pong;
+    pong.takesRollouts = takesRollouts;
     if (in.has_ping_sent_ms()) {
         pong.pingSent = framework::TimePoint(in.ping_sent_ms());
     }
@@ -421,6 +425,23 @@
     return PeerMessage(std::move(grant));
 }
 
+/// \return bytes to append to the envelope of \p message
+std::string rolloutPart(const PeerMessage &message)
+{
+    if (const auto *report = std::get_if<RolloutReport>(&message)) {
+        return RolloutWire::encode(*report);
+    }
+    if (const auto *steps = std::get_if<RolloutSteps>(&message)) {
+        return RolloutWire::encode(*steps);
+    }
+    const auto *hello = std::get_if<PeerHello>(&message);
+    if (hello != nullptr && hello->takesRollouts) {
+        return RolloutWire::announceInHello();
+    }
+    const auto *pong = std::get_if<PeerPong>(&message);
+    return pong != nullptr && pong->takesRollouts ? RolloutWire::announceInPong() : std::string();
+}
+
 } // namespace
 
 std::string ProtobufPeerCodec::encode(const PeerMessage &message) const
@@ -428,7 +449,7 @@
     peerwire::Envelope envelope;
     envelope.set_version(PeerProtocolVersion);
     std::visit(EnvelopeWriter(envelope), message);
-    return envelope.SerializeAsString();
+    return envelope.SerializeAsString() + rolloutPart(message);
 }
 
 framework::Result<PeerMessage> ProtobufPeerCodec::decode(std::string_view bytes) const
@@ -440,15 +461,19 @@
     if (envelope.version() != PeerProtocolVersion) {
         return framework::leaf::new_error(ProtocolError::UnknownVersion);
     }
+    BOOST_LEAF_AUTO(rollout, RolloutWire::decode(bytes));
+    if (rollout.message) {
+        return std::move(*rollout.message);
+    }
     switch (envelope.body_case()) {
     case peerwire::Envelope::kHello:
         return PeerMessage(PeerHello{framework::DaemonId(envelope.hello().daemon()),
                                      envelope.hello().takes_crash_reports(),
-                                     envelope.hello().takes_rate_limits()});
+                                     envelope.hello().takes_rate_limits(), rollout.takesRollouts});
     case peerwire::Envelope::kPing:
         return PeerMessage(PeerPing{framework::TimePoint(envelope.ping().sent_ms())});
     case peerwire::Envelope::kPong:
-        return read(envelope.pong());
+        return read(envelope.pong(), rollout.takesRollouts);
     case peerwire::Envelope::kStageJob:
         return read(envelope.stage_job());
     case peerwire::Envelope::kStageJobCancel:
--- a/src/protocol/tests/peercodectest.cpp
+++ b/src/protocol/tests/peercodectest.cpp
@@ -104,6 +104,42 @@
     return {5, rateLimits(entries), {{framework::BackendServerId("i-1"), 1}}};
 }
 
+PeerPong pongOfRolloutTaker()
+{
+    PeerPong result = pongWithFingerprint();
+    result.takesRollouts = true;
+    return result;
+}
+
+RolloutReport rolloutReport()
+{
+    RolloutEvidence evidence{framework::RouteId("read"), true, 200, 3, {}};
+    evidence.times.front() = 4;
+    evidence.times.back() = 300;
+    RolloutServiceReport service;
+    service.service = framework::ServiceId("desk");
+    service.target = framework::SoftwareVersion("v2");
+    service.order = {framework::StoreEra(2), framework::LogOffset(1000)};
+    service.step = RolloutStep::FullLoad;
+    service.elapsed = framework::Milliseconds(4000);
+    service.atOldServers = 7;
+    service.sent = 1000000;
+    service.sentToTarget = 20;
+    service.evidence = {evidence, {framework::RouteId("read"), false, 900, 0, {}}};
+    RolloutServiceReport other = service;
+    other.evidence.clear();
+    return {0xfedcba9876543210, {service, other}};
+}
+
+RolloutSteps rolloutSteps()
+{
+    return {{{framework::ServiceId("desk"),
+              framework::SoftwareVersion("v2"),
+              {framework::StoreEra(2), framework::LogOffset(1000)},
+              RolloutStep::RolledBack,
+              framework::Milliseconds(4000)}}};
+}
+
 TopicState topicState()
 {
     return {StateTopic::BackendServers,
@@ -136,7 +172,34 @@
                                framework::StoreEra(2)}),
         PeerMessage(topicState()), PeerMessage(permitRequest(2)), PeerMessage(PermitRequest{}),
         PeerMessage(permitGrant(MaxRateLimitEntries)), PeerMessage(PermitGrant{}),
-        PeerMessage(PeerHello{framework::DaemonId("d1"), false, true})));
+        PeerMessage(PeerHello{framework::DaemonId("d1"), false, true}),
+        PeerMessage(PeerHello{framework::DaemonId("d1"), true, true, true}),
+        PeerMessage(pongOfRolloutTaker()), PeerMessage(rolloutSteps()), PeerMessage(RolloutSteps{}),
+        PeerMessage(rolloutReport()), PeerMessage(RolloutReport{})));
+
+// A peer of a later or broken build must not make this one believe what makes no sense.
+TEST(PeerCodecErrors, RolloutOutOfRange_DecodingFails)
+{
+    const auto codec = ProtocolModule::makePeerCodec();
+    const auto isRefused = [&codec](const RolloutServiceReport &service) {
+        return !codec->decode(codec->encode(RolloutReport{1, {service}}));
+    };
+    RolloutServiceReport service = rolloutReport().services.front();
+    EXPECT_FALSE(isRefused(service));
+    service.elapsed = framework::Milliseconds(-1);
+    EXPECT_TRUE(isRefused(service));
+    service = rolloutReport().services.front();
+    service.step = static_cast<RolloutStep>(6);
+    EXPECT_TRUE(isRefused(service));
+    service = rolloutReport().services.front();
+    service.evidence.resize(MaxRolloutEvidence + 1);
+    EXPECT_TRUE(isRefused(service));
+    EXPECT_TRUE(isRefused({}));
+    const std::string whole = codec->encode(rolloutReport());
+    for (std::size_t length = 3; length + 1 < whole.size(); ++length) {
+        EXPECT_FALSE(codec->decode(whole.substr(0, length))) << length;
+    }
+}
 
 TEST(PeerCodecErrors, RateLimitsOutOfRange_DecodingFails)
 {
--- a/src/protocol/types/peerhello.h
+++ b/src/protocol/types/peerhello.h
@@ -14,6 +14,8 @@
     bool takesCrashReports = false;
     /// Whether the sender takes rate limits and permits.
     bool takesRateLimits = false;
+    /// Whether the sender takes reports and steps of rollouts.
+    bool takesRollouts = false;
 
     bool operator==(const PeerHello &) const = default;
 };
--- a/src/protocol/types/peermessage.h
+++ b/src/protocol/types/peermessage.h
@@ -6,6 +6,8 @@
 #include "protocol/types/peerpong.h"
 #include "protocol/types/permitgrant.h"
 #include "protocol/types/permitrequest.h"
+#include "protocol/types/rolloutreport.h"
+#include "protocol/types/rolloutsteps.h"
 #include "protocol/types/stageholdings.h"
 #include "protocol/types/stagejob.h"
 #include "protocol/types/stagejobcancel.h"
@@ -19,8 +21,9 @@
 namespace lavendertally::protocol {
 
 /// Any message on a link between two daemons.
-using PeerMessage = std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel,
-                                 StageJobOutcome, StageResultRelease, StageHoldings, TopicQuery,
-                                 TopicState, CrashReport, PermitRequest, PermitGrant>;
+using PeerMessage =
+    std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel, StageJobOutcome,
+                 StageResultRelease, StageHoldings, TopicQuery, TopicState, CrashReport,
+                 PermitRequest, PermitGrant, RolloutReport, RolloutSteps>;
 
 } // namespace lavendertally::protocol
--- a/src/protocol/types/peerpong.h
+++ b/src/protocol/types/peerpong.h
@@ -26,6 +26,8 @@
     std::optional<EvidenceFingerprint> crashFingerprint = std::nullopt;
     /// Whether the sender takes rate limits and issues permits.
     bool takesRateLimits = false;
+    /// Whether the sender takes reports and steps of rollouts.
+    bool takesRollouts = false;
 
     bool operator==(const PeerPong &) const = default;
 };
--- a/src/routing/internal/backendserverselector.cpp
+++ b/src/routing/internal/backendserverselector.cpp
@@ -51,7 +51,8 @@
 {
     Candidates candidates = usable(query, now);
     while (!candidates.empty()) {
-        const Candidate chosen = relieved(choose(candidates, query), candidates, query);
+        const Candidates preferred = preferredOf(candidates, query, now);
+        const Candidate chosen = relieved(choose(preferred, query), preferred, query);
         // Asked only of the preferred one, so that permits go to where they are used.
         if (m_rateLimits.mayCall(chosen.entry->id, now)) {
             if (query.coldStartRate > 0.0 && now < chosen.entry->coldUntil) {
@@ -66,6 +67,30 @@
     return framework::leaf::new_error(RoutingError::NoAdmittingBackend);
 }
 
+/// \return the candidates that the filters prefer to the others
+BackendServerSelector::Candidates BackendServerSelector::preferredOf(const Candidates &candidates,
+                                                                     const ServerQuery &query,
+                                                                     framework::TimePoint now) const
+{
+    if (m_filters.empty()) {
+        return candidates;
+    }
+    std::vector<const membership::BackendServerEntry *> servers;
+    for (const Candidate &candidate : candidates) {
+        servers.push_back(candidate.entry);
+    }
+    for (IServerFilter *filter : m_filters) {
+        filter->prefer(query, servers, now);
+    }
+    Candidates preferred;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(preferred),
+                 [&servers](const Candidate &candidate) {
+                     return std::find(servers.begin(), servers.end(), candidate.entry)
+                         != servers.end();
+                 });
+    return preferred;
+}
+
 const BackendServerSelector::Candidate &BackendServerSelector::choose(const Candidates &candidates,
                                                                       const ServerQuery &query)
 {
@@ -257,6 +282,9 @@
                                       framework::TimePoint now)
 {
     m_states[server].callEnded(outcome, now);
+    for (IServerFilter *filter : m_filters) {
+        filter->callEnded(server, now);
+    }
 }
 
 void BackendServerSelector::observeLoad(const framework::BackendServerId &server,
--- a/src/routing/internal/backendserverselector.h
+++ b/src/routing/internal/backendserverselector.h
@@ -64,6 +64,8 @@
     const Candidate &relieved(const Candidate &chosen, const Candidates &candidates,
                               const ServerQuery &query);
     Candidates usable(const ServerQuery &query, framework::TimePoint now);
+    Candidates preferredOf(const Candidates &candidates, const ServerQuery &query,
+                           framework::TimePoint now) const;
     std::vector<const membership::BackendServerEntry *> permitted(const ServerQuery &query,
                                                                   framework::TimePoint now) const;
     const Candidate &lowestCost(const Candidates &candidates, const ServerQuery &query);
--- a/src/routing/iserverfilter.h
+++ b/src/routing/iserverfilter.h
@@ -22,9 +22,22 @@
                           std::vector<const membership::BackendServerEntry *> &candidates,
                           framework::TimePoint now) = 0;
 
+    /// Removes backend servers that the call is sent to only if none of the rest takes it.
+    /// \param candidates backend servers that passed restrict() and can be called now; not all of
+    /// them are removed
+    virtual void prefer(const ServerQuery & /*query*/,
+                        std::vector<const membership::BackendServerEntry *> & /*candidates*/,
+                        framework::TimePoint /*now*/)
+    { }
+
     /// Reports that a call was sent to \p server.
     virtual void callStarted(const membership::BackendServerEntry &server,
                              framework::TimePoint now) = 0;
+
+    /// Reports the end of a call, once for each callStarted().
+    virtual void callEnded(const framework::BackendServerId & /*server*/,
+                           framework::TimePoint /*now*/)
+    { }
 };
 
 } // namespace lavendertally::routing
--- a/src/stages/tests/stageservicetest.cpp
+++ b/src/stages/tests/stageservicetest.cpp
@@ -37,6 +37,8 @@
     std::vector<DaemonId> crashReportTakers() const override { return {}; }
     void setTakesRateLimits() override { }
     std::vector<DaemonId> rateLimitTakers() const override { return {}; }
+    void setTakesRollouts() override { }
+    std::vector<DaemonId> rolloutTakers() const override { return {}; }
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override
     {
         return endpoint;
