Rollouts: orders, statuses and versions of the platform, and their use

The decisions on rollouts had no input and no effect. The platform adapter now hands on versions of registrations and the operator's orders, and writes statuses on the end offset that was read. Selector and stage coordinator filter their choice, the proxy and the coordinator report answers, and servers that keep stage results count like servers with requests.

A process that was killed stays registered for up to half a minute; observers of the links now hear that a peer has closed its link, so that a rollout does not wait for one that has ended.

--- a/src/configuration/internal/scalartypes.cpp
+++ b/src/configuration/internal/scalartypes.cpp
@@ -188,6 +188,14 @@
             }};
 }
 
+ScalarType<double> shareType()
+{
+    return {"a share from 0 to 1, such as 0.1", [](const std::string &text) {
+                const auto share = parseDecimal(text);
+                return share && *share >= 0.0 && *share <= 1.0 ? share : std::nullopt;
+            }};
+}
+
 ScalarType<framework::Milliseconds> durationType()
 {
     return {"a duration above zero with unit ms, s, m or h, such as 500ms, at most 720h",
--- a/src/configuration/internal/scalartypes.h
+++ b/src/configuration/internal/scalartypes.h
@@ -39,6 +39,9 @@
 /// Processor capacity as a decimal number of cores, above zero.
 ScalarType<framework::Millicores> coresType();
 
+/// \return a type for shares from 0 to 1
+ScalarType<double> shareType();
+
 ScalarType<bool> booleanType();
 
 /// IPv4 address and port.
--- a/src/configuration/internal/yamlsettingsparser.cpp
+++ b/src/configuration/internal/yamlsettingsparser.cpp
@@ -13,6 +13,7 @@
 constexpr framework::Bytes MinRequestLimit{1024};
 constexpr framework::Bytes MaxRequestLimit{64 * 1024 * 1024};
 constexpr std::uint32_t MaxSharedRetries = 1000000;
+constexpr std::uint32_t MaxExposureSlack = 1000000;
 
 void readIdentity(YamlMapping &root, DaemonSettings &settings)
 {
@@ -52,6 +53,9 @@
     root.readOptional("shutdown_grace", durationType(), gateway.shutdownGrace);
     root.readOptional("shared_retries", integerPartType(MaxSharedRetries), gateway.sharedRetries);
     root.readOptional("processor_share", coresType(), gateway.processorShare);
+    root.readOptional("exposure_share", shareType(), gateway.exposureShare);
+    root.readOptional("exposure_slack", integerPartType(MaxExposureSlack), gateway.exposureSlack);
+    root.readOptional("rollback_limit", durationType(), gateway.rollbackLimit);
 }
 
 void readBackend(YamlMapping &root, DiagnosticSink &sink, DaemonSettings &settings)
--- a/src/configuration/tests/settingsparsertest.cpp
+++ b/src/configuration/tests/settingsparsertest.cpp
@@ -50,6 +50,8 @@
     {"GatewayWithLog", Gateway + "log_service: 127.0.0.1:7\n", 10, "log_service", "drain_timeout"},
     {"BadRetries", Gateway + "shared_retries: many\n", 10, "shared_retries", "number"},
     {"NoProcessor", Gateway + "processor_share: 0\n", 10, "processor_share", "cores"},
+    {"ExposureAboveOne", Gateway + "exposure_share: 1.5\n", 10, "exposure_share", "share"},
+    {"ExposureNotANumber", Gateway + "exposure_share: -0.1\n", 10, "exposure_share", "share"},
     {"BadGrace", Gateway + "shutdown_grace: 1.2.3s\n", 10, "shutdown_grace", "duration"},
     {"MissingId", "role: entry\n", 1, "id", "missing"},
     {"HostWithoutBackend", Host, 1, "backend", "missing"},
@@ -126,3 +128,17 @@
     EXPECT_EQ(settings->gateway.sharedRetries, 56U);
     EXPECT_EQ(settings->gateway.processorShare, framework::Millicores(90));
 }
+
+TEST(SettingsParser, GatewaySettings_BoundsOfRolloutsAreOptional)
+{
+    const auto parser = ConfigurationModule::makeSettingsParser();
+    const auto without = parser->parse("f", Gateway);
+    ASSERT_TRUE(without);
+    EXPECT_EQ(without->gateway.exposureShare, 0.0);
+    const auto with = parser->parse(
+        "f", Gateway + "exposure_share: 0.1\nexposure_slack: 50\nrollback_limit: 5000ms\n");
+    ASSERT_TRUE(with);
+    EXPECT_EQ(with->gateway.exposureShare, 0.1);
+    EXPECT_EQ(with->gateway.exposureSlack, 50U);
+    EXPECT_EQ(with->gateway.rollbackLimit, framework::Milliseconds(5000));
+}
--- a/src/configuration/types/gatewaysettings.h
+++ b/src/configuration/types/gatewaysettings.h
@@ -26,6 +26,13 @@
     /// Processor capacity that the gateway may use. Gateways with more of it do the tasks that one
     /// gateway does for all.
     framework::Millicores processorShare{1000};
+    /// Largest share of a service's requests that a bad new version may get during a rollout; zero
+    /// means that there are no rollouts.
+    double exposureShare = 0.0;
+    /// Requests allowed on top of that share.
+    std::uint32_t exposureSlack = 0;
+    /// Time after the 50th bad answer of a new version within which requests to it end.
+    framework::Milliseconds rollbackLimit{5000};
 };
 
 } // namespace lavendertally::configuration
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -35,6 +35,8 @@
 #include "replication/types/replicatedtopic.h"
 #include "retry/iretrypolicy.h"
 #include "retry/retrymodule.h"
+#include "rollout/irollouttraffic.h"
+#include "rollout/rolloutmodule.h"
 #include "routing/ibackendserverselector.h"
 #include "routing/routingmodule.h"
 #include "serving/iservingtracker.h"
@@ -48,6 +50,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace lavendertally::gateway {
 
@@ -124,12 +127,14 @@
     m_permitExchange = ratelimit::RateLimitModule::makePermitExchange(
         m_settings.id, m_rateLimits->store(), *m_peers, m_platform->daemons(), m_loop, *m_clock,
         *m_logger, *m_metrics);
-    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers, *m_rateLimits);
+    createRollouts();
+    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers, *m_rateLimits, {},
+                                                          serverFilters(), m_rolloutTraffic.get());
     m_stages = stages::StagesModule::makeService(
         m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
         m_loop, *m_clock, *m_logger, *m_metrics);
-    m_selector =
-        routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits, *m_random);
+    m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits,
+                                                                   *m_random, serverFilters());
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
@@ -141,6 +146,39 @@
     updateRetryLimits();
 }
 
+void GatewayDaemon::createRollouts()
+{
+    rollout::RolloutBounds bounds;
+    bounds.exposureShare = m_settings.gateway.exposureShare;
+    bounds.exposureSlack = m_settings.gateway.exposureSlack;
+    bounds.rollbackLimit = m_settings.gateway.rollbackLimit;
+    if (!bounds.isEnabled()) {
+        return;
+    }
+    const std::uint64_t start = framework::FrameworkModule::entropySeed();
+    m_rolloutTraffic = rollout::RolloutModule::makeTraffic(*m_servers, bounds, start, *m_clock,
+                                                           *m_logger, *m_metrics);
+    m_rolloutExchange = rollout::RolloutModule::makeExchange(
+        m_settings.id, *m_rolloutTraffic, m_platform->rolloutStatuses(), bounds, start, *m_peers,
+        m_platform->daemons(), m_loop, *m_clock, *m_logger, *m_metrics);
+    m_platform->setRolloutOrders(*m_rolloutTraffic);
+    m_rolloutTraffic->setResultHolders([this] {
+        std::set<framework::BackendServerId> holders;
+        for (const protocol::StageHolding &holding : m_coordinator->holdings()) {
+            if (holding.held > framework::Bytes(0)) {
+                holders.insert(holding.server);
+            }
+        }
+        return holders;
+    });
+}
+
+std::vector<routing::IServerFilter *> GatewayDaemon::serverFilters() const
+{
+    return m_rolloutTraffic ? std::vector<routing::IServerFilter *>{m_rolloutTraffic.get()}
+                            : std::vector<routing::IServerFilter *>();
+}
+
 /// Sets this gateway's share of the retry budget that all gateways have together. Only half of the
 /// budget is distributed, because other gateways may still hold retries saved under an older
 /// gateway count.
@@ -162,7 +200,7 @@
     m_proxy = proxy::ProxyModule::makeService(
         {m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_random, *m_serving,
          m_platform->daemons(), *m_selector, *m_retryPolicy, *m_quarantine, *m_stages,
-         m_platform->backends(), limits});
+         m_platform->backends(), limits, m_rolloutTraffic.get()});
     m_clientGateway = std::make_unique<platform::ClientGateway>(*m_proxy, *m_logger, *m_metrics);
 }
 
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -62,9 +62,14 @@
 class IRetryPolicy;
 }
 
+namespace lavendertally::rollout {
+class IRolloutTraffic;
+}
+
 namespace lavendertally::routing {
 class IBackendServerSelector;
-}
+class IServerFilter;
+} // namespace lavendertally::routing
 
 namespace lavendertally::serving {
 class IServingTracker;
@@ -95,6 +100,10 @@
 private:
     /// Creates the tracked state, the links to peers, and the policies that work on them.
     void createCore();
+    /// Creates what limits the choice of backend servers during rollouts, if the settings ask for
+    /// rollouts.
+    void createRollouts();
+    std::vector<routing::IServerFilter *> serverFilters() const;
     /// Creates the service that forwards client requests.
     void createProxy();
     /// Creates the servers for clients, readiness checks and metrics.
@@ -125,6 +134,9 @@
     std::unique_ptr<replication::TopicExchange> m_topicExchange;
     std::unique_ptr<ratelimit::IServerRateLimits> m_rateLimits;
     std::unique_ptr<peers::IPeerObserver> m_permitExchange;
+    /// Null without rollouts.
+    std::unique_ptr<rollout::IRolloutTraffic> m_rolloutTraffic;
+    std::unique_ptr<peers::IPeerObserver> m_rolloutExchange;
     std::unique_ptr<stages::IStageCoordinator> m_coordinator;
     std::unique_ptr<stages::IStageService> m_stages;
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
--- a/src/peers/internal/peerlink.cpp
+++ b/src/peers/internal/peerlink.cpp
@@ -97,6 +97,7 @@
 void PeerLink::onClosed(bool inOrder)
 {
     m_connected = false;
+    m_isClosedInOrder = inOrder;
     m_owner.onLinkClosed(*this, inOrder ? "closed by the peer" : "connection failed");
 }
 
--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -58,6 +58,8 @@
     /// \return whether the daemon that opened this inbound link takes rate limits
     bool takesRateLimits() const { return m_takesRateLimits; }
     void setTakesRateLimits(bool takes) { m_takesRateLimits = takes; }
+    /// \return whether the peer has closed the link in order
+    bool isClosedInOrder() const { return m_isClosedInOrder; }
     bool takesRollouts() const { return m_takesRollouts; }
     void setTakesRollouts(bool takes) { m_takesRollouts = takes; }
     /// \return the fingerprint in the last pong that was sent on this link, if any had one
@@ -86,6 +88,7 @@
     bool m_takesCrashReports = false;
     bool m_takesRateLimits = false;
     bool m_takesRollouts = false;
+    bool m_isClosedInOrder = false;
     std::optional<protocol::EvidenceFingerprint> m_toldFingerprint;
     framework::TimePoint m_lastReceived;
 };
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -474,6 +474,11 @@
         handleOutboundFailure(link.peer(), m_outbound.at(link.peer()), reason);
         return;
     }
+    if (link.isClosedInOrder() && !link.peer().isEmpty()) {
+        for (IPeerObserver *observer : m_observers) {
+            observer->onClosedByPeer(link.peer());
+        }
+    }
     closeInbound(link);
 }
 
--- a/src/peers/ipeerobserver.h
+++ b/src/peers/ipeerobserver.h
@@ -38,6 +38,10 @@
     /// The inbound link of \p peer ended: it was closed, was idle for too long, or was replaced by
     /// a newer one of the same peer.
     virtual void onInboundLinkClosed(const framework::DaemonId &peer) = 0;
+
+    /// The peer has closed its link in order, as the kernel does when the process ends; called
+    /// before onInboundLinkClosed(). A peer that goes on opens another link if it still needs one.
+    virtual void onClosedByPeer(const framework::DaemonId & /*peer*/) { }
 };
 
 } // namespace lavendertally::peers
--- a/src/platform/internal/backendservercodec.cpp
+++ b/src/platform/internal/backendservercodec.cpp
@@ -51,6 +51,11 @@
     entry.id = framework::BackendServerId(id);
     entry.service = framework::ServiceId(fields.text("service"));
     entry.zone = framework::AvailabilityZoneId(fields.text("zone"));
+    // A version of another type is no reason to do without the server.
+    const nlohmann::json *version = fields.find("version");
+    if (version != nullptr && version->is_string()) {
+        entry.version = framework::SoftwareVersion(version->get<std::string>());
+    }
     const std::int64_t slots = std::max<std::int64_t>(fields.integer("slots"), 1);
     const std::string state = fields.text("state");
     const std::int64_t cold = fields.integerOr("coldRemainingMs", 0);
--- a/src/platform/internal/operatorfeed.cpp
+++ b/src/platform/internal/operatorfeed.cpp
@@ -29,6 +29,7 @@
                            serving::IServingUpdates &serving,
                            membership::IBackendServerUpdates &servers)
     : m_logger(logger), m_serving(serving), m_servers(servers), m_scheduler(scheduler),
+      m_rollouts(scheduler, logger),
       m_reader(store, scheduler, clock, logger, std::string(wire::OperatorTopic), Pace, m_replica)
 { }
 
@@ -41,6 +42,7 @@
         apply(record);
     }
     publishZones();
+    m_rollouts.applySnapshot(records, m_replica.era());
 }
 
 void OperatorFeed::publishZones()
@@ -53,6 +55,7 @@
 void OperatorFeed::onStoreRestored()
 {
     m_keptZones.insert(m_zonesOut.begin(), m_zonesOut.end());
+    m_rollouts.onStoreRestored(RewriteTime);
     m_keptZonesTimer = m_scheduler.callAfter(RewriteTime, [this] {
         m_keptZones.clear();
         publishZones();
@@ -81,6 +84,7 @@
 {
     apply(record);
     publishZones();
+    m_rollouts.apply(record, m_replica.era());
     return true;
 }
 
--- a/src/platform/internal/operatorfeed.h
+++ b/src/platform/internal/operatorfeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "platform/internal/rolloutorderfeed.h"
 #include "platform/internal/topicreader.h"
 #include "replication/itopicobserver.h"
 #include "replication/topicreplica.h"
@@ -19,7 +20,8 @@
 
 namespace lavendertally::platform {
 
-/// Hands on what operators write to the store: configurations, and availability zones taken out.
+/// Hands on what operators write to the store: configurations, availability zones taken out, and
+/// orders for rollouts.
 class OperatorFeed final : public replication::ITopicObserver
 {
 public:
@@ -33,6 +35,8 @@
 
     void start() { m_reader.start(); }
     replication::ReplicatedTopic topic() { return {m_replica, m_reader}; }
+    /// \param orders outlives the feed
+    void setRolloutOrders(rollout::IRolloutOrders &orders) { m_rollouts.setOrders(&orders); }
 
     void onSnapshot(const std::vector<protocol::TopicRecord> &records) override;
     bool onRecord(const protocol::TopicRecord &record) override;
@@ -56,6 +60,7 @@
     /// had the time to write their changes again.
     std::set<framework::AvailabilityZoneId> m_keptZones;
     std::unique_ptr<framework::ITimer> m_keptZonesTimer;
+    RolloutOrderFeed m_rollouts;
     replication::TopicReplica m_replica{*this};
     TopicReader m_reader;
 };
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -23,6 +23,7 @@
 
 constexpr int HttpOk = 200;
 constexpr int HttpGone = 410;
+constexpr int HttpPreconditionFailed = 412;
 
 /// An answer that takes longer than this beyond the wait is late: more than a store that is slow
 /// needs, less than the time-out, so that a short silence is noticed.
@@ -61,7 +62,14 @@
     if (response.end != http::HttpEnd::Complete) {
         return StoreError::Unknown;
     }
-    return response.status == HttpGone ? StoreError::HistoryDropped : StoreError::NotDone;
+    switch (response.status) {
+    case HttpGone:
+        return StoreError::HistoryDropped;
+    case HttpPreconditionFailed:
+        return StoreError::Outdated;
+    default:
+        return StoreError::NotDone;
+    }
 }
 
 template <typename Content>
@@ -132,11 +140,25 @@
 
 StoreClient::Call StoreClient::append(std::string_view topic, const protocol::TopicRecord &record,
                                       std::function<void(framework::Result<void>)> callback)
+{
+    return sendAppend(topicTarget(wire::LogAppend, topic), record, std::move(callback));
+}
+
+StoreClient::Call StoreClient::appendAt(std::string_view topic, const protocol::TopicRecord &record,
+                                        framework::LogOffset at,
+                                        std::function<void(framework::Result<void>)> callback)
+{
+    return sendAppend(topicTarget(wire::LogAppend, topic) + "&at=" + std::to_string(at.value()),
+                      record, std::move(callback));
+}
+
+StoreClient::Call StoreClient::sendAppend(std::string target, const protocol::TopicRecord &record,
+                                          std::function<void(framework::Result<void>)> callback)
 {
     http::HttpRequest request;
     request.endpoint = m_store;
     request.method = http::HttpMethod::Post;
-    request.target = topicTarget(wire::LogAppend, topic);
+    request.target = std::move(target);
     request.body = encodeRecord(record);
     request.timeout = AnswerTimeout;
     return m_client.fetch(request,
@@ -153,7 +175,8 @@
                                       framework::TimePoint due)
 {
     const framework::TimePoint now = m_clock.now();
-    const bool isAnswered = isSuccess(response) || response.status == HttpGone;
+    const bool isAnswered = isSuccess(response) || response.status == HttpGone
+        || response.status == HttpPreconditionFailed;
     if (!isAnswered || now > due) {
         m_lastTrouble = now;
     }
--- a/src/platform/internal/storeclient.h
+++ b/src/platform/internal/storeclient.h
@@ -55,10 +55,18 @@
     Call append(std::string_view topic, const protocol::TopicRecord &record,
                 std::function<void(framework::Result<void>)> callback);
 
+    /// Writes one record of a keyed topic unless anything was written to the topic since.
+    /// \param at end of the topic when it was read
+    /// \param callback gets nothing, or StoreError
+    Call appendAt(std::string_view topic, const protocol::TopicRecord &record,
+                  framework::LogOffset at, std::function<void(framework::Result<void>)> callback);
+
     /// \return when a call failed last or its answer was late: registrations may have lapsed then
     framework::TimePoint lastTrouble() const { return m_lastTrouble; }
 
 private:
+    Call sendAppend(std::string target, const protocol::TopicRecord &record,
+                    std::function<void(framework::Result<void>)> callback);
     /// \return era that the answer names, or the greatest one before if it names none
     framework::StoreEra note(const char *call, const http::HttpResponse &response,
                              framework::TimePoint due);
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -36,6 +36,8 @@
         return "no answer";
     case StoreError::HistoryDropped:
         return "history dropped";
+    case StoreError::Outdated:
+        return "outdated";
     case StoreError::Malformed:
         return "malformed answer";
     }
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -35,7 +35,7 @@
       m_operators(m_store, parts.loop, parts.clock, parts.logger, parts.serving, parts.servers),
       m_servers(m_store, parts.loop, parts.clock, parts.logger, parts.servers),
       m_daemons(m_store, parts.loop, parts.clock, parts.logger, parts.self, parts.capacity),
-      m_backends(*m_backendClient, parts.servers),
+      m_rolloutStatuses(m_store, parts.logger), m_backends(*m_backendClient, parts.servers),
       m_stageCalls(*m_backendClient, parts.servers, parts.logger)
 { }
 
--- a/src/platform/internal/usersplatform.h
+++ b/src/platform/internal/usersplatform.h
@@ -5,6 +5,7 @@
 #include "platform/internal/httpbackendport.h"
 #include "platform/internal/httpstagecallport.h"
 #include "platform/internal/operatorfeed.h"
+#include "platform/internal/rolloutstatusport.h"
 #include "platform/internal/storeclient.h"
 #include "platform/iplatform.h"
 
@@ -30,6 +31,11 @@
     proxy::IBackendClient &backends() override { return m_backends; }
     stages::IStageCallPort &stageCalls() override { return m_stageCalls; }
     peers::IDaemonDirectory &daemons() override { return m_daemons; }
+    void setRolloutOrders(rollout::IRolloutOrders &orders) override
+    {
+        m_operators.setRolloutOrders(orders);
+    }
+    rollout::IRolloutStatusStore &rolloutStatuses() override { return m_rolloutStatuses; }
     replication::ReplicatedTopic topic(protocol::StateTopic name) override;
 
 private:
@@ -39,6 +45,7 @@
     OperatorFeed m_operators;
     BackendServerFeed m_servers;
     DaemonFeed m_daemons;
+    RolloutStatusPort m_rolloutStatuses;
     HttpBackendPort m_backends;
     HttpStageCallPort m_stageCalls;
 };
--- a/src/platform/internal/wirenames.h
+++ b/src/platform/internal/wirenames.h
@@ -45,6 +45,12 @@
 inline constexpr std::string_view DaemonsTopic = "keyed.daemons";
 inline constexpr std::string_view ConfigurationKey = "config";
 inline constexpr std::string_view EvacuateKeyPrefix = "evacuate/";
+/// May stand before the keys of the operators' topic.
+inline constexpr std::string_view OperatorKeyPrefix = "op/";
+inline constexpr std::string_view RolloutOrderKeyPrefix = "rollout/";
+/// Our own topic: what operators are told.
+inline constexpr std::string_view StatusTopic = "keyed.status";
+inline constexpr std::string_view RolloutStatusKeyPrefix = "rollout/";
 
 // Calls.
 inline constexpr std::string_view LogAppend = "/log-append";
--- a/src/platform/iplatform.h
+++ b/src/platform/iplatform.h
@@ -15,6 +15,11 @@
 struct ReplicatedTopic;
 }
 
+namespace lavendertally::rollout {
+class IRolloutOrders;
+class IRolloutStatusStore;
+} // namespace lavendertally::rollout
+
 namespace lavendertally::stages {
 class IStageCallPort;
 }
@@ -38,6 +43,11 @@
     virtual stages::IStageCallPort &stageCalls() = 0;
     virtual peers::IDaemonDirectory &daemons() = 0;
 
+    /// Hands the operator's orders for rollouts to \p orders, which outlives the platform. Called
+    /// before start(); without it, orders are passed over.
+    virtual void setRolloutOrders(rollout::IRolloutOrders &orders) = 0;
+    virtual rollout::IRolloutStatusStore &rolloutStatuses() = 0;
+
     /// \return a part of the state that all daemons share
     virtual replication::ReplicatedTopic topic(protocol::StateTopic name) = 0;
 };
--- a/src/platform/types/storeerror.h
+++ b/src/platform/types/storeerror.h
@@ -10,6 +10,8 @@
     Unknown,
     /// The records asked for are not kept any more.
     HistoryDropped,
+    /// Something was written since the offset that a conditional append named; nothing was done.
+    Outdated,
     /// The answer cannot be read.
     Malformed,
 };
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -13,6 +13,7 @@
 #include "proxy/types/backendrequest.h"
 #include "proxy/types/clientrequest.h"
 #include "proxy/types/streamevent.h"
+#include "rollout/irolloutobserver.h"
 #include "routing/ibackendserverselector.h"
 #include "serving/types/route.h"
 
@@ -58,6 +59,7 @@
     m_body.clear();
     m_isComplete = false;
     m_failed = false;
+    m_hasEvent = false;
     m_started = now;
     m_guard.attemptSent(request.server);
     m_completion.attemptSent(request.server);
@@ -87,9 +89,25 @@
 void BackendAttempt::recordOutcome(routing::CallOutcome outcome)
 {
     m_guard.attemptEnded();
+    if (outcome == routing::CallOutcome::Failed
+        || outcome == routing::CallOutcome::TransportFailed) {
+        reportAnswer(rollout::AnswerQuality::Failed);
+    } else if (outcome == routing::CallOutcome::Succeeded && !m_hasEvent) {
+        reportAnswer(rollout::AnswerQuality::Sound);
+    }
     m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
 }
 
+/// Reports what the answer, or the first event of a stream, says of the backend server's version.
+void BackendAttempt::reportAnswer(rollout::AnswerQuality quality)
+{
+    if (m_context.rollouts != nullptr) {
+        const framework::Milliseconds time = m_context.clock.now() - m_started;
+        m_context.rollouts->answered(m_server, m_plan.route->id, quality,
+                                     time - m_pacer.heldTime());
+    }
+}
+
 void BackendAttempt::onHead(const ResponseHead &head)
 {
     const framework::TimePoint now = m_context.clock.now();
@@ -152,6 +170,9 @@
     if (!m_head->isSuccess() || m_head->notExecuted || !m_head->isSigned) {
         return;
     }
+    if (!std::exchange(m_hasEvent, true)) {
+        reportAnswer(rollout::AnswerQuality::Sound);
+    }
     if (event.id) {
         if (m_lastEventId && *event.id <= *m_lastEventId) {
             // The client already has this event; a resumed stream may repeat it.
--- a/src/proxy/internal/backendattempt.h
+++ b/src/proxy/internal/backendattempt.h
@@ -6,6 +6,7 @@
 #include "proxy/internal/sourcepacer.h"
 #include "proxy/types/proxycontext.h"
 #include "proxy/types/responsehead.h"
+#include "rollout/types/answerquality.h"
 #include "routing/types/calloutcome.h"
 
 #include <memory>
@@ -89,6 +90,7 @@
     void passedOnBodyEnded();
     void dropCall();
     void recordOutcome(routing::CallOutcome outcome);
+    void reportAnswer(rollout::AnswerQuality quality);
 
     const ProxyContext &m_context;
     const ClientRequest &m_request;
@@ -110,6 +112,8 @@
     /// Whether the body was too large to be kept and is passed on in parts.
     bool m_passesBodyOn = false;
     bool m_streaming = false;
+    /// Whether an event of the last attempt has come.
+    bool m_hasEvent = false;
     std::optional<framework::StreamEventId> m_lastEventId;
 };
 
--- a/src/proxy/types/proxycontext.h
+++ b/src/proxy/types/proxycontext.h
@@ -23,6 +23,10 @@
 class IRetryPolicy;
 }
 
+namespace lavendertally::rollout {
+class IRolloutObserver;
+}
+
 namespace lavendertally::routing {
 class IBackendServerSelector;
 }
@@ -57,6 +61,8 @@
     stages::IStageService &stages;
     IBackendClient &backends;
     ProxyLimits limits;
+    /// Hears what answers say of the versions of backend servers; null without rollouts.
+    rollout::IRolloutObserver *rollouts = nullptr;
 };
 
 } // namespace lavendertally::proxy
--- a/src/rollout/internal/gatewayreports.cpp
+++ b/src/rollout/internal/gatewayreports.cpp
@@ -46,6 +46,15 @@
     known.start = start;
     known.report = report;
     known.reported = now;
+    known.hasClosed = false;
+}
+
+void GatewayReports::noteClosed(const framework::DaemonId &daemon)
+{
+    const auto found = m_daemons.find(daemon);
+    if (found != m_daemons.end()) {
+        found->second.hasClosed = true;
+    }
 }
 
 EvidenceTotals GatewayReports::totals() const
@@ -115,7 +124,8 @@
 {
     std::vector<framework::DaemonId> result;
     for (const auto &[id, daemon] : m_daemons) {
-        const bool isUp = registered.contains(id) || now - daemon.reported < ReportLifetime;
+        const bool isUp = now - daemon.reported < ReportLifetime
+            || (registered.contains(id) && !daemon.hasClosed);
         if (isUp && (!isSealed(daemon.report) || daemon.report.atOldServers > 0)) {
             result.push_back(id);
         }
--- a/src/rollout/internal/gatewayreports.h
+++ b/src/rollout/internal/gatewayreports.h
@@ -22,6 +22,10 @@
     void merge(const framework::DaemonId &daemon, std::uint64_t start,
                const protocol::RolloutServiceReport &report, framework::TimePoint now);
 
+    /// The daemon has closed its link. If it does not report again soon, its process has ended, and
+    /// its requests with it; its registration stands for up to half a minute longer.
+    void noteClosed(const framework::DaemonId &daemon);
+
     /// \return sum over all daemons and their starts
     EvidenceTotals totals() const;
     std::uint64_t sent() const;
@@ -48,6 +52,7 @@
         std::uint64_t start = 0;
         protocol::RolloutServiceReport report;
         framework::TimePoint reported;
+        bool hasClosed = false;
         /// Of starts that have ended.
         EvidenceTotals ended;
         std::uint64_t endedSent = 0;
--- a/src/rollout/internal/rolloutexchange.cpp
+++ b/src/rollout/internal/rolloutexchange.cpp
@@ -12,6 +12,7 @@
 #include "rollout/internal/versiontraffic.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace lavendertally::rollout {
@@ -132,11 +133,14 @@
     m_timer.reset();
     const framework::TimePoint now = m_clock.now();
     protocol::RolloutReport own{m_start, {}};
-    for (const framework::ServiceId &id : m_traffic.ordered()) {
+    const auto services = m_traffic.ordered();
+    const auto holders =
+        services.empty() ? std::set<framework::BackendServerId>() : m_traffic.resultHolders();
+    for (const framework::ServiceId &id : services) {
         ServiceTraffic &service = *m_traffic.find(id);
         service.tick(m_directory.limitSharerCount(), now);
         judgeOwn(service);
-        const protocol::RolloutServiceReport mine = service.report(now);
+        const protocol::RolloutServiceReport mine = service.report(holders, now);
         findCase(service)->decisions.reports().merge(m_self, m_start, mine, now);
         if (own.services.size() < protocol::MaxRolloutServices) {
             own.services.push_back(mine);
@@ -421,4 +425,11 @@
     // The peer may still have requests at old servers; its registration tells whether it is up.
 }
 
+void RolloutExchange::onClosedByPeer(const framework::DaemonId &peer)
+{
+    for (auto &[id, rolloutCase] : m_cases) {
+        rolloutCase.decisions.reports().noteClosed(peer);
+    }
+}
+
 } // namespace lavendertally::rollout
--- a/src/rollout/internal/rolloutexchange.h
+++ b/src/rollout/internal/rolloutexchange.h
@@ -56,6 +56,7 @@
                             protocol::EvidenceFingerprint fingerprint) override;
     void onOutboundLinkLost(const framework::DaemonId &peer) override;
     void onInboundLinkClosed(const framework::DaemonId &peer) override;
+    void onClosedByPeer(const framework::DaemonId &peer) override;
 
 private:
     /// What this daemon knows as a leading one.
--- a/src/rollout/internal/servicetraffic.cpp
+++ b/src/rollout/internal/servicetraffic.cpp
@@ -214,21 +214,18 @@
     }
 }
 
-void ServiceTraffic::answered(const framework::BackendServerId &server,
-                              const framework::RouteId &route, AnswerQuality quality,
-                              framework::Milliseconds time)
+std::optional<framework::SoftwareVersion>
+ServiceTraffic::answered(const framework::BackendServerId &server, const framework::RouteId &route,
+                         AnswerQuality quality, framework::Milliseconds time)
 {
     const auto found = m_calls.find(server);
     if (!m_order || found == m_calls.end()) {
-        return;
+        return std::nullopt;
     }
     std::pair<framework::RouteId, bool> key(route, isTarget(found->second.version));
     if (!m_evidence.contains(key) && m_evidence.size() >= protocol::MaxRolloutEvidence) {
-        // The rest of the routes is judged together.
-        key.first = framework::RouteId();
-        if (m_evidence.size() >= protocol::MaxRolloutEvidence + 2) {
-            return;
-        }
+        // What does not fit into a report is not judged.
+        return std::nullopt;
     }
     protocol::RolloutEvidence &evidence = m_evidence[key];
     evidence.route = key.first;
@@ -239,6 +236,7 @@
     } else {
         ++evidence.times[AnswerTimes::classOf(time)];
     }
+    return found->second.version;
 }
 
 std::optional<RolloutFinding> ServiceTraffic::judgeOwnEvidence(framework::TimePoint now)
@@ -251,16 +249,21 @@
     return m_judge.finding();
 }
 
-std::uint64_t ServiceTraffic::callsAtOldServers() const
+std::uint64_t
+ServiceTraffic::workAtOldServers(const std::set<framework::BackendServerId> &holders) const
 {
     std::uint64_t count = 0;
     for (const auto &[server, calls] : m_calls) {
-        count += isTarget(calls.version) ? 0 : calls.inFlight;
+        if (!isTarget(calls.version)) {
+            count += calls.inFlight + (holders.contains(server) ? 1 : 0);
+        }
     }
     return count;
 }
 
-protocol::RolloutServiceReport ServiceTraffic::report(framework::TimePoint now) const
+protocol::RolloutServiceReport
+ServiceTraffic::report(const std::set<framework::BackendServerId> &holders,
+                       framework::TimePoint now) const
 {
     protocol::RolloutServiceReport report;
     report.service = m_service;
@@ -268,7 +271,7 @@
     report.order = m_order->id;
     report.step = m_step;
     report.elapsed = std::max(elapsed(now), framework::Milliseconds(0));
-    report.atOldServers = callsAtOldServers();
+    report.atOldServers = workAtOldServers(holders);
     report.sent = m_budget.sent();
     report.sentToTarget = m_budget.sentToTarget();
     for (const auto &[key, evidence] : m_evidence) {
--- a/src/rollout/internal/servicetraffic.h
+++ b/src/rollout/internal/servicetraffic.h
@@ -59,14 +59,19 @@
 
     void callStarted(const membership::BackendServerEntry &server);
     void callEnded(const framework::BackendServerId &server);
-    void answered(const framework::BackendServerId &server, const framework::RouteId &route,
-                  AnswerQuality quality, framework::Milliseconds time);
+    /// \return version that gave the answer, if it counts as evidence
+    std::optional<framework::SoftwareVersion> answered(const framework::BackendServerId &server,
+                                                       const framework::RouteId &route,
+                                                       AnswerQuality quality,
+                                                       framework::Milliseconds time);
     /// Judges this daemon's own evidence.
     /// \return why the daemon stops sending to the new version, if this is conclusive since this
     /// call
     std::optional<RolloutFinding> judgeOwnEvidence(framework::TimePoint now);
 
-    protocol::RolloutServiceReport report(framework::TimePoint now) const;
+    /// \param holders servers that keep results of stages
+    protocol::RolloutServiceReport report(const std::set<framework::BackendServerId> &holders,
+                                          framework::TimePoint now) const;
     std::size_t targetServers() const;
     std::size_t otherServers() const;
     /// \return whether the order names the version that is in use
@@ -89,7 +94,7 @@
     RolloutPlan plan() const { return {m_bounds, m_order->duration}; }
     void updateEstablished();
     void updateCanary();
-    std::uint64_t callsAtOldServers() const;
+    std::uint64_t workAtOldServers(const std::set<framework::BackendServerId> &holders) const;
     void forgetIdleServers();
 
     framework::ServiceId m_service;
--- a/src/rollout/internal/versiontraffic.cpp
+++ b/src/rollout/internal/versiontraffic.cpp
@@ -124,8 +124,14 @@
                               framework::Milliseconds time)
 {
     const auto service = m_serviceOf.find(server);
-    if (service != m_serviceOf.end()) {
-        traffic(service->second).answered(server, route, quality, time);
+    if (service == m_serviceOf.end()) {
+        return;
+    }
+    if (const auto version = traffic(service->second).answered(server, route, quality, time)) {
+        m_metrics.increment("lavendertally_rollout_answers_total",
+                            {{"service", service->second.value()},
+                             {"version", version->value()},
+                             {"quality", quality == AnswerQuality::Failed ? "failed" : "sound"}});
     }
 }
 
--- a/src/rollout/internal/versiontraffic.h
+++ b/src/rollout/internal/versiontraffic.h
@@ -12,7 +12,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace lavendertally::framework {
 class IClock;
@@ -47,11 +49,14 @@
                   AnswerQuality quality, framework::Milliseconds time) override;
     void put(const RolloutOrder &order) override;
     void remove(const framework::ServiceId &service) override;
+    void setResultHolders(Holders holders) override { m_holders = std::move(holders); }
 
     /// \param callback called when an order is new, changes or is taken back
     void onOrders(std::function<void()> callback) { m_onOrders = std::move(callback); }
     /// \return services with orders
     std::vector<framework::ServiceId> ordered() const;
+    /// \return backend servers that keep results of stages
+    std::set<framework::BackendServerId> resultHolders() const { return m_holders(); }
     /// \return traffic of a service, with its present servers; null if it is not known
     ServiceTraffic *find(const framework::ServiceId &service);
 
@@ -76,6 +81,7 @@
     /// Services of the servers that have calls.
     std::unordered_map<framework::BackendServerId, framework::ServiceId> m_serviceOf;
     std::function<void()> m_onOrders = [] {};
+    Holders m_holders = [] { return std::set<framework::BackendServerId>(); };
 };
 
 } // namespace lavendertally::rollout
--- a/src/rollout/testing/rolloutsimulation.h
+++ b/src/rollout/testing/rolloutsimulation.h
@@ -209,7 +209,7 @@
             const framework::DaemonId id("g" + std::to_string(gateway));
             situation.registered.insert(id);
             // Reports of the last tick are weighed before those of this one arrive.
-            m_reported[id] = m_gateways[gateway]->report(m_now);
+            m_reported[id] = m_gateways[gateway]->report({}, m_now);
         }
         m_decisions->weigh(m_now);
         const protocol::RolloutStep step = m_decisions->decide(situation, m_now).step;
--- a/src/rollout/tests/rolloutfleettest.cpp
+++ b/src/rollout/tests/rolloutfleettest.cpp
@@ -160,6 +160,23 @@
     EXPECT_EQ(state(), RolloutState::Completed);
 }
 
+// Until the store has acknowledged the completion, old servers run on and the way back is open.
+TEST_F(RolloutFleetTest, VersionTurnsBadBeforeCompletionIsWritten_IsStillRolledBack)
+{
+    addDaemons(3);
+    order("v2");
+    play(11000);
+    m_topic.isAvailable = false;
+    play(2000);
+    m_isNewBad = true;
+    play(2000);
+    const std::size_t before = sentToTarget();
+    m_topic.isAvailable = true;
+    play(2000);
+    EXPECT_EQ(state(), RolloutState::RolledBack);
+    EXPECT_EQ(sentToTarget(), before);
+}
+
 TEST_F(RolloutFleetTest, GatewayRestarts_SendsNothingToNewVersionUntilItHearsTheStep)
 {
     addDaemons(3);
@@ -205,6 +222,39 @@
               1);
 }
 
+// The registration of a process that was killed stands for half a minute; the deadline may be
+// nearer.
+TEST_F(RolloutFleetTest, KilledGatewayIsStillRegistered_IsNotWaitedFor)
+{
+    addDaemons(5);
+    order("v2");
+    play(6000);
+    const framework::DaemonId killed = m_daemons[4]->id;
+    kill(4);
+    for (const auto &daemon : m_daemons) {
+        daemon->directory.addresses.push_back({killed, {}});
+        daemon->exchange->onClosedByPeer(killed);
+        daemon->exchange->onInboundLinkClosed(killed);
+    }
+    play(5950);
+    EXPECT_EQ(state(), RolloutState::Completed);
+}
+
+TEST_F(RolloutFleetTest, LinkIsLostWithoutBeingClosed_GatewayIsWaitedFor)
+{
+    addDaemons(5);
+    order("v2");
+    play(6000);
+    const framework::DaemonId lost = m_daemons[4]->id;
+    kill(4);
+    for (const auto &daemon : m_daemons) {
+        daemon->directory.addresses.push_back({lost, {}});
+        daemon->exchange->onInboundLinkClosed(lost);
+    }
+    play(8000);
+    EXPECT_EQ(state(), RolloutState::Running);
+}
+
 class RolloutOrderTest : public RolloutFleet
 {
 protected:
@@ -230,6 +280,17 @@
     EXPECT_EQ(sentToTarget(), m_before);
 }
 
+TEST_F(RolloutOrderTest, GatewaysRestartAfterStoreRestore_StatusOfTheCopyHolds)
+{
+    rollBack();
+    m_order->id = {framework::StoreEra(2), framework::LogOffset(7)};
+    for (std::size_t each = 0; each < 3; ++each) {
+        restart(each);
+    }
+    play(8000);
+    EXPECT_EQ(sentToTarget(), m_before);
+}
+
 TEST_F(RolloutOrderTest, StatusIsLostByStoreRestore_IsWrittenAgain)
 {
     rollBack();
--- a/src/stages/internal/batchdispatcher.cpp
+++ b/src/stages/internal/batchdispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "membership/ibackendservers.h"
 #include "ratelimit/iserverratelimits.h"
+#include "routing/iserverfilter.h"
+#include "routing/types/serverquery.h"
 #include "serving/types/stagepool.h"
 #include "stages/internal/resulttracker.h"
 #include "stages/internal/stageestimator.h"
@@ -17,18 +19,22 @@
 BatchDispatcher::BatchDispatcher(const membership::IBackendServers &servers,
                                  ratelimit::IServerRateLimits &rateLimits,
                                  const StageEstimator &estimator, ResultTracker &resultTracker,
-                                 const StageCoordinatorOptions &options)
+                                 const StageCoordinatorOptions &options,
+                                 std::vector<routing::IServerFilter *> filters)
     : m_servers(servers), m_rateLimits(rateLimits), m_estimator(estimator),
-      m_resultTracker(resultTracker), m_options(options)
+      m_resultTracker(resultTracker), m_options(options), m_filters(std::move(filters))
 { }
 
-std::optional<RunningCall> BatchDispatcher::removeCall(StageCallId call)
+std::optional<RunningCall> BatchDispatcher::removeCall(StageCallId call, framework::TimePoint now)
 {
     auto node = m_calls.extract(call);
     if (node.empty()) {
         return std::nullopt;
     }
     m_expectedEnds[node.mapped().server.service].erase(call);
+    for (routing::IServerFilter *filter : m_filters) {
+        filter->callEnded(node.mapped().server.id, now);
+    }
     return std::move(node.mapped());
 }
 
@@ -59,6 +65,10 @@
     queue.sort(now);
     const std::set<framework::AvailabilityZoneId> zones = usableZones(service, now);
     for (const membership::BackendServerEntry *server : available) {
+        // Each call may use up what the filters allow.
+        if (permitted({server}, service, now).empty()) {
+            continue;
+        }
         const CallTarget target{*server, m_resultTracker.server(server->id), zones};
         if (auto command = makeCall(target, *pool, queue, now)) {
             commands.push_back(std::move(*command));
@@ -74,7 +84,8 @@
                                       const serving::StagePool &pool, framework::TimePoint now)
 {
     std::vector<std::pair<std::int64_t, const membership::BackendServerEntry *>> candidates;
-    for (const membership::BackendServerEntry *server : m_servers.admitting(service)) {
+    for (const membership::BackendServerEntry *server :
+         permitted(m_servers.admitting(service), service, now)) {
         const StageServerState &state = m_resultTracker.server(server->id);
         if (state.calls() < pool.slots && !state.isPaused(now)
             && state.storedBytes() < pool.resultCapacity && m_rateLimits.mayCall(server->id, now)) {
@@ -92,9 +103,41 @@
     for (const auto &[slowdown, server] : candidates) {
         servers.push_back(server);
     }
+    preferFiltered(servers, service, now);
+    return servers;
+}
+
+std::vector<const membership::BackendServerEntry *>
+BatchDispatcher::permitted(std::vector<const membership::BackendServerEntry *> servers,
+                           const framework::ServiceId &service, framework::TimePoint now) const
+{
+    routing::ServerQuery query;
+    query.service = service;
+    for (routing::IServerFilter *filter : m_filters) {
+        filter->restrict(query, servers, now);
+    }
     return servers;
 }
 
+/// Moves the servers that the filters prefer to the front.
+void BatchDispatcher::preferFiltered(std::vector<const membership::BackendServerEntry *> &servers,
+                                     const framework::ServiceId &service,
+                                     framework::TimePoint now) const
+{
+    if (m_filters.empty() || servers.empty()) {
+        return;
+    }
+    routing::ServerQuery query;
+    query.service = service;
+    auto preferred = servers;
+    for (routing::IServerFilter *filter : m_filters) {
+        filter->prefer(query, preferred, now);
+    }
+    std::stable_partition(servers.begin(), servers.end(), [&preferred](const auto *server) {
+        return std::find(preferred.begin(), preferred.end(), server) != preferred.end();
+    });
+}
+
 /// \return whether the backend server may run the stage. It must be in the preferred zone, unless
 /// the stage has too little slack to wait for one there or none there is usable. It must not be
 /// more than twice as slow as configured if the extra time exceeds the slack; a late stage runs at
@@ -167,6 +210,9 @@
     call.mayFreeInputsEarly = state.isHealthy();
     state.callStarted();
     m_rateLimits.callSent(target.server.id, now);
+    for (routing::IServerFilter *filter : m_filters) {
+        filter->callStarted(target.server, now);
+    }
     state.addStored(call.reservedStorage);
     m_expectedEnds[target.server.service].emplace(m_nextCall, now + call.expected);
     m_calls.emplace(m_nextCall, std::move(call));
--- a/src/stages/internal/batchdispatcher.h
+++ b/src/stages/internal/batchdispatcher.h
@@ -20,6 +20,10 @@
 class IServerRateLimits;
 }
 
+namespace lavendertally::routing {
+class IServerFilter;
+}
+
 namespace lavendertally::serving {
 struct StagePool;
 }
@@ -39,16 +43,17 @@
 public:
     BatchDispatcher(const membership::IBackendServers &servers,
                     ratelimit::IServerRateLimits &rateLimits, const StageEstimator &estimator,
-                    ResultTracker &resultTracker, const StageCoordinatorOptions &options);
+                    ResultTracker &resultTracker, const StageCoordinatorOptions &options,
+                    std::vector<routing::IServerFilter *> filters);
 
     /// Fills calls to the available backend servers of a service from its queue.
     /// \return calls to send now
     std::vector<StartStageCall> dispatch(const framework::ServiceId &service, StageQueue &queue,
                                          framework::TimePoint now);
 
-    /// Removes a call that has ended.
+    /// Removes a call that has ended. The filters are told of it.
     /// \return the call, or nothing if the id is unknown
-    std::optional<RunningCall> removeCall(StageCallId call);
+    std::optional<RunningCall> removeCall(StageCallId call, framework::TimePoint now);
 
     /// \return time until the calls in flight to a service are expected to end, added up; calls
     /// that are overdue count as ended
@@ -72,6 +77,11 @@
     std::vector<const membership::BackendServerEntry *>
     findAvailableServers(const framework::ServiceId &service, const serving::StagePool &pool,
                          framework::TimePoint now);
+    std::vector<const membership::BackendServerEntry *>
+    permitted(std::vector<const membership::BackendServerEntry *> servers,
+              const framework::ServiceId &service, framework::TimePoint now) const;
+    void preferFiltered(std::vector<const membership::BackendServerEntry *> &servers,
+                        const framework::ServiceId &service, framework::TimePoint now) const;
     bool isSuitable(const CallTarget &target, const QueuedStage &queued,
                     const serving::StagePool &pool, framework::TimePoint now) const;
     std::set<framework::AvailabilityZoneId> usableZones(const framework::ServiceId &service,
@@ -84,6 +94,7 @@
     const StageEstimator &m_estimator;
     ResultTracker &m_resultTracker;
     const StageCoordinatorOptions &m_options;
+    std::vector<routing::IServerFilter *> m_filters;
     StageCallId m_nextCall{1};
     std::map<StageCallId, RunningCall> m_calls;
     /// Expected ends of the calls in flight to each service.
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -1,10 +1,12 @@
 #include "stages/internal/stagecoordinator.h"
 
 #include "ratelimit/iserverratelimits.h"
+#include "rollout/irolloutobserver.h"
 #include "serving/types/stagepool.h"
 
 #include <algorithm>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace lavendertally::stages {
@@ -22,11 +24,14 @@
 StageCoordinator::StageCoordinator(const serving::IServingState &serving,
                                    const membership::IBackendServers &servers,
                                    ratelimit::IServerRateLimits &rateLimits,
-                                   const StageCoordinatorOptions &options)
-    : m_options(options), m_rateLimits(rateLimits), m_jobs(m_options),
+                                   const StageCoordinatorOptions &options,
+                                   std::vector<routing::IServerFilter *> filters,
+                                   rollout::IRolloutObserver *rollouts)
+    : m_options(options), m_rollouts(rollouts), m_rateLimits(rateLimits), m_jobs(m_options),
       m_estimator(serving, servers, rateLimits, m_resultTracker, m_options),
       m_storageQueries(servers, m_estimator, m_resultTracker),
-      m_dispatcher(servers, rateLimits, m_estimator, m_resultTracker, m_options),
+      m_dispatcher(servers, rateLimits, m_estimator, m_resultTracker, m_options,
+                   std::move(filters)),
       m_admission(m_jobs, m_dispatcher, servers, m_estimator, m_attainment, m_options)
 { }
 
@@ -271,10 +276,25 @@
     m_storageQueries.reported(server, free, now);
 }
 
+/// Calls of different sizes take different times, so each size is compared with itself.
+void StageCoordinator::reportAnswer(const RunningCall &call, const StageCallOutcome &outcome,
+                                    framework::TimePoint now)
+{
+    if (m_rollouts == nullptr || outcome.status == StageCallStatus::NotRun) {
+        return;
+    }
+    const bool isAnswered =
+        outcome.status == StageCallStatus::Answered && outcome.pieces.size() == call.pieces.size();
+    m_rollouts->answered(
+        call.server.id, framework::RouteId("pieces/" + std::to_string(call.pieces.size())),
+        isAnswered ? rollout::AnswerQuality::Sound : rollout::AnswerQuality::Failed,
+        now - call.started);
+}
+
 void StageCoordinator::callEnded(StageCallId id, const StageCallOutcome &outcome,
                                  framework::TimePoint now)
 {
-    const std::optional<RunningCall> ended = m_dispatcher.removeCall(id);
+    const std::optional<RunningCall> ended = m_dispatcher.removeCall(id, now);
     if (!ended) {
         return;
     }
@@ -285,6 +305,7 @@
     StageServerState &state = m_resultTracker.server(call.server.id);
     state.removeStored(call.reservedStorage);
     const bool complete = outcome.pieces.size() == call.pieces.size();
+    reportAnswer(call, outcome, now);
     if (outcome.status == StageCallStatus::Answered && complete) {
         state.callAnswered(call.expected, now - call.started, now);
     } else if (outcome.status == StageCallStatus::NotRun) {
--- a/src/stages/internal/stagecoordinator.h
+++ b/src/stages/internal/stagecoordinator.h
@@ -26,6 +26,14 @@
 class IServingState;
 }
 
+namespace lavendertally::rollout {
+class IRolloutObserver;
+}
+
+namespace lavendertally::routing {
+class IServerFilter;
+}
+
 namespace lavendertally::stages {
 
 /// Keeps one queue per service and sends a batch to each backend server that becomes available, so
@@ -36,7 +44,9 @@
     StageCoordinator(const serving::IServingState &serving,
                      const membership::IBackendServers &servers,
                      ratelimit::IServerRateLimits &rateLimits,
-                     const StageCoordinatorOptions &options);
+                     const StageCoordinatorOptions &options,
+                     std::vector<routing::IServerFilter *> filters,
+                     rollout::IRolloutObserver *rollouts);
     ~StageCoordinator() override;
 
     void submit(const framework::DaemonId &owner, const protocol::StageJob &job,
@@ -97,9 +107,12 @@
                  framework::Milliseconds lateness);
     void eraseJob(StageJobState &job);
     void freeResults(const std::vector<framework::StageResultId> &results);
+    void reportAnswer(const RunningCall &call, const StageCallOutcome &outcome,
+                      framework::TimePoint now);
 
     // Declaration order matters: each member is destroyed before those that it refers to.
     StageCoordinatorOptions m_options;
+    rollout::IRolloutObserver *m_rollouts;
     ratelimit::IServerRateLimits &m_rateLimits;
     JobTable m_jobs;
     std::map<framework::ServiceId, StageQueue> m_queues;
--- a/src/stages/internal/stagesmodule.cpp
+++ b/src/stages/internal/stagesmodule.cpp
@@ -3,13 +3,17 @@
 #include "stages/internal/stagecoordinator.h"
 #include "stages/internal/stageservice.h"
 
+#include <utility>
+
 namespace lavendertally::stages {
 
 std::unique_ptr<IStageCoordinator> StagesModule::makeCoordinator(
     const serving::IServingState &serving, const membership::IBackendServers &servers,
-    ratelimit::IServerRateLimits &rateLimits, const StageCoordinatorOptions &options)
+    ratelimit::IServerRateLimits &rateLimits, const StageCoordinatorOptions &options,
+    std::vector<routing::IServerFilter *> filters, rollout::IRolloutObserver *rollouts)
 {
-    return std::make_unique<StageCoordinator>(serving, servers, rateLimits, options);
+    return std::make_unique<StageCoordinator>(serving, servers, rateLimits, options,
+                                              std::move(filters), rollouts);
 }
 
 std::unique_ptr<IStageService>
--- a/src/stages/stagesmodule.h
+++ b/src/stages/stagesmodule.h
@@ -4,6 +4,7 @@
 #include "stages/types/stagecoordinatoroptions.h"
 
 #include <memory>
+#include <vector>
 
 namespace lavendertally::framework {
 class IClock;
@@ -25,6 +26,14 @@
 class IServerRateLimits;
 }
 
+namespace lavendertally::rollout {
+class IRolloutObserver;
+}
+
+namespace lavendertally::routing {
+class IServerFilter;
+}
+
 namespace lavendertally::serving {
 class IServingState;
 }
@@ -42,9 +51,14 @@
     /// \param serving configuration of the services; must outlive the coordinator
     /// \param servers backend servers of all services; must outlive the coordinator
     /// \param rateLimits rates that backend servers allow; must outlive the coordinator
+    /// \param filters applied one after the other to the servers of each call; must outlive the
+    /// coordinator
+    /// \param rollouts hears of answers, if given; must outlive the coordinator
     static std::unique_ptr<IStageCoordinator> makeCoordinator(
         const serving::IServingState &serving, const membership::IBackendServers &servers,
-        ratelimit::IServerRateLimits &rateLimits, const StageCoordinatorOptions &options = {});
+        ratelimit::IServerRateLimits &rateLimits, const StageCoordinatorOptions &options = {},
+        std::vector<routing::IServerFilter *> filters = {},
+        rollout::IRolloutObserver *rollouts = nullptr);
 
     /// Creates a service that submits jobs to the coordinating daemon, which may be this one. All
     /// references must outlive the service.
--- a/src/standins/internal/platformstorestandin.cpp
+++ b/src/standins/internal/platformstorestandin.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int HttpGone = 410;
+constexpr int HttpPreconditionFailed = 412;
 constexpr std::size_t OffsetSize = 8;
 constexpr std::size_t LengthSize = 4;
 constexpr int BitsPerByte = 8;
@@ -141,6 +142,11 @@
 {
     std::string_view rest = exchange->body();
     const std::uint64_t offset = m_topics[topic].records.size();
+    if (exchange->query("at") && numberIn(*exchange, "at") != offset) {
+        exchange->reply(HttpPreconditionFailed, "application/json",
+                        nlohmann::json({{"endOffset", offset}}).dump(), eraHeader());
+        return;
+    }
     while (rest.size() > LengthSize) {
         const std::size_t length = readNumber(rest.substr(0, LengthSize));
         const std::string_view record = rest.substr(LengthSize, length);
