--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -137,7 +137,8 @@
                                "metrics_listen: 127.0.0.1:0\nstore: "
                             << store.toString() << "\nseed_peers: [" << seeds
                             << "]\nrevocation_limit: 2500ms\nshutdown_grace: 8s\n"
-                               "log_format: json\n";
+                               "log_format: json\n"
+                            << m_moreSettings;
         GatewayProcess gateway;
         gateway.process = std::make_unique<localfleet::ChildProcess>(
             std::string(LAVENDERTALLY_BINARY_DIR) + "/lavendertallyd",
@@ -228,6 +229,8 @@
     standins::PlatformServerStandIn m_pool;
     framework::Endpoint m_storeEndpoint;
     std::string m_folder;
+    /// Lines that are added to the settings of gateways.
+    std::string m_moreSettings;
 };
 
 } // namespace lavendertally::app
--- a/src/rollout/internal/cumulativetest.h
+++ b/src/rollout/internal/cumulativetest.h
@@ -13,7 +13,7 @@
 public:
     /// Log likelihood ratio at which the rate counts as risen: three to four bad answers almost in
     /// a row at an ordinary rate of 1%. With 10, half as many again of the versions that are bad on
-    /// one of several routes passed; with 8, 2 of 1,500 good ones were rolled back.
+    /// one of several routes passed; with 8, 2 of 3,000 good ones were rolled back.
     static constexpr double Threshold = 8.0;
 
     /// \param rise how far the new rate is from the ordinary one, as a share of the way to one
--- a/src/rollout/tests/generatedrollouttest.cpp
+++ b/src/rollout/tests/generatedrollouttest.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr int GoodCases = 1500;
+/// In each of several parts, so that none takes long.
+constexpr int GoodCasesOfAPart = 300;
 constexpr int BadCasesOfAKind = 400;
 
 struct Tally
@@ -46,7 +47,7 @@
 {
 public:
     explicit CaseGenerator(std::uint64_t seed)
-        : m_random(framework::FrameworkModule::makeRandom(seed))
+        : m_random(framework::FrameworkModule::makeRandom(seed)), m_number(seed * 1000)
     { }
 
     GeneratedCase next()
@@ -67,7 +68,7 @@
 
 private:
     std::unique_ptr<framework::IRandom> m_random;
-    std::uint64_t m_number = 0;
+    std::uint64_t m_number;
 };
 
 Tally play(int cases, std::uint64_t seed,
@@ -137,10 +138,15 @@
     EXPECT_LE(tally.completed, kind.mostCompleted * tally.cases);
 }
 
+class GoodVersionTest : public testing::TestWithParam<std::uint64_t>
+{ };
+
+INSTANTIATE_TEST_SUITE_P(Rollout, GoodVersionTest, testing::Range<std::uint64_t>(11, 16));
+
 // Guards against a decision that takes chance for a fault, or that misses the deadline.
-TEST(GoodVersionTest, GeneratedCases_AreCompletedBeforeTheDeadline)
+TEST_P(GoodVersionTest, GeneratedCases_AreCompletedBeforeTheDeadline)
 {
-    const Tally tally = play(GoodCases, 11, [](CaseGenerator &, GeneratedCase &) {});
-    EXPECT_LE(tally.rolledBack, 0.01 * GoodCases);
-    EXPECT_EQ(tally.rolledBack + tally.completed, GoodCases);
+    const Tally tally = play(GoodCasesOfAPart, GetParam(), [](CaseGenerator &, GeneratedCase &) {});
+    EXPECT_LE(tally.rolledBack, 0.01 * GoodCasesOfAPart);
+    EXPECT_EQ(tally.rolledBack + tally.completed, GoodCasesOfAPart);
 }
--- a/src/soak/internal/backendfleet.cpp
+++ b/src/soak/internal/backendfleet.cpp
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace lavendertally::soak {
@@ -26,11 +27,12 @@
 BackendFleet::BackendFleet(const SoakOptions &options, framework::IEventLoop &loop,
                            const framework::IClock &clock, standins::PlatformStoreStandIn &store,
                            Promises &promises)
-    : m_loop(loop), m_clock(clock), m_store(store), m_promises(promises)
+    : m_loop(loop), m_clock(clock), m_store(store), m_promises(promises),
+      m_serversOfAService(options.servers), m_hasVersions(options.rollouts)
 {
     for (const char *service : {"desk", "archive", "models", "pool"}) {
         for (std::size_t each = 0; each < options.servers; ++each) {
-            add(service, each % 2 == 0 ? "za" : "zb");
+            add(service, each % 2 == 0 ? "za" : "zb", "v1");
         }
     }
     registerAll();
@@ -38,9 +40,12 @@
 
 BackendFleet::~BackendFleet() = default;
 
-void BackendFleet::add(const std::string &service, const std::string &zone)
+void BackendFleet::add(const std::string &service, const std::string &zone,
+                       const std::string &version)
 {
     auto host = std::make_unique<BackendHost>();
+    host->born = m_nextId;
+    host->version = version;
     host->id = service + "-" + std::to_string(m_nextId++);
     host->service = service;
     host->zone = zone;
@@ -70,10 +75,14 @@
 
 void BackendFleet::put(const BackendHost &host, const char *state)
 {
-    const nlohmann::json entry = {
+    nlohmann::json entry = {
         {"service", host.service}, {"address", host.link->endpoint().toString()},
         {"zone", host.zone},       {"slots", Slots},
         {"state", state},          {"sequence", m_heartbeats}};
+    if (m_hasVersions) {
+        entry["version"] = host.version;
+        entry["born"] = host.born;
+    }
     m_store.put(ServersTopic, host.id, entry.dump());
 }
 
@@ -82,15 +91,56 @@
     const std::size_t place = number % m_hosts.size();
     std::unique_ptr<BackendHost> old = std::move(m_hosts[place]);
     m_hosts.erase(m_hosts.begin() + static_cast<std::ptrdiff_t>(place));
-    add(old->service, old->zone);
+    add(old->service, old->zone, old->version);
     put(*m_hosts.back(), "ready");
+    leave(std::move(old), announced);
+}
+
+void BackendFleet::leave(std::unique_ptr<BackendHost> host, bool announced)
+{
     if (announced) {
-        put(*old, "draining");
+        put(*host, "draining");
     } else {
-        m_store.remove(ServersTopic, old->id);
+        m_store.remove(ServersTopic, host->id);
+    }
+    m_promises.serverLeft(host->id, m_clock.now());
+    m_left.push_back(std::move(host));
+}
+
+std::vector<BackendHost *> BackendFleet::addVersion(const std::string &service,
+                                                    const std::string &version)
+{
+    std::vector<BackendHost *> added;
+    for (std::size_t each = 0; each < m_serversOfAService; ++each) {
+        add(service, each % 2 == 0 ? "za" : "zb", version);
+        put(*m_hosts.back(), "ready");
+        added.push_back(m_hosts.back().get());
+    }
+    return added;
+}
+
+std::vector<BackendHost *> BackendFleet::ofService(const std::string &service) const
+{
+    std::vector<BackendHost *> result;
+    for (const auto &host : m_hosts) {
+        if (host->service == service) {
+            result.push_back(host.get());
+        }
+    }
+    return result;
+}
+
+void BackendFleet::retire(const std::vector<BackendHost *> &hosts, bool announced)
+{
+    for (const BackendHost *host : hosts) {
+        const auto found = std::find_if(m_hosts.begin(), m_hosts.end(),
+                                        [host](const auto &each) { return each.get() == host; });
+        if (found != m_hosts.end()) {
+            std::unique_ptr<BackendHost> left = std::move(*found);
+            m_hosts.erase(found);
+            leave(std::move(left), announced);
+        }
     }
-    m_promises.serverLeft(old->id, m_clock.now());
-    m_left.push_back(std::move(old));
 }
 
 void BackendFleet::lapse()
--- a/src/soak/internal/backendfleet.h
+++ b/src/soak/internal/backendfleet.h
@@ -44,13 +44,23 @@
     /// All entries lapse, and come back after a while.
     void lapse();
 
+    /// Starts servers of another version of a service beside those that run.
+    /// \return the new servers; they live as long as the fleet
+    std::vector<BackendHost *> addVersion(const std::string &service, const std::string &version);
+    /// \return the servers of a service that run
+    std::vector<BackendHost *> ofService(const std::string &service) const;
+    /// Takes these servers out of the registrations.
+    /// \param announced whether they drain, or stop at once
+    void retire(const std::vector<BackendHost *> &hosts, bool announced);
+
     /// \return the ids of the servers in a zone
     std::set<std::string> inZone(const std::string &zone) const;
 
     void heal();
 
 private:
-    void add(const std::string &service, const std::string &zone);
+    void add(const std::string &service, const std::string &zone, const std::string &version);
+    void leave(std::unique_ptr<BackendHost> host, bool announced);
     void registerAll();
     void put(const BackendHost &host, const char *state);
 
@@ -61,6 +71,8 @@
     std::vector<std::unique_ptr<BackendHost>> m_hosts;
     /// Servers that left; they answer until the end.
     std::vector<std::unique_ptr<BackendHost>> m_left;
+    std::size_t m_serversOfAService;
+    bool m_hasVersions;
     std::uint64_t m_nextId = 0;
     std::uint64_t m_heartbeats = 0;
     bool m_lapsed = false;
--- a/src/soak/internal/gatewayhost.cpp
+++ b/src/soak/internal/gatewayhost.cpp
@@ -30,6 +30,7 @@
                          const framework::IClock &clock, Promises &promises)
     : m_name("g" + std::to_string(index)), m_program(options.daemon),
       m_settings(options.folder + "/" + m_name + ".yaml"),
+      m_moreSettings(options.rollouts ? "exposure_share: 0.1\nexposure_slack: 50\n" : ""),
       m_log(options.folder + "/" + m_name + ".log"), m_loop(loop), m_clock(clock),
       m_promises(promises), m_storeLink(std::make_unique<LoopbackProxy>(loop, store)),
       m_peerLink(std::make_unique<LoopbackProxy>(loop, m_control.endpoint()))
@@ -49,7 +50,8 @@
                               << seed.toString()
                               << "]\nrevocation_limit: " << Promises::RevocationLimit.value()
                               << "ms\nshutdown_grace: " << ShutdownGrace.value()
-                              << "ms\nlog_format: json\n";
+                              << "ms\nlog_format: json\n"
+                              << m_moreSettings;
     launch();
     watch();
 }
--- a/src/soak/internal/gatewayhost.h
+++ b/src/soak/internal/gatewayhost.h
@@ -60,6 +60,8 @@
     std::string m_name;
     std::string m_program;
     std::string m_settings;
+    /// Lines that are added to the settings.
+    std::string m_moreSettings;
     std::string m_log;
     std::string m_folder;
     framework::IEventLoop &m_loop;
--- a/src/soak/internal/soakoptions.h
+++ b/src/soak/internal/soakoptions.h
@@ -20,6 +20,8 @@
     std::size_t clients = 12;
     /// Only what operators plan: stops, reloads, new configurations, drained servers.
     bool planned = false;
+    /// Rollouts of new versions of services, one after the other, beside the faults.
+    bool rollouts = false;
     /// Where settings and logs of the processes go.
     std::string folder;
     /// Program of the gateway.
--- a/src/soak/internal/soakrun.cpp
+++ b/src/soak/internal/soakrun.cpp
@@ -14,6 +14,7 @@
 #include "soak/internal/gatewayhost.h"
 #include "soak/internal/loadclients.h"
 #include "soak/internal/promises.h"
+#include "soak/internal/soakrollouts.h"
 #include "standins/platformstorestandin.h"
 #include "standins/types/fault.h"
 
@@ -68,6 +69,10 @@
         return;
     }
     m_servers = std::make_unique<BackendFleet>(options, *m_loop, *m_clock, *m_store, *m_promises);
+    if (options.rollouts) {
+        m_rollouts = std::make_unique<SoakRollouts>(options.seed, *m_loop, *m_clock, *m_store,
+                                                    *m_servers, *m_promises);
+    }
     publish();
     startGateways();
 }
@@ -134,6 +139,9 @@
     pollReadiness();
     m_later.callAfter(StartTime, [this] {
         m_load->start();
+        if (m_rollouts) {
+            m_rollouts->start();
+        }
         for (const PlannedFault &fault : makeFaultPlan(m_options)) {
             m_later.callAfter(fault.at, [this, fault] { apply(fault); });
         }
@@ -325,6 +333,9 @@
 
 void SoakRun::healAll()
 {
+    if (m_rollouts) {
+        m_rollouts->stop();
+    }
     m_store->setFault({});
     m_servers->heal();
     for (const auto &gateway : m_gateways) {
@@ -370,7 +381,7 @@
         text += " " + name + " " + std::to_string(count) + ",";
     }
     text.back() = '.';
-    return text;
+    return m_rollouts ? text + m_rollouts->summary() : text;
 }
 
 } // namespace lavendertally::soak
--- a/src/soak/internal/soakrun.h
+++ b/src/soak/internal/soakrun.h
@@ -36,6 +36,7 @@
 class LoadClients;
 class LoopbackProxy;
 class Promises;
+class SoakRollouts;
 
 /// One run of the soak: real gateways under load and faults, while the promises are checked.
 class SoakRun
@@ -74,6 +75,8 @@
     std::unique_ptr<Promises> m_promises;
     std::unique_ptr<standins::PlatformStoreStandIn> m_store;
     std::unique_ptr<BackendFleet> m_servers;
+    /// Null if the options ask for none.
+    std::unique_ptr<SoakRollouts> m_rollouts;
     std::vector<std::unique_ptr<GatewayHost>> m_gateways;
     std::unique_ptr<LoadClients> m_load;
     std::unique_ptr<http::IHttpClient> m_balancer;
--- a/src/soak/lavendertallysoak.cpp
+++ b/src/soak/lavendertallysoak.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char *HelpText =
     "Usage: lavendertallysoak [--seed N] [--count N] [--duration MS] [--gateways N] [--servers N]\n"
-    "                         [--clients N] [--keep]\n"
+    "                         [--clients N] [--keep] [--rollouts]\n"
     "Runs real gateways against stand-ins, under load and random faults, and checks what they\n"
     "promise. Every third seed has planned work only.\n"
     "\n"
@@ -24,6 +24,7 @@
     "  --gateways N    default 3\n"
     "  --servers N     of each of four services; default 2\n"
     "  --clients N     default 12\n"
+    "  --rollouts      new versions of services beside the faults\n"
     "  --keep          keep the logs of runs that passed too\n"
     "Exit codes: 0 all promises held, 1 some did not, 64 usage.\n";
 
@@ -47,6 +48,7 @@
                                    {"servers", required_argument, nullptr, 'b'},
                                    {"clients", required_argument, nullptr, 'c'},
                                    {"keep", no_argument, nullptr, 'k'},
+                                   {"rollouts", no_argument, nullptr, 'r'},
                                    {"help", no_argument, nullptr, 'h'},
                                    {nullptr, 0, nullptr, 0}};
     Arguments arguments;
@@ -75,6 +77,9 @@
         case 'k':
             arguments.keep = true;
             break;
+        case 'r':
+            arguments.options.rollouts = true;
+            break;
         case 'h':
             arguments.help = true;
             break;
--- a/src/stages/internal/stagecoordinator.cpp
+++ b/src/stages/internal/stagecoordinator.cpp
@@ -28,7 +28,7 @@
                                    std::vector<routing::IServerFilter *> filters,
                                    rollout::IRolloutObserver *rollouts)
     : m_options(options), m_rollouts(rollouts), m_rateLimits(rateLimits), m_jobs(m_options),
-      m_estimator(serving, servers, rateLimits, m_resultTracker, m_options),
+      m_estimator(serving, servers, rateLimits, m_resultTracker, m_options, filters),
       m_storageQueries(servers, m_estimator, m_resultTracker),
       m_dispatcher(servers, rateLimits, m_estimator, m_resultTracker, m_options,
                    std::move(filters)),
--- a/src/stages/internal/stageestimator.cpp
+++ b/src/stages/internal/stageestimator.cpp
@@ -2,12 +2,15 @@
 
 #include "membership/ibackendservers.h"
 #include "ratelimit/iserverratelimits.h"
+#include "routing/iserverfilter.h"
+#include "routing/types/serverquery.h"
 #include "serving/iservingstate.h"
 #include "serving/types/servingconfiguration.h"
 #include "stages/internal/resulttracker.h"
 #include "stages/internal/stagejobstate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavendertally::stages {
 
@@ -21,9 +24,10 @@
 StageEstimator::StageEstimator(const serving::IServingState &serving,
                                const membership::IBackendServers &servers,
                                const ratelimit::IServerRateLimits &rateLimits,
-                               ResultTracker &resultTracker, const StageCoordinatorOptions &options)
+                               ResultTracker &resultTracker, const StageCoordinatorOptions &options,
+                               std::vector<routing::IServerFilter *> filters)
     : m_serving(serving), m_servers(servers), m_rateLimits(rateLimits),
-      m_resultTracker(resultTracker), m_options(options)
+      m_resultTracker(resultTracker), m_options(options), m_filters(std::move(filters))
 { }
 
 const serving::StagePool *StageEstimator::findPool(const framework::ServiceId &service) const
@@ -71,7 +75,13 @@
                                             framework::TimePoint now)
 {
     double servers = 0.0;
-    for (const membership::BackendServerEntry *server : m_servers.admitting(service)) {
+    std::vector<const membership::BackendServerEntry *> usable = m_servers.admitting(service);
+    routing::ServerQuery query;
+    query.service = service;
+    for (routing::IServerFilter *filter : m_filters) {
+        filter->restrict(query, usable, now);
+    }
+    for (const membership::BackendServerEntry *server : usable) {
         const StageServerState &state = m_resultTracker.server(server->id);
         if (state.isPaused(now)) {
             continue;
--- a/src/stages/internal/stageestimator.h
+++ b/src/stages/internal/stageestimator.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace lavendertally::membership {
 class IBackendServers;
@@ -16,6 +17,10 @@
 class IServerRateLimits;
 }
 
+namespace lavendertally::routing {
+class IServerFilter;
+}
+
 namespace lavendertally::serving {
 class IServingState;
 struct StagePool;
@@ -33,7 +38,8 @@
     StageEstimator(const serving::IServingState &serving,
                    const membership::IBackendServers &servers,
                    const ratelimit::IServerRateLimits &rateLimits, ResultTracker &resultTracker,
-                   const StageCoordinatorOptions &options);
+                   const StageCoordinatorOptions &options,
+                   std::vector<routing::IServerFilter *> filters);
 
     /// \return configuration of the pool that runs the stages of a service, or null if it has none
     const serving::StagePool *findPool(const framework::ServiceId &service) const;
@@ -68,6 +74,7 @@
     const ratelimit::IServerRateLimits &m_rateLimits;
     ResultTracker &m_resultTracker;
     const StageCoordinatorOptions &m_options;
+    std::vector<routing::IServerFilter *> m_filters;
     std::map<framework::ServiceId, framework::Milliseconds> m_waits;
 };
 
--- a/src/standins/internal/platformserverstandin.cpp
+++ b/src/standins/internal/platformserverstandin.cpp
@@ -114,15 +114,25 @@
         crash(m_downTime);
         return;
     }
-    if (m_workTime.value() == 0) {
+    const bool isSlow = !m_slowPrefix.empty() && exchange->path().starts_with(m_slowPrefix);
+    const framework::Milliseconds time = isSlow ? m_slowTime : m_workTime;
+    ++m_inFlight;
+    if (time.value() == 0) {
         answer(exchange, request);
         return;
     }
-    deferred().callAfter(m_workTime, [this, exchange, request] { answer(exchange, request); });
+    deferred().callAfter(time, [this, exchange, request] { answer(exchange, request); });
 }
 
 void PlatformServerStandIn::answer(const ExchangePtr &exchange, const std::string &request)
 {
+    --m_inFlight;
+    if (m_failEvery > 0 && m_runs.size() % m_failEvery == 0) {
+        constexpr int HttpServerError = 500;
+        ++m_failures;
+        exchange->reply(HttpServerError, {}, {}, {{RequestIdField, request}});
+        return;
+    }
     if (exchange->path().starts_with("/stream/")) {
         stream(exchange, request);
         return;
--- a/src/standins/platformserverstandin.h
+++ b/src/standins/platformserverstandin.h
@@ -36,6 +36,20 @@
     std::size_t freedResults() const { return m_freed; }
     /// Time from a request to its answer; zero answers at once.
     void setWorkTime(framework::Milliseconds time) { m_workTime = time; }
+    /// Fails each \p every-th request with status 500; zero fails none.
+    void setFailing(std::uint64_t every) { m_failEvery = every; }
+    /// Requests whose path begins with \p prefix take \p time, instead of the time for all.
+    void setSlowPath(std::string prefix, framework::Milliseconds time)
+    {
+        m_slowPrefix = std::move(prefix);
+        m_slowTime = time;
+    }
+    /// \return requests that were failed because of setFailing()
+    std::size_t failures() const { return m_failures; }
+    /// \return requests that have begun and are not answered
+    std::size_t inFlight() const { return m_inFlight; }
+    /// \return requests that have begun
+    std::size_t allRuns() const { return m_runs.size(); }
     /// \param callback hears of the id and the team of each run
     void onRun(std::function<void(const std::string &, const std::string &)> callback)
     {
@@ -66,6 +80,11 @@
     std::string m_deadlyPart;
     framework::Milliseconds m_downTime;
     std::size_t m_freed = 0;
+    std::uint64_t m_failEvery = 0;
+    std::size_t m_failures = 0;
+    std::string m_slowPrefix;
+    framework::Milliseconds m_slowTime;
+    std::size_t m_inFlight = 0;
     std::uint64_t m_nextResult = 0;
 };
 
