--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -137,7 +137,8 @@
                                "metrics_listen: 127.0.0.1:0\nstore: "
                             << store.toString() << "\nseed_peers: [" << seeds
                             << "]\nrevocation_limit: 2500ms\nshutdown_grace: 8s\n"
-                               "log_format: json\n";
+                               "log_format: json\n"
+                            << m_moreSettings;
         GatewayProcess gateway;
         gateway.process = std::make_unique<localfleet::ChildProcess>(
             std::string(LAVENDERTALLY_BINARY_DIR) + "/lavendertallyd",
@@ -230,6 +231,8 @@
     std::string m_folder;
     /// Connections that a server of the desk accepts from all gateways together; zero: any number.
     int m_deskConnections = 0;
+    /// Lines that are added to the settings of gateways.
+    std::string m_moreSettings;
 };
 
 } // namespace lavendertally::app
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -39,6 +39,8 @@
 #include "replication/types/replicatedtopic.h"
 #include "retry/iretrypolicy.h"
 #include "retry/retrymodule.h"
+#include "rollout/irollouttraffic.h"
+#include "rollout/rolloutmodule.h"
 #include "routing/ibackendserverselector.h"
 #include "routing/routingmodule.h"
 #include "serving/iservingtracker.h"
@@ -52,6 +54,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace lavendertally::gateway {
 
@@ -133,12 +136,14 @@
     m_leaseExchange = connections::ConnectionsModule::makeLeaseExchange(
         m_settings.id, m_connections->leases(), *m_peers, m_platform->daemons(), m_loop, *m_clock,
         *m_logger, *m_metrics);
-    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers, *m_rateLimits);
+    createRollouts();
+    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers, *m_rateLimits, {},
+                                                          versionFilters(), m_rolloutTraffic.get());
     m_stages = stages::StagesModule::makeService(
         m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
         m_loop, *m_clock, *m_logger, *m_metrics);
-    m_selector = routing::RoutingModule::makeBackendServerSelector(
-        *m_servers, *m_rateLimits, *m_random, {&m_connections->filter()});
+    m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits,
+                                                                   *m_random, selectorFilters());
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
@@ -153,6 +158,48 @@
     updateRetryLimits();
 }
 
+void GatewayDaemon::createRollouts()
+{
+    rollout::RolloutBounds bounds;
+    bounds.exposureShare = m_settings.gateway.exposureShare;
+    bounds.exposureSlack = m_settings.gateway.exposureSlack;
+    bounds.rollbackLimit = m_settings.gateway.rollbackLimit;
+    if (!bounds.isEnabled()) {
+        return;
+    }
+    const std::uint64_t start = framework::FrameworkModule::entropySeed();
+    m_rolloutTraffic = rollout::RolloutModule::makeTraffic(*m_servers, bounds, start, *m_clock,
+                                                           *m_logger, *m_metrics);
+    m_rolloutExchange = rollout::RolloutModule::makeExchange(
+        m_settings.id, *m_rolloutTraffic, m_platform->rolloutStatuses(), bounds, start, *m_peers,
+        m_platform->daemons(), m_loop, *m_clock, *m_logger, *m_metrics);
+    m_platform->setRolloutOrders(*m_rolloutTraffic);
+    m_rolloutTraffic->setResultHolders([this] {
+        std::set<framework::BackendServerId> holders;
+        for (const protocol::StageHolding &holding : m_coordinator->holdings()) {
+            if (holding.held > framework::Bytes(0)) {
+                holders.insert(holding.server);
+            }
+        }
+        return holders;
+    });
+}
+
+std::vector<routing::IServerFilter *> GatewayDaemon::versionFilters() const
+{
+    return m_rolloutTraffic ? std::vector<routing::IServerFilter *>{m_rolloutTraffic.get()}
+                            : std::vector<routing::IServerFilter *>();
+}
+
+/// Versions are filtered first: whether a connection is free matters only at servers that may be
+/// called.
+std::vector<routing::IServerFilter *> GatewayDaemon::selectorFilters() const
+{
+    std::vector<routing::IServerFilter *> filters = versionFilters();
+    filters.push_back(&m_connections->filter());
+    return filters;
+}
+
 /// Sets this gateway's share of the retry budget that all gateways have together. Only half of the
 /// budget is distributed, because other gateways may still hold retries saved under an older
 /// gateway count.
@@ -187,7 +234,7 @@
     m_proxy = proxy::ProxyModule::makeService(
         {m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_random, *m_serving,
          *m_servers, m_platform->daemons(), *m_selector, *m_retryPolicy, *m_quarantine, *m_stages,
-         m_platform->backends(), limits});
+         m_platform->backends(), limits, nullptr, m_rolloutTraffic.get()});
     m_clientGateway = std::make_unique<platform::ClientGateway>(*m_proxy, *m_logger, *m_metrics);
 }
 
--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -61,6 +61,10 @@
     /// \return whether the daemon that opened this inbound link takes connection leases
     bool takesConnectionLeases() const { return m_takesConnectionLeases; }
     void setTakesConnectionLeases(bool takes) { m_takesConnectionLeases = takes; }
+    /// \return whether the peer has closed the link in order
+    bool isClosedInOrder() const { return m_isClosedInOrder; }
+    bool takesRollouts() const { return m_takesRollouts; }
+    void setTakesRollouts(bool takes) { m_takesRollouts = takes; }
     /// \return the fingerprint in the last pong that was sent on this link, if any had one
     const std::optional<protocol::EvidenceFingerprint> &toldFingerprint() const
     {
@@ -87,6 +91,8 @@
     bool m_takesCrashReports = false;
     bool m_takesRateLimits = false;
     bool m_takesConnectionLeases = false;
+    bool m_takesRollouts = false;
+    bool m_isClosedInOrder = false;
     std::optional<protocol::EvidenceFingerprint> m_toldFingerprint;
     framework::TimePoint m_lastReceived;
 };
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -219,6 +219,12 @@
                   [](const PeerLink &link) { return link.takesConnectionLeases(); });
 }
 
+std::vector<framework::DaemonId> PeerNetwork::rolloutTakers() const
+{
+    return takers([](const OutboundLink &link) { return link.takesRollouts; },
+                  [](const PeerLink &link) { return link.takesRollouts(); });
+}
+
 /// \return peers whose established links fulfil the condition
 std::vector<framework::DaemonId>
 PeerNetwork::takers(const std::function<bool(const OutboundLink &)> &isOutboundTaker,
@@ -274,6 +280,7 @@
     protocol::PeerPong pong{pingSent, m_acceptsJobs(), m_clock.now() - m_started, m_digests()};
     pong.takesRateLimits = m_takesRateLimits;
     pong.takesConnectionLeases = m_takesConnectionLeases;
+    pong.takesRollouts = m_takesRollouts;
     if (m_crashFingerprint) {
         const protocol::EvidenceFingerprint fingerprint = m_crashFingerprint();
         if (link.toldFingerprint() != fingerprint) {
@@ -390,7 +397,7 @@
     // same peer may also be linked through the ranking.
     const std::string name = m_self.value() + (isSeed(link.peer()) ? SeedLinkSuffix : "");
     link.send(protocol::PeerHello{framework::DaemonId(name), m_crashFingerprint != nullptr,
-                                  m_takesRateLimits, m_takesConnectionLeases});
+                                  m_takesRateLimits, m_takesRollouts, m_takesConnectionLeases});
     link.send(protocol::PeerPing{m_clock.now()});
 }
 
@@ -432,6 +439,7 @@
     link.setTakesCrashReports(hello.takesCrashReports);
     link.setTakesRateLimits(hello.takesRateLimits);
     link.setTakesConnectionLeases(hello.takesConnectionLeases);
+    link.setTakesRollouts(hello.takesRollouts);
 }
 
 void PeerNetwork::onPong(const PeerLink &link, const protocol::PeerPong &pong)
@@ -455,6 +463,7 @@
     const std::optional<protocol::EvidenceFingerprint> fingerprint = outbound.crashFingerprint;
     outbound.takesRateLimits = pong.takesRateLimits;
     outbound.takesConnectionLeases = pong.takesConnectionLeases;
+    outbound.takesRollouts = pong.takesRollouts;
     outbound.peerStartTime = m_clock.now() - pong.uptime;
     for (IPeerObserver *observer : m_observers) {
         observer->onDigests(link.peer(), pong.digests, pong.pingSent);
@@ -479,6 +488,11 @@
         handleOutboundFailure(link.peer(), m_outbound.at(link.peer()), reason);
         return;
     }
+    if (link.isClosedInOrder() && !link.peer().isEmpty()) {
+        for (IPeerObserver *observer : m_observers) {
+            observer->onClosedByPeer(link.peer());
+        }
+    }
     closeInbound(link);
 }
 
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -50,7 +50,9 @@
     std::vector<framework::DaemonId> crashReportTakers() const override;
     void setTakesRateLimits() override;
     void setTakesConnectionLeases() override;
+    void setTakesRollouts() override { m_takesRollouts = true; }
     std::vector<framework::DaemonId> rateLimitTakers() const override;
+    std::vector<framework::DaemonId> rolloutTakers() const override;
     std::vector<framework::DaemonId> connectionLeaseTakers() const override;
     bool isAccepting(const framework::DaemonId &peer) const override;
     bool isInStartupGrace(const framework::DaemonId &peer) const override;
@@ -83,6 +85,7 @@
         std::optional<protocol::EvidenceFingerprint> crashFingerprint;
         bool takesRateLimits = false;
         bool takesConnectionLeases = false;
+        bool takesRollouts = false;
         framework::TimePoint peerStartTime;
         framework::TimePoint neededAt;
     };
@@ -124,6 +127,7 @@
     std::function<protocol::EvidenceFingerprint()> m_crashFingerprint;
     bool m_takesRateLimits = false;
     bool m_takesConnectionLeases = false;
+    bool m_takesRollouts = false;
     std::function<bool(const framework::DaemonId &)> m_isInformed;
     PeerListener m_listener;
     framework::Endpoint m_endpoint;
--- a/src/peers/ipeernetwork.h
+++ b/src/peers/ipeernetwork.h
@@ -43,6 +43,10 @@
     /// Called before listen().
     virtual void setTakesConnectionLeases() = 0;
 
+    /// Makes this daemon announce that it takes reports and steps of rollouts. Called before
+    /// listen().
+    virtual void setTakesRollouts() = 0;
+
     /// \param isInformed returns whether the state that a linked peer shares is recent. While no
     /// linked peer's is, links go further down the ranking
     virtual void setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed) = 0;
@@ -75,6 +79,10 @@
     /// connection leases; one that runs an older version would close the link on such a message
     virtual std::vector<framework::DaemonId> connectionLeaseTakers() const = 0;
 
+    /// \return the daemons at the other ends of outbound and inbound links that take reports and
+    /// steps of rollouts; one that runs an older version would close the link on such a message
+    virtual std::vector<framework::DaemonId> rolloutTakers() const = 0;
+
     /// \return whether the outbound link to \p peer is established, has passed its probation if it
     /// was lost before, and the peer takes stage jobs
     virtual bool isAccepting(const framework::DaemonId &peer) const = 0;
--- a/src/peers/testing/fakepeernetwork.h
+++ b/src/peers/testing/fakepeernetwork.h
@@ -47,6 +47,8 @@
     {
         return crashReportTakers();
     }
+    void setTakesRollouts() override { }
+    std::vector<framework::DaemonId> rolloutTakers() const override { return crashReportTakers(); }
     std::vector<framework::DaemonId> rateLimitTakers() const override
     {
         return crashReportTakers();
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/internal/protobufpeercodec.h"
 
 #include "protocol/internal/peer.pb.h"
+#include "protocol/internal/rolloutcodec.h"
 #include "protocol/types/protocolerror.h"
 
 #include <cstdint>
@@ -30,6 +31,7 @@
         m_envelope.mutable_hello()->set_daemon(message.daemon.value());
         m_envelope.mutable_hello()->set_takes_crash_reports(message.takesCrashReports);
         m_envelope.mutable_hello()->set_takes_rate_limits(message.takesRateLimits);
+        m_envelope.mutable_hello()->set_takes_rollouts(message.takesRollouts);
         m_envelope.mutable_hello()->set_takes_connection_leases(message.takesConnectionLeases);
     }
     void operator()(const PeerPing &message) const
@@ -45,6 +47,7 @@
         out.set_accepts_jobs(message.acceptsJobs);
         out.set_uptime_ms(message.uptime.value());
         out.set_takes_rate_limits(message.takesRateLimits);
+        out.set_takes_rollouts(message.takesRollouts);
         out.set_takes_connection_leases(message.takesConnectionLeases);
         if (message.crashFingerprint) {
             out.set_crash_fingerprint(message.crashFingerprint->value());
@@ -191,6 +194,14 @@
         write(message.limits, *out.mutable_limits());
         write(message.permits, *out.mutable_permits());
     }
+    void operator()(const RolloutReport &message) const
+    {
+        RolloutCodec::write(message, *m_envelope.mutable_rollout_report());
+    }
+    void operator()(const RolloutSteps &message) const
+    {
+        RolloutCodec::write(message, *m_envelope.mutable_rollout_steps());
+    }
 
 private:
     peerwire::Envelope &m_envelope;
@@ -312,6 +323,7 @@
         pong.digests.push_back(target);
     }
     pong.takesRateLimits = in.takes_rate_limits();
+    pong.takesRollouts = in.takes_rollouts();
     pong.takesConnectionLeases = in.takes_connection_leases();
     if (in.has_crash_fingerprint()) {
         pong.crashFingerprint = EvidenceFingerprint(in.crash_fingerprint());
@@ -481,7 +493,8 @@
     case peerwire::Envelope::kHello:
         return PeerMessage(PeerHello{
             framework::DaemonId(envelope.hello().daemon()), envelope.hello().takes_crash_reports(),
-            envelope.hello().takes_rate_limits(), envelope.hello().takes_connection_leases()});
+            envelope.hello().takes_rate_limits(), envelope.hello().takes_rollouts(),
+            envelope.hello().takes_connection_leases()});
     case peerwire::Envelope::kPing:
         return PeerMessage(PeerPing{framework::TimePoint(envelope.ping().sent_ms())});
     case peerwire::Envelope::kPong:
@@ -507,6 +520,10 @@
         return read(envelope.permit_request());
     case peerwire::Envelope::kPermitGrant:
         return read(envelope.permit_grant());
+    case peerwire::Envelope::kRolloutReport:
+        return RolloutCodec::read(envelope.rollout_report());
+    case peerwire::Envelope::kRolloutSteps:
+        return RolloutCodec::read(envelope.rollout_steps());
     case peerwire::Envelope::kConnectionLeases:
         return read(envelope.connection_leases());
     case peerwire::Envelope::BODY_NOT_SET:
--- a/src/protocol/types/peermessage.h
+++ b/src/protocol/types/peermessage.h
@@ -7,6 +7,8 @@
 #include "protocol/types/peerpong.h"
 #include "protocol/types/permitgrant.h"
 #include "protocol/types/permitrequest.h"
+#include "protocol/types/rolloutreport.h"
+#include "protocol/types/rolloutsteps.h"
 #include "protocol/types/stageholdings.h"
 #include "protocol/types/stagejob.h"
 #include "protocol/types/stagejobcancel.h"
@@ -23,6 +25,6 @@
 using PeerMessage =
     std::variant<PeerHello, PeerPing, PeerPong, StageJob, StageJobCancel, StageJobOutcome,
                  StageResultRelease, StageHoldings, TopicQuery, TopicState, CrashReport,
-                 PermitRequest, PermitGrant, ConnectionLeases>;
+                 PermitRequest, PermitGrant, RolloutReport, RolloutSteps, ConnectionLeases>;
 
 } // namespace lavendertally::protocol
--- a/src/proxy/types/proxycontext.h
+++ b/src/proxy/types/proxycontext.h
@@ -31,6 +31,10 @@
 class IRetryPolicy;
 }
 
+namespace lavendertally::rollout {
+class IRolloutObserver;
+}
+
 namespace lavendertally::routing {
 class IBackendServerSelector;
 }
@@ -68,6 +72,8 @@
     ProxyLimits limits;
     /// Null if nothing but the slots of the backend servers limits the calls.
     const admission::ICallLimits *callLimits = nullptr;
+    /// Hears what answers say of the versions of backend servers; null without rollouts.
+    rollout::IRolloutObserver *rollouts = nullptr;
 };
 
 } // namespace lavendertally::proxy
--- a/src/stages/tests/stageservicetest.cpp
+++ b/src/stages/tests/stageservicetest.cpp
@@ -39,6 +39,8 @@
     void setTakesConnectionLeases() override { }
     std::vector<framework::DaemonId> connectionLeaseTakers() const override { return {}; }
     std::vector<DaemonId> rateLimitTakers() const override { return {}; }
+    void setTakesRollouts() override { }
+    std::vector<DaemonId> rolloutTakers() const override { return {}; }
     framework::Result<framework::Endpoint> listen(const framework::Endpoint &endpoint) override
     {
         return endpoint;
