--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -87,7 +87,7 @@
              {"streamResume", true},
              {"stages",
               {{{"service", "pool"}, {"after", nlohmann::json::array()}, {"bytes", 1000}}}}});
-        const nlohmann::json configuration = {
+        nlohmann::json configuration = {
             {"version", version},
             {"routes", {book, stream}},
             {"services",
@@ -103,6 +103,9 @@
                  {"headroomMb", 1.0},
                  {"handleS", 4.0}}}}}},
             {"tenants", {{{"name", "members"}, {"apiKeys", {key}}}}}};
+        if (!m_requestLimits.is_null()) {
+            configuration["limits"] = m_requestLimits;
+        }
         m_store.put("keyed.op", "config", configuration.dump());
     }
     void registerServers()
@@ -137,7 +140,8 @@
                                "metrics_listen: 127.0.0.1:0\nstore: "
                             << store.toString() << "\nseed_peers: [" << seeds
                             << "]\nrevocation_limit: 2500ms\nshutdown_grace: 8s\n"
-                               "log_format: json\n";
+                               "log_format: json\n"
+                            << m_moreSettings;
         GatewayProcess gateway;
         gateway.process = std::make_unique<localfleet::ChildProcess>(
             std::string(LAVENDERTALLY_BINARY_DIR) + "/lavendertallyd",
@@ -228,6 +232,10 @@
     standins::PlatformServerStandIn m_pool;
     framework::Endpoint m_storeEndpoint;
     std::string m_folder;
+    /// Bounds on clients' requests in the published configuration, unless null.
+    nlohmann::json m_requestLimits;
+    /// Lines added to the settings of gateways.
+    std::string m_moreSettings;
 };
 
 } // namespace lavendertally::app
--- a/src/configuration/internal/yamlsettingsparser.cpp
+++ b/src/configuration/internal/yamlsettingsparser.cpp
@@ -13,6 +13,12 @@
 constexpr framework::Bytes MinRequestLimit{1024};
 constexpr framework::Bytes MaxRequestLimit{64 * 1024 * 1024};
 constexpr std::uint32_t MaxSharedRetries = 1000000;
+/// Less memory does not hold the process itself and one request of each kind.
+constexpr framework::Bytes MinMemory{32 * 1024 * 1024};
+constexpr framework::Bytes MaxMemory{std::int64_t{1024} * 1024 * 1024 * 1024};
+/// Fewer descriptors do not hold the listeners, the links and a few clients.
+constexpr std::uint32_t MinDescriptors = 128;
+constexpr std::uint32_t MaxDescriptors = 1000000;
 
 void readIdentity(YamlMapping &root, DaemonSettings &settings)
 {
@@ -82,6 +88,9 @@
     root.readOptional("log_format", formatScalar, settings.logFormat);
     root.readOptional("max_request", bytesType(MinRequestLimit, MaxRequestLimit),
                       settings.maxRequest);
+    root.readOptional("memory_limit", bytesType(MinMemory, MaxMemory), settings.memoryLimit);
+    root.readOptional("descriptor_limit", countType(MinDescriptors, MaxDescriptors),
+                      settings.descriptorLimit);
     root.readOptional("drain_timeout", duration, settings.drainTimeout);
     root.readOptional("log_retention", duration, settings.logRetention);
     root.readOptional("claim_window", duration, settings.claimWindow);
--- a/src/configuration/types/daemonsettings.h
+++ b/src/configuration/types/daemonsettings.h
@@ -8,6 +8,7 @@
 #include "framework/types/milliseconds.h"
 #include "framework/types/units.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace lavendertally::configuration {
@@ -33,6 +34,10 @@
     framework::ServiceId service;
     framework::LogFormat logFormat = framework::LogFormat::Text;
     framework::Bytes maxRequest{1024 * 1024};
+    /// Memory that the process may use as a whole.
+    framework::Bytes memoryLimit{512 * 1024 * 1024};
+    /// Descriptors that the process may have open.
+    std::uint32_t descriptorLimit = 8192;
     /// Longest time that a graceful shutdown waits for requests in flight.
     framework::Milliseconds drainTimeout{600000};
     /// Retention time of records in the log service.
