--- a/src/configuration/internal/yamlsettingsparser.cpp
+++ b/src/configuration/internal/yamlsettingsparser.cpp
@@ -19,6 +19,7 @@
 /// Fewer descriptors do not hold the listeners, the links and a few clients.
 constexpr std::uint32_t MinDescriptors = 128;
 constexpr std::uint32_t MaxDescriptors = 1000000;
+constexpr framework::Bytes MaxBodyRate{1024 * 1024};
 
 void readIdentity(YamlMapping &root, DaemonSettings &settings)
 {
@@ -91,6 +92,8 @@
     root.readOptional("memory_limit", bytesType(MinMemory, MaxMemory), settings.memoryLimit);
     root.readOptional("descriptor_limit", countType(MinDescriptors, MaxDescriptors),
                       settings.descriptorLimit);
+    root.readOptional("min_body_rate", bytesType(framework::Bytes(1), MaxBodyRate),
+                      settings.minBodyRate);
     root.readOptional("drain_timeout", duration, settings.drainTimeout);
     root.readOptional("log_retention", duration, settings.logRetention);
     root.readOptional("claim_window", duration, settings.claimWindow);
--- a/src/configuration/tests/settingsparsertest.cpp
+++ b/src/configuration/tests/settingsparsertest.cpp
@@ -61,6 +61,9 @@
     {"PeerPortZero", Entry + "seed_peers: [127.0.0.1:0]\n", 9, "seed_peers[0]", "from 1"},
     {"SizeWithTimeUnit", Entry + "max_request: 5s\n", 9, "max_request", "KB"},
     {"SizeTooSmall", Entry + "max_request: 5B\n", 9, "max_request", "from 1024B"},
+    {"TooLittleMemory", Entry + "memory_limit: 31MB\n", 9, "memory_limit", "from"},
+    {"TooFewDescriptors", Entry + "descriptor_limit: 100\n", 9, "descriptor_limit", "128"},
+    {"BodyRateZero", Entry + "min_body_rate: 0B\n", 9, "min_body_rate", "from 1B"},
     {"DurationWithoutUnit", Entry + "drain_timeout: 500\n", 9, "drain_timeout", "unit"},
     {"ClaimWindowLongerThanRetention", Entry + "log_retention: 1m\nclaim_window: 2m\n", 10,
      "claim_window", "shorter than log_retention"},
@@ -118,11 +121,15 @@
         Gateway
             + "seed_peers: [\"10.0.0.2:7\",\"10.0.0.3:7\"]\nrevocation_limit: 5000ms\n"
               "shutdown_grace: 7.5s\nshared_retries: 56.9\nprocessor_share: 0.09\n"
+              "memory_limit: 120MB\ndescriptor_limit: 3075\nmin_body_rate: 2KB\n"
               "log_format: json\n");
     ASSERT_TRUE(settings);
     EXPECT_EQ(settings->role, DaemonRole::Gateway);
     EXPECT_EQ(settings->gateway.store.toString(), "10.0.0.1:7000");
     EXPECT_EQ(settings->gateway.shutdownGrace, framework::Milliseconds(7500));
     EXPECT_EQ(settings->gateway.sharedRetries, 56U);
+    EXPECT_EQ(settings->memoryLimit, framework::Bytes(120 * 1024 * 1024));
+    EXPECT_EQ(settings->descriptorLimit, 3075U);
+    EXPECT_EQ(settings->minBodyRate, framework::Bytes(2048));
     EXPECT_EQ(settings->gateway.processorShare, framework::Millicores(90));
 }
--- a/src/configuration/types/daemonsettings.h
+++ b/src/configuration/types/daemonsettings.h
@@ -38,6 +38,8 @@
     framework::Bytes memoryLimit{512 * 1024 * 1024};
     /// Descriptors that the process may have open.
     std::uint32_t descriptorLimit = 8192;
+    /// Bytes per second that the body of a request has to come with.
+    framework::Bytes minBodyRate{1024};
     /// Longest time that a graceful shutdown waits for requests in flight.
     framework::Milliseconds drainTimeout{600000};
     /// Retention time of records in the log service.
--- a/src/entry/internal/entrydaemon.cpp
+++ b/src/entry/internal/entrydaemon.cpp
@@ -1,5 +1,8 @@
 #include "entry/internal/entrydaemon.h"
 
+#include "budget/budgetmodule.h"
+#include "budget/budgetreporter.h"
+#include "budget/iresourcebudget.h"
 #include "claims/claimsmodule.h"
 #include "claims/iclaimservice.h"
 #include "claims/types/claimsettings.h"
@@ -121,7 +124,13 @@
     m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_components.metrics, *this));
     http::HttpLimits limits;
     limits.maxBody = m_components.settings.maxRequest;
-    m_server = http::HttpModule::makeServer(m_components.loop, limits);
+    limits.minBodyRate = m_components.settings.minBodyRate;
+    const budget::ProcessParts parts = budget::BudgetModule::divide(
+        m_components.settings.memoryLimit, m_components.settings.descriptorLimit);
+    const auto bearer = budget::BudgetModule::makeBudget(parts.clients, *m_components.clock);
+    m_budget = std::make_unique<budget::BudgetReporter>(
+        bearer, "http", *m_components.clock, *m_components.logger, *m_components.metrics);
+    m_server = http::HttpModule::makeServer(m_components.loop, limits, bearer);
     m_server->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         frontend::FrontendModule::dispatch(m_apis, exchange);
     });
@@ -149,6 +158,7 @@
 
 void EntryDaemon::probeLoads()
 {
+    m_budget->report();
     for (const membership::HostEntry &host :
          m_routing.probes->hostsToProbe(m_components.clock->now())) {
         m_control->probeLoad(host.control, LoadProbeTimeout,
--- a/src/entry/internal/entrydaemon.h
+++ b/src/entry/internal/entrydaemon.h
@@ -10,6 +10,10 @@
 #include <memory>
 #include <vector>
 
+namespace lavendertally::budget {
+class BudgetReporter;
+}
+
 namespace lavendertally::claims {
 class IClaimService;
 }
@@ -103,6 +107,7 @@
     std::unique_ptr<CrashEvidenceExchange> m_crashEvidence;
     std::unique_ptr<pipeline::IRequestService> m_requests;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
+    std::unique_ptr<budget::BudgetReporter> m_budget;
     std::unique_ptr<http::IHttpServer> m_server;
     std::unique_ptr<http::ServerShutdown> m_shutdown;
     std::unique_ptr<LivenessProbe> m_liveness;
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -1,5 +1,8 @@
 #include "gateway/internal/gatewaydaemon.h"
 
+#include "budget/budgetmodule.h"
+#include "budget/budgetreporter.h"
+#include "budget/iresourcebudget.h"
 #include "framework/frameworkmodule.h"
 #include "framework/hash.h"
 #include "framework/iclock.h"
@@ -80,13 +83,15 @@
      {protocol::StateTopic::BackendServers, framework::Milliseconds(1600)},
      {protocol::StateTopic::Daemons, framework::Milliseconds(6000)}}};
 
-http::HttpLimits httpLimits(const serving::RequestLimits &limits, framework::Milliseconds idle)
+http::HttpLimits httpLimits(const serving::RequestLimits &limits, framework::Milliseconds idle,
+                            framework::Bytes minBodyRate)
 {
     http::HttpLimits result;
     result.maxBody = limits.maxBody;
     result.maxHeaders = limits.maxHeaders;
     result.requestTimeout = limits.headerTimeout;
     result.idleTimeout = idle;
+    result.minBodyRate = minBodyRate;
     return result;
 }
 
@@ -94,7 +99,9 @@
 
 GatewayDaemon::GatewayDaemon(const configuration::DaemonSettings &settings,
                              framework::IEventLoop &loop)
-    : m_settings(settings), m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()),
+    : m_settings(settings),
+      m_parts(budget::BudgetModule::divide(settings.memoryLimit, settings.descriptorLimit)),
+      m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()),
       m_logger(framework::FrameworkModule::makeLogger(settings.id.value(), settings.logFormat)),
       m_metrics(framework::FrameworkModule::makeMetrics()),
       m_random(framework::FrameworkModule::makeRandom(framework::FrameworkModule::entropySeed()))
@@ -112,8 +119,11 @@
     m_servers = membership::MembershipModule::makeBackendServerTracker(*m_logger);
     m_platform = platform::PlatformModule::makePlatform(
         {m_settings.id, m_settings.gateway.processorShare, m_settings.gateway.store, m_loop,
-         *m_clock, *m_logger, *m_metrics, *m_serving, *m_servers});
-    m_peers = peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id);
+         *m_clock, *m_logger, *m_metrics, *m_serving, *m_servers, m_parts.idleConnections});
+    peers::PeerLimits peerLimits;
+    peerLimits.maxUnnamedLinks = m_parts.unnamedLinks;
+    m_peers =
+        peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id, peerLimits);
     m_peers->setAcceptsJobs([this] { return hasRequiredState() && !m_draining; });
     m_topicExchange = std::make_unique<replication::TopicExchange>(
         m_settings.id, *m_peers, m_platform->daemons(), m_loop, *m_clock, *m_logger, *m_metrics);
@@ -168,7 +178,7 @@
 
 void GatewayDaemon::createHttpServers()
 {
-    m_clientServer = http::HttpModule::makeServer(m_loop, {});
+    m_clientServer = makeServer("clients", m_parts.clients);
     m_clientServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         m_clientGateway->handle(exchange);
     });
@@ -177,16 +187,25 @@
                              {{"status", std::to_string(status)}});
     });
     m_clientShutdown = std::make_unique<http::ServerShutdown>(*m_clientServer);
-    m_readyServer = http::HttpModule::makeServer(m_loop, {});
+    m_readyServer = makeServer("ready", m_parts.operators);
     m_readyServer->setHandler(
         [this](const std::shared_ptr<http::IHttpExchange> &exchange) { replyReadiness(exchange); });
     m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_metrics, *this));
-    m_metricsServer = http::HttpModule::makeServer(m_loop, {});
+    m_metricsServer = makeServer("metrics", m_parts.operators);
     m_metricsServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         frontend::FrontendModule::dispatch(m_apis, exchange);
     });
 }
 
+std::unique_ptr<http::IHttpServer> GatewayDaemon::makeServer(const char *name,
+                                                             const budget::BudgetLimits &limits)
+{
+    const auto bearer = budget::BudgetModule::makeBudget(limits, *m_clock);
+    m_budgets.push_back(
+        std::make_unique<budget::BudgetReporter>(bearer, name, *m_clock, *m_logger, *m_metrics));
+    return http::HttpModule::makeServer(m_loop, {}, bearer);
+}
+
 framework::Result<void> GatewayDaemon::start()
 {
     BOOST_LEAF_AUTO(control, m_peers->listen(m_settings.controlListen));
@@ -218,7 +237,8 @@
     const serving::RequestLimits limits = configuration->limits();
     const framework::TimePoint now = m_clock->now();
     m_idleTimeouts.set(limits.idleTimeout, now);
-    m_clientServer->setLimits(httpLimits(limits, m_idleTimeouts.longest(now)));
+    m_clientServer->setLimits(
+        httpLimits(limits, m_idleTimeouts.longest(now), m_settings.minBodyRate));
 }
 
 bool GatewayDaemon::hasRequiredState() const
@@ -243,6 +263,9 @@
     m_servers->expire(m_clock->now());
     // Replaced idle timeouts end with time.
     applyLimits();
+    for (const auto &reporter : m_budgets) {
+        reporter->report();
+    }
     if (isReady() != m_wasReady) {
         m_wasReady = !m_wasReady;
         const framework::Milliseconds age = m_clock->now() - m_serving->confirmedAt();
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/types/processparts.h"
 #include "configuration/types/daemonsettings.h"
 #include "framework/idaemon.h"
 #include "framework/istatedumper.h"
@@ -9,6 +10,11 @@
 #include <memory>
 #include <vector>
 
+namespace lavendertally::budget {
+class BudgetReporter;
+class IResourceBudget;
+} // namespace lavendertally::budget
+
 namespace lavendertally::framework {
 class IClock;
 class IEventLoop;
@@ -99,6 +105,9 @@
     void createProxy();
     /// Creates the servers for clients, readiness checks and metrics.
     void createHttpServers();
+    /// \return a server whose clients are borne by a budget of their own, which is reported
+    std::unique_ptr<http::IHttpServer> makeServer(const char *name,
+                                                  const budget::BudgetLimits &limits);
     void applyLimits();
     void updateRetryLimits();
     /// \return whether the configuration and the list of backend servers are known
@@ -112,12 +121,14 @@
     framework::Milliseconds forcedEndAfter() const;
 
     configuration::DaemonSettings m_settings;
+    budget::ProcessParts m_parts;
     framework::IEventLoop &m_loop;
     // The order matters: each member is destroyed before those declared above it, which it uses.
     std::unique_ptr<framework::IClock> m_clock;
     std::unique_ptr<framework::ILogger> m_logger;
     std::unique_ptr<framework::IMetrics> m_metrics;
     std::unique_ptr<framework::IRandom> m_random;
+    std::vector<std::unique_ptr<budget::BudgetReporter>> m_budgets;
     std::unique_ptr<serving::IServingTracker> m_serving;
     std::unique_ptr<membership::IBackendServerTracker> m_servers;
     std::unique_ptr<platform::IPlatform> m_platform;
--- a/src/host/internal/hostdaemon.cpp
+++ b/src/host/internal/hostdaemon.cpp
@@ -7,6 +7,9 @@
 #include "admission/types/admissionpolicy.h"
 #include "backends/backendsmodule.h"
 #include "backends/ibackendserverfactory.h"
+#include "budget/budgetmodule.h"
+#include "budget/budgetreporter.h"
+#include "budget/iresourcebudget.h"
 #include "configuration/configurationmodule.h"
 #include "configuration/iconfigurationreplica.h"
 #include "configuration/icontrolrecordcodec.h"
@@ -92,7 +95,13 @@
     m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_components.metrics, *this));
     http::HttpLimits limits;
     limits.maxBody = m_components.settings.maxRequest;
-    m_server = http::HttpModule::makeServer(m_components.loop, limits);
+    limits.minBodyRate = m_components.settings.minBodyRate;
+    const budget::ProcessParts parts = budget::BudgetModule::divide(
+        m_components.settings.memoryLimit, m_components.settings.descriptorLimit);
+    const auto bearer = budget::BudgetModule::makeBudget(parts.clients, *m_components.clock);
+    m_budget = std::make_unique<budget::BudgetReporter>(
+        bearer, "http", *m_components.clock, *m_components.logger, *m_components.metrics);
+    m_server = http::HttpModule::makeServer(m_components.loop, limits, bearer);
     m_server->setHandler(
         [this](const std::shared_ptr<http::IHttpExchange> &exchange) { handle(exchange); });
     m_shutdown = std::make_unique<http::ServerShutdown>(*m_server);
@@ -143,6 +152,7 @@
 void HostDaemon::checkIsolation()
 {
     updateLoadGauges();
+    m_budget->report();
     m_gate->setConfigurationCurrent(!m_control->isIsolated());
     m_service->refresh();
     m_isolationTimer =
--- a/src/host/internal/hostdaemon.h
+++ b/src/host/internal/hostdaemon.h
@@ -9,6 +9,10 @@
 #include <memory>
 #include <vector>
 
+namespace lavendertally::budget {
+class BudgetReporter;
+}
+
 namespace lavendertally::accounting {
 class ICostLedger;
 }
@@ -94,6 +98,7 @@
     std::unique_ptr<IHostService> m_service;
     std::unique_ptr<transport::IStageServer> m_stageServer;
     std::vector<std::unique_ptr<frontend::IHttpApi>> m_apis;
+    std::unique_ptr<budget::BudgetReporter> m_budget;
     std::unique_ptr<http::IHttpServer> m_server;
     std::unique_ptr<http::ServerShutdown> m_shutdown;
     std::unique_ptr<framework::ITimer> m_isolationTimer;
--- a/src/http/httpmodule.h
+++ b/src/http/httpmodule.h
@@ -9,6 +9,10 @@
 class IEventLoop;
 }
 
+namespace lavendertally::budget {
+class IResourceBudget;
+}
+
 namespace lavendertally::http {
 
 class IHttpClient;
@@ -20,8 +24,10 @@
 public:
     static std::unique_ptr<IHttpClient> makeClient(framework::IEventLoop &loop,
                                                    const HttpClientOptions &options = {});
-    static std::unique_ptr<IHttpServer> makeServer(framework::IEventLoop &loop,
-                                                   const HttpLimits &limits);
+    /// \param budget bears what clients use; null if they are trusted
+    static std::unique_ptr<IHttpServer>
+    makeServer(framework::IEventLoop &loop, const HttpLimits &limits,
+               std::shared_ptr<budget::IResourceBudget> budget = nullptr);
 };
 
 } // namespace lavendertally::http
--- a/src/http/internal/httpmodule.cpp
+++ b/src/http/internal/httpmodule.cpp
@@ -3,6 +3,8 @@
 #include "http/internal/bufferedhttpserver.h"
 #include "http/internal/pooledhttpclient.h"
 
+#include <utility>
+
 namespace lavendertally::http {
 
 std::unique_ptr<IHttpClient> HttpModule::makeClient(framework::IEventLoop &loop,
@@ -12,9 +14,10 @@
 }
 
 std::unique_ptr<IHttpServer> HttpModule::makeServer(framework::IEventLoop &loop,
-                                                    const HttpLimits &limits)
+                                                    const HttpLimits &limits,
+                                                    std::shared_ptr<budget::IResourceBudget> budget)
 {
-    return std::make_unique<BufferedHttpServer>(loop, limits);
+    return std::make_unique<BufferedHttpServer>(loop, limits, std::move(budget));
 }
 
 } // namespace lavendertally::http
--- a/src/http/internal/pooledhttpclient.cpp
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -68,6 +68,7 @@
         ClientConnection *connection = idle->second.back();
         if (m_clock->now() - connection->idleSince() <= maxIdle) {
             idle->second.pop_back();
+            --m_idleCount;
             return *connection;
         }
     }
@@ -85,11 +86,13 @@
     if (stated) {
         keepFor = std::min(keepFor, *stated - KeepAliveMargin);
     }
-    if (idle.size() >= m_options.maxIdlePerEndpoint || keepFor <= framework::Milliseconds(0)) {
+    if (idle.size() >= m_options.maxIdlePerEndpoint || m_idleCount >= m_options.maxIdleConnections
+        || keepFor <= framework::Milliseconds(0)) {
         connection.close();
         return;
     }
     idle.push_back(&connection);
+    ++m_idleCount;
     connection.becomeIdle(m_clock->now(), keepFor);
 }
 
@@ -99,7 +102,7 @@
     if (idle == m_idle.end()) {
         return;
     }
-    std::erase(idle->second, &connection);
+    m_idleCount -= std::erase(idle->second, &connection);
     if (idle->second.empty()) {
         m_idle.erase(idle);
     }
@@ -113,7 +116,12 @@
     }
     removeIdle(connection);
     m_discarded.push_back(std::move(node.mapped()));
-    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0), [this] { m_discarded.clear(); });
+    if (m_discarded.size() > 1) {
+        // A timer that is set anew with each connection would not fire while many end.
+        return;
+    }
+    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0),
+                                      [this] { const auto gone = std::exchange(m_discarded, {}); });
 }
 
 } // namespace lavendertally::http
--- a/src/http/internal/pooledhttpclient.h
+++ b/src/http/internal/pooledhttpclient.h
@@ -57,6 +57,7 @@
     std::unique_ptr<framework::IClock> m_clock;
     std::unordered_map<ClientConnection *, std::unique_ptr<ClientConnection>> m_connections;
     std::map<framework::Endpoint, std::vector<ClientConnection *>> m_idle;
+    std::size_t m_idleCount = 0;
     std::vector<std::unique_ptr<ClientConnection>> m_discarded;
     std::unique_ptr<framework::ITimer> m_discardTimer;
 };
--- a/src/http/internal/requestparser.cpp
+++ b/src/http/internal/requestparser.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/requestparser.h"
 
 #include "http/headerlookup.h"
+#include "http/internal/bodybuffer.h"
 #include "http/internal/httpstatus.h"
 
 #include <boost/asio/buffer.hpp>
@@ -51,7 +52,7 @@
 {
 public:
     HttpRequestHead m_head;
-    std::string m_body;
+    BodyBuffer m_body;
     int m_version = Http11;
 
 private:
@@ -78,7 +79,7 @@
     { }
     std::size_t on_body_impl(beast::string_view body, beast::error_code & /*error*/) override
     {
-        m_body.append(body.data(), body.size());
+        m_body.append({body.data(), body.size()});
         return body.size();
     }
     void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
@@ -87,7 +88,7 @@
     std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/, beast::string_view body,
                                    beast::error_code & /*error*/) override
     {
-        m_body.append(body.data(), body.size());
+        m_body.append({body.data(), body.size()});
         return body.size();
     }
     void on_finish_impl(beast::error_code & /*error*/) override { }
@@ -178,14 +179,9 @@
     return m_message->m_version == Http11;
 }
 
-std::size_t RequestParser::bodySize() const
+std::size_t RequestParser::bodyMemory() const
 {
-    const std::size_t arrived = m_message->m_body.size();
-    if (!m_message->is_header_done()) {
-        return arrived;
-    }
-    const auto announced = m_message->content_length();
-    return announced ? std::max(arrived, static_cast<std::size_t>(*announced)) : arrived;
+    return m_message->m_body.memory();
 }
 
 HttpRequestHead RequestParser::takeHead()
@@ -195,7 +191,7 @@
 
 std::string RequestParser::takeBody()
 {
-    return std::move(m_message->m_body);
+    return m_message->m_body.take();
 }
 
 } // namespace lavendertally::http
--- a/src/http/internal/requestparser.h
+++ b/src/http/internal/requestparser.h
@@ -43,8 +43,8 @@
     bool understandsChunks() const;
     /// \return status code that tells why the request was refused
     int refusalStatus() const { return m_refusalStatus; }
-    /// \return size of the body: as announced, or as far as it has arrived if that is more
-    std::size_t bodySize() const;
+    /// \return memory that the body takes, as far as it has arrived
+    std::size_t bodyMemory() const;
     HttpRequestHead takeHead();
     std::string takeBody();
 
--- a/src/http/internal/serverexchange.cpp
+++ b/src/http/internal/serverexchange.cpp
@@ -1,8 +1,8 @@
 #include "http/internal/serverexchange.h"
 
 #include "http/headerlookup.h"
-#include "http/internal/heldbody.h"
 #include "http/internal/httpstatus.h"
+#include "http/internal/requestholding.h"
 #include "http/internal/serverconnection.h"
 
 #include <boost/beast/http/status.hpp>
@@ -34,10 +34,10 @@
 } // namespace
 
 ServerExchange::ServerExchange(ServerConnection &connection, HttpRequestHead head, std::string body,
-                               std::unique_ptr<HeldBody> heldBody, bool chunks,
+                               std::unique_ptr<RequestHolding> holding, bool chunks,
                                std::shared_ptr<std::size_t> unfinished)
     : m_connection(&connection), m_head(std::move(head)), m_body(std::move(body)),
-      m_heldBody(std::move(heldBody)), m_chunks(chunks), m_unfinished(std::move(unfinished))
+      m_holding(std::move(holding)), m_chunks(chunks), m_unfinished(std::move(unfinished))
 {
     ++*m_unfinished;
     readTarget();
--- a/src/http/internal/serverexchange.h
+++ b/src/http/internal/serverexchange.h
@@ -8,17 +8,17 @@
 
 namespace lavendertally::http {
 
-class HeldBody;
+struct RequestHolding;
 class ServerConnection;
 
 /// One request on a ServerConnection, and the response to it.
 class ServerExchange final : public IHttpExchange
 {
 public:
-    /// \param heldBody share of \p body in what the server holds
+    /// \param holding what the budget bears for this request
     /// \param unfinished number that is raised until the response is on its way as a whole
     ServerExchange(ServerConnection &connection, HttpRequestHead head, std::string body,
-                   std::unique_ptr<HeldBody> heldBody, bool chunks,
+                   std::unique_ptr<RequestHolding> holding, bool chunks,
                    std::shared_ptr<std::size_t> unfinished);
     ~ServerExchange() override;
     ServerExchange(const ServerExchange &) = delete;
@@ -69,7 +69,7 @@
     std::string m_path;
     std::string m_query;
     std::string m_body;
-    std::unique_ptr<HeldBody> m_heldBody;
+    std::unique_ptr<RequestHolding> m_holding;
     std::function<void()> m_hangUp;
     std::function<void()> m_caughtUp;
     Progress m_progress = Progress::Open;
--- a/src/http/types/httpclientoptions.h
+++ b/src/http/types/httpclientoptions.h
@@ -17,6 +17,8 @@
     /// How long a connection without a stated keep-alive time is kept for reuse.
     framework::Milliseconds maxIdle{60000};
     std::size_t maxIdlePerEndpoint = 64;
+    /// Idle connections to all endpoints together.
+    std::size_t maxIdleConnections = 100000;
 };
 
 } // namespace lavendertally::http
--- a/src/http/types/httplimits.h
+++ b/src/http/types/httplimits.h
@@ -10,11 +10,11 @@
 {
     framework::Bytes maxBody{8 * 1024 * 1024};
     framework::Bytes maxHeaders{16 * 1024};
-    /// Bodies of all requests that are being read or handled, together. A request that exceeds it
-    /// is refused with 503 before it is handled.
-    framework::Bytes maxHeldBodies{32 * 1024 * 1024};
-    /// From the first byte of a request to the end of its body, as long as nothing more arrives.
+    /// Time for the head of a request, and for each part of its body that minBodyRate asks for.
     framework::Milliseconds requestTimeout{30000};
+    /// Bytes per second that a body has to come with. A client that sends its body in a time like
+    /// requestTimeout is far above it.
+    framework::Bytes minBodyRate{1024};
     /// How long a connection may stay open without a request.
     framework::Milliseconds idleTimeout{120000};
 };
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -41,6 +41,12 @@
     bool hasUnreadInput() const;
     /// \return whether no further input is read until some is consumed
     bool isInputFull() const;
+    /// Reads no further input while \p size bytes are unread.
+    void limitInput(std::size_t size);
+    /// Sets the bound on unread input back to its default.
+    void liftInputLimit();
+    /// \return bytes of memory that unread input takes, at most
+    std::size_t inputMemory() const;
     /// Has the observer told once when the peer closes its sending side, even while the input is
     /// full and is not read.
     void watchPeerClose();
@@ -69,6 +75,7 @@
     IBufferedSocketObserver &m_observer;
     bufferevent *m_bufferEvent;
     event *m_peerCloseEvent = nullptr;
+    std::size_t m_maxInput;
     bool m_connected = false;
     bool m_shutDownWhenFlushed = false;
 };
--- a/src/network/internal/bufferedsocket.cpp
+++ b/src/network/internal/bufferedsocket.cpp
@@ -11,6 +11,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <bit>
+
 namespace lavendertally::network {
 
 namespace {
@@ -19,6 +21,10 @@
 /// response, which cannot be taken in parts.
 constexpr std::size_t MaxUnreadInputBytes = 80 * 1024;
 
+/// What libevent reads at once, and its overhead for a piece of a buffer.
+constexpr std::size_t ReadBytes = 4096;
+constexpr std::size_t ChainHeadBytes = 64;
+
 void setTcpOption(int fd, int option, int value)
 {
     setsockopt(fd, IPPROTO_TCP, option, &value, sizeof value);
@@ -28,7 +34,7 @@
 
 BufferedSocket::BufferedSocket(event_base *base, int fd, IBufferedSocketObserver &observer)
     : m_observer(observer), m_bufferEvent(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)),
-      m_connected(true)
+      m_maxInput(MaxUnreadInputBytes), m_connected(true)
 {
     // Streamed chunks are small; Nagle's algorithm would hold them back until earlier ones are
     // acknowledged.
@@ -40,7 +46,8 @@
 }
 
 BufferedSocket::BufferedSocket(event_base *base, IBufferedSocketObserver &observer)
-    : m_observer(observer), m_bufferEvent(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE))
+    : m_observer(observer), m_bufferEvent(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)),
+      m_maxInput(MaxUnreadInputBytes)
 {
     bufferevent_setcb(m_bufferEvent, &BufferedSocket::handleReadable,
                       &BufferedSocket::handleFlushed, &BufferedSocket::handleEvent, this);
@@ -98,7 +105,25 @@
 
 bool BufferedSocket::isInputFull() const
 {
-    return evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) >= MaxUnreadInputBytes;
+    return evbuffer_get_length(bufferevent_get_input(m_bufferEvent)) >= m_maxInput;
+}
+
+void BufferedSocket::limitInput(std::size_t size)
+{
+    m_maxInput = size;
+    bufferevent_setwatermark(m_bufferEvent, EV_READ, 0, size);
+}
+
+void BufferedSocket::liftInputLimit()
+{
+    limitInput(MaxUnreadInputBytes);
+}
+
+std::size_t BufferedSocket::inputMemory() const
+{
+    const std::size_t length = evbuffer_get_length(bufferevent_get_input(m_bufferEvent));
+    // The buffer takes powers of two for what input() has joined, and one read on top.
+    return length == 0 ? 0 : std::bit_ceil(length + ChainHeadBytes) + ReadBytes;
 }
 
 void BufferedSocket::watchPeerClose()
--- a/src/peers/internal/peerlink.cpp
+++ b/src/peers/internal/peerlink.cpp
@@ -21,6 +21,9 @@
 /// What may wait for a peer that reads slowly, besides one message.
 constexpr std::size_t MaxUnsentBytes = 1024 * 1024;
 
+/// What a daemon may send before its name is known; a hello takes less than a kilobyte.
+constexpr std::size_t MaxUnnamedBytes = 64 * 1024;
+
 } // namespace
 
 PeerLink::PeerLink(event_base *base, int fd, const protocol::IPeerMessageCodec &codec,
@@ -72,6 +75,12 @@
 void PeerLink::onReadable()
 {
     const std::string_view input = m_socket->input();
+    m_unnamedBytes += m_peer.isEmpty() ? input.size() : 0;
+    if (m_peer.isEmpty() && m_unnamedBytes > MaxUnnamedBytes) {
+        m_connected = false;
+        m_owner.onLinkClosed(*this, "no hello");
+        return;
+    }
     m_frames->append(input);
     m_socket->consume(input.size());
     while (m_connected) {
--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -79,6 +79,7 @@
     framework::DaemonId m_peer;
     std::unique_ptr<protocol::IFrameReader> m_frames;
     std::unique_ptr<network::BufferedSocket> m_socket;
+    std::size_t m_unnamedBytes = 0;
     bool m_connected = false;
     bool m_isBehind = false;
     bool m_takesCrashReports = false;
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -72,6 +72,18 @@
     auto link = std::make_unique<PeerLink>(m_loop.base(), fd, *m_codec, *this);
     link->setLastReceived(m_clock.now());
     m_inbound.push_back(std::move(link));
+    boundUnnamedLinks();
+}
+
+/// Closes the oldest link without a name if there are too many: whoever opens connections and says
+/// nothing must not use up the descriptors.
+void PeerNetwork::boundUnnamedLinks()
+{
+    const auto isUnnamed = [](const auto &link) { return link->peer().isEmpty(); };
+    const auto count = std::count_if(m_inbound.begin(), m_inbound.end(), isUnnamed);
+    if (std::cmp_greater(count, m_limits.maxUnnamedLinks)) {
+        closeInbound(**std::find_if(m_inbound.begin(), m_inbound.end(), isUnnamed));
+    }
 }
 
 void PeerNetwork::connectTo(const std::vector<DaemonAddress> &ranking)
@@ -493,7 +505,12 @@
     }
     link->detach();
     m_discarded.push_back(std::move(link));
-    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0), [this] { m_discarded.clear(); });
+    if (m_discarded.size() > 1) {
+        // A timer that is set anew with each link would not fire while many end.
+        return;
+    }
+    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0),
+                                      [this] { const auto gone = std::exchange(m_discarded, {}); });
 }
 
 } // namespace lavendertally::peers
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -88,6 +88,7 @@
     takers(const std::function<bool(const OutboundLink &)> &isOutboundTaker,
            const std::function<bool(const PeerLink &)> &isInboundTaker) const;
     void onAccepted(int fd);
+    void boundUnnamedLinks();
     void updateOutbound();
     std::vector<DaemonAddress> wantedPeers() const;
     LinkCandidate linkCandidate(const framework::DaemonId &daemon) const;
--- a/src/peers/types/peerlimits.h
+++ b/src/peers/types/peerlimits.h
@@ -29,6 +29,8 @@
     std::size_t maxReachableLinks = 8;
     /// An inbound link on which nothing arrived for so long is closed.
     framework::Milliseconds inboundIdleTimeout{3000};
+    /// Inbound links whose daemon has not said its name; the oldest of more is closed.
+    std::size_t maxUnnamedLinks = 64;
 };
 
 } // namespace lavendertally::peers
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -17,20 +17,23 @@
 /// Idle connections of backend servers that state no time.
 constexpr framework::Milliseconds MaxIdle{4000};
 
-http::HttpClientOptions clientOptions()
+http::HttpClientOptions clientOptions(std::size_t maxIdleConnections)
 {
     http::HttpClientOptions options;
     options.connectTimeout = ConnectTimeout;
     options.acknowledgeTimeout = AcknowledgeTimeout;
     options.maxIdle = MaxIdle;
+    options.maxIdleConnections = maxIdleConnections;
     return options;
 }
 
 } // namespace
 
 UsersPlatform::UsersPlatform(const PlatformParts &parts)
-    : m_storeClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
-      m_backendClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
+    : m_storeClient(
+        http::HttpModule::makeClient(parts.loop, clientOptions(parts.maxIdleConnections))),
+      m_backendClient(
+          http::HttpModule::makeClient(parts.loop, clientOptions(parts.maxIdleConnections))),
       m_store(*m_storeClient, parts.store, parts.clock, parts.logger, parts.metrics),
       m_operators(m_store, parts.loop, parts.clock, parts.logger, parts.serving, parts.servers),
       m_servers(m_store, parts.loop, parts.clock, parts.logger, parts.servers),
--- a/src/platform/types/platformparts.h
+++ b/src/platform/types/platformparts.h
@@ -3,6 +3,7 @@
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "framework/types/units.h"
+#include "http/types/httpclientoptions.h"
 
 namespace lavendertally::framework {
 class IClock;
@@ -34,6 +35,8 @@
     framework::IMetrics &metrics;
     serving::IServingUpdates &serving;
     membership::IBackendServerUpdates &servers;
+    /// Idle connections to backend servers that are kept for reuse.
+    std::size_t maxIdleConnections = http::HttpClientOptions().maxIdleConnections;
 };
 
 } // namespace lavendertally::platform
--- a/src/proxy/internal/proxyservice.cpp
+++ b/src/proxy/internal/proxyservice.cpp
@@ -75,8 +75,13 @@
     }
     // The request is still on the call stack, so it is destroyed from the event loop.
     m_ended.push_back(std::move(node.mapped()));
-    m_cleanupTimer =
-        m_context.scheduler.callAfter(framework::Milliseconds(0), [this] { m_ended.clear(); });
+    if (m_ended.size() > 1) {
+        // A timer that is set anew with each request would not fire while many end, and the ended
+        // ones would fill the memory.
+        return;
+    }
+    m_cleanupTimer = m_context.scheduler.callAfter(
+        framework::Milliseconds(0), [this] { const auto gone = std::exchange(m_ended, {}); });
 }
 
 std::uint32_t ProxyService::relativeWorth(const framework::RouteId &route,
