--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -87,7 +87,7 @@
              {"streamResume", true},
              {"stages",
               {{{"service", "pool"}, {"after", nlohmann::json::array()}, {"bytes", 1000}}}}});
-        const nlohmann::json configuration = {
+        nlohmann::json configuration = {
             {"version", version},
             {"routes", {book, stream}},
             {"services",
@@ -103,6 +103,9 @@
                  {"headroomMb", 1.0},
                  {"handleS", 4.0}}}}}},
             {"tenants", {{{"name", "members"}, {"apiKeys", {key}}}}}};
+        if (!m_requestLimits.is_null()) {
+            configuration["limits"] = m_requestLimits;
+        }
         m_store.put("keyed.op", "config", configuration.dump());
     }
     void registerServers()
@@ -231,7 +234,9 @@
     std::string m_folder;
     /// Connections that a server of the desk accepts from all gateways together; zero: any number.
     int m_deskConnections = 0;
-    /// Lines that are added to the settings of gateways.
+    /// Bounds on clients' requests in the published configuration, unless null.
+    nlohmann::json m_requestLimits;
+    /// Lines added to the settings of gateways.
     std::string m_moreSettings;
 };
 
--- a/src/configurationcheck/types/checkcontext.h
+++ b/src/configurationcheck/types/checkcontext.h
@@ -12,7 +12,7 @@
 {
     /// Gateways that share the limits of a service.
     std::uint32_t gateways = 1;
-    /// Request bodies that one gateway holds at once, all together.
+    /// Memory that one gateway has for what clients send, all together.
     framework::Bytes heldBodies;
     /// Attempts that the retry policy permits for one request.
     std::uint32_t maxAttempts = 0;
--- a/src/http/internal/pooledhttpclient.cpp
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -195,12 +195,13 @@
     const auto found = m_idle.find(connection.endpoint());
     const std::size_t count = found == m_idle.end() ? 0 : found->second.size();
     const bool mayKeep = gate() == nullptr || gate()->mayKeep(connection.endpoint());
-    if (count >= m_options.maxIdlePerEndpoint || keepFor <= framework::Milliseconds(0)
-        || !mayKeep) {
+    if (count >= m_options.maxIdlePerEndpoint || m_idleCount >= m_options.maxIdleConnections
+        || keepFor <= framework::Milliseconds(0) || !mayKeep) {
         connection.close();
         return;
     }
     m_idle[connection.endpoint()].push_back(&connection);
+    ++m_idleCount;
     connection.becomeIdle(m_clock->now(), keepFor);
     if (gate() != nullptr) {
         gate()->connectionIdle(connection.endpoint());
@@ -213,7 +214,7 @@
     if (idle == m_idle.end()) {
         return;
     }
-    std::erase(idle->second, &connection);
+    m_idleCount -= std::erase(idle->second, &connection);
     if (idle->second.empty()) {
         m_idle.erase(idle);
     }
@@ -230,7 +231,12 @@
         gate()->connectionClosed(connection.endpoint(), state);
     }
     m_discarded.push_back(std::move(node.mapped()));
-    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0), [this] { m_discarded.clear(); });
+    if (m_discarded.size() > 1) {
+        // A timer that is set anew with each connection would not fire while many end.
+        return;
+    }
+    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0),
+                                      [this] { const auto gone = std::exchange(m_discarded, {}); });
 }
 
 } // namespace lavendertally::http
--- a/src/http/internal/pooledhttpclient.h
+++ b/src/http/internal/pooledhttpclient.h
@@ -83,6 +83,7 @@
     /// Servers to which calls are sent that need connections that were in use shortly before:
     /// within which time.
     std::map<framework::Endpoint, framework::Milliseconds> m_freshTimes;
+    std::size_t m_idleCount = 0;
     std::vector<std::unique_ptr<ClientConnection>> m_discarded;
     std::unique_ptr<framework::ITimer> m_discardTimer;
 };
--- a/src/http/types/httpclientoptions.h
+++ b/src/http/types/httpclientoptions.h
@@ -24,6 +24,8 @@
     /// Longest time for which a call waits for a connection that the gate allows: a few calls of a
     /// plain service (15 to 30 ms each), after which another server is the better choice.
     framework::Milliseconds maxConnectionWait{250};
+    /// Idle connections to all endpoints together.
+    std::size_t maxIdleConnections = 100000;
 };
 
 } // namespace lavendertally::http
--- a/src/operatortool/internal/filecheck.cpp
+++ b/src/operatortool/internal/filecheck.cpp
@@ -1,11 +1,12 @@
 #include "operatortool/internal/filecheck.h"
 
+#include "budget/budgetmodule.h"
 #include "configuration/configurationmodule.h"
 #include "configuration/iconfigurationparser.h"
+#include "configuration/types/daemonsettings.h"
 #include "configuration/types/filediagnostics.h"
 #include "configurationcheck/configurationcheck.h"
 #include "configurationcheck/types/comparedconfiguration.h"
-#include "http/types/httplimits.h"
 #include "operatortool/internal/jsonplaces.h"
 #include "platform/configurationinspection.h"
 #include "retry/types/retrylimits.h"
@@ -23,7 +24,10 @@
 configurationcheck::CheckContext contextFor(std::uint32_t gateways)
 {
     const retry::RetryLimits retries;
-    return {gateways, http::HttpLimits().maxHeldBodies, retries.maxAttempts, retries.minBackoff};
+    const configuration::DaemonSettings defaults;
+    const budget::ProcessParts parts =
+        budget::BudgetModule::divide(defaults.memoryLimit, defaults.descriptorLimit);
+    return {gateways, parts.clients.memory, retries.maxAttempts, retries.minBackoff};
 }
 
 } // namespace
--- a/src/platform/tests/rollouttest.cpp
+++ b/src/platform/tests/rollouttest.cpp
@@ -1,3 +1,5 @@
+#include "connections/connectionsmodule.h"
+#include "connections/iconnectionshares.h"
 #include "framework/frameworkmodule.h"
 #include "framework/iclock.h"
 #include "framework/ieventloop.h"
@@ -67,9 +69,11 @@
           m_store(*m_loop)
     {
         const auto endpoint = m_store.listen({"127.0.0.1", 0}).value();
+        m_shares = connections::ConnectionsModule::makeShares(*m_servers, *m_serving, *m_loop,
+                                                              *m_clock, m_logger, *m_metrics);
         m_platform = PlatformModule::makePlatform(
             {framework::DaemonId("self"), framework::Millicores(190), endpoint, *m_loop, *m_clock,
-             m_logger, *m_metrics, *m_serving, *m_servers});
+             m_logger, *m_metrics, *m_serving, *m_servers, *m_shares});
         m_platform->setRolloutOrders(m_orders);
     }
 
@@ -111,6 +115,7 @@
     std::unique_ptr<framework::IMetrics> m_metrics;
     std::unique_ptr<serving::IServingTracker> m_serving;
     std::unique_ptr<membership::IBackendServerTracker> m_servers;
+    std::unique_ptr<connections::IConnectionShares> m_shares;
     standins::PlatformStoreStandIn m_store;
     RecordingOrders m_orders;
     std::unique_ptr<IPlatform> m_platform;
--- a/src/platform/types/platformparts.h
+++ b/src/platform/types/platformparts.h
@@ -3,6 +3,7 @@
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "framework/types/units.h"
+#include "http/types/httpclientoptions.h"
 
 namespace lavendertally::connections {
 class IConnectionShares;
@@ -39,6 +40,8 @@
     serving::IServingUpdates &serving;
     membership::IBackendServerUpdates &servers;
     connections::IConnectionShares &connections;
+    /// Idle connections to backend servers that are kept for reuse.
+    std::size_t maxIdleConnections = http::HttpClientOptions().maxIdleConnections;
 };
 
 } // namespace lavendertally::platform
