Proxy: a request refused by the stage coordinator is told the coordinator's time

Cause: GatewayPlaces paced these refusals by the route's stage jobs.

Change: the coordinator's time again, spread by up to a quarter so that callers do not return together.

--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -3,6 +3,7 @@
 #include "admission/types/placedecision.h"
 #include "framework/iclock.h"
 #include "framework/imetrics.h"
+#include "framework/irandom.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "peers/idaemondirectory.h"
@@ -31,7 +32,7 @@
                              std::unique_ptr<IResponseWriter> response)
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
       m_response(std::move(response)), m_started(context.clock.now()),
-      m_place(ticket, m_request, m_plan), m_stages(context, m_request, m_plan, owner.places()),
+      m_place(ticket, m_request, m_plan), m_stages(context, m_request, m_plan),
       m_guard(context, m_request), m_retries(context, m_request, m_plan, m_guard),
       m_capacity(context.scheduler, owner.places()),
       m_attempt(context, m_request, m_plan, m_guard, owner, *m_response, *this)
@@ -76,7 +77,7 @@
     job.timeLeft = timeLeft();
     job.worth = m_owner.relativeWorth(m_plan.route->id, m_request.weightedSize());
     job.zone = preferredZone();
-    m_stages.start(std::move(job), placeRequest(),
+    m_stages.start(std::move(job),
                    [this](const protocol::StageJobOutcome &outcome) { stagesEnded(outcome); });
 }
 
@@ -88,6 +89,13 @@
     return server ? server->zone : m_context.zone;
 }
 
+/// Adds up to a quarter of \p wait at random, so that refused clients do not return together.
+framework::Milliseconds ActiveRequest::spread(framework::Milliseconds wait) const
+{
+    const auto range = static_cast<std::uint64_t>(wait.value() / 4 + 1);
+    return wait + framework::Milliseconds(static_cast<std::int64_t>(m_context.random.below(range)));
+}
+
 void ActiveRequest::stagesEnded(const protocol::StageJobOutcome &outcome)
 {
     const bool isDone = outcome.status == protocol::StageJobStatus::Done;
@@ -96,9 +104,8 @@
         return;
     }
     const bool overloaded = outcome.status == protocol::StageJobStatus::Overloaded;
-    const framework::Milliseconds retryAfter = overloaded
-        ? m_owner.places().stagesRetryAfter(placeRequest(), outcome.retryAfter)
-        : outcome.retryAfter;
+    const framework::Milliseconds retryAfter =
+        overloaded ? spread(outcome.retryAfter) : outcome.retryAfter;
     endUnsent({RefusalKind::NotRun, retryAfter, overloaded ? "stages overloaded" : "stages failed"},
               "stream broke; stages could not be repeated");
 }
--- a/src/proxy/internal/activerequest.h
+++ b/src/proxy/internal/activerequest.h
@@ -52,6 +52,7 @@
 
 private:
     void startStages();
+    framework::Milliseconds spread(framework::Milliseconds wait) const;
     void stagesEnded(const protocol::StageJobOutcome &outcome);
     admission::PlaceRequest placeRequest() const;
     framework::AvailabilityZoneId preferredZone();
--- a/src/proxy/internal/gatewayplaces.cpp
+++ b/src/proxy/internal/gatewayplaces.cpp
@@ -21,13 +21,6 @@
 /// ends a request names the cause as well.
 constexpr framework::Milliseconds RefusalLogInterval{1000};
 
-/// The stages of a route are a resource of their own; their calls are the jobs in flight.
-admission::PlaceRequest stagesOf(admission::PlaceRequest request)
-{
-    request.service = framework::ServiceId("stages of " + request.route.value());
-    return request;
-}
-
 const char *nameOf(admission::ReturnTiming timing)
 {
     switch (timing) {
@@ -110,31 +103,6 @@
     scheduleDecisions(framework::Milliseconds(0));
 }
 
-void GatewayPlaces::stagesStarted(const admission::PlaceRequest &request)
-{
-    const admission::PlaceRequest stages = stagesOf(request);
-    const framework::TimePoint now = m_context.clock.now();
-    reportReturn(stages, m_admission->noteArrival(stages, now));
-    m_admission->callStarted(stages.service, {}, now);
-}
-
-void GatewayPlaces::stagesEnded(const admission::PlaceRequest &request, bool isDone,
-                                framework::Milliseconds took)
-{
-    const admission::PlaceRequest stages = stagesOf(request);
-    const framework::TimePoint now = m_context.clock.now();
-    m_admission->callEnded(stages.service, {}, false, now);
-    if (isDone) {
-        m_admission->answered(stages, took, now);
-    }
-}
-
-framework::Milliseconds GatewayPlaces::stagesRetryAfter(const admission::PlaceRequest &request,
-                                                        framework::Milliseconds wait)
-{
-    return m_admission->returnTime(stagesOf(request), wait, m_context.clock.now());
-}
-
 framework::Milliseconds GatewayPlaces::retryAfter(const admission::PlaceRequest &request)
 {
     return m_admission->returnTime(request, m_context.limits.retryAfter, m_context.clock.now());
--- a/src/proxy/internal/gatewayplaces.h
+++ b/src/proxy/internal/gatewayplaces.h
@@ -50,16 +50,8 @@
                      const admission::ReportedLoad &load);
     void observeNoLoad(const framework::ServiceId &service);
 
-    /// Stages of a request have started; their coordinator decides on them.
-    void stagesStarted(const admission::PlaceRequest &request);
-    /// \param isDone whether they have results
-    void stagesEnded(const admission::PlaceRequest &request, bool isDone,
-                     framework::Milliseconds took);
-    /// \param wait time until the coordinator expects capacity
-    /// \return time after which the client of a request refused by the coordinator should return
-    framework::Milliseconds stagesRetryAfter(const admission::PlaceRequest &request,
-                                             framework::Milliseconds wait);
-    /// \return the same for a request that the backend servers of its service have refused
+    /// \return time after which the client of a request that the backend servers of its service
+    /// have refused should return
     framework::Milliseconds retryAfter(const admission::PlaceRequest &request);
 
 private:
--- a/src/proxy/internal/requeststages.cpp
+++ b/src/proxy/internal/requeststages.cpp
@@ -1,7 +1,6 @@
 #include "proxy/internal/requeststages.h"
 
 #include "framework/iclock.h"
-#include "proxy/internal/gatewayplaces.h"
 #include "proxy/internal/requestplan.h"
 #include "proxy/types/clientrequest.h"
 #include "proxy/types/proxycontext.h"
@@ -14,8 +13,8 @@
 namespace lavendertally::proxy {
 
 RequestStages::RequestStages(const ProxyContext &context, const ClientRequest &request,
-                             const RequestPlan &plan, GatewayPlaces &places)
-    : m_context(context), m_request(request), m_plan(plan), m_places(places)
+                             const RequestPlan &plan)
+    : m_context(context), m_request(request), m_plan(plan)
 { }
 
 std::uint32_t RequestStages::pieceCount(std::size_t stage) const
@@ -33,7 +32,7 @@
     return false;
 }
 
-void RequestStages::start(protocol::StageJob job, const admission::PlaceRequest &place,
+void RequestStages::start(protocol::StageJob job,
                           std::function<void(protocol::StageJobOutcome)> done)
 {
     job.request = m_request.id;
@@ -52,14 +51,10 @@
     }
     m_running = true;
     m_started = m_context.clock.now();
-    m_place = place;
-    m_places.stagesStarted(place);
     m_context.stages.start(
         job, [this, done = std::move(done)](const protocol::StageJobOutcome &outcome) {
             m_running = false;
-            const framework::Milliseconds took = m_context.clock.now() - m_started;
-            m_timeTaken += took;
-            m_places.stagesEnded(m_place, outcome.status == protocol::StageJobStatus::Done, took);
+            m_timeTaken += m_context.clock.now() - m_started;
             m_results = outcome.results;
             done(outcome);
         });
@@ -69,7 +64,6 @@
 {
     if (std::exchange(m_running, false)) {
         m_context.stages.cancel(m_request.id);
-        m_places.stagesEnded(m_place, false, framework::Milliseconds(0));
     }
 }
 
--- a/src/proxy/internal/requeststages.h
+++ b/src/proxy/internal/requeststages.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "admission/types/placerequest.h"
 #include "framework/types/ids.h"
 #include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
@@ -13,7 +12,6 @@
 
 namespace lavendertally::proxy {
 
-class GatewayPlaces;
 struct ClientRequest;
 struct ProxyContext;
 struct RequestPlan;
@@ -24,17 +22,15 @@
 public:
     /// All arguments must outlive this object.
     RequestStages(const ProxyContext &context, const ClientRequest &request,
-                  const RequestPlan &plan, GatewayPlaces &places);
+                  const RequestPlan &plan);
 
     /// \return whether stages must run before the request can be sent
     bool areNeeded() const { return hasPieces() && m_results.empty(); }
 
     /// Starts a job for all stages that have pieces.
     /// \param job deadlines, worth and preferred zone; the remaining fields are filled in
-    /// \param place tells what the request is in admission
     /// \param done called once, after this function has returned, unless cancel() is called before
-    void start(protocol::StageJob job, const admission::PlaceRequest &place,
-               std::function<void(protocol::StageJobOutcome)> done);
+    void start(protocol::StageJob job, std::function<void(protocol::StageJobOutcome)> done);
     /// Cancels the job if one is running.
     void cancel();
 
@@ -53,8 +49,6 @@
     const ProxyContext &m_context;
     const ClientRequest &m_request;
     const RequestPlan &m_plan;
-    GatewayPlaces &m_places;
-    admission::PlaceRequest m_place;
     bool m_running = false;
     framework::TimePoint m_started;
     framework::Milliseconds m_timeTaken;
