--- a/src/configurationcheck/internal/limitrules.cpp
+++ b/src/configurationcheck/internal/limitrules.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::int64_t MillisecondsPerSecond = 1000;
+constexpr double MillisecondsPerSecond = 1000.0;
 /// Clients reuse connections that were idle for up to four fifths of the idle time, so a fifth of
 /// it is left for the request to arrive.
 constexpr std::int64_t ReuseMarginDivisor = 5;
@@ -114,7 +114,10 @@
                           FindingList &findings)
     {
         const std::int64_t gateways = context.gateways;
-        if (service.coldRequestsPerSecond * timeout.value() < gateways * MillisecondsPerSecond) {
+        // The product may exceed 64 bits.
+        const double requests = static_cast<double>(service.coldRequestsPerSecond)
+            * static_cast<double>(timeout.value()) / MillisecondsPerSecond;
+        if (requests < static_cast<double>(gateways)) {
             findings.add(Rule::ColdLimitTooLow,
                          {EntrySection::Services, index, EntryField::ColdLimit, {}, {}},
                          "the share of each of " + std::to_string(gateways)
--- a/src/configurationcheck/internal/matchrules.cpp
+++ b/src/configurationcheck/internal/matchrules.cpp
@@ -117,15 +117,15 @@
             if (!service.stagePool || result == largest.end()) {
                 continue;
             }
-            const framework::Bytes batch = result->second * service.stagePool->batchSize;
-            if (batch > service.stagePool->resultCapacity) {
+            const std::int64_t results = service.stagePool->resultCapacity.value()
+                / std::max<std::int64_t>(result->second.value(), 1);
+            if (results < service.stagePool->batchSize) {
                 findings.add(
                     Rule::BatchNeverFills,
                     {EntrySection::Services, index, EntryField::Pool, {}, EntryField::BatchSize},
-                    "the results of " + std::to_string(service.stagePool->batchSize)
-                        + " pieces take " + std::to_string(batch.value())
-                        + " bytes, but a server holds "
-                        + std::to_string(service.stagePool->resultCapacity.value()));
+                    "a server's memory holds " + std::to_string(results) + " results of "
+                        + std::to_string(result->second.value()) + " bytes, fewer than the "
+                        + std::to_string(service.stagePool->batchSize) + " pieces of a batch");
             }
         }
     }
--- a/src/platform/tests/configurationinspectiontest.cpp
+++ b/src/platform/tests/configurationinspectiontest.cpp
@@ -223,6 +223,19 @@
     }
 }
 
+/// Products of limits that are as large as can be read must not overflow.
+TEST(ConfigurationInspectionTest, LargestValuesAreJudged)
+{
+    json configuration = GeneratedConfiguration(Seed).make(1, 1);
+    configuration["routes"][0].update(
+        {{"timeoutMs", 9007199254740992}, {"stages", {{{"service", "pool"}, {"bytes", 9e15}}}}});
+    configuration["services"][0]["coldPerS"] = 4294967295;
+    configuration["services"][1]["coldPerS"] = 4294967295;
+    configuration["services"][2]["pieces"]["batchSize"] = 4294967295;
+    EXPECT_EQ(found(inspect(configuration).findings),
+              (Found{{"batch-never-fills", "services[2].pieces.batchSize"}}));
+}
+
 /// A secret in a report: reasons name a team and a hash.
 TEST(ConfigurationInspectionTest, KeysAreNotShown)
 {
