Connections: cause of a refusal, and bounds on what the shares remember

A request that four full servers turned away was refused as "backend servers unreachable". Earlier views of the gateways and lapsed leases are forgotten also where nothing is lent.

--- a/src/connections/internal/connectionshares.cpp
+++ b/src/connections/internal/connectionshares.cpp
@@ -38,6 +38,7 @@
     if (m_fleet.gateways == 0) {
         m_joinedAt = now + m_limits.raiseDelay;
     }
+    forgetEarlierFleets();
     m_earlierFleets.emplace_back(m_fleet, now);
     m_fleet = fleet;
     if (fleet.position >= peers::LeadingDaemons) {
@@ -307,8 +308,7 @@
     if (!cap || m_leadingSince == framework::TimePoint::never() || now - m_leadingSince < delay) {
         return 0;
     }
-    std::erase_if(m_earlierFleets,
-                  [&](const auto &earlier) { return now - earlier.second >= m_limits.raiseDelay; });
+    forgetEarlierFleets();
     std::uint32_t least = lendableSize(*cap, m_fleet);
     for (const auto &[fleet, replaced] : m_earlierFleets) {
         least = std::min(least, lendableSize(*cap, fleet));
@@ -316,6 +316,13 @@
     return least;
 }
 
+void ConnectionShares::forgetEarlierFleets()
+{
+    const framework::TimePoint now = m_clock.now();
+    std::erase_if(m_earlierFleets,
+                  [&](const auto &earlier) { return now - earlier.second >= m_limits.raiseDelay; });
+}
+
 void ConnectionShares::setWishListener(std::function<void(framework::TimePoint)> listener)
 {
     m_wishListener = std::move(listener);
--- a/src/connections/internal/connectionshares.h
+++ b/src/connections/internal/connectionshares.h
@@ -99,6 +99,7 @@
     bool tellWaiting(const framework::Endpoint &server);
     void tellWish(framework::TimePoint at);
     void forgetUnused();
+    void forgetEarlierFleets();
     ServerConnections &entry(const framework::Endpoint &server);
 
     const membership::IBackendServers &m_servers;
--- a/src/connections/internal/leaselender.cpp
+++ b/src/connections/internal/leaselender.cpp
@@ -19,12 +19,11 @@
                                 framework::TimePoint now)
 {
     std::map<framework::DaemonId, Lent> &borrowers = m_lent[wish.server];
+    std::erase_if(borrowers, [now](const auto &each) { return each.second.until <= now; });
     std::uint32_t before = 0;
     std::uint32_t others = 0;
     for (const auto &[gateway, lent] : borrowers) {
-        if (lent.until > now) {
-            (gateway == borrower ? before : others) += lent.count;
-        }
+        (gateway == borrower ? before : others) += lent.count;
     }
     const std::uint32_t available = lendable - std::min(lendable, others);
     const std::uint32_t granted = std::min(wish.count, available);
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -234,7 +234,9 @@
         sendAttempt();
         return;
     }
-    endUnsent({RefusalKind::NotRun, m_context.limits.retryAfter, "backend servers unreachable"},
+    const char *cause = m_attempt.wasRejected() ? "backend servers accept no further connection"
+                                                : "backend servers unreachable";
+    endUnsent({RefusalKind::NotRun, m_context.limits.retryAfter, cause},
               "stream broke; refused elsewhere");
 }
 
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -33,6 +33,13 @@
     return head.status == TooManyRequests || head.status == Unavailable;
 }
 
+/// \return whether the backend server, or this gateway's share of it, has no further connection
+bool lacksConnection(BackendCallEnd end)
+{
+    return end == BackendCallEnd::NoConnection || end == BackendCallEnd::Rejected
+        || end == BackendCallEnd::RejectedAfterSend;
+}
+
 /// \return what an attempt without a whole answer says of the backend server's health; one that has
 /// as many connections as it accepts has not failed
 routing::CallOutcome lossOutcome(BackendCallEnd end)
@@ -227,6 +234,7 @@
     const bool wasHeldBack = m_pacer.isHolding();
     dropCall();
     const bool isRefused = m_head && m_head->notExecuted;
+    m_wasRejected = lacksConnection(end);
     if (isUnsent(end) || isRefused) {
         recordOutcome(isRefused ? routing::CallOutcome::Refused : lossOutcome(end));
         m_observer.onAttemptEnded(isRefused ? AttemptResult::Refused : AttemptResult::NotSent);
@@ -243,7 +251,6 @@
     // A call that is held back ends only because its time is up.
     const bool hasRunOutOfTime = wasHeldBack && end == BackendCallEnd::Broken;
     recordOutcome(hasRunOutOfTime ? routing::CallOutcome::Cancelled : lossOutcome(end));
-    m_wasRejected = end == BackendCallEnd::RejectedAfterSend;
     m_guard.examineLoss([this, end] { answerEnded(end); });
 }
 
--- a/src/proxy/internal/backendattempt.h
+++ b/src/proxy/internal/backendattempt.h
@@ -60,8 +60,8 @@
     bool isComplete() const { return m_isComplete; }
     /// \return whether the last response is incomplete or a failure
     bool hasFailed() const { return m_failed; }
-    /// \return whether the last response is missing because the backend server probably had as many
-    /// connections as it accepts
+    /// \return whether the last response is missing because the backend server probably has as many
+    /// connections as it accepts, or because this gateway's share of them is in use
     bool wasRejected() const { return m_wasRejected; }
     /// \return backend server of the last attempt
     const framework::BackendServerId &server() const { return m_server; }
--- a/src/proxy/tests/connectionlimittest.cpp
+++ b/src/proxy/tests/connectionlimittest.cpp
@@ -53,6 +53,21 @@
     EXPECT_EQ(received->refusal, RefusalKind::NotRun);
 }
 
+/// Guards against a log that names full backend servers unreachable.
+TEST_F(ProxyConnectionLimitTest, ManyServersAreFull_RefusalNamesTheCause)
+{
+    for (const char *id : {"c", "d", "e"}) {
+        addServer(id);
+    }
+    const auto received = start("book");
+    for (std::size_t attempt = 0; attempt <= ProxyLimits().maxConnectFailures; ++attempt) {
+        sent(attempt).observer->onEnd(BackendCallEnd::NoConnection);
+    }
+    EXPECT_EQ(received->refusal, RefusalKind::NotRun);
+    EXPECT_NE(m_metrics->prometheusText().find("backend servers accept no further connection"),
+              std::string::npos);
+}
+
 /// Guards against a repeatable request that is answered as lost while another server could take it:
 /// the route allows one attempt.
 TEST_F(ProxyConnectionLimitTest, RepeatableRequestIsRejectedAfterItWasWritten_IsServedElsewhere)
