HTTP client: a closed connection's timer cannot write the request any more

The request waits 5 ms on a new connection. If the server ended the connection in the same turn of the loop in which that time was over, the request was reported as not sent and could still have been written. Found by reading.

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -306,6 +306,8 @@
 void ClientConnection::close()
 {
     m_closed = true;
+    // It may be due in the same turn of the loop and would write the request.
+    m_timer.reset();
     m_resumeTimer.reset();
     const ConnectionClose state = closeState();
     m_socket->detach();
