--- a/src/app/lavendertallyd.cpp
+++ b/src/app/lavendertallyd.cpp
@@ -13,6 +13,7 @@
 #include "host/hostmodule.h"
 
 #include <getopt.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -148,6 +149,16 @@
     bool m_draining = false;
 };
 
+/// Keeps the allocator from returning memory to the system, and taking it again, with each request
+/// body. With its defaults, bodies of 200 KB took twice the processor time.
+void keepFreedMemory()
+{
+    constexpr int MaxFreedAtTop = 2 * 1024 * 1024;
+    constexpr int MaxInHeap = 8 * 1024 * 1024;
+    mallopt(M_TRIM_THRESHOLD, MaxFreedAtTop);
+    mallopt(M_MMAP_THRESHOLD, MaxInHeap);
+}
+
 framework::Result<configuration::DaemonSettings> readSettings(const std::string &file)
 {
     std::ifstream stream(file, std::ios::binary);
@@ -211,6 +222,7 @@
 int main(int argc, char **argv)
 {
     setSignalsBlocked(true);
+    keepFreedMemory();
     const Options options = parseArguments(argc, argv);
     if (options.invalid) {
         std::cerr << HelpText;
--- a/src/peers/tests/peernetworktest.cpp
+++ b/src/peers/tests/peernetworktest.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <memory>
 #include <vector>
 
 using namespace lavendertally;
@@ -336,3 +337,25 @@
     EXPECT_EQ(m_observerB.m_inboundClosed.front(), slow);
     EXPECT_LT(m_clock->now() - begin, SoonerThanIdle);
 }
+
+// Guards against connections that say nothing and use up the descriptors.
+TEST_F(PeerNetworkTest, ManyLinksWithoutAName_OldestIsClosedAndPeersAreServed)
+{
+    ASSERT_TRUE(connect(m_endpointB));
+    std::vector<std::unique_ptr<http::RawSocket>> silent;
+    for (std::size_t number = 0; number <= PeerLimits().maxUnnamedLinks; ++number) {
+        silent.push_back(std::make_unique<http::RawSocket>(m_endpointB));
+    }
+    EXPECT_TRUE(waitFor([&] { return silent.front()->isClosed(); }));
+    EXPECT_FALSE(silent.back()->isClosed());
+    EXPECT_TRUE(m_a->isAccepting(B));
+}
+
+// Guards against a connection that sends without end before it says its name.
+TEST_F(PeerNetworkTest, LongFrameBeforeTheHello_LinkIsClosed)
+{
+    http::RawSocket unnamed(m_endpointB);
+    std::string frame("\x00\xff\xff\xff", 4);
+    unnamed.send(frame + std::string(100000, 'x'));
+    EXPECT_TRUE(waitFor([&] { return unnamed.isClosed() || unnamed.isReset(); }));
+}
