Rollouts: gateways that have ended, least time on the canary

With two gateways, one that was killed kept the other from raising steps until its registration lapsed, up to 25 s later. A gateway that has closed its link and does not come back within 2 s now counts neither for the majority nor as one to wait for. The time counts from when the end of the link was noticed, since a gateway that was frozen finds all its links closed.

An order whose servers are ready only near the deadline gave them everything after 0.5 s; the canary now lasts a tenth of the duration at least.

The process test with the store away waited for a time within which the decision was likely but not certain, and failed in one of two runs (18 requests where 15 were expected): 5 answers a second of which half are bad. It now waits for the step in the metrics of all gateways, and no request at all may follow.

--- a/src/app/tests/rollouttest.cpp
+++ b/src/app/tests/rollouttest.cpp
@@ -151,6 +151,18 @@
         return runs;
     }
     bool isFinal() const { return !m_final.empty(); }
+    /// Sends requests until \p condition holds.
+    bool loadUntil(const std::function<bool()> &condition)
+    {
+        load(WaitLimit, condition);
+        return condition();
+    }
+    bool hasRolledBack(const GatewayProcess &gateway)
+    {
+        const auto metrics = call(get(gateway.metrics, "/metrics"));
+        return metrics.body.find(R"(lavendertally_rollout_step{service="plain",version="v2"} 4)")
+            != std::string::npos;
+    }
     void expectExposureWithinBound() const
     {
         const double allowed =
@@ -265,20 +277,24 @@
 {
     startAll();
     order();
-    // Long enough for the order to arrive.
-    load(framework::Milliseconds(1500));
+    ASSERT_TRUE(loadUntil([this] { return newRuns() > 0; }));
     setStoreFault(standins::FaultMode::Refuse);
     for (const auto &server : m_new) {
-        server->setFailing(2);
+        server->setFailing(1);
     }
-    // The gateways stop serving when they have not heard of the store for their revocation limit.
-    load(framework::Milliseconds(1800));
+    const auto areAllRolledBack = [this] {
+        return std::all_of(
+            m_gateways.begin(), m_gateways.end(),
+            [this](const GatewayProcess &gateway) { return hasRolledBack(gateway); });
+    };
+    ASSERT_TRUE(loadUntil(areAllRolledBack));
+    EXPECT_NE(state(), "rolled_back") << "the store is away";
     const std::size_t runs = newRuns();
-    load(framework::Milliseconds(400));
+    load(framework::Milliseconds(300));
     setStoreFault(standins::FaultMode::None);
-    load(Duration, [this] { return isFinal(); });
-    ASSERT_EQ(m_final, "rolled_back");
-    EXPECT_LE(m_newRunsAtFinal, runs + 1) << "nothing after the rollback, before it was written";
+    ASSERT_TRUE(loadUntil([this] { return isFinal(); }));
+    EXPECT_EQ(m_final, "rolled_back");
+    EXPECT_EQ(newRuns(), runs);
     expectExposureWithinBound();
 }
 
--- a/src/rollout/internal/gatewayreports.cpp
+++ b/src/rollout/internal/gatewayreports.cpp
@@ -46,17 +46,24 @@
     known.start = start;
     known.report = report;
     known.reported = now;
-    known.hasClosed = false;
+    known.closed.reset();
 }
 
-void GatewayReports::noteClosed(const framework::DaemonId &daemon)
+void GatewayReports::noteClosed(const framework::DaemonId &daemon, framework::TimePoint now)
 {
     const auto found = m_daemons.find(daemon);
     if (found != m_daemons.end()) {
-        found->second.hasClosed = true;
+        found->second.closed = now;
     }
 }
 
+/// The time counts from when the end of the link was noticed: a daemon that was frozen finds all
+/// its links closed, and hears its peers again soon.
+bool GatewayReports::hasEnded(const Daemon &daemon, framework::TimePoint now)
+{
+    return daemon.closed && now - *daemon.closed >= ReportLifetime;
+}
+
 EvidenceTotals GatewayReports::totals() const
 {
     EvidenceTotals totals;
@@ -111,11 +118,14 @@
                                  framework::TimePoint now) const
 {
     std::size_t heard = 0;
+    std::size_t ended = 0;
     for (const auto &[id, daemon] : m_daemons) {
-        const bool isRecent = now - daemon.reported < ReportLifetime;
-        heard += isRecent && registered.contains(id) ? 1 : 0;
+        if (registered.contains(id)) {
+            heard += now - daemon.reported < ReportLifetime ? 1 : 0;
+            ended += hasEnded(daemon, now) ? 1 : 0;
+        }
     }
-    return 2 * heard > registered.size();
+    return 2 * heard > registered.size() - ended;
 }
 
 std::vector<framework::DaemonId>
@@ -125,7 +135,7 @@
     std::vector<framework::DaemonId> result;
     for (const auto &[id, daemon] : m_daemons) {
         const bool isUp = now - daemon.reported < ReportLifetime
-            || (registered.contains(id) && !daemon.hasClosed);
+            || (registered.contains(id) && !hasEnded(daemon, now));
         if (isUp && (!isSealed(daemon.report) || daemon.report.atOldServers > 0)) {
             result.push_back(id);
         }
--- a/src/rollout/internal/gatewayreports.h
+++ b/src/rollout/internal/gatewayreports.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,7 +25,7 @@
 
     /// The daemon has closed its link. If it does not report again soon, its process has ended, and
     /// its requests with it; its registration stands for up to half a minute longer.
-    void noteClosed(const framework::DaemonId &daemon);
+    void noteClosed(const framework::DaemonId &daemon, framework::TimePoint now);
 
     /// \return sum over all daemons and their starts
     EvidenceTotals totals() const;
@@ -36,7 +37,7 @@
     framework::TimePoint newest() const;
 
     /// \param registered daemons that are up
-    /// \return whether more than half of them have reported lately
+    /// \return whether more than half of them, but for those that have ended, have reported lately
     bool hasMajority(const std::set<framework::DaemonId> &registered,
                      framework::TimePoint now) const;
 
@@ -52,13 +53,16 @@
         std::uint64_t start = 0;
         protocol::RolloutServiceReport report;
         framework::TimePoint reported;
-        bool hasClosed = false;
+        /// Nothing after a report.
+        std::optional<framework::TimePoint> closed;
         /// Of starts that have ended.
         EvidenceTotals ended;
         std::uint64_t endedSent = 0;
         std::uint64_t endedToTarget = 0;
     };
 
+    /// \return whether the process has ended, as far as can be told
+    static bool hasEnded(const Daemon &daemon, framework::TimePoint now);
     static void add(EvidenceTotals &totals, const protocol::RolloutEvidence &evidence);
 
     std::map<framework::DaemonId, Daemon> m_daemons;
--- a/src/rollout/internal/rolloutcase.cpp
+++ b/src/rollout/internal/rolloutcase.cpp
@@ -22,6 +22,13 @@
 
 } // namespace
 
+void RolloutCase::weigh(framework::TimePoint now)
+{
+    m_judge.observe(m_reports.totals(), now);
+    // A successor of the decider knows how long the step has lasted.
+    noteStep(std::max(m_step, m_reports.highestStep()), now);
+}
+
 void RolloutCase::noteStep(RolloutStep step, framework::TimePoint now)
 {
     if (step != m_step) {
@@ -73,7 +80,9 @@
     if (m_plan.stepAt(situation.elapsed, longestOldAnswer()) <= step) {
         return {step, "not yet time", {}};
     }
-    if (now - m_stepBegan < MinStepTime) {
+    const framework::Milliseconds leastTime =
+        step == RolloutStep::Canary ? m_plan.minCanaryTime() : MinStepTime;
+    if (now - m_stepBegan < leastTime) {
         return {step, "the step has just begun", {}};
     }
     if (!hasEnoughAnswers()) {
--- a/src/rollout/internal/rolloutcase.h
+++ b/src/rollout/internal/rolloutcase.h
@@ -24,7 +24,7 @@
     const RolloutJudge &judge() const { return m_judge; }
 
     /// Weighs the evidence that has come since the last call.
-    void weigh(framework::TimePoint now) { m_judge.observe(m_reports.totals(), now); }
+    void weigh(framework::TimePoint now);
 
     /// \return the step to go to, Completed only if no daemon has requests at old servers. It is
     /// the present one if there is nothing to be done
--- a/src/rollout/internal/rolloutexchange.cpp
+++ b/src/rollout/internal/rolloutexchange.cpp
@@ -29,6 +29,8 @@
 constexpr framework::Milliseconds IdleInterval{500};
 /// What has not changed is told again after this time: a message may be lost with its link.
 constexpr framework::Milliseconds RepeatInterval{500};
+/// Least time between two log lines of a rollout that stays in its step; reasons may alternate.
+constexpr framework::Milliseconds MinLogInterval{1000};
 
 bool isFinal(RolloutStep step)
 {
@@ -118,11 +120,11 @@
     if (found == m_cases.end() || found->second.rolloutNumber != service.rolloutNumber()) {
         m_statuses.forget(order.service);
         const RolloutPlan plan(m_bounds, order.duration);
-        found =
-            m_cases
-                .insert_or_assign(order.service,
-                                  Case{service.rolloutNumber(), order.id, RolloutCase(plan), {}})
-                .first;
+        found = m_cases
+                    .insert_or_assign(
+                        order.service,
+                        Case{service.rolloutNumber(), order.id, RolloutCase(plan), {}, {}})
+                    .first;
     }
     found->second.order = order.id;
     return &found->second;
@@ -157,6 +159,11 @@
 {
     const auto daemons = static_cast<std::int64_t>(m_directory.limitSharerCount());
     framework::Milliseconds interval = ReportInterval * (1 + daemons / DaemonsPerReportInterval);
+    constexpr std::int64_t MinReportsInLimit = 10;
+    interval = std::min(
+        interval,
+        std::max(ReportInterval,
+                 framework::Milliseconds(m_bounds.rollbackLimit.value() / MinReportsInLimit)));
     const auto services = m_traffic.ordered();
     const bool areAllFinal =
         std::all_of(services.begin(), services.end(), [this](const framework::ServiceId &id) {
@@ -242,6 +249,7 @@
                           {{"service", known->service.value()},
                            {"target", known->target.value()},
                            {"step", stepName(service.step())}});
+            showStep(service);
         }
     }
 }
@@ -281,9 +289,14 @@
                              const RolloutDecision &decision)
 {
     const bool isRaised = service.raise(decision.step);
-    if (isRaised || decision.reason != rolloutCase.loggedReason) {
+    const framework::TimePoint now = m_clock.now();
+    const bool hasNewReason =
+        decision.reason != rolloutCase.loggedReason && now - rolloutCase.logged >= MinLogInterval;
+    if (isRaised || hasNewReason) {
         rolloutCase.loggedReason = decision.reason;
+        rolloutCase.logged = now;
         logStep(service, rolloutCase, decision);
+        showStep(service);
     }
     if (decision.step == RolloutStep::Waiting) {
         return;
@@ -323,6 +336,10 @@
          {"evidence_age_ms", std::to_string((now - decisions.reports().newest()).value())},
          {"awaited", decision.awaited.empty() ? "" : decision.awaited.front().value()},
          {"awaited_gateways", std::to_string(decision.awaited.size())}});
+}
+
+void RolloutExchange::showStep(const ServiceTraffic &service) const
+{
     m_metrics.setGauge("lavendertally_rollout_step",
                        {{"service", service.order()->service.value()},
                         {"version", service.order()->target.value()}},
@@ -394,10 +411,7 @@
                            {"target", each.target.value()},
                            {"step", stepName(each.step)},
                            {"decider", peer.value()}});
-            m_metrics.setGauge(
-                "lavendertally_rollout_step",
-                {{"service", each.service.value()}, {"version", each.target.value()}},
-                static_cast<std::int64_t>(each.step));
+            showStep(*service);
         }
     }
 }
@@ -428,7 +442,7 @@
 void RolloutExchange::onClosedByPeer(const framework::DaemonId &peer)
 {
     for (auto &[id, rolloutCase] : m_cases) {
-        rolloutCase.decisions.reports().noteClosed(peer);
+        rolloutCase.decisions.reports().noteClosed(peer, m_clock.now());
     }
 }
 
--- a/src/rollout/internal/rolloutexchange.h
+++ b/src/rollout/internal/rolloutexchange.h
@@ -66,6 +66,7 @@
         protocol::RolloutOrderId order;
         RolloutCase decisions;
         std::string loggedReason;
+        framework::TimePoint logged;
     };
 
     void onOrders();
@@ -85,6 +86,7 @@
     void adoptStatus(ServiceTraffic &service);
     void logStep(const ServiceTraffic &service, const Case &rolloutCase,
                  const RolloutDecision &decision) const;
+    void showStep(const ServiceTraffic &service) const;
     void announceSteps(bool isDue);
     void onReport(const framework::DaemonId &peer, const protocol::RolloutReport &report);
     void onSteps(const framework::DaemonId &peer, const protocol::RolloutSteps &steps);
--- a/src/rollout/internal/rolloutplan.cpp
+++ b/src/rollout/internal/rolloutplan.cpp
@@ -18,6 +18,9 @@
 /// Least time under full load: two reports and the answers of a few hundred milliseconds.
 constexpr framework::Milliseconds MinFullLoad{600};
 constexpr double FullLoadPart = 0.12;
+/// Least time on the canary: an order may have waited for its servers until the deadline.
+constexpr framework::Milliseconds MinCanary{500};
+constexpr double MinCanaryPart = 0.1;
 /// Time after the last answer of an old server until the status is written: a report, a decision
 /// and a call of the store.
 constexpr framework::Milliseconds CompletionTime{350};
@@ -63,6 +66,11 @@
         static_cast<std::int64_t>(share * static_cast<double>(m_duration.value())));
 }
 
+framework::Milliseconds RolloutPlan::minCanaryTime() const
+{
+    return std::max(part(MinCanaryPart), MinCanary);
+}
+
 protocol::RolloutStep RolloutPlan::stepAt(framework::Milliseconds elapsed,
                                           framework::Milliseconds longestOld) const
 {
--- a/src/rollout/internal/rolloutplan.h
+++ b/src/rollout/internal/rolloutplan.h
@@ -32,6 +32,9 @@
     /// \return share of the requests of the step Canary or FullLoad
     double share(protocol::RolloutStep step, std::size_t targetServers) const;
 
+    /// \return least time on the canary, also if its servers are ready only late
+    framework::Milliseconds minCanaryTime() const;
+
     /// \param elapsed time since the order
     /// \param longestOld time that the slowest requests at old servers take
     /// \return step that the time allows if there is nothing against the new version
--- a/src/rollout/tests/rolloutfleettest.cpp
+++ b/src/rollout/tests/rolloutfleettest.cpp
@@ -240,6 +240,39 @@
     EXPECT_EQ(state(), RolloutState::Completed);
 }
 
+// Of two gateways, the one that is left must not wait for a majority that cannot come back.
+TEST_F(RolloutFleetTest, OneOfTwoGatewaysIsKilled_OtherOneGoesOn)
+{
+    addDaemons(2);
+    order("v2");
+    play(3000);
+    const framework::DaemonId killed = m_daemons[0]->id;
+    kill(0);
+    Daemon &left = *m_daemons[0];
+    left.directory.addresses.insert(left.directory.addresses.begin(), {killed, {}});
+    left.network.unreachable.insert(killed);
+    left.exchange->onClosedByPeer(killed);
+    play(8950);
+    EXPECT_EQ(state(), RolloutState::Completed);
+}
+
+// A gateway that was frozen finds its links closed when it goes on; its peers may have requests at
+// old servers.
+TEST_F(RolloutFleetTest, LinksWereClosedWhileDeciderWasFrozen_PeersAreStillWaitedFor)
+{
+    addDaemons(3);
+    order("v2");
+    play(9000);
+    m_clock.advance(framework::Milliseconds(6000));
+    cutOff(0);
+    m_daemons[0]->exchange->onClosedByPeer(m_daemons[1]->id);
+    m_daemons[0]->exchange->onClosedByPeer(m_daemons[2]->id);
+    m_daemons[1]->network.dropsMessages = true;
+    m_daemons[2]->network.dropsMessages = true;
+    play(1000);
+    EXPECT_EQ(state(), RolloutState::Running);
+}
+
 TEST_F(RolloutFleetTest, LinkIsLostWithoutBeingClosed_GatewayIsWaitedFor)
 {
     addDaemons(5);
@@ -371,6 +404,23 @@
     EXPECT_EQ(state(), std::nullopt);
 }
 
+// Moving everything to servers that were never tried, because the deadline is near.
+TEST_F(RolloutOrderTest,
+       ServersOfTheTargetAreReadyOnlyAtTheDeadline_TheyAreTriedBeforeTheyGetEverything)
+{
+    removeServers("new");
+    m_isNewBad = true;
+    addDaemons(3);
+    order("v2");
+    play(Duration.value());
+    for (int each = 0; each < 4; ++each) {
+        addServer("new" + std::to_string(each), "v2", 2);
+    }
+    play(6000, 4);
+    EXPECT_EQ(state(), RolloutState::RolledBack);
+    EXPECT_LT(m_badAnswers, 50U);
+}
+
 TEST_F(RolloutOrderTest, TargetIsInUse_CompletedAtOnce)
 {
     addDaemons(3);
--- a/src/soak/internal/soakrollouts.cpp
+++ b/src/soak/internal/soakrollouts.cpp
@@ -171,6 +171,7 @@
     m_isRunning = false;
     if (state == "completed") {
         ++m_completed;
+        m_badCompleted += m_kind == Kind::Good ? 0 : 1;
         std::size_t inFlight = 0;
         for (const BackendHost *host : m_old) {
             inFlight += host->server->inFlight();
@@ -183,6 +184,7 @@
         return;
     }
     m_rolledBack += state == "rolled_back" ? 1 : 0;
+    m_goodRolledBack += state == "rolled_back" && m_kind == Kind::Good ? 1 : 0;
     if (state != "rolled_back") {
         ++m_open;
         m_store.remove("keyed.op", "op/rollout/" + m_service);
@@ -192,8 +194,10 @@
 
 std::string SoakRollouts::summary() const
 {
-    return " rollouts completed " + std::to_string(m_completed) + ", rolled back "
-        + std::to_string(m_rolledBack) + ", taken back " + std::to_string(m_open) + ".";
+    return " rollouts completed " + std::to_string(m_completed) + " (bad "
+        + std::to_string(m_badCompleted) + "), rolled back " + std::to_string(m_rolledBack)
+        + " (good " + std::to_string(m_goodRolledBack) + "), taken back " + std::to_string(m_open)
+        + ".";
 }
 
 } // namespace lavendertally::soak
--- a/src/soak/internal/soakrollouts.h
+++ b/src/soak/internal/soakrollouts.h
@@ -84,6 +84,8 @@
     std::size_t m_completed = 0;
     std::size_t m_rolledBack = 0;
     std::size_t m_open = 0;
+    std::size_t m_goodRolledBack = 0;
+    std::size_t m_badCompleted = 0;
 };
 
 } // namespace lavendertally::soak
