--- a/src/routing/ibackendserverselector.h
+++ b/src/routing/ibackendserverselector.h
@@ -14,6 +14,8 @@
 
 namespace lavendertally::routing {
 
+class ICallWork;
+
 /// Selects the backend server for a call that is sent to it directly, without a host process in
 /// between. The outcomes and loads reported back steer later selections.
 class IBackendServerSelector
@@ -66,6 +68,9 @@
     virtual void observeRateLimit(const framework::BackendServerId &server,
                                   std::optional<framework::RequestRate> rateLimit,
                                   framework::TimePoint started, framework::TimePoint now) = 0;
+
+    /// \return where the work of calls is reported; valid as long as the selector
+    virtual ICallWork &callWork() = 0;
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/internal/backendserverselector.cpp
+++ b/src/routing/internal/backendserverselector.cpp
@@ -1,9 +1,7 @@
 #include "routing/internal/backendserverselector.h"
 
-#include "framework/irandom.h"
 #include "membership/ibackendservers.h"
 #include "ratelimit/iserverratelimits.h"
-#include "routing/internal/rendezvous.h"
 #include "routing/iserverfilter.h"
 #include "routing/types/routingerror.h"
 
@@ -15,24 +13,8 @@
 
 namespace {
 
-/// Added to the utilisation of backend servers in other zones.
-constexpr double ZonePenalty = 0.2;
-/// Multiplied by the failure rate and added to the utilisation.
-constexpr double FailurePenalty = 4.0;
-/// Failure rate above which affinity is not followed. It is below that of a backend server with a
-/// gray failure, which fails about a third of its calls.
-constexpr double MaxAffinityFailureRate = 0.15;
-/// Highest utilisation, as a multiple of the average, up to which affinity is followed.
-constexpr double AffinityLoadBound = 1.5;
-/// Utilisation up to which affinity is followed even above that bound.
-constexpr double AffinityUnboundedUtilisation = 0.5;
 /// Utilisation from which a server is relieved by others that limit their requests.
 constexpr double BusyUtilisation = 0.2;
-/// Number of distinct random values that break ties between candidates.
-constexpr std::uint64_t TieBreakSteps = 1024;
-/// Upper bound of the random value that breaks ties: less than the utilisation that one call adds
-/// on a backend server with fewer than 100 slots.
-constexpr double MaxTieBreak = 0.01;
 /// Number of states above which those of backend servers that admit no work are erased. Up to it
 /// they are kept, since the backend servers may come back.
 constexpr std::size_t MaxTrackedServers = 4096;
@@ -42,8 +24,10 @@
 BackendServerSelector::BackendServerSelector(const membership::IBackendServers &servers,
                                              ratelimit::IServerRateLimits &rateLimits,
                                              framework::IRandom &random,
-                                             std::vector<IServerFilter *> filters)
-    : m_servers(servers), m_rateLimits(rateLimits), m_random(random), m_filters(std::move(filters))
+                                             std::vector<IServerFilter *> filters,
+                                             framework::IMetrics *metrics)
+    : m_servers(servers), m_rateLimits(rateLimits), m_filters(std::move(filters)),
+      m_work(servers, metrics), m_byUtilisation(m_work, random), m_byWork(m_work, random)
 { }
 
 framework::Result<membership::BackendServerEntry>
@@ -51,7 +35,8 @@
 {
     Candidates candidates = usable(query, now);
     while (!candidates.empty()) {
-        const Candidate chosen = relieved(choose(candidates, query), candidates, query);
+        const Candidate chosen =
+            relieved(choiceFor(query).choose(candidates, query, now), candidates, query, now);
         // Asked only of the preferred one, so that permits go to where they are used.
         if (m_rateLimits.mayCall(chosen.entry->id, now)) {
             if (query.coldStartRate > 0.0 && now < chosen.entry->coldUntil) {
@@ -66,18 +51,21 @@
     return framework::leaf::new_error(RoutingError::NoAdmittingBackend);
 }
 
-const BackendServerSelector::Candidate &BackendServerSelector::choose(const Candidates &candidates,
-                                                                      const ServerQuery &query)
+/// Work is comparable only where requests state it. Servers that report no work time are those of
+/// sites where calls are counted.
+IServerChoice &BackendServerSelector::choiceFor(const ServerQuery &query)
 {
-    const Candidate *preferred = query.prefixHash != 0 ? byAffinity(candidates, query) : nullptr;
-    return preferred != nullptr ? *preferred : lowestCost(candidates, query);
+    if (query.work.isInTokens() && m_work.reportsWorkTime(query.service)) {
+        return m_byWork;
+    }
+    return m_byUtilisation;
 }
 
 /// Permits that are not used are lost for all daemons, and servers that limit their requests have
 /// little to do; so these are preferred while \p chosen is busy.
-const BackendServerSelector::Candidate &
-BackendServerSelector::relieved(const Candidate &chosen, const Candidates &candidates,
-                                const ServerQuery &query)
+const Candidate &BackendServerSelector::relieved(const Candidate &chosen,
+                                                 const Candidates &candidates,
+                                                 const ServerQuery &query, framework::TimePoint now)
 {
     if (chosen.utilisation < BusyUtilisation || m_rateLimits.rateOf(chosen.entry->id)) {
         return chosen;
@@ -91,7 +79,7 @@
     if (idle.empty()) {
         return chosen;
     }
-    const membership::BackendServerEntry *best = lowestCost(idle, query).entry;
+    const membership::BackendServerEntry *best = m_byUtilisation.lowestCost(idle, query, now).entry;
     return *std::find_if(candidates.begin(), candidates.end(),
                          [best](const Candidate &candidate) { return candidate.entry == best; });
 }
@@ -112,8 +100,7 @@
 
 /// \return backend servers that may be called now; if all of them are ejected, the one whose
 /// ejection ends first
-BackendServerSelector::Candidates BackendServerSelector::usable(const ServerQuery &query,
-                                                                framework::TimePoint now)
+Candidates BackendServerSelector::usable(const ServerQuery &query, framework::TimePoint now)
 {
     eraseStatesOfNonAdmitting();
     Candidates available;
@@ -157,50 +144,6 @@
     return servers;
 }
 
-const BackendServerSelector::Candidate &
-BackendServerSelector::lowestCost(const Candidates &candidates, const ServerQuery &query)
-{
-    const Candidate *best = nullptr;
-    double bestCost = 0.0;
-    for (const Candidate &candidate : candidates) {
-        const double tieBreak = MaxTieBreak * static_cast<double>(m_random.below(TieBreakSteps))
-            / static_cast<double>(TieBreakSteps);
-        const double zonePenalty = candidate.entry->zone == query.zone ? 0.0 : ZonePenalty;
-        const double cost = candidate.utilisation + zonePenalty
-            + FailurePenalty * candidate.state->failureRate() + tieBreak;
-        if (best == nullptr || cost < bestCost) {
-            best = &candidate;
-            bestCost = cost;
-        }
-    }
-    return *best;
-}
-
-/// Consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2016).
-const BackendServerSelector::Candidate *
-BackendServerSelector::byAffinity(const Candidates &candidates, const ServerQuery &query)
-{
-    double sum = 0.0;
-    for (const Candidate &candidate : candidates) {
-        sum += candidate.utilisation;
-    }
-    const double average = sum / static_cast<double>(candidates.size());
-    const double bound = std::max(AffinityUnboundedUtilisation, average * AffinityLoadBound);
-    const Candidate *best = nullptr;
-    std::uint64_t bestScore = 0;
-    for (const Candidate &candidate : candidates) {
-        const bool fits = candidate.utilisation <= bound
-            && candidate.state->failureRate() <= MaxAffinityFailureRate;
-        const std::uint64_t score =
-            rendezvousScore(query.prefixHash, hashName(candidate.entry->id.value()));
-        if (fits && (best == nullptr || score > bestScore)) {
-            best = &candidate;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 framework::Milliseconds BackendServerSelector::pauseOf(const framework::ServiceId &service,
                                                        framework::TimePoint now) const
 {
@@ -263,6 +206,7 @@
                                         const ServerLoad &load, framework::TimePoint now)
 {
     m_states[server].observeLoad(load, now);
+    m_work.observeLoad(server, load, now);
 }
 
 void BackendServerSelector::observeRateLimit(const framework::BackendServerId &server,
--- a/src/routing/internal/backendserverselector.h
+++ b/src/routing/internal/backendserverselector.h
@@ -1,14 +1,19 @@
 #pragma once
 
 #include "routing/ibackendserverselector.h"
+#include "routing/internal/candidate.h"
 #include "routing/internal/serverstate.h"
+#include "routing/internal/utilisationchoice.h"
+#include "routing/internal/workchoice.h"
+#include "routing/internal/worktracker.h"
 
 #include <unordered_map>
 #include <vector>
 
 namespace lavendertally::framework {
+class IMetrics;
 class IRandom;
-}
+} // namespace lavendertally::framework
 
 namespace lavendertally::membership {
 class IBackendServers;
@@ -22,14 +27,15 @@
 
 class IServerFilter;
 
-/// Selects by estimated load, recent failures and availability zone. Prompts with a shared prefix
-/// go to the same backend server while its load stays within a bound above the average.
+/// Finds the backend servers that may be called now, and leaves the choice among them to
+/// WorkChoice, where requests state their tokens and servers report how long work takes, and to
+/// UtilisationChoice otherwise.
 class BackendServerSelector final : public IBackendServerSelector
 {
 public:
     BackendServerSelector(const membership::IBackendServers &servers,
                           ratelimit::IServerRateLimits &rateLimits, framework::IRandom &random,
-                          std::vector<IServerFilter *> filters);
+                          std::vector<IServerFilter *> filters, framework::IMetrics *metrics);
 
     framework::Result<membership::BackendServerEntry> select(const ServerQuery &query,
                                                              framework::TimePoint now) override;
@@ -50,31 +56,24 @@
     void observeRateLimit(const framework::BackendServerId &server,
                           std::optional<framework::RequestRate> rateLimit,
                           framework::TimePoint started, framework::TimePoint now) override;
+    ICallWork &callWork() override { return m_work; }
 
 private:
-    struct Candidate
-    {
-        const membership::BackendServerEntry *entry = nullptr;
-        ServerState *state = nullptr;
-        double utilisation = 0.0;
-    };
-    using Candidates = std::vector<Candidate>;
-
-    const Candidate &choose(const Candidates &candidates, const ServerQuery &query);
+    IServerChoice &choiceFor(const ServerQuery &query);
     const Candidate &relieved(const Candidate &chosen, const Candidates &candidates,
-                              const ServerQuery &query);
+                              const ServerQuery &query, framework::TimePoint now);
     Candidates usable(const ServerQuery &query, framework::TimePoint now);
     std::vector<const membership::BackendServerEntry *> permitted(const ServerQuery &query,
                                                                   framework::TimePoint now) const;
-    const Candidate &lowestCost(const Candidates &candidates, const ServerQuery &query);
-    static const Candidate *byAffinity(const Candidates &candidates, const ServerQuery &query);
     void eraseStatesOfNonAdmitting();
 
     const membership::IBackendServers &m_servers;
     ratelimit::IServerRateLimits &m_rateLimits;
-    framework::IRandom &m_random;
     std::vector<IServerFilter *> m_filters;
     std::unordered_map<framework::BackendServerId, ServerState> m_states;
+    WorkTracker m_work;
+    UtilisationChoice m_byUtilisation;
+    WorkChoice m_byWork;
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/internal/routingmodule.cpp
+++ b/src/routing/internal/routingmodule.cpp
@@ -30,9 +30,10 @@
 
 std::unique_ptr<IBackendServerSelector> RoutingModule::makeBackendServerSelector(
     const membership::IBackendServers &servers, ratelimit::IServerRateLimits &rateLimits,
-    framework::IRandom &random, std::vector<IServerFilter *> filters)
+    framework::IRandom &random, std::vector<IServerFilter *> filters, framework::IMetrics *metrics)
 {
-    return std::make_unique<BackendServerSelector>(servers, rateLimits, random, std::move(filters));
+    return std::make_unique<BackendServerSelector>(servers, rateLimits, random, std::move(filters),
+                                                   metrics);
 }
 
 } // namespace lavendertally::routing
--- /dev/null
+++ b/src/routing/internal/workchoice.cpp
@@ -0,0 +1,199 @@
+#include "routing/internal/workchoice.h"
+
+#include "framework/irandom.h"
+#include "routing/internal/completionestimate.h"
+#include "routing/internal/keptprompt.h"
+#include "routing/internal/rendezvous.h"
+#include "routing/internal/serverstate.h"
+#include "routing/internal/worktracker.h"
+#include "routing/types/serverquery.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertally::routing {
+
+namespace {
+
+/// Options drawn at random from the same zone and from the others, and homes drawn from those in
+/// the zone.
+constexpr std::size_t LocalDraws = 5;
+constexpr std::size_t RemoteDraws = 3;
+/// Wait at the least busy home from which other servers are weighed as well: this multiple of the
+/// service's average, and this much more. In the work bench a single random server beside the homes
+/// doubled the shared tokens that were read again, since each copy evicts others.
+constexpr double BusyHomeFactor = 3.0;
+constexpr double BusyHomeMarginMs = 200.0;
+constexpr std::size_t HomeDraws = 8;
+/// Probability that a home of a prompt's shared parts keeps them, and that the servers that come
+/// next do, to which calls go while the homes are busy.
+constexpr double HomeKeeps = 0.85;
+constexpr double NextHomeKeeps = 0.5;
+constexpr std::size_t NextHomes = 1;
+/// Cost of sending a request and its answer to another zone.
+constexpr double ZoneCostMs = 60.0;
+/// Cost of a call that fails: what the attempt takes before the next one begins.
+constexpr double FailureCostMs = 2000.0;
+/// Weight of the time for the events after the first, which no objective limits, but which keeps
+/// memory and a place for long.
+constexpr double WriteWeight = 0.1;
+/// Weight of the delay of other streams and waiting requests, summed over them.
+constexpr double NeighbourWeight = 0.05;
+constexpr double QueueWeight = 1.0;
+/// Weight of the time to read shared parts that are not kept: in a full memory they evict as many
+/// tokens of other prompts, which are read again later.
+constexpr double EvictionWeight = 1.0;
+/// Cost of a pause that is longer than its stream tolerates.
+constexpr double BrokenStreamCostMs = 30.0;
+/// Weight of the time by which the first event would miss the objective.
+constexpr double LatenessWeight = 2.0;
+
+} // namespace
+
+WorkChoice::WorkChoice(WorkTracker &work, framework::IRandom &random)
+    : m_work(work), m_random(random)
+{ }
+
+const Candidate &WorkChoice::choose(const Candidates &candidates, const ServerQuery &query,
+                                    framework::TimePoint now)
+{
+    const ServiceWork &service = m_work.service(query.service);
+    const double writeTokens = service.outputs().estimate(query.work);
+    listOptions(candidates, query);
+    const bool hasHomes = query.prefixHash != 0 && query.work.parts.size() > 1;
+    if (hasHomes) {
+        markHomes(query, service, now);
+        weighMarked(query, writeTokens, now);
+    }
+    if (!hasHomes || areHomesBusy(service)) {
+        draw(0, m_localOptions, LocalDraws);
+        draw(m_localOptions, m_options.size(), RemoteDraws);
+        weighMarked(query, writeTokens, now);
+    }
+    const Option &chosen = best(nullptr);
+    ChoiceReason reason = ChoiceReason::LeastWork;
+    if (&best(&Option::zoneCost) != &chosen) {
+        reason = ChoiceReason::Zone;
+    } else if (&best(&Option::costWithoutCache) != &chosen) {
+        reason = ChoiceReason::CachedPrompt;
+    }
+    m_work.chosen(chosen.candidate->entry->id, reason, chosen.keptTokens);
+    return *chosen.candidate;
+}
+
+void WorkChoice::listOptions(const Candidates &candidates, const ServerQuery &query)
+{
+    m_options.clear();
+    for (const Candidate &candidate : candidates) {
+        Option option;
+        option.candidate = &candidate;
+        option.hash = hashName(candidate.entry->id.value());
+        option.isLocal = candidate.entry->zone == query.zone;
+        option.score = rendezvousScore(query.prefixHash, option.hash);
+        m_options.push_back(option);
+    }
+    const auto firstRemote = std::partition(m_options.begin(), m_options.end(),
+                                            [](const Option &option) { return option.isLocal; });
+    m_localOptions = static_cast<std::size_t>(firstRemote - m_options.begin());
+}
+
+/// Each zone has homes of its own, so that affinity does not lead to other zones.
+void WorkChoice::markHomes(const ServerQuery &query, const ServiceWork &service,
+                           framework::TimePoint now)
+{
+    const auto byScore = [](const Option &a, const Option &b) { return a.score > b.score; };
+    const auto begin = m_options.begin();
+    const auto firstRemote = begin + static_cast<std::ptrdiff_t>(m_localOptions);
+    if (firstRemote != m_options.end()) {
+        // The best of all remote ones is a home of its zone.
+        const auto home = std::min_element(firstRemote, m_options.end(), byScore);
+        home->home = HomeKeeps;
+        home->isMarked = true;
+    }
+    if (m_localOptions == 0) {
+        return;
+    }
+    const std::size_t homes = homesOf(service, query.work, m_localOptions, now);
+    const std::size_t ranked = std::min(homes + NextHomes, m_localOptions);
+    std::partial_sort(begin, begin + static_cast<std::ptrdiff_t>(ranked), firstRemote, byScore);
+    for (std::size_t rank = 0; rank < ranked; ++rank) {
+        m_options[rank].home = rank < homes ? HomeKeeps : NextHomeKeeps;
+    }
+    draw(0, homes, HomeDraws);
+    draw(homes, ranked, NextHomes);
+}
+
+void WorkChoice::draw(std::size_t first, std::size_t last, std::size_t count)
+{
+    const std::size_t size = last - first;
+    for (std::size_t drawn = 0; drawn < count && size > 0; ++drawn) {
+        const std::size_t index = size <= count ? first + drawn : first + m_random.below(size);
+        if (index < last) {
+            m_options[index].isMarked = true;
+        }
+    }
+}
+
+void WorkChoice::weighMarked(const ServerQuery &query, double writeTokens, framework::TimePoint now)
+{
+    for (Option &option : m_options) {
+        if (option.isMarked && !option.isWeighed) {
+            weigh(option, query, writeTokens, now);
+        }
+    }
+}
+
+/// \return whether even the least busy home has clearly more to read than an average server
+bool WorkChoice::areHomesBusy(const ServiceWork &service) const
+{
+    const double averageMs =
+        service.meanOtherWaiting() * service.meanReadTokens() * service.readMsPerToken();
+    return std::none_of(m_options.begin(), m_options.end(), [averageMs](const Option &option) {
+        return option.isWeighed && option.waitMs <= BusyHomeFactor * averageMs + BusyHomeMarginMs;
+    });
+}
+
+void WorkChoice::weigh(Option &option, const ServerQuery &query, double writeTokens,
+                       framework::TimePoint now)
+{
+    const framework::BackendServerId &id = option.candidate->entry->id;
+    const ServiceWork &service = m_work.service(query.service);
+    const ServerWork &server = m_work.server(id);
+    option.isWeighed = true;
+    const auto costOf = [&](double kept) {
+        const CompletionEstimate estimate =
+            CompletionEstimate::make(server, service, query.work, kept, writeTokens, now);
+        option.waitMs = estimate.waitMs;
+        const auto left = static_cast<double>(query.work.objectiveLeft.value());
+        const double lateness = left > 0.0 ? std::max(estimate.firstEventMs - left, 0.0) : 0.0;
+        return estimate.firstEventMs + WriteWeight * estimate.writeMs
+            + NeighbourWeight * estimate.neighbourMs + QueueWeight * estimate.queueMs
+            + BrokenStreamCostMs * estimate.brokenStreams + LatenessWeight * lateness
+            + EvictionWeight * estimate.evictionMs;
+    };
+    option.keptTokens = keptTokens(service, query.work, option.hash, option.home, now);
+    option.zoneCost = option.isLocal ? 0.0 : ZoneCostMs;
+    const double other = option.zoneCost + FailureCostMs * option.candidate->state->failureRate();
+    option.cost = costOf(option.keptTokens) + other;
+    option.costWithoutCache = costOf(0.0) + other;
+}
+
+/// \param without member that is taken out of the cost, or null
+const WorkChoice::Option &WorkChoice::best(double Option::*without) const
+{
+    const auto costOf = [without](const Option &option) {
+        if (without == &Option::costWithoutCache) {
+            return option.costWithoutCache;
+        }
+        return without != nullptr ? option.cost - option.*without : option.cost;
+    };
+    const Option *best = nullptr;
+    for (const Option &option : m_options) {
+        if (option.isWeighed && (best == nullptr || costOf(option) < costOf(*best))) {
+            best = &option;
+        }
+    }
+    return *best;
+}
+
+} // namespace lavendertally::routing
--- a/src/routing/routingmodule.h
+++ b/src/routing/routingmodule.h
@@ -7,8 +7,9 @@
 #include <vector>
 
 namespace lavendertally::framework {
+class IMetrics;
 class IRandom;
-}
+} // namespace lavendertally::framework
 
 namespace lavendertally::membership {
 class IBackendServers;
@@ -44,11 +45,13 @@
 
     /// \param filters applied one after the other to the candidates of each call; they outlive the
     /// selector
+    /// \param metrics gets the reasons of choices and the errors of predicted times; none if null
     /// \return a selector of backend servers that are called without a host process in between
     static std::unique_ptr<IBackendServerSelector>
     makeBackendServerSelector(const membership::IBackendServers &servers,
                               ratelimit::IServerRateLimits &rateLimits, framework::IRandom &random,
-                              std::vector<IServerFilter *> filters = {});
+                              std::vector<IServerFilter *> filters = {},
+                              framework::IMetrics *metrics = nullptr);
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/types/serverload.h
+++ b/src/routing/types/serverload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 namespace lavendertally::routing {
 
@@ -13,6 +14,8 @@
     std::uint32_t waiting = 0;
     /// Requests that can be processed concurrently.
     std::uint32_t slots = 0;
+    /// Time that work takes there now, in percent of the usual one; not all servers report it.
+    std::optional<std::uint32_t> workTimePercent = std::nullopt;
 };
 
 } // namespace lavendertally::routing
--- a/src/routing/types/serverquery.h
+++ b/src/routing/types/serverquery.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/ids.h"
+#include "routing/types/requestwork.h"
 
 #include <cstdint>
 #include <set>
@@ -20,6 +21,8 @@
     /// Requests per second that this daemon may send to each backend server in cold start; zero
     /// means no limit.
     double coldStartRate = 0.0;
+    /// Work of the request, as far as it is known.
+    RequestWork work;
 };
 
 } // namespace lavendertally::routing
