Routing by expected work where requests state tokens and servers their speed

Requests differ by a factor of a hundred in the work they need, while the selector counts calls, so that long prompts queue behind each other and slow servers get as many as the others. The choice is now by expected completion: outstanding prompt tokens, learned and reported speed, kept prompt parts and the cost of other zones, all as time. Sites without token counts or without the fourth figure are served as before.

--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -36,6 +36,7 @@
 #include "retry/iretrypolicy.h"
 #include "retry/retrymodule.h"
 #include "routing/ibackendserverselector.h"
+#include "routing/icallwork.h"
 #include "routing/routingmodule.h"
 #include "serving/iservingtracker.h"
 #include "serving/servingmodule.h"
@@ -71,6 +72,8 @@
 constexpr framework::Milliseconds RevocationMargin{500};
 /// Period over which the platform counts retries.
 constexpr framework::Milliseconds RetryWindow{10000};
+/// Backend servers in the dump of state, those with the most outstanding work first.
+constexpr std::size_t MaxDumpedServers = 64;
 
 /// Maximum age of a topic's state as confirmed by other gateways; if it is older, this gateway
 /// reads the store itself. Longer than the interval between two reads of that topic plus two pings,
@@ -128,8 +131,8 @@
     m_stages = stages::StagesModule::makeService(
         m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
         m_loop, *m_clock, *m_logger, *m_metrics);
-    m_selector =
-        routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits, *m_random);
+    m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits,
+                                                                   *m_random, {}, m_metrics.get());
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
@@ -300,6 +303,23 @@
     m_drainTimer = m_loop.callAfter(DrainCheckInterval, [this] { checkDrained(); });
 }
 
+nlohmann::json GatewayDaemon::dumpWork() const
+{
+    nlohmann::json servers = nlohmann::json::array();
+    for (const routing::ServerWorkView &view :
+         m_selector->callWork().outstanding(MaxDumpedServers, m_clock->now())) {
+        servers.push_back({{"backend_server", view.server.value()},
+                           {"own_calls", view.ownCalls},
+                           {"unread_tokens", view.unreadTokens.value()},
+                           {"unwritten_tokens", view.unwrittenTokens.value()},
+                           {"other_calls", view.otherCalls},
+                           {"report_age_ms", view.reportAge.value()},
+                           {"read_time_percent", view.readTimePercent},
+                           {"write_time_percent", view.writeTimePercent}});
+    }
+    return servers;
+}
+
 nlohmann::json GatewayDaemon::dumpState() const
 {
     const auto configuration = m_serving->configuration();
@@ -312,7 +332,8 @@
             {"configuration_age_ms", age.value()},
             {"ready", isReady()},
             {"active_requests", m_proxy->activeRequests()},
-            {"daemons", m_platform->daemons().ranking().size()}};
+            {"daemons", m_platform->daemons().ranking().size()},
+            {"work", dumpWork()}};
 }
 
 } // namespace lavendertally::gateway
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -103,6 +103,8 @@
     void updateRetryLimits();
     /// \return whether the configuration and the list of backend servers are known
     bool hasRequiredState() const;
+    /// \return outstanding work of the backend servers with the most of it
+    nlohmann::json dumpWork() const;
     /// \return whether the load balancer may send requests to this gateway
     bool isReady() const;
     void replyReadiness(const std::shared_ptr<http::IHttpExchange> &exchange);
--- a/src/platform/internal/answercodec.cpp
+++ b/src/platform/internal/answercodec.cpp
@@ -34,7 +34,16 @@
             return std::nullopt;
         }
     }
-    return routing::ServerLoad{numbers[0], numbers[1], numbers[2]};
+    routing::ServerLoad load{numbers[0], numbers[1], numbers[2]};
+    // Servers of older sites send three figures; one that cannot be read counts as missing.
+    if (position != end && *position == ',') {
+        std::uint32_t workTime = 0;
+        const auto parsed = std::from_chars(position + 1, end, workTime);
+        if (parsed.ec == std::errc() && workTime > 0) {
+            load.workTimePercent = workTime;
+        }
+    }
+    return load;
 }
 
 bool saysItLeaves(const http::HttpHeaders &headers)
--- a/src/platform/internal/answercodec.h
+++ b/src/platform/internal/answercodec.h
@@ -21,7 +21,8 @@
 /// \return what a backend server says with the head of its answer
 proxy::ResponseHead decodeAnswerHead(const http::HttpResponseHead &head);
 
-/// \return a load in the form RUNNING,WAITING,SLOTS, or nothing
+/// \return a load in the form RUNNING,WAITING,SLOTS or RUNNING,WAITING,SLOTS,TIME, where TIME is
+/// how long work takes there in percent; nothing if one of the first three cannot be read
 std::optional<routing::ServerLoad> decodeServerLoad(std::string_view text);
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/clientrequestcodec.cpp
+++ b/src/platform/internal/clientrequestcodec.cpp
@@ -67,6 +67,36 @@
     return id;
 }
 
+/// \return tokens of the part in \p entry, or nothing
+std::optional<std::int64_t> partTokens(std::string_view entry)
+{
+    const std::size_t colon = entry.find(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::string_view size = entry.substr(colon + 1);
+    size.remove_prefix(std::min(size.find_first_not_of(" \t"), size.size()));
+    size = size.substr(0, size.find_last_not_of(" \t") + 1);
+    return parseNumber(size);
+}
+
+/// Sizes only steer the choice of a server, so a prompt with an unreadable one is served as one
+/// whose parts are not known.
+void readPartSizes(std::string_view prefix, const std::vector<std::uint64_t> &parts,
+                   proxy::ClientRequest &request)
+{
+    std::size_t index = 0;
+    for (const std::string_view part : splitAtCommas(prefix)) {
+        const auto tokens = partTokens(part);
+        if (!tokens) {
+            request.promptParts.clear();
+            return;
+        }
+        request.promptParts.push_back(
+            {framework::PromptPartId(parts[index++]), framework::TokenCount(*tokens)});
+    }
+}
+
 /// The last part of a prompt is the request's or its session's own; the parts before are shared.
 void readPromptParts(std::string_view prefix, proxy::ClientRequest &request)
 {
@@ -77,6 +107,7 @@
     if (parts.empty()) {
         return;
     }
+    readPartSizes(prefix, parts, request);
     request.promptPrefixHash = parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
     parts.pop_back();
     for (const std::uint64_t part : parts) {
@@ -110,6 +141,12 @@
         request.promptTokens = framework::TokenCount(*prompt);
         request.maxOutputTokens = framework::TokenCount(*output);
     }
+    if (const auto text = http::findHeader(headers, wire::LengthHint)) {
+        // A hint that cannot be read is none; the request does not depend on it.
+        if (const auto number = parseNumber(*text)) {
+            request.lengthHint = framework::TokenCount(*number);
+        }
+    }
     return {};
 }
 
--- a/src/platform/internal/wirenames.h
+++ b/src/platform/internal/wirenames.h
@@ -28,7 +28,8 @@
 /// A worker's proof that it made the answer.
 inline constexpr std::string_view Signature = "X-Lavendertally-Response-Signature";
 inline constexpr std::string_view NotExecuted = "X-Lavendertally-Not-Executed";
-/// Running, waiting and places, separated by commas.
+/// Running, waiting, places and, from some workers, how long work takes there now (100 is usual),
+/// separated by commas.
 inline constexpr std::string_view ServerLoad = "X-Lavendertally-Server-Load";
 /// Requests a second that a worker takes from all machines together.
 inline constexpr std::string_view ServerLimit = "Server-Limit";
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -193,6 +193,32 @@
     EXPECT_NE(one->promptPrefixHash, decodeClientRequest(head(third), {})->promptPrefixHash);
 }
 
+/// Sizes of parts and the length hint steer the choice of a server; unreadable ones must not turn a
+/// request away.
+TEST(ClientRequestCodecTest, PartSizesAndLengthHintAreRead)
+{
+    const auto decode = [](const char *prefix, const char *hint) {
+        return decodeClientRequest(head({{"Host", "h"},
+                                         {"X-Lavendertally-Request-Id", "r"},
+                                         {"X-Lavendertally-Prompt-Prefix", prefix},
+                                         {"X-Lavendertally-Length-Hint", hint}}),
+                                   {});
+    };
+    const auto request = decode("5c:800, 91: 410 ,e4:250", "96");
+    ASSERT_TRUE(request);
+    ASSERT_EQ(request->promptParts.size(), 3U);
+    EXPECT_EQ(request->promptParts[1].tokens, framework::TokenCount(410));
+    EXPECT_EQ(request->promptParts[1].id, request->sharedPromptParts[1]);
+    EXPECT_EQ(request->lengthHint, framework::TokenCount(96));
+    for (const char *prefix : {"5c:800,91,e4:250", "5c:800,91:x,e4:250", "5c:-1,91:5"}) {
+        const auto unsized = decode(prefix, "about 90");
+        ASSERT_TRUE(unsized) << prefix;
+        EXPECT_TRUE(unsized->promptParts.empty()) << prefix;
+        EXPECT_FALSE(unsized->sharedPromptParts.empty()) << prefix;
+        EXPECT_FALSE(unsized->lengthHint);
+    }
+}
+
 class BadRequestTest : public testing::TestWithParam<http::HttpHeaders>
 { };
 
@@ -237,6 +263,18 @@
     EXPECT_FALSE(decodeServerLoad("3;1;8"));
 }
 
+/// Servers of older sites send three figures; a fourth that cannot be read must not lose them.
+TEST(AnswerCodecTest, FourthFigureOfTheLoad_IsReadIfItIsThere)
+{
+    EXPECT_EQ(decodeServerLoad("3,1,8,250")->workTimePercent, 250U);
+    for (const char *text : {"3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0"}) {
+        const auto load = decodeServerLoad(text);
+        ASSERT_TRUE(load) << text;
+        EXPECT_EQ(load->slots, 8U) << text;
+        EXPECT_FALSE(load->workTimePercent) << text;
+    }
+}
+
 TEST(AnswerHeadTest, WorkerTurnsAwayWithRetryAfter_IsRead)
 {
     const auto timeIn = [](int status, const char *text) {
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -7,6 +7,7 @@
 #include "peers/idaemondirectory.h"
 #include "proxy/internal/answertimeestimator.h"
 #include "proxy/internal/attemptresult.h"
+#include "proxy/internal/attemptwork.h"
 #include "proxy/internal/firsteventestimator.h"
 #include "proxy/internal/iactiverequestowner.h"
 #include "proxy/internal/requestreport.h"
@@ -113,6 +114,7 @@
     if (m_plan.route->promptAffinity) {
         query.prefixHash = m_request.promptPrefixHash;
     }
+    query.work = expectedWork(m_request, m_plan, elapsed());
     if (const serving::ServiceSpec *spec = m_plan.configuration->findService(m_plan.service)) {
         query.coldStartRate = static_cast<double>(spec->coldRequestsPerSecond)
             / static_cast<double>(m_context.directory.limitSharerCount());
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -39,8 +39,8 @@
                                const RequestPlan &plan, PromptGuard &guard, HeldSources &held,
                                IResponseWriter &response, IAttemptObserver &observer)
     : m_context(context), m_request(request), m_plan(plan), m_guard(guard), m_response(response),
-      m_observer(observer), m_completion(context), m_pacer(context.clock, held, response),
-      m_lastEventId(request.lastEventId)
+      m_observer(observer), m_work(context, request, plan), m_completion(context),
+      m_pacer(context.clock, held, response), m_lastEventId(request.lastEventId)
 { }
 
 BackendAttempt::~BackendAttempt() = default;
@@ -63,6 +63,7 @@
     m_completion.attemptSent(request.server);
     request.resumeAfter = m_lastEventId;
     m_context.selector.callStarted(m_server, now);
+    m_work.started(request.server, m_lastEventId.has_value());
     m_call = m_context.backends.send(request, *this);
     m_pacer.sourceStarted(*m_call);
 }
@@ -93,6 +94,7 @@
 {
     m_guard.attemptEnded();
     m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
+    m_work.ended(outcome, m_pacer);
 }
 
 void BackendAttempt::onHead(const ResponseHead &head)
@@ -157,6 +159,7 @@
     if (!m_head->isSuccess() || m_head->notExecuted || !m_head->isSigned) {
         return;
     }
+    m_work.eventReceived();
     if (event.id) {
         if (m_lastEventId && *event.id <= *m_lastEventId) {
             // The client already has this event; a resumed stream may repeat it.
--- a/src/proxy/internal/backendattempt.h
+++ b/src/proxy/internal/backendattempt.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/timepoint.h"
 #include "proxy/ibackendresponseobserver.h"
+#include "proxy/internal/attemptwork.h"
 #include "proxy/internal/completioncheck.h"
 #include "proxy/internal/sourcepacer.h"
 #include "proxy/types/proxycontext.h"
@@ -98,6 +99,7 @@
     IAttemptObserver &m_observer;
     /// Kept until it is decided whether the answer is whole.
     std::unique_ptr<IBackendCall> m_call;
+    AttemptWork m_work;
     CompletionCheck m_completion;
     SourcePacer m_pacer;
     framework::BackendServerId m_server;
--- a/src/proxy/types/clientrequest.h
+++ b/src/proxy/types/clientrequest.h
@@ -4,6 +4,7 @@
 #include "framework/types/milliseconds.h"
 #include "framework/types/units.h"
 #include "http/types/httpheaders.h"
+#include "routing/types/promptpart.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,11 +34,15 @@
     std::optional<framework::StreamEventId> lastEventId;
     framework::TokenCount promptTokens;
     framework::TokenCount maxOutputTokens;
+    /// The client's estimate of the tokens of the answer.
+    std::optional<framework::TokenCount> lengthHint;
     /// Hash of the prompt prefix that the request shares with others; zero if there is none. Used
     /// to route requests to a backend server that may have the prefix cached.
     std::uint64_t promptPrefixHash = 0;
     /// Parts of the prompt that other requests may share, in their order.
     std::vector<framework::PromptPartId> sharedPromptParts;
+    /// All parts of the prompt in their order, with their sizes; empty if a size is missing.
+    std::vector<routing::PromptPart> promptParts;
     /// Number of pieces of each stage, by the stage's index in the route.
     std::vector<std::uint32_t> pieces;
     /// Input of the stages that have no predecessors.
--- a/src/routing/internal/keptprompt.cpp
+++ b/src/routing/internal/keptprompt.cpp
@@ -23,6 +23,13 @@
     return index + 1 < work.parts.size();
 }
 
+/// \return whether part \p index is the one by which the homes are chosen. Other servers keep it
+/// only if they got it from this daemon; the parts before it come with other prompts as well.
+bool isLastShared(const RequestWork &work, std::size_t index)
+{
+    return index + 2 == work.parts.size();
+}
+
 template <typename Probability>
 double sumKept(const RequestWork &work, Probability probability)
 {
@@ -54,6 +61,9 @@
         if (!isShared(work, index)) {
             return own;
         }
+        if (isLastShared(work, index)) {
+            return std::max(own, home);
+        }
         const double anywhere =
             1.0 - std::exp(-RequestsWhileKept * service.prompts().share(part, now));
         return std::max({own, home, anywhere});
--- a/src/routing/internal/promptdemand.cpp
+++ b/src/routing/internal/promptdemand.cpp
@@ -15,6 +15,9 @@
 constexpr double KeepLifetimeMs = 4000.0;
 /// Parts above which old ones are forgotten.
 constexpr std::size_t MaxParts = 8192;
+/// Requests with none of the parts that are assumed at first, so that the first few prompts do not
+/// count as the whole demand.
+constexpr double PriorRequests = 20.0;
 /// Age from which a part may be forgotten then.
 constexpr framework::Milliseconds MinForgetAge{20000};
 
@@ -67,7 +70,7 @@
     }
     const double requests = found->second.requests * decay(found->second.at, now, DemandLifetimeMs);
     const double total = m_requests * decay(m_requestsAt, now, DemandLifetimeMs);
-    return std::min(requests / std::max(total, 1.0), 1.0);
+    return std::min(requests / (total + PriorRequests), 1.0);
 }
 
 double PromptDemand::keptByOwnCall(framework::PromptPartId part, std::uint64_t server,
--- a/src/routing/internal/workchoice.cpp
+++ b/src/routing/internal/workchoice.cpp
@@ -9,6 +9,7 @@
 #include "routing/types/serverquery.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lavendertally::routing {
@@ -17,17 +18,19 @@
 
 /// Options drawn at random from the same zone and from the others, and homes drawn from those in
 /// the zone.
-constexpr std::size_t LocalDraws = 5;
-constexpr std::size_t RemoteDraws = 3;
+constexpr std::size_t LocalDraws = 8;
+constexpr std::size_t RemoteDraws = 4;
 /// Wait at the least busy home from which other servers are weighed as well: this multiple of the
 /// service's average, and this much more. In the work bench a single random server beside the homes
 /// doubled the shared tokens that were read again, since each copy evicts others.
 constexpr double BusyHomeFactor = 3.0;
 constexpr double BusyHomeMarginMs = 200.0;
 constexpr std::size_t HomeDraws = 8;
-/// Probability that a home of a prompt's shared parts keeps them, and that the servers that come
-/// next do, to which calls go while the homes are busy.
-constexpr double HomeKeeps = 0.85;
+/// Probability that the first home of a prompt's shared parts keeps them, and the factor for each
+/// further one, so that the first ones are preferred while all are idle.
+constexpr double HomeKeeps = 0.9;
+constexpr double FurtherHomeFactor = 0.96;
+/// The same for the servers that come next, to which calls go while the homes are busy.
 constexpr double NextHomeKeeps = 0.5;
 constexpr std::size_t NextHomes = 1;
 /// Cost of sending a request and its answer to another zone.
@@ -45,6 +48,9 @@
 constexpr double EvictionWeight = 1.0;
 /// Cost of a pause that is longer than its stream tolerates.
 constexpr double BrokenStreamCostMs = 30.0;
+/// Upper bound of the random time that decides between candidates that are about equal.
+constexpr double TieBreakMs = 1.0;
+constexpr std::uint64_t TieBreakSteps = 1024;
 /// Weight of the time by which the first event would miss the objective.
 constexpr double LatenessWeight = 2.0;
 
@@ -117,7 +123,9 @@
     const std::size_t ranked = std::min(homes + NextHomes, m_localOptions);
     std::partial_sort(begin, begin + static_cast<std::ptrdiff_t>(ranked), firstRemote, byScore);
     for (std::size_t rank = 0; rank < ranked; ++rank) {
-        m_options[rank].home = rank < homes ? HomeKeeps : NextHomeKeeps;
+        m_options[rank].home = rank < homes
+            ? HomeKeeps * std::pow(FurtherHomeFactor, static_cast<double>(rank))
+            : NextHomeKeeps;
     }
     draw(0, homes, HomeDraws);
     draw(homes, ranked, NextHomes);
@@ -173,7 +181,10 @@
     };
     option.keptTokens = keptTokens(service, query.work, option.hash, option.home, now);
     option.zoneCost = option.isLocal ? 0.0 : ZoneCostMs;
-    const double other = option.zoneCost + FailureCostMs * option.candidate->state->failureRate();
+    const double tieBreak = TieBreakMs * static_cast<double>(m_random.below(TieBreakSteps))
+        / static_cast<double>(TieBreakSteps);
+    const double other =
+        option.zoneCost + tieBreak + FailureCostMs * option.candidate->state->failureRate();
     option.cost = costOf(option.keptTokens) + other;
     option.costWithoutCache = costOf(0.0) + other;
 }
--- a/src/routing/internal/worktracker.cpp
+++ b/src/routing/internal/worktracker.cpp
@@ -147,7 +147,9 @@
         return;
     }
     observeError("lavendertally_call_time_prediction_error_ms", call, call.totalMs, taken);
-    service.outputs().observe(call.work, call.events * TokensPerEvent);
+    if (!call.work.isContinued) {
+        service.outputs().observe(call.work, call.events * TokensPerEvent);
+    }
     if (call.events >= MinEventSample) {
         const auto writing = static_cast<double>((call.lastEvent - call.firstEvent).value());
         const double perToken = writing / ((call.events - 1) * TokensPerEvent);
--- a/src/routing/types/requestwork.h
+++ b/src/routing/types/requestwork.h
@@ -29,6 +29,10 @@
     /// Longest pause between two events that the request's stream tolerates; zero if any.
     framework::Milliseconds maxEventGap;
 
+    /// Whether the call goes on with an answer that another one began, so that its length is not
+    /// that of a whole answer.
+    bool isContinued = false;
+
     /// \return whether the work can be stated in tokens
     bool isInTokens() const { return promptTokens > framework::TokenCount(0); }
 };
