--- a/src/bench/internal/modelselectorpolicy.cpp
+++ b/src/bench/internal/modelselectorpolicy.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const framework::ServiceId Service("models");
+constexpr const char *ServiceName = "models";
 
 /// The clock of a machine is far from its epoch.
 framework::TimePoint toTimePoint(double now)
@@ -53,7 +53,7 @@
     for (std::size_t index = 0; index < servers.size(); ++index) {
         membership::BackendServerEntry entry;
         entry.id = framework::BackendServerId("model-" + std::to_string(index));
-        entry.service = Service;
+        entry.service = framework::ServiceId(ServiceName);
         entry.zone = framework::AvailabilityZoneId(zoneName(servers[index].spec().zone));
         entry.slots = servers[index].load(0.0).slots;
         m_servers.add(entry);
@@ -67,7 +67,7 @@
 routing::ServerQuery ModelSelectorPolicy::query(const ModelRequest &request) const
 {
     routing::ServerQuery query;
-    query.service = Service;
+    query.service = framework::ServiceId(ServiceName);
     query.zone = m_zone;
     const std::size_t count = request.parts.size();
     query.prefixHash = request.parts[count > 1 ? count - 2 : 0].id.value();
--- a/src/bench/internal/modelserver.cpp
+++ b/src/bench/internal/modelserver.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 #include <utility>
 
 namespace lavendertally::bench {
@@ -71,11 +72,11 @@
 
 void ModelServer::releaseParts(const ModelRequest &request)
 {
-    for (auto used = request.parts.rbegin(); used != request.parts.rend(); ++used) {
-        Part &part = m_parts.at(used->id.value());
+    for (const routing::PromptPart &used : std::views::reverse(request.parts)) {
+        Part &part = m_parts.at(used.id.value());
         if (--part.users == 0) {
             part.lastUse = ++m_uses;
-            m_unused.emplace(part.lastUse, used->id.value());
+            m_unused.emplace(part.lastUse, used.id.value());
         }
     }
     m_held -= request.outputTokens;
--- a/src/bench/internal/modelserver.h
+++ b/src/bench/internal/modelserver.h
@@ -59,7 +59,7 @@
     double unreadTokens() const;
     /// \return tokens of the beginning of \p request that need not be read
     std::int64_t keptTokens(const ModelRequest &request) const;
-    /// \return prompt tokens read that had been read before by some server in this run
+    /// \return prompt tokens that were read
     std::int64_t readTokens() const { return m_readTokens; }
     /// \return the part of them that belongs to parts shared by several requests
     std::int64_t readSharedTokens() const { return m_readSharedTokens; }
