Plain services: a server's call time counts only beyond what chance explains

Calls of plain services vary so much that one in many equal servers would have been taken for a slow one and sites would not have been served as before. Averages are of logarithms on both sides now.

--- a/src/proxy/internal/attemptwork.cpp
+++ b/src/proxy/internal/attemptwork.cpp
@@ -39,6 +39,13 @@
     : m_context(context), m_request(request), m_plan(plan)
 { }
 
+/// A call whose end was not reported must not leave its work with its server.
+AttemptWork::~AttemptWork()
+{
+    m_context.selector.callWork().ended(m_call, routing::CallOutcome::Cancelled,
+                                        m_context.clock.now());
+}
+
 void AttemptWork::started(const membership::BackendServerEntry &server, bool isContinued)
 {
     routing::ServerQuery query;
--- a/src/proxy/internal/attemptwork.h
+++ b/src/proxy/internal/attemptwork.h
@@ -28,6 +28,9 @@
 public:
     /// All arguments must outlive this object.
     AttemptWork(const ProxyContext &context, const ClientRequest &request, const RequestPlan &plan);
+    ~AttemptWork();
+    AttemptWork(const AttemptWork &) = delete;
+    AttemptWork &operator=(const AttemptWork &) = delete;
 
     /// \param isContinued whether the attempt goes on with an answer that another one began
     void started(const membership::BackendServerEntry &server, bool isContinued);
--- a/src/routing/internal/serverspeed.cpp
+++ b/src/routing/internal/serverspeed.cpp
@@ -23,10 +23,13 @@
 /// Weight of the newest report in the usual one.
 constexpr double UsualReportSmoothing = 0.05;
 constexpr double Percent = 100.0;
-/// Plain services: ratio up to which servers count as equally fast, and the samples needed to tell
-/// otherwise. Queues of 1 to 6 slots vary by less.
+/// Plain services, whose calls vary much in length: ratio up to which servers count as equally
+/// fast, the samples needed to tell otherwise, and the standard errors that the difference must
+/// exceed.
+constexpr double CallSmoothingFactor = 0.03;
 constexpr double ClearRatio = 1.3;
 constexpr std::uint32_t MinClearSamples = 10;
+constexpr double ClearDeviations = 3.5;
 
 double ageMs(framework::TimePoint since, framework::TimePoint now)
 {
@@ -35,12 +38,14 @@
 
 } // namespace
 
-void ServerSpeed::Average::observe(double ratio, framework::TimePoint now)
+void ServerSpeed::Average::observe(double ratio, double smoothing, framework::TimePoint now)
 {
     ++samples;
     at = now;
-    const double weight = std::max(SmoothingFactor, 1.0 / (samples + PriorSamples));
-    log += weight * (std::log(std::clamp(ratio, MinRatio, MaxRatio)) - log);
+    const double weight = std::max(smoothing, 1.0 / (samples + PriorSamples));
+    const double delta = std::log(std::clamp(ratio, MinRatio, MaxRatio)) - log;
+    log += weight * delta;
+    variance = (1.0 - weight) * (variance + weight * delta * delta);
 }
 
 double ServerSpeed::Average::value(framework::TimePoint now) const
@@ -50,12 +55,17 @@
 
 void ServerSpeed::observeRead(double ratio, framework::TimePoint now)
 {
-    m_read.observe(ratio, now);
+    m_read.observe(ratio, SmoothingFactor, now);
 }
 
 void ServerSpeed::observeWrite(double ratio, framework::TimePoint now)
 {
-    m_write.observe(ratio, now);
+    m_write.observe(ratio, SmoothingFactor, now);
+}
+
+void ServerSpeed::observeCall(double ratio, framework::TimePoint now)
+{
+    m_call.observe(ratio, CallSmoothingFactor, now);
 }
 
 void ServerSpeed::observeReport(std::uint32_t percent, framework::TimePoint now)
@@ -81,11 +91,17 @@
     return m_write.value(now) * present(now);
 }
 
-double ServerSpeed::clearWriteTime(framework::TimePoint now) const
+double ServerSpeed::callTime(framework::TimePoint now) const
 {
-    const double ratio = m_write.value(now);
-    const bool isClear = ratio > ClearRatio || ratio < 1.0 / ClearRatio;
-    return m_write.samples >= MinClearSamples && isClear ? ratio : 1.0;
+    if (m_call.samples < MinClearSamples) {
+        return 1.0;
+    }
+    const double averaged =
+        std::max(CallSmoothingFactor / (2.0 - CallSmoothingFactor), 1.0 / m_call.samples);
+    const double chance = ClearDeviations * std::sqrt(m_call.variance * averaged);
+    const double ratio = m_call.value(now);
+    const bool isClear = std::abs(std::log(ratio)) > std::max(chance, std::log(ClearRatio));
+    return isClear ? ratio : 1.0;
 }
 
 } // namespace lavendertally::routing
--- a/src/routing/internal/servicework.cpp
+++ b/src/routing/internal/servicework.cpp
@@ -4,6 +4,7 @@
 #include "routing/types/requestwork.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavendertally::routing {
 
@@ -94,9 +95,12 @@
 
 double ServiceWork::observeCall(const framework::RouteId &route, double taken)
 {
+    // Logarithms, since the times of plain services are skewed: equal servers get a mean ratio
+    // of 1.
     CallTime &time = m_callTimes[route];
-    const double ratio = time.samples > 0 ? std::max(taken, 1.0) / time.meanMs : 1.0;
-    time.meanMs += weightOf(++time.samples) * (std::max(taken, 1.0) - time.meanMs);
+    const double log = std::log(std::max(taken, 1.0));
+    const double ratio = time.samples > 0 ? std::exp(log - time.logMean) : 1.0;
+    time.logMean += weightOf(++time.samples) * (log - time.logMean);
     return ratio;
 }
 
--- a/src/routing/internal/servicework.h
+++ b/src/routing/internal/servicework.h
@@ -76,7 +76,7 @@
     std::map<framework::Milliseconds, double> m_gaps;
     struct CallTime
     {
-        double meanMs = 0.0;
+        double logMean = 0.0;
         std::uint32_t samples = 0;
     };
     std::map<framework::RouteId, CallTime> m_callTimes;
--- a/src/routing/internal/utilisationchoice.cpp
+++ b/src/routing/internal/utilisationchoice.cpp
@@ -54,7 +54,7 @@
         const double zonePenalty = candidate.entry->zone == query.zone ? 0.0 : ZonePenalty;
         const double callTime = query.work.isInTokens()
             ? 1.0
-            : m_work.server(candidate.entry->id).speed().clearWriteTime(now);
+            : m_work.server(candidate.entry->id).speed().callTime(now);
         // What a slow server takes longer counts also while it is idle: for the call itself.
         const double slowness =
             (callTime - 1.0) / std::max<std::uint32_t>(candidate.entry->slots, 1);
--- a/src/routing/internal/worktracker.cpp
+++ b/src/routing/internal/worktracker.cpp
@@ -139,8 +139,8 @@
     ServiceWork &service = m_services[call.service];
     const framework::Milliseconds taken = now - call.started;
     if (!call.work.isInTokens()) {
-        speed.observeWrite(service.observeCall(call.work.route, static_cast<double>(taken.value())),
-                           now);
+        speed.observeCall(service.observeCall(call.work.route, static_cast<double>(taken.value())),
+                          now);
         return;
     }
     if (call.events == 0) {
