--- a/src/app/tests/gatewaytest.cpp
+++ b/src/app/tests/gatewaytest.cpp
@@ -224,6 +224,7 @@
               std::string::npos)
         << metrics.body;
     const auto state = nlohmann::json::parse(call(get(gateway.metrics, "/dump")).body);
+    EXPECT_TRUE(state["work"].is_array());
     EXPECT_EQ(state["role"], "gateway");
     EXPECT_EQ(state["configuration"], 1);
 }
--- a/src/bench/internal/modelserver.cpp
+++ b/src/bench/internal/modelserver.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 #include <utility>
 
 namespace lavendertally::bench {
@@ -72,13 +71,15 @@
 
 void ModelServer::releaseParts(const ModelRequest &request)
 {
-    for (const routing::PromptPart &used : std::views::reverse(request.parts)) {
+    // The last part first, so that it is evicted before those that it depends on.
+    const auto release = [this](const routing::PromptPart &used) {
         Part &part = m_parts.at(used.id.value());
         if (--part.users == 0) {
             part.lastUse = ++m_uses;
             m_unused.emplace(part.lastUse, used.id.value());
         }
-    }
+    };
+    std::for_each(request.parts.rbegin(), request.parts.rend(), release);
     m_held -= request.outputTokens;
 }
 
