--- a/src/configuration/tests/settingsparsertest.cpp
+++ b/src/configuration/tests/settingsparsertest.cpp
@@ -50,6 +50,8 @@
     {"GatewayWithLog", Gateway + "log_service: 127.0.0.1:7\n", 10, "log_service", "drain_timeout"},
     {"BadRetries", Gateway + "shared_retries: many\n", 10, "shared_retries", "number"},
     {"NoProcessor", Gateway + "processor_share: 0\n", 10, "processor_share", "cores"},
+    {"ExposureAboveOne", Gateway + "exposure_share: 1.5\n", 10, "exposure_share", "share"},
+    {"ExposureNotANumber", Gateway + "exposure_share: -0.1\n", 10, "exposure_share", "share"},
     {"BadGrace", Gateway + "shutdown_grace: 1.2.3s\n", 10, "shutdown_grace", "duration"},
     {"MissingId", "role: entry\n", 1, "id", "missing"},
     {"HostWithoutBackend", Host, 1, "backend", "missing"},
@@ -61,6 +63,9 @@
     {"PeerPortZero", Entry + "seed_peers: [127.0.0.1:0]\n", 9, "seed_peers[0]", "from 1"},
     {"SizeWithTimeUnit", Entry + "max_request: 5s\n", 9, "max_request", "KB"},
     {"SizeTooSmall", Entry + "max_request: 5B\n", 9, "max_request", "from 1024B"},
+    {"TooLittleMemory", Entry + "memory_limit: 31MB\n", 9, "memory_limit", "from"},
+    {"TooFewDescriptors", Entry + "descriptor_limit: 100\n", 9, "descriptor_limit", "128"},
+    {"BodyRateZero", Entry + "min_body_rate: 0B\n", 9, "min_body_rate", "from 1B"},
     {"DurationWithoutUnit", Entry + "drain_timeout: 500\n", 9, "drain_timeout", "unit"},
     {"ClaimWindowLongerThanRetention", Entry + "log_retention: 1m\nclaim_window: 2m\n", 10,
      "claim_window", "shorter than log_retention"},
@@ -118,11 +123,29 @@
         Gateway
             + "seed_peers: [\"10.0.0.2:7\",\"10.0.0.3:7\"]\nrevocation_limit: 5000ms\n"
               "shutdown_grace: 7.5s\nshared_retries: 56.9\nprocessor_share: 0.09\n"
+              "memory_limit: 120MB\ndescriptor_limit: 3075\nmin_body_rate: 2KB\n"
               "log_format: json\n");
     ASSERT_TRUE(settings);
     EXPECT_EQ(settings->role, DaemonRole::Gateway);
     EXPECT_EQ(settings->gateway.store.toString(), "10.0.0.1:7000");
     EXPECT_EQ(settings->gateway.shutdownGrace, framework::Milliseconds(7500));
     EXPECT_EQ(settings->gateway.sharedRetries, 56U);
+    EXPECT_EQ(settings->memoryLimit, framework::Bytes(120 * 1024 * 1024));
+    EXPECT_EQ(settings->descriptorLimit, 3075U);
+    EXPECT_EQ(settings->minBodyRate, framework::Bytes(2048));
     EXPECT_EQ(settings->gateway.processorShare, framework::Millicores(90));
 }
+
+TEST(SettingsParser, GatewaySettings_BoundsOfRolloutsAreOptional)
+{
+    const auto parser = ConfigurationModule::makeSettingsParser();
+    const auto without = parser->parse("f", Gateway);
+    ASSERT_TRUE(without);
+    EXPECT_EQ(without->gateway.exposureShare, 0.0);
+    const auto with = parser->parse(
+        "f", Gateway + "exposure_share: 0.1\nexposure_slack: 50\nrollback_limit: 5000ms\n");
+    ASSERT_TRUE(with);
+    EXPECT_EQ(with->gateway.exposureShare, 0.1);
+    EXPECT_EQ(with->gateway.exposureSlack, 50U);
+    EXPECT_EQ(with->gateway.rollbackLimit, framework::Milliseconds(5000));
+}
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -1,5 +1,10 @@
 #include "gateway/internal/gatewaydaemon.h"
 
+#include "budget/budgetmodule.h"
+#include "budget/budgetreporter.h"
+#include "budget/iresourcebudget.h"
+#include "connections/connectionsmodule.h"
+#include "connections/iconnectionshares.h"
 #include "framework/frameworkmodule.h"
 #include "framework/hash.h"
 #include "framework/iclock.h"
@@ -10,6 +15,7 @@
 #include "framework/itimer.h"
 #include "frontend/frontendmodule.h"
 #include "frontend/ihttpapi.h"
+#include "gateway/internal/configurationapi.h"
 #include "http/httpmodule.h"
 #include "http/ihttpexchange.h"
 #include "http/ihttpserver.h"
@@ -20,6 +26,7 @@
 #include "peers/ipeernetwork.h"
 #include "peers/ipeerobserver.h"
 #include "peers/peersmodule.h"
+#include "peers/types/daemonaddress.h"
 #include "platform/clientgateway.h"
 #include "platform/iplatform.h"
 #include "platform/platformmodule.h"
@@ -35,6 +42,8 @@
 #include "replication/types/replicatedtopic.h"
 #include "retry/iretrypolicy.h"
 #include "retry/retrymodule.h"
+#include "rollout/irollouttraffic.h"
+#include "rollout/rolloutmodule.h"
 #include "routing/ibackendserverselector.h"
 #include "routing/icallwork.h"
 #include "routing/routingmodule.h"
@@ -49,6 +58,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace lavendertally::gateway {
 
@@ -83,13 +93,15 @@
      {protocol::StateTopic::BackendServers, framework::Milliseconds(1600)},
      {protocol::StateTopic::Daemons, framework::Milliseconds(6000)}}};
 
-http::HttpLimits httpLimits(const serving::RequestLimits &limits, framework::Milliseconds idle)
+http::HttpLimits httpLimits(const serving::RequestLimits &limits, framework::Milliseconds idle,
+                            framework::Bytes minBodyRate)
 {
     http::HttpLimits result;
     result.maxBody = limits.maxBody;
     result.maxHeaders = limits.maxHeaders;
     result.requestTimeout = limits.headerTimeout;
     result.idleTimeout = idle;
+    result.minBodyRate = minBodyRate;
     return result;
 }
 
@@ -97,7 +109,9 @@
 
 GatewayDaemon::GatewayDaemon(const configuration::DaemonSettings &settings,
                              framework::IEventLoop &loop)
-    : m_settings(settings), m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()),
+    : m_settings(settings),
+      m_parts(budget::BudgetModule::divide(settings.memoryLimit, settings.descriptorLimit)),
+      m_loop(loop), m_clock(framework::FrameworkModule::makeSystemClock()),
       m_logger(framework::FrameworkModule::makeLogger(settings.id.value(), settings.logFormat)),
       m_metrics(framework::FrameworkModule::makeMetrics()),
       m_random(framework::FrameworkModule::makeRandom(framework::FrameworkModule::entropySeed()))
@@ -113,10 +127,16 @@
 {
     m_serving = serving::ServingModule::makeTracker(*m_logger);
     m_servers = membership::MembershipModule::makeBackendServerTracker(*m_logger);
+    m_connections = connections::ConnectionsModule::makeShares(*m_servers, *m_serving, m_loop,
+                                                               *m_clock, *m_logger, *m_metrics);
     m_platform = platform::PlatformModule::makePlatform(
         {m_settings.id, m_settings.gateway.processorShare, m_settings.gateway.store, m_loop,
-         *m_clock, *m_logger, *m_metrics, *m_serving, *m_servers});
-    m_peers = peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id);
+         *m_clock, *m_logger, *m_metrics, *m_serving, *m_servers, *m_connections,
+         m_parts.idleConnections});
+    peers::PeerLimits peerLimits;
+    peerLimits.maxUnnamedLinks = m_parts.unnamedLinks;
+    m_peers =
+        peers::PeersModule::makeNetwork(m_loop, *m_clock, *m_logger, m_settings.id, peerLimits);
     m_peers->setAcceptsJobs([this] { return hasRequiredState() && !m_draining; });
     m_topicExchange = std::make_unique<replication::TopicExchange>(
         m_settings.id, *m_peers, m_platform->daemons(), m_loop, *m_clock, *m_logger, *m_metrics);
@@ -127,12 +147,18 @@
     m_permitExchange = ratelimit::RateLimitModule::makePermitExchange(
         m_settings.id, m_rateLimits->store(), *m_peers, m_platform->daemons(), m_loop, *m_clock,
         *m_logger, *m_metrics);
-    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers, *m_rateLimits);
+    m_leaseExchange = connections::ConnectionsModule::makeLeaseExchange(
+        m_settings.id, m_connections->leases(), *m_peers, m_platform->daemons(), m_loop, *m_clock,
+        *m_logger, *m_metrics);
+    createRollouts();
+    m_coordinator = stages::StagesModule::makeCoordinator(*m_serving, *m_servers, *m_rateLimits, {},
+                                                          versionFilters(), m_rolloutTraffic.get());
     m_stages = stages::StagesModule::makeService(
         m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
         m_loop, *m_clock, *m_logger, *m_metrics);
     m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits,
-                                                                   *m_random, {}, m_metrics.get());
+                                                                   *m_random, selectorFilters(),
+                                                                   m_metrics.get());
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
@@ -140,10 +166,55 @@
         m_settings.id, m_quarantine->evidenceStore(), *m_peers, m_loop, *m_clock, *m_logger,
         *m_metrics);
     m_serving->onChange([this] { applyLimits(); });
-    m_platform->daemons().onChange([this] { updateRetryLimits(); });
+    m_platform->daemons().onChange([this] {
+        updateRetryLimits();
+        updateFleet();
+    });
     updateRetryLimits();
 }
 
+void GatewayDaemon::createRollouts()
+{
+    rollout::RolloutBounds bounds;
+    bounds.exposureShare = m_settings.gateway.exposureShare;
+    bounds.exposureSlack = m_settings.gateway.exposureSlack;
+    bounds.rollbackLimit = m_settings.gateway.rollbackLimit;
+    if (!bounds.isEnabled()) {
+        return;
+    }
+    const std::uint64_t start = framework::FrameworkModule::entropySeed();
+    m_rolloutTraffic = rollout::RolloutModule::makeTraffic(*m_servers, bounds, start, *m_clock,
+                                                           *m_logger, *m_metrics);
+    m_rolloutExchange = rollout::RolloutModule::makeExchange(
+        m_settings.id, *m_rolloutTraffic, m_platform->rolloutStatuses(), bounds, start, *m_peers,
+        m_platform->daemons(), m_loop, *m_clock, *m_logger, *m_metrics);
+    m_platform->setRolloutOrders(*m_rolloutTraffic);
+    m_rolloutTraffic->setResultHolders([this] {
+        std::set<framework::BackendServerId> holders;
+        for (const protocol::StageHolding &holding : m_coordinator->holdings()) {
+            if (holding.held > framework::Bytes(0)) {
+                holders.insert(holding.server);
+            }
+        }
+        return holders;
+    });
+}
+
+std::vector<routing::IServerFilter *> GatewayDaemon::versionFilters() const
+{
+    return m_rolloutTraffic ? std::vector<routing::IServerFilter *>{m_rolloutTraffic.get()}
+                            : std::vector<routing::IServerFilter *>();
+}
+
+/// Versions are filtered first: whether a connection is free matters only at servers that may be
+/// called.
+std::vector<routing::IServerFilter *> GatewayDaemon::selectorFilters() const
+{
+    std::vector<routing::IServerFilter *> filters = versionFilters();
+    filters.push_back(&m_connections->filter());
+    return filters;
+}
+
 /// Sets this gateway's share of the retry budget that all gateways have together. Only half of the
 /// budget is distributed, because other gateways may still hold retries saved under an older
 /// gateway count.
@@ -158,20 +229,33 @@
     m_retryPolicy->setLimits(limits);
 }
 
+void GatewayDaemon::updateFleet()
+{
+    const std::vector<peers::DaemonAddress> &ranking = m_platform->daemons().ranking();
+    if (ranking.size() < m_platform->daemons().limitSharerCount()) {
+        // The registrations have not been read yet.
+        return;
+    }
+    const auto self = std::find_if(ranking.begin(), ranking.end(), [this](const auto &each) {
+        return each.daemon == m_settings.id;
+    });
+    m_connections->setFleet({ranking.size(), static_cast<std::size_t>(self - ranking.begin())});
+}
+
 void GatewayDaemon::createProxy()
 {
     proxy::ProxyLimits limits;
     limits.maxConfigurationAge = m_settings.gateway.revocationLimit - RevocationMargin;
     m_proxy = proxy::ProxyModule::makeService(
         {m_settings.zone, *m_clock, m_loop, *m_logger, *m_metrics, *m_random, *m_serving,
-         m_platform->daemons(), *m_selector, *m_retryPolicy, *m_quarantine, *m_stages,
-         m_platform->backends(), limits});
+         *m_servers, m_platform->daemons(), *m_selector, *m_retryPolicy, *m_quarantine, *m_stages,
+         m_platform->backends(), limits, nullptr, m_rolloutTraffic.get()});
     m_clientGateway = std::make_unique<platform::ClientGateway>(*m_proxy, *m_logger, *m_metrics);
 }
 
 void GatewayDaemon::createHttpServers()
 {
-    m_clientServer = http::HttpModule::makeServer(m_loop, {});
+    m_clientServer = makeServer("clients", m_parts.clients);
     m_clientServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         m_clientGateway->handle(exchange);
     });
@@ -180,16 +264,26 @@
                              {{"status", std::to_string(status)}});
     });
     m_clientShutdown = std::make_unique<http::ServerShutdown>(*m_clientServer);
-    m_readyServer = http::HttpModule::makeServer(m_loop, {});
+    m_readyServer = makeServer("ready", m_parts.operators);
     m_readyServer->setHandler(
         [this](const std::shared_ptr<http::IHttpExchange> &exchange) { replyReadiness(exchange); });
     m_apis.push_back(frontend::FrontendModule::makeObservabilityApi(*m_metrics, *this));
-    m_metricsServer = http::HttpModule::makeServer(m_loop, {});
+    m_apis.push_back(std::make_unique<ConfigurationApi>(*m_serving));
+    m_metricsServer = makeServer("metrics", m_parts.operators);
     m_metricsServer->setHandler([this](const std::shared_ptr<http::IHttpExchange> &exchange) {
         frontend::FrontendModule::dispatch(m_apis, exchange);
     });
 }
 
+std::unique_ptr<http::IHttpServer> GatewayDaemon::makeServer(const char *name,
+                                                             const budget::BudgetLimits &limits)
+{
+    const auto bearer = budget::BudgetModule::makeBudget(limits, *m_clock);
+    m_budgets.push_back(
+        std::make_unique<budget::BudgetReporter>(bearer, name, *m_clock, *m_logger, *m_metrics));
+    return http::HttpModule::makeServer(m_loop, {}, bearer);
+}
+
 framework::Result<void> GatewayDaemon::start()
 {
     BOOST_LEAF_AUTO(control, m_peers->listen(m_settings.controlListen));
@@ -221,7 +315,8 @@
     const serving::RequestLimits limits = configuration->limits();
     const framework::TimePoint now = m_clock->now();
     m_idleTimeouts.set(limits.idleTimeout, now);
-    m_clientServer->setLimits(httpLimits(limits, m_idleTimeouts.longest(now)));
+    m_clientServer->setLimits(
+        httpLimits(limits, m_idleTimeouts.longest(now), m_settings.minBodyRate));
 }
 
 bool GatewayDaemon::hasRequiredState() const
@@ -244,8 +339,13 @@
 void GatewayDaemon::tick()
 {
     m_servers->expire(m_clock->now());
+    updateFleet();
+    m_connections->tick();
     // Replaced idle timeouts end with time.
     applyLimits();
+    for (const auto &reporter : m_budgets) {
+        reporter->report();
+    }
     if (isReady() != m_wasReady) {
         m_wasReady = !m_wasReady;
         const framework::Milliseconds age = m_clock->now() - m_serving->confirmedAt();
--- a/src/gateway/internal/gatewaydaemon.h
+++ b/src/gateway/internal/gatewaydaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/types/processparts.h"
 #include "configuration/types/daemonsettings.h"
 #include "framework/idaemon.h"
 #include "framework/istatedumper.h"
@@ -9,6 +10,11 @@
 #include <memory>
 #include <vector>
 
+namespace lavendertally::budget {
+class BudgetReporter;
+class IResourceBudget;
+} // namespace lavendertally::budget
+
 namespace lavendertally::framework {
 class IClock;
 class IEventLoop;
@@ -18,6 +24,10 @@
 class ITimer;
 } // namespace lavendertally::framework
 
+namespace lavendertally::connections {
+class IConnectionShares;
+}
+
 namespace lavendertally::frontend {
 class IHttpApi;
 }
@@ -62,9 +72,14 @@
 class IRetryPolicy;
 }
 
+namespace lavendertally::rollout {
+class IRolloutTraffic;
+}
+
 namespace lavendertally::routing {
 class IBackendServerSelector;
-}
+class IServerFilter;
+} // namespace lavendertally::routing
 
 namespace lavendertally::serving {
 class IServingTracker;
@@ -95,12 +110,23 @@
 private:
     /// Creates the tracked state, the links to peers, and the policies that work on them.
     void createCore();
+    /// Creates what limits the choice of backend servers during rollouts, if the settings ask for
+    /// rollouts.
+    void createRollouts();
+    std::vector<routing::IServerFilter *> versionFilters() const;
+    /// \return filters of the servers for requests of clients
+    std::vector<routing::IServerFilter *> selectorFilters() const;
     /// Creates the service that forwards client requests.
     void createProxy();
     /// Creates the servers for clients, readiness checks and metrics.
     void createHttpServers();
+    /// \return a server whose clients are borne by a budget of their own, which is reported
+    std::unique_ptr<http::IHttpServer> makeServer(const char *name,
+                                                  const budget::BudgetLimits &limits);
     void applyLimits();
     void updateRetryLimits();
+    /// Tells the shares of connections which gateways there are.
+    void updateFleet();
     /// \return whether the configuration and the list of backend servers are known
     bool hasRequiredState() const;
     /// \return outstanding work of the backend servers with the most of it
@@ -114,19 +140,26 @@
     framework::Milliseconds forcedEndAfter() const;
 
     configuration::DaemonSettings m_settings;
+    budget::ProcessParts m_parts;
     framework::IEventLoop &m_loop;
     // The order matters: each member is destroyed before those declared above it, which it uses.
     std::unique_ptr<framework::IClock> m_clock;
     std::unique_ptr<framework::ILogger> m_logger;
     std::unique_ptr<framework::IMetrics> m_metrics;
     std::unique_ptr<framework::IRandom> m_random;
+    std::vector<std::unique_ptr<budget::BudgetReporter>> m_budgets;
     std::unique_ptr<serving::IServingTracker> m_serving;
     std::unique_ptr<membership::IBackendServerTracker> m_servers;
+    std::unique_ptr<connections::IConnectionShares> m_connections;
     std::unique_ptr<platform::IPlatform> m_platform;
     std::unique_ptr<peers::IPeerNetwork> m_peers;
     std::unique_ptr<replication::TopicExchange> m_topicExchange;
     std::unique_ptr<ratelimit::IServerRateLimits> m_rateLimits;
     std::unique_ptr<peers::IPeerObserver> m_permitExchange;
+    std::unique_ptr<peers::IPeerObserver> m_leaseExchange;
+    /// Null without rollouts.
+    std::unique_ptr<rollout::IRolloutTraffic> m_rolloutTraffic;
+    std::unique_ptr<peers::IPeerObserver> m_rolloutExchange;
     std::unique_ptr<stages::IStageCoordinator> m_coordinator;
     std::unique_ptr<stages::IStageService> m_stages;
     std::unique_ptr<routing::IBackendServerSelector> m_selector;
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -41,6 +41,12 @@
     bool hasUnreadInput() const;
     /// \return whether no further input is read until some is consumed
     bool isInputFull() const;
+    /// Reads no further input while \p size bytes are unread.
+    void limitInput(std::size_t size);
+    /// Sets the bound on unread input back to its default.
+    void liftInputLimit();
+    /// \return bytes of memory that unread input takes, at most
+    std::size_t inputMemory() const;
     /// Has the observer told once when the peer closes its sending side, even while the input is
     /// full and is not read.
     void watchPeerClose();
@@ -51,6 +57,9 @@
     void write(std::string_view data);
     /// \return number of buffered bytes not yet passed to the kernel
     std::size_t unsent() const;
+    /// \return whether the connection has ended with a reset by the peer, which may come before the
+    /// observer is told that it is established
+    bool wasReset() const { return m_wasReset; }
     /// Ends all notifications, that of a pending connection attempt included. The connection is
     /// closed when this object is destroyed.
     void detach();
@@ -69,7 +78,9 @@
     IBufferedSocketObserver &m_observer;
     bufferevent *m_bufferEvent;
     event *m_peerCloseEvent = nullptr;
+    std::size_t m_maxInput;
     bool m_connected = false;
+    bool m_wasReset = false;
     bool m_shutDownWhenFlushed = false;
 };
 
--- a/src/peers/internal/peerlink.h
+++ b/src/peers/internal/peerlink.h
@@ -58,6 +58,13 @@
     /// \return whether the daemon that opened this inbound link takes rate limits
     bool takesRateLimits() const { return m_takesRateLimits; }
     void setTakesRateLimits(bool takes) { m_takesRateLimits = takes; }
+    /// \return whether the daemon that opened this inbound link takes connection leases
+    bool takesConnectionLeases() const { return m_takesConnectionLeases; }
+    void setTakesConnectionLeases(bool takes) { m_takesConnectionLeases = takes; }
+    /// \return whether the peer has closed the link in order
+    bool isClosedInOrder() const { return m_isClosedInOrder; }
+    bool takesRollouts() const { return m_takesRollouts; }
+    void setTakesRollouts(bool takes) { m_takesRollouts = takes; }
     /// \return the fingerprint in the last pong that was sent on this link, if any had one
     const std::optional<protocol::EvidenceFingerprint> &toldFingerprint() const
     {
@@ -79,10 +86,14 @@
     framework::DaemonId m_peer;
     std::unique_ptr<protocol::IFrameReader> m_frames;
     std::unique_ptr<network::BufferedSocket> m_socket;
+    std::size_t m_unnamedBytes = 0;
     bool m_connected = false;
     bool m_isBehind = false;
     bool m_takesCrashReports = false;
     bool m_takesRateLimits = false;
+    bool m_takesConnectionLeases = false;
+    bool m_takesRollouts = false;
+    bool m_isClosedInOrder = false;
     std::optional<protocol::EvidenceFingerprint> m_toldFingerprint;
     framework::TimePoint m_lastReceived;
 };
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -55,6 +55,11 @@
     m_takesRateLimits = true;
 }
 
+void PeerNetwork::setTakesConnectionLeases()
+{
+    m_takesConnectionLeases = true;
+}
+
 void PeerNetwork::setIsInformed(std::function<bool(const framework::DaemonId &)> isInformed)
 {
     m_isInformed = std::move(isInformed);
@@ -72,6 +77,18 @@
     auto link = std::make_unique<PeerLink>(m_loop.base(), fd, *m_codec, *this);
     link->setLastReceived(m_clock.now());
     m_inbound.push_back(std::move(link));
+    boundUnnamedLinks();
+}
+
+/// Closes the oldest link without a name if there are too many: whoever opens connections and says
+/// nothing must not use up the descriptors.
+void PeerNetwork::boundUnnamedLinks()
+{
+    const auto isUnnamed = [](const auto &link) { return link->peer().isEmpty(); };
+    const auto count = std::count_if(m_inbound.begin(), m_inbound.end(), isUnnamed);
+    if (std::cmp_greater(count, m_limits.maxUnnamedLinks)) {
+        closeInbound(**std::find_if(m_inbound.begin(), m_inbound.end(), isUnnamed));
+    }
 }
 
 void PeerNetwork::connectTo(const std::vector<DaemonAddress> &ranking)
@@ -208,6 +225,18 @@
                   [](const PeerLink &link) { return link.takesRateLimits(); });
 }
 
+std::vector<framework::DaemonId> PeerNetwork::connectionLeaseTakers() const
+{
+    return takers([](const OutboundLink &link) { return link.takesConnectionLeases; },
+                  [](const PeerLink &link) { return link.takesConnectionLeases(); });
+}
+
+std::vector<framework::DaemonId> PeerNetwork::rolloutTakers() const
+{
+    return takers([](const OutboundLink &link) { return link.takesRollouts; },
+                  [](const PeerLink &link) { return link.takesRollouts(); });
+}
+
 /// \return peers whose established links fulfil the condition
 std::vector<framework::DaemonId>
 PeerNetwork::takers(const std::function<bool(const OutboundLink &)> &isOutboundTaker,
@@ -262,6 +291,8 @@
 {
     protocol::PeerPong pong{pingSent, m_acceptsJobs(), m_clock.now() - m_started, m_digests()};
     pong.takesRateLimits = m_takesRateLimits;
+    pong.takesConnectionLeases = m_takesConnectionLeases;
+    pong.takesRollouts = m_takesRollouts;
     if (m_crashFingerprint) {
         const protocol::EvidenceFingerprint fingerprint = m_crashFingerprint();
         if (link.toldFingerprint() != fingerprint) {
@@ -378,7 +409,7 @@
     // same peer may also be linked through the ranking.
     const std::string name = m_self.value() + (isSeed(link.peer()) ? SeedLinkSuffix : "");
     link.send(protocol::PeerHello{framework::DaemonId(name), m_crashFingerprint != nullptr,
-                                  m_takesRateLimits});
+                                  m_takesRateLimits, m_takesRollouts, m_takesConnectionLeases});
     link.send(protocol::PeerPing{m_clock.now()});
 }
 
@@ -419,6 +450,8 @@
     link.setPeer(hello.daemon);
     link.setTakesCrashReports(hello.takesCrashReports);
     link.setTakesRateLimits(hello.takesRateLimits);
+    link.setTakesConnectionLeases(hello.takesConnectionLeases);
+    link.setTakesRollouts(hello.takesRollouts);
 }
 
 void PeerNetwork::onPong(const PeerLink &link, const protocol::PeerPong &pong)
@@ -441,6 +474,8 @@
     }
     const std::optional<protocol::EvidenceFingerprint> fingerprint = outbound.crashFingerprint;
     outbound.takesRateLimits = pong.takesRateLimits;
+    outbound.takesConnectionLeases = pong.takesConnectionLeases;
+    outbound.takesRollouts = pong.takesRollouts;
     outbound.peerStartTime = m_clock.now() - pong.uptime;
     for (IPeerObserver *observer : m_observers) {
         observer->onDigests(link.peer(), pong.digests, pong.pingSent);
@@ -465,6 +500,11 @@
         handleOutboundFailure(link.peer(), m_outbound.at(link.peer()), reason);
         return;
     }
+    if (link.isClosedInOrder() && !link.peer().isEmpty()) {
+        for (IPeerObserver *observer : m_observers) {
+            observer->onClosedByPeer(link.peer());
+        }
+    }
     closeInbound(link);
 }
 
@@ -493,7 +533,12 @@
     }
     link->detach();
     m_discarded.push_back(std::move(link));
-    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0), [this] { m_discarded.clear(); });
+    if (m_discarded.size() > 1) {
+        // A timer that is set anew with each link would not fire while many end.
+        return;
+    }
+    m_discardTimer = m_loop.callAfter(framework::Milliseconds(0),
+                                      [this] { const auto gone = std::exchange(m_discarded, {}); });
 }
 
 } // namespace lavendertally::peers
--- a/src/peers/internal/peernetwork.h
+++ b/src/peers/internal/peernetwork.h
@@ -49,7 +49,11 @@
     std::vector<framework::DaemonId> linkedPeers() const override;
     std::vector<framework::DaemonId> crashReportTakers() const override;
     void setTakesRateLimits() override;
+    void setTakesConnectionLeases() override;
+    void setTakesRollouts() override { m_takesRollouts = true; }
     std::vector<framework::DaemonId> rateLimitTakers() const override;
+    std::vector<framework::DaemonId> rolloutTakers() const override;
+    std::vector<framework::DaemonId> connectionLeaseTakers() const override;
     bool isAccepting(const framework::DaemonId &peer) const override;
     bool isInStartupGrace(const framework::DaemonId &peer) const override;
     bool isUnreachable(const framework::DaemonId &peer) const override;
@@ -80,6 +84,8 @@
         /// reports.
         std::optional<protocol::EvidenceFingerprint> crashFingerprint;
         bool takesRateLimits = false;
+        bool takesConnectionLeases = false;
+        bool takesRollouts = false;
         framework::TimePoint peerStartTime;
         framework::TimePoint neededAt;
     };
@@ -88,6 +94,7 @@
     takers(const std::function<bool(const OutboundLink &)> &isOutboundTaker,
            const std::function<bool(const PeerLink &)> &isInboundTaker) const;
     void onAccepted(int fd);
+    void boundUnnamedLinks();
     void updateOutbound();
     std::vector<DaemonAddress> wantedPeers() const;
     LinkCandidate linkCandidate(const framework::DaemonId &daemon) const;
@@ -120,6 +127,8 @@
     /// Empty if this daemon takes no crash reports.
     std::function<protocol::EvidenceFingerprint()> m_crashFingerprint;
     bool m_takesRateLimits = false;
+    bool m_takesConnectionLeases = false;
+    bool m_takesRollouts = false;
     std::function<bool(const framework::DaemonId &)> m_isInformed;
     PeerListener m_listener;
     framework::Endpoint m_endpoint;
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -1,5 +1,6 @@
 #include "platform/internal/usersplatform.h"
 
+#include "connections/iconnectionshares.h"
 #include "framework/ieventloop.h"
 #include "http/httpmodule.h"
 #include "http/ihttpclient.h"
@@ -17,26 +18,36 @@
 /// Idle connections of backend servers that state no time.
 constexpr framework::Milliseconds MaxIdle{4000};
 
-http::HttpClientOptions clientOptions()
+http::HttpClientOptions clientOptions(std::size_t maxIdleConnections)
 {
     http::HttpClientOptions options;
     options.connectTimeout = ConnectTimeout;
     options.acknowledgeTimeout = AcknowledgeTimeout;
     options.maxIdle = MaxIdle;
+    options.maxIdleConnections = maxIdleConnections;
+    return options;
+}
+
+http::HttpClientOptions backendOptions(const PlatformParts &parts)
+{
+    http::HttpClientOptions options = clientOptions(parts.maxIdleConnections);
+    options.gate = &parts.connections.gate();
     return options;
 }
 
 } // namespace
 
 UsersPlatform::UsersPlatform(const PlatformParts &parts)
-    : m_storeClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
-      m_backendClient(http::HttpModule::makeClient(parts.loop, clientOptions())),
+    : m_storeClient(
+        http::HttpModule::makeClient(parts.loop, clientOptions(parts.maxIdleConnections))),
+      m_backendClient(http::HttpModule::makeClient(parts.loop, backendOptions(parts))),
       m_store(*m_storeClient, parts.store, parts.clock, parts.logger, parts.metrics),
       m_operators(m_store, parts.loop, parts.clock, parts.logger, parts.serving, parts.servers),
       m_servers(m_store, parts.loop, parts.clock, parts.logger, parts.servers),
       m_daemons(m_store, parts.loop, parts.clock, parts.logger, parts.self, parts.capacity),
-      m_backends(*m_backendClient, parts.servers),
-      m_stageCalls(*m_backendClient, parts.servers, parts.logger)
+      m_rolloutStatuses(m_store, parts.logger),
+      m_backends(*m_backendClient, parts.servers, parts.connections),
+      m_stageCalls(*m_backendClient, parts.servers, parts.connections, parts.logger)
 { }
 
 UsersPlatform::~UsersPlatform() = default;
--- a/src/proxy/internal/activerequest.cpp
+++ b/src/proxy/internal/activerequest.cpp
@@ -1,7 +1,9 @@
 #include "proxy/internal/activerequest.h"
 
+#include "admission/types/placedecision.h"
 #include "framework/iclock.h"
 #include "framework/imetrics.h"
+#include "framework/irandom.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "peers/idaemondirectory.h"
@@ -9,7 +11,9 @@
 #include "proxy/internal/attemptresult.h"
 #include "proxy/internal/attemptwork.h"
 #include "proxy/internal/firsteventestimator.h"
+#include "proxy/internal/gatewayplaces.h"
 #include "proxy/internal/iactiverequestowner.h"
+#include "proxy/internal/placerefusaltext.h"
 #include "proxy/internal/requestreport.h"
 #include "proxy/internal/requestresolver.h"
 #include "proxy/iresponsewriter.h"
@@ -24,21 +28,15 @@
 
 namespace lavendertally::proxy {
 
-namespace {
-
-/// Generating an output token takes about ten times as long as processing a prompt token.
-constexpr std::int64_t OutputTokenCost = 10;
-
-} // namespace
-
 ActiveRequest::ActiveRequest(const ProxyContext &context, IActiveRequestOwner &owner,
                              IProxyService::Ticket ticket, ClientRequest request,
                              std::unique_ptr<IResponseWriter> response)
     : m_context(context), m_owner(owner), m_ticket(ticket), m_request(std::move(request)),
       m_response(std::move(response)), m_started(context.clock.now()),
-      m_stages(context, m_request, m_plan), m_guard(context, m_request),
-      m_retries(context, m_request, m_plan, m_guard), m_capacity(context.scheduler),
-      m_attempt(context, m_request, m_plan, m_guard, owner.heldSources(), *m_response, *this)
+      m_place(ticket, m_request, m_plan), m_stages(context, m_request, m_plan),
+      m_guard(context, m_request), m_retries(context, m_request, m_plan, m_guard),
+      m_capacity(context.scheduler, owner.places()),
+      m_attempt(context, m_request, m_plan, m_guard, owner, *m_response, *this)
 { }
 
 ActiveRequest::~ActiveRequest() = default;
@@ -67,19 +65,18 @@
     m_deadline = m_started
         + std::min(m_request.timeLeft.value_or(m_plan.route->timeout), m_plan.route->timeout);
     m_deadlineTimer = m_context.scheduler.callAfter(timeLeft(), [this] { end("time is up"); });
+    m_place.begin(m_started, m_deadline);
     m_context.retries.recordFirstAttempt(m_plan.service, m_started);
     nextAttempt();
 }
 
 void ActiveRequest::startStages()
 {
-    const framework::TokenCount size =
-        m_request.promptTokens + m_request.maxOutputTokens * OutputTokenCost;
     protocol::StageJob job;
     job.objectiveLeft = m_plan.route->latencyObjective - elapsed()
         - m_owner.firstEvents().estimate(m_plan.service, m_request.promptTokens);
     job.timeLeft = timeLeft();
-    job.worth = m_owner.relativeWorth(m_plan.route->id, size);
+    job.worth = m_owner.relativeWorth(m_plan.route->id, m_request.weightedSize());
     job.zone = preferredZone();
     m_stages.start(std::move(job),
                    [this](const protocol::StageJobOutcome &outcome) { stagesEnded(outcome); });
@@ -93,18 +90,33 @@
     return server ? server->zone : m_context.zone;
 }
 
+/// Adds up to a quarter of \p wait at random, so that refused clients do not return together.
+framework::Milliseconds ActiveRequest::spread(framework::Milliseconds wait) const
+{
+    const auto range = static_cast<std::uint64_t>(wait.value() / 4 + 1);
+    return wait + framework::Milliseconds(static_cast<std::int64_t>(m_context.random.below(range)));
+}
+
 void ActiveRequest::stagesEnded(const protocol::StageJobOutcome &outcome)
 {
-    if (outcome.status == protocol::StageJobStatus::Done) {
+    const bool isDone = outcome.status == protocol::StageJobStatus::Done;
+    if (isDone) {
         sendAttempt();
         return;
     }
     const bool overloaded = outcome.status == protocol::StageJobStatus::Overloaded;
-    endUnsent({RefusalKind::NotRun, outcome.retryAfter,
-               overloaded ? "stages overloaded" : "stages failed"},
+    const framework::Milliseconds retryAfter =
+        overloaded ? spread(outcome.retryAfter) : outcome.retryAfter;
+    endUnsent({RefusalKind::NotRun, retryAfter, overloaded ? "stages overloaded" : "stages failed"},
               "stream broke; stages could not be repeated");
 }
 
+admission::PlaceRequest ActiveRequest::placeRequest() const
+{
+    // Attempts that were not run have cost the request its time.
+    return m_place.make(!m_stages.results().empty() || m_retries.attempts().count() > 0);
+}
+
 routing::ServerQuery ActiveRequest::serverQuery() const
 {
     routing::ServerQuery query;
@@ -135,6 +147,21 @@
 
 void ActiveRequest::sendAttempt()
 {
+    if (const auto refusal = m_guard.check()) {
+        endUnsent(*refusal, refusal->cause);
+        return;
+    }
+    m_capacity.requestPlace(
+        placeRequest(), [this] { sendAdmitted(); },
+        [this](const admission::PlaceDecision &decision) {
+            const char *cause = textOf(decision.refusal);
+            endUnsent({RefusalKind::NotRun, decision.retryAfter, cause}, cause);
+        });
+}
+
+void ActiveRequest::sendAdmitted()
+{
+    // A prompt may have come under suspicion while the request waited.
     if (const auto refusal = m_guard.check()) {
         endUnsent(*refusal, refusal->cause);
         return;
@@ -171,7 +198,7 @@
         m_context.selector.pauseOf(m_plan.service, m_context.clock.now());
     const bool areAllPaused = pause > framework::Milliseconds(0);
     if (interval && !areAllPaused
-        && m_capacity.waitForPermit(timeLeft(), [this] { sendAttempt(); })) {
+        && m_capacity.waitForPermit(timeLeft(), [this] { sendAdmitted(); })) {
         return;
     }
     const char *cause = interval ? "backend servers limit their requests" : "no backend server";
@@ -236,7 +263,9 @@
         sendAttempt();
         return;
     }
-    endUnsent({RefusalKind::NotRun, m_context.limits.retryAfter, "backend servers unreachable"},
+    const char *cause = m_attempt.wasRejected() ? "backend servers accept no further connection"
+                                                : "backend servers unreachable";
+    endUnsent({RefusalKind::NotRun, m_context.limits.retryAfter, cause},
               "stream broke; refused elsewhere");
 }
 
@@ -258,13 +287,18 @@
     if (scheduleRetry(false)) {
         return;
     }
-    endUnsent({RefusalKind::NotRun, m_context.limits.retryAfter, "refused by backend server"},
+    endUnsent({RefusalKind::NotRun, m_owner.places().retryAfter(placeRequest()),
+               "refused by backend server"},
               "stream broke; refused elsewhere");
 }
 
 void ActiveRequest::attemptFailed()
 {
     m_retries.attempts().exclude(m_attempt.server());
+    if (m_attempt.wasRejected() && m_retries.attempts().recordConnectFailure()) {
+        // A full backend server does not use up one of the route's attempts.
+        m_retries.attempts().discardLast();
+    }
     if (m_plan.route->isIdempotent() && scheduleRetry(true)) {
         return;
     }
@@ -346,7 +380,10 @@
 void ActiveRequest::finishAnswered()
 {
     // What a slow client adds says nothing of the next request.
-    m_owner.answerTimes().observe(m_plan.route->id, elapsed() - m_attempt.pacer().heldTime());
+    const framework::Milliseconds heldTime = m_attempt.pacer().heldTime();
+    m_owner.answerTimes().observe(m_plan.route->id, elapsed() - heldTime);
+    m_owner.places().answered(placeRequest(),
+                              m_context.clock.now() - m_attempt.started() - heldTime);
     finish("done");
 }
 
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -1,11 +1,14 @@
 #include "proxy/internal/backendattempt.h"
 
+#include "admission/types/reportedload.h"
 #include "framework/iclock.h"
 #include "framework/ilogger.h"
 #include "framework/imetrics.h"
 #include "proxy/ibackendcall.h"
 #include "proxy/ibackendclient.h"
 #include "proxy/internal/attemptresult.h"
+#include "proxy/internal/gatewayplaces.h"
+#include "proxy/internal/iactiverequestowner.h"
 #include "proxy/internal/iattemptobserver.h"
 #include "proxy/internal/promptguard.h"
 #include "proxy/internal/requestplan.h"
@@ -13,6 +16,7 @@
 #include "proxy/types/backendrequest.h"
 #include "proxy/types/clientrequest.h"
 #include "proxy/types/streamevent.h"
+#include "rollout/irolloutobserver.h"
 #include "routing/ibackendserverselector.h"
 #include "serving/types/route.h"
 
@@ -22,25 +26,52 @@
 
 namespace {
 
+constexpr int TooManyRequests = 429;
 constexpr int FirstServerError = 500;
+constexpr int Unavailable = 503;
 
 /// \return whether clients take the status to mean that the request did not run, which a backend
 /// server does not state by it
 bool impliesNotRun(const ResponseHead &head)
 {
-    constexpr int TooManyRequests = 429;
-    constexpr int Unavailable = 503;
     return head.status == TooManyRequests || head.status == Unavailable;
 }
 
+/// \return whether the backend server, or this gateway's share of it, has no further connection
+bool lacksConnection(BackendCallEnd end)
+{
+    return end == BackendCallEnd::NoConnection || end == BackendCallEnd::Rejected
+        || end == BackendCallEnd::RejectedAfterSend;
+}
+
+/// \return what an attempt without a whole answer says of the backend server's health; one that has
+/// as many connections as it accepts has not failed
+routing::CallOutcome lossOutcome(BackendCallEnd end)
+{
+    switch (end) {
+    case BackendCallEnd::NoConnection:
+        return routing::CallOutcome::Cancelled;
+    case BackendCallEnd::Rejected:
+    case BackendCallEnd::RejectedAfterSend:
+        return routing::CallOutcome::Refused;
+    case BackendCallEnd::Complete:
+    case BackendCallEnd::NotSent:
+    case BackendCallEnd::Broken:
+    case BackendCallEnd::Malformed:
+        break;
+    }
+    return routing::CallOutcome::TransportFailed;
+}
+
 } // namespace
 
 BackendAttempt::BackendAttempt(const ProxyContext &context, const ClientRequest &request,
-                               const RequestPlan &plan, PromptGuard &guard, HeldSources &held,
-                               IResponseWriter &response, IAttemptObserver &observer)
+                               const RequestPlan &plan, PromptGuard &guard,
+                               IActiveRequestOwner &owner, IResponseWriter &response,
+                               IAttemptObserver &observer)
     : m_context(context), m_request(request), m_plan(plan), m_guard(guard), m_response(response),
-      m_observer(observer), m_work(context, request, plan), m_completion(context),
-      m_pacer(context.clock, held, response), m_lastEventId(request.lastEventId)
+      m_observer(observer), m_places(owner.places()), m_work(context, request, plan), m_completion(context),
+      m_pacer(context.clock, owner.heldSources(), response), m_lastEventId(request.lastEventId)
 { }
 
 BackendAttempt::~BackendAttempt() = default;
@@ -58,12 +89,15 @@
     m_body.clear();
     m_isComplete = false;
     m_failed = false;
+    m_wasRejected = false;
+    m_hasEvent = false;
     m_started = now;
     m_guard.attemptSent(request.server);
     m_completion.attemptSent(request.server);
     request.resumeAfter = m_lastEventId;
     m_context.selector.callStarted(m_server, now);
     m_work.started(request.server, m_lastEventId.has_value());
+    m_places.callStarted(m_plan.service, m_server);
     m_call = m_context.backends.send(request, *this);
     m_pacer.sourceStarted(*m_call);
 }
@@ -93,8 +127,27 @@
 void BackendAttempt::recordOutcome(routing::CallOutcome outcome)
 {
     m_guard.attemptEnded();
+    if (outcome == routing::CallOutcome::Failed
+        || outcome == routing::CallOutcome::TransportFailed) {
+        reportAnswer(rollout::AnswerQuality::Failed);
+    } else if (outcome == routing::CallOutcome::Succeeded && !m_hasEvent) {
+        reportAnswer(rollout::AnswerQuality::Sound);
+    }
     m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
     m_work.ended(outcome, m_pacer);
+    // Other refusals, for instance for inputs that are gone, say nothing of the capacity.
+    const bool isFull = outcome == routing::CallOutcome::Refused && impliesNotRun(*m_head);
+    m_places.callEnded(m_plan.service, m_server, isFull);
+}
+
+/// Reports what the answer, or the first event of a stream, says of the backend server's version.
+void BackendAttempt::reportAnswer(rollout::AnswerQuality quality)
+{
+    if (m_context.rollouts != nullptr) {
+        const framework::Milliseconds time = m_context.clock.now() - m_started;
+        m_context.rollouts->answered(m_server, m_plan.route->id, quality,
+                                     time - m_pacer.heldTime());
+    }
 }
 
 void BackendAttempt::onHead(const ResponseHead &head)
@@ -103,6 +156,10 @@
     m_context.selector.responseStarted(m_server, m_started, now);
     if (head.load) {
         m_context.selector.observeLoad(m_server, *head.load, now);
+        m_places.observeLoad(m_plan.service, m_server,
+                             {head.load->running, head.load->waiting, head.load->slots});
+    } else if (head.isSigned) {
+        m_places.observeNoLoad(m_plan.service);
     }
     if (head.retryAfter) {
         m_context.selector.observePause(m_server, now + *head.retryAfter);
@@ -160,6 +217,9 @@
         return;
     }
     m_work.eventReceived();
+    if (!std::exchange(m_hasEvent, true)) {
+        reportAnswer(rollout::AnswerQuality::Sound);
+    }
     if (event.id) {
         if (m_lastEventId && *event.id <= *m_lastEventId) {
             // The client already has this event; a resumed stream may repeat it.
@@ -210,11 +270,10 @@
     const bool wasHeldBack = m_pacer.isHolding();
     dropCall();
     const bool isRefused = m_head && m_head->notExecuted;
-    if (end == BackendCallEnd::NotSent || isRefused) {
-        const bool unsent = end == BackendCallEnd::NotSent;
-        recordOutcome(unsent ? routing::CallOutcome::TransportFailed
-                             : routing::CallOutcome::Refused);
-        m_observer.onAttemptEnded(unsent ? AttemptResult::NotSent : AttemptResult::Refused);
+    m_wasRejected = lacksConnection(end);
+    if (isUnsent(end) || isRefused) {
+        recordOutcome(isRefused ? routing::CallOutcome::Refused : lossOutcome(end));
+        m_observer.onAttemptEnded(isRefused ? AttemptResult::Refused : AttemptResult::NotSent);
         return;
     }
     m_priorAttemptMayHaveRun = true;
@@ -227,8 +286,7 @@
     }
     // A call that is held back ends only because its time is up.
     const bool hasRunOutOfTime = wasHeldBack && end == BackendCallEnd::Broken;
-    recordOutcome(hasRunOutOfTime ? routing::CallOutcome::Cancelled
-                                  : routing::CallOutcome::TransportFailed);
+    recordOutcome(hasRunOutOfTime ? routing::CallOutcome::Cancelled : lossOutcome(end));
     m_guard.examineLoss([this, end] { answerEnded(end); });
 }
 
--- a/src/proxy/internal/backendattempt.h
+++ b/src/proxy/internal/backendattempt.h
@@ -7,6 +7,7 @@
 #include "proxy/internal/sourcepacer.h"
 #include "proxy/types/proxycontext.h"
 #include "proxy/types/responsehead.h"
+#include "rollout/types/answerquality.h"
 #include "routing/types/calloutcome.h"
 
 #include <memory>
@@ -15,6 +16,8 @@
 
 namespace lavendertally::proxy {
 
+class GatewayPlaces;
+class IActiveRequestOwner;
 class IAttemptObserver;
 class IBackendCall;
 class IResponseWriter;
@@ -31,7 +34,7 @@
 public:
     /// All arguments must outlive this object.
     BackendAttempt(const ProxyContext &context, const ClientRequest &request,
-                   const RequestPlan &plan, PromptGuard &guard, HeldSources &held,
+                   const RequestPlan &plan, PromptGuard &guard, IActiveRequestOwner &owner,
                    IResponseWriter &response, IAttemptObserver &observer);
     ~BackendAttempt() override;
     BackendAttempt(const BackendAttempt &) = delete;
@@ -61,6 +64,9 @@
     bool isComplete() const { return m_isComplete; }
     /// \return whether the last response is incomplete or a failure
     bool hasFailed() const { return m_failed; }
+    /// \return whether the last response is missing because the backend server probably has as many
+    /// connections as it accepts, or because this gateway's share of them is in use
+    bool wasRejected() const { return m_wasRejected; }
     /// \return backend server of the last attempt
     const framework::BackendServerId &server() const { return m_server; }
     /// \return when the last attempt was sent
@@ -90,6 +96,7 @@
     void passedOnBodyEnded();
     void dropCall();
     void recordOutcome(routing::CallOutcome outcome);
+    void reportAnswer(rollout::AnswerQuality quality);
 
     const ProxyContext &m_context;
     const ClientRequest &m_request;
@@ -97,6 +104,7 @@
     PromptGuard &m_guard;
     IResponseWriter &m_response;
     IAttemptObserver &m_observer;
+    GatewayPlaces &m_places;
     /// Kept until it is decided whether the answer is whole.
     std::unique_ptr<IBackendCall> m_call;
     AttemptWork m_work;
@@ -109,9 +117,12 @@
     std::string m_body;
     bool m_isComplete = false;
     bool m_failed = false;
+    bool m_wasRejected = false;
     /// Whether the body was too large to be kept and is passed on in parts.
     bool m_passesBodyOn = false;
     bool m_streaming = false;
+    /// Whether an event of the last attempt has come.
+    bool m_hasEvent = false;
     std::optional<framework::StreamEventId> m_lastEventId;
 };
 
--- a/src/proxy/types/proxycontext.h
+++ b/src/proxy/types/proxycontext.h
@@ -11,6 +11,14 @@
 class IScheduler;
 } // namespace lavendertally::framework
 
+namespace lavendertally::admission {
+class ICallLimits;
+}
+
+namespace lavendertally::membership {
+class IBackendServers;
+}
+
 namespace lavendertally::peers {
 class IDaemonDirectory;
 }
@@ -23,6 +31,10 @@
 class IRetryPolicy;
 }
 
+namespace lavendertally::rollout {
+class IRolloutObserver;
+}
+
 namespace lavendertally::routing {
 class IBackendServerSelector;
 }
@@ -50,6 +62,7 @@
     framework::IMetrics &metrics;
     framework::IRandom &random;
     const serving::IServingState &serving;
+    const membership::IBackendServers &servers;
     const peers::IDaemonDirectory &directory;
     routing::IBackendServerSelector &selector;
     retry::IRetryPolicy &retries;
@@ -57,6 +70,10 @@
     stages::IStageService &stages;
     IBackendClient &backends;
     ProxyLimits limits;
+    /// Null if nothing but the slots of the backend servers limits the calls.
+    const admission::ICallLimits *callLimits = nullptr;
+    /// Hears what answers say of the versions of backend servers; null without rollouts.
+    rollout::IRolloutObserver *rollouts = nullptr;
 };
 
 } // namespace lavendertally::proxy
--- a/src/routing/internal/backendserverselector.cpp
+++ b/src/routing/internal/backendserverselector.cpp
@@ -35,8 +35,9 @@
 {
     Candidates candidates = usable(query, now);
     while (!candidates.empty()) {
+        const Candidates preferred = preferredOf(candidates, query, now);
         const Candidate chosen =
-            relieved(choiceFor(query).choose(candidates, query, now), candidates, query, now);
+            relieved(choiceFor(query).choose(preferred, query, now), preferred, query, now);
         // Asked only of the preferred one, so that permits go to where they are used.
         if (m_rateLimits.mayCall(chosen.entry->id, now)) {
             if (query.coldStartRate > 0.0 && now < chosen.entry->coldUntil) {
@@ -51,6 +52,30 @@
     return framework::leaf::new_error(RoutingError::NoAdmittingBackend);
 }
 
+/// \return the candidates that the filters prefer to the others
+Candidates BackendServerSelector::preferredOf(const Candidates &candidates,
+                                              const ServerQuery &query,
+                                              framework::TimePoint now) const
+{
+    if (m_filters.empty()) {
+        return candidates;
+    }
+    std::vector<const membership::BackendServerEntry *> servers;
+    for (const Candidate &candidate : candidates) {
+        servers.push_back(candidate.entry);
+    }
+    for (IServerFilter *filter : m_filters) {
+        filter->prefer(query, servers, now);
+    }
+    Candidates preferred;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(preferred),
+                 [&servers](const Candidate &candidate) {
+                     return std::find(servers.begin(), servers.end(), candidate.entry)
+                         != servers.end();
+                 });
+    return preferred;
+}
+
 /// Work is comparable only where requests state it. Servers that report no work time are those of
 /// sites where calls are counted.
 IServerChoice &BackendServerSelector::choiceFor(const ServerQuery &query)
@@ -202,6 +227,9 @@
                                       framework::TimePoint now)
 {
     m_states[server].callEnded(outcome, now);
+    for (IServerFilter *filter : m_filters) {
+        filter->callEnded(server, now);
+    }
 }
 
 void BackendServerSelector::observeLoad(const framework::BackendServerId &server,
