--- a/src/routing/internal/workchoice.cpp
+++ b/src/routing/internal/workchoice.cpp
@@ -93,6 +93,7 @@
         weighMarked(query, writeTokens, now);
     }
     if (!hasHomes || areHomesBusy(service)) {
+        partitionByZone();
         draw(0, m_localOptions, LocalDraws);
         draw(m_localOptions, m_options.size(), RemoteDraws);
         weighMarked(query, writeTokens, now);
@@ -119,30 +120,18 @@
         option.score = rendezvousScore(query.prefixHash, option.hash);
         m_options.push_back(option);
     }
-    const auto firstRemote = std::partition(m_options.begin(), m_options.end(),
-                                            [](const Option &option) { return option.isLocal; });
-    m_localOptions = static_cast<std::size_t>(firstRemote - m_options.begin());
 }
 
-/// Each zone has homes of its own, so that affinity does not lead to other zones.
+/// The homes are the same for all zones: with homes in each zone, every zone reads the shared parts
+/// for itself, which costs the servers more than the requests cost the links between zones.
 void WorkChoice::markHomes(const ServerQuery &query, const ServiceWork &service,
                            framework::TimePoint now)
 {
     const auto byScore = [](const Option &a, const Option &b) { return a.score > b.score; };
-    const auto begin = m_options.begin();
-    const auto firstRemote = begin + static_cast<std::ptrdiff_t>(m_localOptions);
-    if (firstRemote != m_options.end()) {
-        // The best of all remote ones is a home of its zone.
-        const auto home = std::min_element(firstRemote, m_options.end(), byScore);
-        home->home = HomeKeeps;
-        home->isMarked = true;
-    }
-    if (m_localOptions == 0) {
-        return;
-    }
-    const std::size_t homes = homesOf(service, query.work, m_localOptions, now);
-    const std::size_t ranked = std::min(homes + NextHomes, m_localOptions);
-    std::partial_sort(begin, begin + static_cast<std::ptrdiff_t>(ranked), firstRemote, byScore);
+    const std::size_t homes = homesOf(service, query.work, m_options.size(), now);
+    const std::size_t ranked = std::min(homes + NextHomes, m_options.size());
+    std::partial_sort(m_options.begin(), m_options.begin() + static_cast<std::ptrdiff_t>(ranked),
+                      m_options.end(), byScore);
     for (std::size_t rank = 0; rank < ranked; ++rank) {
         m_options[rank].home = rank < homes
             ? HomeKeeps * std::pow(FurtherHomeFactor, static_cast<double>(rank))
@@ -152,6 +141,14 @@
     draw(homes, ranked, NextHomes);
 }
 
+/// Puts the options of the same zone first.
+void WorkChoice::partitionByZone()
+{
+    const auto firstRemote = std::partition(m_options.begin(), m_options.end(),
+                                            [](const Option &option) { return option.isLocal; });
+    m_localOptions = static_cast<std::size_t>(firstRemote - m_options.begin());
+}
+
 void WorkChoice::draw(std::size_t first, std::size_t last, std::size_t count)
 {
     const std::size_t size = last - first;
--- a/src/routing/internal/workchoice.h
+++ b/src/routing/internal/workchoice.h
@@ -47,6 +47,7 @@
     };
 
     void listOptions(const Candidates &candidates, const ServerQuery &query);
+    void partitionByZone();
     void markHomes(const ServerQuery &query, const ServiceWork &service, framework::TimePoint now);
     /// Marks \p count options of [\p first, \p last), drawn at random, to be weighed.
     void draw(std::size_t first, std::size_t last, std::size_t count);
