Routing: reading shared parts is weighed by what it evicts, four times

Cause: shared parts were read again about twice as often as by rendezvous affinity, since one reading weighed little against a shorter wait. Each token read evicts one that other requests share and delays the streams beside it.

--- a/src/routing/internal/workchoice.cpp
+++ b/src/routing/internal/workchoice.cpp
@@ -46,7 +46,7 @@
 constexpr double QueueWeight = 3.0;
 /// Weight of the time to read shared parts that are not kept: in a full memory they evict as many
 /// tokens of other prompts, which are read again later.
-constexpr double EvictionWeight = 1.0;
+constexpr double EvictionWeight = 4.0;
 /// Cost of a pause that is longer than its stream tolerates.
 constexpr double BrokenStreamCostMs = 30.0;
 /// Upper bound of the random time that decides between candidates that are about equal.
