--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -70,7 +70,7 @@
                                IActiveRequestOwner &owner, IResponseWriter &response,
                                IAttemptObserver &observer)
     : m_context(context), m_request(request), m_plan(plan), m_guard(guard), m_response(response),
-      m_observer(observer), m_places(owner.places()), m_completion(context),
+      m_observer(observer), m_places(owner.places()), m_work(context, request, plan), m_completion(context),
       m_pacer(context.clock, owner.heldSources(), response), m_lastEventId(request.lastEventId)
 { }
 
@@ -96,6 +96,7 @@
     m_completion.attemptSent(request.server);
     request.resumeAfter = m_lastEventId;
     m_context.selector.callStarted(m_server, now);
+    m_work.started(request.server, m_lastEventId.has_value());
     m_places.callStarted(m_plan.service, m_server);
     m_call = m_context.backends.send(request, *this);
     m_pacer.sourceStarted(*m_call);
@@ -133,6 +134,7 @@
         reportAnswer(rollout::AnswerQuality::Sound);
     }
     m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
+    m_work.ended(outcome, m_pacer);
     // Other refusals, for instance for inputs that are gone, say nothing of the capacity.
     const bool isFull = outcome == routing::CallOutcome::Refused && impliesNotRun(*m_head);
     m_places.callEnded(m_plan.service, m_server, isFull);
@@ -214,6 +216,7 @@
     if (!m_head->isSuccess() || m_head->notExecuted || !m_head->isSigned) {
         return;
     }
+    m_work.eventReceived();
     if (!std::exchange(m_hasEvent, true)) {
         reportAnswer(rollout::AnswerQuality::Sound);
     }
