Rollout: the target of an order is not guessed to be the version in use

Cause: putting an order refreshed the servers before the order was set, so the version in use was guessed without it. With more servers of the target than of the old version it was the target: it got everything in the first step, the decider skipped the steps, and after a rollback everything was refused.

Change: a service that is not known yet gets its order before its servers, which excludes the target. A version chosen among several is marked as a guess; an order that names it has it chosen again among the others. The guess stands if its servers started first: excluding it always breaks TargetIsInUse_CompletedAtOnce, where an order names the version in use.

--- a/src/rollout/internal/servicetraffic.cpp
+++ b/src/rollout/internal/servicetraffic.cpp
@@ -39,6 +39,7 @@
     for (const membership::BackendServerEntry *server : servers) {
         m_servers.emplace_back(server->id, server->version);
     }
+    m_isGuessed = m_isGuessed && m_versions.isMixed();
     updateEstablished();
     updateCanary();
     forgetIdleServers();
@@ -50,6 +51,7 @@
 {
     if (m_step == protocol::RolloutStep::Completed && m_order) {
         m_established = m_order->target;
+        m_isGuessed = false;
         return;
     }
     if (m_established && m_versions.servers(*m_established) > 0) {
@@ -58,6 +60,8 @@
     const auto target = m_order ? std::optional(m_order->target) : std::nullopt;
     if (const auto largest = m_versions.largest(target)) {
         m_established = largest;
+        const std::size_t excluded = target ? m_versions.servers(*target) : 0;
+        m_isGuessed = m_versions.otherServers(*largest) > excluded;
     }
 }
 
@@ -104,6 +108,11 @@
     m_judge = RolloutJudge();
     m_isStopped = false;
     m_elapsed = framework::Milliseconds(0);
+    // Servers of the target may have outnumbered those of the version in use when it was guessed;
+    // the version in use started first.
+    if (m_isGuessed && m_established == order.target && !m_versions.isOldest(order.target)) {
+        m_established.reset();
+    }
     updateEstablished();
     updateCanary();
     return true;
--- a/src/rollout/internal/servicetraffic.h
+++ b/src/rollout/internal/servicetraffic.h
@@ -104,6 +104,8 @@
     ServiceVersions m_versions;
     /// Version that gets the requests which the target of an order does not get.
     std::optional<framework::SoftwareVersion> m_established;
+    /// Whether m_established was chosen among several versions by their numbers of servers.
+    bool m_isGuessed = false;
     std::optional<RolloutOrder> m_order;
     std::uint64_t m_rolloutNumber = 0;
     protocol::RolloutStep m_step = protocol::RolloutStep::Waiting;
--- a/src/rollout/internal/serviceversions.cpp
+++ b/src/rollout/internal/serviceversions.cpp
@@ -32,6 +32,15 @@
     return count;
 }
 
+bool ServiceVersions::isOldest(const framework::SoftwareVersion &version) const
+{
+    const auto found = m_versions.find(version);
+    return found != m_versions.end()
+        && std::all_of(m_versions.begin(), m_versions.end(), [&](const auto &each) {
+               return each.first == version || found->second.oldest < each.second.oldest;
+           });
+}
+
 std::optional<framework::SoftwareVersion>
 ServiceVersions::largest(const std::optional<framework::SoftwareVersion> &excluded) const
 {
--- a/src/rollout/internal/serviceversions.h
+++ b/src/rollout/internal/serviceversions.h
@@ -24,6 +24,8 @@
     std::size_t servers(const framework::SoftwareVersion &version) const;
     /// \return ready servers of other versions
     std::size_t otherServers(const framework::SoftwareVersion &version) const;
+    /// \return whether a server of \p version started before those of all other versions
+    bool isOldest(const framework::SoftwareVersion &version) const;
 
     /// \param excluded version that is not returned, if given
     /// \return the version with most ready servers; of several, the one whose oldest server started
--- a/src/rollout/internal/versiontraffic.cpp
+++ b/src/rollout/internal/versiontraffic.cpp
@@ -36,12 +36,18 @@
     }
 }
 
-ServiceTraffic &VersionTraffic::traffic(const framework::ServiceId &service)
+VersionTraffic::Service &VersionTraffic::entry(const framework::ServiceId &service)
 {
     Service &found = m_services[service];
     if (!found.traffic) {
         found.traffic = std::make_unique<ServiceTraffic>(service, m_bounds, m_start);
     }
+    return found;
+}
+
+ServiceTraffic &VersionTraffic::traffic(const framework::ServiceId &service)
+{
+    Service &found = entry(service);
     refresh(service, found);
     return *found.traffic;
 }
@@ -137,8 +143,16 @@
 
 void VersionTraffic::put(const RolloutOrder &order)
 {
-    ServiceTraffic &service = traffic(order.service);
-    if (service.setOrder(order, m_clock.now())) {
+    Service &found = entry(order.service);
+    // The first servers of a service come after the order, so that its target is not taken for the
+    // version in use.
+    if (found.generation) {
+        refresh(order.service, found);
+    }
+    ServiceTraffic &service = *found.traffic;
+    const bool isNew = service.setOrder(order, m_clock.now());
+    refresh(order.service, found);
+    if (isNew) {
         m_logger.info("order for a rollout; the new version gets nothing until its step is known",
                       {{"service", order.service.value()},
                        {"target", order.target.value()},
--- a/src/rollout/internal/versiontraffic.h
+++ b/src/rollout/internal/versiontraffic.h
@@ -61,14 +61,15 @@
     ServiceTraffic *find(const framework::ServiceId &service);
 
 private:
-    ServiceTraffic &traffic(const framework::ServiceId &service);
-
     struct Service
     {
         std::unique_ptr<ServiceTraffic> traffic;
         std::optional<membership::MembershipGeneration> generation;
     };
 
+    ServiceTraffic &traffic(const framework::ServiceId &service);
+    /// \return a service, whose servers may be out of date or not known yet
+    Service &entry(const framework::ServiceId &service);
     void refresh(const framework::ServiceId &id, Service &service);
 
     const membership::IBackendServers &m_servers;
