Rollout: without a server of the target, the other version is admitted

Cause: in the last step and after completion the servers of other versions were closed also when the target had no ready server left, so the service refused everything.

Change: they are closed only while the target has a ready server; after completion the version in use is chosen among the others until the target is back.

--- a/src/rollout/internal/servicetraffic.cpp
+++ b/src/rollout/internal/servicetraffic.cpp
@@ -49,7 +49,7 @@
 /// and happens to have more servers for a while must not take over.
 void ServiceTraffic::updateEstablished()
 {
-    if (m_step == protocol::RolloutStep::Completed && m_order) {
+    if (m_step == protocol::RolloutStep::Completed && targetServers() > 0) {
         m_established = m_order->target;
         m_isGuessed = false;
         return;
@@ -186,8 +186,10 @@
 
 bool ServiceTraffic::admitsOld(const membership::BackendServerEntry &server) const
 {
-    const bool isClosed =
+    const bool isLast =
         m_step == protocol::RolloutStep::Everything || m_step == protocol::RolloutStep::Completed;
+    // Without a server of the target, the others are the only choice.
+    const bool isClosed = isLast && targetServers() > 0;
     return !isClosed && server.version == m_established;
 }
 
--- a/src/rollout/tests/versionsinusetest.cpp
+++ b/src/rollout/tests/versionsinusetest.cpp
@@ -1,3 +1,4 @@
+#include "rollout/internal/servicetraffic.h"
 #include "rollout/tests/rolloutfleet.h"
 
 using namespace lavendertally;
@@ -90,3 +91,38 @@
     EXPECT_EQ(sentToOld(), 0U);
     EXPECT_EQ(m_refused, 0U);
 }
+
+// Guards against refusing everything when the servers of a completed target are gone.
+TEST_F(VersionsInUseTest, TargetIsLostAfterCompletion_OtherVersionGetsEverythingUntilItIsBack)
+{
+    addDaemons(3);
+    order("v2");
+    play(12000);
+    ASSERT_EQ(state(), RolloutState::Completed);
+    removeServers("new");
+    const std::size_t before = sentToOld();
+    play(1000);
+    EXPECT_GT(sentToOld(), before);
+    EXPECT_EQ(m_refused, 0U);
+    addServer("new0", "v2", 9);
+    const std::size_t beforeReturn = sentToOld();
+    play(1000);
+    EXPECT_EQ(sentToOld(), beforeReturn);
+    EXPECT_EQ(m_refused, 0U);
+}
+
+// Guards against refusing everything in the last step when the servers of the target are gone and
+// no decider is there to roll back.
+TEST_F(VersionsInUseTest, TargetIsLostInTheLastStepWithoutADecider_OldVersionGetsEverything)
+{
+    ServiceTraffic traffic(Service, m_bounds, 1);
+    traffic.setServers(m_servers.admitting(Service));
+    traffic.setOrder({Service, framework::SoftwareVersion("v2"), Duration, {}}, m_clock.now());
+    ASSERT_TRUE(traffic.raise(protocol::RolloutStep::Everything));
+    const auto *old = m_servers.findAdmitting(framework::BackendServerId("old0"));
+    ASSERT_NE(old, nullptr);
+    EXPECT_FALSE(traffic.admits(*old));
+    removeServers("new");
+    traffic.setServers(m_servers.admitting(Service));
+    EXPECT_TRUE(traffic.admits(*old));
+}
