--- a/src/rollout/internal/servicetraffic.cpp
+++ b/src/rollout/internal/servicetraffic.cpp
@@ -39,6 +39,7 @@
     for (const membership::BackendServerEntry *server : servers) {
         m_servers.emplace_back(server->id, server->version);
     }
+    m_isGuessed = m_isGuessed && m_versions.isMixed();
     updateEstablished();
     updateCanary();
     forgetIdleServers();
@@ -48,8 +49,9 @@
 /// and happens to have more servers for a while must not take over.
 void ServiceTraffic::updateEstablished()
 {
-    if (m_step == protocol::RolloutStep::Completed && m_order) {
+    if (m_step == protocol::RolloutStep::Completed && targetServers() > 0) {
         m_established = m_order->target;
+        m_isGuessed = false;
         return;
     }
     if (m_established && m_versions.servers(*m_established) > 0) {
@@ -58,6 +60,8 @@
     const auto target = m_order ? std::optional(m_order->target) : std::nullopt;
     if (const auto largest = m_versions.largest(target)) {
         m_established = largest;
+        const std::size_t excluded = target ? m_versions.servers(*target) : 0;
+        m_isGuessed = m_versions.otherServers(*largest) > excluded;
     }
 }
 
@@ -104,6 +108,11 @@
     m_judge = RolloutJudge();
     m_isStopped = false;
     m_elapsed = framework::Milliseconds(0);
+    // Servers of the target may have outnumbered those of the version in use when it was guessed;
+    // the version in use started first.
+    if (m_isGuessed && m_established == order.target && !m_versions.isOldest(order.target)) {
+        m_established.reset();
+    }
     updateEstablished();
     updateCanary();
     return true;
@@ -177,8 +186,10 @@
 
 bool ServiceTraffic::admitsOld(const membership::BackendServerEntry &server) const
 {
-    const bool isClosed =
+    const bool isLast =
         m_step == protocol::RolloutStep::Everything || m_step == protocol::RolloutStep::Completed;
+    // Without a server of the target, the others are the only choice.
+    const bool isClosed = isLast && targetServers() > 0;
     return !isClosed && server.version == m_established;
 }
 
