A rejected connection counts as lack of capacity

Cause: since rejections of a connection count as refusals, recordOutcome() read the head of an attempt that has none, which is undefined: the status of the attempt before it decided.

Change: a refusal without a head says that the backend server is full.

Run: proxy_tests, check-format, check-layering. Without the change ServersRejectConnections_NextRequestWaits fails; ServerRejectsConnectionAfterARefusal_NextRequestWaits passes, since the optional still holds the earlier 503 in an unchecked build.

--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -133,8 +133,10 @@
         reportAnswer(rollout::AnswerQuality::Sound);
     }
     m_context.selector.callEnded(m_server, outcome, m_context.clock.now());
-    // Other refusals, for instance for inputs that are gone, say nothing of the capacity.
-    const bool isFull = outcome == routing::CallOutcome::Refused && impliesNotRun(*m_head);
+    // A rejected connection, which has no head, shows that capacity lacks. Other refusals, for
+    // instance for inputs that are gone, say nothing of it.
+    const bool isFull =
+        outcome == routing::CallOutcome::Refused && (!m_head || impliesNotRun(*m_head));
     m_places.callEnded(m_plan.service, m_server, isFull);
 }
 
--- a/src/proxy/tests/placetest.cpp
+++ b/src/proxy/tests/placetest.cpp
@@ -35,9 +35,48 @@
         ASSERT_EQ(m_backends.m_sent.size(), 1 + Slots);
     }
 
+    /// Lets the gateway know the load of both servers, and leaves it two calls and free slots.
+    void reportLoad()
+    {
+        for (std::size_t index = 0; index < 4; ++index) {
+            start(numbered("read"));
+        }
+        respond(0, headWithLoad(2));
+        respond(1, headWithLoad(2));
+    }
+
     std::uint64_t m_started = 0;
 };
 
+// Load: both servers reject a connection. Guards against rejections that do not count as lack of
+// capacity, so that further requests are sent at once.
+TEST_F(ProxyPlaceTest, ServersRejectConnections_NextRequestWaits)
+{
+    reportLoad();
+    start(numbered("book"));
+    sent(4).observer->onEnd(BackendCallEnd::Rejected);
+    ASSERT_EQ(m_backends.m_sent.size(), 6U);
+    sent(5).observer->onEnd(BackendCallEnd::Rejected);
+    const auto received = start(numbered("book"));
+    EXPECT_EQ(m_backends.m_sent.size(), 6U);
+    EXPECT_FALSE(received->refusal);
+}
+
+// Load: one server states that it did not run the request, the other rejects the connection. Guards
+// against a rejection that is judged by the head of the attempt before it.
+TEST_F(ProxyPlaceTest, ServerRejectsConnectionAfterARefusal_NextRequestWaits)
+{
+    reportLoad();
+    start(numbered("book"));
+    respond(4, notExecuted());
+    advance(50);
+    ASSERT_EQ(m_backends.m_sent.size(), 6U);
+    sent(5).observer->onEnd(BackendCallEnd::Rejected);
+    const auto received = start(numbered("book"));
+    EXPECT_EQ(m_backends.m_sent.size(), 6U);
+    EXPECT_FALSE(received->refusal);
+}
+
 // Load: one request more than the servers have slots. Guards against requests passed on to servers
 // that are full, and against places that stay free while a request waits.
 TEST_F(ProxyPlaceTest, AllSlotsAreTaken_RequestWaitsUntilACallEnds)
