Lender forgets servers of which nothing is lent

Cause: a request for a server left an empty entry, and lapsed leases were only removed when this gateway asked for connections itself.

Change: lend() erases an entry that is empty; each request received expires lapsed leases.

Run: connections_tests, check-format, check-layering. NothingIsLent_ServerIsForgotten fails without the erasure. The call on a received request has no test of its own.

--- a/src/connections/internal/leaseexchange.cpp
+++ b/src/connections/internal/leaseexchange.cpp
@@ -152,6 +152,7 @@
     if (!leases->isGrant) {
         m_metrics.increment("lavendertally_connection_lease_requests_total",
                             {{"direction", "received"}});
+        m_lender.expire(m_clock.now());
         if (m_lender.accepts(peer, leases->sequence)) {
             m_network.send(
                 peer,
--- a/src/connections/internal/leaselender.cpp
+++ b/src/connections/internal/leaselender.cpp
@@ -34,6 +34,9 @@
     } else {
         borrowers[borrower] = {counted, now + m_limits.leaseTime + m_limits.maxCallTime};
     }
+    if (borrowers.empty()) {
+        m_lent.erase(wish.server);
+    }
     return granted;
 }
 
--- a/src/connections/internal/leaselender.h
+++ b/src/connections/internal/leaselender.h
@@ -6,6 +6,7 @@
 #include "framework/types/timepoint.h"
 #include "protocol/types/connectionlease.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -29,6 +30,8 @@
 
     /// Forgets what has lapsed.
     void expire(framework::TimePoint now);
+    /// \return servers of which connections are lent
+    std::size_t lentServers() const { return m_lent.size(); }
 
 private:
     struct Lent
--- a/src/connections/tests/leaselendertest.cpp
+++ b/src/connections/tests/leaselendertest.cpp
@@ -69,3 +69,16 @@
     EXPECT_TRUE(lender.accepts(Other, 4));
     EXPECT_TRUE(lender.accepts(Borrower, 6));
 }
+
+/// Guards against memory that grows with each server that was ever asked for.
+TEST(LeaseLenderTest, NothingIsLent_ServerIsForgotten)
+{
+    LeaseLender lender(Limits);
+    lender.lend(Borrower, wish(0, 1), 0, Start);
+    lender.lend(Borrower, wish(0, 0), Lendable, Start);
+    EXPECT_EQ(lender.lentServers(), 0U);
+    lender.lend(Borrower, wish(0, 1), Lendable, Start);
+    EXPECT_EQ(lender.lentServers(), 1U);
+    lender.expire(Start + Limits.leaseTime + Limits.maxCallTime);
+    EXPECT_EQ(lender.lentServers(), 0U);
+}
