Share of a starting gateway rises after the raise delay, not twice that

Cause: while a gateway joins, its target was the share of a fleet of at least 32, and the raise delay began when that time ended. The small share lasted 20 s instead of 10.

Change: the share of the known fleet is pending since the fleet last changed, while the joining limit holds. A fleet that changes meanwhile starts the delay again: gateways that have just left may still hold their parts, so the first share after joining does not count at once regardless of that.

Both new tests fail without the change.

--- a/src/connections/internal/connectionshares.cpp
+++ b/src/connections/internal/connectionshares.cpp
@@ -111,12 +111,18 @@
         return false;
     }
     const framework::TimePoint now = m_clock.now();
-    const std::uint32_t target = shareSize(*cap, m_fleet, now < m_joinedAt);
+    DelayedShare &share = connections.delayedShare();
+    const std::uint32_t target = shareSize(*cap, m_fleet, false);
     if (m_fleet.gateways == 0) {
-        connections.delayedShare().assume(target);
-    } else {
-        connections.delayedShare().update(target, now);
+        share.assume(target);
+        return true;
+    }
+    if (now < m_joinedAt) {
+        // The raise delay runs while the gateway joins, so that the two do not add up. A fleet that
+        // changes meanwhile starts it again.
+        share.limit(shareSize(*cap, m_fleet, true), target, m_earlierFleets.back().second);
     }
+    share.update(target, now);
     return true;
 }
 
--- a/src/connections/internal/delayedshare.cpp
+++ b/src/connections/internal/delayedshare.cpp
@@ -1,5 +1,7 @@
 #include "connections/internal/delayedshare.h"
 
+#include <algorithm>
+
 namespace lavendertally::connections {
 
 void DelayedShare::update(std::uint32_t target, framework::TimePoint now)
@@ -20,4 +22,15 @@
     }
 }
 
+void DelayedShare::limit(std::uint32_t limit, std::uint32_t target, framework::TimePoint since)
+{
+    if (!m_value) {
+        m_value = limit;
+        m_pending = target;
+        m_pendingSince = since;
+        return;
+    }
+    m_value = std::min(*m_value, limit);
+}
+
 } // namespace lavendertally::connections
--- a/src/connections/internal/delayedshare.h
+++ b/src/connections/internal/delayedshare.h
@@ -17,7 +17,11 @@
 
     /// \param target share by what is known now; the first one counts at once
     void update(std::uint32_t target, framework::TimePoint now);
-    /// Sets the value until the first update().
+    /// Keeps the value at or below \p limit. If there is none yet, it becomes \p limit.
+    /// \param target share that follows when it has been the target for the raise delay
+    /// \param since since when \p target has been the target
+    void limit(std::uint32_t limit, std::uint32_t target, framework::TimePoint since);
+    /// Sets the value until the first update() or limit().
     void assume(std::uint32_t value) { m_assumed = value; }
     std::uint32_t value() const { return m_value.value_or(m_assumed); }
 
--- a/src/connections/tests/connectionsharestest.cpp
+++ b/src/connections/tests/connectionsharestest.cpp
@@ -10,6 +10,7 @@
 
 constexpr framework::Milliseconds CloseHold = ConnectionLimits().closeHold;
 constexpr framework::Milliseconds RaiseDelay = ConnectionLimits().raiseDelay;
+constexpr framework::Milliseconds HalfDelay{RaiseDelay.value() / 2};
 constexpr framework::Milliseconds RejectionPause = ConnectionLimits().rejectionPause;
 constexpr std::size_t Gateways = 32;
 constexpr framework::Milliseconds Long{600000};
@@ -105,6 +106,38 @@
         << m_metrics->prometheusText();
 }
 
+/// Guards against a raise delay that begins only when the time of joining has ended.
+TEST_F(ConnectionSharesTest, OnlyGatewayStarts_TakesItsShareAfterTheRaiseDelay)
+{
+    m_shares = makeShares();
+    m_shares->noteServer(*servers()[0]);
+    m_shares->setFleet({1, 0});
+    m_scheduler.advance(HalfDelay);
+    m_shares->noteServer(*servers()[1]);
+    openAll();
+    m_scheduler.advance(RaiseDelay - HalfDelay - framework::Milliseconds(1));
+    EXPECT_FALSE(open(0));
+    EXPECT_FALSE(open(1));
+    m_scheduler.advance(framework::Milliseconds(1));
+    EXPECT_TRUE(open(0));
+    EXPECT_TRUE(open(1)) << "a server that became known meanwhile";
+}
+
+/// Guards against a share that rises while gateways that left a moment ago may still hold theirs.
+TEST_F(ConnectionSharesTest, GatewaysLeaveDuringStart_ShareRisesAfterTheWholeDelay)
+{
+    m_shares = makeShares();
+    m_shares->noteServer(*servers()[0]);
+    m_shares->setFleet({Gateways, 5});
+    m_scheduler.advance(HalfDelay);
+    m_shares->setFleet({1, 0});
+    openAll();
+    m_scheduler.advance(RaiseDelay - framework::Milliseconds(1));
+    EXPECT_FALSE(open());
+    m_scheduler.advance(framework::Milliseconds(1));
+    EXPECT_TRUE(open());
+}
+
 /// Guards against two gateways that hold the same part while one of them does not know it yet.
 TEST_F(ConnectionSharesTest, GatewaysLeave_ShareRisesLateAndFallsAtOnce)
 {
