A new call leaves alone a connection that has become free for a waiting one

Cause: a call that had to wait closed an idle connection, also when it had not been offered it since others waited before it. Under load both then waited for the close and a new connection.

Change: only the call that is first in the queue, and found no connection that it can use, closes one.

Run: http_tests, check-format. CallArrivesWhenConnectionBecomesFree_ConnectionIsKept fails without the change.

--- a/src/http/internal/pooledhttpclient.cpp
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -91,7 +91,8 @@
         m_freshTimes[endpoint] = fresh;
     }
     // A connection that has just become free belongs to the call that has waited longest.
-    if (m_waiting.front(endpoint) == nullptr) {
+    const bool isFirst = m_waiting.front(endpoint) == nullptr;
+    if (isFirst) {
         if (ClientConnection *connection = take(endpoint, call.maxIdleBefore())) {
             call.begin(*connection);
             return true;
@@ -103,7 +104,7 @@
     m_waiting.add(endpoint, call);
     gate()->waitStarted(endpoint);
     const auto idle = m_idle.find(endpoint);
-    if (idle != m_idle.end()) {
+    if (isFirst && idle != m_idle.end()) {
         // It has been idle for too long for this call, and takes the place of a new one.
         idle->second.front()->close();
     }
--- a/src/http/tests/connectiongatetest.cpp
+++ b/src/http/tests/connectiongatetest.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace lavendertally;
@@ -53,6 +54,9 @@
         --m_inUse;
         ++m_idle;
         tell(server);
+        if (m_onIdle) {
+            std::exchange(m_onIdle, {})();
+        }
     }
     void connectionReused(const framework::Endpoint & /*server*/) override
     {
@@ -75,6 +79,8 @@
         m_listener = std::move(listener);
     }
 
+    /// Runs once, before the waiting calls are told of the idle connection.
+    std::function<void()> m_onIdle;
     int m_limit = 1;
     int m_maxWaiting = 10;
     int m_inUse = 0;
@@ -219,6 +225,18 @@
     EXPECT_EQ(m_gate.m_inUse + m_gate.m_idle, 1);
 }
 
+/// Guards against a new call that closes the connection which has become free for a waiting one.
+TEST_F(ConnectionGateTest, CallArrivesWhenConnectionBecomesFree_ConnectionIsKept)
+{
+    begin(request("/a"));
+    begin(request("/b"));
+    m_gate.m_onIdle = [this] { begin(request("/c")); };
+    run();
+    EXPECT_EQ(m_ends, std::vector<HttpEnd>(3, HttpEnd::Complete));
+    EXPECT_EQ(m_order, (std::vector<std::size_t>{0, 1, 2}));
+    EXPECT_EQ(m_server.connections(), 1U);
+}
+
 /// Guards against calls that may run once and find the share used up by connections that are too
 /// old for them.
 TEST_F(ConnectionGateTest, CallsNeedFreshConnections_LastConnectionMakesRoomInTime)
