First waiting call gets room when it can use no idle connection

Cause: a waiting call that needs a new connection stayed at the front of the queue while an idle one filled the share, and blocked all calls behind it until its wait ended.

Change: the oldest idle connection is closed for it, as for a call that arrives, and only one for each call, since the place becomes free a moment after the close.

FirstWaitingCallNeedsNewConnection_IdleOneMakesRoom fails without the change.

--- a/src/http/internal/connectionqueue.h
+++ b/src/http/internal/connectionqueue.h
@@ -18,9 +18,18 @@
     bool remove(const framework::Endpoint &server, ClientCall &call);
     /// \return the call that has waited longest, or null
     ClientCall *front(const framework::Endpoint &server) const;
+    /// Notes that an idle connection is closed for the call that has waited longest.
+    /// \return whether none was closed for it before
+    bool noteRoomMade(const framework::Endpoint &server);
 
 private:
-    std::map<framework::Endpoint, std::deque<ClientCall *>> m_calls;
+    struct Waiting
+    {
+        std::deque<ClientCall *> calls;
+        bool hasRoomMade = false;
+    };
+
+    std::map<framework::Endpoint, Waiting> m_calls;
 };
 
 } // namespace lavendertally::http
--- a/src/http/internal/pooledhttpclient.cpp
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -103,14 +103,21 @@
     }
     m_waiting.add(endpoint, call);
     gate()->waitStarted(endpoint);
-    const auto idle = m_idle.find(endpoint);
-    if (isFirst && idle != m_idle.end()) {
-        // It has been idle for too long for this call, and takes the place of a new one.
-        idle->second.front()->close();
+    if (isFirst) {
+        makeRoom(call);
     }
     return true;
 }
 
+void PooledHttpClient::makeRoom(ClientCall &call)
+{
+    const auto idle = m_idle.find(call.endpoint());
+    // The server may take a moment to see the close; no second one is closed meanwhile.
+    if (idle != m_idle.end() && m_waiting.noteRoomMade(call.endpoint())) {
+        idle->second.front()->close();
+    }
+}
+
 void PooledHttpClient::stopWaiting(ClientCall &call)
 {
     if (m_waiting.remove(call.endpoint(), call)) {
@@ -123,6 +130,7 @@
     while (ClientCall *call = m_waiting.front(endpoint)) {
         ClientConnection *connection = take(endpoint, call->maxIdleBefore());
         if (connection == nullptr) {
+            makeRoom(*call);
             return;
         }
         m_waiting.remove(endpoint, *call);
--- a/src/http/internal/pooledhttpclient.h
+++ b/src/http/internal/pooledhttpclient.h
@@ -72,6 +72,8 @@
     framework::Milliseconds keepTime(const framework::Endpoint &endpoint,
                                      std::optional<framework::Milliseconds> stated) const;
     void serveWaiting(const framework::Endpoint &endpoint);
+    /// Closes the oldest idle connection for the first waiting call, which can use none of them.
+    void makeRoom(ClientCall &call);
     void removeIdle(ClientConnection &connection);
 
     framework::IEventLoop &m_loop;
--- a/src/http/tests/connectiongatetest.cpp
+++ b/src/http/tests/connectiongatetest.cpp
@@ -237,6 +237,21 @@
     EXPECT_EQ(m_server.connections(), 1U);
 }
 
+/// Guards against a waiting call that cannot use the idle connection and blocks all behind it.
+TEST_F(ConnectionGateTest, FirstWaitingCallNeedsNewConnection_IdleOneMakesRoom)
+{
+    HttpRequest needsNew = request("/new");
+    needsNew.maxIdleBefore = framework::Milliseconds(-1);
+    begin(request("/a"));
+    begin(needsNew);
+    begin(request("/b"));
+    run();
+    EXPECT_EQ(m_ends, std::vector<HttpEnd>(3, HttpEnd::Complete));
+    EXPECT_EQ(m_order, (std::vector<std::size_t>{0, 1, 2}));
+    EXPECT_EQ(m_server.connections(), 2U);
+    EXPECT_EQ(m_gate.m_waiting, 0);
+}
+
 /// Guards against calls that may run once and find the share used up by connections that are too
 /// old for them.
 TEST_F(ConnectionGateTest, CallsNeedFreshConnections_LastConnectionMakesRoomInTime)
