--- a/src/bench/internal/modelsummary.h
+++ b/src/bench/internal/modelsummary.h
@@ -21,6 +21,8 @@
     /// \return busiest server's time in steps in relation to the mean
     double busiestOverMean() const { return m_busiestOverMean; }
     double remoteShare() const { return m_remote; }
+    /// \return tokens of shared prompt parts that were read
+    double sharedTokensRead() const { return m_sharedTokensRead; }
 
     static void printHeader(std::ostream &out);
     void print(std::ostream &out, const char *name) const;
