Budget: refuse without dropping clients when they hold too little

makeRoom() dropped up to 64 clients and could then refuse the request all the same. It now first sums what the clients that give way before the holder would free, and refuses at once if that is not enough. A holder that is itself the first to give way is dropped as before.

Run: budget_tests (10 passed).

--- a/src/budget/internal/resourcebudget.cpp
+++ b/src/budget/internal/resourcebudget.cpp
@@ -4,6 +4,10 @@
 #include "budget/types/clientstanding.h"
 #include "framework/iclock.h"
 
+#include <algorithm>
+#include <optional>
+#include <vector>
+
 namespace lavendertally::budget {
 
 namespace {
@@ -78,6 +82,10 @@
             return false;
         }
     }
+    if (more > framework::Bytes(0) && !hasRoom(more) && !canFreeFor(more, holder)) {
+        countRefusal(Cause::Memory);
+        return false;
+    }
     for (int dropped = 0; !hasRoom(more); ++dropped) {
         const IBudgetClient *gaveWay =
             dropped < MaxDropped ? dropLeastDeserving(Cause::Memory) : nullptr;
@@ -143,9 +151,7 @@
     ClientStanding chosenStanding;
     for (const auto &[client, address] : m_clients) {
         const ClientStanding standing = client->standing(now);
-        const bool mayWait = standing.activity == ClientActivity::Reading
-            && (makesProgress(standing) || now - standing.since < ReadingGrace);
-        if (mayWait || !canGiveWay(standing, cause)) {
+        if (!canGiveWay(standing, cause, now)) {
             continue;
         }
         if (chosen == nullptr || isLessDeserving(standing, chosenStanding, cause)) {
@@ -156,8 +162,51 @@
     return chosen;
 }
 
-bool ResourceBudget::canGiveWay(const ClientStanding &standing, Cause cause) const
+/// Clients must not be dropped for a request that is refused all the same. A holder that is the
+/// first to give way is left to makeRoom().
+bool ResourceBudget::canFreeFor(framework::Bytes more, const IBudgetClient *holder) const
+{
+    const framework::TimePoint now = m_clock.now();
+    std::optional<ClientStanding> own;
+    std::vector<ClientStanding> others;
+    for (const auto &[client, address] : m_clients) {
+        const ClientStanding standing = client->standing(now);
+        if (!canGiveWay(standing, Cause::Memory, now)) {
+            continue;
+        }
+        if (client == holder) {
+            own = standing;
+        } else {
+            others.push_back(standing);
+        }
+    }
+    if (own) {
+        std::erase_if(others, [&](const ClientStanding &other) {
+            return !isLessDeserving(other, *own, Cause::Memory);
+        });
+        if (others.empty()) {
+            return true;
+        }
+    }
+    std::sort(others.begin(), others.end(),
+              [this](const ClientStanding &left, const ClientStanding &right) {
+                  return isLessDeserving(left, right, Cause::Memory);
+              });
+    others.resize(std::min<std::size_t>(others.size(), MaxDropped));
+    framework::Bytes room = m_limits.memory - m_usage.memory;
+    for (const ClientStanding &other : others) {
+        room += other.held;
+    }
+    return more <= room;
+}
+
+bool ResourceBudget::canGiveWay(const ClientStanding &standing, Cause cause,
+                                framework::TimePoint now) const
 {
+    if (standing.activity == ClientActivity::Reading
+        && (makesProgress(standing) || now - standing.since < ReadingGrace)) {
+        return false;
+    }
     switch (cause) {
     case Cause::Memory:
         return standing.activity != ClientActivity::Busy && standing.held >= SmallHolding;
--- a/src/budget/internal/resourcebudget.h
+++ b/src/budget/internal/resourcebudget.h
@@ -46,7 +46,10 @@
     /// \return the client that gave way, if any could
     const IBudgetClient *dropLeastDeserving(Cause cause);
     IBudgetClient *leastDeserving(Cause cause) const;
-    bool canGiveWay(const ClientStanding &standing, Cause cause) const;
+    /// \return whether room for \p more can be made by clients that give way before \p holder, or
+    /// \p holder itself is the first to give way
+    bool canFreeFor(framework::Bytes more, const IBudgetClient *holder) const;
+    bool canGiveWay(const ClientStanding &standing, Cause cause, framework::TimePoint now) const;
     bool exceedsShare(ClientAddress address, Cause cause) const;
     /// \return whether a client of standing \p left gives way before one of standing \p right
     bool isLessDeserving(const ClientStanding &left, const ClientStanding &right,
--- a/src/budget/tests/resourcebudgettest.cpp
+++ b/src/budget/tests/resourcebudgettest.cpp
@@ -141,6 +141,23 @@
     EXPECT_EQ(m_budget->usage().memory, Bytes(0));
 }
 
+// Guards against clients that are dropped for a request that is refused all the same.
+TEST_F(ResourceBudgetTest, OthersHoldTooLittle_NewOneIsRefusedAndNobodyIsDropped)
+{
+    const auto busy = client();
+    EXPECT_TRUE(busy->send(Kilobyte * 60));
+    busy->m_standing.activity = ClientActivity::Busy;
+    const auto first = client();
+    const auto second = client();
+    EXPECT_TRUE(first->send(Kilobyte * 20));
+    EXPECT_TRUE(second->send(Kilobyte * 20));
+    const auto late = client();
+    EXPECT_FALSE(late->send(Kilobyte * 41));
+    EXPECT_FALSE(first->gaveWay());
+    EXPECT_FALSE(second->gaveWay());
+    EXPECT_TRUE(late->send(Kilobyte * 40));
+}
+
 // Guards against requests under way that are ended although they may have taken effect.
 TEST_F(ResourceBudgetTest, OthersAreBusy_NewOneIsRefused)
 {
