Check command test: a body limit above the budget of clients

The budget gives clients about 204 MB of 512 MB by default, so that a limit of 32 MB no longer breaks body-limit-above-budget. The sample file has 512 MB.

--- a/src/operatortool/tests/checkcommandtest.cpp
+++ b/src/operatortool/tests/checkcommandtest.cpp
@@ -70,7 +70,7 @@
   {"name": "cold", "coldPerS": 0.25, "maxConnectons": 9},
   {"name": "pool", "pieces": {"slots": 1, "batchSize": 4, "callMs": 20, "itemMs": 1.0,
    "headroomMb": 1.0, "handleS": 4.0}}],
- "limits": {"maxBodyBytes": 33554433},
+ "limits": {"maxBodyBytes": 536870912},
  "tenants": [{"name": "t1", "apiKeys": ["s3cret"]}, {"name": "t2", "apiKeys": ["s3cret"]}]})";
 
 } // namespace
