Configuration: values that earlier builds took are warnings again

A gateway that refuses a configuration keeps the old one and misses all later changes. Negative maxConnections, queueLimit, maxAttempts, priority, coldPerS and weight, keys that are no text, tenants that is no list and an empty service name are read as by earlier builds, and reported as tolerated-value or share-without-weight. A member is reported once.

--- a/src/configurationcheck/internal/rule.cpp
+++ b/src/configurationcheck/internal/rule.cpp
@@ -41,6 +41,8 @@
         return "duplicate-member";
     case Rule::MisspeltMember:
         return "misspelt-member";
+    case Rule::ToleratedValue:
+        return "tolerated-value";
     case Rule::VersionNotNewer:
         return "version-not-newer";
     case Rule::TimeoutBelowObjective:
--- a/src/configurationcheck/types/rule.h
+++ b/src/configurationcheck/types/rule.h
@@ -31,6 +31,8 @@
     BatchNeverFills,
     DuplicateMember,
     MisspeltMember,
+    /// Value without a sound meaning that gateways have always taken or left out.
+    ToleratedValue,
     VersionNotNewer,
     // Contradictory limits.
     TimeoutBelowObjective,
--- a/src/platform/internal/configurationdecoder.cpp
+++ b/src/platform/internal/configurationdecoder.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/internal/entryreader.h"
 
+#include <algorithm>
+#include <cmath>
 #include <limits>
 #include <string>
 #include <utility>
@@ -15,6 +17,7 @@
 constexpr std::int64_t MillisecondsPerSecond = 1000;
 constexpr std::int64_t MicrosecondsPerMillisecond = 1000;
 constexpr std::int64_t BytesPerMegabyte = 1000000;
+constexpr double MaxColdLimit = 9007199254740992.0;
 
 std::string itemPath(const std::string &list, std::size_t index)
 {
@@ -24,12 +27,18 @@
 /// \return the service's cold limit in requests per second; zero means no limit
 std::uint32_t readColdLimit(EntryReader &fields)
 {
+    const nlohmann::json *written = fields.find("coldPerS");
+    if (written != nullptr && written->is_number() && written->get<double>() < 0.0) {
+        fields.report(Rule::ToleratedValue, "coldPerS", "is negative");
+        // A cast of a number outside the range of the type would be undefined.
+        const double bounded = std::max(written->get<double>(), -MaxColdLimit);
+        return static_cast<std::uint32_t>(std::llround(bounded));
+    }
     const std::int64_t limit = fields.amountOr("coldPerS", 0);
     if (limit > std::numeric_limits<std::uint32_t>::max()) {
         fields.report(Rule::OutOfRange, "coldPerS", "is too large");
         return 0;
     }
-    const nlohmann::json *written = fields.find("coldPerS");
     if (limit == 0 && written != nullptr && written->is_number() && written->get<double>() > 0.0) {
         fields.report(Rule::ColdLimitTooLow, "coldPerS",
                       "is rounded to zero, which means no limit");
@@ -67,8 +76,13 @@
         readService(service, itemPath("services", index++));
     }
     index = 0;
-    for (const auto &team : fields.listOrEmpty("tenants")) {
-        readTeam(team, itemPath("tenants", index++));
+    const nlohmann::json *teams = fields.find("tenants");
+    if (teams != nullptr && !teams->is_array()) {
+        fields.report(Rule::ToleratedValue, "tenants", "is not a list, so there are no teams");
+    } else {
+        for (const auto &team : fields.listOrEmpty("tenants")) {
+            readTeam(team, itemPath("tenants", index++));
+        }
     }
     if (const nlohmann::json *limits = fields.find("limits")) {
         readLimits(*limits);
@@ -88,10 +102,11 @@
     route.latencyObjective =
         framework::Milliseconds(fields.amountOr("targetLatencyMs", route.timeout.value()));
     route.maxEventGap = framework::Milliseconds(fields.amountOr("targetGapMs", 0));
-    route.priority =
-        framework::PriorityRank(static_cast<std::uint64_t>(fields.integerOr("priority", 0)));
+    if (fields.find("priority") != nullptr) {
+        route.priority = framework::PriorityRank(fields.wrappingInteger("priority"));
+    }
     route.split = readSplit(fields);
-    route.maxAttempts = fields.countOr("maxAttempts", 1);
+    route.maxAttempts = fields.wrappingCountOr("maxAttempts", 1);
     route.stages = readStages(fields);
     route.isPublic = fields.flagOr("public", false);
     // The wire calls it affinity of sessions; a session is the last shared part of a prompt.
@@ -121,7 +136,12 @@
 {
     if (fields.find("trafficSplit") == nullptr) {
         m_names.addRoute({});
-        return {{framework::ServiceId(fields.text("service")), 1}};
+        const std::size_t known = m_findings.size();
+        const framework::ServiceId service(fields.text("service"));
+        if (service.value().empty() && m_findings.size() == known) {
+            fields.report(Rule::ToleratedValue, "service", "is empty, so no request is served");
+        }
+        return {{service, 1}};
     }
     std::vector<serving::TrafficShare> split;
     WireEntryNames::SharePositions positions;
@@ -132,12 +152,15 @@
         const std::string path = itemPath(fields.pathOf("trafficSplit"), index);
         EntryReader share(shares[index], path, m_findings);
         const framework::ServiceId service(share.text("service"));
-        const std::uint32_t weight = share.count("weight");
+        const nlohmann::json *written = share.find("weight");
+        const bool isNegative =
+            written != nullptr && written->is_number_integer() && written->get<double>() < 0.0;
+        const std::uint32_t weight = isNegative ? 0 : share.count("weight");
         if (m_findings.size() > known) {
             hasBadShare = true;
         } else if (weight == 0) {
             share.report(Rule::ShareWithoutWeight, "weight",
-                         "is zero, so no request goes to service " + service.value());
+                         "is not above zero, so no request goes to service " + service.value());
         } else {
             split.push_back({service, weight});
             positions.push_back(index);
@@ -191,7 +214,7 @@
     if (pool.slots == 0 && m_findings.size() == known) {
         fields.report(Rule::OutOfRange, "slots", "must be greater than zero");
     }
-    pool.queueLimit = fields.countOr("queueLimit", 0);
+    pool.queueLimit = fields.wrappingCountOr("queueLimit", 0);
     const std::size_t beforeBatch = m_findings.size();
     pool.batchSize = fields.count("batchSize");
     if (pool.batchSize == 0 && m_findings.size() == beforeBatch) {
@@ -211,7 +234,7 @@
     EntryReader fields(json, path, m_findings);
     serving::ServiceSpec service;
     service.id = framework::ServiceId(fields.text("name"));
-    service.maxConnections = fields.countOr("maxConnections", 0);
+    service.maxConnections = fields.wrappingCountOr("maxConnections", 0);
     service.coldRequestsPerSecond = readColdLimit(fields);
     if (const nlohmann::json *pieces = fields.find("pieces")) {
         service.stagePool = readPool(*pieces, fields.pathOf("pieces"));
@@ -241,15 +264,15 @@
     serving::TeamEntry team;
     team.id = framework::TeamId(fields.text("name"));
     if (fields.find("priority") != nullptr) {
-        team.priority =
-            framework::PriorityRank(static_cast<std::uint64_t>(fields.integer("priority")));
+        team.priority = framework::PriorityRank(fields.wrappingInteger("priority"));
     }
     std::size_t index = 0;
     for (const auto &key : fields.list("apiKeys")) {
         if (key.is_string()) {
             team.keys.emplace_back(key.get<std::string>());
         } else {
-            fields.report(Rule::WrongType, itemPath("apiKeys", index), "is not a text");
+            fields.report(Rule::ToleratedValue, itemPath("apiKeys", index),
+                          "is not a text, and is skipped");
         }
         ++index;
     }
--- a/src/platform/internal/configurationinspection.cpp
+++ b/src/platform/internal/configurationinspection.cpp
@@ -42,9 +42,11 @@
                  [&unread](const Finding &finding) { return !unread.contains(finding.path); });
 }
 
-/// Adds warnings, but for entries with errors, whose limits may be defaults.
+/// Adds warnings, but for entries with errors, whose limits may be defaults, and for members that
+/// were reported.
 void addWarnings(std::vector<Finding> warnings, std::vector<Finding> &findings)
 {
+    const std::set<std::string> reported = pathsOf(findings);
     std::set<std::string> bad;
     for (const Finding &finding : findings) {
         if (finding.severity() == Severity::Error) {
@@ -52,8 +54,10 @@
         }
     }
     std::copy_if(std::make_move_iterator(warnings.begin()), std::make_move_iterator(warnings.end()),
-                 std::back_inserter(findings),
-                 [&bad](const Finding &finding) { return !bad.contains(entryOf(finding.path)); });
+                 std::back_inserter(findings), [&](const Finding &finding) {
+                     return !bad.contains(entryOf(finding.path))
+                         && !reported.contains(finding.path);
+                 });
 }
 
 ConfigurationInspection inspect(std::string_view text,
--- a/src/platform/internal/entryreader.cpp
+++ b/src/platform/internal/entryreader.cpp
@@ -152,6 +152,25 @@
     return found->get<std::int64_t>();
 }
 
+std::uint64_t EntryReader::wrappingInteger(const char *name)
+{
+    const nlohmann::json *found = find(name);
+    if (found == nullptr || !found->is_number_integer() || found->is_number_unsigned()
+        || found->get<std::int64_t>() >= 0) {
+        return static_cast<std::uint64_t>(integer(name));
+    }
+    report(Rule::ToleratedValue, name, "is negative, which is taken for a very large number");
+    return static_cast<std::uint64_t>(found->get<std::int64_t>());
+}
+
+std::uint32_t EntryReader::wrappingCountOr(const char *name, std::uint32_t fallback)
+{
+    const nlohmann::json *found = find(name);
+    const bool isNegative =
+        found != nullptr && found->is_number_integer() && found->get<double>() < 0.0;
+    return isNegative ? static_cast<std::uint32_t>(wrappingInteger(name)) : countOr(name, fallback);
+}
+
 std::int64_t EntryReader::integerOr(const char *name, std::int64_t fallback)
 {
     return find(name) == nullptr ? fallback : integer(name);
--- a/src/platform/internal/entryreader.h
+++ b/src/platform/internal/entryreader.h
@@ -30,6 +30,10 @@
     std::uint32_t countOr(const char *name, std::uint32_t fallback);
     /// \return a whole number that is not negative
     std::int64_t integer(const char *name);
+    /// Like integer() and count(), but a negative number is taken with a warning: it wraps around,
+    /// so that -1 is the largest one.
+    std::uint64_t wrappingInteger(const char *name);
+    std::uint32_t wrappingCountOr(const char *name, std::uint32_t fallback);
     std::int64_t integerOr(const char *name, std::int64_t fallback);
     /// \param factor units of the result in one unit of the file
     /// \return the amount, rounded
