Admission: services without load reports are not limited before their first answer

Only model engines are limited from the start, which AllGatewaysStartAtOnce_AdmitByWhatIsThere asks for; IServiceCapacity tells them. A service that answers without a load 3 s after its last report is exempt again. GatewayPlaces::offer() checks for a wake that never comes.

--- a/src/admission/internal/placeadmission.cpp
+++ b/src/admission/internal/placeadmission.cpp
@@ -55,9 +55,9 @@
     places(service).load().observe(server, load, now);
 }
 
-void PlaceAdmission::observeNoLoad(const framework::ServiceId &service)
+void PlaceAdmission::observeNoLoad(const framework::ServiceId &service, framework::TimePoint now)
 {
-    places(service).load().observeNoLoad();
+    places(service).load().observeNoLoad(now);
 }
 
 ReturnTiming PlaceAdmission::noteArrival(const PlaceRequest &request, framework::TimePoint now)
--- a/src/admission/internal/placeadmission.h
+++ b/src/admission/internal/placeadmission.h
@@ -26,7 +26,7 @@
                   framework::TimePoint now) override;
     void observeLoad(const framework::ServiceId &service, const framework::BackendServerId &server,
                      const ReportedLoad &load, framework::TimePoint now) override;
-    void observeNoLoad(const framework::ServiceId &service) override;
+    void observeNoLoad(const framework::ServiceId &service, framework::TimePoint now) override;
     ReturnTiming noteArrival(const PlaceRequest &request, framework::TimePoint now) override;
     framework::Milliseconds returnTime(const PlaceRequest &request, framework::Milliseconds wait,
                                        framework::TimePoint now) override;
--- a/src/admission/internal/serviceload.cpp
+++ b/src/admission/internal/serviceload.cpp
@@ -49,7 +49,7 @@
                           framework::TimePoint now)
 {
     m_hasAnswered = true;
-    m_hasReported = true;
+    m_reportedAt = now;
     ServerLoad &known = m_servers[server];
     const std::uint32_t total = load.running + load.waiting;
     if (load.slots > 0) {
@@ -62,6 +62,19 @@
     addUp(now);
 }
 
+void ServiceLoad::observeNoLoad(framework::TimePoint now)
+{
+    m_hasAnswered = true;
+    if (m_reportedAt && now - *m_reportedAt >= m_limits.reportingLifetime) {
+        m_reportedAt.reset();
+    }
+}
+
+bool ServiceLoad::isExempt() const
+{
+    return !m_reportedAt && (m_hasAnswered || !m_capacity.isModelEngine(m_service));
+}
+
 /// What the division leaves over goes to each gateway with the probability of its part.
 void ServiceLoad::allow(ServerLoad &server, std::int64_t free, framework::TimePoint now)
 {
--- a/src/admission/internal/serviceload.h
+++ b/src/admission/internal/serviceload.h
@@ -34,15 +34,16 @@
                    framework::TimePoint now);
     void observe(const framework::BackendServerId &server, const ReportedLoad &load,
                  framework::TimePoint now);
-    void observeNoLoad() { m_hasAnswered = true; }
+    void observeNoLoad(framework::TimePoint now);
 
     /// \return whether there is a place for one more call; it is taken by callStarted()
     /// \param held free places that the call must leave
     bool hasPlace(std::uint32_t held, framework::TimePoint now);
     /// \return calls that this gateway can expect to have in flight at once; at least one
     std::uint32_t expectedCalls() const;
-    /// \return whether the service has never reported a load, though it answers
-    bool isExempt() const { return m_hasAnswered && !m_hasReported; }
+    /// \return whether the service is not limited: it reports no load, and it is no model engine or
+    /// has answered
+    bool isExempt() const;
 
 private:
     struct ServerLoad
@@ -79,7 +80,8 @@
     std::map<framework::BackendServerId, ServerLoad> m_servers;
     std::optional<framework::TimePoint> m_refreshedAt;
     bool m_hasAnswered = false;
-    bool m_hasReported = false;
+    /// Last report of any server; none if answers come without.
+    std::optional<framework::TimePoint> m_reportedAt;
     /// Whether a report is young enough to go by.
     bool m_isInformed = false;
     std::uint32_t m_ownCalls = 0;
--- a/src/admission/iplaceadmission.h
+++ b/src/admission/iplaceadmission.h
@@ -40,7 +40,7 @@
                              const framework::BackendServerId &server, const ReportedLoad &load,
                              framework::TimePoint now) = 0;
     /// A backend server has answered without reporting its load.
-    virtual void observeNoLoad(const framework::ServiceId &service) = 0;
+    virtual void observeNoLoad(const framework::ServiceId &service, framework::TimePoint now) = 0;
 
     /// A request has arrived on which another part decides.
     /// \return whether it returns after a refusal
--- a/src/admission/tests/placefleet.h
+++ b/src/admission/tests/placefleet.h
@@ -166,6 +166,7 @@
             }
             return result;
         }
+        bool isModelEngine(const framework::ServiceId & /*service*/) const override { return true; }
         std::size_t gatewayCount() const override { return m_fleet.m_gateways.size(); }
         std::optional<std::uint32_t>
         maxCalls(const framework::ServiceId & /*service*/) const override
--- a/src/admission/tests/placeordertest.cpp
+++ b/src/admission/tests/placeordertest.cpp
@@ -91,6 +91,10 @@
     {
         return {{server(), Slots}};
     }
+    bool isModelEngine(const ServiceId &service) const override
+    {
+        return service != ServiceId("plain");
+    }
     std::size_t gatewayCount() const override { return 1; }
     std::optional<std::uint32_t> maxCalls(const ServiceId & /*service*/) const override
     {
@@ -211,3 +215,34 @@
     m_now = m_now + Milliseconds(10);
     EXPECT_EQ(m_places->takeDecisions(m_now).size(), 1U);
 }
+
+// Load: a burst beyond the slots at a service that has not answered yet. Guards against limits on
+// services that report no load, after each start of a gateway.
+TEST_F(PlaceOrderTest, ServiceIsNoModelEngineAndHasNotAnswered_IsNotLimited)
+{
+    for (std::uint64_t number = 100; number < 120; ++number) {
+        PlaceRequest next = request(number);
+        next.service = ServiceId("plain");
+        EXPECT_EQ(offer(next).verdict, AdmissionVerdict::Run);
+        m_places->callStarted(next.service, server(), m_now);
+    }
+}
+
+// Load: both slots are taken; answers come without reports. Guards against a service that stays
+// limited for good after one report.
+TEST_F(PlaceOrderTest, ServiceReportsNoLongerThoughItAnswers_IsNotLimited)
+{
+    m_places->observeNoLoad(service(), m_now);
+    PlaceRequest waiting = request(100);
+    waiting.deadline = m_now + PlaceLimits().reportingLifetime * 2;
+    EXPECT_EQ(offer(waiting).verdict, AdmissionVerdict::Wait);
+    m_now = m_now + PlaceLimits().reportingLifetime;
+    m_places->observeNoLoad(service(), m_now);
+    const auto decisions = m_places->takeDecisions(m_now);
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].verdict, AdmissionVerdict::Run);
+    for (std::uint64_t number = 101; number < 120; ++number) {
+        EXPECT_EQ(offer(request(number)).verdict, AdmissionVerdict::Run);
+        m_places->callStarted(service(), server(), m_now);
+    }
+}
--- a/src/admission/types/placelimits.h
+++ b/src/admission/types/placelimits.h
@@ -19,6 +19,9 @@
     std::size_t maxQueue = 256;
     /// Age from which a load report says nothing. Reports come with each answer.
     framework::Milliseconds reportLifetime{1000};
+    /// Age of the last report from which a service that answers without one counts as not
+    /// reporting.
+    framework::Milliseconds reportingLifetime{3000};
     /// How often the load is estimated anew.
     framework::Milliseconds refreshInterval{10};
     /// Age of a report from which its free places are divided again.
--- a/src/proxy/internal/backendcapacity.cpp
+++ b/src/proxy/internal/backendcapacity.cpp
@@ -3,6 +3,9 @@
 #include "membership/ibackendservers.h"
 #include "peers/idaemondirectory.h"
 #include "proxy/types/proxycontext.h"
+#include "serving/iservingstate.h"
+#include "serving/types/servicespec.h"
+#include "serving/types/servingconfiguration.h"
 
 namespace lavendertally::proxy {
 
@@ -16,6 +19,14 @@
     return result;
 }
 
+bool BackendCapacity::isModelEngine(const framework::ServiceId &service) const
+{
+    const auto configuration = m_context.serving.configuration();
+    const serving::ServiceSpec *spec =
+        configuration == nullptr ? nullptr : configuration->findService(service);
+    return spec != nullptr && spec->isModelEngine;
+}
+
 std::size_t BackendCapacity::gatewayCount() const
 {
     return m_context.directory.limitSharerCount();
--- a/src/proxy/internal/backendcapacity.h
+++ b/src/proxy/internal/backendcapacity.h
@@ -14,6 +14,7 @@
     explicit BackendCapacity(const ProxyContext &context) : m_context(context) { }
 
     std::vector<admission::ServerSlots> servers(const framework::ServiceId &service) const override;
+    bool isModelEngine(const framework::ServiceId &service) const override;
     std::size_t gatewayCount() const override;
     std::optional<std::uint32_t> maxCalls(const framework::ServiceId &service) const override;
 
--- a/src/proxy/internal/gatewayplaces.cpp
+++ b/src/proxy/internal/gatewayplaces.cpp
@@ -57,8 +57,9 @@
     } else {
         m_waiting[request.key] = {request, &waiter, now};
     }
-    if (!m_waiting.empty()) {
-        scheduleDecisions(m_admission->nextWake(now) - now);
+    if (const framework::TimePoint wake = m_admission->nextWake(now);
+        !m_waiting.empty() && wake != framework::TimePoint::never()) {
+        scheduleDecisions(wake - now);
     }
     return decision;
 }
@@ -99,7 +100,7 @@
 
 void GatewayPlaces::observeNoLoad(const framework::ServiceId &service)
 {
-    m_admission->observeNoLoad(service);
+    m_admission->observeNoLoad(service, m_context.clock.now());
     scheduleDecisions(framework::Milliseconds(0));
 }
 
