--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -156,9 +156,8 @@
     m_stages = stages::StagesModule::makeService(
         m_settings.id, *m_coordinator, m_platform->stageCalls(), *m_peers, m_platform->daemons(),
         m_loop, *m_clock, *m_logger, *m_metrics);
-    m_selector = routing::RoutingModule::makeBackendServerSelector(*m_servers, *m_rateLimits,
-                                                                   *m_random, selectorFilters(),
-                                                                   m_metrics.get());
+    m_selector = routing::RoutingModule::makeBackendServerSelector(
+        *m_servers, *m_rateLimits, *m_random, selectorFilters(), m_metrics.get());
     m_retryPolicy = retry::RetryModule::makeBudgetedRetryPolicy(*m_random);
     m_quarantine = quarantine::QuarantineModule::makeQuarantine(
         *m_logger, *m_metrics, {}, framework::stableHash(m_settings.id.value()));
--- a/src/proxy/internal/backendattempt.cpp
+++ b/src/proxy/internal/backendattempt.cpp
@@ -70,8 +70,9 @@
                                IActiveRequestOwner &owner, IResponseWriter &response,
                                IAttemptObserver &observer)
     : m_context(context), m_request(request), m_plan(plan), m_guard(guard), m_response(response),
-      m_observer(observer), m_places(owner.places()), m_work(context, request, plan), m_completion(context),
-      m_pacer(context.clock, owner.heldSources(), response), m_lastEventId(request.lastEventId)
+      m_observer(observer), m_places(owner.places()), m_work(context, request, plan),
+      m_completion(context), m_pacer(context.clock, owner.heldSources(), response),
+      m_lastEventId(request.lastEventId)
 { }
 
 BackendAttempt::~BackendAttempt() = default;
