Connections: those of stage servers are not divided among gateways

Cause: of a stage server's connections each leading gateway had a fifth and all others shared one, so with 103 gateways one that became the coordinator had none at some stage servers until its share rose 10 s later.

Change: a service with a stage pool has no shares. Its only caller is the coordinator, with no more calls than slots and queue, far from the cap.

Also: the entry points of the fuzz targets keep the name that libFuzzer fixes, which the linter refused.

--- a/src/connections/internal/connectionshares.cpp
+++ b/src/connections/internal/connectionshares.cpp
@@ -71,10 +71,12 @@
     const auto configuration = m_serving.configuration();
     const serving::ServiceSpec *spec =
         configuration != nullptr ? configuration->findService(service) : nullptr;
-    if (spec == nullptr || spec->maxConnections == 0) {
+    // Only the coordinator calls stage servers, and no more than their slots and queue at once. It
+    // needs all of that at the moment when it takes over, before a share could rise.
+    if (spec == nullptr || spec->maxConnections == 0 || spec->stagePool) {
         return std::nullopt;
     }
-    ServerCap cap{spec->maxConnections, spec->stagePool.has_value(), 0};
+    ServerCap cap{spec->maxConnections, 0};
     if (m_fleet.gateways * (peers::LeadingDaemons + 2) > spec->maxConnections) {
         const auto &admitting = m_servers.admitting(service);
         const auto found =
--- a/src/connections/internal/sharesize.cpp
+++ b/src/connections/internal/sharesize.cpp
@@ -10,10 +10,6 @@
 
 constexpr std::uint32_t ReserveDivisor = 8;
 
-/// Parts in which the connections of a stage server are divided: one for each leading gateway, one
-/// in reserve for a change of these, and one for all others.
-constexpr std::uint32_t StageParts = static_cast<std::uint32_t>(peers::LeadingDaemons) + 2;
-
 std::size_t reserveOf(std::size_t count)
 {
     return std::max<std::size_t>(count / ReserveDivisor, 1);
@@ -60,25 +56,17 @@
     if (fleet.gateways == 0) {
         return equalPart(cap.connections, AssumedGateways);
     }
-    std::uint32_t connections = cap.connections;
-    if (cap.isStageServer && connections >= StageParts) {
-        const std::uint32_t leadingPart = connections / StageParts;
-        if (fleet.position < peers::LeadingDaemons) {
-            return leadingPart;
-        }
-        connections = leadingPart;
-    }
-    if (fleet.gateways > connections) {
-        return partOfSubset(connections, fleet, cap.index);
+    if (fleet.gateways > cap.connections) {
+        return partOfSubset(cap.connections, fleet, cap.index);
     }
-    return equalPart(connections,
+    return equalPart(cap.connections,
                      isJoining ? std::max(fleet.gateways, AssumedGateways) : fleet.gateways);
 }
 
 std::uint32_t lendableSize(const ServerCap &cap, const FleetView &fleet)
 {
     const bool lends = fleet.gateways > 0 && fleet.position < peers::LeadingDaemons;
-    if (!lends || cap.isStageServer) {
+    if (!lends) {
         return 0;
     }
     const std::size_t taken = allotted(cap.connections, fleet.gateways);
--- a/src/connections/types/servercap.h
+++ b/src/connections/types/servercap.h
@@ -10,8 +10,6 @@
 {
     /// From all gateways together; zero means no limit.
     std::uint32_t connections = 0;
-    /// Whether it processes pieces of stages, which the leading gateways send to it.
-    bool isStageServer = false;
     /// Place of the server among those of its service, the same at all gateways.
     std::size_t index = 0;
 };
--- a/src/http/fuzz/requestfuzz.cpp
+++ b/src/http/fuzz/requestfuzz.cpp
@@ -54,6 +54,8 @@
 
 /// Requests and their chunks: a request reads the same in whatever pieces it arrives, and its body
 /// is within the limit.
+// libFuzzer fixes the name of its entry point.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view input(reinterpret_cast<const char *>(data), size);
--- a/src/platform/fuzz/storedrecordfuzz.cpp
+++ b/src/platform/fuzz/storedrecordfuzz.cpp
@@ -9,6 +9,8 @@
 using namespace lavendertally;
 
 /// Answers of the store, and the records in them: none of them ends the process.
+// libFuzzer fixes the name of its entry point.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view input(reinterpret_cast<const char *>(data), size);
--- a/src/protocol/fuzz/peerfuzz.cpp
+++ b/src/protocol/fuzz/peerfuzz.cpp
@@ -11,6 +11,8 @@
 
 /// Frames between daemons and the messages in them: what was decoded can be encoded, and decodes
 /// again.
+// libFuzzer fixes the name of its entry point.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     static const auto codec = protocol::ProtocolModule::makePeerCodec();
