Untrusted clients: the instrumented build's own memory is not counted

A gateway with AddressSanitizer uses 140 MB before any client comes, so all nine tests failed in the sanitizer build; what it holds beyond that is bounded as before. Crowds and bounds stay, and without sanitizers nothing changes.

--- a/src/app/tests/untrustedclientstest.cpp
+++ b/src/app/tests/untrustedclientstest.cpp
@@ -73,6 +73,10 @@
         m_gateway = startGateway("g1");
         ASSERT_TRUE(waitFor([&] { return isReady(m_gateway); }));
         ASSERT_TRUE(waitFor([&] { return order().status == 200; }));
+#ifdef __SANITIZE_ADDRESS__
+        // An instrumented process needs more than the limit before any client comes.
+        m_instrumentation = peakMemory();
+#endif
     }
     /// Has \p crowd send all that it can.
     void send(ClientCrowd &crowd)
@@ -130,7 +134,7 @@
         RecordProperty("peak_memory_kb", std::to_string(peakMemory() / Kilobyte));
         RecordProperty("most_descriptors", std::to_string(m_mostDescriptors));
         EXPECT_GT(peakMemory(), 0U);
-        EXPECT_LE(peakMemory(), MemoryLimit);
+        EXPECT_LE(peakMemory(), MemoryLimit + m_instrumentation);
         EXPECT_LE(m_mostDescriptors, DescriptorLimit);
     }
     /// Checks that \p crowd stays within the limits and does not keep an ordinary caller out, while
@@ -151,6 +155,8 @@
 
     GatewayProcess m_gateway;
     int m_orders = 0;
+    /// Memory that is not the product's; zero without sanitizers.
+    std::size_t m_instrumentation = 0;
     std::size_t m_mostDescriptors = 0;
 };
 
