Review: case 7, machines keep a worker that has left after resets elsewhere

Cause: a gateway that reads the store takes the loss of its own connections for an outage of the store and announces it. Gateways that follow it then keep entries that are removed at that moment for the 2 s that are meant for entries that lapsed during an outage.

No code of the product is touched.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -34,6 +34,13 @@
     return True
 
 
+def count_sockets(pid):
+    """Returns how many sockets a process of the case has."""
+    folder = f"/proc/{pid}/fd"
+    return sum(os.readlink(os.path.join(folder, entry)).startswith("socket:")
+               for entry in os.listdir(folder))
+
+
 class Record:
     """What was sent, answered and run, with the time since the start of the case."""
 
@@ -372,6 +379,9 @@
         # As on the platform, traffic starts some seconds after the machines do.
         await asyncio.sleep(4.0)
 
+    def gateway(self, name):
+        return next(gateway for gateway in self.gateways if gateway.name == name)
+
     def register(self, identity, service, address, zone, slots, state="ready", cold_ms=0):
         """Writes the worker's entry, and again with each of its heartbeats."""
         entry = self.beats.setdefault(identity, {"born": int(time.time() * 1000), "sequence": 0})
