--- a/review/standins-2/childworker.py
+++ b/review/standins-2/childworker.py
@@ -14,6 +14,7 @@
         self.identity = "i-" + stage.new_id()[:8]
         self.address = None
         self.process = None
+        lab.children.append(self)
 
     async def start(self):
         """Starts the process, which then registers as a new lifetime of the worker."""
@@ -32,6 +33,8 @@
             self.lab.record.note(f"worker {self.identity} {line.decode().strip()}")
 
     async def kill(self):
+        if self.process is None:
+            return
         if self.process.returncode is None:
             self.process.kill()
         await self.process.wait()
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -407,6 +407,7 @@
         self.record = Record(case_file)
         self.folder = tempfile.mkdtemp(prefix="lavendertally-review-")
         self.gateways = []
+        self.children = []
         self.beats = {}
         self.tasks = []
         with open(os.path.join(ROOT, "deploy", "system.toml")) as deploy:
@@ -493,6 +494,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*(gateway.stop() for gateway in self.gateways))
+        await asyncio.gather(*(child.kill() for child in self.children))
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
@@ -640,6 +642,9 @@
     the rule was broken, 0 if it held, 2 if the case could not run."""
 
     async def main():
+        # Whoever ends the script early ends its processes with it.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         for attempt in (1, 2):
             lab = Lab(case_file)
             try:
@@ -658,7 +663,7 @@
 
     try:
         code = asyncio.run(asyncio.wait_for(main(), 115))
-    except Exception as error:  # anything else than a verdict means that the case did not run
+    except (Exception, asyncio.CancelledError) as error:  # anything else than a verdict means that the case did not run
         print("could not run:", repr(error))
         code = 2
     sys.exit(code)
