--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,22 +3,26 @@
 import asyncio
 import json
 import os
+import random
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 import lab as stage  # noqa: E402
 
 HOST = "slots.example"
-GATEWAYS = 6
+GATEWAYS = 14
 WORKERS = 4
 WORK_S = 0.3
+# Bookings a second of all gateways together, as in the site file.
+BOOKINGS_PER_S = 12.6
+REQUESTERS = 3
 DRAIN_S = 2.0
 # The lost heartbeat is done so much later; a late write is done within 6 s.
 LATE_S = 5.8
 # Time from the draining report to the late write.
 AFTER_REPORT_S = 0.1
 # A worker that leaves goes on serving longer than drainMs, at times many seconds.
-LINGER_S = 4.0
+LINGER_S = 8.0
 ROUNDS = 5
 
 CONFIGURATION = {
@@ -39,6 +43,7 @@
 
     async def run(self, request, reader, writer):
         lab, identity = self.lab, request.get("X-Lavendertally-Request-Id")
+        lab.record.note(f"{self.identity} runs {identity}")
         if self.drained_at is not None:
             late = lab.record.now() - self.drained_at
             gateway = lab.sent_by.get(identity, "nobody")
@@ -59,6 +64,7 @@
                                  f"state {lost['state']}, is lost")
         await asyncio.sleep(LATE_S - AFTER_REPORT_S)
         self.lab.set_state(self.identity, "draining")
+        self.is_leaving = True
         self.drained_at = self.lab.record.now()
         self.lab.record.note(f"the store takes report {self.lab.beats[self.identity]['sequence']} "
                              f"of {self.identity}: draining")
@@ -74,16 +80,17 @@
 
 async def book(lab, gateway):
     requester = stage.Requester(gateway.front)
+    pause = GATEWAYS * REQUESTERS / BOOKINGS_PER_S - WORK_S
     while True:
         identity = stage.new_id()
         lab.sent_by[identity] = gateway.name
+        lab.record.note(f"booking {identity} sent to {gateway.name}")
         answer = await requester.ask("POST", HOST, "/book/1", [
             ("X-Lavendertally-Request-Id", identity), ("X-Lavendertally-Deadline-Ms", 3000)],
             b"slot 7")
         lab.asked += 1
-        if answer.status != 200 or not answer.complete:
-            lab.record.note(f"booking {identity} at {gateway.name}: {answer.text()}")
-        await asyncio.sleep(0.05)
+        lab.record.note(f"booking {identity} at {gateway.name}: {answer.text()}")
+        await asyncio.sleep(random.uniform(0, 2 * pause))
 
 
 async def case(lab):
@@ -94,7 +101,7 @@
         await worker.start()
     await asyncio.sleep(3.0)
     requesters = [asyncio.ensure_future(book(lab, gateway))
-                  for gateway in lab.gateways for _ in range(3)]
+                  for gateway in lab.gateways for _ in range(REQUESTERS)]
     await asyncio.sleep(2.0)
     for _ in range(ROUNDS):
         leaving = workers.pop(0)
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -16,6 +16,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HEALTH_PATH = "/healthz"
 
 
 def free_port(address="127.0.0.1"):
@@ -508,6 +509,7 @@
         self.lab, self.service, self.zone, self.slots = lab, service, zone, slots
         self.identity = "i-%08x" % random.getrandbits(32)
         self.running = 0
+        self.is_leaving = False
         self.writers = set()
 
     async def start(self):
@@ -523,9 +525,14 @@
                 expected = request.get("X-Lavendertally-Expect-Instance")
                 if expected not in (None, self.identity):
                     writer.write(render(421, [("X-Lavendertally-Instance-Id", self.identity)]))
+                elif request.line.split(" ")[1] == HEALTH_PATH:
+                    writer.write(render(503 if self.is_leaving else 200,
+                                        [("X-Lavendertally-Instance-Id", self.identity)]))
                 elif not await self.run(request, reader, writer):
                     return
                 await writer.drain()
+                if self.is_leaving:
+                    return
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
@@ -543,9 +550,11 @@
         raise NotImplementedError
 
     def signed(self, request):
+        """The fields of an answer. A worker that leaves says so in all its answers."""
+        leaving = [("Server-Leaving", "1"), ("Connection", "close")] if self.is_leaving else []
         return [("X-Lavendertally-Request-Id", request.get("X-Lavendertally-Request-Id")),
                 ("X-Lavendertally-Response-Signature", "sig." + self.identity),
-                ("X-Lavendertally-Server-Load", f"{self.running},0,{self.slots}")]
+                ("X-Lavendertally-Server-Load", f"{self.running},0,{self.slots}")] + leaving
 
 
 class Answer:
