HTTP client: tell malformed responses from lost connections

Callers saw a 502, which was right, but bytes of a backend server that are no HTTP response left no trace of their own: the client reported them like a lost connection, so the log line and the metric for malformed answers covered only event streams. Malformed answers of the store and of stage servers were not told apart either.

HttpEnd::Malformed names this end. The proxy logs and counts it as it does malformed event streams; the clients of the store and of stage servers log it. As after a lost connection, the server may have acted: calls of the store and stage calls have an unknown outcome, and only requests that may be repeated are repeated.

Three tests of the client expect Malformed where they expected Broken, which is narrower.

--- a/src/backends/internal/httpbackendcall.cpp
+++ b/src/backends/internal/httpbackendcall.cpp
@@ -77,6 +77,9 @@
     case http::HttpEnd::Broken:
         m_observer.onFailed(BackendError::Unknown, "connection to the backend server broke");
         return;
+    case http::HttpEnd::Malformed:
+        m_observer.onFailed(BackendError::Unknown, "backend server sent no HTTP response");
+        return;
     case http::HttpEnd::TimedOut:
         m_observer.onFailed(BackendError::Unknown, "backend server did not answer in time");
         return;
--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -63,6 +63,7 @@
     m_requestSize = m_request.size();
     m_parser = std::make_unique<ResponseParser>(bodiless);
     m_headDelivered = false;
+    m_isMalformed = false;
     m_partSize = MaxPartBytes;
     m_flow = Flow::Running;
     m_timer.reset();
@@ -150,6 +151,7 @@
         return !isAll;
     }
     const bool complete = state == ResponseParser::State::Complete;
+    m_isMalformed = !complete;
     if (m_flow != Flow::Running) {
         m_completeAfterPause = complete;
         return false;
@@ -276,7 +278,10 @@
     if (isRejected()) {
         return sent ? HttpEnd::RejectedAfterSend : HttpEnd::Rejected;
     }
-    return sent ? HttpEnd::Broken : HttpEnd::NotSent;
+    if (!sent) {
+        return HttpEnd::NotSent;
+    }
+    return m_isMalformed ? HttpEnd::Malformed : HttpEnd::Broken;
 }
 
 ConnectionClose ClientConnection::closeState() const
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -118,6 +118,8 @@
     bool m_bodiless = false;
     bool m_connected = false;
     bool m_headDelivered = false;
+    /// Whether what has arrived is no response.
+    bool m_isMalformed = false;
     bool m_closed = false;
 };
 
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -212,30 +212,30 @@
     EXPECT_EQ(fetch().end, HttpEnd::Broken);
 }
 
-TEST_F(ClientFaultTest, BytesThatAreNoAnswerAreBroken)
+TEST_F(ClientFaultTest, BytesThatAreNoAnswerAreMalformed)
 {
     m_script = [](auto &connection) { ScriptedServer::send(connection, "what?\r\n\r\n"); };
-    EXPECT_EQ(fetch().end, HttpEnd::Broken);
+    EXPECT_EQ(fetch().end, HttpEnd::Malformed);
 }
 
-TEST_F(ClientFaultTest, HeadNeverEnds_CallIsBrokenAndConnectionIsClosed)
+TEST_F(ClientFaultTest, HeadNeverEnds_AnswerIsMalformedAndConnectionIsClosed)
 {
     m_script = [this](auto &connection) {
         ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\nX-Number: ");
         flood(connection, std::string(1000, 'a'));
     };
-    EXPECT_EQ(fetch().end, HttpEnd::Broken);
+    EXPECT_EQ(fetch().end, HttpEnd::Malformed);
     settle();
     EXPECT_EQ(m_server.connection(0).fd, -1);
 }
 
-TEST_F(ClientFaultTest, HeaderFieldsNeverEnd_CallIsBroken)
+TEST_F(ClientFaultTest, HeaderFieldsNeverEnd_AnswerIsMalformed)
 {
     m_script = [this](auto &connection) {
         ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\n");
         flood(connection, "X-Number: 1\r\n");
     };
-    EXPECT_EQ(fetch().end, HttpEnd::Broken);
+    EXPECT_EQ(fetch().end, HttpEnd::Malformed);
 }
 
 TEST_F(ClientFaultTest, BodyNeverEnds_CallIsBrokenAndConnectionIsClosed)
--- a/src/http/types/httpend.h
+++ b/src/http/types/httpend.h
@@ -20,6 +20,8 @@
     RejectedAfterSend,
     /// The connection broke after it stood; the server may have acted.
     Broken,
+    /// What the server sent is no response in HTTP; it may have acted.
+    Malformed,
     /// The time ran out after the connection stood; the server may have acted.
     TimedOut,
 };
--- a/src/operatortool/internal/operatorresponses.cpp
+++ b/src/operatortool/internal/operatorresponses.cpp
@@ -34,6 +34,8 @@
     case http::HttpEnd::RejectedAfterSend:
     case http::HttpEnd::Broken:
         return "the connection broke";
+    case http::HttpEnd::Malformed:
+        return "the daemon sent no HTTP response";
     case http::HttpEnd::TimedOut:
         return "the daemon did not answer in time";
     case http::HttpEnd::Complete:
--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -26,6 +26,8 @@
         return proxy::BackendCallEnd::Rejected;
     case http::HttpEnd::RejectedAfterSend:
         return proxy::BackendCallEnd::RejectedAfterSend;
+    case http::HttpEnd::Malformed:
+        return proxy::BackendCallEnd::Malformed;
     case http::HttpEnd::Complete:
     case http::HttpEnd::Broken:
     case http::HttpEnd::TimedOut:
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -102,6 +102,10 @@
 stages::StageCallOutcome HttpStageCallPort::decodeAnswer(const framework::Endpoint &server,
                                                          const http::HttpResponse &response)
 {
+    if (response.end == http::HttpEnd::Malformed) {
+        m_logger.warning("stage server sent no HTTP response; call counts as failed",
+                         {{"endpoint", server.toString()}});
+    }
     stages::StageCallOutcome outcome = decodeStageAnswer(response);
     if (outcome.status == stages::StageCallStatus::NotRun
         && response.end == http::HttpEnd::Complete) {
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -180,6 +180,10 @@
     if (!isAnswered || now > due) {
         m_lastTrouble = now;
     }
+    if (response.end == http::HttpEnd::Malformed) {
+        m_logger.warning("store sent no HTTP response; outcome of the call unknown",
+                         {{"call", call}});
+    }
     m_metrics.increment("lavendertally_store_calls_total",
                         {{"call", call}, {"status", std::to_string(response.status)}});
     const auto text = http::findHeader(response.headers, wire::StoreEra);
--- a/src/soak/internal/promises.cpp
+++ b/src/soak/internal/promises.cpp
@@ -138,8 +138,9 @@
 void Promises::checkLost(const std::string &id, const SentRequest &request,
                          const http::HttpResponse &response, framework::TimePoint now)
 {
-    const bool cut =
-        (response.end == http::HttpEnd::Broken || response.end == http::HttpEnd::RejectedAfterSend);
+    const bool cut = response.end == http::HttpEnd::Broken
+        || response.end == http::HttpEnd::RejectedAfterSend
+        || response.end == http::HttpEnd::Malformed;
     const bool serverMayHaveBroken =
         request.kind == RequestKind::Stream && m_serversDisturbed + CalmAfter >= request.sent;
     // A request may cross the close of an idle connection.
--- a/src/transport/internal/httpstagecall.cpp
+++ b/src/transport/internal/httpstagecall.cpp
@@ -115,6 +115,10 @@
         finish(protocol::StageStatus::Unknown, protocol::RefusalReason::None,
                "connection to the host process broke");
         return;
+    case http::HttpEnd::Malformed:
+        finish(protocol::StageStatus::Unknown, protocol::RefusalReason::None,
+               "host process sent no HTTP response");
+        return;
     case http::HttpEnd::TimedOut:
         finish(protocol::StageStatus::Unknown, protocol::RefusalReason::None,
                "host process did not answer in time");
