HTTP client: a status code outside 100 to 599 is no response

Callers saw an answer with status 000 where a backend server in trouble had sent one, on new and on kept connections; on routes that may be repeated the request was not tried elsewhere either. Calls between daemons took such an answer for a refusal ("not run"), writes to the store for "not done", though both may have acted.

Cause: Boost.Beast's parser takes any three digits for a status code, and ResponseParser took whatever it let through. It now checks each head, interim ones included, before anything behind it is read, and reports a malformed response otherwise. All answers over HTTP are read by this parser: those of backend servers, stage servers, daemons and the store. A malformed response closes its connection, counts against its server and has an unknown outcome, so it is repeated where that is allowed and becomes 502 elsewhere.

--- a/src/app/tests/brokenanswertest.cpp
+++ b/src/app/tests/brokenanswertest.cpp
@@ -7,6 +7,16 @@
 
 namespace {
 
+/// \return the answer of a backend server to request r1
+/// \param fields header fields besides those that a gateway needs to pass the answer on
+std::string signedAnswer(const std::string &status, const std::string &fields,
+                         const std::string &body)
+{
+    return "HTTP/1.1 " + status
+        + "\r\nX-Lavendertally-Request-Id: r1\r\nX-Lavendertally-Response-Signature: s\r\n" + fields
+        + "\r\n" + body;
+}
+
 /// Backend servers in trouble whose answers are no responses in HTTP, through a real gateway.
 class BrokenAnswerTest : public GatewayFixture
 {
@@ -15,14 +25,21 @@
         : m_server(*m_loop, [this](ScriptedServer::Connection &connection) { answer(connection); })
     {
         publish();
-        const nlohmann::json entry = {{"service", "desk"},
+        put("brokendesk", "desk", m_server.endpoint());
+        put("brokenmodel", "models", m_server.endpoint());
+        put("othermodel", "models", m_otherModel.endpoint());
+        put("pool", "pool", m_pool.endpoint());
+    }
+
+    void put(const char *id, const char *service, const framework::Endpoint &endpoint)
+    {
+        const nlohmann::json entry = {{"service", service},
                                       {"zone", "za"},
-                                      {"address", m_server.endpoint().toString()},
+                                      {"address", endpoint.toString()},
                                       {"slots", 4},
                                       {"state", "ready"}};
-        m_store.put("keyed.servers", "scripted", entry.dump());
+        m_store.put("keyed.servers", id, entry.dump());
     }
-
     void startReadyGateway()
     {
         m_gateway = startGateway("g1");
@@ -34,16 +51,32 @@
         m_answer = answer;
         return call(ask(m_gateway, "/book/x", "r1"));
     }
+    /// Sends a request that may be repeated, for which another backend server is there as well,
+    /// until the scripted server has answered one with \p answer.
+    http::HttpResponse streamWithOtherServer(const std::string &answer)
+    {
+        m_answer = answer;
+        m_answers = 0;
+        constexpr int MaxRequests = 30;
+        http::HttpResponse response;
+        for (int each = 0; m_answers == 0 && each < MaxRequests; ++each) {
+            response = call(ask(m_gateway, "/stream/x", "r1"));
+        }
+        EXPECT_EQ(m_answers, 1);
+        return response;
+    }
     std::string metrics() { return call(get(m_gateway.metrics, "/metrics")).body; }
     void answer(ScriptedServer::Connection &connection)
     {
         if (connection.received.find("\r\n\r\n") != std::string::npos) {
             connection.received.clear();
+            ++m_answers;
             ScriptedServer::send(connection, m_answer);
         }
     }
 
     std::string m_answer;
+    int m_answers = 0;
     ScriptedServer m_server;
     GatewayProcess m_gateway;
 };
@@ -57,3 +90,22 @@
     EXPECT_EQ(book("what?\r\n\r\n").status, 502);
     EXPECT_NE(metrics().find("lavendertally_malformed_answers_total 1"), std::string::npos);
 }
+
+TEST_F(BrokenAnswerTest, StatusIsInvalid_AnswerIsLost)
+{
+    const std::string invalid = signedAnswer("000 Unknown", "Content-Length: 2\r\n", "ab");
+    startReadyGateway();
+    EXPECT_EQ(book(invalid).status, 502) << "new connection";
+    EXPECT_EQ(book(signedAnswer("200 OK", "Content-Length: 2\r\n", "ab")).body, "ab");
+    EXPECT_EQ(book(invalid).status, 502) << "kept connection";
+    EXPECT_EQ(m_answers, 3) << "the request may not be repeated";
+}
+
+TEST_F(BrokenAnswerTest, StatusIsInvalid_RequestIsRepeatedAtAnotherServer)
+{
+    startReadyGateway();
+    const auto response =
+        streamWithOtherServer(signedAnswer("000 Unknown", "Content-Length: 2\r\n", "ab"));
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, standins::PlatformServerStandIn::wholeStream());
+}
--- a/src/http/internal/responseparser.cpp
+++ b/src/http/internal/responseparser.cpp
@@ -16,6 +16,13 @@
 /// Bound on the header fields of a response, in bytes; twice the usual limit of web servers.
 constexpr std::uint32_t MaxResponseHeaders = 64 * 1024;
 
+/// \return whether a status code is one of the classes that HTTP defines (RFC 9110, section 15)
+bool isStatusCode(int status)
+{
+    constexpr int EndOfClasses = 600;
+    return status >= HttpStatus::Continue && status < EndOfClasses;
+}
+
 bool isInterim(int status)
 {
     return status >= HttpStatus::Continue && status < HttpStatus::Ok;
@@ -76,7 +83,9 @@
 void ResponseParser::start()
 {
     m_message = std::make_unique<Message>();
-    m_message->eager(true);
+    m_isHeadAccepted = false;
+    // The head is checked before anything behind it is read.
+    m_message->eager(false);
     m_message->skip(m_bodiless);
     m_message->body_limit(boost::none);
     m_message->header_limit(MaxResponseHeaders);
@@ -91,8 +100,8 @@
         const std::size_t used =
             m_message->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         taken += used;
-        if (m_message->is_header_done()) {
-            m_message->m_head.framed = !m_message->need_eof();
+        if (m_message->is_header_done() && !m_isHeadAccepted && !acceptHead()) {
+            return State::Malformed;
         }
         if (m_message->is_done()) {
             if (!isInterim(m_message->m_head.status)) {
@@ -111,9 +120,22 @@
     return State::NeedMore;
 }
 
+/// Checks a head for what Boost.Beast's parser lets through.
+bool ResponseParser::acceptHead()
+{
+    HttpResponseHead &head = m_message->m_head;
+    if (!isStatusCode(head.status)) {
+        return false;
+    }
+    head.framed = !m_message->need_eof();
+    m_message->eager(true);
+    m_isHeadAccepted = true;
+    return true;
+}
+
 ResponseParser::State ResponseParser::feedEnd()
 {
-    if (!m_message->is_header_done()) {
+    if (!m_isHeadAccepted) {
         return State::Malformed;
     }
     beast::error_code error;
@@ -123,7 +145,7 @@
 
 bool ResponseParser::hasHead() const
 {
-    return m_message->is_header_done() && !isInterim(m_message->m_head.status);
+    return m_isHeadAccepted && !isInterim(m_message->m_head.status);
 }
 
 const HttpResponseHead &ResponseParser::head() const
--- a/src/http/internal/responseparser.h
+++ b/src/http/internal/responseparser.h
@@ -31,6 +31,7 @@
     /// Tells that the server has closed the connection in order.
     State feedEnd();
 
+    /// \return whether the head of the response is here and is valid
     bool hasHead() const;
     const HttpResponseHead &head() const;
     /// \return the body received since the last call
@@ -42,9 +43,11 @@
     class Message;
 
     void start();
+    bool acceptHead();
 
     bool m_bodiless;
     std::unique_ptr<Message> m_message;
+    bool m_isHeadAccepted = false;
 };
 
 } // namespace lavendertally::http
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -84,6 +84,12 @@
         m_loop->run();
         return response;
     }
+    /// \return what a request is answered with if the server sends \p answer
+    HttpResponse fetch(const std::string &answer)
+    {
+        m_script = [&answer](auto &connection) { ScriptedServer::send(connection, answer); };
+        return fetch();
+    }
     /// Sends the same bytes on and on, as fast as the client reads them.
     void flood(ScriptedServer::Connection &connection, const std::string &bytes,
                std::size_t position = 0)
@@ -218,6 +224,20 @@
     EXPECT_EQ(fetch().end, HttpEnd::Malformed);
 }
 
+// Guards against a status code that no client can read, and that stands for "no status" in this
+// code, passed on as an answer.
+TEST_F(ClientFaultTest, StatusIsInvalid_AnswerIsMalformed)
+{
+    for (const char *status : {"000", "001", "099", "600", "999"}) {
+        const std::string invalid =
+            "HTTP/1.1 " + std::string(status) + " Unknown\r\nContent-Length: 2\r\n\r\nab";
+        EXPECT_EQ(fetch(invalid).end, HttpEnd::Malformed) << "new connection, " << status;
+        EXPECT_EQ(fetch(answer("1", "ab")).end, HttpEnd::Complete);
+        EXPECT_EQ(fetch(invalid).end, HttpEnd::Malformed) << "kept connection, " << status;
+    }
+    EXPECT_EQ(fetch("HTTP/1.1 599 Unknown\r\nContent-Length: 0\r\n\r\n").status, 599);
+}
+
 TEST_F(ClientFaultTest, HeadNeverEnds_AnswerIsMalformedAndConnectionIsClosed)
 {
     m_script = [this](auto &connection) {
