HTTP client: an unasked switch of protocols is no response

Callers could get bytes of another protocol as an answer: a backend server that answered 101 was taken to have sent an interim response, and what followed on the connection was read as the final one.

Cause: ResponseParser passed over every 1xx. The client never asks for another protocol (requests are sent without Upgrade), so a server may not switch (RFC 9110, section 7.8), and nothing behind a 101 is HTTP. Its head is malformed now; other interim responses are passed over as before.

--- a/src/http/internal/httpstatus.h
+++ b/src/http/internal/httpstatus.h
@@ -2,10 +2,11 @@
 
 namespace lavendertally::http {
 
-/// Status codes that the server itself answers with.
+/// Status codes that the server itself answers with, or that the client treats in its own way.
 struct HttpStatus
 {
     static constexpr int Continue = 100;
+    static constexpr int SwitchingProtocols = 101;
     static constexpr int Ok = 200;
     static constexpr int NoContent = 204;
     static constexpr int NotModified = 304;
--- a/src/http/internal/responseparser.cpp
+++ b/src/http/internal/responseparser.cpp
@@ -23,6 +23,12 @@
     return status >= HttpStatus::Continue && status < EndOfClasses;
 }
 
+/// \return whether a status code can answer a request that asks for no other protocol
+bool mayAnswer(int status)
+{
+    return isStatusCode(status) && status != HttpStatus::SwitchingProtocols;
+}
+
 bool isInterim(int status)
 {
     return status >= HttpStatus::Continue && status < HttpStatus::Ok;
@@ -124,7 +130,7 @@
 bool ResponseParser::acceptHead()
 {
     HttpResponseHead &head = m_message->m_head;
-    if (!isStatusCode(head.status)) {
+    if (!mayAnswer(head.status)) {
         return false;
     }
     head.framed = !m_message->need_eof();
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -238,6 +238,14 @@
     EXPECT_EQ(fetch("HTTP/1.1 599 Unknown\r\nContent-Length: 0\r\n\r\n").status, 599);
 }
 
+// Guards against bytes of another protocol taken for an answer.
+TEST_F(ClientFaultTest, ServerSwitchesProtocolsUnasked_AnswerIsMalformed)
+{
+    EXPECT_EQ(
+        fetch("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n" + answer("1", "ab")).end,
+        HttpEnd::Malformed);
+}
+
 TEST_F(ClientFaultTest, HeadNeverEnds_AnswerIsMalformedAndConnectionIsClosed)
 {
     m_script = [this](auto &connection) {
