HTTP client: a folded header field makes a response malformed

Callers saw answers of a backend server in trouble in whose head a line began with a blank or a tab: the line reached them as a part of the field before it, for instance behind the signature, and where it named the length of the body, everything up to the end of the connection was passed on as the body.

Cause: Boost.Beast's parser joins such a line to the field before it (obs-fold) and tells its user the joined value only. A gateway that passes it on, or acts on it, relies on a reading that the server's other callers may not share. ResponseParser now looks for a fold in the lines that each head, interim ones included, has taken so far. The parser takes a field only with all of its lines, so a fold is found however the bytes arrive (RFC 9112, section 5.2, leaves a proxy the choice to discard such a response).

--- a/src/app/tests/brokenanswertest.cpp
+++ b/src/app/tests/brokenanswertest.cpp
@@ -109,3 +109,11 @@
     EXPECT_EQ(response.status, 200);
     EXPECT_EQ(response.body, standins::PlatformServerStandIn::wholeStream());
 }
+
+TEST_F(BrokenAnswerTest, HeaderFieldIsFolded_AnswerIsLost)
+{
+    startReadyGateway();
+    EXPECT_EQ(
+        book(signedAnswer("200 OK", "X-A: 1\r\n X-B: 2\r\nContent-Length: 2\r\n", "ab")).status,
+        502);
+}
--- a/src/http/internal/responseparser.cpp
+++ b/src/http/internal/responseparser.cpp
@@ -29,6 +29,14 @@
     return isStatusCode(status) && status != HttpStatus::SwitchingProtocols;
 }
 
+/// \return whether one of the complete header fields in \p lines goes on in a further line
+/// (obs-fold, RFC 9112, section 5.2)
+bool hasFoldedField(std::string_view lines)
+{
+    return lines.find("\r\n ") != std::string_view::npos
+        || lines.find("\r\n\t") != std::string_view::npos;
+}
+
 bool isInterim(int status)
 {
     return status >= HttpStatus::Continue && status < HttpStatus::Ok;
@@ -106,6 +114,10 @@
         const std::size_t used =
             m_message->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         taken += used;
+        // A field is taken together with all of its lines.
+        if (!m_isHeadAccepted && hasFoldedField(rest.substr(0, used))) {
+            return State::Malformed;
+        }
         if (m_message->is_header_done() && !m_isHeadAccepted && !acceptHead()) {
             return State::Malformed;
         }
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -246,6 +246,39 @@
         HttpEnd::Malformed);
 }
 
+// Guards against a line that belongs to the field before it: that field is passed on with another
+// value, and a length in it does not say where the body ends.
+TEST_F(ClientFaultTest, HeaderFieldIsFolded_AnswerIsMalformed)
+{
+    for (const char *fields : {"X-A: 1\r\n X-B: 2\r\nContent-Length: 2\r\n",
+                               "Content-Length: 2\r\nX-A: 1\r\n\tX-B: 2\r\n",
+                               "X-A: 1\r\n Content-Length: 2\r\n", "X-A:\r\n Content-Length: 2\r\n",
+                               "Content-Length: 2\r\nX-A: 1\r\n \r\n", " Content-Length: 2\r\n"}) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(fields) + "\r\n";
+        EXPECT_EQ(fetch(head + "ab").end, HttpEnd::Malformed) << fields;
+        EXPECT_EQ(fetch(answer("1", "ab")).end, HttpEnd::Complete);
+        EXPECT_EQ(fetch(head + "ab").end, HttpEnd::Malformed) << "kept connection: " << fields;
+    }
+    EXPECT_EQ(fetch("HTTP/1.1 100 Continue\r\nX-A: 1\r\n X-B: 2\r\n\r\n" + answer("1", "ab")).end,
+              HttpEnd::Malformed);
+}
+
+TEST_F(ClientFaultTest, FieldNameHoldsABlankOrAControlByte_AnswerIsMalformed)
+{
+    for (int code = 0; code <= 0x7f; ++code) {
+        if (code > ' ' && code < 0x7f) {
+            continue;
+        }
+        const std::string byte(1, static_cast<char>(code));
+        for (const std::string &name : {byte + "Name", "Na" + byte + "me", "Name" + byte}) {
+            EXPECT_EQ(
+                fetch("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + name + ": 1\r\n\r\nab").end,
+                HttpEnd::Malformed)
+                << "byte " << code << " in " << name;
+        }
+    }
+}
+
 TEST_F(ClientFaultTest, HeadNeverEnds_AnswerIsMalformedAndConnectionIsClosed)
 {
     m_script = [this](auto &connection) {
