HTTP client: a response with another transfer coding than chunks is malformed

Callers saw a body that was not the server's: for `Transfer-Encoding: gzip, chunked` the coded bytes, since the field itself concerns one connection and is not passed on; for `chunked, gzip` and other values the client's parser does not know, the lines between the chunks as well.

Cause: Boost.Beast's parser takes chunks apart where they are the last coding and ignores all others; without chunks it reads to the end of the connection, and it accepts chunks in HTTP/1.0, whose senders may have meant a body that ends with the connection. Requests were checked for this, responses were not. Both go by hasReadableTransferCoding() now. The client asks for no coding, so a sound server uses none but chunks.

--- a/src/app/tests/brokenanswertest.cpp
+++ b/src/app/tests/brokenanswertest.cpp
@@ -117,3 +117,12 @@
         book(signedAnswer("200 OK", "X-A: 1\r\n X-B: 2\r\nContent-Length: 2\r\n", "ab")).status,
         502);
 }
+
+TEST_F(BrokenAnswerTest, BodyHasATransferCodingBesidesChunks_AnswerIsLost)
+{
+    startReadyGateway();
+    EXPECT_EQ(
+        book(signedAnswer("200 OK", "Transfer-Encoding: gzip, chunked\r\n", "2\r\nab\r\n0\r\n\r\n"))
+            .status,
+        502);
+}
--- a/src/http/internal/headerlookup.cpp
+++ b/src/http/internal/headerlookup.cpp
@@ -32,4 +32,11 @@
     return std::string_view(found->second);
 }
 
+std::size_t countHeaders(const HttpHeaders &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(
+        std::count_if(headers.begin(), headers.end(),
+                      [name](const auto &field) { return sameHeaderName(field.first, name); }));
+}
+
 } // namespace lavendertally::http
--- a/src/http/internal/requestparser.cpp
+++ b/src/http/internal/requestparser.cpp
@@ -3,6 +3,7 @@
 #include "http/headerlookup.h"
 #include "http/internal/bodybuffer.h"
 #include "http/internal/httpstatus.h"
+#include "http/internal/transfercoding.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -18,13 +19,6 @@
 
 constexpr int Http11 = 11;
 
-std::size_t countHeaders(const HttpHeaders &headers, std::string_view name)
-{
-    return static_cast<std::size_t>(
-        std::count_if(headers.begin(), headers.end(),
-                      [name](const auto &field) { return sameHeaderName(field.first, name); }));
-}
-
 bool hasControlCharacter(std::string_view text)
 {
     return std::any_of(text.begin(), text.end(), [](char character) {
@@ -148,9 +142,7 @@
     if (control) {
         return refuse(HttpStatus::BadRequest);
     }
-    const auto coding = findHeader(headers, "Transfer-Encoding");
-    const bool chunkedOnly = coding && sameHeaderName(*coding, "chunked");
-    if (coding && (!chunkedOnly || !http11 || countHeaders(headers, "Transfer-Encoding") > 1)) {
+    if (!hasReadableTransferCoding(headers, http11)) {
         return refuse(HttpStatus::BadRequest);
     }
     const auto expect = findHeader(headers, "Expect");
--- a/src/http/internal/responseparser.cpp
+++ b/src/http/internal/responseparser.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/responseparser.h"
 
 #include "http/internal/httpstatus.h"
+#include "http/internal/transfercoding.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -48,6 +49,7 @@
 {
 public:
     HttpResponseHead m_head;
+    bool m_isHttp11 = false;
     std::string m_body;
 
 private:
@@ -55,9 +57,11 @@
                          beast::string_view /*target*/, int /*version*/,
                          beast::error_code & /*error*/) override
     { }
-    void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/,
+    void on_response_impl(int code, beast::string_view /*reason*/, int version,
                           beast::error_code & /*error*/) override
     {
+        constexpr int Http11 = 11;
+        m_isHttp11 = version == Http11;
         m_head.status = code;
     }
     void on_field_impl(beast::http::field /*field*/, beast::string_view name,
@@ -142,7 +146,8 @@
 bool ResponseParser::acceptHead()
 {
     HttpResponseHead &head = m_message->m_head;
-    if (!mayAnswer(head.status)) {
+    if (!mayAnswer(head.status)
+        || !hasReadableTransferCoding(head.headers, m_message->m_isHttp11)) {
         return false;
     }
     head.framed = !m_message->need_eof();
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -279,6 +279,29 @@
     }
 }
 
+// Guards against coded bytes, or the lines between chunks, taken for the body.
+TEST_F(ClientFaultTest, BodyHasATransferCodingBesidesChunks_AnswerIsMalformed)
+{
+    const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+    for (const char *head : {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+                             "Transfer-Encoding: chunked\r\n",
+                             "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"}) {
+        m_script = [&](auto &connection) {
+            ScriptedServer::send(connection, head + chunks);
+            ScriptedServer::end(connection);
+        };
+        EXPECT_EQ(fetch().end, HttpEnd::Malformed) << head;
+    }
+    EXPECT_EQ(fetch("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n" + chunks).body, "ab");
+}
+
 TEST_F(ClientFaultTest, HeadNeverEnds_AnswerIsMalformedAndConnectionIsClosed)
 {
     m_script = [this](auto &connection) {
