HTTP client: fields behind the chunks of a body are no part of the head

Callers saw fields of an answer's trailer among its header fields, or did not, depending on how the bytes arrived: if the whole answer was read at once, a field such as the signature or Not-Executed counted although it was not in the head; in several reads it did not.

Cause: Boost.Beast's parser reports trailer fields like header fields, and ResponseParser added both to the head, which is handed on after all that has arrived is read. Fields are added until the head is complete only; nothing in the product uses trailers.

--- a/src/app/tests/brokenanswertest.cpp
+++ b/src/app/tests/brokenanswertest.cpp
@@ -126,3 +126,14 @@
             .status,
         502);
 }
+
+// Guards against a signature that is no part of the answer's head.
+TEST_F(BrokenAnswerTest, SignatureFollowsTheChunks_AnswerIsLost)
+{
+    startReadyGateway();
+    EXPECT_EQ(book("HTTP/1.1 200 OK\r\nX-Lavendertally-Request-Id: r1\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n"
+                   "2\r\nab\r\n0\r\nX-Lavendertally-Response-Signature: s\r\n\r\n")
+                  .status,
+              502);
+}
--- a/src/http/fuzz/responsefuzz.cpp
+++ b/src/http/fuzz/responsefuzz.cpp
@@ -17,6 +17,7 @@
 {
     ResponseParser::State state = ResponseParser::State::NeedMore;
     int status = 0;
+    http::HttpHeaders headers;
     std::string body;
 };
 
@@ -34,6 +35,10 @@
             std::abort();
         }
         begin += taken;
+        if (parser.hasHead() && outcome.headers.empty()) {
+            // Later changes of the head would not reach a client.
+            outcome.headers = parser.head().headers;
+        }
         outcome.body += parser.takeBody();
     }
     if (outcome.state == ResponseParser::State::NeedMore) {
@@ -54,9 +59,11 @@
     const bool bodiless = size % 5 == 0;
     const Outcome whole = parse(input, input.size() + 1, bodiless);
     const Outcome pieces = parse(input, 1 + size % 7, bodiless);
-    const bool bothComplete = whole.state == ResponseParser::State::Complete
-        && pieces.state == ResponseParser::State::Complete;
-    if (bothComplete && (whole.status != pieces.status || whole.body != pieces.body)) {
+    const bool isComplete = whole.state == ResponseParser::State::Complete;
+    const bool isSame = whole.status == pieces.status && whole.headers == pieces.headers
+        && whole.body == pieces.body;
+    if (isComplete != (pieces.state == ResponseParser::State::Complete)
+        || (isComplete && !isSame)) {
         std::abort();
     }
     return 0;
--- a/src/http/internal/responseparser.cpp
+++ b/src/http/internal/responseparser.cpp
@@ -67,10 +67,15 @@
     void on_field_impl(beast::http::field /*field*/, beast::string_view name,
                        beast::string_view value, beast::error_code & /*error*/) override
     {
+        if (m_isHeadComplete) {
+            // Fields behind the chunks of a body are no part of the head, and nothing here uses
+            // them.
+            return;
+        }
         m_head.headers.emplace_back(std::string(name.data(), name.size()),
                                     std::string(value.data(), value.size()));
     }
-    void on_header_impl(beast::error_code & /*error*/) override { }
+    void on_header_impl(beast::error_code & /*error*/) override { m_isHeadComplete = true; }
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
                            beast::error_code & /*error*/) override
     { }
@@ -89,6 +94,8 @@
         return body.size();
     }
     void on_finish_impl(beast::error_code & /*error*/) override { }
+
+    bool m_isHeadComplete = false;
 };
 
 ResponseParser::ResponseParser(bool bodiless) : m_bodiless(bodiless)
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -302,6 +302,17 @@
     EXPECT_EQ(fetch("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n" + chunks).body, "ab");
 }
 
+// Guards against a head that depends on how the bytes arrive: what stands behind the body came into
+// it if the whole answer was read at once.
+TEST_F(ClientFaultTest, FieldsFollowTheChunks_TheyAreNoPartOfTheHead)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const HttpResponse response = fetch(head + "2\r\nab\r\n0\r\nX-Number: 1\r\n\r\n");
+    EXPECT_EQ(response.end, HttpEnd::Complete);
+    EXPECT_EQ(response.body, "ab");
+    EXPECT_FALSE(findHeader(response.headers, "X-Number"));
+}
+
 TEST_F(ClientFaultTest, HeadNeverEnds_AnswerIsMalformedAndConnectionIsClosed)
 {
     m_script = [this](auto &connection) {
