Network: a failed connection has not ended in order

Callers got a part of an answer as the whole: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written, and the gateway held the answer back at that time since its client read more slowly.

Cause: the system reports a reset to one call only. Here that was the write of the upload. The read that followed saw an end of the input, which BufferedSocket reported as an orderly one; it took the place of the reset that the paused call had noted, and an orderly end is what marks the end of such an answer. The error of the first, direct send() was not even looked at.

BufferedSocket now keeps in mind that the connection has failed, in the direct send() too, and reports no orderly end after that. This holds for all of its users: calls to backend servers, stage servers, daemons and the store, links between gateways and connections of clients, kept or new.

--- a/src/app/tests/brokenanswertest.cpp
+++ b/src/app/tests/brokenanswertest.cpp
@@ -1,4 +1,5 @@
 #include "app/tests/gatewayfixture.h"
+#include "http/ihttpresponseobserver.h"
 #include "http/tests/scriptedserver.h"
 
 using namespace lavendertally;
@@ -17,6 +18,30 @@
         + "\r\n" + body;
 }
 
+/// Client that begins to read the body of its response later.
+class LateReader final : public http::IHttpResponseObserver
+{
+public:
+    LateReader(http::IHttpClient &client, const http::HttpRequest &request)
+        : m_call(client.send(request, *this))
+    { }
+
+    void read() { m_call->resumeReading(); }
+
+    bool onHead(const http::HttpResponseHead & /*head*/) override
+    {
+        m_call->pauseReading();
+        return true;
+    }
+    void onData(int /*status*/, std::string_view /*data*/) override { }
+    void onEnd(http::HttpEnd end, int /*status*/) override { m_end = end; }
+
+    std::optional<http::HttpEnd> m_end;
+
+private:
+    std::unique_ptr<http::IHttpCall> m_call;
+};
+
 /// Backend servers in trouble whose answers are no responses in HTTP, through a real gateway.
 class BrokenAnswerTest : public GatewayFixture
 {
@@ -71,12 +96,19 @@
         if (connection.received.find("\r\n\r\n") != std::string::npos) {
             connection.received.clear();
             ++m_answers;
+            if (m_leavesUploadUnread) {
+                m_answering = &connection;
+                event_del(connection.readable);
+            }
             ScriptedServer::send(connection, m_answer);
         }
     }
 
     std::string m_answer;
     int m_answers = 0;
+    /// Whether the scripted server reads only the beginning of a request.
+    bool m_leavesUploadUnread = false;
+    ScriptedServer::Connection *m_answering = nullptr;
     ScriptedServer m_server;
     GatewayProcess m_gateway;
 };
@@ -137,3 +169,33 @@
                   .status,
               502);
 }
+
+// Guards against a part of an answer that a client takes for the whole, since its gateway has read
+// that part late.
+TEST_F(BrokenAnswerTest, AnswerIsResetDuringUploadWhileHeldBack_ClientSeesBrokenAnswer)
+{
+    constexpr std::size_t UploadSize = 7 * 1024 * 1024;
+    constexpr std::size_t PartSize = 32 * 1024;
+    constexpr int MaxParts = 400;
+    m_requestLimits = {{"maxBodyBytes", UploadSize}};
+    publish();
+    startReadyGateway();
+    m_leavesUploadUnread = true;
+    m_answer = signedAnswer("200 OK", "", std::string(2 * PartSize, 'a'));
+    http::HttpRequest request = ask(m_gateway, "/book/x", "r1");
+    request.body.assign(UploadSize, 'u');
+    LateReader client(*m_client, request);
+    ASSERT_TRUE(waitFor([this] { return m_answering != nullptr; }));
+    for (int part = 0; part < MaxParts; ++part) {
+        if (metrics().find("lavendertally_sources_held_back 1") != std::string::npos) {
+            break;
+        }
+        ScriptedServer::send(*m_answering, std::string(PartSize, 'a'));
+    }
+    EXPECT_NE(metrics().find("lavendertally_sources_held_back 1"), std::string::npos);
+    ScriptedServer::reset(*m_answering);
+    pause(framework::Milliseconds(50));
+    client.read();
+    ASSERT_TRUE(waitFor([&client] { return client.m_end.has_value(); }));
+    EXPECT_EQ(client.m_end, http::HttpEnd::Broken);
+}
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -11,6 +11,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+
 using namespace lavendertally;
 using namespace lavendertally::http;
 
@@ -74,6 +76,14 @@
         result.timeout = timeout;
         return result;
     }
+    /// \return a request that is larger than what the buffers of the system hold
+    HttpRequest upload() const
+    {
+        HttpRequest result = request();
+        result.method = HttpMethod::Post;
+        result.body.assign(32 * 1024 * 1024, 'u');
+        return result;
+    }
     HttpResponse fetch()
     {
         HttpResponse response;
@@ -209,6 +219,34 @@
     EXPECT_EQ(fetch().end, HttpEnd::Broken);
 }
 
+// Guards against a reset that shows when the request is written, and is forgotten by the time the
+// held back answer is read to its end.
+TEST_F(ClientFaultTest, UnframedAnswerIsResetDuringUploadWhileHeldBack_IsBroken)
+{
+    constexpr std::array<framework::Milliseconds, 3> Steps = {
+        framework::Milliseconds(20), framework::Milliseconds(40), framework::Milliseconds(80)};
+    for (const bool isKept : {false, true}) {
+        if (isKept) {
+            fetch(answer("1", "ab"));
+        }
+        ScriptedServer::Connection *answering = nullptr;
+        m_script = [&answering](auto &connection) {
+            answering = &connection;
+            event_del(connection.readable);
+            ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\nX-Number: 1\r\n\r\nab");
+        };
+        MatchingObserver observer(*m_loop, "1");
+        const auto call = m_client->send(upload(), observer);
+        const auto pause = m_loop->callAfter(Steps[0], [&call] { call->pauseReading(); });
+        const auto reset =
+            m_loop->callAfter(Steps[1], [&answering] { ScriptedServer::reset(*answering); });
+        const auto resume = m_loop->callAfter(Steps[2], [&call] { call->resumeReading(); });
+        m_loop->run();
+        EXPECT_EQ(observer.m_body, "ab");
+        EXPECT_EQ(observer.m_end, HttpEnd::Broken) << (isKept ? "kept connection" : "");
+    }
+}
+
 TEST_F(ClientFaultTest, ShortAnswerIsBroken)
 {
     m_script = [](auto &connection) {
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -70,6 +70,8 @@
     void shutDownSending();
 
 private:
+    void noteFailure(int error);
+
     static void handleReadable(bufferevent *bufferEvent, void *self);
     static void handleFlushed(bufferevent *bufferEvent, void *self);
     static void handleEvent(bufferevent *bufferEvent, short flags, void *self);
@@ -80,6 +82,7 @@
     event *m_peerCloseEvent = nullptr;
     std::size_t m_maxInput;
     bool m_connected = false;
+    bool m_hasFailed = false;
     bool m_wasReset = false;
     bool m_shutDownWhenFlushed = false;
 };
--- a/src/network/ibufferedsocketobserver.h
+++ b/src/network/ibufferedsocketobserver.h
@@ -18,8 +18,10 @@
     /// The peer has closed its sending side; see BufferedSocket::watchPeerClose(). Input may still
     /// be unread, and onClosed() follows once it has been read.
     virtual void onPeerClosing() { }
-    /// The connection has ended or could not be established.
-    /// \param inOrder true if the peer closed its sending side, false after a connection error
+    /// The connection has ended or could not be established. Called a second time if sending has
+    /// failed and the end of the input is read later.
+    /// \param inOrder true if the peer closed its sending side, false if the connection has failed,
+    /// in whichever direction
     virtual void onClosed(bool inOrder) = 0;
 };
 
--- a/src/network/internal/bufferedsocket.cpp
+++ b/src/network/internal/bufferedsocket.cpp
@@ -26,6 +26,12 @@
 constexpr std::size_t ReadBytes = 4096;
 constexpr std::size_t ChainHeadBytes = 64;
 
+/// \return whether a call that failed with \p error has not failed for good
+bool mayTryAgain(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
 void setTcpOption(int fd, int option, int value)
 {
     setsockopt(fd, IPPROTO_TCP, option, &value, sizeof value);
@@ -150,6 +156,8 @@
         const ssize_t sent = send(fd, data.data(), data.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (sent > 0) {
             data.remove_prefix(static_cast<std::size_t>(sent));
+        } else if (sent < 0 && !mayTryAgain(errno)) {
+            noteFailure(errno);
         }
     }
     if (!data.empty()) {
@@ -185,6 +193,14 @@
     }
 }
 
+/// The system reports an error of the connection to one call only. To later ones, the input seems
+/// to end in order.
+void BufferedSocket::noteFailure(int error)
+{
+    m_hasFailed = true;
+    m_wasReset = m_wasReset || error == ECONNRESET || error == EPIPE;
+}
+
 void BufferedSocket::handleReadable(bufferevent * /*bufferEvent*/, void *self)
 {
     static_cast<BufferedSocket *>(self)->m_observer.onReadable();
@@ -214,9 +230,10 @@
     }
     constexpr short EndedFlags = BEV_EVENT_EOF | BEV_EVENT_ERROR;
     if ((flags & EndedFlags) != 0) {
-        const int error = (flags & BEV_EVENT_ERROR) != 0 ? EVUTIL_SOCKET_ERROR() : 0;
-        socket->m_wasReset = error == ECONNRESET || error == EPIPE;
-        socket->m_observer.onClosed((flags & BEV_EVENT_ERROR) == 0);
+        if ((flags & BEV_EVENT_ERROR) != 0) {
+            socket->noteFailure(EVUTIL_SOCKET_ERROR());
+        }
+        socket->m_observer.onClosed(!socket->m_hasFailed);
     }
 }
 
