HTTP client: an answer may end with its connection only once the upload is taken

Callers could get a part of an answer as the whole: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body, closed its side and reset the connection while the upload was still being written.

Cause: the client took the close of the server's side for the end of the answer and ended the call, so it never saw the reset. Whether it did depended on which of the two arrived first. While a part of the request waits to be sent, the client now goes on sending: a server that takes the rest has closed in order and its answer is complete; one that resets the connection may have cut it, and the answer is broken. Answers with a length or in chunks end by themselves, as before.

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -226,6 +226,12 @@
         return;
     }
     if (m_call != nullptr && m_connected && inOrder && m_parser->hasHead()) {
+        if (!m_parser->head().framed && m_socket->unsent() > 0) {
+            // A server that resets the connection instead of taking the rest of the request may
+            // have cut its answer.
+            m_endsOnceSent = true;
+            return;
+        }
         const bool complete = m_parser->feedEnd() == ResponseParser::State::Complete;
         if (deliver()) {
             finish(complete);
@@ -235,6 +241,13 @@
     finish(false);
 }
 
+void ClientConnection::onFlushed()
+{
+    if (std::exchange(m_endsOnceSent, false)) {
+        onClosed(true);
+    }
+}
+
 void ClientConnection::finish(bool complete)
 {
     ClientCall *call = std::exchange(m_call, nullptr);
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -70,6 +70,7 @@
 
     void onConnected() override;
     void onReadable() override;
+    void onFlushed() override;
     void onPeerClosing() override;
     void onClosed(bool inOrder) override;
 
@@ -102,6 +103,9 @@
     std::optional<bool> m_completeAfterPause;
     /// Set if the connection has ended during the pause: whether in order.
     std::optional<bool> m_closedInOrder;
+    /// Whether the response has ended with the server's side of the connection, and is complete
+    /// once the rest of the request has been sent.
+    bool m_endsOnceSent = false;
     std::string m_request;
     std::size_t m_requestSize = 0;
     framework::Milliseconds m_acceptanceWait;
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -247,6 +247,32 @@
     }
 }
 
+// Guards against a part of an answer taken for the whole: the server has closed its side, but takes
+// no more of the request.
+TEST_F(ClientFaultTest, UnframedAnswerEndsDuringUpload_IsCompleteOnlyIfTheRestIsTaken)
+{
+    for (const bool isReset : {true, false}) {
+        bool hasAnswered = false;
+        m_script = [&](auto &connection) {
+            if (std::exchange(hasAnswered, true)) {
+                return;
+            }
+            ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\nX-Number: 1\r\n\r\nab");
+            ::shutdown(connection.fd, SHUT_WR);
+            if (isReset) {
+                event_del(connection.readable);
+                m_later = m_loop->callAfter(framework::Milliseconds(20),
+                                            [&connection] { ScriptedServer::reset(connection); });
+            }
+        };
+        MatchingObserver observer(*m_loop, "1");
+        const auto call = m_client->send(upload(), observer);
+        m_loop->run();
+        EXPECT_EQ(observer.m_body, "ab");
+        EXPECT_EQ(observer.m_end, isReset ? HttpEnd::Broken : HttpEnd::Complete);
+    }
+}
+
 TEST_F(ClientFaultTest, ShortAnswerIsBroken)
 {
     m_script = [](auto &connection) {
