--- a/src/platform/tests/stagecallporttest.cpp
+++ b/src/platform/tests/stagecallporttest.cpp
@@ -130,6 +130,14 @@
     EXPECT_EQ(m_server.connections(), 2U);
 }
 
+// Guards against pieces that are made twice because their call was taken for refused.
+TEST_F(StageCallPortTest, StatusIsInvalid_CallMayHaveRun)
+{
+    m_answers = {"HTTP/1.1 000 Unknown\r\n"
+                 "X-Lavendertally-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+    EXPECT_EQ(call().status, stages::StageCallStatus::Unknown);
+}
+
 TEST_F(StageCallPortTest, ServerSaysThatItLeaves_AdmitsNoMore)
 {
     membership::BackendServerEntry entry;
