HTTP client: one function checks the head of a response

The check for folded fields and the one for the complete head were two calls in ResponseParser::feed(); checkHead() holds both.

The process test of the reset during an upload gets a route with 15 s, so that a slow machine does not end the request before its answer is held back.

--- a/src/app/tests/brokenanswertest.cpp
+++ b/src/app/tests/brokenanswertest.cpp
@@ -175,15 +175,24 @@
 TEST_F(BrokenAnswerTest, AnswerIsResetDuringUploadWhileHeldBack_ClientSeesBrokenAnswer)
 {
     constexpr std::size_t UploadSize = 7 * 1024 * 1024;
+    // Less than a gateway reads while it holds an answer back, so that it finds the end.
     constexpr std::size_t PartSize = 32 * 1024;
     constexpr int MaxParts = 400;
+    constexpr framework::Milliseconds RouteTimeout{15000};
     m_requestLimits = {{"maxBodyBytes", UploadSize}};
+    m_routeTimeout = RouteTimeout;
     publish();
     startReadyGateway();
     m_leavesUploadUnread = true;
     m_answer = signedAnswer("200 OK", "", std::string(2 * PartSize, 'a'));
     http::HttpRequest request = ask(m_gateway, "/book/x", "r1");
     request.body.assign(UploadSize, 'u');
+    request.timeout = RouteTimeout;
+    for (auto &[name, value] : request.headers) {
+        if (name == "X-Lavendertally-Deadline-Ms") {
+            value = std::to_string(RouteTimeout.value());
+        }
+    }
     LateReader client(*m_client, request);
     ASSERT_TRUE(waitFor([this] { return m_answering != nullptr; }));
     for (int part = 0; part < MaxParts; ++part) {
--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -70,7 +70,7 @@
 
     void publish(int version = 1, const char *key = "key")
     {
-        const nlohmann::json route = {{"hostname", "h"},  {"timeoutMs", 3000},
+        const nlohmann::json route = {{"hostname", "h"},  {"timeoutMs", m_routeTimeout.value()},
                                       {"priority", 0},    {"public", false},
                                       {"maxAttempts", 2}, {"targetLatencyMs", 1000}};
         nlohmann::json book = route;
@@ -234,6 +234,7 @@
     std::string m_folder;
     /// Connections that a server of the desk accepts from all gateways together; zero: any number.
     int m_deskConnections = 0;
+    framework::Milliseconds m_routeTimeout{3000};
     /// Bounds on clients' requests in the published configuration, unless null.
     nlohmann::json m_requestLimits;
     /// Lines added to the settings of gateways.
--- a/src/http/internal/responseparser.cpp
+++ b/src/http/internal/responseparser.cpp
@@ -125,11 +125,7 @@
         const std::size_t used =
             m_message->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         taken += used;
-        // A field is taken together with all of its lines.
-        if (!m_isHeadAccepted && hasFoldedField(rest.substr(0, used))) {
-            return State::Malformed;
-        }
-        if (m_message->is_header_done() && !m_isHeadAccepted && !acceptHead()) {
+        if (!m_isHeadAccepted && !checkHead(rest.substr(0, used))) {
             return State::Malformed;
         }
         if (m_message->is_done()) {
@@ -149,9 +145,15 @@
     return State::NeedMore;
 }
 
-/// Checks a head for what Boost.Beast's parser lets through.
-bool ResponseParser::acceptHead()
+bool ResponseParser::checkHead(std::string_view taken)
 {
+    // The parser takes a field together with all of its lines.
+    if (hasFoldedField(taken)) {
+        return false;
+    }
+    if (!m_message->is_header_done()) {
+        return true;
+    }
     HttpResponseHead &head = m_message->m_head;
     if (!mayAnswer(head.status)
         || !hasReadableTransferCoding(head.headers, m_message->m_isHttp11)) {
--- a/src/http/internal/responseparser.h
+++ b/src/http/internal/responseparser.h
@@ -9,7 +9,8 @@
 
 namespace lavendertally::http {
 
-/// Reads one HTTP/1.1 response with Boost.Beast's parser. Interim (1xx) responses are passed over.
+/// Reads one HTTP/1.1 response with Boost.Beast's parser, and refuses what that parser lets through
+/// although it is no valid response. Interim (1xx) responses are passed over.
 class ResponseParser
 {
 public:
@@ -43,7 +44,10 @@
     class Message;
 
     void start();
-    bool acceptHead();
+    /// Checks the head for what Boost.Beast's parser lets through, and accepts it once it is
+    /// complete. \param taken what the parser has just taken of the head \return false if the head
+    /// is not valid
+    bool checkHead(std::string_view taken);
 
     bool m_bodiless;
     std::unique_ptr<Message> m_message;
