Tests: the reset during an upload waits for events

The test paused, reset and resumed after fixed times and would have crashed on a machine that takes longer for the request. It pauses with the first part of the body, resets then, and resumes once the client has noticed the end.

--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -11,7 +11,7 @@
 
 #include <gtest/gtest.h>
 
-#include <array>
+#include <functional>
 
 using namespace lavendertally;
 using namespace lavendertally::http;
@@ -32,7 +32,19 @@
     {
         return findHeader(head.headers, "X-Number") == m_number;
     }
-    void onData(int /*status*/, std::string_view data) override { m_body.append(data); }
+    void onData(int /*status*/, std::string_view data) override
+    {
+        m_body.append(data);
+        if (m_dataReceived) {
+            m_dataReceived();
+        }
+    }
+    void onServerClosing() override
+    {
+        if (m_serverClosing) {
+            m_serverClosing();
+        }
+    }
     void onEnd(HttpEnd end, int status) override
     {
         m_end = end;
@@ -40,6 +52,8 @@
         m_loop.stop();
     }
 
+    std::function<void()> m_dataReceived;
+    std::function<void()> m_serverClosing;
     std::string m_body;
     HttpEnd m_end = HttpEnd::NotSent;
     int m_status = -1;
@@ -223,8 +237,6 @@
 // held back answer is read to its end.
 TEST_F(ClientFaultTest, UnframedAnswerIsResetDuringUploadWhileHeldBack_IsBroken)
 {
-    constexpr std::array<framework::Milliseconds, 3> Steps = {
-        framework::Milliseconds(20), framework::Milliseconds(40), framework::Milliseconds(80)};
     for (const bool isKept : {false, true}) {
         if (isKept) {
             fetch(answer("1", "ab"));
@@ -237,11 +249,17 @@
         };
         MatchingObserver observer(*m_loop, "1");
         const auto call = m_client->send(upload(), observer);
-        const auto pause = m_loop->callAfter(Steps[0], [&call] { call->pauseReading(); });
-        const auto reset =
-            m_loop->callAfter(Steps[1], [&answering] { ScriptedServer::reset(*answering); });
-        const auto resume = m_loop->callAfter(Steps[2], [&call] { call->resumeReading(); });
+        observer.m_dataReceived = [&call, &answering] {
+            call->pauseReading();
+            ScriptedServer::reset(*answering);
+        };
+        observer.m_serverClosing = [this, &call] {
+            // The end of the input is read meanwhile.
+            m_later =
+                m_loop->callAfter(framework::Milliseconds(20), [&call] { call->resumeReading(); });
+        };
         m_loop->run();
+        m_later.reset();
         EXPECT_EQ(observer.m_body, "ab");
         EXPECT_EQ(observer.m_end, HttpEnd::Broken) << (isKept ? "kept connection" : "");
     }
