Replication: versions, not offsets, tell which record of a key is newer

Cause: the store may execute a write whose answer was lost seconds later. The reader ignored such a heartbeat by its number, but its copy of the topic kept it for followers, and followers know older numbers, since heartbeats are not passed on to them. Starts of a server were compared for equality only.

Change: TopicReplica compares versions (start and number of a report, version of a configuration) before it applies or keeps a record, whatever the source. Versions of deleted keys are kept and passed on. A gateway that begins to read reads the last 5 s again to learn the numbers. Numbers that stay lower for 10 s count anew, so that a server whose clock was set back is not shut out.

--- a/src/membership/internal/backendservertracker.cpp
+++ b/src/membership/internal/backendservertracker.cpp
@@ -16,11 +16,6 @@
 /// from the arrival of the registration, and its delay varies.
 constexpr framework::Milliseconds ColdStartTolerance{1500};
 
-/// How long a backend server that has left is remembered, so that an old copy of the registry does
-/// not bring it back; such copies are some seconds old.
-constexpr framework::Milliseconds DepartedLifetime{300000};
-constexpr std::size_t MaxDeparted = 8192;
-
 const char *stateName(BackendServerState state)
 {
     return state == BackendServerState::Ready ? "ready" : "draining";
@@ -75,33 +70,9 @@
     m_admitting.clear();
 }
 
-/// \return whether a later report of the same incarnation is known; the registry may come back from
-/// a copy
-bool BackendServerTracker::isOutdated(const BackendServerEntry &entry) const
-{
-    if (entry.reports == framework::ReportNumber(0)) {
-        return false;
-    }
-    const auto known = m_entries.find(entry.id);
-    if (known != m_entries.end()) {
-        return known->second.incarnation == entry.incarnation
-            && known->second.reports > entry.reports;
-    }
-    const auto departed = m_departed.find(entry.id);
-    return departed != m_departed.end() && departed->second.incarnation == entry.incarnation
-        && departed->second.reports >= entry.reports;
-}
-
 bool BackendServerTracker::put(const BackendServerEntry &entry)
 {
     m_hasSynced = true;
-    if (isOutdated(entry)) {
-        m_logger.info("report of a backend server is older than what is known; it is ignored",
-                      {{"backend_server", entry.id.value()},
-                       {"report", std::to_string(entry.reports.value())}});
-        return false;
-    }
-    m_departed.erase(entry.id);
     m_missing.erase(entry.id);
     const auto found = m_entries.find(entry.id);
     const bool isNew = found == m_entries.end();
@@ -140,7 +111,7 @@
         m_missing.insert(server);
         return;
     }
-    drop(server, "registration removed", now);
+    drop(server, "registration removed");
 }
 
 void BackendServerTracker::registryRecovered(framework::TimePoint now)
@@ -193,23 +164,16 @@
         return;
     }
     for (const framework::BackendServerId &server : std::exchange(m_missing, {})) {
-        drop(server, "registration lapsed and was not renewed", now);
+        drop(server, "registration lapsed and was not renewed");
     }
-    std::erase_if(m_departed,
-                  [now](const auto &entry) { return now - entry.second.at > DepartedLifetime; });
 }
 
-void BackendServerTracker::drop(const framework::BackendServerId &server, const char *reason,
-                                framework::TimePoint now)
+void BackendServerTracker::drop(const framework::BackendServerId &server, const char *reason)
 {
-    const auto node = m_entries.extract(server);
-    if (node.empty()) {
+    if (m_entries.erase(server) == 0) {
         return;
     }
     m_leaving.erase(server);
-    if (m_departed.size() < MaxDeparted) {
-        m_departed[server] = {node.mapped().incarnation, node.mapped().reports, now};
-    }
     changed();
     m_logger.info("backend server removed; it gets no more work",
                   {{"backend_server", server.value()}, {"reason", reason}});
--- a/src/membership/internal/backendservertracker.h
+++ b/src/membership/internal/backendservertracker.h
@@ -36,25 +36,14 @@
     bool hasSynced() const override { return m_hasSynced; }
 
 private:
-    /// What a backend server last said of itself before it was removed.
-    struct Departed
-    {
-        framework::Incarnation incarnation;
-        framework::ReportNumber reports;
-        framework::TimePoint at;
-    };
-
     void changed();
-    void drop(const framework::BackendServerId &server, const char *reason,
-              framework::TimePoint now);
-    bool isOutdated(const BackendServerEntry &entry) const;
+    void drop(const framework::BackendServerId &server, const char *reason);
     bool admits(const BackendServerEntry &entry) const;
 
     framework::ILogger &m_logger;
     bool m_hasSynced = false;
     MembershipGeneration m_generation;
     std::map<framework::BackendServerId, BackendServerEntry> m_entries;
-    std::unordered_map<framework::BackendServerId, Departed> m_departed;
     /// Registered backend servers that have said that they leave.
     std::set<framework::BackendServerId> m_leaving;
     std::set<framework::AvailabilityZoneId> m_zonesOut;
--- a/src/platform/internal/backendserverfeed.cpp
+++ b/src/platform/internal/backendserverfeed.cpp
@@ -10,7 +10,7 @@
 #include "platform/types/decodeerror.h"
 
 #include <set>
-#include <utility>
+#include <string>
 
 namespace lavendertally::platform {
 
@@ -18,7 +18,9 @@
 
 /// Every heartbeat of every backend server is a change, so the topic is read at intervals: half of
 /// the time within which a backend server that leaves must get no more work.
-constexpr TopicPace Pace{framework::Milliseconds(0), framework::Milliseconds(1000)};
+/// Each backend server that is up has written within the time that is read again.
+constexpr TopicPace Pace{framework::Milliseconds(0), framework::Milliseconds(1000),
+                         framework::Milliseconds(5000)};
 
 } // namespace
 
@@ -46,21 +48,30 @@
     m_servers.registryRecovered(m_clock.now());
 }
 
-bool BackendServerFeed::isNewer(const protocol::TopicRecord &known,
-                                const protocol::TopicRecord &restored) const
+std::optional<protocol::RecordVersion>
+BackendServerFeed::version(const protocol::TopicRecord &record) const
 {
-    if (!known.value || !restored.value) {
-        return false;
+    if (!record.value) {
+        return std::nullopt;
     }
     return framework::leaf::try_handle_all(
-        [&]() -> framework::Result<bool> {
-            const framework::TimePoint now = m_clock.now();
-            BOOST_LEAF_AUTO(one, decodeBackendServer(known.key, *known.value, now));
-            BOOST_LEAF_AUTO(other, decodeBackendServer(restored.key, *restored.value, now));
-            return std::pair(one.incarnation, one.reports)
-                > std::pair(other.incarnation, other.reports);
+        [&]() -> framework::Result<std::optional<protocol::RecordVersion>> {
+            BOOST_LEAF_AUTO(entry, decodeBackendServer(record.key, *record.value, m_clock.now()));
+            if (entry.reports == framework::ReportNumber(0)) {
+                return std::nullopt;
+            }
+            return protocol::RecordVersion{entry.incarnation, entry.reports};
         },
-        [] { return false; });
+        [] { return std::optional<protocol::RecordVersion>(); });
+}
+
+void BackendServerFeed::onOutdated(const protocol::TopicRecord &record)
+{
+    const protocol::RecordVersion read = version(record).value_or(protocol::RecordVersion());
+    m_logger.info("report of a backend server is older than what is known; it is ignored",
+                  {{"backend_server", record.key},
+                   {"report", std::to_string(read.number.value())},
+                   {"incarnation", std::to_string(read.incarnation.value())}});
 }
 
 bool BackendServerFeed::onRecord(const protocol::TopicRecord &record)
--- a/src/platform/internal/backendserverfeed.h
+++ b/src/platform/internal/backendserverfeed.h
@@ -27,8 +27,9 @@
     void onConfirmed(framework::TimePoint /*instant*/) override { }
     void onSourceRecovered() override;
     void onStoreRestored() override { }
-    bool isNewer(const protocol::TopicRecord &known,
-                 const protocol::TopicRecord &restored) const override;
+    std::optional<protocol::RecordVersion>
+    version(const protocol::TopicRecord &record) const override;
+    void onOutdated(const protocol::TopicRecord &record) override;
 
 private:
     const framework::IClock &m_clock;
--- a/src/platform/internal/daemonfeed.cpp
+++ b/src/platform/internal/daemonfeed.cpp
@@ -20,7 +20,8 @@
 namespace {
 
 /// Registrations of all daemons come in here, so the topic is read at intervals.
-constexpr TopicPace Pace{framework::Milliseconds(0), framework::Milliseconds(4000)};
+constexpr TopicPace Pace{framework::Milliseconds(0), framework::Milliseconds(4000),
+                         framework::Milliseconds(0)};
 
 /// Time between two registrations of a daemon. It grows with the number of daemons, so that all
 /// together make no more than a few calls per second.
--- a/src/platform/internal/daemonfeed.h
+++ b/src/platform/internal/daemonfeed.h
@@ -40,12 +40,13 @@
     void onConfirmed(framework::TimePoint instant) override;
     void onSourceRecovered() override;
     void onStoreRestored() override;
-    bool isNewer(const protocol::TopicRecord & /*known*/,
-                 const protocol::TopicRecord & /*restored*/) const override
+    std::optional<protocol::RecordVersion>
+    version(const protocol::TopicRecord & /*record*/) const override
     {
-        // Registrations are renewed all the time.
-        return false;
+        // A late registration of a daemon that runs is renewed, one of a daemon that left lapses.
+        return std::nullopt;
     }
+    void onOutdated(const protocol::TopicRecord & /*record*/) override { }
 
 private:
     struct Known
--- a/src/platform/internal/operatorfeed.cpp
+++ b/src/platform/internal/operatorfeed.cpp
@@ -17,7 +17,8 @@
 
 /// The store answers at once when there is a change; the wait bounds the age of the confirmation
 /// that there is none, which must stay well under the time in which a revoked key may still work.
-constexpr TopicPace Pace{framework::Milliseconds(750), framework::Milliseconds(0)};
+constexpr TopicPace Pace{framework::Milliseconds(750), framework::Milliseconds(0),
+                         framework::Milliseconds(0)};
 
 /// Within this time after the store was restored, operators have written again what it lost.
 constexpr framework::Milliseconds RewriteTime{10000};
@@ -62,22 +63,37 @@
     });
 }
 
-/// Versions of the configuration only rise.
-bool OperatorFeed::isNewer(const protocol::TopicRecord &known,
-                           const protocol::TopicRecord &restored) const
+/// Versions of the configuration only rise. Other records have none: what the store says is in
+/// force.
+std::optional<protocol::RecordVersion>
+OperatorFeed::version(const protocol::TopicRecord &record) const
 {
-    if (known.key != wire::ConfigurationKey || !known.value || !restored.value) {
-        return false;
+    if (record.key != wire::ConfigurationKey || !record.value) {
+        return std::nullopt;
     }
-    const auto versionIn = [](const std::string &text) {
-        return framework::leaf::try_handle_all(
-            [&]() -> framework::Result<std::uint64_t> {
-                BOOST_LEAF_AUTO(configuration, decodeConfiguration(text));
-                return configuration->version().value();
-            },
-            [] { return std::uint64_t{0}; });
-    };
-    return versionIn(*known.value) > versionIn(*restored.value);
+    return framework::leaf::try_handle_all(
+        [&]() -> framework::Result<std::optional<protocol::RecordVersion>> {
+            BOOST_LEAF_AUTO(configuration, decode(*record.value));
+            return protocol::RecordVersion{
+                {}, framework::ReportNumber(configuration->version().value())};
+        },
+        [] { return std::optional<protocol::RecordVersion>(); });
+}
+
+void OperatorFeed::onOutdated(const protocol::TopicRecord &record)
+{
+    m_logger.info("configuration is older than the one known; it is ignored",
+                  {{"key", record.key}, {"offset", std::to_string(record.offset.value())}});
+}
+
+framework::Result<std::shared_ptr<const serving::ServingConfiguration>>
+OperatorFeed::decode(const std::string &text) const
+{
+    if (!m_decoded || text != m_decodedText) {
+        BOOST_LEAF_ASSIGN(m_decoded, decodeConfiguration(text));
+        m_decodedText = text;
+    }
+    return m_decoded;
 }
 
 bool OperatorFeed::onRecord(const protocol::TopicRecord &record)
@@ -115,7 +131,7 @@
 {
     framework::leaf::try_handle_all(
         [&]() -> framework::Result<void> {
-            BOOST_LEAF_AUTO(configuration, decodeConfiguration(text));
+            BOOST_LEAF_AUTO(configuration, decode(text));
             m_serving.applyConfiguration(std::move(configuration));
             return {};
         },
--- a/src/platform/internal/operatorfeed.h
+++ b/src/platform/internal/operatorfeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/result.h"
 #include "framework/types/ids.h"
 #include "platform/internal/rolloutorderfeed.h"
 #include "platform/internal/topicreader.h"
@@ -9,6 +10,7 @@
 
 #include <memory>
 #include <set>
+#include <string>
 
 namespace lavendertally::membership {
 class IBackendServerUpdates;
@@ -16,7 +18,8 @@
 
 namespace lavendertally::serving {
 class IServingUpdates;
-}
+class ServingConfiguration;
+} // namespace lavendertally::serving
 
 namespace lavendertally::platform {
 
@@ -43,13 +46,18 @@
     void onConfirmed(framework::TimePoint instant) override;
     void onSourceRecovered() override { }
     void onStoreRestored() override;
-    bool isNewer(const protocol::TopicRecord &known,
-                 const protocol::TopicRecord &restored) const override;
+    std::optional<protocol::RecordVersion>
+    version(const protocol::TopicRecord &record) const override;
+    void onOutdated(const protocol::TopicRecord &record) override;
 
 private:
     void publishZones();
     void apply(const protocol::TopicRecord &record);
     void applyConfiguration(const std::string &text);
+    /// \return the configuration, or DecodeError; a text that is decoded twice in a row is parsed
+    /// once
+    framework::Result<std::shared_ptr<const serving::ServingConfiguration>>
+    decode(const std::string &text) const;
 
     framework::ILogger &m_logger;
     serving::IServingUpdates &m_serving;
@@ -60,6 +68,9 @@
     /// had the time to write their changes again.
     std::set<framework::AvailabilityZoneId> m_keptZones;
     std::unique_ptr<framework::ITimer> m_keptZonesTimer;
+    /// Last text that was decoded, and what it says.
+    mutable std::string m_decodedText;
+    mutable std::shared_ptr<const serving::ServingConfiguration> m_decoded;
     RolloutOrderFeed m_rollouts;
     replication::TopicReplica m_replica{*this};
     TopicReader m_reader;
--- a/src/platform/internal/topicpace.h
+++ b/src/platform/internal/topicpace.h
@@ -11,6 +11,9 @@
     framework::Milliseconds wait;
     /// Time from an answer to the next call.
     framework::Milliseconds pause;
+    /// How far back the changes are read again when this daemon begins to read for its peers, which
+    /// do not pass heartbeats on.
+    framework::Milliseconds rereadTime;
 };
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -110,7 +110,8 @@
 void TopicReader::readChanges()
 {
     m_asked = m_clock.now();
-    m_from = m_replica.next();
+    const bool isReread = m_hasFollowed && m_pace.rereadTime > framework::Milliseconds(0);
+    m_from = isReread ? m_replica.nextAt(m_asked - m_pace.rereadTime) : m_replica.next();
     m_call = m_store.readChanges(
         m_topic, m_from, m_pace.wait,
         [this](framework::Result<StoreChanges> changes) { onChanges(std::move(changes)); });
@@ -126,6 +127,7 @@
             // The newest records may not help; then the store is not called without a pause.
             const bool isRepeated = m_droppedAt == m_from;
             m_droppedAt = m_from;
+            m_hasFollowed = false;
             later(isRepeated ? nextRetryDelay() : framework::Milliseconds(0),
                   [this] { readNewest({}); });
             return;
@@ -144,6 +146,7 @@
     }
     succeeded();
     m_droppedAt.reset();
+    m_hasFollowed = m_mode == replication::SourceMode::Off;
     m_replica.append(changes->records, m_from, changes->next, m_asked, changes->era);
     later(m_pace.pause, [this] { readChanges(); });
 }
@@ -212,6 +215,7 @@
 void TopicReader::setMode(replication::SourceMode mode)
 {
     m_mode = mode;
+    m_hasFollowed = m_hasFollowed || mode == replication::SourceMode::Off;
     if (m_isStepDue) {
         runStep();
     }
--- a/src/platform/internal/topicreader.h
+++ b/src/platform/internal/topicreader.h
@@ -73,6 +73,9 @@
     /// What is done after a pause, or once the store is to be read.
     std::function<void()> m_step;
     bool m_isStepDue = false;
+    /// Whether this daemon has followed its peers, which pass no heartbeats on, since its last read
+    /// of changes.
+    bool m_hasFollowed = false;
     std::vector<protocol::TopicRecord> m_snapshot;
     framework::LogOffset m_snapshotEnd;
     framework::StoreEra m_snapshotEra;
--- a/src/protocol/internal/protobufpeercodec.cpp
+++ b/src/protocol/internal/protobufpeercodec.cpp
@@ -142,6 +142,11 @@
             if (record.value) {
                 target.set_value(*record.value);
             }
+            if (record.lastVersion) {
+                target.set_last_incarnation(record.lastVersion->incarnation.value());
+                target.set_last_number(record.lastVersion->number.value());
+            }
+            target.set_restarts_numbers(record.restartsNumbers);
         }
         out.set_next(message.next.value());
         out.set_era(message.era.value());
@@ -354,6 +359,11 @@
         if (record.has_value()) {
             target.value = record.value();
         }
+        if (record.has_last_incarnation() && record.has_last_number()) {
+            target.lastVersion = RecordVersion{framework::Incarnation(record.last_incarnation()),
+                                               framework::ReportNumber(record.last_number())};
+        }
+        target.restartsNumbers = record.restarts_numbers();
         state.records.push_back(std::move(target));
     }
     state.next = framework::LogOffset(in.next());
--- a/src/replication/itopicobserver.h
+++ b/src/replication/itopicobserver.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "framework/types/timepoint.h"
+#include "protocol/types/recordversion.h"
 #include "protocol/types/topicrecord.h"
 
+#include <optional>
 #include <vector>
 
 namespace lavendertally::replication {
@@ -29,10 +31,14 @@
     /// the copy lacks are written again after a while.
     virtual void onStoreRestored() = 0;
 
-    /// Compares records of one key, of which one was known before the store was restored.
-    /// \return whether \p known is newer than \p restored by its content
-    virtual bool isNewer(const protocol::TopicRecord &known,
-                         const protocol::TopicRecord &restored) const = 0;
+    /// \return order of the record among those of its key by what its writer says, by which records
+    /// that the store took late are told from new ones; nothing if its writer numbers none
+    virtual std::optional<protocol::RecordVersion>
+    version(const protocol::TopicRecord &record) const = 0;
+
+    /// The record is older by its version than what is known of its key. It is neither applied nor
+    /// passed on to followers.
+    virtual void onOutdated(const protocol::TopicRecord &record) = 0;
 
     /// The topic can be read again after an outage of the store; called before the records that
     /// were missed are delivered.
--- a/src/replication/topicreplica.h
+++ b/src/replication/topicreplica.h
@@ -2,9 +2,11 @@
 
 #include "framework/types/ids.h"
 #include "framework/types/timepoint.h"
+#include "protocol/types/recordversion.h"
 #include "protocol/types/topicrecord.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,6 +21,10 @@
 /// of another daemon; their offsets make applying them idempotent, whichever the source. Offsets
 /// compare within one era of the store only: a later era replaces the state, an earlier one is
 /// ignored.
+///
+/// The store may take a write seconds late, so a higher offset does not make a record newer. Where
+/// records have versions, these decide, whatever the source. Versions of deleted keys are kept and
+/// passed on.
 class TopicReplica
 {
 public:
@@ -37,9 +43,10 @@
     /// meaningful if isLoaded()
     framework::TimePoint confirmedAt() const { return m_confirmedAt; }
 
-    /// Replaces the state by a snapshot. Ignored if the snapshot is older than the state. In a new
-    /// era, records that are newer by their content than those of the snapshot stay.
-    /// \param records latest record of each key, in any order
+    /// Replaces the state by a snapshot. Ignored if the snapshot is older than the state. What is
+    /// known of a key stays if its version is later than that in the snapshot.
+    /// \param records latest record of each key, in any order; those of another daemon with deleted
+    /// keys, too
     /// \param end first offset after the snapshot
     /// \param confirmed instant before which no record written to the store is missing
     /// \param era era of the store in which the snapshot was made
@@ -48,8 +55,8 @@
                  framework::TimePoint confirmed, framework::StoreEra era = framework::StoreEra(0));
 
     /// Applies the changes between two offsets. Ignored before the first snapshot, if there is a
-    /// gap between the state and \p from, and if the changes are of another era. Records that were
-    /// applied before are skipped.
+    /// gap between the state and \p from, and if the changes are of another era. Of records that
+    /// were covered before, only the versions are noted.
     /// \param records in order of offset
     /// \param from first offset that the changes cover
     /// \param next first offset after the changes
@@ -59,6 +66,11 @@
                 framework::LogOffset next, framework::TimePoint confirmed,
                 framework::StoreEra era = framework::StoreEra(0));
 
+    /// \return an offset up to which the state was confirmed at \p instant, or the earliest one
+    /// known if all are later. Heartbeats since then may be unknown here, as followers do not get
+    /// them.
+    framework::LogOffset nextAt(framework::TimePoint instant) const;
+
     /// Records that the topic can be read again after an outage of the store, and notifies the
     /// observer.
     /// \param instant end of the outage
@@ -79,9 +91,34 @@
     TopicChanges changesSince(std::optional<framework::LogOffset> from) const;
 
 private:
-    /// Begins a new era: tells the observer, and keeps what is newer than the snapshot.
-    void restore(std::vector<protocol::TopicRecord> &records, framework::TimePoint confirmed);
-    void upsert(const protocol::TopicRecord &record, bool isChange);
+    /// What is known of one key.
+    struct Known
+    {
+        /// Latest value, with the offset of its last change that was not a heartbeat. No value if
+        /// the key was deleted.
+        protocol::TopicRecord record;
+        /// Latest version that was read.
+        std::optional<protocol::RecordVersion> version;
+        /// Version of the last record that was passed over as outdated; nothing once one was
+        /// applied.
+        std::optional<protocol::RecordVersion> outdatedVersion;
+        /// When the first of a series of outdated records with rising versions was read.
+        framework::TimePoint outdatedSince;
+    };
+
+    /// Instant and the first offset that was not confirmed then.
+    struct Position
+    {
+        framework::TimePoint confirmed;
+        framework::LogOffset next;
+    };
+
+    std::optional<protocol::RecordVersion> versionOf(const protocol::TopicRecord &record) const;
+    /// Takes a record of a snapshot, without telling the observer of its value.
+    void merge(protocol::TopicRecord record);
+    void apply(protocol::TopicRecord record, framework::TimePoint confirmed);
+    /// Notes the version of a record that was covered before.
+    void note(const protocol::TopicRecord &record);
     void purgeTombstones();
     void confirm(framework::TimePoint confirmed);
 
@@ -90,9 +127,10 @@
     framework::StoreEra m_era;
     framework::LogOffset m_next;
     framework::TimePoint m_confirmedAt;
-    /// Latest value of each key, with the offset of its last change that was not a heartbeat.
-    /// Includes tombstones of keys that were deleted at or after m_historyStart.
-    std::map<std::string, protocol::TopicRecord> m_latest;
+    /// Includes tombstones of all keys that were deleted at or after m_historyStart.
+    std::map<std::string, Known> m_latest;
+    /// In order of time, some time apart.
+    std::deque<Position> m_positions;
     /// First offset since which all changes, deletions too, are known.
     framework::LogOffset m_historyStart;
     framework::LogOffset m_lastChangeEnd;
