Replication: trouble of one daemon is no outage of the store

Cause: a reader whose connections were reset took that for an outage of the store, kept entries that vanish for 2 s, and told its followers, which did the same. A peer's read meanwhile was to refute it, but the time between two reads is longer than such trouble. The other way round, a reader that heard of another daemon's first read after a real outage took that as proof against the outage.

Change: StoreAvailability decides for all topics of a daemon. An outage is a time of 2 s or more in which own calls failed and no daemon heard from was answered; in less time no registration lapses. Readers take over outages that peers report unless the store was read meanwhile. Log lines name the evidence.

--- a/src/platform/internal/backendserverfeed.cpp
+++ b/src/platform/internal/backendserverfeed.cpp
@@ -27,7 +27,7 @@
 BackendServerFeed::BackendServerFeed(StoreClient &store, framework::IScheduler &scheduler,
                                      const framework::IClock &clock, framework::ILogger &logger,
                                      membership::IBackendServerUpdates &servers)
-    : m_clock(clock), m_logger(logger), m_servers(servers),
+    : m_store(store), m_clock(clock), m_logger(logger), m_servers(servers),
       m_reader(store, scheduler, clock, logger, std::string(wire::ServersTopic), Pace, m_replica)
 { }
 
@@ -43,11 +43,23 @@
     }
 }
 
+void BackendServerFeed::onConfirmed(framework::TimePoint instant)
+{
+    m_store.availability().noteAnswered(instant);
+}
+
 void BackendServerFeed::onSourceRecovered()
 {
     m_servers.registryRecovered(m_clock.now());
 }
 
+void BackendServerFeed::onStoreRestored()
+{
+    m_logger.info(
+        "store was away; registrations that lapsed meanwhile are kept for a while",
+        {{"topic", std::string(wire::ServersTopic)}, {"evidence", "store came back from a copy"}});
+}
+
 std::optional<protocol::RecordVersion>
 BackendServerFeed::version(const protocol::TopicRecord &record) const
 {
--- a/src/platform/internal/backendserverfeed.h
+++ b/src/platform/internal/backendserverfeed.h
@@ -24,14 +24,15 @@
 
     void onSnapshot(const std::vector<protocol::TopicRecord> &records) override;
     bool onRecord(const protocol::TopicRecord &record) override;
-    void onConfirmed(framework::TimePoint /*instant*/) override { }
+    void onConfirmed(framework::TimePoint instant) override;
     void onSourceRecovered() override;
-    void onStoreRestored() override { }
+    void onStoreRestored() override;
     std::optional<protocol::RecordVersion>
     version(const protocol::TopicRecord &record) const override;
     void onOutdated(const protocol::TopicRecord &record) override;
 
 private:
+    StoreClient &m_store;
     const framework::IClock &m_clock;
     framework::ILogger &m_logger;
     membership::IBackendServerUpdates &m_servers;
--- a/src/platform/internal/operatorfeed.cpp
+++ b/src/platform/internal/operatorfeed.cpp
@@ -29,8 +29,8 @@
                            const framework::IClock &clock, framework::ILogger &logger,
                            serving::IServingUpdates &serving,
                            membership::IBackendServerUpdates &servers)
-    : m_logger(logger), m_serving(serving), m_servers(servers), m_scheduler(scheduler),
-      m_rollouts(scheduler, logger),
+    : m_logger(logger), m_store(store), m_serving(serving), m_servers(servers),
+      m_scheduler(scheduler), m_rollouts(scheduler, logger),
       m_reader(store, scheduler, clock, logger, std::string(wire::OperatorTopic), Pace, m_replica)
 { }
 
@@ -106,6 +106,7 @@
 
 void OperatorFeed::onConfirmed(framework::TimePoint instant)
 {
+    m_store.availability().noteAnswered(instant);
     m_serving.confirm(instant);
 }
 
--- a/src/platform/internal/operatorfeed.h
+++ b/src/platform/internal/operatorfeed.h
@@ -60,6 +60,7 @@
     decode(const std::string &text) const;
 
     framework::ILogger &m_logger;
+    StoreClient &m_store;
     serving::IServingUpdates &m_serving;
     membership::IBackendServerUpdates &m_servers;
     framework::IScheduler &m_scheduler;
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -107,9 +107,10 @@
     }
     request.timeout = AnswerTimeout;
     return m_client.fetch(request,
-                          [this, due = m_clock.now() + LateAnswer,
+                          [this, asked = m_clock.now(),
                            callback = std::move(callback)](const http::HttpResponse &response) {
-                              const framework::StoreEra era = note("newest", response, due);
+                              const framework::StoreEra era =
+                                  note("newest", response, asked, framework::Milliseconds(0));
                               callback(isSuccess(response)
                                            ? inEra(decodePage(response.body), era)
                                            : framework::asyncError<StorePage>(errorIn(response)));
@@ -130,9 +131,9 @@
     request.timeout = wait + AnswerTimeout;
     return m_client.fetch(
         request,
-        [this, from, due = m_clock.now() + wait + LateAnswer,
+        [this, from, asked = m_clock.now(), wait,
          callback = std::move(callback)](const http::HttpResponse &response) {
-            const framework::StoreEra era = note("read", response, due);
+            const framework::StoreEra era = note("read", response, asked, wait);
             callback(isSuccess(response) ? inEra(decodeChanges(response.body, from), era)
                                          : framework::asyncError<StoreChanges>(errorIn(response)));
         });
@@ -162,9 +163,9 @@
     request.body = encodeRecord(record);
     request.timeout = AnswerTimeout;
     return m_client.fetch(request,
-                          [this, due = m_clock.now() + LateAnswer,
+                          [this, asked = m_clock.now(),
                            callback = std::move(callback)](const http::HttpResponse &response) {
-                              note("append", response, due);
+                              note("append", response, asked, framework::Milliseconds(0));
                               callback(isSuccess(response)
                                            ? framework::Result<void>()
                                            : framework::asyncError<void>(errorIn(response)));
@@ -172,13 +173,16 @@
 }
 
 framework::StoreEra StoreClient::note(const char *call, const http::HttpResponse &response,
-                                      framework::TimePoint due)
+                                      framework::TimePoint asked, framework::Milliseconds wait)
 {
     const framework::TimePoint now = m_clock.now();
     const bool isAnswered = isSuccess(response) || response.status == HttpGone
         || response.status == HttpPreconditionFailed;
-    if (!isAnswered || now > due) {
-        m_lastTrouble = now;
+    if (!isAnswered || now - asked > wait + LateAnswer) {
+        m_availability.noteTrouble();
+    }
+    if (isAnswered) {
+        m_availability.noteOwnAnswer(asked, now);
     }
     if (response.end == http::HttpEnd::Malformed) {
         m_logger.warning("store sent no HTTP response; outcome of the call unknown",
--- a/src/platform/internal/storeclient.h
+++ b/src/platform/internal/storeclient.h
@@ -7,6 +7,7 @@
 #include "framework/types/timepoint.h"
 #include "platform/internal/storechanges.h"
 #include "platform/internal/storepage.h"
+#include "replication/storeavailability.h"
 
 #include <functional>
 #include <memory>
@@ -61,21 +62,24 @@
     Call appendAt(std::string_view topic, const protocol::TopicRecord &record,
                   framework::LogOffset at, std::function<void(framework::Result<void>)> callback);
 
-    /// \return when a call failed last or its answer was late: registrations may have lapsed then
-    framework::TimePoint lastTrouble() const { return m_lastTrouble; }
+    /// \return what the calls of this daemon, and those of its peers as far as they are noted
+    /// there, tell of the store
+    replication::StoreAvailability &availability() { return m_availability; }
 
 private:
     Call sendAppend(std::string target, const protocol::TopicRecord &record,
                     std::function<void(framework::Result<void>)> callback);
+    /// \param asked when the call was made
+    /// \param wait how long the store may have held the call back
     /// \return era that the answer names, or the greatest one before if it names none
     framework::StoreEra note(const char *call, const http::HttpResponse &response,
-                             framework::TimePoint due);
+                             framework::TimePoint asked, framework::Milliseconds wait);
 
     http::IHttpClient &m_client;
     framework::Endpoint m_store;
     const framework::IClock &m_clock;
     framework::ILogger &m_logger;
-    framework::TimePoint m_lastTrouble;
+    replication::StoreAvailability m_availability;
     /// Greatest era that an answer has named.
     framework::StoreEra m_era;
     framework::IMetrics &m_metrics;
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -23,9 +23,8 @@
 constexpr framework::Milliseconds MinRetryDelay{500};
 constexpr framework::Milliseconds MaxRetryDelay{3000};
 
-/// Peers may have read later than this daemon before the store went away, by the time between two
-/// reads and this.
-constexpr framework::Milliseconds PeerSlack{500};
+/// An outage that ended longer ago has no consequences for a topic that is read again only now.
+constexpr framework::Milliseconds MaxOutageNewsAge{5000};
 
 const char *errorName(StoreError error)
 {
@@ -151,9 +150,8 @@
     later(m_pace.pause, [this] { readChanges(); });
 }
 
-/// Any call that failed or was late since the last success counts, also one for another topic: a
-/// short silence need not fall on a call for this one. It was not the store that was away if peers
-/// have read it meanwhile.
+/// An outage counts that any call has met, also one for another topic: a short one need not fall on
+/// a call for this one.
 void TopicReader::succeeded()
 {
     const framework::TimePoint now = m_clock.now();
@@ -163,13 +161,17 @@
             {{"topic", m_topic}, {"away_ms", std::to_string((now - m_lastSuccess).value())}});
         m_lost = false;
     }
-    const framework::Milliseconds lead = m_pace.wait + m_pace.pause + PeerSlack;
-    const bool readByPeers = m_replica.confirmedAt() > m_lastConfirmed + lead;
-    if (m_store.lastTrouble() > m_lastSuccess && !readByPeers) {
-        m_replica.markSourceRecovered(now);
+    const std::optional<replication::StoreOutage> &outage = m_store.availability().lastOutage();
+    const bool isNew =
+        outage && outage->ended > m_lastSuccess && now - outage->ended <= MaxOutageNewsAge;
+    if (isNew && m_replica.isLoaded()) {
+        m_logger.info("store was away; registrations that lapsed meanwhile are kept for a while",
+                      {{"topic", m_topic},
+                       {"evidence", "own calls failed and no peer was answered"},
+                       {"away_ms", std::to_string(outage->length().value())}});
+        m_replica.markSourceRecovered({outage->began, now});
     }
     m_lastSuccess = now;
-    m_lastConfirmed = m_asked;
     m_retryDelay = {};
 }
 
--- a/src/platform/internal/topicreader.h
+++ b/src/platform/internal/topicreader.h
@@ -86,8 +86,6 @@
     framework::TimePoint m_asked;
     framework::TimePoint m_snapshotAsked;
     framework::TimePoint m_lastSuccess;
-    /// When the last call that succeeded was sent.
-    framework::TimePoint m_lastConfirmed;
     bool m_lost = false;
 };
 
--- a/src/replication/internal/topicexchange.cpp
+++ b/src/replication/internal/topicexchange.cpp
@@ -12,6 +12,7 @@
 #include "replication/topicreplica.h"
 #include "replication/types/replicatedtopic.h"
 #include "replication/types/sourcemode.h"
+#include "replication/types/storeoutage.h"
 #include "replication/types/topicchanges.h"
 
 #include <algorithm>
@@ -183,9 +184,10 @@
                                      replica.next(), now - replica.confirmedAt(),
                                      std::nullopt,   {},
                                      replica.era()};
-        if (now - replica.recoveredAt() < m_limits.recoveryNoticeTime) {
-            digest.sinceRecovery = now - replica.recoveredAt();
-            digest.outage = replica.recoveredAt() - replica.unavailableSince();
+        const StoreOutage &outage = replica.lastOutage();
+        if (now - outage.ended < m_limits.recoveryNoticeTime) {
+            digest.sinceRecovery = now - outage.ended;
+            digest.outage = outage.length();
         }
         result.push_back(digest);
     }
@@ -221,9 +223,9 @@
         // The peer has not noticed yet that the store was restored.
         return;
     }
-    if (pingSent && digest.sinceRecovery && !topic.readsStore) {
-        const framework::TimePoint recovered = *pingSent - *digest.sinceRecovery;
-        noteRecovery(topic, recovered, recovered - digest.outage);
+    if (pingSent && digest.sinceRecovery) {
+        const framework::TimePoint ended = *pingSent - *digest.sinceRecovery;
+        noteOutage(peer, digest.topic, topic, {ended - digest.outage, ended});
     }
     const bool isOutdated =
         std::pair(replica.era(), replica.next()) < std::pair(digest.era, digest.lastChangeEnd);
@@ -241,19 +243,34 @@
     }
 }
 
-/// Registrations that expired during an outage of the store may be renewed after it, so a daemon
-/// that follows peers grants them the same grace period as those that read the store. An outage
-/// that affected only the peer says nothing about the store and is ignored.
-void TopicExchange::noteRecovery(Topic &topic, framework::TimePoint recovered,
-                                 framework::TimePoint unavailableSince)
+/// Registrations that expired during an outage of the store may be renewed after it, so all daemons
+/// grant the same grace period as the one that has seen it, which may not be the first one to read
+/// the store again. An outage in which this daemon, or another that it heard from, has read the
+/// store was trouble of the peer alone.
+void TopicExchange::noteOutage(const framework::DaemonId &peer, protocol::StateTopic name,
+                               Topic &topic, const StoreOutage &outage)
 {
     TopicReplica &replica = topic.replica;
-    const bool wasOnlyPeerCutOff =
-        replica.confirmedAt() > unavailableSince + m_limits.peerOutageMargin;
-    const bool isNew = recovered - replica.recoveredAt() > m_limits.recoveryMergeWindow;
-    if (replica.isLoaded() && isNew && !wasOnlyPeerCutOff) {
-        replica.markSourceRecovered(recovered);
+    const framework::TimePoint lastEnd =
+        std::max(replica.lastOutage().ended, topic.ignoredOutageEnd);
+    if (!replica.isLoaded() || outage.ended - lastEnd <= m_limits.recoveryMergeWindow) {
+        return;
+    }
+    const bool wasRead = replica.confirmedAt() > outage.began + m_limits.peerOutageMargin;
+    const bool isIgnored = wasRead || outage.length() < MinStoreOutage;
+    m_logger.info(isIgnored
+                      ? "outage of the store that a peer reports is ignored"
+                      : "store was away; registrations that lapsed meanwhile are kept for a while",
+                  {{"topic", topicName(name)},
+                   {"evidence", wasRead ? "store was read meanwhile" : "reported by a peer"},
+                   {"peer", peer.value()},
+                   {"away_ms", std::to_string(outage.length().value())},
+                   {"age_ms", std::to_string((m_clock.now() - replica.confirmedAt()).value())}});
+    if (isIgnored) {
+        topic.ignoredOutageEnd = outage.ended;
+        return;
     }
+    replica.markSourceRecovered(outage);
 }
 
 void TopicExchange::sendQuery(const framework::DaemonId &peer, protocol::StateTopic name,
--- a/src/replication/internal/topicreplica.cpp
+++ b/src/replication/internal/topicreplica.cpp
@@ -53,7 +53,7 @@
     }
     if (m_isLoaded && era != m_era) {
         m_positions.clear();
-        markSourceRecovered(confirmed);
+        markSourceRecovered({m_confirmedAt, std::max(m_confirmedAt, confirmed)});
         m_observer.onStoreRestored();
     }
     m_era = era;
@@ -229,10 +229,9 @@
     return next;
 }
 
-void TopicReplica::markSourceRecovered(framework::TimePoint instant)
+void TopicReplica::markSourceRecovered(const StoreOutage &outage)
 {
-    m_recoveredAt = instant;
-    m_unavailableSince = m_confirmedAt;
+    m_lastOutage = outage;
     m_observer.onSourceRecovered();
 }
 
--- a/src/replication/topicexchange.h
+++ b/src/replication/topicexchange.h
@@ -37,6 +37,7 @@
 class ITopicSource;
 class TopicReplica;
 struct ReplicatedTopic;
+struct StoreOutage;
 
 /// Keeps replicas of topics up to date by anti-entropy between daemons. The first daemons of the
 /// ranking that can be reached read the store. The others compare the digests in their pongs with
@@ -90,6 +91,8 @@
         framework::TimePoint queriedAt;
         framework::LogOffset queriedFrom;
         framework::DaemonId queriedPeer;
+        /// End of the last outage that a peer reported and this daemon ignored.
+        framework::TimePoint ignoredOutageEnd;
     };
 
     void tick();
@@ -102,8 +105,8 @@
     void applyDigest(const framework::DaemonId &peer, Topic &topic,
                      const protocol::TopicDigest &digest,
                      std::optional<framework::TimePoint> pingSent);
-    void noteRecovery(Topic &topic, framework::TimePoint recovered,
-                      framework::TimePoint unavailableSince);
+    void noteOutage(const framework::DaemonId &peer, protocol::StateTopic name, Topic &topic,
+                    const StoreOutage &outage);
     void sendQuery(const framework::DaemonId &peer, protocol::StateTopic name, Topic &topic);
     void answerQuery(const framework::DaemonId &peer, const protocol::TopicQuery &query);
     void applyState(const framework::DaemonId &peer, const protocol::TopicState &state);
--- a/src/replication/topicreplica.h
+++ b/src/replication/topicreplica.h
@@ -4,6 +4,7 @@
 #include "framework/types/timepoint.h"
 #include "protocol/types/recordversion.h"
 #include "protocol/types/topicrecord.h"
+#include "replication/types/storeoutage.h"
 
 #include <cstddef>
 #include <deque>
@@ -73,14 +74,11 @@
 
     /// Records that the topic can be read again after an outage of the store, and notifies the
     /// observer.
-    /// \param instant end of the outage
-    void markSourceRecovered(framework::TimePoint instant);
+    /// \param outage ends no earlier than the last one
+    void markSourceRecovered(const StoreOutage &outage);
 
-    /// \return end of the last outage; the start of the clock if there was none
-    framework::TimePoint recoveredAt() const { return m_recoveredAt; }
-    /// \return confirmedAt() at the end of the last outage, the earliest instant at which it can
-    /// have begun
-    framework::TimePoint unavailableSince() const { return m_unavailableSince; }
+    /// \return the last outage; at the start of the clock if there was none
+    const StoreOutage &lastOutage() const { return m_lastOutage; }
 
     /// \return first offset after the last record that changed the state; later records were
     /// heartbeats
@@ -134,8 +132,7 @@
     /// First offset since which all changes, deletions too, are known.
     framework::LogOffset m_historyStart;
     framework::LogOffset m_lastChangeEnd;
-    framework::TimePoint m_recoveredAt;
-    framework::TimePoint m_unavailableSince;
+    StoreOutage m_lastOutage;
     std::size_t m_tombstoneCount = 0;
 };
 
