HTTP client: an answer ends with its connection only once the request is acknowledged

Callers: a part of an answer, with its signature, as the whole.

Cause: such an answer was taken for whole once nothing of the request waited in the process. The system takes 3 MB at once, acknowledged or not.

Change: the client waits until the server has acknowledged the whole request, and asks the system for a failure meanwhile. A server that acknowledges nothing for 1 s does not take the request; its answer is broken.

--- a/src/app/tests/brokenanswertest.cpp
+++ b/src/app/tests/brokenanswertest.cpp
@@ -101,6 +101,11 @@
                 event_del(connection.readable);
             }
             ScriptedServer::send(connection, m_answer);
+            if (m_resetsAfterItsEnd) {
+                ::shutdown(connection.fd, SHUT_WR);
+                m_later = m_loop->callAfter(framework::Milliseconds(100),
+                                            [&connection] { ScriptedServer::reset(connection); });
+            }
         }
     }
 
@@ -108,8 +113,12 @@
     int m_answers = 0;
     /// Whether the scripted server reads only the beginning of a request.
     bool m_leavesUploadUnread = false;
+    /// Whether the scripted server closes its side behind an answer and resets the connection
+    /// later.
+    bool m_resetsAfterItsEnd = false;
     ScriptedServer::Connection *m_answering = nullptr;
     ScriptedServer m_server;
+    std::unique_ptr<framework::ITimer> m_later;
     GatewayProcess m_gateway;
 };
 
@@ -208,3 +217,20 @@
     ASSERT_TRUE(waitFor([&client] { return client.m_end.has_value(); }));
     EXPECT_EQ(client.m_end, http::HttpEnd::Broken);
 }
+
+// Guards against a part of an answer, with its signature, that a client gets as the whole: the
+// server has closed its side, but resets the connection instead of taking the request.
+TEST_F(BrokenAnswerTest, AnswerEndsBeforeUploadIsTakenAndIsResetLater_ClientSeesNoWholeAnswer)
+{
+    constexpr std::size_t UploadSize = 3000000;
+    startReadyGateway();
+    m_leavesUploadUnread = true;
+    m_resetsAfterItsEnd = true;
+    m_answer = signedAnswer("200 OK", "", "part");
+    http::HttpRequest request = ask(m_gateway, "/book/x", "r1");
+    request.body.assign(UploadSize, 'u');
+    const http::HttpResponse response = call(request);
+    EXPECT_FALSE(response.end == http::HttpEnd::Complete && response.status == 200)
+        << response.body;
+    EXPECT_EQ(m_answers, 1);
+}
--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -25,6 +25,11 @@
 /// that is busy takes a few tens of milliseconds for that.
 constexpr framework::Milliseconds RejectionWindow{100};
 
+/// A server that has closed its side and acknowledges nothing more of a request for this long does
+/// not take it.
+constexpr framework::Milliseconds AcknowledgementWait{1000};
+constexpr framework::Milliseconds AcknowledgementCheckInterval{10};
+
 /// \return the time that the server states in `Keep-Alive: timeout=SECONDS`
 std::optional<framework::Milliseconds> statedKeepAlive(const HttpHeaders &headers)
 {
@@ -66,6 +71,7 @@
     m_isMalformed = false;
     m_partSize = MaxPartBytes;
     m_flow = Flow::Running;
+    m_unacknowledged.reset();
     m_timer.reset();
     if (m_connected) {
         sendRequest();
@@ -225,26 +231,43 @@
         m_call->serverClosing();
         return;
     }
-    if (m_call != nullptr && m_connected && inOrder && m_parser->hasHead()) {
-        if (!m_parser->head().framed && m_socket->unsent() > 0) {
-            // A server that resets the connection instead of taking the rest of the request may
-            // have cut its answer.
-            m_endsOnceSent = true;
-            return;
-        }
-        const bool complete = m_parser->feedEnd() == ResponseParser::State::Complete;
-        if (deliver()) {
-            finish(complete);
-        }
+    if (m_call == nullptr || !m_connected || !inOrder || !m_parser->hasHead()) {
+        finish(false);
+    } else if (m_parser->head().framed) {
+        endWithConnection();
+    } else {
+        awaitAcknowledgement();
+    }
+}
+
+void ClientConnection::awaitAcknowledgement()
+{
+    if (m_socket->checkFailure()) {
+        finish(false);
+        return;
+    }
+    const std::size_t missing = m_socket->unacknowledged();
+    if (missing == 0) {
+        endWithConnection();
+        return;
+    }
+    const framework::TimePoint now = m_client.now();
+    if (!m_unacknowledged || missing < *m_unacknowledged) {
+        m_unacknowledged = missing;
+        m_acknowledgedAt = now;
+    }
+    if (now - m_acknowledgedAt >= AcknowledgementWait) {
+        finish(false);
         return;
     }
-    finish(false);
+    m_timer = m_client.loop().callAfter(AcknowledgementCheckInterval, [this] { onClosed(true); });
 }
 
-void ClientConnection::onFlushed()
+void ClientConnection::endWithConnection()
 {
-    if (std::exchange(m_endsOnceSent, false)) {
-        onClosed(true);
+    const bool complete = m_parser->feedEnd() == ResponseParser::State::Complete;
+    if (deliver()) {
+        finish(complete);
     }
 }
 
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -70,7 +70,6 @@
 
     void onConnected() override;
     void onReadable() override;
-    void onFlushed() override;
     void onPeerClosing() override;
     void onClosed(bool inOrder) override;
 
@@ -82,6 +81,11 @@
     bool readPart();
     void afterPause();
     bool deliver();
+    /// Ends a response that ends with the server's side of the connection, once the server has
+    /// acknowledged the whole request. One that resets the connection instead may have cut its
+    /// answer.
+    void awaitAcknowledgement();
+    void endWithConnection();
     void finish(bool complete);
     /// \return whether the server has ended the connection without failing, as far as can be told:
     /// because it has too many, or because it was idle
@@ -103,9 +107,11 @@
     std::optional<bool> m_completeAfterPause;
     /// Set if the connection has ended during the pause: whether in order.
     std::optional<bool> m_closedInOrder;
-    /// Whether the response has ended with the server's side of the connection, and is complete
-    /// once the rest of the request has been sent.
-    bool m_endsOnceSent = false;
+    /// Set if the response has ended with the server's side of the connection before the server had
+    /// acknowledged the whole request: bytes that are missing.
+    std::optional<std::size_t> m_unacknowledged;
+    /// When fewer bytes were missing than before.
+    framework::TimePoint m_acknowledgedAt;
     std::string m_request;
     std::size_t m_requestSize = 0;
     framework::Milliseconds m_acceptanceWait;
--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -291,6 +291,64 @@
     }
 }
 
+// Guards against a part of an answer taken for the whole: the system has taken the request, but the
+// server has not, and resets the connection after it has closed its side.
+TEST_F(ClientFaultTest, UnframedAnswerEndsWithRequestUnacknowledged_IsCompleteOnlyIfItIsTaken)
+{
+    enum class After
+    {
+        Reset,
+        Taken,
+        Nothing
+    };
+    for (const After after : {After::Reset, After::Taken, After::Nothing}) {
+        m_script = [&](auto &connection) {
+            if (m_later) {
+                return;
+            }
+            event_del(connection.readable);
+            ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\nX-Number: 1\r\n\r\nab");
+            ::shutdown(connection.fd, SHUT_WR);
+            m_later = m_loop->callAfter(framework::Milliseconds(100), [&connection, after] {
+                if (after == After::Reset) {
+                    ScriptedServer::reset(connection);
+                } else if (after == After::Taken) {
+                    event_add(connection.readable, nullptr);
+                }
+            });
+        };
+        HttpRequest request = upload();
+        request.body.resize(3000000);
+        MatchingObserver observer(*m_loop, "1");
+        const auto call = m_client->send(std::move(request), observer);
+        m_loop->run();
+        m_later.reset();
+        EXPECT_EQ(observer.m_body, "ab");
+        EXPECT_EQ(observer.m_end, after == After::Taken ? HttpEnd::Complete : HttpEnd::Broken)
+            << static_cast<int>(after);
+    }
+}
+
+TEST_F(ClientFaultTest, UnframedAnswerEndsWithRequestUnacknowledgedWhileHeldBack_IsBroken)
+{
+    m_script = [&](auto &connection) {
+        event_del(connection.readable);
+        ScriptedServer::send(connection, "HTTP/1.1 200 OK\r\nX-Number: 1\r\n\r\nab");
+        ::shutdown(connection.fd, SHUT_WR);
+        m_later = m_loop->callAfter(framework::Milliseconds(20),
+                                    [&connection] { ScriptedServer::reset(connection); });
+    };
+    HttpRequest request = upload();
+    request.body.resize(3000000);
+    MatchingObserver observer(*m_loop, "1");
+    const auto call = m_client->send(std::move(request), observer);
+    observer.m_dataReceived = [&call] { call->pauseReading(); };
+    const auto resume =
+        m_loop->callAfter(framework::Milliseconds(100), [&call] { call->resumeReading(); });
+    m_loop->run();
+    EXPECT_EQ(observer.m_end, HttpEnd::Broken);
+}
+
 TEST_F(ClientFaultTest, ShortAnswerIsBroken)
 {
     m_script = [](auto &connection) {
--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -57,6 +57,12 @@
     void write(std::string_view data);
     /// \return number of buffered bytes not yet passed to the kernel
     std::size_t unsent() const;
+    /// \return number of bytes written that the peer has not acknowledged, those not yet passed to
+    /// the kernel among them; only these if the kernel does not tell
+    std::size_t unacknowledged() const;
+    /// Asks the kernel for a failure of the connection. Once the input has ended, it reports none
+    /// by itself unless something is to be sent. \return whether the connection has failed
+    bool checkFailure();
     /// \return whether the connection has ended with a reset by the peer, which may come before the
     /// observer is told that it is established
     bool wasReset() const { return m_wasReset; }
--- a/src/network/internal/bufferedsocket.cpp
+++ b/src/network/internal/bufferedsocket.cpp
@@ -8,8 +8,10 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <bit>
@@ -170,6 +172,26 @@
     return evbuffer_get_length(bufferevent_get_output(m_bufferEvent));
 }
 
+std::size_t BufferedSocket::unacknowledged() const
+{
+    int inKernel = 0;
+    if (ioctl(bufferevent_getfd(m_bufferEvent), SIOCOUTQ, &inKernel) != 0 || inKernel < 0) {
+        inKernel = 0;
+    }
+    return unsent() + static_cast<std::size_t>(inKernel);
+}
+
+bool BufferedSocket::checkFailure()
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    const int fd = bufferevent_getfd(m_bufferEvent);
+    if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0) {
+        noteFailure(error);
+    }
+    return m_hasFailed;
+}
+
 void BufferedSocket::detach()
 {
     if (m_peerCloseEvent != nullptr) {
