Replication: deletions that a daemon missed outlast late reports, too

Callers: requests to a server that has left, up to some seconds, if the history of the store was dropped between two reads of a gateway, or a gateway started, just when a late report of the server became its newest record.

Cause: the store shows what it executed last. A gateway whose newest record of a server is older than what it knew, or that knew nothing, took the server for alive until its entry lapsed.

Change: after a dropped history such a server gets no work until it reports again. A gateway that has loaded its state from the store asks the first peer that it hears for the recent changes, and drops what was written before a deletion. A state of a peer that is too old to be taken is used for its versions.

All tests of replication, LateReportTest and UsersPlatformTest pass.

--- a/src/platform/internal/daemonfeed.h
+++ b/src/platform/internal/daemonfeed.h
@@ -46,6 +46,7 @@
         // A late registration of a daemon that runs is renewed, one of a daemon that left lapses.
         return std::nullopt;
     }
+    bool areRecordsRenewed() const override { return false; }
     void onOutdated(const protocol::TopicRecord & /*record*/) override { }
 
 private:
--- a/src/platform/internal/operatorfeed.h
+++ b/src/platform/internal/operatorfeed.h
@@ -48,6 +48,7 @@
     void onStoreRestored() override;
     std::optional<protocol::RecordVersion>
     version(const protocol::TopicRecord &record) const override;
+    bool areRecordsRenewed() const override { return false; }
     void onOutdated(const protocol::TopicRecord &record) override;
 
 private:
--- a/src/platform/internal/topicreader.cpp
+++ b/src/platform/internal/topicreader.cpp
@@ -92,7 +92,7 @@
         return;
     }
     if (!m_replica.replace(std::exchange(m_snapshot, {}), m_snapshotEnd, m_snapshotAsked,
-                           m_snapshotEra)) {
+                           m_snapshotEra, replication::SnapshotOrigin::Store)) {
         m_logger.warning("newest records of a topic are older than what is known",
                          {{"topic", m_topic},
                           {"era", std::to_string(m_snapshotEra.value())},
--- a/src/platform/tests/latereporttest.cpp
+++ b/src/platform/tests/latereporttest.cpp
@@ -223,6 +223,14 @@
     m_store.dropHistory(Servers);
     read();
     expectNoneAdmits();
+    write(report(FirstStart, 23, "ready"));
+    read();
+    ASSERT_EQ(m_follower.admitting(), 1U);
+    remove();
+    write(report(FirstStart, 21, "ready"));
+    m_store.dropHistory(Servers);
+    read();
+    expectNoneAdmits();
     for (const auto &record : m_reader.entries().changesSince(std::nullopt).records) {
         EXPECT_FALSE(record.value) << "a gateway that starts would take it from this one";
     }
--- a/src/replication/internal/topicexchange.cpp
+++ b/src/replication/internal/topicexchange.cpp
@@ -229,7 +229,8 @@
     }
     const bool isOutdated =
         std::pair(replica.era(), replica.next()) < std::pair(digest.era, digest.lastChangeEnd);
-    if (!replica.isLoaded() || isOutdated) {
+    const bool comparesHistory = !topic.hasComparedHistory && replica.historyToCompare();
+    if (!replica.isLoaded() || isOutdated || comparesHistory) {
         sendQuery(peer, digest.topic, topic);
         return;
     }
@@ -286,11 +287,14 @@
     if (topic.replica.isLoaded()) {
         query.from = topic.replica.next();
         query.era = topic.replica.era();
+        if (!topic.hasComparedHistory) {
+            query.from = topic.replica.historyToCompare().value_or(*query.from);
+        }
     }
     topic.queriedPeer = peer;
     topic.pendingQuery = query.sequence;
     topic.queriedAt = now;
-    topic.queriedFrom = topic.replica.next();
+    topic.queriedFrom = query.from.value_or(topic.replica.next());
     if (!m_network.send(peer, query)) {
         topic.pendingQuery.reset();
     }
@@ -340,6 +344,7 @@
     if (state.era < replica.era()) {
         return;
     }
+    topic.hasComparedHistory = true;
     if (state.isComplete) {
         replica.replace(state.records, state.next, confirmed, state.era);
     } else {
--- a/src/replication/internal/topicreplica.cpp
+++ b/src/replication/internal/topicreplica.cpp
@@ -18,6 +18,9 @@
 /// has begun to count anew, as after a clock was set back.
 constexpr framework::Milliseconds LateWriteTime{10000};
 
+/// Reports of each writer in the time that the store may take to execute a late write.
+constexpr std::uint64_t ComparedReports = 10;
+
 constexpr std::size_t MaxPositions = 32;
 constexpr framework::Milliseconds PositionInterval{500};
 
@@ -46,9 +49,14 @@
 }
 
 bool TopicReplica::replace(std::vector<protocol::TopicRecord> records, framework::LogOffset end,
-                           framework::TimePoint confirmed, framework::StoreEra era)
+                           framework::TimePoint confirmed, framework::StoreEra era,
+                           SnapshotOrigin origin)
 {
     if (m_isLoaded && std::pair(era, end) < std::pair(m_era, m_next)) {
+        if (era == m_era) {
+            std::for_each(records.begin(), records.end(),
+                          [this](const auto &record) { note(record); });
+        }
         return false;
     }
     if (m_isLoaded && era != m_era) {
@@ -56,6 +64,8 @@
         markSourceRecovered({m_confirmedAt, std::max(m_confirmedAt, confirmed)});
         m_observer.onStoreRestored();
     }
+    const bool isReplayed =
+        era == m_era && origin == SnapshotOrigin::Store && m_observer.areRecordsRenewed();
     m_era = era;
     std::sort(records.begin(), records.end(), hasLowerOffset);
     std::map<std::string, Known> before = std::exchange(m_latest, {});
@@ -64,7 +74,7 @@
         if (known != before.end()) {
             m_latest.insert(before.extract(known));
         }
-        merge(std::move(record));
+        merge(std::move(record), isReplayed);
     }
     // The keys that the snapshot lacks were deleted.
     for (auto &[key, known] : before) {
@@ -90,7 +100,7 @@
     return true;
 }
 
-void TopicReplica::merge(protocol::TopicRecord record)
+void TopicReplica::merge(protocol::TopicRecord record, bool isReplayed)
 {
     const std::optional<protocol::RecordVersion> version = versionOf(record);
     Known &known = m_latest[record.key];
@@ -99,7 +109,8 @@
         && isOutdated(known.version, !known.record.value, version);
     if (isOlder) {
         m_observer.onOutdated(record);
-        record.value = std::move(known.record.value);
+        // The key may have been deleted in the gap.
+        record.value = isReplayed ? std::nullopt : std::move(known.record.value);
     }
     known.version = record.restartsNumbers ? version : std::max(version, known.version);
     known.record = std::move(record);
@@ -176,6 +187,14 @@
         known.record = {record.offset, record.key, std::nullopt};
         ++m_tombstoneCount;
     }
+    const bool wasDeletedSince =
+        !record.value && known.record.value && isOutdated(version, true, known.version);
+    if (wasDeletedSince) {
+        m_observer.onOutdated(known.record);
+        known.record.value.reset();
+        ++m_tombstoneCount;
+        m_observer.onRecord(record);
+    }
     if (known.version && *version <= *known.version) {
         return;
     }
@@ -218,6 +237,15 @@
     m_observer.onConfirmed(m_confirmedAt);
 }
 
+std::optional<framework::LogOffset> TopicReplica::historyToCompare() const
+{
+    if (!m_observer.areRecordsRenewed()) {
+        return std::nullopt;
+    }
+    const std::uint64_t count = m_latest.size() * ComparedReports;
+    return framework::LogOffset(m_next.value() - std::min(m_next.value(), count));
+}
+
 framework::LogOffset TopicReplica::nextAt(framework::TimePoint instant) const
 {
     framework::LogOffset next = m_positions.empty() ? m_next : m_positions.front().next;
--- a/src/replication/itopicobserver.h
+++ b/src/replication/itopicobserver.h
@@ -36,6 +36,10 @@
     virtual std::optional<protocol::RecordVersion>
     version(const protocol::TopicRecord &record) const = 0;
 
+    /// \return whether writers write their records again at short intervals, so that one which
+    /// stays away for a moment may be done without
+    virtual bool areRecordsRenewed() const = 0;
+
     /// The record is older by its version than what is known of its key. It is neither applied nor
     /// passed on to followers.
     virtual void onOutdated(const protocol::TopicRecord &record) = 0;
--- a/src/replication/tests/recordingobserver.h
+++ b/src/replication/tests/recordingobserver.h
@@ -37,8 +37,10 @@
     {
         return readVersion && record.value ? readVersion(*record.value) : std::nullopt;
     }
+    bool areRecordsRenewed() const override { return isRenewed; }
     void onOutdated(const protocol::TopicRecord & /*record*/) override { ++outdatedCount; }
 
+    bool isRenewed = false;
     /// Reads the version from a value; records have none without it.
     std::function<std::optional<protocol::RecordVersion>(const std::string &)> readVersion;
 
--- a/src/replication/tests/topicexchangetest.cpp
+++ b/src/replication/tests/topicexchangetest.cpp
@@ -481,3 +481,37 @@
         EXPECT_EQ(daemon->observer.state, (State{{"k", "5"}}));
     }
 }
+
+/// Guards against a server that has left and is used by a gateway that has started again.
+TEST_F(TopicExchangeTest, DaemonStartsAfterALateReport_PeerTellsThatTheKeyWasDeleted)
+{
+    const auto readVersion = [](const std::string &value) {
+        return protocol::RecordVersion{{}, framework::ReportNumber(std::stoull(value))};
+    };
+    for (const auto &daemon : m_daemons) {
+        daemon->observer.readVersion = readVersion;
+        daemon->observer.isRenewed = true;
+    }
+    m_store.put("k", "2");
+    startAll();
+    advance(Milliseconds(2000));
+    m_store.records.push_back({LogOffset(m_store.records.size()), "k", std::nullopt});
+    advance(ReadInterval + PingInterval);
+    EXPECT_TRUE(last().observer.state.empty());
+    m_store.put("k", "1");
+    advance(ReadInterval + PingInterval);
+    EXPECT_TRUE(last().observer.state.empty());
+    // The last daemon starts again, and the store shows it the late report.
+    Daemon fresh(m_order[3], m_scheduler, m_clock);
+    fresh.observer.readVersion = readVersion;
+    fresh.observer.isRenewed = true;
+    fresh.directory.set(last().directory.ranking());
+    const LogOffset end(m_store.records.size());
+    fresh.replica.replace({m_store.records.back()}, end, m_clock.now(), m_store.era);
+    ASSERT_EQ(fresh.observer.state, (State{{"k", "1"}}));
+    fresh.network.links[m_order[0]] = &first().network;
+    first().network.links[m_order[3]] = &fresh.network;
+    fresh.exchange.start({});
+    fresh.network.ping(m_order[0]);
+    EXPECT_TRUE(fresh.observer.state.empty());
+}
--- a/src/replication/tests/topicreplicatest.cpp
+++ b/src/replication/tests/topicreplicatest.cpp
@@ -168,6 +168,7 @@
         {
             return std::nullopt;
         }
+        bool areRecordsRenewed() const override { return false; }
         void onOutdated(const protocol::TopicRecord & /*record*/) override { }
     };
     RetainingObserver observer;
@@ -315,6 +316,43 @@
     EXPECT_TRUE(m_followerObserver.state.empty());
 }
 
+TEST_F(LateRecordTest, NewestRecordOfStoreIsOlderThanKnown_KeyIsDoneWithoutUntilItIsRenewed)
+{
+    m_observer.isRenewed = true;
+    follow();
+    // In the history that was dropped, the key may have been deleted.
+    m_replica.replace({put(20, "a", "2.3 ready")}, LogOffset(21), m_now, framework::StoreEra(0),
+                      SnapshotOrigin::Store);
+    follow();
+    EXPECT_TRUE(m_observer.state.empty());
+    EXPECT_TRUE(m_followerObserver.state.empty());
+    append("2.5 ready");
+    follow();
+    EXPECT_EQ(m_observer.state, (State{{"a", "2.5 ready"}}));
+    EXPECT_EQ(m_followerObserver.state, (State{{"a", "2.5 ready"}}));
+}
+
+TEST_F(LateRecordTest, DaemonStartsAfterALateReport_HistoryOfAPeerTellsThatTheKeyWasDeleted)
+{
+    append(std::nullopt);
+    append("2.3 ready");
+    RecordingObserver freshObserver;
+    freshObserver.readVersion = readVersion;
+    freshObserver.isRenewed = true;
+    TopicReplica fresh(freshObserver);
+    fresh.replace({put(m_replica.next().value() - 1, "a", "2.3 ready")}, m_replica.next(), m_now,
+                  framework::StoreEra(0), SnapshotOrigin::Store);
+    ASSERT_FALSE(freshObserver.state.empty());
+    const auto from = fresh.historyToCompare();
+    ASSERT_TRUE(from);
+    const TopicChanges changes = m_replica.changesSince(from);
+    fresh.append(changes.records, fresh.next(), changes.next, m_now);
+    EXPECT_TRUE(freshObserver.state.empty());
+    append("2.5 ready");
+    synchronize(m_replica, fresh, m_now);
+    EXPECT_EQ(freshObserver.state, (State{{"a", "2.5 ready"}}));
+}
+
 TEST_F(LateRecordTest, StoreIsBackFromCopy_OlderReportsChangeNothing)
 {
     const auto restore = [this](std::vector<protocol::TopicRecord> records) {
--- a/src/replication/topicexchange.h
+++ b/src/replication/topicexchange.h
@@ -91,6 +91,9 @@
         framework::TimePoint queriedAt;
         framework::LogOffset queriedFrom;
         framework::DaemonId queriedPeer;
+        /// Whether a peer has been asked for the history before the state was loaded from the
+        /// store.
+        bool hasComparedHistory = false;
         /// End of the last outage that a peer reported and this daemon ignored.
         framework::TimePoint ignoredOutageEnd;
     };
--- a/src/replication/topicreplica.h
+++ b/src/replication/topicreplica.h
@@ -4,6 +4,7 @@
 #include "framework/types/timepoint.h"
 #include "protocol/types/recordversion.h"
 #include "protocol/types/topicrecord.h"
+#include "replication/types/snapshotorigin.h"
 #include "replication/types/storeoutage.h"
 
 #include <cstddef>
@@ -44,16 +45,15 @@
     /// meaningful if isLoaded()
     framework::TimePoint confirmedAt() const { return m_confirmedAt; }
 
-    /// Replaces the state by a snapshot. Ignored if the snapshot is older than the state. What is
-    /// known of a key stays if its version is later than that in the snapshot.
-    /// \param records latest record of each key, in any order; those of another daemon with deleted
-    /// keys, too
-    /// \param end first offset after the snapshot
-    /// \param confirmed instant before which no record written to the store is missing
-    /// \param era era of the store in which the snapshot was made
-    /// \return whether the state was replaced
+    /// Replaces the state by a snapshot. Ignored, but for the versions, if the snapshot is older
+    /// than the state. What is known of a key stays if its version is later than that in the
+    /// snapshot. \param records latest record of each key, in any order; those of another daemon
+    /// with deleted keys, too \param end first offset after the snapshot \param confirmed instant
+    /// before which no record written to the store is missing \param era era of the store in which
+    /// the snapshot was made \return whether the state was replaced
     bool replace(std::vector<protocol::TopicRecord> records, framework::LogOffset end,
-                 framework::TimePoint confirmed, framework::StoreEra era = framework::StoreEra(0));
+                 framework::TimePoint confirmed, framework::StoreEra era = framework::StoreEra(0),
+                 SnapshotOrigin origin = SnapshotOrigin::Peer);
 
     /// Applies the changes between two offsets. Ignored before the first snapshot, if there is a
     /// gap between the state and \p from, and if the changes are of another era. Of records that
@@ -67,6 +67,11 @@
                 framework::LogOffset next, framework::TimePoint confirmed,
                 framework::StoreEra era = framework::StoreEra(0));
 
+    /// \return offset since which a daemon that has loaded its state from the store should ask a
+    /// peer for the changes: the store shows what it executed last, peers know what was written
+    /// last; nothing if records have no versions to tell
+    std::optional<framework::LogOffset> historyToCompare() const;
+
     /// \return an offset up to which the state was confirmed at \p instant, or the earliest one
     /// known if all are later. Heartbeats since then may be unknown here, as followers do not get
     /// them.
@@ -113,9 +118,12 @@
 
     std::optional<protocol::RecordVersion> versionOf(const protocol::TopicRecord &record) const;
     /// Takes a record of a snapshot, without telling the observer of its value.
-    void merge(protocol::TopicRecord record);
+    /// \param isReplayed whether the snapshot follows a gap in the history of the store: a record
+    /// that is older than what is known came after all that its writer wrote in the gap
+    void merge(protocol::TopicRecord record, bool isReplayed);
     void apply(protocol::TopicRecord record, framework::TimePoint confirmed);
-    /// Notes the version of a record that was covered before.
+    /// Notes the version of a record that was covered before. Drops what was known of its key if
+    /// that was written before the deletion that \p record is.
     void note(const protocol::TopicRecord &record);
     void purgeTombstones();
     void confirm(framework::TimePoint confirmed);
