--- a/src/http/tests/clientfaulttest.cpp
+++ b/src/http/tests/clientfaulttest.cpp
@@ -320,7 +320,7 @@
         HttpRequest request = upload();
         request.body.resize(3000000);
         MatchingObserver observer(*m_loop, "1");
-        const auto call = m_client->send(std::move(request), observer);
+        const auto call = m_client->send(request, observer);
         m_loop->run();
         m_later.reset();
         EXPECT_EQ(observer.m_body, "ab");
@@ -341,7 +341,7 @@
     HttpRequest request = upload();
     request.body.resize(3000000);
     MatchingObserver observer(*m_loop, "1");
-    const auto call = m_client->send(std::move(request), observer);
+    const auto call = m_client->send(request, observer);
     observer.m_dataReceived = [&call] { call->pauseReading(); };
     const auto resume =
         m_loop->callAfter(framework::Milliseconds(100), [&call] { call->resumeReading(); });
--- a/src/replication/internal/topicreplica.cpp
+++ b/src/replication/internal/topicreplica.cpp
@@ -64,7 +64,7 @@
         markSourceRecovered({m_confirmedAt, std::max(m_confirmedAt, confirmed)});
         m_observer.onStoreRestored();
     }
-    const bool isReplayed =
+    const bool isAfterGap =
         era == m_era && origin == SnapshotOrigin::Store && m_observer.areRecordsRenewed();
     m_era = era;
     std::sort(records.begin(), records.end(), hasLowerOffset);
@@ -74,7 +74,7 @@
         if (known != before.end()) {
             m_latest.insert(before.extract(known));
         }
-        merge(std::move(record), isReplayed);
+        merge(std::move(record), isAfterGap);
     }
     // The keys that the snapshot lacks were deleted.
     for (auto &[key, known] : before) {
@@ -100,7 +100,7 @@
     return true;
 }
 
-void TopicReplica::merge(protocol::TopicRecord record, bool isReplayed)
+void TopicReplica::merge(protocol::TopicRecord record, bool isAfterGap)
 {
     const std::optional<protocol::RecordVersion> version = versionOf(record);
     Known &known = m_latest[record.key];
@@ -109,8 +109,7 @@
         && isOutdated(known.version, !known.record.value, version);
     if (isOlder) {
         m_observer.onOutdated(record);
-        // The key may have been deleted in the gap.
-        record.value = isReplayed ? std::nullopt : std::move(known.record.value);
+        record.value = isAfterGap ? std::nullopt : std::move(known.record.value);
     }
     known.version = record.restartsNumbers ? version : std::max(version, known.version);
     known.record = std::move(record);
--- a/src/replication/topicreplica.h
+++ b/src/replication/topicreplica.h
@@ -47,10 +47,13 @@
 
     /// Replaces the state by a snapshot. Ignored, but for the versions, if the snapshot is older
     /// than the state. What is known of a key stays if its version is later than that in the
-    /// snapshot. \param records latest record of each key, in any order; those of another daemon
-    /// with deleted keys, too \param end first offset after the snapshot \param confirmed instant
-    /// before which no record written to the store is missing \param era era of the store in which
-    /// the snapshot was made \return whether the state was replaced
+    /// snapshot.
+    /// \param records latest record of each key, in any order; those of a peer include deleted keys
+    /// \param end first offset after the snapshot
+    /// \param confirmed instant before which no record written to the store is missing
+    /// \param era era of the store in which the snapshot was made
+    /// \param origin who made the snapshot
+    /// \return whether the state was replaced
     bool replace(std::vector<protocol::TopicRecord> records, framework::LogOffset end,
                  framework::TimePoint confirmed, framework::StoreEra era = framework::StoreEra(0),
                  SnapshotOrigin origin = SnapshotOrigin::Peer);
@@ -118,9 +121,10 @@
 
     std::optional<protocol::RecordVersion> versionOf(const protocol::TopicRecord &record) const;
     /// Takes a record of a snapshot, without telling the observer of its value.
-    /// \param isReplayed whether the snapshot follows a gap in the history of the store: a record
-    /// that is older than what is known came after all that its writer wrote in the gap
-    void merge(protocol::TopicRecord record, bool isReplayed);
+    /// \param isAfterGap whether the snapshot follows a gap in the history of the store, in which
+    /// the key may have been deleted; a record that is older than what is known is dropped then
+    void merge(protocol::TopicRecord record, bool isAfterGap);
+    /// Takes a record that follows the state, unless it is outdated.
     void apply(protocol::TopicRecord record, framework::TimePoint confirmed);
     /// Notes the version of a record that was covered before. Drops what was known of its key if
     /// that was written before the deletion that \p record is.
@@ -135,7 +139,7 @@
     framework::TimePoint m_confirmedAt;
     /// Includes tombstones of all keys that were deleted at or after m_historyStart.
     std::map<std::string, Known> m_latest;
-    /// In order of time, some time apart.
+    /// Positions of the last seconds, in order of time.
     std::deque<Position> m_positions;
     /// First offset since which all changes, deletions too, are known.
     framework::LogOffset m_historyStart;
