--- a/src/network/bufferedsocket.h
+++ b/src/network/bufferedsocket.h
@@ -61,7 +61,8 @@
     /// the kernel among them; only these if the kernel does not tell
     std::size_t unacknowledged() const;
     /// Asks the kernel for a failure of the connection. Once the input has ended, it reports none
-    /// by itself unless something is to be sent. \return whether the connection has failed
+    /// by itself unless something is to be sent.
+    /// \return whether the connection has failed
     bool checkFailure();
     /// \return whether the connection has ended with a reset by the peer, which may come before the
     /// observer is told that it is established
