--- a/review/standins-3/kit.h
+++ b/review/standins-3/kit.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -618,6 +619,8 @@
         settings.close();
         m_pid = fork();
         if (m_pid == 0) {
+            // A script that is stopped from outside leaves no process behind.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = open((folder + "/" + name + ".log").c_str(),
                                  O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, 1);
--- a/review/standins-3/unframedanswer.cpp
+++ b/review/standins-3/unframedanswer.cpp
@@ -3,8 +3,6 @@
 
 #include "kit.h"
 
-#include <sys/prctl.h>
-
 using namespace kit;
 
 namespace {
