Review: an entry that lacks fields moves a worker to another service

Cause: as in the case before this change: an entry without `sequence` and `born` is taken for valid and for newer than all reports of the worker.

--- a/review/standins-3/desk.h
+++ b/review/standins-3/desk.h
@@ -7,12 +7,12 @@
 
 namespace kit {
 
-/// A worker of the service `desk`.
+/// A worker of a service whose requests have the path /SERVICE/.
 class DeskWorker
 {
 public:
-    explicit DeskWorker(std::string name)
-        : m_name(std::move(name)), m_born(unixMs()),
+    explicit DeskWorker(std::string name, std::string service = "desk")
+        : m_name(std::move(name)), m_service(std::move(service)), m_born(unixMs()),
           m_server([this](Connection &connection, const Message &request) {
               return answer(connection, request);
           })
@@ -25,7 +25,7 @@
     void report(Store &store, const std::string &state)
     {
         store.put("keyed.servers", m_name,
-                  workerEntry("desk", endpoint(), state, 6, ++m_sequence, m_born));
+                  workerEntry(m_service, endpoint(), state, 6, ++m_sequence, m_born));
     }
     /// \return how many requests it has run since \p time
     int runsSince(std::int64_t time)
@@ -38,6 +38,9 @@
         return count;
     }
 
+    /// \return how many requests of another service it has run
+    int foreignRuns() const { return m_foreignRuns; }
+
 private:
     bool answer(Connection &connection, const Message &request)
     {
@@ -56,31 +59,41 @@
             const std::lock_guard lock(m_mutex);
             m_runs.push_back(nowMs());
         }
-        record().line(m_name + " runs request " + id);
+        const bool isForeign = request.target().rfind("/" + m_service + "/", 0) != 0;
+        m_foreignRuns += isForeign ? 1 : 0;
+        record().line(m_name + " of service " + m_service + " runs request " + id + " "
+                      + request.target());
         sleepMs(15);
         headers.emplace_back("X-Lavendertally-Response-Signature", "s-" + id);
-        return connection.send(writeMessage("HTTP/1.1 200 OK", headers, "booked by " + m_name));
+        return connection.send(writeMessage("HTTP/1.1 200 OK", headers, "done by " + m_name));
     }
 
     const std::string m_name;
+    const std::string m_service;
     const std::int64_t m_born;
     std::atomic<bool> m_isLeaving{false};
     std::atomic<std::uint64_t> m_sequence{0};
+    std::atomic<int> m_foreignRuns{0};
     std::mutex m_mutex;
     std::vector<std::int64_t> m_runs;
     Server m_server;
 };
 
-/// \param tenants JSON, or empty if the configuration has none
-inline std::string deskConfiguration(int version, const std::string &tenants)
+/// \return a configuration with the services `desk` and `ledger` and a public route for each
+inline std::string deskConfiguration()
 {
-    return "{\"version\":" + std::to_string(version) + R"(,"routes":[{"name":"book",
-        "hostname":"desk.example","pathPrefix":"/book/","service":"desk",
-        "routeKind":"non_idempotent","timeoutMs":2000,"priority":0,"public":)"
-        + (tenants.empty() ? "true" : "false")
-        + R"(,"maxAttempts":2,"targetLatencyMs":100}],"services":[{"name":"desk",
-        "healthPath":"/healthz","maxConnections":51}])"
-        + (tenants.empty() ? "" : ",\"tenants\":" + tenants) + "}";
+    const auto route = [](const std::string &service, const std::string &kind) {
+        return "{\"name\":\"" + service + "\",\"hostname\":\"desk.example\",\"pathPrefix\":\"/"
+            + service + "/\",\"service\":\"" + service + "\",\"routeKind\":\"" + kind
+            + R"(","timeoutMs":2000,"priority":0,"public":true,"maxAttempts":2,
+            "targetLatencyMs":100})";
+    };
+    const auto service = [](const std::string &name) {
+        return "{\"name\":\"" + name + R"(","healthPath":"/healthz","maxConnections":51})";
+    };
+    return R"({"version":1,"routes":[)" + route("desk", "non_idempotent") + ","
+        + route("ledger", "idempotent") + R"(],"services":[)" + service("desk") + ","
+        + service("ledger") + "]}";
 }
 
 /// Workers report every `heartbeatMs`, each in its own state; an empty one says nothing.
@@ -118,6 +131,15 @@
         }
     }
 
+    /// Waits until all workers have just reported.
+    void awaitReports()
+    {
+        const int before = m_rounds;
+        while (m_rounds == before) {
+            sleepMs(1);
+        }
+    }
+
 private:
     static constexpr std::int64_t HeartbeatMs = 1200;
 
@@ -129,18 +151,20 @@
                 worker->report(m_store, m_states[worker]);
             }
         }
+        ++m_rounds;
     }
 
     Store &m_store;
     std::vector<DeskWorker *> m_workers;
     std::mutex m_mutex;
     std::map<DeskWorker *, std::string> m_states;
+    std::atomic<int> m_rounds{0};
     std::atomic<bool> m_isDone{false};
     std::thread m_thread;
 };
 
-/// Sends one booking, with a new id.
-inline Message book(Gateway &gateway, const std::string &key = "")
+/// Sends one request of the service, with a new id.
+inline Message request(Gateway &gateway, const std::string &service, const std::string &key = "")
 {
     static std::atomic<int> number{0};
     const std::string id = "r" + std::to_string(++number);
@@ -149,9 +173,11 @@
     if (!key.empty()) {
         headers.emplace_back("Api-Key", key);
     }
-    const Message answer = ask(gateway.front(), "POST", "/book/1", headers, "{}", 4000);
-    record().line("request " + id + (key.empty() ? "" : " with " + key) + " to " + gateway.name()
-                  + ": " + answer.outcome());
+    const Message answer =
+        ask(gateway.front(), "POST", "/" + service + "/1", headers, "{}", 4000);
+    record().line("request " + id + " /" + service + "/1" + (key.empty() ? "" : " with " + key)
+                  + " to " + gateway.name() + ": " + answer.outcome()
+                  + (answer.body.empty() ? "" : ", " + answer.body));
     return answer;
 }
 
--- a/review/standins-3/oddentry.cpp
+++ b/review/standins-3/oddentry.cpp
@@ -1,5 +1,6 @@
-// A worker is draining. Another writer leaves an entry under the worker's id that lacks fields. It
-// names no worker to use, so the draining worker must not get work again.
+// Another writer leaves entries that lack fields under the ids of two workers: one that is ready, and
+// one that is draining. Such an entry names no worker to use, so the first must not get requests of
+// the service that the entry names, and the second must not get work again.
 
 #include "desk.h"
 
@@ -8,7 +9,13 @@
 namespace {
 
 constexpr std::int64_t DrainMs = 2000;
-constexpr std::int64_t Workers = 4;
+
+/// \return an entry without version, sequence, coldRemainingMs and born
+std::string oddEntry(const DeskWorker &worker, const std::string &service)
+{
+    return "{\"service\":\"" + service + "\",\"address\":\"" + worker.endpoint()
+        + "\",\"zone\":\"zone-a\",\"slots\":6,\"state\":\"ready\"}";
+}
 
 } // namespace
 
@@ -19,53 +26,69 @@
     Rig rig;
     std::vector<std::unique_ptr<DeskWorker>> workers;
     std::vector<DeskWorker *> all;
-    for (int number = 1; number <= Workers; ++number) {
-        workers.push_back(std::make_unique<DeskWorker>("w" + std::to_string(number)));
+    const auto add = [&](const std::string &name, const std::string &service) -> DeskWorker & {
+        workers.push_back(std::make_unique<DeskWorker>(name, service));
         all.push_back(workers.back().get());
-    }
-    DeskWorker &leaving = *workers.front();
-    rig.store().put("keyed.op", "config", deskConfiguration(1, ""));
+        return *workers.back();
+    };
+    DeskWorker &leaving = add("d1", "desk");
+    DeskWorker &ready = add("d2", "desk");
+    add("d3", "desk");
+    add("d4", "desk");
+    add("l1", "ledger");
+    add("l2", "ledger");
+    rig.store().put("keyed.op", "config", deskConfiguration());
     Heartbeats heartbeats(rig.store(), all);
     rig.startGateways(2);
+    int served = 0;
     const auto load = [&](std::int64_t time) {
-        int served = 0;
         for (const std::int64_t end = nowMs() + time; nowMs() < end; sleepMs(20)) {
             for (auto &gateway : rig.gateways()) {
-                served += book(*gateway).status() == 200 ? 1 : 0;
+                served += request(*gateway, "desk").status() == 200 ? 1 : 0;
+                served += request(*gateway, "ledger").status() == 200 ? 1 : 0;
             }
         }
-        return served;
+    };
+    const auto foreign = [&] {
+        int count = 0;
+        for (const DeskWorker *worker : all) {
+            count += worker->foreignRuns();
+        }
+        return count;
     };
     const std::int64_t started = nowMs();
     load(2000);
-    if (leaving.runsSince(started) == 0) {
-        notRun("w1 gets no requests before it leaves");
+    if (leaving.runsSince(started) == 0 || ready.runsSince(started) == 0) {
+        notRun("a worker gets no requests before anything happens");
     }
     heartbeats.setState(leaving, "draining");
-    const std::int64_t acknowledged = nowMs();
-    record().line("the store has accepted that w1 is draining");
+    record().line("the store has accepted that d1 is draining");
     load(DrainMs + 500);
     const std::int64_t late = nowMs();
     load(500);
-    if (leaving.runsSince(late) > 0) {
-        notRun("w1 gets requests later than drainMs after the ack without any trouble");
+    if (leaving.runsSince(late) > 0 || foreign() > 0) {
+        notRun("a rule is broken without any trouble");
     }
-    heartbeats.setState(leaving, "draining");
+    heartbeats.awaitReports();
     if (hasTrouble()) {
-        rig.store().put("keyed.servers", leaving.name(),
-                        "{\"service\":\"desk\",\"address\":\"" + leaving.endpoint()
-                            + "\",\"zone\":\"zone-a\",\"slots\":6,\"state\":\"ready\"}");
-        record().line("another writer has left an entry under w1 without version, sequence, born "
-                      "and coldRemainingMs");
+        rig.store().put("keyed.servers", ready.name(), oddEntry(ready, "ledger"));
+        rig.store().put("keyed.servers", leaving.name(), oddEntry(leaving, "desk"));
+        record().line("another writer has left entries without version, sequence, coldRemainingMs "
+                      "and born: d2 of service ledger, d1 ready");
     }
-    // Until the worker's next report.
-    const int served = load(2500);
-    const int runs = leaving.runsSince(late);
-    record().line("requests that w1 ran later than " + std::to_string(late - acknowledged)
-                  + " ms after the ack of its draining: " + std::to_string(runs) + ", served in all: "
-                  + std::to_string(served));
-    if (runs > 0) {
+    served = 0;
+    load(2500);
+    const int lateRuns = leaving.runsSince(late);
+    record().line("requests that a worker of another service ran: " + std::to_string(foreign())
+                  + ", that d1 ran later than drainMs after the ack of its draining: "
+                  + std::to_string(lateRuns) + ", served: " + std::to_string(served));
+    if (foreign() > 0) {
+        record().line("ROUTE: requests are run by a service to which no configuration sent them");
+    }
+    if (lateRuns > 0) {
         record().line("DRAIN: a worker that leaves gets requests again");
+    }
+    if (foreign() + lateRuns > 0) {
         return ExitBroken;
     }
     if (served == 0) {
--- a/review/standins-3/stageorder.cpp
+++ b/review/standins-3/stageorder.cpp
@@ -13,7 +13,7 @@
 {
     const std::string common = R"("hostname":"desk.example","timeoutMs":2000,"priority":0,
         "public":false,"maxAttempts":1,"targetLatencyMs":1000,)";
-    std::string routes = R"({"name":"book","pathPrefix":"/book/","service":"desk",)" + common
+    std::string routes = R"({"name":"book","pathPrefix":"/desk/","service":"desk",)" + common
         + R"("routeKind":"non_idempotent"})";
     if (!stages.empty()) {
         routes += R"(,{"name":"plan","pathPrefix":"/plan/","service":"desk",)" + common
@@ -43,7 +43,7 @@
     rig.startGateways(2);
     Gateway &one = *rig.gateways()[0];
     Gateway &other = *rig.gateways()[1];
-    if (book(one, "key-revoked").status() != 200 || book(other, "key-kept").status() != 200) {
+    if (request(one, "desk", "key-revoked").status() != 200 || request(other, "desk", "key-kept").status() != 200) {
         notRun("requests are not served");
     }
     // The same two stages, numbered the other way round.
@@ -60,13 +60,13 @@
     }
     const std::int64_t late = nowMs();
     for (int round = 0; round < 10; ++round) {
-        book(one, "key-revoked");
-        book(other, "key-revoked");
+        request(one, "desk", "key-revoked");
+        request(other, "desk", "key-revoked");
     }
     const int runs = first.runsSince(late) + second.runsSince(late);
     record().line("requests with the key that was taken away which ran later than 5 s after the "
                   "ack: " + std::to_string(runs) + " of 20");
-    if (book(one, "key-kept").status() != 200) {
+    if (request(one, "desk", "key-kept").status() != 200) {
         notRun("the key that is left is not served");
     }
     if (runs > 0) {
