--- a/review/standins-3/oddentry.cpp
+++ b/review/standins-3/oddentry.cpp
@@ -1,6 +1,7 @@
-// Another writer leaves entries that lack fields under the ids of two workers: one that is ready, and
-// one that is draining. Such an entry names no worker to use, so the first must not get requests of
-// the service that the entry names, and the second must not get work again.
+// Another writer leaves entries that lack a field, or hold one of another type, under the ids of three
+// workers. Such an entry names no worker to use, so the first one must not get requests of the service
+// that its entry names, the second one, which is draining, must not get work again, and the third one
+// must not get work later than drainMs after it has reported that it drains.
 
 #include "desk.h"
 
@@ -17,6 +18,15 @@
         + "\",\"zone\":\"zone-a\",\"slots\":6,\"state\":\"ready\"}";
 }
 
+/// \return an entry whose version is a number, with a higher sequence than the worker's own
+std::string mistypedEntry(const DeskWorker &worker)
+{
+    return "{\"service\":\"desk\",\"address\":\"" + worker.endpoint()
+        + "\",\"zone\":\"zone-a\",\"version\":1,\"slots\":6,\"state\":\"ready\","
+          "\"coldRemainingMs\":0,\"sequence\":1000000,\"born\":"
+        + std::to_string(worker.born()) + "}";
+}
+
 } // namespace
 
 int main(int, char **arguments)
@@ -33,7 +43,7 @@
     };
     DeskWorker &leaving = add("d1", "desk");
     DeskWorker &ready = add("d2", "desk");
-    add("d3", "desk");
+    DeskWorker &next = add("d3", "desk");
     add("d4", "desk");
     add("l1", "ledger");
     add("l2", "ledger");
@@ -73,22 +83,31 @@
     if (hasTrouble()) {
         rig.store().put("keyed.servers", ready.name(), oddEntry(ready, "ledger"));
         rig.store().put("keyed.servers", leaving.name(), oddEntry(leaving, "desk"));
+        rig.store().put("keyed.servers", next.name(), mistypedEntry(next));
         record().line("another writer has left entries without version, sequence, coldRemainingMs "
-                      "and born: d2 of service ledger, d1 ready");
+                      "and born: d2 of service ledger, d1 ready; and one with a number as version: "
+                      "d3 ready");
     }
     served = 0;
     load(2500);
     const int lateRuns = leaving.runsSince(late);
+    heartbeats.setState(next, "draining");
+    record().line("the store has accepted that d3 is draining");
+    load(DrainMs + 500);
+    const std::int64_t nextLate = nowMs();
+    load(3000);
+    const int nextRuns = next.runsSince(nextLate);
     record().line("requests that a worker of another service ran: " + std::to_string(foreign())
-                  + ", that d1 ran later than drainMs after the ack of its draining: "
-                  + std::to_string(lateRuns) + ", served: " + std::to_string(served));
+                  + "; that ran later than drainMs after the ack of the draining, at d1: "
+                  + std::to_string(lateRuns) + ", at d3: " + std::to_string(nextRuns)
+                  + "; served: " + std::to_string(served));
     if (foreign() > 0) {
         record().line("ROUTE: requests are run by a service to which no configuration sent them");
     }
-    if (lateRuns > 0) {
+    if (lateRuns + nextRuns > 0) {
         record().line("DRAIN: a worker that leaves gets requests again");
     }
-    if (foreign() + lateRuns > 0) {
+    if (foreign() + lateRuns + nextRuns > 0) {
         return ExitBroken;
     }
     if (served == 0) {
