Review: a late heartbeat brings a worker back that has said that it leaves

Cause: when the entry of a worker goes, the gateway forgets that the worker said it leaves; an entry that comes back by a late write is taken for that of a new worker. The work folder of a script goes also when the case could not run.

--- a/review/standins-3/desk.h
+++ b/review/standins-3/desk.h
@@ -27,6 +27,8 @@
         store.put("keyed.servers", m_name,
                   workerEntry(m_service, endpoint(), state, 6, ++m_sequence, m_born));
     }
+    /// The process ends: it listens no more, and its connections are closed.
+    void exit() { m_server.stop(); }
     /// \return how many requests it has run since \p time
     int runsSince(std::int64_t time)
     {
@@ -50,6 +52,7 @@
                            {"X-Lavendertally-Server-Load", "1,0,6"}};
         if (m_isLeaving) {
             headers.emplace_back("Server-Leaving", "1");
+            headers.emplace_back("Connection", "close");
         }
         if (!expected.empty() && expected != m_name) {
             headers.emplace_back("X-Lavendertally-Not-Executed", "1");
@@ -65,7 +68,8 @@
                       + request.target());
         sleepMs(15);
         headers.emplace_back("X-Lavendertally-Response-Signature", "s-" + id);
-        return connection.send(writeMessage("HTTP/1.1 200 OK", headers, "done by " + m_name));
+        return connection.send(writeMessage("HTTP/1.1 200 OK", headers, "done by " + m_name))
+            && !m_isLeaving;
     }
 
     const std::string m_name;
--- a/review/standins-3/kit.h
+++ b/review/standins-3/kit.h
@@ -86,6 +86,20 @@
 
 [[noreturn]] inline void notRun(const std::string &reason);
 
+/// The folder of this run, for its settings and logs.
+inline std::string &workFolder()
+{
+    static std::string instance;
+    return instance;
+}
+
+inline void removeWorkFolder()
+{
+    if (!workFolder().empty() && std::getenv("KEEP_LOGS") == nullptr) {
+        [[maybe_unused]] const int result = std::system(("rm -rf " + workFolder()).c_str());
+    }
+}
+
 /// Processes that were started and not waited for.
 inline std::set<pid_t> &children()
 {
@@ -687,13 +701,12 @@
     {
         char folder[] = "/tmp/review-XXXXXX";
         m_folder = mkdtemp(folder);
+        workFolder() = m_folder;
     }
     ~Rig()
     {
         m_gateways.clear();
-        if (std::getenv("KEEP_LOGS") == nullptr) {
-            [[maybe_unused]] const int result = std::system(("rm -rf " + m_folder).c_str());
-        }
+        removeWorkFolder();
     }
     Store &store() { return m_store; }
     const std::string &folder() const { return m_folder; }
@@ -765,6 +778,7 @@
     for (const pid_t child : children()) {
         kill(child, SIGKILL);
     }
+    removeWorkFolder();
     std::_Exit(ExitNotRun);
 }
 
