Stage calls: a connection is used again only after the answer to its call

Cause: a stage server's late second answer to /stage-free was read as the answer to the next /stage-run. That call counted as failed, but its connection stayed in use, and the answer that followed went to the call after it. Only refusals and copies of known results gave up the connection. Change: http asks each call whether a complete response is its own before the connection is kept. /stage-run, /stage-free and /report say so by what they asked for, calls of host processes by the status; closeIdle() is gone. A log line and a metric show such answers. Why it works: an answer with results is taken by the call that it belongs to, or its connection has been closed before. A /stage-run that meets any other answer closes it, so no result can arrive in the next call.

--- a/src/backends/internal/httpbackendcall.cpp
+++ b/src/backends/internal/httpbackendcall.cpp
@@ -28,8 +28,7 @@
 HttpBackendCall::HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
                                  std::unique_ptr<IResponseReader> reader,
                                  IBackendObserver &observer)
-    : m_client(client), m_endpoint(request.endpoint), m_reader(std::move(reader)),
-      m_observer(observer), m_call(client.send(request, *this))
+    : m_reader(std::move(reader)), m_observer(observer), m_call(client.send(request, *this))
 { }
 
 HttpBackendCall::~HttpBackendCall() = default;
@@ -46,6 +45,7 @@
 
 bool HttpBackendCall::onHead(const http::HttpResponseHead &head)
 {
+    m_status = head.status;
     const auto rate = http::findHeader(head.headers, RateLimitField);
     m_observer.onAnswerHead(rate ? http::parseRequestRate(*rate) : std::nullopt);
     return true;
@@ -65,6 +65,12 @@
     }
 }
 
+/// A refusal or an error may be a copy of an earlier one; nothing in it names the call.
+bool HttpBackendCall::isOwnResponse()
+{
+    return m_status == HttpOk;
+}
+
 void HttpBackendCall::onEnd(http::HttpEnd end, int status)
 {
     switch (end) {
@@ -90,10 +96,6 @@
         finishResponse();
         return;
     }
-    if (status == HttpServiceUnavailable) {
-        // A refusal that is sent once more must not be taken for the answer to the next call.
-        m_client.closeIdle(m_endpoint);
-    }
     const BackendError error =
         status == HttpServiceUnavailable ? BackendError::NotRun : BackendError::Unknown;
     m_observer.onFailed(error,
--- a/src/backends/internal/httpbackendcall.h
+++ b/src/backends/internal/httpbackendcall.h
@@ -32,11 +32,11 @@
 private:
     bool onHead(const http::HttpResponseHead &head) override;
     void onData(int status, std::string_view data) override;
+    bool isOwnResponse() override;
     void onEnd(http::HttpEnd end, int status) override;
     void finishResponse();
 
-    http::IHttpClient &m_client;
-    framework::Endpoint m_endpoint;
+    int m_status = 0;
     std::unique_ptr<IResponseReader> m_reader;
     IBackendObserver &m_observer;
     std::string m_errorBody;
--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -33,9 +33,6 @@
     virtual std::unique_ptr<IHttpCall> fetch(const HttpRequest &request,
                                              std::function<void(HttpResponse)> callback) = 0;
 
-    /// Closes the idle connections to a server whose answers may be out of step with the requests.
-    virtual void closeIdle(const framework::Endpoint &endpoint) = 0;
-
     /// Finds out whether a server accepts connections, without sending anything.
     /// \param timeout time after which the server counts as silent
     /// \param callback called once, later, unless the handle is destroyed first
--- a/src/http/ihttpresponseobserver.h
+++ b/src/http/ihttpresponseobserver.h
@@ -22,6 +22,11 @@
     /// \param status status code of the response
     virtual void onData(int status, std::string_view data) = 0;
 
+    /// The whole response is here; called once before onEnd(), and must not destroy the call.
+    /// \return whether it is known to be the response to this request. If not, the response to this
+    /// request may still follow, so the connection is closed instead of being used again.
+    virtual bool isOwnResponse() { return true; }
+
     /// The server has closed its sending side while the call was paused. What it had sent is handed
     /// on after IHttpCall::resumeReading().
     virtual void onServerClosing() { }
--- a/src/http/internal/clientcall.cpp
+++ b/src/http/internal/clientcall.cpp
@@ -134,6 +134,11 @@
     m_observer.onServerClosing();
 }
 
+bool ClientCall::isOwnResponse()
+{
+    return m_observer.isOwnResponse();
+}
+
 void ClientCall::end(HttpEnd end)
 {
     m_connection = nullptr;
--- a/src/http/internal/clientcall.h
+++ b/src/http/internal/clientcall.h
@@ -43,6 +43,7 @@
     void head(const HttpResponseHead &head);
     void data(std::string_view data);
     void serverClosing();
+    bool isOwnResponse();
     void end(HttpEnd end);
     /// \return whether the response under way belongs to another request
     bool skipsResponse() const { return m_skips; }
--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -284,7 +284,8 @@
         return;
     }
     const HttpEnd incomplete = incompleteEnd();
-    const bool reusable = complete && !skipped && m_parser->keepAlive() && m_parser->head().framed
+    const bool isOwn = complete && !skipped && (call == nullptr || call->isOwnResponse());
+    const bool reusable = isOwn && m_parser->keepAlive() && m_parser->head().framed
         && m_socket->unsent() == 0 && m_socket->input().empty() && !m_closedInOrder;
     if (reusable) {
         const auto stated = statedKeepAlive(m_parser->head().headers);
--- a/src/http/internal/pooledhttpclient.cpp
+++ b/src/http/internal/pooledhttpclient.cpp
@@ -54,19 +54,6 @@
     return std::make_unique<WholeResponseCall>(*this, request, std::move(callback));
 }
 
-void PooledHttpClient::closeIdle(const framework::Endpoint &endpoint)
-{
-    const auto idle = m_idle.find(endpoint);
-    if (idle == m_idle.end()) {
-        return;
-    }
-    // Closing a connection removes it from the list.
-    const std::vector<ClientConnection *> connections = idle->second;
-    for (ClientConnection *connection : connections) {
-        connection->close();
-    }
-}
-
 std::unique_ptr<IHttpCall> PooledHttpClient::probe(const framework::Endpoint &endpoint,
                                                    framework::Milliseconds timeout,
                                                    std::function<void(ProbeResult)> callback)
--- a/src/http/internal/pooledhttpclient.h
+++ b/src/http/internal/pooledhttpclient.h
@@ -38,7 +38,6 @@
                                     IHttpResponseObserver &observer) override;
     std::unique_ptr<IHttpCall> fetch(const HttpRequest &request,
                                      std::function<void(HttpResponse)> callback) override;
-    void closeIdle(const framework::Endpoint &endpoint) override;
     std::unique_ptr<IHttpCall> probe(const framework::Endpoint &endpoint,
                                      framework::Milliseconds timeout,
                                      std::function<void(ProbeResult)> callback) override;
--- a/src/http/internal/wholeresponsecall.cpp
+++ b/src/http/internal/wholeresponsecall.cpp
@@ -9,8 +9,8 @@
 
 WholeResponseCall::WholeResponseCall(IHttpClient &client, const HttpRequest &request,
                                      std::function<void(HttpResponse)> callback)
-    : m_maxBody(request.maxResponseBody), m_callback(std::move(callback)),
-      m_call(client.send(request, *this))
+    : m_maxBody(request.maxResponseBody), m_isOwnResponse(request.isOwnResponse),
+      m_callback(std::move(callback)), m_call(client.send(request, *this))
 { }
 
 void WholeResponseCall::onData(int /*status*/, std::string_view data)
@@ -25,10 +25,17 @@
 
 bool WholeResponseCall::onHead(const HttpResponseHead &head)
 {
+    m_response.status = head.status;
     m_response.headers = head.headers;
     return true;
 }
 
+bool WholeResponseCall::isOwnResponse()
+{
+    m_response.end = HttpEnd::Complete;
+    return !m_isOwnResponse || m_isOwnResponse(m_response);
+}
+
 void WholeResponseCall::onEnd(HttpEnd end, int status)
 {
     m_response.end = end;
--- a/src/http/internal/wholeresponsecall.h
+++ b/src/http/internal/wholeresponsecall.h
@@ -25,9 +25,11 @@
 private:
     void onData(int status, std::string_view data) override;
     bool onHead(const HttpResponseHead &head) override;
+    bool isOwnResponse() override;
     void onEnd(HttpEnd end, int status) override;
 
     framework::Bytes m_maxBody;
+    std::function<bool(const HttpResponse &)> m_isOwnResponse;
     HttpResponse m_response;
     std::function<void(HttpResponse)> m_callback;
     std::unique_ptr<IHttpCall> m_call;
--- a/src/http/tests/connectiongatetest.cpp
+++ b/src/http/tests/connectiongatetest.cpp
@@ -179,6 +179,19 @@
     EXPECT_EQ(m_gate.m_idle, 1);
 }
 
+/// Guards against a response that is still to come and is taken for that to the next call.
+TEST_F(ConnectionGateTest, ResponseBelongsToAnotherCall_WaitingCallGetsNewConnection)
+{
+    HttpRequest first = request();
+    first.isOwnResponse = [](const HttpResponse & /*response*/) { return false; };
+    begin(first);
+    begin(request());
+    run();
+    EXPECT_EQ(m_ends, std::vector<HttpEnd>(2, HttpEnd::Complete));
+    EXPECT_EQ(m_server.connections(), 2U);
+    EXPECT_EQ(m_gate.m_idle, 1);
+}
+
 /// Guards against calls that are held until their deadline, and against their being answered as
 /// unknown.
 TEST_F(ConnectionGateTest, NoConnectionBecomesFree_CallEndsWithoutHavingBeenSent)
--- a/src/http/types/httprequest.h
+++ b/src/http/types/httprequest.h
@@ -6,11 +6,14 @@
 #include "http/types/httpheaders.h"
 #include "http/types/httpmethod.h"
 
+#include <functional>
 #include <limits>
 #include <string>
 
 namespace lavendertally::http {
 
+struct HttpResponse;
+
 /// Request of a client.
 struct HttpRequest
 {
@@ -34,6 +37,10 @@
     /// server over its limit of connections accepts and resets; what was written by then may have
     /// run for all that the client knows.
     framework::Milliseconds acceptanceWait{0};
+    /// For IHttpClient::fetch(): tells whether a complete response is known to be the one to this
+    /// request; if not, its connection is not used again. Called once, before the callback. Null if
+    /// every response is taken for it.
+    std::function<bool(const HttpResponse &)> isOwnResponse;
 };
 
 } // namespace lavendertally::http
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -2,6 +2,7 @@
 
 #include "connections/iconnectionshares.h"
 #include "framework/ilogger.h"
+#include "framework/imetrics.h"
 #include "framework/types/errorcontext.h"
 #include "http/ihttpcall.h"
 #include "http/ihttpclient.h"
@@ -34,6 +35,8 @@
 /// An answer has some hundred bytes for each piece of a batch.
 constexpr framework::Bytes MaxStageAnswer{256 * 1024};
 
+constexpr const char *ForeignAnswers = "lavendertally_foreign_stage_answers_total";
+
 http::HttpRequest jsonRequest(const framework::Endpoint &endpoint, std::string_view target,
                               std::string body)
 {
@@ -46,13 +49,20 @@
     return request;
 }
 
+bool hasResults(const stages::StageCallOutcome &outcome)
+{
+    return std::any_of(outcome.pieces.begin(), outcome.pieces.end(),
+                       [](const stages::PieceOutcome &piece) { return !piece.result.isEmpty(); });
+}
+
 } // namespace
 
 HttpStageCallPort::HttpStageCallPort(http::IHttpClient &client,
                                      membership::IBackendServerUpdates &servers,
                                      connections::IConnectionShares &connections,
-                                     framework::ILogger &logger)
-    : m_client(client), m_servers(servers), m_connections(connections), m_logger(logger)
+                                     framework::ILogger &logger, framework::IMetrics &metrics)
+    : m_client(client), m_servers(servers), m_connections(connections), m_logger(logger),
+      m_metrics(metrics)
 { }
 
 HttpStageCallPort::~HttpStageCallPort() = default;
@@ -83,48 +93,68 @@
     request.headers.emplace_back(std::string(wire::ExpectInstance), call.server.id.value());
     request.timeout = call.timeout;
     request.maxResponseBody = MaxStageAnswer;
+    const auto outcome = std::make_shared<stages::StageCallOutcome>();
+    const std::size_t pieceCount = call.pieces.size();
+    request.isOwnResponse = [this, outcome, pieceCount,
+                             server = call.server.endpoint](const http::HttpResponse &response) {
+        return readAnswer(server, pieceCount, response, *outcome);
+    };
     const std::uint64_t number = m_next++;
-    m_calls[number] =
-        m_client.fetch(request,
-                       [this, number, server = call.server.endpoint, id = call.server.id,
-                        done = std::move(done)](const http::HttpResponse &response) {
-                           // Keeps the call until its callback has returned.
-                           const auto node = m_calls.extract(number);
-                           if (saysItLeaves(response.headers)) {
-                               m_servers.noteLeaving(id);
-                           }
-                           done(decodeAnswer(server, response));
-                       });
+    m_calls[number] = m_client.fetch(
+        request,
+        [this, number, outcome, pieceCount, server = call.server.endpoint, id = call.server.id,
+         done = std::move(done)](const http::HttpResponse &response) {
+            // Keeps the call until its callback has returned.
+            const auto node = m_calls.extract(number);
+            if (response.end == http::HttpEnd::Malformed) {
+                m_logger.warning("stage server sent no HTTP response; call counts as failed",
+                                 {{"endpoint", server.toString()}});
+            }
+            if (response.end != http::HttpEnd::Complete) {
+                *outcome = decodeStageAnswer(response, pieceCount);
+            }
+            if (saysItLeaves(response.headers)) {
+                m_servers.noteLeaving(id);
+            }
+            done(std::move(*outcome));
+        });
 }
 
-/// Without results nothing shows that an answer is no copy of an earlier one; its connection is not
-/// used again either. The same holds for refusals, which may be sent once more.
-stages::StageCallOutcome HttpStageCallPort::decodeAnswer(const framework::Endpoint &server,
-                                                         const http::HttpResponse &response)
+bool HttpStageCallPort::readAnswer(const framework::Endpoint &server, std::size_t pieceCount,
+                                   const http::HttpResponse &response,
+                                   stages::StageCallOutcome &outcome)
 {
-    if (response.end == http::HttpEnd::Malformed) {
-        m_logger.warning("stage server sent no HTTP response; call counts as failed",
-                         {{"endpoint", server.toString()}});
+    outcome = decodeStageAnswer(response, pieceCount);
+    if (outcome.status == stages::StageCallStatus::NotRun) {
+        // Refusals name no call; this one may be a copy of an earlier one.
+        return false;
     }
-    stages::StageCallOutcome outcome = decodeStageAnswer(response);
-    if (outcome.status == stages::StageCallStatus::NotRun
-        && response.end == http::HttpEnd::Complete) {
-        m_client.closeIdle(server);
+    if (outcome.status != stages::StageCallStatus::Answered) {
+        noteForeignAnswer("run", server, response);
+        return false;
     }
-    if (outcome.status != stages::StageCallStatus::Answered
-        || !m_recentAnswers.record(server, outcome)) {
-        return outcome;
+    if (!hasResults(outcome)) {
+        return false;
     }
-    m_client.closeIdle(server);
-    const bool hasResults =
-        std::any_of(outcome.pieces.begin(), outcome.pieces.end(),
-                    [](const stages::PieceOutcome &piece) { return !piece.result.isEmpty(); });
-    if (!hasResults) {
-        return outcome;
+    if (m_recentAnswers.record(server, outcome)) {
+        m_metrics.increment(ForeignAnswers, {{"call", "run"}});
+        m_logger.warning("answer to an earlier stage call received again; call counts as failed",
+                         {{"endpoint", server.toString()}});
+        outcome = {};
+        return false;
     }
-    m_logger.warning("answer to an earlier stage call received again; call counts as failed",
-                     {{"endpoint", server.toString()}});
-    return {};
+    return true;
+}
+
+void HttpStageCallPort::noteForeignAnswer(const char *call, const framework::Endpoint &server,
+                                          const http::HttpResponse &response)
+{
+    m_metrics.increment(ForeignAnswers, {{"call", call}});
+    m_logger.warning("stage server sent no answer to the call; the connection is closed",
+                     {{"call", call},
+                      {"endpoint", server.toString()},
+                      {"status", std::to_string(response.status)},
+                      {"bytes", std::to_string(response.body.size())}});
 }
 
 void HttpStageCallPort::queryFreeStorage(const membership::BackendServerEntry &server,
@@ -136,6 +166,13 @@
     request.target = std::string(wire::Report);
     request.headers.emplace_back(std::string(wire::ExpectInstance), server.id.value());
     request.timeout = ReportTimeout;
+    request.isOwnResponse = [this, server = server.endpoint](const http::HttpResponse &response) {
+        const bool isOwn = decodeFreeStorage(response).has_value();
+        if (!isOwn) {
+            noteForeignAnswer("report", server, response);
+        }
+        return isOwn;
+    };
     const std::uint64_t number = m_next++;
     m_calls[number] = m_client.fetch(
         request,
@@ -170,13 +207,19 @@
         const std::vector<framework::StageResultId> &own = entry.second;
         http::HttpRequest request = jsonRequest(endpoint, wire::StageFree, encodeResultIds(own));
         request.timeout = FreeTimeout;
+        request.isOwnResponse = [this, endpoint](const http::HttpResponse &response) {
+            const bool isOwn = isFreeAnswer(response);
+            if (!isOwn) {
+                noteForeignAnswer("free", endpoint, response);
+            }
+            return isOwn;
+        };
         const std::uint64_t number = m_next++;
         m_calls[number] = m_client.fetch(
             request,
             [this, number, server = endpoint, own, done](const http::HttpResponse &response) {
                 const auto node = m_calls.extract(number);
-                constexpr int Ok = 200;
-                if (response.end != http::HttpEnd::Complete || response.status != Ok) {
+                if (!isFreeAnswer(response)) {
                     m_logger.info("results not freed; they expire",
                                   {{"endpoint", server.toString()},
                                    {"status", std::to_string(response.status)}});
--- a/src/platform/internal/httpstagecallport.h
+++ b/src/platform/internal/httpstagecallport.h
@@ -3,6 +3,7 @@
 #include "platform/internal/recentstageanswers.h"
 #include "stages/istagecallport.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -14,7 +15,8 @@
 
 namespace lavendertally::framework {
 class ILogger;
-}
+class IMetrics;
+} // namespace lavendertally::framework
 
 namespace lavendertally::http {
 class IHttpCall;
@@ -33,7 +35,8 @@
 {
 public:
     HttpStageCallPort(http::IHttpClient &client, membership::IBackendServerUpdates &servers,
-                      connections::IConnectionShares &connections, framework::ILogger &logger);
+                      connections::IConnectionShares &connections, framework::ILogger &logger,
+                      framework::IMetrics &metrics);
     ~HttpStageCallPort() override;
 
     void startCall(const stages::StartStageCall &call,
@@ -47,13 +50,18 @@
 private:
     void sendCall(const stages::StartStageCall &call, std::string body,
                   std::function<void(stages::StageCallOutcome)> done);
-    stages::StageCallOutcome decodeAnswer(const framework::Endpoint &server,
-                                          const http::HttpResponse &response);
+    /// \return whether the response is known to be the answer to this call
+    bool readAnswer(const framework::Endpoint &server, std::size_t pieceCount,
+                    const http::HttpResponse &response, stages::StageCallOutcome &outcome);
+    /// Notes a response that cannot be the answer to a call.
+    void noteForeignAnswer(const char *call, const framework::Endpoint &server,
+                           const http::HttpResponse &response);
 
     http::IHttpClient &m_client;
     membership::IBackendServerUpdates &m_servers;
     connections::IConnectionShares &m_connections;
     framework::ILogger &m_logger;
+    framework::IMetrics &m_metrics;
     RecentStageAnswers m_recentAnswers;
     std::uint64_t m_next = 0;
     std::map<std::uint64_t, std::unique_ptr<http::IHttpCall>> m_calls;
--- a/src/platform/internal/stagecodec.cpp
+++ b/src/platform/internal/stagecodec.cpp
@@ -87,7 +87,8 @@
     return nlohmann::json({{"handleIds", std::move(ids)}}).dump();
 }
 
-stages::StageCallOutcome decodeStageAnswer(const http::HttpResponse &response)
+stages::StageCallOutcome decodeStageAnswer(const http::HttpResponse &response,
+                                           std::size_t pieceCount)
 {
     stages::StageCallOutcome outcome;
     if (response.end == http::HttpEnd::NotSent) {
@@ -110,7 +111,9 @@
     }
     const auto json = nlohmann::json::parse(response.body, nullptr, false);
     const auto items = json.is_object() ? json.find("items") : json.end();
-    if (!complete || response.status != HttpOk || items == json.end() || !items->is_array()) {
+    const bool isForCall = complete && response.status == HttpOk && items != json.end()
+        && items->is_array() && items->size() == pieceCount;
+    if (!isForCall) {
         return outcome;
     }
     outcome.status = stages::StageCallStatus::Answered;
@@ -120,6 +123,16 @@
     return outcome;
 }
 
+bool isFreeAnswer(const http::HttpResponse &response)
+{
+    if (response.end != http::HttpEnd::Complete || response.status != HttpOk) {
+        return false;
+    }
+    const auto json = response.body.empty() ? nlohmann::json::object()
+                                            : nlohmann::json::parse(response.body, nullptr, false);
+    return json.is_object() && !json.contains("items") && !json.contains("freeMb");
+}
+
 std::optional<framework::Bytes> decodeFreeStorage(const http::HttpResponse &response)
 {
     constexpr double BytesPerMegabyte = 1e6;
--- a/src/platform/internal/usersplatform.cpp
+++ b/src/platform/internal/usersplatform.cpp
@@ -47,7 +47,7 @@
       m_daemons(m_store, parts.loop, parts.clock, parts.logger, parts.self, parts.capacity),
       m_rolloutStatuses(m_store, parts.logger),
       m_backends(*m_backendClient, parts.servers, parts.connections),
-      m_stageCalls(*m_backendClient, parts.servers, parts.connections, parts.logger)
+      m_stageCalls(*m_backendClient, parts.servers, parts.connections, parts.logger, parts.metrics)
 { }
 
 UsersPlatform::~UsersPlatform() = default;
--- a/src/platform/tests/codectest.cpp
+++ b/src/platform/tests/codectest.cpp
@@ -429,7 +429,7 @@
     response.end = http::HttpEnd::Complete;
     response.status = 200;
     response.body = R"({"items":[{"handleId":""}]})";
-    const auto outcome = decodeStageAnswer(response);
+    const auto outcome = decodeStageAnswer(response, 1);
     ASSERT_EQ(outcome.pieces.size(), 1U);
     EXPECT_EQ(outcome.pieces[0].status, stages::PieceStatus::Error);
 }
@@ -441,7 +441,7 @@
     response.status = 200;
     response.body = R"({"items":[{"handleId":"1.1.1.1:1/x"},{"reason":"gone"},{"reason":"room"},
                         {"reason":"late"},{"reason":"odd"},7]})";
-    const auto outcome = decodeStageAnswer(response);
+    const auto outcome = decodeStageAnswer(response, 6);
     EXPECT_EQ(outcome.status, stages::StageCallStatus::Answered);
     ASSERT_EQ(outcome.pieces.size(), 6U);
     EXPECT_EQ(outcome.pieces[0].result.value(), "1.1.1.1:1/x");
@@ -451,10 +451,10 @@
     EXPECT_EQ(outcome.pieces[4].status, stages::PieceStatus::Error);
     EXPECT_EQ(outcome.pieces[5].status, stages::PieceStatus::Error);
     response.body = "nonsense";
-    EXPECT_EQ(decodeStageAnswer(response).status, stages::StageCallStatus::Unknown);
+    EXPECT_EQ(decodeStageAnswer(response, 1).status, stages::StageCallStatus::Unknown);
     response.status = 503;
     response.headers = {{"X-Lavendertally-Not-Executed", "1"}};
-    EXPECT_EQ(decodeStageAnswer(response).status, stages::StageCallStatus::NotRun);
+    EXPECT_EQ(decodeStageAnswer(response, 1).status, stages::StageCallStatus::NotRun);
 }
 
 TEST(StoreCodecTest, RecordsAreCutOutOfALogRead)
