Store calls: a connection is used again only after the answer to its call

Cause: answers of the store name no call. One that belongs to another call left the connection in use, so that the next read could take the records of another topic, and an append counted as done after any 200. Change: reads tell whether a response is theirs by decoding it (once, as before), appends by the offset; 410 and 412 count for the calls that may get them. Refusals close the connection as well, since copies of them look alike. An append that is answered with something else ends as unknown. Why it works: what follows on a closed connection reaches nobody.

--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -15,6 +15,7 @@
 
 #include <cctype>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 namespace lavendertally::platform {
@@ -72,18 +73,64 @@
     }
 }
 
-template <typename Content>
-framework::Result<Content> inEra(framework::Result<Content> content, framework::StoreEra era)
+bool isSuccess(const http::HttpResponse &response)
 {
-    if (content) {
-        content->era = era;
+    return response.end == http::HttpEnd::Complete && response.status == HttpOk;
+}
+
+bool isAppendAnswer(const http::HttpResponse &response)
+{
+    return isSuccess(response) && namesOffset(response.body);
+}
+
+/// An answer that belongs to another call does not tell whether the record was written.
+framework::Result<void> appendResult(const http::HttpResponse &response)
+{
+    if (isAppendAnswer(response)) {
+        return {};
     }
-    return content;
+    return framework::asyncError<void>(isSuccess(response) ? StoreError::Unknown
+                                                           : errorIn(response));
 }
 
-bool isSuccess(const http::HttpResponse &response)
+/// What the answer to a read holds; nothing if it is no such answer. Decoded once, before its
+/// connection may be used again.
+template <typename Content>
+using SharedContent = std::shared_ptr<std::optional<Content>>;
+
+/// \param decode decodes the body of an answer
+/// \param failure status with which the store may answer instead; zero if there is none
+/// \return tells whether a response can be the answer to the read; its content is kept
+template <typename Content>
+std::function<bool(const http::HttpResponse &)>
+contentCheck(SharedContent<Content> content,
+             std::function<framework::Result<Content>(const std::string &)> decode, int failure)
 {
-    return response.end == http::HttpEnd::Complete && response.status == HttpOk;
+    return [content = std::move(content), decode = std::move(decode),
+            failure](const http::HttpResponse &response) {
+        if (!isSuccess(response)) {
+            return response.status == failure;
+        }
+        framework::Result<Content> decoded = decode(response.body);
+        if (decoded) {
+            content->emplace(std::move(*decoded));
+        }
+        return content->has_value();
+    };
+}
+
+template <typename Content>
+framework::Result<Content> resultOf(const http::HttpResponse &response,
+                                    std::optional<Content> &content, framework::StoreEra era)
+{
+    if (!isSuccess(response)) {
+        return framework::asyncError<Content>(errorIn(response));
+    }
+    if (!content) {
+        return framework::asyncError<Content>(StoreError::Malformed);
+    }
+    content->era = era;
+    return std::move(*content);
 }
 
 } // namespace
@@ -106,14 +153,14 @@
         request.target += "&after=" + escapeQuery(after);
     }
     request.timeout = AnswerTimeout;
+    const auto content = std::make_shared<std::optional<StorePage>>();
+    request.isOwnResponse = contentCheck<StorePage>(content, decodePage, 0);
     return m_client.fetch(request,
-                          [this, asked = m_clock.now(),
+                          [this, content, asked = m_clock.now(),
                            callback = std::move(callback)](const http::HttpResponse &response) {
                               const framework::StoreEra era =
                                   note("newest", response, asked, framework::Milliseconds(0));
-                              callback(isSuccess(response)
-                                           ? inEra(decodePage(response.body), era)
-                                           : framework::asyncError<StorePage>(errorIn(response)));
+                              callback(resultOf(response, *content, era));
                           });
 }
 
@@ -129,14 +176,15 @@
         request.target += "&waitMs=" + std::to_string(wait.value());
     }
     request.timeout = wait + AnswerTimeout;
-    return m_client.fetch(
-        request,
-        [this, from, asked = m_clock.now(), wait,
-         callback = std::move(callback)](const http::HttpResponse &response) {
-            const framework::StoreEra era = note("read", response, asked, wait);
-            callback(isSuccess(response) ? inEra(decodeChanges(response.body, from), era)
-                                         : framework::asyncError<StoreChanges>(errorIn(response)));
-        });
+    const auto content = std::make_shared<std::optional<StoreChanges>>();
+    request.isOwnResponse = contentCheck<StoreChanges>(
+        content, [from](const std::string &body) { return decodeChanges(body, from); }, HttpGone);
+    return m_client.fetch(request,
+                          [this, content, asked = m_clock.now(), wait,
+                           callback = std::move(callback)](const http::HttpResponse &response) {
+                              const framework::StoreEra era = note("read", response, asked, wait);
+                              callback(resultOf(response, *content, era));
+                          });
 }
 
 StoreClient::Call StoreClient::append(std::string_view topic, const protocol::TopicRecord &record,
@@ -162,13 +210,14 @@
     request.target = std::move(target);
     request.body = encodeRecord(record);
     request.timeout = AnswerTimeout;
+    request.isOwnResponse = [](const http::HttpResponse &response) {
+        return isAppendAnswer(response) || response.status == HttpPreconditionFailed;
+    };
     return m_client.fetch(request,
                           [this, asked = m_clock.now(),
                            callback = std::move(callback)](const http::HttpResponse &response) {
                               note("append", response, asked, framework::Milliseconds(0));
-                              callback(isSuccess(response)
-                                           ? framework::Result<void>()
-                                           : framework::asyncError<void>(errorIn(response)));
+                              callback(appendResult(response));
                           });
 }
 
--- a/src/platform/internal/storecodec.cpp
+++ b/src/platform/internal/storecodec.cpp
@@ -126,6 +126,12 @@
     return page;
 }
 
+bool namesOffset(std::string_view body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    return json.is_object() && json.value("offset", nlohmann::json()).is_number_unsigned();
+}
+
 std::string encodeRecord(const protocol::TopicRecord &record)
 {
     std::string content(1, static_cast<char>(record.key.size()));
--- a/src/platform/internal/storecodec.h
+++ b/src/platform/internal/storecodec.h
@@ -16,6 +16,9 @@
 /// \return a page of newest records, or StoreError::Malformed
 framework::Result<StorePage> decodePage(std::string_view body);
 
+/// \return whether the body of an answer names the offset of a record that was appended
+bool namesOffset(std::string_view body);
+
 /// \return the body of an append of one record
 std::string encodeRecord(const protocol::TopicRecord &record);
 
