Stages may be numbered in any order

Cause: the check refused what the coordinator could not run: it went through stages from the first to the last, and dropped dependencies on later ones. Change: a job's stages are put into an order in which each comes after those it needs; their numbers, as on the wire, stay. The check refuses cycles only, and names the one it found; the longest chain is computed in that order, too. Why it works: every place that goes through the stages of a job relies on that order, and the order is made where the job begins. Jobs whose stages were in order keep it.

--- a/src/app/tests/gatewaytest.cpp
+++ b/src/app/tests/gatewaytest.cpp
@@ -1,6 +1,9 @@
 #include "app/tests/gatewayfixture.h"
 #include "http/headerlookup.h"
 
+#include <map>
+#include <set>
+
 using namespace lavendertally;
 using namespace lavendertally::app;
 
@@ -228,3 +231,60 @@
     EXPECT_EQ(state["role"], "gateway");
     EXPECT_EQ(state["configuration"], 1);
 }
+
+// Guards against a version that is left out, and against pieces without their inputs, where a stage
+// needs the results of one with a higher number.
+TEST_F(GatewayFixture, StagesNeedOnesWithHigherNumbers_EachIsGivenItsInputsOnAllGateways)
+{
+    const auto stage = [](std::vector<int> after) {
+        return nlohmann::json{{"service", "pool"}, {"after", after}, {"bytes", 1000}};
+    };
+    m_routeStages = {stage({2, 1}), stage({}), stage({1})};
+    const std::vector<std::set<std::uint32_t>> needed = {{1, 2}, {}, {1}};
+    const std::vector<std::size_t> pieces = {1, 2, 3};
+    publish();
+    registerServers();
+    const std::vector<GatewayProcess> gateways = [this] {
+        std::vector<GatewayProcess> started;
+        for (const char *id : {"g1", "g2", "g3"}) {
+            started.push_back(startGateway(id));
+        }
+        return started;
+    }();
+    for (const GatewayProcess &gateway : gateways) {
+        ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    }
+    for (int each = 0; each < 9; ++each) {
+        const std::string id = "r" + std::to_string(each);
+        http::HttpRequest request = ask(gateways[each % 3], "/stream/x", id.c_str());
+        request.headers.emplace_back("X-Lavendertally-Pieces", "1,2,3");
+        request.headers.emplace_back("X-Lavendertally-Piece-Key", "in");
+        EXPECT_EQ(call(request).status, 200);
+        std::map<std::uint32_t, std::set<std::string>> results;
+        for (const standins::MadePiece &made : m_pool.madePieces()) {
+            if (made.request == id) {
+                results[made.stage].insert(made.result);
+            }
+        }
+        for (const standins::MadePiece &made : m_pool.madePieces()) {
+            if (made.request != id) {
+                continue;
+            }
+            std::set<std::string> wanted;
+            for (const std::uint32_t other : needed.at(made.stage)) {
+                wanted.insert(results[other].begin(), results[other].end());
+            }
+            EXPECT_EQ(std::set<std::string>(made.inputs.begin(), made.inputs.end()), wanted)
+                << "stage " << made.stage;
+            EXPECT_EQ(made.inputs.size(), wanted.size());
+        }
+        for (std::uint32_t number = 0; number < pieces.size(); ++number) {
+            EXPECT_EQ(results[number].size(), pieces[number]);
+        }
+        const auto &model = m_model.runs(id) > 0 ? m_model : m_otherModel;
+        ASSERT_EQ(results[0].size(), 1U);
+        EXPECT_NE(model.lastHeaders().find("X-Lavendertally-Inputs: " + *results[0].begin() + "\n"),
+                  std::string::npos)
+            << model.lastHeaders();
+    }
+}
--- a/src/configurationcheck/tests/rulestest.cpp
+++ b/src/configurationcheck/tests/rulestest.cpp
@@ -179,6 +179,36 @@
                                  draft.services[1].maxConnections = 2;
                              }}));
 
+/// The platform does not say in which order stages are numbered.
+TEST(ConfigurationRules, StageNeedsOneWithAHigherNumber_IsNoFault)
+{
+    ConfigurationDraft draft = soundDraft();
+    draft.routes[0].stages[0].after = {1};
+    draft.routes[0].stages[1].after = {};
+    EXPECT_EQ(allFindings(draft, plainContext()), std::vector<Finding>());
+    draft.routes[0].latencyObjective = framework::Milliseconds(42);
+    const std::vector<Finding> findings = allFindings(draft, plainContext());
+    ASSERT_EQ(findings.size(), 1U);
+    EXPECT_EQ(findings[0].rule, Rule::StagesExceedObjective)
+        << "42 ms for both, one after the other";
+}
+
+/// A stage behind a cycle is not part of it.
+TEST(ConfigurationRules, StageWaitsForACycle_OnlyTheCycleIsReported)
+{
+    ConfigurationDraft draft = soundDraft();
+    auto &stages = draft.routes[0].stages;
+    stages = {stages[0], stages[0], stages[0], stages[0]};
+    stages[0].after = {2};
+    stages[1].after = {3};
+    stages[2].after = {1};
+    stages[3].after = {1};
+    const std::vector<Finding> findings = allFindings(draft, plainContext());
+    ASSERT_EQ(findings.size(), 1U);
+    EXPECT_EQ(findings[0].rule, Rule::StageOrder);
+    EXPECT_EQ(findings[0].path, PlainNames().pathOf(stage(1, EntryField::After)));
+}
+
 /// A daemon must not refuse what it can live with.
 TEST(ConfigurationRules, OnlyErrorsAreErrors)
 {
--- a/src/serving/types/stageplan.h
+++ b/src/serving/types/stageplan.h
@@ -18,4 +18,14 @@
     framework::Bytes resultSize;
 };
 
+/// \return for each stage, the indexes of those whose results it needs
+inline std::vector<std::vector<std::size_t>> predecessors(const std::vector<StagePlan> &stages)
+{
+    std::vector<std::vector<std::size_t>> result;
+    for (const StagePlan &stage : stages) {
+        result.push_back(stage.after);
+    }
+    return result;
+}
+
 } // namespace lavendertally::serving
--- a/src/stages/internal/stagejobstate.cpp
+++ b/src/stages/internal/stagejobstate.cpp
@@ -1,5 +1,6 @@
 #include "stages/internal/stagejobstate.h"
 
+#include "framework/dependencyorder.h"
 #include "stages/internal/ijobprogressobserver.h"
 
 #include <algorithm>
@@ -8,10 +9,39 @@
 
 namespace lavendertally::stages {
 
+namespace {
+
+/// The platform numbers stages in any order. Those in a cycle are left out; no configuration with
+/// one is in force.
+protocol::StageJob withStagesInOrder(protocol::StageJob job)
+{
+    std::map<std::uint32_t, std::size_t> positions;
+    for (std::size_t position = 0; position < job.stages.size(); ++position) {
+        positions.emplace(job.stages[position].index, position);
+    }
+    std::vector<std::vector<std::size_t>> predecessors(job.stages.size());
+    for (std::size_t position = 0; position < job.stages.size(); ++position) {
+        for (const std::uint32_t index : job.stages[position].after) {
+            if (const auto found = positions.find(index); found != positions.end()) {
+                predecessors[position].push_back(found->second);
+            }
+        }
+    }
+    std::vector<protocol::JobStage> ordered;
+    for (const std::size_t position : framework::dependencyOrder(predecessors)) {
+        ordered.push_back(std::move(job.stages[position]));
+    }
+    job.stages = std::move(ordered);
+    return job;
+}
+
+} // namespace
+
 StageJobState::StageJobState(JobNumber number, JobKey key, protocol::StageJob job,
                              framework::TimePoint now, IJobProgressObserver &observer)
-    : m_observer(observer), m_number(number), m_key(std::move(key)), m_job(std::move(job)),
-      m_objective(now + m_job.objectiveLeft), m_deadline(now + m_job.timeLeft)
+    : m_observer(observer), m_number(number), m_key(std::move(key)),
+      m_job(withStagesInOrder(std::move(job))), m_objective(now + m_job.objectiveLeft),
+      m_deadline(now + m_job.timeLeft)
 {
     std::map<std::uint32_t, std::size_t> positions;
     for (const protocol::JobStage &stage : m_job.stages) {
--- a/src/stages/internal/stagejobstate.h
+++ b/src/stages/internal/stagejobstate.h
@@ -15,7 +15,7 @@
 class IJobProgressObserver;
 
 /// Progress of one job through its stages. Stages are addressed by their position in the job, which
-/// may differ from their index in the route.
+/// may differ from their index in the route: each comes after those whose results it needs.
 class StageJobState
 {
 public:
--- a/src/standins/platformserverstandin.h
+++ b/src/standins/platformserverstandin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "standins/standinserver.h"
+#include "standins/types/madepiece.h"
 
 #include <cstdint>
 #include <functional>
@@ -34,6 +35,7 @@
         m_downTime = downTime;
     }
     std::size_t freedResults() const { return m_freed; }
+    const std::vector<MadePiece> &madePieces() const { return m_madePieces; }
     /// Time from a request to its answer; zero answers at once.
     void setWorkTime(framework::Milliseconds time) { m_workTime = time; }
     /// Fails each \p every-th request with status 500; zero fails none.
@@ -86,6 +88,7 @@
     framework::Milliseconds m_slowTime;
     std::size_t m_inFlight = 0;
     std::uint64_t m_nextResult = 0;
+    std::vector<MadePiece> m_madePieces;
 };
 
 } // namespace lavendertally::standins
