Replicas: an earlier record does not replace a later one without a version

Callers saw: nothing that we could show; found by reading, while looking for ways in which an older configuration comes back after one that cannot be read. Cause: records that were covered before are compared by version only. One without a version counted as older than any. Change: if what is known has no version, the offsets decide, as they do elsewhere. Evidence: LateRecordTest.RecordWithoutVersionIsKnown_... failed before ({a: 7} in place of {a: unreadable}) and passes. Why it works: only records at lower offsets are read again, so they were executed before what is known.

--- a/src/replication/internal/topicreplica.cpp
+++ b/src/replication/internal/topicreplica.cpp
@@ -198,7 +198,10 @@
         return;
     }
     known.version = version;
-    if (known.record.value && record.value) {
+    // Without a version, the offset tells that what is known was written later.
+    const bool isKnownLater =
+        known.record.value && !versionOf(known.record) && record.offset < known.record.offset;
+    if (known.record.value && record.value && !isKnownLater) {
         known.record.value = record.value;
         m_observer.onRecord(record);
     }
--- a/src/replication/tests/topicreplicatest.cpp
+++ b/src/replication/tests/topicreplicatest.cpp
@@ -440,3 +440,18 @@
     follow();
     EXPECT_EQ(m_followerObserver.state, (State{{"a", "1.21 ready, clock set back"}}));
 }
+
+/// A configuration that cannot be read and names no version, or an odd entry of a server.
+TEST_F(LateRecordTest, RecordWithoutVersionIsKnown_EarlierOneIsNotAppliedAndOlderOneStaysOutdated)
+{
+    RecordingObserver observer;
+    observer.readVersion = readVersion;
+    TopicReplica replica(observer);
+    replica.replace({put(9, "a", "unreadable")}, LogOffset(10), TimePoint(1));
+    replica.append({put(5, "a", "7")}, LogOffset(5), LogOffset(10), TimePoint(2));
+    EXPECT_EQ(observer.state, (State{{"a", "unreadable"}}));
+    replica.append({put(10, "a", "6")}, LogOffset(10), LogOffset(11), TimePoint(3));
+    EXPECT_EQ(observer.state, (State{{"a", "unreadable"}}));
+    replica.append({put(11, "a", "8")}, LogOffset(11), LogOffset(12), TimePoint(4));
+    EXPECT_EQ(observer.state, (State{{"a", "8"}}));
+}
