A version that cannot be used ends the confirmation of the older one

Cause: such a version was logged and forgotten. The older one went on being confirmed as the newest, so the limit on the age of the configuration never took effect. Having no number, it could also be replaced by an older one that the store executed late. Change: IServingUpdates::rejectConfiguration(); until a newer version is active, nothing is confirmed. The number of an unusable version counts for the order. Why it works: the confirmation stays at an instant before the version was published, and keys are refused by its age.

--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -44,6 +44,7 @@
     static constexpr framework::Milliseconds WaitLimit{20000};
     static constexpr framework::Milliseconds PollInterval{10};
     static constexpr framework::Milliseconds StartLimit{10000};
+    static constexpr framework::Milliseconds RevocationLimit{2500};
 
     GatewayFixture()
         : m_clock(framework::FrameworkModule::makeSystemClock()),
@@ -137,7 +138,8 @@
                                "ready_listen: 127.0.0.1:0\ncontrol_listen: 127.0.0.1:0\n"
                                "metrics_listen: 127.0.0.1:0\nstore: "
                             << store.toString() << "\nseed_peers: [" << seeds
-                            << "]\nrevocation_limit: 2500ms\nshutdown_grace: 8s\n"
+                            << "]\nrevocation_limit: " << RevocationLimit.value()
+                            << "ms\nshutdown_grace: 8s\n"
                                "log_format: json\n"
                             << m_moreSettings;
         GatewayProcess gateway;
--- a/src/app/tests/gatewaytest.cpp
+++ b/src/app/tests/gatewaytest.cpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 
 using namespace lavendertally;
 using namespace lavendertally::app;
@@ -288,3 +289,49 @@
             << model.lastHeaders();
     }
 }
+
+// Guards against a key that stays in use because the version that takes it away cannot be used.
+TEST_F(GatewayFixture, NewestVersionCannotBeUsed_KeyThatItTakesAwayIsRefusedOnAllGateways)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    // Each stage needs the other one.
+    const nlohmann::json stages = std::exchange(
+        m_routeStages,
+        {{{"service", "pool"}, {"after", {1}}}, {{"service", "pool"}, {"after", {0}}}});
+    publish(2, "other");
+    EXPECT_TRUE(waitFor([&] { return call(ask(gateway, "/book/x", "r1")).status == 503; }));
+    EXPECT_FALSE(isReady(gateway));
+    const GatewayProcess fromStore = startGateway("g2");
+    standins::PlatformStoreStandIn silentStore(*m_loop);
+    const framework::Endpoint silent = silentStore.listen({"127.0.0.1", 0}).value();
+    standins::Fault frozen;
+    frozen.mode = standins::FaultMode::Frozen;
+    silentStore.setFault(frozen);
+    const GatewayProcess fromPeer = startGateway("g3", silent, gateway.control.toString());
+    for (const GatewayProcess *each : {&fromStore, &fromPeer}) {
+        EXPECT_TRUE(waitFor([&] {
+            const std::string state = call(get(each->metrics, "/dump")).body;
+            return nlohmann::json::parse(state)["newest_configuration_rejected"] == true;
+        }));
+    }
+    // The store executes an older write late.
+    m_routeStages = stages;
+    publish(1);
+    const std::size_t runs = m_desk.allRuns();
+    const framework::TimePoint end = m_clock->now() + RevocationLimit * 2;
+    while (m_clock->now() < end) {
+        for (const GatewayProcess *each : {&gateway, &fromStore, &fromPeer}) {
+            EXPECT_EQ(call(ask(*each, "/book/x", "r2")).status, 503);
+        }
+    }
+    EXPECT_EQ(m_desk.allRuns(), runs);
+    publish(3, "other");
+    for (const GatewayProcess *each : {&gateway, &fromStore, &fromPeer}) {
+        EXPECT_TRUE(waitFor([&] { return isReady(*each); }));
+        EXPECT_EQ(call(ask(*each, "/book/x", "r3")).status, 401);
+        EXPECT_EQ(call(ask(*each, "/book/x", "r4", "other")).status, 200);
+    }
+}
--- a/src/gateway/internal/gatewaydaemon.cpp
+++ b/src/gateway/internal/gatewaydaemon.cpp
@@ -348,10 +348,12 @@
     if (isReady() != m_wasReady) {
         m_wasReady = !m_wasReady;
         const framework::Milliseconds age = m_clock->now() - m_serving->confirmedAt();
-        m_logger->info(m_wasReady ? "ready for requests" : "not ready for requests",
-                       {{"informed", hasRequiredState() ? "yes" : "no"},
-                        {"draining", m_draining ? "yes" : "no"},
-                        {"configuration_age_ms", std::to_string(age.value())}});
+        m_logger->info(
+            m_wasReady ? "ready for requests" : "not ready for requests",
+            {{"informed", hasRequiredState() ? "yes" : "no"},
+             {"newest_configuration", m_serving->isNewestRejected() ? "rejected" : "used"},
+             {"draining", m_draining ? "yes" : "no"},
+             {"configuration_age_ms", std::to_string(age.value())}});
     }
     m_tickTimer = m_loop.callAfter(TickInterval, [this] { tick(); });
 }
@@ -429,6 +431,7 @@
             {"version", LAVENDERTALLY_VERSION},
             {"configuration", configuration ? configuration->version().value() : 0},
             {"configuration_age_ms", age.value()},
+            {"newest_configuration_rejected", m_serving->isNewestRejected()},
             {"ready", isReady()},
             {"active_requests", m_proxy->activeRequests()},
             {"daemons", m_platform->daemons().ranking().size()},
--- a/src/platform/internal/configurationcodec.cpp
+++ b/src/platform/internal/configurationcodec.cpp
@@ -5,6 +5,9 @@
 #include "platform/types/decodeerror.h"
 #include "serving/types/servingconfiguration.h"
 
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -50,4 +53,14 @@
                                                         std::move(draft.teams)));
 }
 
+std::optional<framework::ConfigurationVersion> decodeConfigurationVersion(std::string_view text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto version = json.is_object() ? json.find("version") : json.end();
+    if (version == json.end() || !version->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return framework::ConfigurationVersion(version->get<std::uint64_t>());
+}
+
 } // namespace lavendertally::platform
--- a/src/platform/internal/configurationcodec.h
+++ b/src/platform/internal/configurationcodec.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "framework/result.h"
+#include "framework/types/ids.h"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace lavendertally::serving {
@@ -16,4 +18,8 @@
 framework::Result<std::shared_ptr<const serving::ServingConfiguration>>
 decodeConfiguration(std::string_view text);
 
+/// \param text a configuration that cannot be used as a whole
+/// \return its version, or nothing if it names none
+std::optional<framework::ConfigurationVersion> decodeConfigurationVersion(std::string_view text);
+
 } // namespace lavendertally::platform
--- a/src/platform/internal/operatorfeed.cpp
+++ b/src/platform/internal/operatorfeed.cpp
@@ -1,6 +1,7 @@
 #include "platform/internal/operatorfeed.h"
 
 #include "framework/ilogger.h"
+#include "framework/imetrics.h"
 #include "framework/ischeduler.h"
 #include "framework/itimer.h"
 #include "framework/types/errorcontext.h"
@@ -27,9 +28,9 @@
 
 OperatorFeed::OperatorFeed(StoreClient &store, framework::IScheduler &scheduler,
                            const framework::IClock &clock, framework::ILogger &logger,
-                           serving::IServingUpdates &serving,
+                           framework::IMetrics &metrics, serving::IServingUpdates &serving,
                            membership::IBackendServerUpdates &servers)
-    : m_logger(logger), m_store(store), m_serving(serving), m_servers(servers),
+    : m_logger(logger), m_metrics(metrics), m_store(store), m_serving(serving), m_servers(servers),
       m_scheduler(scheduler), m_rollouts(scheduler, logger),
       m_reader(store, scheduler, clock, logger, std::string(wire::OperatorTopic), Pace, m_replica)
 { }
@@ -77,7 +78,14 @@
             return protocol::RecordVersion{
                 {}, framework::ReportNumber(configuration->version().value())};
         },
-        [] { return std::optional<protocol::RecordVersion>(); });
+        [&]() -> std::optional<protocol::RecordVersion> {
+            // One that cannot be used is as new as its number all the same.
+            const auto number = decodeConfigurationVersion(*record.value);
+            if (!number) {
+                return std::nullopt;
+            }
+            return protocol::RecordVersion{{}, framework::ReportNumber(number->value())};
+        });
 }
 
 void OperatorFeed::onOutdated(const protocol::TopicRecord &record)
@@ -137,10 +145,21 @@
             return {};
         },
         [&](DecodeError /*error*/, const framework::ErrorContext &context) {
-            m_logger.error("configuration cannot be read; the one in force stays",
-                           {{"problem", context.message}});
+            rejectConfiguration(text, context.message);
         },
-        [&] { m_logger.error("configuration cannot be read; the one in force stays"); });
+        [&] { rejectConfiguration(text, "unknown"); });
+}
+
+/// Keys that it takes away are not known, so the version in force is not confirmed any more and no
+/// key is accepted once the confirmation is too old.
+void OperatorFeed::rejectConfiguration(const std::string &text, const std::string &problem)
+{
+    const auto version = decodeConfigurationVersion(text);
+    m_logger.error("newest configuration cannot be used; the one in force is no longer confirmed",
+                   {{"problem", problem},
+                    {"version", version ? std::to_string(version->value()) : "unknown"}});
+    m_metrics.increment("lavendertally_configurations_rejected_total", {});
+    m_serving.rejectConfiguration(version);
 }
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/operatorfeed.h
+++ b/src/platform/internal/operatorfeed.h
@@ -30,7 +30,8 @@
 public:
     OperatorFeed(StoreClient &store, framework::IScheduler &scheduler,
                  const framework::IClock &clock, framework::ILogger &logger,
-                 serving::IServingUpdates &serving, membership::IBackendServerUpdates &servers);
+                 framework::IMetrics &metrics, serving::IServingUpdates &serving,
+                 membership::IBackendServerUpdates &servers);
 
     ~OperatorFeed() override;
     OperatorFeed(const OperatorFeed &) = delete;
@@ -55,12 +56,14 @@
     void publishZones();
     void apply(const protocol::TopicRecord &record);
     void applyConfiguration(const std::string &text);
+    void rejectConfiguration(const std::string &text, const std::string &problem);
     /// \return the configuration, or DecodeError; a text that is decoded twice in a row is parsed
     /// once
     framework::Result<std::shared_ptr<const serving::ServingConfiguration>>
     decode(const std::string &text) const;
 
     framework::ILogger &m_logger;
+    framework::IMetrics &m_metrics;
     StoreClient &m_store;
     serving::IServingUpdates &m_serving;
     membership::IBackendServerUpdates &m_servers;
--- a/src/platform/tests/usersplatformtest.cpp
+++ b/src/platform/tests/usersplatformtest.cpp
@@ -130,6 +130,24 @@
     EXPECT_EQ(version(), 8U);
 }
 
+TEST_F(UsersPlatformTest, VersionCannotBeUsed_OlderOneIsNoLongerConfirmedWhateverComesAfterIt)
+{
+    m_store.put("keyed.op", "config", configuration(3));
+    start();
+    ASSERT_TRUE(waitFor([this] { return version() == 3; }));
+    m_store.put("keyed.op", "config", R"({"version":5,"routes":7,"services":[]})");
+    ASSERT_TRUE(waitFor([this] { return m_serving->isNewestRejected(); }));
+    const framework::TimePoint confirmed = m_serving->confirmedAt();
+    m_store.put("keyed.op", "config", configuration(4));
+    m_store.put("keyed.op", "evacuate/za", "{}");
+    ASSERT_TRUE(
+        waitFor([this] { return m_servers->isZoneOut(framework::AvailabilityZoneId("za")); }));
+    EXPECT_EQ(version(), 3U) << "version 4 was written before version 5 and executed late";
+    EXPECT_EQ(m_serving->confirmedAt(), confirmed);
+    m_store.put("keyed.op", "config", configuration(6));
+    ASSERT_TRUE(waitFor([&] { return version() == 6 && m_serving->confirmedAt() > confirmed; }));
+}
+
 TEST_F(UsersPlatformTest, ZoneComesBackWhenItsKeyIsDropped)
 {
     m_store.put("keyed.op", "evacuate/za", "{}");
--- a/src/serving/internal/servingtracker.cpp
+++ b/src/serving/internal/servingtracker.cpp
@@ -17,9 +17,11 @@
 
 void ServingTracker::applyConfiguration(std::shared_ptr<const ServingConfiguration> configuration)
 {
-    if (m_configuration && configuration->version() <= m_configuration->version()) {
+    const bool isOlder = m_rejected && configuration->version() < *m_rejected;
+    if (isOlder || (m_configuration && configuration->version() <= m_configuration->version())) {
         return;
     }
+    m_rejected.reset();
     const std::string before =
         m_configuration ? std::to_string(m_configuration->version().value()) : "none";
     m_configuration = std::move(configuration);
@@ -32,9 +34,18 @@
     }
 }
 
+void ServingTracker::rejectConfiguration(std::optional<framework::ConfigurationVersion> version)
+{
+    if (version && m_configuration && *version <= m_configuration->version()) {
+        return;
+    }
+    m_rejected =
+        std::max(m_rejected, std::optional(version.value_or(framework::ConfigurationVersion(0))));
+}
+
 void ServingTracker::confirm(framework::TimePoint instant)
 {
-    if (m_configuration) {
+    if (m_configuration && !m_rejected) {
         m_confirmedAt = std::max(m_confirmedAt, instant);
     }
 }
--- a/src/serving/iservingstate.h
+++ b/src/serving/iservingstate.h
@@ -20,6 +20,9 @@
     /// \return the latest time at which configuration() is known to have been the newest published
     /// version; TimePoint() if it has not been confirmed yet
     virtual framework::TimePoint confirmedAt() const = 0;
+
+    /// \return whether the newest published version cannot be used
+    virtual bool isNewestRejected() const = 0;
 };
 
 } // namespace lavendertally::serving
--- a/src/serving/iservingupdates.h
+++ b/src/serving/iservingupdates.h
@@ -4,6 +4,7 @@
 #include "framework/types/timepoint.h"
 
 #include <memory>
+#include <optional>
 
 namespace lavendertally::serving {
 
@@ -19,8 +20,14 @@
     /// ignored otherwise.
     virtual void applyConfiguration(std::shared_ptr<const ServingConfiguration> configuration) = 0;
 
-    /// Every version published before \p instant has been applied. Ignored before the first version
-    /// and if a later instant has been confirmed already.
+    /// A version was published that cannot be used. What it changes is not known, so the active one
+    /// is not confirmed any more, until a newer version becomes active.
+    /// \param version its number; nothing if that cannot be read either. Ignored if the active one
+    /// is as new
+    virtual void rejectConfiguration(std::optional<framework::ConfigurationVersion> version) = 0;
+
+    /// Every version published before \p instant has been applied or rejected. Ignored before the
+    /// first version, after one was rejected, and if a later instant has been confirmed already.
     virtual void confirm(framework::TimePoint instant) = 0;
 };
 
--- a/src/serving/testing/fakeservingstate.h
+++ b/src/serving/testing/fakeservingstate.h
@@ -18,6 +18,7 @@
         return m_configuration;
     }
     framework::TimePoint confirmedAt() const override { return m_confirmedAt; }
+    bool isNewestRejected() const override { return false; }
 
     void set(std::vector<Route> routes, std::vector<ServiceSpec> services,
              std::vector<TeamEntry> teams = {})
--- a/src/serving/tests/servingtest.cpp
+++ b/src/serving/tests/servingtest.cpp
@@ -82,3 +82,37 @@
     tracker->confirm(framework::TimePoint(150));
     EXPECT_EQ(tracker->confirmedAt(), framework::TimePoint(200));
 }
+
+/// Guards against keys that stay in use because the version that takes them away cannot be used.
+TEST(ServingTrackerTest, NewerVersionIsRejected_ActiveOneIsNotConfirmedUntilANewerOneIsActive)
+{
+    framework::NullLogger logger;
+    const auto tracker = ServingModule::makeTracker(logger);
+    tracker->applyConfiguration(version(5));
+    tracker->confirm(framework::TimePoint(100));
+    tracker->rejectConfiguration(framework::ConfigurationVersion(7));
+    tracker->confirm(framework::TimePoint(200));
+    EXPECT_EQ(tracker->confirmedAt(), framework::TimePoint(100));
+    EXPECT_EQ(tracker->configuration()->version().value(), 5U);
+    tracker->applyConfiguration(version(6));
+    tracker->confirm(framework::TimePoint(300));
+    EXPECT_TRUE(tracker->isNewestRejected()) << "it is older than the one rejected";
+    EXPECT_EQ(tracker->confirmedAt(), framework::TimePoint(100));
+    tracker->applyConfiguration(version(8));
+    tracker->confirm(framework::TimePoint(400));
+    EXPECT_EQ(tracker->confirmedAt(), framework::TimePoint(400));
+    tracker->rejectConfiguration(framework::ConfigurationVersion(7));
+    EXPECT_FALSE(tracker->isNewestRejected()) << "it is older than the active one";
+}
+
+TEST(ServingTrackerTest, RejectedVersionHasNoNumber_AnyNewerOneEndsIt)
+{
+    framework::NullLogger logger;
+    const auto tracker = ServingModule::makeTracker(logger);
+    tracker->applyConfiguration(version(5));
+    tracker->rejectConfiguration(std::nullopt);
+    tracker->applyConfiguration(version(5));
+    EXPECT_TRUE(tracker->isNewestRejected());
+    tracker->applyConfiguration(version(6));
+    EXPECT_FALSE(tracker->isNewestRejected());
+}
