A gateway that starts asks a peer for newer versions of the configuration

A gateway that has started used the older version, and a key that was taken away, for as long as no newer one came. Cause: the store shows what it executed last. Gateways that were up ignore the older version by its number, but only for the topic of backend servers did one that starts compare what it read with a peer. Change: the history is compared for every topic whose records have versions. Why it works: the peer's newer record arrives at a lower offset, and versions decide between the two.

--- a/src/app/tests/gatewaytest.cpp
+++ b/src/app/tests/gatewaytest.cpp
@@ -335,3 +335,20 @@
         EXPECT_EQ(call(ask(*each, "/book/x", "r4", "other")).status, 200);
     }
 }
+
+// Guards against a key that is in use again at a gateway that has started, since the store executed
+// an older version after the one that takes the key away.
+TEST_F(GatewayFixture, GatewayStartsAfterALateOlderVersion_PeerTellsTheNewerOne)
+{
+    publish(1, "other");
+    registerServers();
+    const GatewayProcess informed = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(informed); }));
+    publish(3);
+    ASSERT_TRUE(waitFor([&] { return call(ask(informed, "/book/x", "r1")).status == 200; }));
+    publish(2, "other");
+    const GatewayProcess started = startGateway("g2", m_storeEndpoint, informed.control.toString());
+    ASSERT_TRUE(waitFor([&] { return isReady(started); }));
+    EXPECT_TRUE(waitFor([&] { return call(ask(started, "/book/x", "r2")).status == 200; }));
+    EXPECT_EQ(call(ask(started, "/book/x", "r3", "other")).status, 401);
+}
--- a/src/replication/internal/topicreplica.cpp
+++ b/src/replication/internal/topicreplica.cpp
@@ -241,7 +241,10 @@
 
 std::optional<framework::LogOffset> TopicReplica::historyToCompare() const
 {
-    if (!m_observer.areRecordsRenewed()) {
+    const bool hasVersions = std::any_of(m_latest.begin(), m_latest.end(), [](const auto &entry) {
+        return entry.second.version.has_value();
+    });
+    if (!hasVersions && !m_observer.areRecordsRenewed()) {
         return std::nullopt;
     }
     const std::uint64_t count = m_latest.size() * ComparedReports;
