An empty list of teams has no valid key

Cause: whether requests need a key was asked as whether there are teams; no list, null, an empty list and a value of another type were one and the same from the decoder on. Change: the teams are an optional list everywhere. null counts as an empty list, another type is an error (a version that cannot be used). lavendertallyctl check warns of a list without a key, and the configuration that gateways show tells whether keys are needed. Why it works: the type keeps presence apart from emptiness, so no place can take one for the other.

--- a/src/app/tests/gatewayfixture.h
+++ b/src/app/tests/gatewayfixture.h
@@ -22,6 +22,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -102,6 +103,9 @@
                  {"headroomMb", 1.0},
                  {"handleS", 4.0}}}}}},
             {"tenants", {{{"name", "members"}, {"apiKeys", {key}}}}}};
+        if (m_teams) {
+            configuration["tenants"] = *m_teams;
+        }
         if (!m_requestLimits.is_null()) {
             configuration["limits"] = m_requestLimits;
         }
@@ -238,6 +242,8 @@
     /// Stages of the route for streams.
     nlohmann::json m_routeStages = {
         {{"service", "pool"}, {"after", nlohmann::json::array()}, {"bytes", 1000}}};
+    /// Teams in place of one with a key; may be no list.
+    std::optional<nlohmann::json> m_teams;
     /// Bounds on clients' requests in the published configuration, unless null.
     nlohmann::json m_requestLimits;
     /// Lines added to the settings of gateways.
--- a/src/app/tests/gatewaytest.cpp
+++ b/src/app/tests/gatewaytest.cpp
@@ -352,3 +352,28 @@
     EXPECT_TRUE(waitFor([&] { return call(ask(started, "/book/x", "r2")).status == 200; }));
     EXPECT_EQ(call(ask(started, "/book/x", "r3", "other")).status, 401);
 }
+
+// Guards against requests that need no key because the list of teams is empty.
+TEST_F(GatewayFixture, LastTeamIsTakenAway_NoKeyIsValidOnAnyGateway)
+{
+    publish();
+    registerServers();
+    const GatewayProcess gateway = startGateway("g1");
+    ASSERT_TRUE(waitFor([&] { return isReady(gateway); }));
+    EXPECT_EQ(call(ask(gateway, "/book/x", "r1")).status, 200);
+    int version = 1;
+    for (const nlohmann::json &teams : {nlohmann::json::array(), nlohmann::json()}) {
+        m_teams = teams;
+        publish(++version);
+        EXPECT_TRUE(waitFor([&] { return call(ask(gateway, "/book/x", "r2")).status == 401; }));
+        const GatewayProcess fromPeer = startGateway("g" + std::to_string(version), m_storeEndpoint,
+                                                     gateway.control.toString());
+        ASSERT_TRUE(waitFor([&] { return isReady(fromPeer); }));
+        const std::size_t runs = m_desk.allRuns();
+        for (const char *key : {"key", "unknown", ""}) {
+            EXPECT_EQ(call(ask(gateway, "/book/x", "r3", key)).status, 401) << teams;
+            EXPECT_EQ(call(ask(fromPeer, "/book/x", "r4", key)).status, 401) << teams;
+        }
+        EXPECT_EQ(m_desk.allRuns(), runs);
+    }
+}
--- a/src/configurationcheck/internal/comparison.cpp
+++ b/src/configurationcheck/internal/comparison.cpp
@@ -13,11 +13,16 @@
 
 ComparedConfiguration compared(const ConfigurationDraft &draft)
 {
-    ComparedConfiguration result{draft.version, draft.routes, draft.services, draft.limits, {}};
-    for (const serving::TeamEntry &team : draft.teams) {
+    ComparedConfiguration result{draft.version, draft.routes, draft.services, draft.limits,
+                                 std::nullopt};
+    if (!draft.teams) {
+        return result;
+    }
+    result.teams.emplace();
+    for (const serving::TeamEntry &team : *draft.teams) {
         ComparedTeam entry{team.id, team.priority, {}};
         std::transform(team.keys.begin(), team.keys.end(), std::back_inserter(entry.keys), keyHash);
-        result.teams.push_back(std::move(entry));
+        result.teams->push_back(std::move(entry));
     }
     return result;
 }
--- a/src/configurationcheck/internal/errorrules.cpp
+++ b/src/configurationcheck/internal/errorrules.cpp
@@ -19,7 +19,9 @@
     {
         checkList(EntrySection::Routes, draft.routes, findings);
         checkList(EntrySection::Services, draft.services, findings);
-        checkList(EntrySection::Teams, draft.teams, findings);
+        if (draft.teams) {
+            checkList(EntrySection::Teams, *draft.teams, findings);
+        }
     }
 
 private:
@@ -131,10 +133,18 @@
 public:
     void check(const ConfigurationDraft &draft, const CheckContext & /*context*/,
                FindingList &findings) const override
+    {
+        if (draft.teams) {
+            checkTeams(*draft.teams, findings);
+        }
+    }
+
+private:
+    static void checkTeams(const std::vector<serving::TeamEntry> &teams, FindingList &findings)
     {
         std::unordered_map<framework::ApiKey, std::size_t> owners;
-        for (std::size_t team = 0; team < draft.teams.size(); ++team) {
-            const auto &keys = draft.teams[team].keys;
+        for (std::size_t team = 0; team < teams.size(); ++team) {
+            const auto &keys = teams[team].keys;
             for (std::size_t key = 0; key < keys.size(); ++key) {
                 const auto [owner, isNew] = owners.emplace(keys[key], team);
                 // A key that one team lists twice has one meaning.
@@ -142,8 +152,8 @@
                     findings.add(
                         Rule::DuplicateKey,
                         {EntrySection::Teams, team, EntryField::Keys, key, EntryField::None},
-                        "teams " + draft.teams[owner->second].id.value() + " and "
-                            + draft.teams[team].id.value() + " have the same key "
+                        "teams " + teams[owner->second].id.value() + " and "
+                            + teams[team].id.value() + " have the same key "
                             + shortHash(keyHash(keys[key])));
                 }
             }
--- a/src/configurationcheck/internal/matchrules.cpp
+++ b/src/configurationcheck/internal/matchrules.cpp
@@ -145,6 +145,21 @@
     }
 };
 
+/// A list of teams without keys closes all routes but the public ones.
+class NoValidKeyRule final : public IConfigurationRule
+{
+public:
+    void check(const ConfigurationDraft &draft, const CheckContext & /*context*/,
+               FindingList &findings) const override
+    {
+        const auto hasKey = [](const serving::TeamEntry &team) { return !team.keys.empty(); };
+        if (draft.teams && std::none_of(draft.teams->begin(), draft.teams->end(), hasKey)) {
+            findings.add(Rule::NoValidKey, {EntrySection::Teams, {}, {}, {}, {}},
+                         "no team has a key, so requests run on public routes only");
+        }
+    }
+};
+
 } // namespace
 
 ConfigurationRules makeMatchRules()
@@ -154,6 +169,7 @@
     rules.push_back(std::make_unique<UnmatchableRule>());
     rules.push_back(std::make_unique<AttemptsRule>());
     rules.push_back(std::make_unique<BatchRule>());
+    rules.push_back(std::make_unique<NoValidKeyRule>());
     return rules;
 }
 
--- a/src/configurationcheck/internal/rule.cpp
+++ b/src/configurationcheck/internal/rule.cpp
@@ -37,6 +37,8 @@
         return "attempts-never-made";
     case Rule::BatchNeverFills:
         return "batch-never-fills";
+    case Rule::NoValidKey:
+        return "no-valid-key";
     case Rule::DuplicateMember:
         return "duplicate-member";
     case Rule::MisspeltMember:
--- a/src/configurationcheck/internal/teamdifferences.cpp
+++ b/src/configurationcheck/internal/teamdifferences.cpp
@@ -50,7 +50,6 @@
 
     void run()
     {
-        compareNeed();
         for (std::size_t index = 0; index < m_before.size(); ++index) {
             comparePriority(m_before[index]);
             for (const KeyHash &key : m_before[index].keys) {
@@ -65,18 +64,6 @@
     }
 
 private:
-    /// Without any team, requests need no key.
-    void compareNeed()
-    {
-        if (m_before.empty() != m_after.empty()) {
-            m_findings.add(m_before.empty() ? Rule::RouteLosesCallers : Rule::TeamChanged,
-                           {EntrySection::Teams, {}, {}, {}, {}},
-                           m_before.empty() ? "requests need an API key now, but for public routes"
-                                            : "there is no team left, so requests need no API key",
-                           Effect::AtOnce);
-        }
-    }
-
     void comparePriority(const ComparedTeam &before)
     {
         const auto position = m_newPositions.find(before.id);
@@ -137,12 +124,27 @@
     FindingList &m_findings;
 };
 
+/// Without a list of teams, requests need no key; with an empty one, no key is valid.
+void compareNeed(bool before, bool after, FindingList &findings)
+{
+    if (before != after) {
+        findings.add(after ? Rule::RouteLosesCallers : Rule::TeamChanged,
+                     {EntrySection::Teams, {}, {}, {}, {}},
+                     after ? "requests need an API key now, but for public routes"
+                           : "there is no list of teams left, so requests need no API key",
+                     Effect::AtOnce);
+    }
+}
+
 } // namespace
 
 void compareTeams(const ComparedConfiguration &before, const ComparedConfiguration &after,
                   FindingList &findings)
 {
-    TeamComparison(before.teams, after.teams, findings).run();
+    compareNeed(before.teams.has_value(), after.teams.has_value(), findings);
+    const std::vector<ComparedTeam> none;
+    TeamComparison(before.teams ? *before.teams : none, after.teams ? *after.teams : none, findings)
+        .run();
 }
 
 } // namespace lavendertally::configurationcheck
--- a/src/configurationcheck/tests/differencestest.cpp
+++ b/src/configurationcheck/tests/differencestest.cpp
@@ -116,23 +116,24 @@
     testing::Values(
         DifferenceCase{Rule::KeyRemoved, entry(EntrySection::Teams, 0, EntryField::Keys),
                        Effect::AtOnce, "of team t1",
-                       [](auto &draft) { draft.teams[0].keys.clear(); }},
+                       [](auto &draft) { draft.teams->at(0).keys.clear(); }},
         DifferenceCase{Rule::KeyRemoved, section(EntrySection::Teams), Effect::AtOnce, "of team t1",
-                       [](auto &draft) { draft.teams.erase(draft.teams.begin()); }},
+                       [](auto &draft) { draft.teams->erase(draft.teams->begin()); }},
         DifferenceCase{Rule::KeyMoved, entry(EntrySection::Teams, 1, EntryField::Keys),
                        Effect::AtOnce, "stands for team t2 instead of t1",
                        [](auto &draft) {
-                           draft.teams[1].keys.push_back(draft.teams[0].keys[0]);
-                           draft.teams[0].keys.clear();
+                           draft.teams->at(1).keys.push_back(draft.teams->at(0).keys[0]);
+                           draft.teams->at(0).keys.clear();
                        }},
         DifferenceCase{Rule::KeyAdded,
                        {EntrySection::Teams, 0, EntryField::Keys, 1, {}},
                        Effect::AtOnce,
                        "of team t1 is accepted",
-                       [](auto &draft) { draft.teams[0].keys.emplace_back("key one more"); }},
-        DifferenceCase{Rule::TeamChanged, entry(EntrySection::Teams, 0, EntryField::Priority),
-                       Effect::AtOnce, "priority 1 instead of the priority of the route",
-                       [](auto &draft) { draft.teams[0].priority = framework::PriorityRank(1); }},
+                       [](auto &draft) { draft.teams->at(0).keys.emplace_back("key one more"); }},
+        DifferenceCase{
+            Rule::TeamChanged, entry(EntrySection::Teams, 0, EntryField::Priority), Effect::AtOnce,
+            "priority 1 instead of the priority of the route",
+            [](auto &draft) { draft.teams->at(0).priority = framework::PriorityRank(1); }},
         DifferenceCase{Rule::LimitTightened,
                        {EntrySection::Limits, {}, EntryField::MaxBody, {}, {}},
                        Effect::AtOnce,
@@ -166,7 +167,7 @@
     ConfigurationDraft after = before;
     std::reverse(after.routes.begin(), after.routes.end());
     std::reverse(after.services.begin(), after.services.end());
-    std::reverse(after.teams.begin(), after.teams.end());
+    std::reverse(after.teams->begin(), after.teams->end());
     after.routes[1].split = {{framework::ServiceId("s2"), 75}, {framework::ServiceId("s1"), 25}};
     EXPECT_EQ(differences(before, after), std::vector<Finding>());
 }
@@ -193,7 +194,7 @@
     ASSERT_EQ(findings.size(), 1U);
     EXPECT_EQ(findings[0].rule, Rule::RouteLosesCallers);
     ConfigurationDraft withoutTeams = soundDraft();
-    withoutTeams.teams.clear();
+    withoutTeams.teams.reset();
     findings = differences(withoutTeams, soundDraft());
     ASSERT_EQ(findings.size(), 3U) << "the need for keys, and two keys";
     EXPECT_EQ(findings[0].rule, Rule::RouteLosesCallers);
--- a/src/configurationcheck/tests/draftfixture.h
+++ b/src/configurationcheck/tests/draftfixture.h
@@ -40,8 +40,9 @@
     pool.pieceTime = framework::Microseconds(1000);
     pool.resultCapacity = framework::Bytes(1000000);
     draft.services[2].stagePool = pool;
-    draft.teams = {{framework::TeamId("t1"), {}, {framework::ApiKey("key one")}},
-                   {framework::TeamId("t2"), {}, {framework::ApiKey("key two")}}};
+    draft.teams = std::vector<serving::TeamEntry>{
+        {framework::TeamId("t1"), {}, {framework::ApiKey("key one")}},
+        {framework::TeamId("t2"), {}, {framework::ApiKey("key two")}}};
     return draft;
 }
 
--- a/src/configurationcheck/tests/rulestest.cpp
+++ b/src/configurationcheck/tests/rulestest.cpp
@@ -96,7 +96,7 @@
                  [](auto &draft, auto &) { draft.services.push_back(draft.services[0]); }},
         RuleCase{Rule::DuplicateName,
                  {EntrySection::Teams, 1, EntryField::Name, {}, {}},
-                 [](auto &draft, auto &) { draft.teams[1].id = draft.teams[0].id; }},
+                 [](auto &draft, auto &) { draft.teams->at(1).id = draft.teams->at(0).id; }},
         RuleCase{Rule::UnknownService,
                  {EntrySection::Routes, 0, EntryField::Split, 0, EntryField::Service},
                  [](auto &draft, auto &) {
@@ -114,9 +114,10 @@
                  [](auto &draft, auto &) {
                      draft.routes[0].stages[0].service = framework::ServiceId("s2");
                  }},
-        RuleCase{Rule::DuplicateKey,
-                 {EntrySection::Teams, 1, EntryField::Keys, 0, {}},
-                 [](auto &draft, auto &) { draft.teams[1].keys[0] = draft.teams[0].keys[0]; }}));
+        RuleCase{
+            Rule::DuplicateKey,
+            {EntrySection::Teams, 1, EntryField::Keys, 0, {}},
+            [](auto &draft, auto &) { draft.teams->at(1).keys[0] = draft.teams->at(0).keys[0]; }}));
 
 INSTANTIATE_TEST_SUITE_P(
     NeverMatches, ConfigurationRuleTest,
@@ -138,6 +139,16 @@
                                  draft.routes[0].latencyObjective = framework::Milliseconds(6);
                                  draft.services[0].coldRequestsPerSecond = 0;
                              }},
+                    RuleCase{Rule::NoValidKey,
+                             {EntrySection::Teams, {}, {}, {}, {}},
+                             [](auto &draft, auto &) {
+                                 for (serving::TeamEntry &team : *draft.teams) {
+                                     team.keys.clear();
+                                 }
+                             }},
+                    RuleCase{Rule::NoValidKey,
+                             {EntrySection::Teams, {}, {}, {}, {}},
+                             [](auto &draft, auto &) { draft.teams->clear(); }},
                     RuleCase{
                         Rule::BatchNeverFills,
                         {EntrySection::Services, 2, EntryField::Pool, {}, EntryField::BatchSize},
@@ -225,6 +236,6 @@
 TEST(ConfigurationRules, KeyTwiceInOneTeamIsNoFault)
 {
     ConfigurationDraft draft = soundDraft();
-    draft.teams[0].keys.push_back(draft.teams[0].keys[0]);
+    draft.teams->at(0).keys.push_back(draft.teams->at(0).keys[0]);
     EXPECT_EQ(allFindings(draft, plainContext()), std::vector<Finding>());
 }
--- a/src/configurationcheck/types/comparedconfiguration.h
+++ b/src/configurationcheck/types/comparedconfiguration.h
@@ -6,6 +6,7 @@
 #include "serving/types/route.h"
 #include "serving/types/servicespec.h"
 
+#include <optional>
 #include <vector>
 
 namespace lavendertally::configurationcheck {
@@ -17,7 +18,8 @@
     std::vector<serving::Route> routes;
     std::vector<serving::ServiceSpec> services;
     serving::RequestLimits limits;
-    std::vector<ComparedTeam> teams;
+    /// Nothing if requests need no API key.
+    std::optional<std::vector<ComparedTeam>> teams;
 };
 
 } // namespace lavendertally::configurationcheck
--- a/src/configurationcheck/types/configurationdraft.h
+++ b/src/configurationcheck/types/configurationdraft.h
@@ -6,6 +6,7 @@
 #include "serving/types/servicespec.h"
 #include "serving/types/teamentry.h"
 
+#include <optional>
 #include <vector>
 
 namespace lavendertally::configurationcheck {
@@ -18,7 +19,8 @@
     std::vector<serving::Route> routes;
     std::vector<serving::ServiceSpec> services;
     serving::RequestLimits limits;
-    std::vector<serving::TeamEntry> teams;
+    /// Nothing if the configuration has no list of teams; requests need no API key then.
+    std::optional<std::vector<serving::TeamEntry>> teams;
 };
 
 } // namespace lavendertally::configurationcheck
--- a/src/configurationcheck/types/rule.h
+++ b/src/configurationcheck/types/rule.h
@@ -29,6 +29,7 @@
     ShareWithoutWeight,
     AttemptsNeverMade,
     BatchNeverFills,
+    NoValidKey,
     DuplicateMember,
     MisspeltMember,
     /// Value without a sound meaning that gateways have always taken or left out.
--- a/src/platform/internal/activeconfigurationcodec.cpp
+++ b/src/platform/internal/activeconfigurationcodec.cpp
@@ -181,8 +181,14 @@
     result.limits = {bytes(limits, "max_header_bytes"), bytes(limits, "max_body_bytes"),
                      milliseconds(limits, "header_timeout_ms"),
                      milliseconds(limits, "idle_timeout_ms")};
-    for (const json &team : object.at("teams")) {
-        result.teams.push_back(decodeTeam(team));
+    const json &teams = object.at("teams");
+    // Earlier builds need no key if there is no team, and name no need.
+    const auto requiresKeys = object.find("requires_keys");
+    if (requiresKeys == object.end() ? !teams.empty() : requiresKeys->get<bool>()) {
+        result.teams.emplace();
+        for (const json &team : teams) {
+            result.teams->push_back(decodeTeam(team));
+        }
     }
     return result;
 }
@@ -200,8 +206,10 @@
         services.push_back(encodeService(service));
     }
     json teams = json::array();
-    for (const serving::TeamEntry &team : configuration.teams()) {
-        teams.push_back(encodeTeam(team));
+    if (configuration.teams()) {
+        for (const serving::TeamEntry &team : *configuration.teams()) {
+            teams.push_back(encodeTeam(team));
+        }
     }
     const serving::RequestLimits &limits = configuration.limits();
     const json result = {{"configuration", configuration.version().value()},
@@ -212,6 +220,7 @@
                            {"max_body_bytes", limits.maxBody.value()},
                            {"header_timeout_ms", limits.headerTimeout.value()},
                            {"idle_timeout_ms", limits.idleTimeout.value()}}},
+                         {"requires_keys", configuration.requiresKeys()},
                          {"teams", teams}};
     return result.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/src/platform/internal/configurationdecoder.cpp
+++ b/src/platform/internal/configurationdecoder.cpp
@@ -75,15 +75,7 @@
     for (const auto &service : fields.list("services")) {
         readService(service, itemPath("services", index++));
     }
-    index = 0;
-    const nlohmann::json *teams = fields.find("tenants");
-    if (teams != nullptr && !teams->is_array()) {
-        fields.report(Rule::ToleratedValue, "tenants", "is not a list, so there are no teams");
-    } else {
-        for (const auto &team : fields.listOrEmpty("tenants")) {
-            readTeam(team, itemPath("tenants", index++));
-        }
-    }
+    readTeams(fields);
     if (const nlohmann::json *limits = fields.find("limits")) {
         readLimits(*limits);
     }
@@ -258,6 +250,20 @@
     fields.reportMisspelt();
 }
 
+/// Requests need a key if the member is there, whatever it holds: programs write an empty list as
+/// null, too.
+void ConfigurationDecoder::readTeams(EntryReader &fields)
+{
+    if (!fields.contains("tenants")) {
+        return;
+    }
+    m_draft.teams.emplace();
+    std::size_t index = 0;
+    for (const auto &team : fields.listOrEmpty("tenants")) {
+        readTeam(team, itemPath("tenants", index++));
+    }
+}
+
 void ConfigurationDecoder::readTeam(const nlohmann::json &json, const std::string &path)
 {
     EntryReader fields(json, path, m_findings);
@@ -277,7 +283,7 @@
         ++index;
     }
     fields.reportMisspelt();
-    m_draft.teams.push_back(std::move(team));
+    m_draft.teams->push_back(std::move(team));
 }
 
 } // namespace lavendertally::platform
--- a/src/platform/internal/configurationdecoder.h
+++ b/src/platform/internal/configurationdecoder.h
@@ -36,6 +36,7 @@
     void readService(const nlohmann::json &json, const std::string &path);
     serving::StagePool readPool(const nlohmann::json &json, const std::string &path);
     void readLimits(const nlohmann::json &json);
+    void readTeams(EntryReader &fields);
     void readTeam(const nlohmann::json &json, const std::string &path);
 
     configurationcheck::ConfigurationDraft m_draft;
--- a/src/platform/internal/entryreader.cpp
+++ b/src/platform/internal/entryreader.cpp
@@ -94,6 +94,12 @@
     m_findings.push_back({rule, pathOf(name), std::move(reason), {}});
 }
 
+bool EntryReader::contains(const char *name)
+{
+    m_asked.push_back(name);
+    return m_json.is_object() && m_json.contains(name);
+}
+
 const nlohmann::json *EntryReader::find(const char *name)
 {
     m_asked.push_back(name);
--- a/src/platform/internal/entryreader.h
+++ b/src/platform/internal/entryreader.h
@@ -45,6 +45,9 @@
     const nlohmann::json &list(const char *name);
     const nlohmann::json &listOrEmpty(const char *name);
 
+    /// \return whether the member is there, if only as null
+    bool contains(const char *name);
+
     /// \return the member, or null if it is missing or null
     const nlohmann::json *find(const char *name);
 
--- a/src/platform/tests/configurationinspectiontest.cpp
+++ b/src/platform/tests/configurationinspectiontest.cpp
@@ -1,6 +1,8 @@
 #include "platform/configurationinspection.h"
+#include "platform/activeconfigurationcodec.h"
 
 #include "configurationcheck/tests/draftfixture.h"
+#include "configurationcheck/types/comparedconfiguration.h"
 #include "platform/internal/configurationcodec.h"
 #include "platform/tests/generatedconfiguration.h"
 #include "serving/types/servingconfiguration.h"
@@ -84,9 +86,14 @@
     return {
         patchFault(Rule::WrongType, "version", {{"version", "7"}}),
         patchFault(Rule::OutOfRange, "version", {{"version", -1}}),
-        patchFault(Rule::ToleratedValue, "tenants", {{"tenants", {{"name", "t"}}}}),
+        patchFault(Rule::WrongType, "tenants", {{"tenants", {{"name", "t"}}}}),
         patchFault(Rule::ToleratedValue, "tenants[0].apiKeys[0]",
-                   {{"tenants", {{{"name", "t"}, {"apiKeys", {7}}}}}}),
+                   {{"tenants", {{{"name", "t"}, {"apiKeys", {7, "k"}}}}}}),
+        patchFault(Rule::NoValidKey, "tenants", {{"tenants", json::array()}}),
+        {Rule::NoValidKey, "tenants",
+         [](json &configuration) { configuration["tenants"] = nullptr; }},
+        patchFault(Rule::NoValidKey, "tenants",
+                   {{"tenants", {{{"name", "t"}, {"apiKeys", json::array()}}}}}),
         patchFault(Rule::DuplicateKey, "tenants[1].apiKeys[0]", {{"tenants", twoTeams}}),
         patchFault(Rule::WrongType, "limits.maxBodyBytes",
                    {{"limits", {{"maxBodyBytes", "4 MB"}}}}),
@@ -257,3 +264,22 @@
     EXPECT_EQ(inspection.findings[0].reason.find("s3cret"), std::string::npos);
     EXPECT_NE(inspection.findings[0].reason.find("teams a and b"), std::string::npos);
 }
+
+/// Guards against requests that run without a key because the list of teams is empty.
+TEST(ConfigurationInspectionTest, TeamsAreAskedForWhereverTheirListIsWritten)
+{
+    const std::string start = R"({"version":1,"routes":[],"services":[])";
+    EXPECT_FALSE((*decodeConfiguration(start + "}"))->requiresKeys());
+    for (const char *teams : {"[]", "null", R"([{"name":"t","apiKeys":[]}])"}) {
+        const auto decoded = decodeConfiguration(start + R"(,"tenants":)" + teams + "}");
+        ASSERT_TRUE(decoded) << teams;
+        EXPECT_TRUE((*decoded)->requiresKeys()) << teams;
+        EXPECT_EQ((*decoded)->findTeam(framework::ApiKey("")), nullptr);
+        const auto active = decodeActiveConfiguration(encodeActiveConfiguration(**decoded));
+        ASSERT_TRUE(active);
+        EXPECT_TRUE(active->teams.has_value()) << "as lavendertallyctl reads it";
+    }
+    for (const char *teams : {"7", "{}", "\"\"", "false"}) {
+        EXPECT_FALSE(decodeConfiguration(start + R"(,"tenants":)" + teams + "}")) << teams;
+    }
+}
--- a/src/platform/tests/generatedconfiguration.h
+++ b/src/platform/tests/generatedconfiguration.h
@@ -37,6 +37,8 @@
         for (std::size_t index = 0; index < teamCount; ++index) {
             teams.push_back(team(index));
         }
+        // A list without any key is worth a warning.
+        teams.push_back({{"name", "with-key"}, {"apiKeys", {"secret"}}});
         nlohmann::json json = {{"version", between(1, 1000)},
                                {"routes", routes},
                                {"services", services},
--- a/src/proxy/internal/requestresolver.cpp
+++ b/src/proxy/internal/requestresolver.cpp
@@ -54,7 +54,7 @@
                                                      framework::TimePoint now,
                                                      RequestPlan &plan) const
 {
-    if (!plan.configuration->hasTeams() || plan.route->isPublic) {
+    if (!plan.configuration->requiresKeys() || plan.route->isPublic) {
         return std::nullopt;
     }
     plan.team = plan.configuration->findTeam(request.key);
--- a/src/proxy/tests/proxyfixture.h
+++ b/src/proxy/tests/proxyfixture.h
@@ -274,7 +274,7 @@
                        route("book", serving::RouteKind::NonIdempotent, 2),
                        route("stream", serving::RouteKind::Streaming, 2), resumable, staged,
                        stagedResumable, open},
-                      {}, {team});
+                      {}, std::vector{team});
     }
     void addServer(const char *id)
     {
--- a/src/serving/internal/servingconfiguration.cpp
+++ b/src/serving/internal/servingconfiguration.cpp
@@ -9,7 +9,7 @@
 ServingConfiguration::ServingConfiguration(framework::ConfigurationVersion version,
                                            std::vector<Route> routes,
                                            std::vector<ServiceSpec> services, RequestLimits limits,
-                                           std::vector<TeamEntry> teams)
+                                           std::optional<std::vector<TeamEntry>> teams)
     : m_version(version), m_routes(std::move(routes)), m_limits(limits), m_teams(std::move(teams))
 {
     for (ServiceSpec &service : services) {
@@ -24,8 +24,8 @@
             return m_routes[a].prefix.size() > m_routes[b].prefix.size();
         });
     }
-    for (std::size_t index = 0; index < m_teams.size(); ++index) {
-        for (const framework::ApiKey &key : m_teams[index].keys) {
+    for (std::size_t index = 0; m_teams && index < m_teams->size(); ++index) {
+        for (const framework::ApiKey &key : (*m_teams)[index].keys) {
             m_teamsByKey.emplace(key, index);
         }
     }
@@ -54,7 +54,7 @@
 const TeamEntry *ServingConfiguration::findTeam(const framework::ApiKey &key) const
 {
     const auto found = m_teamsByKey.find(key);
-    return found == m_teamsByKey.end() ? nullptr : &m_teams[found->second];
+    return found == m_teamsByKey.end() ? nullptr : &(*m_teams)[found->second];
 }
 
 } // namespace lavendertally::serving
--- a/src/serving/testing/fakeservingstate.h
+++ b/src/serving/testing/fakeservingstate.h
@@ -4,6 +4,7 @@
 #include "serving/types/servingconfiguration.h"
 
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -21,7 +22,7 @@
     bool isNewestRejected() const override { return false; }
 
     void set(std::vector<Route> routes, std::vector<ServiceSpec> services,
-             std::vector<TeamEntry> teams = {})
+             std::optional<std::vector<TeamEntry>> teams = std::nullopt)
     {
         m_configuration = std::make_shared<ServingConfiguration>(
             framework::ConfigurationVersion(1), std::move(routes), std::move(services),
--- a/src/serving/tests/servingtest.cpp
+++ b/src/serving/tests/servingtest.cpp
@@ -24,7 +24,7 @@
 {
     return std::make_shared<ServingConfiguration>(framework::ConfigurationVersion(number),
                                                   std::vector<Route>{}, std::vector<ServiceSpec>{},
-                                                  RequestLimits{}, std::vector<TeamEntry>{});
+                                                  RequestLimits{}, std::nullopt);
 }
 
 } // namespace
@@ -34,7 +34,7 @@
     const ServingConfiguration configuration(
         framework::ConfigurationVersion(1),
         {route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "i", "/a/b/c/")},
-        {}, {}, {});
+        {}, {}, std::nullopt);
     ASSERT_NE(configuration.findRoute("h", "/a/b/c/d"), nullptr);
     EXPECT_EQ(configuration.findRoute("h", "/a/b/c/d")->id.value(), "long");
     EXPECT_EQ(configuration.findRoute("h", "/a/x")->id.value(), "short");
@@ -49,8 +49,8 @@
     team.id = framework::TeamId("members");
     team.keys = {framework::ApiKey("k1"), framework::ApiKey("k2")};
     const ServingConfiguration configuration(framework::ConfigurationVersion(1), {}, {}, {},
-                                             {team});
-    EXPECT_TRUE(configuration.hasTeams());
+                                             std::vector<TeamEntry>{team});
+    EXPECT_TRUE(configuration.requiresKeys());
     EXPECT_EQ(configuration.findTeam(framework::ApiKey("k2"))->id.value(), "members");
     EXPECT_EQ(configuration.findTeam(framework::ApiKey("k3")), nullptr);
 }
--- a/src/serving/types/servingconfiguration.h
+++ b/src/serving/types/servingconfiguration.h
@@ -7,6 +7,7 @@
 #include "serving/types/teamentry.h"
 
 #include <map>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -17,15 +18,17 @@
 class ServingConfiguration
 {
 public:
+    /// \param teams nothing if requests need no API key; an empty list has no valid key
     ServingConfiguration(framework::ConfigurationVersion version, std::vector<Route> routes,
                          std::vector<ServiceSpec> services, RequestLimits limits,
-                         std::vector<TeamEntry> teams);
+                         std::optional<std::vector<TeamEntry>> teams);
 
     framework::ConfigurationVersion version() const { return m_version; }
     const RequestLimits &limits() const { return m_limits; }
     const std::vector<Route> &routes() const { return m_routes; }
     const std::map<framework::ServiceId, ServiceSpec> &services() const { return m_services; }
-    const std::vector<TeamEntry> &teams() const { return m_teams; }
+    /// \return the teams, or nothing if requests need no API key
+    const std::optional<std::vector<TeamEntry>> &teams() const { return m_teams; }
 
     /// \param path without the query
     /// \return the route with the longest prefix of \p path among those of \p hostName, or null
@@ -35,7 +38,7 @@
     const ServiceSpec *findService(const framework::ServiceId &service) const;
 
     /// \return whether requests need the API key of a team, except on public routes
-    bool hasTeams() const { return !m_teams.empty(); }
+    bool requiresKeys() const { return m_teams.has_value(); }
 
     /// \return the team that owns \p key, or null
     const TeamEntry *findTeam(const framework::ApiKey &key) const;
@@ -45,7 +48,7 @@
     std::vector<Route> m_routes;
     std::map<framework::ServiceId, ServiceSpec> m_services;
     RequestLimits m_limits;
-    std::vector<TeamEntry> m_teams;
+    std::optional<std::vector<TeamEntry>> m_teams;
     /// Indexes into m_routes by host name, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost;
     /// Indexes into m_teams by API key.
