A start of a server that leaves is remembered without its entry

Cause: this was kept with the entry and forgotten when the store removed it. A heartbeat that the store executed late made a new entry, which looked like a new server. Where the answer came after the removal, it was not kept at all. Change: it is kept by start (id and born), bounded in number; entries of this start or an earlier one admit no work, a later one does at once. An answer counts for the start to which the call was sent, so it no longer stops a new one. Why it works: a start that leaves does not come back, so no order of writes at the store can make it admit work.

--- a/src/membership/ibackendserverupdates.h
+++ b/src/membership/ibackendserverupdates.h
@@ -9,6 +9,7 @@
 namespace lavendertally::membership {
 
 struct BackendServerEntry;
+struct ServerLifetime;
 
 /// Receives the registrations of backend servers and the availability zones out of service from the
 /// platform.
@@ -36,9 +37,10 @@
     /// \param zones availability zones that operators have taken out of service
     virtual void setZonesOut(std::set<framework::AvailabilityZoneId> zones) = 0;
 
-    /// The backend server says in an answer that it leaves; it admits no new work, whatever its
-    /// registration says, until it has started again.
-    virtual void noteLeaving(const framework::BackendServerId &server) = 0;
+    /// The backend server says in an answer that it leaves; it admits no new work until it has
+    /// started again, whatever its registration says, and whether it is registered now or not.
+    /// \param server the start of the server to which the call was sent
+    virtual void noteLeaving(const ServerLifetime &server) = 0;
 };
 
 } // namespace lavendertally::membership
--- a/src/membership/internal/backendservertracker.cpp
+++ b/src/membership/internal/backendservertracker.cpp
@@ -27,7 +27,7 @@
 
 bool BackendServerTracker::admits(const BackendServerEntry &entry) const
 {
-    return entry.state == BackendServerState::Ready && !m_leaving.contains(entry.id)
+    return entry.state == BackendServerState::Ready && !m_leaving.contains(entry.lifetime())
         && !m_zonesOut.contains(entry.zone);
 }
 
@@ -56,7 +56,7 @@
 {
     const auto found = m_entries.find(server);
     return found != m_entries.end() && found->second.state == BackendServerState::Ready
-        && !m_leaving.contains(server);
+        && !m_leaving.contains(found->second.lifetime());
 }
 
 bool BackendServerTracker::isZoneOut(const framework::AvailabilityZoneId &zone) const
@@ -86,9 +86,6 @@
         found->second = entry;
         return isChange;
     }
-    if (!isNew && found->second.incarnation != entry.incarnation) {
-        m_leaving.erase(entry.id);
-    }
     m_entries[entry.id] = entry;
     changed();
     m_logger.info("backend server registered or updated",
@@ -96,7 +93,8 @@
                    {"service", entry.service.value()},
                    {"zone", entry.zone.value()},
                    {"endpoint", entry.endpoint.toString()},
-                   {"state", stateName(entry.state)}});
+                   {"state", stateName(entry.state)},
+                   {"leaves", m_leaving.contains(entry.lifetime()) ? "yes" : "no"}});
     return true;
 }
 
@@ -134,14 +132,17 @@
     }
 }
 
-void BackendServerTracker::noteLeaving(const framework::BackendServerId &server)
+void BackendServerTracker::noteLeaving(const ServerLifetime &server)
 {
-    if (!m_entries.contains(server) || !m_leaving.insert(server).second) {
+    if (!m_leaving.add(server)) {
         return;
     }
+    m_leaving.purge(
+        [this](const framework::BackendServerId &id) { return m_entries.contains(id); });
     changed();
     m_logger.info("backend server says that it leaves; it gets no more work",
-                  {{"backend_server", server.value()}});
+                  {{"backend_server", server.id.value()},
+                   {"incarnation", std::to_string(server.incarnation.value())}});
 }
 
 void BackendServerTracker::setZonesOut(std::set<framework::AvailabilityZoneId> zones)
@@ -173,7 +174,7 @@
     if (m_entries.erase(server) == 0) {
         return;
     }
-    m_leaving.erase(server);
+    m_leaving.registrationEnded(server);
     changed();
     m_logger.info("backend server removed; it gets no more work",
                   {{"backend_server", server.value()}, {"reason", reason}});
--- a/src/membership/internal/backendservertracker.h
+++ b/src/membership/internal/backendservertracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/ibackendservertracker.h"
+#include "membership/internal/leavingservers.h"
 
 #include <map>
 #include <unordered_map>
@@ -30,7 +31,7 @@
     void registryRecovered(framework::TimePoint now) override;
     void retainOnly(const std::set<framework::BackendServerId> &servers,
                     framework::TimePoint now) override;
-    void noteLeaving(const framework::BackendServerId &server) override;
+    void noteLeaving(const ServerLifetime &server) override;
     void setZonesOut(std::set<framework::AvailabilityZoneId> zones) override;
     void expire(framework::TimePoint now) override;
     bool hasSynced() const override { return m_hasSynced; }
@@ -44,8 +45,7 @@
     bool m_hasSynced = false;
     MembershipGeneration m_generation;
     std::map<framework::BackendServerId, BackendServerEntry> m_entries;
-    /// Registered backend servers that have said that they leave.
-    std::set<framework::BackendServerId> m_leaving;
+    LeavingServers m_leaving;
     std::set<framework::AvailabilityZoneId> m_zonesOut;
     /// End of the grace period in which removed entries are kept.
     framework::TimePoint m_graceEnd;
--- a/src/membership/tests/backendservertrackertest.cpp
+++ b/src/membership/tests/backendservertrackertest.cpp
@@ -137,7 +137,7 @@
     server.incarnation = framework::Incarnation(1);
     m_tracker->put(server);
     const MembershipGeneration before = m_tracker->generation();
-    m_tracker->noteLeaving(server.id);
+    m_tracker->noteLeaving(server.lifetime());
     EXPECT_GT(m_tracker->generation(), before);
     EXPECT_EQ(admitting(), 0U);
     server.slots = 9;
@@ -146,6 +146,41 @@
     server.incarnation = framework::Incarnation(2);
     m_tracker->put(server);
     EXPECT_EQ(admitting(), 1U);
-    m_tracker->noteLeaving(framework::BackendServerId("unknown"));
+    m_tracker->noteLeaving({framework::BackendServerId("unknown"), framework::Incarnation(1)});
+    EXPECT_EQ(admitting(), 1U);
+    server.incarnation = framework::Incarnation(1);
+    m_tracker->put(server);
+    EXPECT_EQ(admitting(), 0U) << "a late report of the start that left";
+}
+
+// Guards against a server without known starts that gets no work for good.
+TEST_F(BackendServerTrackerTest, StartsCannotBeToldApart_ServerComesBackWithANewRegistration)
+{
+    const BackendServerEntry server = entry("a");
+    m_tracker->put(server);
+    m_tracker->noteLeaving(server.lifetime());
+    EXPECT_EQ(admitting(), 0U);
+    m_tracker->remove(server.id, Start);
+    m_tracker->put(server);
+    EXPECT_EQ(admitting(), 1U);
+}
+
+// Guards against memory that grows with each server that has ever left.
+TEST_F(BackendServerTrackerTest, ManyServersLeave_OldestAreForgottenUnlessRegistered)
+{
+    constexpr int Servers = 5000;
+    const auto number = [](int each) {
+        BackendServerEntry server = entry("i-" + std::to_string(each));
+        server.incarnation = framework::Incarnation(1);
+        return server;
+    };
+    m_tracker->put(number(0));
+    for (int each = 0; each < Servers; ++each) {
+        m_tracker->noteLeaving(number(each).lifetime());
+    }
+    EXPECT_EQ(admitting(), 0U);
+    m_tracker->put(number(1));
+    EXPECT_EQ(admitting(), 1U) << "forgotten";
+    m_tracker->put(number(Servers - 1));
     EXPECT_EQ(admitting(), 1U);
 }
--- a/src/membership/types/backendserverentry.h
+++ b/src/membership/types/backendserverentry.h
@@ -5,6 +5,7 @@
 #include "framework/types/milliseconds.h"
 #include "framework/types/timepoint.h"
 #include "membership/types/backendserverstate.h"
+#include "membership/types/serverlifetime.h"
 
 #include <cstdint>
 
@@ -23,10 +24,12 @@
     std::uint32_t slots = 1;
     /// End of its cold start; in the past when it is warm.
     framework::TimePoint coldUntil;
-    /// Differs after each restart.
+    /// Rises with each start; zero if it is not known.
     framework::Incarnation incarnation;
     /// Rises with each report of one incarnation; zero if it is not known.
     framework::ReportNumber reports;
+
+    ServerLifetime lifetime() const { return {id, incarnation}; }
 };
 
 } // namespace lavendertally::membership
--- a/src/platform/internal/httpbackendcall.cpp
+++ b/src/platform/internal/httpbackendcall.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 HttpBackendCall::HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
-                                 framework::RequestId id, framework::BackendServerId server,
+                                 framework::RequestId id, membership::ServerLifetime server,
                                  membership::IBackendServerUpdates &servers,
                                  proxy::IBackendResponseObserver &observer)
     : m_id(std::move(id)), m_server(std::move(server)), m_servers(servers), m_observer(observer),
--- a/src/platform/internal/httpbackendcall.h
+++ b/src/platform/internal/httpbackendcall.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/ids.h"
 #include "http/ihttpresponseobserver.h"
+#include "membership/types/serverlifetime.h"
 #include "platform/internal/eventstreamreader.h"
 #include "proxy/ibackendcall.h"
 
@@ -28,7 +29,7 @@
 {
 public:
     HttpBackendCall(http::IHttpClient &client, const http::HttpRequest &request,
-                    framework::RequestId id, framework::BackendServerId server,
+                    framework::RequestId id, membership::ServerLifetime server,
                     membership::IBackendServerUpdates &servers,
                     proxy::IBackendResponseObserver &observer);
     ~HttpBackendCall() override;
@@ -46,7 +47,7 @@
 
 private:
     framework::RequestId m_id;
-    framework::BackendServerId m_server;
+    membership::ServerLifetime m_server;
     membership::IBackendServerUpdates &m_servers;
     proxy::IBackendResponseObserver &m_observer;
     EventStreamReader m_events;
--- a/src/platform/internal/httpbackendport.cpp
+++ b/src/platform/internal/httpbackendport.cpp
@@ -106,7 +106,7 @@
     if (request.atMostOnce && m_connections.isLimited(request.server)) {
         sent.acceptanceWait = AcceptanceWait;
     }
-    return std::make_unique<HttpBackendCall>(m_client, sent, client.id, request.server.id,
+    return std::make_unique<HttpBackendCall>(m_client, sent, client.id, request.server.lifetime(),
                                              m_servers, observer);
 }
 
--- a/src/platform/internal/httpstagecallport.cpp
+++ b/src/platform/internal/httpstagecallport.cpp
@@ -102,7 +102,8 @@
     const std::uint64_t number = m_next++;
     m_calls[number] = m_client.fetch(
         request,
-        [this, number, outcome, pieceCount, server = call.server.endpoint, id = call.server.id,
+        [this, number, outcome, pieceCount, server = call.server.endpoint,
+         lifetime = call.server.lifetime(),
          done = std::move(done)](const http::HttpResponse &response) {
             // Keeps the call until its callback has returned.
             const auto node = m_calls.extract(number);
@@ -114,7 +115,7 @@
                 *outcome = decodeStageAnswer(response, pieceCount);
             }
             if (saysItLeaves(response.headers)) {
-                m_servers.noteLeaving(id);
+                m_servers.noteLeaving(lifetime);
             }
             done(std::move(*outcome));
         });
--- a/src/platform/tests/backendporttest.cpp
+++ b/src/platform/tests/backendporttest.cpp
@@ -76,6 +76,7 @@
         request.request = &client;
         request.server.endpoint = m_server.endpoint();
         request.server.id = framework::BackendServerId("i-1");
+        request.server.incarnation = m_incarnation;
         request.server.service = m_service;
         request.atMostOnce = m_atMostOnce;
         request.timeLeft = GenerousTimeout;
@@ -100,6 +101,16 @@
         result.gate = &m_shares->gate();
         return result;
     }
+    /// \return whether the server admits work once the store shows an entry of this start
+    bool isAdmittedAfter(framework::Incarnation incarnation)
+    {
+        membership::BackendServerEntry entry;
+        entry.id = framework::BackendServerId("i-1");
+        entry.incarnation = incarnation;
+        m_servers->put(entry);
+        return m_servers->findAdmitting(entry.id) != nullptr;
+    }
+    void removeEntry() { m_servers->remove(framework::BackendServerId("i-1"), m_clock->now()); }
     /// Makes the server one of a service that accepts a number of connections for each server.
     void setCap(std::uint32_t connections)
     {
@@ -124,6 +135,7 @@
     std::unique_ptr<http::IHttpClient> m_client;
     HttpBackendPort m_port;
     std::unique_ptr<framework::ITimer> m_guard;
+    framework::Incarnation m_incarnation{7};
     std::optional<proxy::ResponseHead> m_head;
     std::optional<proxy::BackendCallEnd> m_end;
     const framework::ServiceId m_service{"plain"};
@@ -172,6 +184,39 @@
     EXPECT_EQ(m_servers->findAdmitting(entry.id), nullptr);
 }
 
+// Guards against bookings that are sent to a server after it has said that it leaves, since the
+// store executed one of its heartbeats after its entry was removed.
+TEST_F(BackendPortTest, EntryOfALeavingServerIsRemoved_LateReportDoesNotBringItBack)
+{
+    ASSERT_TRUE(isAdmittedAfter(m_incarnation));
+    m_answers = {answer("200 OK", "Server-Leaving: 1\r\n" + withId("r1"))};
+    request("r1");
+    removeEntry();
+    EXPECT_FALSE(isAdmittedAfter(m_incarnation));
+    removeEntry();
+    const framework::Incarnation before(m_incarnation.value() - 1);
+    EXPECT_FALSE(isAdmittedAfter(before)) << "a late report of an earlier start";
+    EXPECT_TRUE(isAdmittedAfter(m_incarnation.next())) << "it has started again";
+}
+
+TEST_F(BackendPortTest, ServerSaysThatItLeavesAfterItsEntryIsRemoved_LateReportDoesNotBringItBack)
+{
+    ASSERT_TRUE(isAdmittedAfter(m_incarnation));
+    removeEntry();
+    m_answers = {answer("200 OK", "Server-Leaving: 1\r\n" + withId("r1"))};
+    request("r1");
+    EXPECT_FALSE(isAdmittedAfter(m_incarnation));
+}
+
+// Guards against a server that gets no work since its earlier start has left.
+TEST_F(BackendPortTest, ServerHasStartedAgainBeforeTheAnswer_ItIsAdmitted)
+{
+    ASSERT_TRUE(isAdmittedAfter(m_incarnation.next()));
+    m_answers = {answer("200 OK", "Server-Leaving: 1\r\n" + withId("r1"))};
+    request("r1");
+    EXPECT_TRUE(isAdmittedAfter(m_incarnation.next()));
+}
+
 /// A server over its cap accepts and resets. A request that may run once must not be answered as
 /// unknown for that, so nothing of it is written by then.
 TEST_F(BackendPortTest, ServerResetsConnectionOverItsCap_RequestThatMayRunOnceIsNotSent)
