Tests of the store's client share a fixture

Cause: the new tests repeated the set-up of the one that was there. Change: StoreClientTest is a fixture; no check changed.

--- a/src/platform/tests/storeclienttest.cpp
+++ b/src/platform/tests/storeclienttest.cpp
@@ -25,33 +25,21 @@
 using namespace lavendertally;
 using namespace lavendertally::platform;
 
-// Guards against a write that is given up as not done although the store may have done it.
-TEST(StoreClientTest, StatusIsInvalid_OutcomeOfAppendIsUnknown)
-{
-    const auto loop = framework::FrameworkModule::makeEventLoop();
-    const auto clock = framework::FrameworkModule::makeSystemClock();
-    const auto metrics = framework::FrameworkModule::makeMetrics();
-    const auto client = http::HttpModule::makeClient(*loop);
-    framework::NullLogger logger;
-    http::ScriptedServer server(*loop, [](auto &connection) {
-        http::ScriptedServer::send(connection, "HTTP/1.1 000 Unknown\r\nContent-Length: 0\r\n\r\n");
-    });
-    StoreClient store(*client, server.endpoint(), *clock, logger, *metrics);
-    std::optional<StoreError> error;
-    const auto call =
-        store.append("keyed.daemons", protocol::TopicRecord(), [&](framework::Result<void> result) {
-            error = framework::errorOf(std::move(result), StoreError::Malformed);
-            loop->stop();
-        });
-    loop->run();
-    EXPECT_EQ(error, StoreError::Unknown);
-}
-
 namespace {
 
 constexpr framework::Milliseconds GenerousTimeout{10000};
 constexpr framework::Milliseconds PollInterval{2};
 
+std::string answer(const std::string &status, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+const std::string Written = R"({"offset":17,"endOffset":18})";
+const std::string Page = R"({"items":[],"hasMore":false,"endOffset":18})";
+const std::string Records = std::string(7, '\0') + "\x12" + std::string(8, '\0');
+
 enum class StoreCall
 {
     Append,
@@ -73,59 +61,114 @@
     *stream << answer.name;
 }
 
-const std::string Written = R"({"offset":17,"endOffset":18})";
-const std::string Page = R"({"items":[],"hasMore":false,"endOffset":18})";
-const std::string Records = std::string(7, '\0') + "\x12" + std::string(8, '\0');
-
 } // namespace
 
-class ForeignStoreAnswerTest : public testing::TestWithParam<ForeignAnswer>
+class StoreClientTest : public testing::Test
+{
+protected:
+    StoreClientTest()
+        : m_loop(framework::FrameworkModule::makeEventLoop()),
+          m_clock(framework::FrameworkModule::makeSystemClock()),
+          m_metrics(framework::FrameworkModule::makeMetrics()),
+          m_client(http::HttpModule::makeClient(*m_loop)),
+          m_server(*m_loop,
+                   [this](http::ScriptedServer::Connection &connection) {
+                       http::ScriptedServer::send(connection, m_answers.at(m_calls++));
+                   }),
+          m_store(*m_client, m_server.endpoint(), *m_clock, m_logger, *m_metrics),
+          m_guard(m_loop->callAfter(GenerousTimeout, [this] { m_loop->stop(); }))
+    { }
+
+    /// Makes a call and runs the loop until it has ended.
+    /// \return its error, or nothing if it succeeded
+    std::optional<StoreError> call(StoreCall name)
+    {
+        std::optional<StoreError> error;
+        const auto done = [&](auto result) {
+            if (!result) {
+                error = framework::errorOf(std::move(result), StoreError::Malformed);
+            }
+            m_loop->stop();
+        };
+        const StoreClient::Call call = start(name, done);
+        m_loop->run();
+        return error;
+    }
+    /// Runs the loop until the client has closed all connections.
+    void awaitClose()
+    {
+        std::unique_ptr<framework::ITimer> timer;
+        const std::function<void()> poll = [&] {
+            if (m_server.openConnections() == 0) {
+                m_loop->stop();
+            } else {
+                timer = m_loop->callAfter(PollInterval, poll);
+            }
+        };
+        timer = m_loop->callAfter(PollInterval, poll);
+        m_loop->run();
+    }
+
+    framework::NullLogger m_logger;
+    std::unique_ptr<framework::IEventLoop> m_loop;
+    std::unique_ptr<framework::IClock> m_clock;
+    std::unique_ptr<framework::IMetrics> m_metrics;
+    std::unique_ptr<http::IHttpClient> m_client;
+    /// What the store sends for each call, in order.
+    std::vector<std::string> m_answers;
+    std::size_t m_calls = 0;
+    http::ScriptedServer m_server;
+    StoreClient m_store;
+    std::unique_ptr<framework::ITimer> m_guard;
+
+private:
+    template <typename Done>
+    StoreClient::Call start(StoreCall name, const Done &done)
+    {
+        switch (name) {
+        case StoreCall::ReadNewest:
+            return m_store.readNewest("keyed.op", "", done);
+        case StoreCall::ReadChanges:
+            return m_store.readChanges("keyed.op", framework::LogOffset(17),
+                                       framework::Milliseconds(0), done);
+        case StoreCall::Append:
+            break;
+        }
+        return m_store.append("keyed.daemons", protocol::TopicRecord(), done);
+    }
+};
+
+// Guards against a write that is given up as not done although the store may have done it.
+TEST_F(StoreClientTest, StatusIsInvalid_OutcomeOfAppendIsUnknown)
+{
+    m_answers = {answer("000 Unknown", "")};
+    EXPECT_EQ(call(StoreCall::Append), StoreError::Unknown);
+}
+
+// Guards against a connection for each call.
+TEST_F(StoreClientTest, AnswersBelongToTheirCalls_ConnectionIsReused)
+{
+    m_answers = {answer("200 OK", Written), answer("200 OK", Page), answer("200 OK", Records),
+                 answer("200 OK", Written)};
+    for (const StoreCall each :
+         {StoreCall::Append, StoreCall::ReadNewest, StoreCall::ReadChanges, StoreCall::Append}) {
+        EXPECT_EQ(call(each), std::nullopt);
+    }
+    EXPECT_EQ(m_server.connections(), 1U);
+}
+
+class ForeignStoreAnswerTest : public StoreClientTest,
+                               public testing::WithParamInterface<ForeignAnswer>
 { };
 
 // Guards against records of one topic that are taken for those of another: the answer to a call is
 // still to come if another one has arrived in its place.
 TEST_P(ForeignStoreAnswerTest, AnswerCannotBelongToTheCall_ItsConnectionIsClosed)
 {
-    const auto loop = framework::FrameworkModule::makeEventLoop();
-    const auto clock = framework::FrameworkModule::makeSystemClock();
-    const auto metrics = framework::FrameworkModule::makeMetrics();
-    const auto client = http::HttpModule::makeClient(*loop);
-    framework::NullLogger logger;
-    http::ScriptedServer server(*loop, [](auto &connection) {
-        http::ScriptedServer::send(connection,
-                                   "HTTP/1.1 " + GetParam().status + "\r\nContent-Length: "
-                                       + std::to_string(GetParam().body.size()) + "\r\n\r\n"
-                                       + GetParam().body);
-    });
-    StoreClient store(*client, server.endpoint(), *clock, logger, *metrics);
-    bool hasFailed = false;
-    const auto note = [&](const auto &result) { hasFailed = !result; };
-    StoreClient::Call call;
-    switch (GetParam().call) {
-    case StoreCall::Append:
-        call = store.append("keyed.daemons", protocol::TopicRecord(), note);
-        break;
-    case StoreCall::ReadNewest:
-        call = store.readNewest("keyed.op", "", note);
-        break;
-    case StoreCall::ReadChanges:
-        call = store.readChanges("keyed.op", framework::LogOffset(17), framework::Milliseconds(0),
-                                 note);
-        break;
-    }
-    const auto guard = loop->callAfter(GenerousTimeout, [&] { loop->stop(); });
-    std::unique_ptr<framework::ITimer> timer;
-    const std::function<void()> poll = [&] {
-        if (hasFailed && server.openConnections() == 0) {
-            loop->stop();
-        } else {
-            timer = loop->callAfter(PollInterval, poll);
-        }
-    };
-    poll();
-    loop->run();
-    EXPECT_TRUE(hasFailed);
-    EXPECT_EQ(server.openConnections(), 0U);
+    m_answers = {answer(GetParam().status, GetParam().body)};
+    EXPECT_NE(call(GetParam().call), std::nullopt);
+    awaitClose();
+    EXPECT_EQ(m_server.openConnections(), 0U);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -143,42 +186,3 @@
                     ForeignAnswer{"Changes_Page", StoreCall::ReadChanges, "200 OK", Page},
                     ForeignAnswer{"Changes_Refusal", StoreCall::ReadChanges, "503 Busy", "{}"}),
     [](const testing::TestParamInfo<ForeignAnswer> &info) { return info.param.name; });
-
-// Guards against a connection for each call.
-TEST(StoreClientTest, AnswersBelongToTheirCalls_ConnectionIsReused)
-{
-    const auto loop = framework::FrameworkModule::makeEventLoop();
-    const auto clock = framework::FrameworkModule::makeSystemClock();
-    const auto metrics = framework::FrameworkModule::makeMetrics();
-    const auto client = http::HttpModule::makeClient(*loop);
-    framework::NullLogger logger;
-    std::size_t answered = 0;
-    const std::vector<std::string> bodies = {Written, Page, Records, Written};
-    http::ScriptedServer server(*loop, [&](auto &connection) {
-        const std::string &body = bodies.at(answered++);
-        http::ScriptedServer::send(connection,
-                                   "HTTP/1.1 200 OK\r\nContent-Length: "
-                                       + std::to_string(body.size()) + "\r\n\r\n" + body);
-    });
-    StoreClient store(*client, server.endpoint(), *clock, logger, *metrics);
-    const auto run = [&](const auto &start) {
-        bool isGood = false;
-        const StoreClient::Call call = start([&](const auto &result) {
-            isGood = static_cast<bool>(result);
-            loop->stop();
-        });
-        loop->run();
-        return isGood;
-    };
-    const auto append = [&](const auto &done) {
-        return store.append("keyed.daemons", protocol::TopicRecord(), done);
-    };
-    EXPECT_TRUE(run(append));
-    EXPECT_TRUE(run([&](const auto &done) { return store.readNewest("keyed.op", "", done); }));
-    EXPECT_TRUE(run([&](const auto &done) {
-        return store.readChanges("keyed.op", framework::LogOffset(18), framework::Milliseconds(0),
-                                 done);
-    }));
-    EXPECT_TRUE(run(append));
-    EXPECT_EQ(server.connections(), 1U);
-}
