--- a/src/platform/internal/httpstagecallport.h
+++ b/src/platform/internal/httpstagecallport.h
@@ -50,10 +50,14 @@
 private:
     void sendCall(const stages::StartStageCall &call, std::string body,
                   std::function<void(stages::StageCallOutcome)> done);
+    /// \param pieceCount pieces of the call
+    /// \param response complete response
+    /// \param outcome gets what it says of the call
     /// \return whether the response is known to be the answer to this call
     bool readAnswer(const framework::Endpoint &server, std::size_t pieceCount,
                     const http::HttpResponse &response, stages::StageCallOutcome &outcome);
-    /// Notes a response that cannot be the answer to a call.
+    /// Logs and counts a response that cannot be the answer to a call.
+    /// \param call `run`, `free` or `report`
     void noteForeignAnswer(const char *call, const framework::Endpoint &server,
                            const http::HttpResponse &response);
 
